--- /dev/null
+++ b/src/jasminewharf/events.py
@@ -0,0 +1,83 @@
+"""The catalogue of numbered log events.
+
+Every log line of the system is one of these events. ``docs/events.md`` lists
+them; a test compares the two.
+"""
+
+import logging
+from typing import Any, NamedTuple
+
+from .exceptions import DuplicateRegistration
+
+__all__ = ["CATALOGUE", "Event", "emit"]
+
+
+class Event(NamedTuple):
+    """A kind of log line."""
+
+    number: int
+    level: int
+    text: str
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def _define(number: int, level: int, text: str) -> Event:
+    if number in CATALOGUE:
+        raise DuplicateRegistration(number)
+    event = Event(number, level, text)
+    CATALOGUE[number] = event
+    return event
+
+
+def emit(logger: logging.Logger, event: Event, **fields: Any) -> None:
+    """Write one log line.
+
+    Args:
+        logger: The module's logger.
+        event: An entry of the catalogue.
+        **fields: Values that belong to the line; never a key or a secret.
+    """
+    if logger.isEnabledFor(event.level):
+        logger.log(event.level, event.text, extra={"event": event, "fields": fields})
+
+
+# Kernel and processes: 100 to 199.
+SERVICE_STARTED = _define(100, logging.DEBUG, "service started")
+SERVICE_STOPPED = _define(101, logging.DEBUG, "service stopped")
+TASK_FAILED = _define(102, logging.ERROR, "task failed")
+PROCESS_READY = _define(103, logging.INFO, "process ready")
+PROCESS_STOPPING = _define(104, logging.INFO, "process stopping")
+
+# Links: 200 to 299.
+MESSAGE_MALFORMED = _define(200, logging.WARNING, "malformed message dropped")
+MESSAGE_UNEXPECTED = _define(201, logging.WARNING, "unexpected message dropped")
+PEER_CONNECTED = _define(202, logging.INFO, "peer connected")
+PEER_LOST = _define(203, logging.WARNING, "peer lost")
+HANDLER_FAILED = _define(204, logging.ERROR, "message handler failed")
+
+# Log and storage: 300 to 399.
+LOG_OPENED = _define(300, logging.INFO, "log opened")
+LOG_TAIL_CUT = _define(301, logging.WARNING, "torn log tail cut")
+LOG_CORRUPT = _define(302, logging.ERROR, "log corrupt")
+
+# Configuration and keys: 400 to 499.
+DOCUMENT_ACCEPTED = _define(400, logging.INFO, "document accepted")
+DOCUMENT_REFUSED = _define(401, logging.INFO, "document refused")
+VIEW_RESTORED = _define(402, logging.INFO, "view restored from snapshot")
+VIEW_STALE = _define(403, logging.WARNING, "configuration lease expired")
+FEED_REFUSED = _define(404, logging.WARNING, "older feed refused")
+
+# Callers: 500 to 599.
+REQUEST_FINISHED = _define(500, logging.INFO, "request finished")
+REQUEST_REFUSED = _define(501, logging.INFO, "request refused")
+CONNECTION_REJECTED = _define(502, logging.INFO, "connection rejected")
+ANSWER_DROPPED = _define(503, logging.WARNING, "answer to an unknown request dropped")
+STREAM_BROKEN = _define(504, logging.WARNING, "stream interrupted")
+
+# Backend servers and loads: 600 to 699.
+REPLICA_DECIDED = _define(600, logging.INFO, "replica decided")
+REPLICA_ADVANCED = _define(601, logging.INFO, "replica phase changed")
+BACKEND_UNREACHABLE = _define(602, logging.WARNING, "backend server unreachable")
+ORDER_FAILED = _define(603, logging.WARNING, "order to backend server failed")
--- /dev/null
+++ b/src/jasminewharf/exceptions.py
@@ -0,0 +1,360 @@
+"""The tree of exceptions.
+
+Every failure that the system reports has a type here. A :class:`Refusal` is
+what a caller is told; it carries the HTTP status and whether a backend server
+can have begun the call.
+"""
+
+__all__ = [
+    "AccountOwnerUnavailable",
+    "BackendError",
+    "BackendUnreachable",
+    "BadRequest",
+    "BodyTooLarge",
+    "ClaimConflict",
+    "ConfigurationError",
+    "ConsensusError",
+    "CorruptLog",
+    "DeadlineExceeded",
+    "DocumentError",
+    "DuplicateRegistration",
+    "FenceRejected",
+    "Forbidden",
+    "HeadTooLarge",
+    "IncarnationMismatch",
+    "JasminewharfError",
+    "KernelError",
+    "KeyWithdrawn",
+    "LeaseExpired",
+    "LinkError",
+    "LinkTimeout",
+    "MalformedMessage",
+    "MemoryOvercommit",
+    "MissingService",
+    "ModelUnavailable",
+    "NotFound",
+    "NotLeader",
+    "OutcomeUnknown",
+    "Overloaded",
+    "PeerUnavailable",
+    "ProposalRejected",
+    "QueueFull",
+    "QuorumLost",
+    "RateExceeded",
+    "Refusal",
+    "ServiceFailed",
+    "SettingsError",
+    "ShuttingDown",
+    "StorageError",
+    "StorageFull",
+    "StreamInterrupted",
+    "Unauthorized",
+    "UnknownRegistration",
+    "VersionConflict",
+]
+
+
+class JasminewharfError(Exception):
+    """Base of all errors of this package."""
+
+
+class KernelError(JasminewharfError):
+    """A service could not be found, started or kept running."""
+
+
+class MissingService(KernelError):
+    """A service that another one requires is not registered."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        super().__init__(f"service {name!r} is not registered")
+
+
+class ServiceFailed(KernelError):
+    """A task of a service ended with an unexpected error."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        super().__init__(f"service {name!r} failed")
+
+
+class DuplicateRegistration(JasminewharfError):
+    """Two targets were registered under one name."""
+
+    def __init__(self, name: object) -> None:
+        self.name = name
+        super().__init__(f"{name!r} is already registered")
+
+
+class UnknownRegistration(JasminewharfError):
+    """No target is registered under the name."""
+
+    def __init__(self, name: str, known: list[str]) -> None:
+        self.name = name
+        self.known = known
+        super().__init__(f"{name!r} is unknown; known are: {', '.join(known)}")
+
+
+class ConfigurationError(JasminewharfError):
+    """A settings file or a document is not acceptable.
+
+    Attributes:
+        file: The file's name, or the name of the input.
+        line: The line, counted from 1; 0 if unknown.
+        path: The dotted path of the value.
+        reason: What is wrong and what is allowed.
+    """
+
+    def __init__(self, file: str, line: int, path: str, reason: str) -> None:
+        self.file = file
+        self.line = line
+        self.path = path
+        self.reason = reason
+        super().__init__(f"{file}:{line}: {path or '(root)'}: {reason}")
+
+
+class SettingsError(ConfigurationError):
+    """A settings file is not acceptable."""
+
+
+class DocumentError(ConfigurationError):
+    """A service document is not acceptable."""
+
+
+class VersionConflict(JasminewharfError):
+    """A document was submitted against a version that is no longer current."""
+
+    def __init__(self, service: str, expected: int, current: int, winner: str) -> None:
+        self.service = service
+        self.expected = expected
+        self.current = current
+        self.winner = winner
+        super().__init__(
+            f"{service}: expected version {expected}, current is {current}, "
+            f"submitted by {winner}"
+        )
+
+
+class StorageError(JasminewharfError):
+    """The disk did not do what it was asked."""
+
+
+class StorageFull(StorageError):
+    """The disk has no space left; nothing was acknowledged."""
+
+
+class CorruptLog(StorageError):
+    """A record inside the log fails its checksum; the log is not used."""
+
+
+class ConsensusError(JasminewharfError):
+    """The replicated log could not take a command."""
+
+
+class NotLeader(ConsensusError):
+    """This control host does not lead the group.
+
+    Attributes:
+        group: The log group's name.
+        leader: The leader's member identity, or an empty string if unknown.
+    """
+
+    def __init__(self, group: str, leader: str) -> None:
+        self.group = group
+        self.leader = leader
+        super().__init__(f"not the leader of {group}; leader is {leader or 'unknown'}")
+
+
+class QuorumLost(ConsensusError):
+    """No quorum of control hosts answered in time."""
+
+
+class ProposalRejected(ConsensusError):
+    """The state machine refused a command."""
+
+
+class LinkError(JasminewharfError):
+    """An internal link failed."""
+
+
+class LinkTimeout(LinkError):
+    """A peer did not answer in time; the outcome is unknown."""
+
+
+class PeerUnavailable(LinkError):
+    """The peer cannot be reached; nothing was sent."""
+
+
+class MalformedMessage(LinkError):
+    """Bytes on an internal link are not a message of this protocol."""
+
+
+class IncarnationMismatch(LinkError):
+    """A message was addressed to an earlier life of this process."""
+
+
+class BackendError(JasminewharfError):
+    """A backend server answered with an error or not at all."""
+
+
+class BackendUnreachable(BackendError):
+    """No connection to the backend server; the call did not begin."""
+
+
+class FenceRejected(BackendError):
+    """The engine refused an order because of its fencing number."""
+
+
+class MemoryOvercommit(JasminewharfError):
+    """An order would reserve more memory than the host has."""
+
+
+class Refusal(JasminewharfError):
+    """What a caller is told instead of an answer.
+
+    Attributes:
+        status: The HTTP status.
+        kind: The ``type`` in the error body.
+        not_run: Whether no backend server can have begun the call.
+        retry_after_ms: When to come back, in milliseconds; None if pointless.
+    """
+
+    status = 500
+    kind = "internal_error"
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        not_run: bool = True,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        self.message = message
+        self.not_run = not_run
+        self.retry_after_ms = retry_after_ms
+        super().__init__(message)
+
+
+class BadRequest(Refusal):
+    """The call is not valid."""
+
+    status = 400
+    kind = "invalid_request"
+
+
+class Unauthorized(Refusal):
+    """No key, or a key that is not known."""
+
+    status = 401
+    kind = "unauthorized"
+
+
+class KeyWithdrawn(Unauthorized):
+    """The key was withdrawn while the connection was open."""
+
+    kind = "key_withdrawn"
+
+
+class Forbidden(Refusal):
+    """The key's workspace may not use this service or model."""
+
+    status = 403
+    kind = "forbidden"
+
+
+class NotFound(Refusal):
+    """No such route, service or model."""
+
+    status = 404
+    kind = "not_found"
+
+
+class ClaimConflict(Refusal):
+    """The idempotency key was used with another body."""
+
+    status = 409
+    kind = "idempotency_conflict"
+
+
+class OutcomeUnknown(Refusal):
+    """An earlier call under this key may have run; it is not repeated."""
+
+    status = 409
+    kind = "outcome_unknown"
+
+
+class BodyTooLarge(Refusal):
+    """The body is longer than the limit."""
+
+    status = 413
+    kind = "body_too_large"
+
+
+class HeadTooLarge(Refusal):
+    """The head is longer than the limit."""
+
+    status = 431
+    kind = "head_too_large"
+
+
+class RateExceeded(Refusal):
+    """The workspace has spent its rate and burst."""
+
+    status = 429
+    kind = "rate_exceeded"
+
+
+class QueueFull(Refusal):
+    """The waiting queue is full."""
+
+    status = 503
+    kind = "queue_full"
+
+
+class Overloaded(Refusal):
+    """The call cannot be served before its deadline."""
+
+    status = 503
+    kind = "overloaded"
+
+
+class ModelUnavailable(Refusal):
+    """No replica is loaded and none can be before the deadline."""
+
+    status = 503
+    kind = "model_unavailable"
+
+
+class AccountOwnerUnavailable(Refusal):
+    """The rate account's owner did not answer and no grant is held."""
+
+    status = 503
+    kind = "rate_unavailable"
+
+
+class LeaseExpired(Refusal):
+    """This node cannot confirm that its configuration is current."""
+
+    status = 503
+    kind = "configuration_unconfirmed"
+
+
+class ShuttingDown(Refusal):
+    """This process takes no new work."""
+
+    status = 503
+    kind = "shutting_down"
+
+
+class DeadlineExceeded(Refusal):
+    """The deadline passed."""
+
+    status = 504
+    kind = "deadline_exceeded"
+
+
+class StreamInterrupted(Refusal):
+    """The answer was cut and could not be resumed."""
+
+    status = 502
+    kind = "stream_interrupted"
--- /dev/null
+++ b/src/jasminewharf/messages/commands.py
@@ -0,0 +1,97 @@
+"""Commands of the log group ``fleet``. Codes 40 to 59."""
+
+from typing import NamedTuple
+
+from .codec import message
+
+__all__ = [
+    "AdvanceReplica",
+    "CommandResult",
+    "DecideReplica",
+    "GrantKey",
+    "SetDraining",
+    "SubmitDocument",
+    "WithdrawKey",
+]
+
+
+@message(40)
+class SubmitDocument(NamedTuple):
+    """Replaces a service's document if ``expected_version`` is current.
+
+    Version 0 means that the service has no document yet. ``submission_id`` makes
+    a resend return the first verdict.
+    """
+
+    submission_id: str
+    service: str
+    expected_version: int
+    body: str
+    author: str
+
+
+@message(41)
+class GrantKey(NamedTuple):
+    """Adds a key; ``digest`` is its HMAC-SHA256 in hexadecimal."""
+
+    submission_id: str
+    key_id: str
+    digest: str
+    workspace: str
+
+
+@message(42)
+class WithdrawKey(NamedTuple):
+    """Withdraws a key for good."""
+
+    submission_id: str
+    key_id: str
+
+
+@message(43)
+class SetDraining(NamedTuple):
+    """Marks a host as leaving, or takes the mark back."""
+
+    submission_id: str
+    host: str
+    draining: bool
+
+
+@message(44)
+class DecideReplica(NamedTuple):
+    """Decides a replica of ``model`` on ``backend``; its number is its log index.
+
+    ``memory_mb`` covers weights, adapter set-aside and KV cache. ``from_tier`` is
+    memory, disk or remote. ``agent_incarnation`` is the agent life that the
+    planner saw.
+    """
+
+    service: str
+    model: str
+    backend: str
+    host: str
+    memory_mb: int
+    from_tier: str
+
+
+@message(45)
+class AdvanceReplica(NamedTuple):
+    """Moves a replica on: loaded, failed, unloading or gone."""
+
+    replica: int
+    phase: str
+    reason: str
+
+
+@message(46)
+class CommandResult(NamedTuple):
+    """What a command did: ``error`` is empty or an exception type's name.
+
+    ``version`` is the document's version for a submission and the replica's
+    number for a decision. ``winner`` names the author that a conflict lost to.
+    """
+
+    error: str
+    text: str
+    version: int
+    winner: str = ""
