--- /dev/null
+++ b/src/jasminewharf/decisions/fleet.py
@@ -0,0 +1,289 @@
+"""The state of log group ``fleet``: documents, keys, hosts and replicas.
+
+Control hosts and nodes apply the same committed commands in the same order, so
+that a node's state at a version equals the control hosts' state at it.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+import msgspec
+
+from .. import defaults
+from ..documents import Access, Adapter, Document, Model, decode_document
+from ..exceptions import DuplicateRegistration
+from ..messages import decode, encode
+from ..messages.commands import (
+    AdvanceReplica,
+    CommandResult,
+    DecideReplica,
+    GrantKey,
+    SetDraining,
+    SubmitDocument,
+    WithdrawKey,
+)
+from .acceptance import DocumentRecord, Revision, judge_submission
+from .keys import KeyRecord
+
+__all__ = ["FleetState", "ModelOffer", "Replica", "PHASE_SUCCESSORS"]
+
+PHASE_SUCCESSORS: dict[str, frozenset[str]] = {
+    "ordered": frozenset({"loaded", "failed", "unloading"}),
+    "loaded": frozenset({"unloading", "gone"}),
+    "failed": frozenset({"gone"}),
+    "unloading": frozenset({"gone"}),
+    "gone": frozenset(),
+}
+
+
+class Replica(NamedTuple):
+    """A decided replica; ``number`` is the log index of its decision."""
+
+    number: int
+    service: str
+    model: str
+    backend: str
+    host: str
+    memory_mb: int
+    from_tier: str
+    phase: str
+
+
+class ModelOffer(NamedTuple):
+    """A model or an adapter that a document offers under a name."""
+
+    service: str
+    document: Document
+    model: Model
+    adapter: Adapter | None
+
+
+class _Snapshot(NamedTuple):
+    version: int
+    documents: list[DocumentRecord]
+    keys: list[KeyRecord]
+    draining: list[str]
+    replicas: list[Replica]
+    verdicts: list[tuple[str, CommandResult]]
+
+
+_Applier = Callable[["FleetState", int, Any], CommandResult]
+_APPLIERS: dict[type, _Applier] = {}
+
+
+def _applies(kind: type) -> Callable[[_Applier], _Applier]:
+    def enter(applier: _Applier) -> _Applier:
+        if kind in _APPLIERS:
+            raise DuplicateRegistration(kind.__name__)
+        _APPLIERS[kind] = applier
+        return applier
+
+    return enter
+
+
+class FleetState:
+    """The deterministic state machine of group ``fleet``.
+
+    Attributes:
+        version: Log index of the last command applied.
+        documents: Document records by service.
+        keys: Key records by key identifier.
+        draining: Hosts that the operator has marked as leaving.
+        replicas: Replicas by number; those that are gone are left out.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.documents: dict[str, DocumentRecord] = {}
+        self.keys: dict[str, KeyRecord] = {}
+        self.draining: set[str] = set()
+        self.replicas: dict[int, Replica] = {}
+        self._verdicts: OrderedDict[str, CommandResult] = OrderedDict()
+        self._parsed: dict[str, Document] = {}
+        self._offers: dict[str, list[ModelOffer]] = {}
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a committed command and return its encoded result."""
+        return encode(self.apply_message(index, decode(command)))
+
+    def apply_message(self, index: int, command: Any) -> CommandResult:
+        """Apply a committed command; a command already applied is ignored."""
+        if index <= self.version:
+            return CommandResult("", "already applied", self.version)
+        self.version = index
+        submission = getattr(command, "submission_id", "")
+        if submission and submission in self._verdicts:
+            return self._verdicts[submission]
+        applier = _APPLIERS.get(type(command))
+        if applier is None:
+            return CommandResult("ProposalRejected", "not a fleet command", 0)
+        result = applier(self, index, command)
+        if submission:
+            self._remember_verdict(submission, result)
+        return result
+
+    def _remember_verdict(self, submission: str, result: CommandResult) -> None:
+        self._verdicts[submission] = result
+        while len(self._verdicts) > defaults.REMEMBERED_SUBMISSIONS:
+            self._verdicts.popitem(last=False)
+
+    @_applies(SubmitDocument)
+    def _submit_document(self, index: int, command: SubmitDocument) -> CommandResult:
+        current = self.documents.get(command.service)
+        result = judge_submission(command, current)
+        if result.error:
+            return result
+        revision = Revision(result.version, index, command.author, command.body)
+        history = [*(current.history if current else []), revision]
+        self._put_document(
+            DocumentRecord(
+                command.service,
+                result.version,
+                command.author,
+                command.document,
+                history[-defaults.DOCUMENT_HISTORY :],
+            )
+        )
+        return result
+
+    @_applies(GrantKey)
+    def _grant_key(self, index: int, command: GrantKey) -> CommandResult:
+        if command.key_id in self.keys:
+            return CommandResult("ProposalRejected", "key identifier is taken", index)
+        self.keys[command.key_id] = KeyRecord(
+            command.key_id, command.digest, command.workspace, False
+        )
+        return CommandResult("", "granted", index)
+
+    @_applies(WithdrawKey)
+    def _withdraw_key(self, index: int, command: WithdrawKey) -> CommandResult:
+        record = self.keys.get(command.key_id)
+        if record is None:
+            return CommandResult("ProposalRejected", "no such key", index)
+        self.keys[command.key_id] = record._replace(withdrawn=True)
+        return CommandResult("", "withdrawn", index)
+
+    @_applies(SetDraining)
+    def _set_draining(self, index: int, command: SetDraining) -> CommandResult:
+        if command.draining:
+            self.draining.add(command.host)
+        else:
+            self.draining.discard(command.host)
+        return CommandResult("", "draining" if command.draining else "live", index)
+
+    @_applies(DecideReplica)
+    def _decide_replica(self, index: int, command: DecideReplica) -> CommandResult:
+        for replica in self.replicas.values():
+            if (replica.backend, replica.model) == (command.backend, command.model):
+                return CommandResult(
+                    "ProposalRejected", "already decided there", replica.number
+                )
+        self.replicas[index] = Replica(
+            index,
+            command.service,
+            command.model,
+            command.backend,
+            command.host,
+            command.memory_mb,
+            command.from_tier,
+            "ordered",
+        )
+        return CommandResult("", "decided", index)
+
+    @_applies(AdvanceReplica)
+    def _advance_replica(self, index: int, command: AdvanceReplica) -> CommandResult:
+        replica = self.replicas.get(command.replica)
+        if replica is None:
+            return CommandResult("ProposalRejected", "no such replica", 0)
+        if command.phase not in PHASE_SUCCESSORS[replica.phase]:
+            text = f"{replica.phase} cannot become {command.phase}"
+            return CommandResult("ProposalRejected", text, replica.number)
+        if command.phase == "gone":
+            del self.replicas[replica.number]
+        else:
+            self.replicas[replica.number] = replica._replace(phase=command.phase)
+        return CommandResult("", command.phase, replica.number)
+
+    def _put_document(self, record: DocumentRecord) -> None:
+        self.documents[record.service] = record
+        self._parsed[record.service] = decode_document(record.document)
+        self._index_offers()
+
+    def _index_offers(self) -> None:
+        self._offers = {}
+        for document in self._parsed.values():
+            for offer in _list_offers(document):
+                name = offer.adapter.name if offer.adapter else offer.model.name
+                self._offers.setdefault(name, []).append(offer)
+
+    def document(self, service: str) -> Document | None:
+        """Return the current document of ``service``."""
+        return self._parsed.get(service)
+
+    def all_documents(self) -> list[Document]:
+        """Return the current documents."""
+        return list(self._parsed.values())
+
+    def offers_named(self, name: str) -> list[ModelOffer]:
+        """Return the models and adapters called ``name``, over all services."""
+        return self._offers.get(name, [])
+
+    def find_offer(self, name: str, workspace: str) -> ModelOffer | None:
+        """Return the offer called ``name`` that ``workspace`` may use."""
+        for offer in self._offers.get(name, []):
+            access = offer.document.find_access(workspace)
+            if access is not None and may_use(access, offer):
+                return offer
+        return None
+
+    def offers_for(self, workspace: str) -> Iterator[ModelOffer]:
+        """Yield all that ``workspace`` may use."""
+        for offers in self._offers.values():
+            for offer in offers:
+                access = offer.document.find_access(workspace)
+                if access is not None and may_use(access, offer):
+                    yield offer
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return msgspec.msgpack.encode(
+            _Snapshot(
+                self.version,
+                list(self.documents.values()),
+                list(self.keys.values()),
+                sorted(self.draining),
+                list(self.replicas.values()),
+                list(self._verdicts.items()),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot."""
+        snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
+        self.version = snapshot.version
+        self.documents = {record.service: record for record in snapshot.documents}
+        self.keys = {record.key_id: record for record in snapshot.keys}
+        self.draining = set(snapshot.draining)
+        self.replicas = {replica.number: replica for replica in snapshot.replicas}
+        self._verdicts = OrderedDict(snapshot.verdicts)
+        self._parsed = {
+            record.service: decode_document(record.document)
+            for record in snapshot.documents
+        }
+        self._index_offers()
+
+
+def may_use(access: Access, offer: ModelOffer) -> bool:
+    """Return whether ``access`` covers the offered model or adapter."""
+    allowed = access.models
+    if "*" in allowed or offer.model.name in allowed:
+        return True
+    return offer.adapter is not None and offer.adapter.name in allowed
+
+
+def _list_offers(document: Document) -> Iterator[ModelOffer]:
+    for model in document.models:
+        yield ModelOffer(document.service, document, model, None)
+        for adapter in model.adapters:
+            yield ModelOffer(document.service, document, model, adapter)
--- a/src/jasminewharf/messages/commands.py
+++ b/src/jasminewharf/messages/commands.py
@@ -20,7 +20,8 @@
     """Replaces a service's document if ``expected_version`` is current.
 
     Version 0 means that the service has no document yet. ``submission_id`` makes
-    a resend return the first verdict.
+    a resend return the first verdict. ``body`` is the YAML text; ``document`` is
+    its checked form, which the control host adds so that nodes need not parse YAML.
     """
 
     submission_id: str
@@ -28,6 +29,7 @@
     expected_version: int
     body: str
     author: str
+    document: bytes = b""
 
 
 @message(41)
--- /dev/null
+++ b/src/jasminewharf/settings.py
@@ -0,0 +1,213 @@
+"""Settings of a process, read from one YAML file."""
+
+import re
+from pathlib import Path
+from typing import Annotated, Literal, NamedTuple
+
+from .exceptions import SettingsError
+from .schema import Matches, Range, load_yaml
+
+__all__ = [
+    "BackendSettings",
+    "ControlHost",
+    "CurveSettings",
+    "LimitSettings",
+    "LogFormat",
+    "PolicySettings",
+    "Settings",
+    "StoreSettings",
+    "TimingSettings",
+    "TlsSettings",
+    "load_settings",
+    "parse_settings",
+    "split_address",
+]
+
+_ADDRESS = Matches(
+    re.compile(r"(\[[0-9a-fA-F:]+\]|[0-9.]+):[0-9]{1,5}").fullmatch,
+    "an IP address and a port, such as 127.0.0.1:7100",
+)
+Address = Annotated[str, _ADDRESS]
+Seconds = Annotated[float, Range(0.001, 86_400)]
+
+
+class ControlHost(NamedTuple):
+    """A control host: where nodes and where the other control hosts reach it."""
+
+    name: str
+    address: Address
+    peer_address: Address
+
+
+class CurveSettings(NamedTuple):
+    """CURVE keys of internal links.
+
+    ``secret_file`` holds this process' key pair; ``trusted_folder`` holds the
+    public keys of the processes that may connect, one file each.
+    """
+
+    secret_file: str
+    trusted_folder: str
+    control_public_file: str = ""
+
+
+class TlsSettings(NamedTuple):
+    """Certificate and key towards callers, in PEM files."""
+
+    certificate_file: str
+    key_file: str
+
+
+class BackendSettings(NamedTuple):
+    """A backend server on this agent's host.
+
+    ``checks_fencing`` tells whether it refuses orders with an old fencing number.
+    ``checks_sender`` tells whether it refuses orders from anyone but this agent.
+    """
+
+    name: str
+    pool: str
+    address: Address
+    dialect: str = "openai"
+    checks_fencing: bool = False
+    checks_sender: bool = False
+    concurrency: Annotated[int, Range(1, 10_000)] = 16
+
+
+class StoreSettings(NamedTuple):
+    """Budgets of the weight store over the whole fleet."""
+
+    address: str = ""
+    loads_per_s: Annotated[float, Range(0.001, 100_000)] = 2.0
+    concurrent_loads: Annotated[int, Range(1, 100_000)] = 4
+    concurrent_adapter_loads: Annotated[int, Range(1, 100_000)] = 30
+
+
+class PolicySettings(NamedTuple):
+    """Weights of the deployment and names of the policies in use.
+
+    ``cold_start_weight`` is the cost of one second that a caller waits for a cold
+    model, ``idle_weight`` the cost of one idle accelerator second.
+    """
+
+    cold_start_weight: Annotated[float, Range(0, 1_000_000)] = 1.0
+    idle_weight: Annotated[float, Range(0, 1_000_000)] = 0.01
+    routing: str = "two_choices"
+    queue: str = "fair"
+    eviction: str = "expected_cost"
+    pacing: str = "token_bucket"
+
+
+class LimitSettings(NamedTuple):
+    """Limits towards callers."""
+
+    head_bytes: Annotated[int, Range(256, 1_000_000)] = 32 * 1024
+    body_bytes: Annotated[int, Range(1, 1_000_000_000)] = 8 * 1024 * 1024
+    connections: Annotated[int, Range(1, 1_000_000)] = 4096
+    waiting_requests: Annotated[int, Range(1, 1_000_000)] = 1024
+    head_timeout_s: Seconds = 10.0
+    body_timeout_s: Seconds = 30.0
+    idle_timeout_s: Seconds = 60.0
+
+
+class TimingSettings(NamedTuple):
+    """Leases, intervals and time-outs in seconds."""
+
+    freshness_lease_s: Seconds = 3.0
+    report_interval_s: Seconds = 1.0
+    election_timeout_s: Seconds = 1.0
+    heartbeat_s: Seconds = 0.1
+    suspicion_s: Seconds = 5.0
+    order_settle_s: Seconds = 0.5
+    drain_timeout_s: Seconds = 60.0
+
+
+class LogFormat(NamedTuple):
+    """How log lines are written."""
+
+    form: Literal["json", "text"] = "json"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class Settings(NamedTuple):
+    """Settings of one process.
+
+    ``listen`` is the address for callers on an entry and for internal links on an
+    agent; a control host listens where its line in ``control`` says.
+    """
+
+    node: str
+    role: Literal["entry", "agent", "control"]
+    zone: str
+    control: list[ControlHost]
+    host: str = ""
+    region: str = ""
+    listen: Address = "127.0.0.1:0"
+    data_folder: str = ""
+    hash_secret_file: str = ""
+    trace_file: str = ""
+    memory_mb: Annotated[int, Range(0, 1_000_000_000)] = 0
+    claim_partitions: Annotated[int, Range(1, 256)] = 2
+    backends: list[BackendSettings] = []
+    host_list_address: str = ""
+    store: StoreSettings = StoreSettings()
+    policy: PolicySettings = PolicySettings()
+    limits: LimitSettings = LimitSettings()
+    timing: TimingSettings = TimingSettings()
+    logs: LogFormat = LogFormat()
+    tls: TlsSettings | None = None
+    curve: CurveSettings | None = None
+
+    @property
+    def host_name(self) -> str:
+        """The host's name; the node's name if none is set."""
+        return self.host or self.node
+
+    @property
+    def own_control_host(self) -> ControlHost:
+        """The line of ``control`` that names this node."""
+        return next(host for host in self.control if host.name == self.node)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP address and port of ``address``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def parse_settings(text: str, file: str) -> Settings:
+    """Return the checked settings in the YAML ``text``.
+
+    Raises:
+        SettingsError: Naming file, line, path and the allowed values.
+    """
+    settings = load_yaml(text, Settings, file, SettingsError)
+    if not settings.control:
+        raise SettingsError(file, 0, "control", "at least one control host is needed")
+    if settings.role == "control":
+        _check_control(settings, file)
+    if settings.role == "agent" and not settings.backends:
+        raise SettingsError(file, 0, "backends", "an agent needs a backend server")
+    if settings.role == "entry" and not settings.hash_secret_file:
+        raise SettingsError(file, 0, "hash_secret_file", "is required for an entry")
+    return settings
+
+
+def _check_control(settings: Settings, file: str) -> None:
+    if settings.node not in [host.name for host in settings.control]:
+        raise SettingsError(file, 0, "control", f"does not list {settings.node!r}")
+    if not settings.data_folder:
+        raise SettingsError(file, 0, "data_folder", "is required for a control host")
+
+
+def load_settings(path: str) -> Settings:
+    """Return the settings in the file at ``path``.
+
+    Raises:
+        SettingsError: If the file cannot be read or is not acceptable.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(path, 0, "", f"cannot be read: {error}") from error
+    return parse_settings(text, path)
