--- /dev/null
+++ b/src/jasminewharf/interfaces/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces: HTTP towards callers and the command lines."""
--- /dev/null
+++ b/src/jasminewharf/interfaces/http.py
@@ -0,0 +1,390 @@
+"""An HTTP/1.1 server on h11 that bounds what a caller may send."""
+
+import asyncio
+import logging
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import h11
+
+from .. import defaults, events
+from ..exceptions import BadRequest, BodyTooLarge, HeadTooLarge, Refusal
+from ..settings import LimitSettings
+
+__all__ = ["HttpServer", "Request", "Responder"]
+
+_logger = logging.getLogger(__name__)
+
+_SERVER_NAME = b"jasminewharf"
+
+
+class Request(NamedTuple):
+    """A whole request. Header names are lower-case."""
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    peer: str
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class Responder:
+    """Writes one response."""
+
+    def __init__(self, connection: "_Connection") -> None:
+        self._connection = connection
+        self.has_started = False
+        self.is_finished = False
+
+    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Send status and headers.
+
+        Without a ``content-length`` the body is sent in chunks.
+        """
+        self.has_started = True
+        self._connection.send_head(status, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Send body bytes; waits while the caller reads slowly."""
+        self._connection.send_event(h11.Data(data=data))
+        await self._connection.wait_writable()
+
+    def finish(self) -> None:
+        """End the body."""
+        self._connection.send_event(h11.EndOfMessage())
+        self.is_finished = True
+
+    def respond(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        """Send a whole response."""
+        self.start(status, [*headers, ("content-length", str(len(body)))])
+        if body:
+            self._connection.send_event(h11.Data(data=body))
+        self.finish()
+
+    def abort(self) -> None:
+        """Cut the connection, so that a broken body is not taken for a whole one."""
+        self._connection.abort()
+
+
+Handler = Callable[[Request, Responder], Awaitable[None]]
+ErrorRenderer = Callable[[Refusal], tuple[list[tuple[str, str]], bytes]]
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._limits = server.limits
+        self._h11 = self._new_h11()
+        self._transport: asyncio.Transport | None = None
+        self._peer = ""
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._closing = False
+
+    def _new_h11(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        return self._task is None and self._head is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        name = transport.get_extra_info("peername")
+        self._peer = f"{name[0]}:{name[1]}" if name else ""
+        if not self._server.admit(self):
+            events.emit(_logger, events.CONNECTION_REJECTED, peer=self._peer)
+            transport.abort()
+            return
+        self._arm(self._limits.head_timeout_s)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._closing = True
+        self._disarm()
+        self._writable.set()
+        self._server.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    async def wait_writable(self) -> None:
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    def data_received(self, data: bytes) -> None:
+        self._h11.receive_data(data)
+        if self._task is None:
+            self._read_events()
+
+    def eof_received(self) -> bool:
+        # A caller that closes its sending side is taken to have gone, since a
+        # close of the whole connection looks the same until something is written.
+        return False
+
+    def _read_events(self) -> None:
+        try:
+            while self._task is None and not self._closing:
+                event = self._h11.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                self._take_event(event)
+        except h11.RemoteProtocolError as error:
+            self._reject(_classify(error))
+        except Refusal as refusal:
+            self._reject(refusal)
+
+    def _take_event(self, event: Any) -> None:
+        if isinstance(event, h11.Request):
+            self._take_head(event)
+        elif isinstance(event, h11.Data):
+            self._take_body(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            self._disarm()
+            self._task = asyncio.create_task(self._serve())
+        elif isinstance(event, h11.ConnectionClosed):
+            self._close()
+
+    def _take_head(self, head: h11.Request) -> None:
+        self._head = head
+        self._arm(self._limits.body_timeout_s)
+        _check_framing(head)
+        length = _content_length(head)
+        if length > self._limits.body_bytes:
+            raise BodyTooLarge(f"the body may have {self._limits.body_bytes} bytes")
+        if self._h11.they_are_waiting_for_100_continue:
+            self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _take_body(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits.body_bytes:
+            raise BodyTooLarge(f"the body may have {self._limits.body_bytes} bytes")
+        self._body.append(bytes(data))
+
+    async def _serve(self) -> None:
+        responder = Responder(self)
+        try:
+            await self._server.handler(self._take_request(), responder)
+        except Refusal as refusal:
+            self._refuse(responder, refusal)
+        except Exception as error:
+            events.emit(_logger, events.HANDLER_FAILED, peer=self._peer, error=error)
+            failure = Refusal("internal error", not_run=False)
+            self._refuse(responder, failure)
+        self._end_cycle(responder)
+
+    def _take_request(self) -> Request:
+        head = self._head
+        assert head is not None
+        try:
+            headers = [(k.decode("ascii"), v.decode("utf-8")) for k, v in head.headers]
+            target = head.target.decode("ascii")
+        except UnicodeDecodeError:
+            raise BadRequest("header values must be UTF-8") from None
+        body = b"".join(self._body)
+        return Request(head.method.decode(), target, headers, body, self._peer)
+
+    def _refuse(self, responder: Responder, refusal: Refusal) -> None:
+        if responder.has_started:
+            if not responder.is_finished:
+                self.abort()
+            return
+        headers, body = self._server.render_error(refusal)
+        responder.respond(refusal.status, headers, body)
+
+    def _reject(self, refusal: Refusal) -> None:
+        """Answer a request that could not be read, and close."""
+        events.emit(_logger, events.CONNECTION_REJECTED, peer=self._peer, error=refusal)
+        self._server.count_rejection(refusal)
+        self._closing = True
+        self._disarm()
+        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers, body = self._server.render_error(refusal)
+            headers = [*headers, ("connection", "close")]
+            Responder(self).respond(refusal.status, headers, body)
+        if self._transport is not None:
+            self._transport.close()
+
+    def _end_cycle(self, responder: Responder) -> None:
+        self._task = None
+        if self._transport is None or self._transport.is_closing():
+            return
+        if not responder.is_finished:
+            self.abort()
+            return
+        if self._server.draining or self._h11.our_state is not h11.DONE:
+            self._close()
+            return
+        try:
+            self._h11.start_next_cycle()
+        except h11.ProtocolError:
+            self._close()
+            return
+        self._head = None
+        self._body = []
+        self._body_bytes = 0
+        self._arm(self._limits.idle_timeout_s)
+        self._read_events()
+
+    def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        encoded = [(k.encode(), v.encode()) for k, v in headers]
+        encoded.append((b"server", _SERVER_NAME))
+        if self._server.draining:
+            encoded.append((b"connection", b"close"))
+        self.send_event(h11.Response(status_code=status, headers=encoded))
+
+    def send_event(self, event: Any) -> None:
+        data = self._h11.send(event)
+        if data and self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def close_if_idle(self) -> None:
+        if self.is_idle:
+            self._close()
+
+    def _close(self) -> None:
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _arm(self, timeout_s: float) -> None:
+        self._disarm()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(timeout_s, self._time_out)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _time_out(self) -> None:
+        if self._task is None:
+            self._server.count_rejection(BadRequest("timed out"))
+            self._close()
+
+
+class HttpServer:
+    """Accepts callers' connections.
+
+    Args:
+        handler: Called once a whole request has been read.
+        render_error: Turns a refusal into headers and body.
+        limits: Limits on heads, bodies, connections and times.
+        count_rejection: Called for each request that could not be read.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        render_error: ErrorRenderer,
+        limits: LimitSettings,
+        count_rejection: Callable[[Refusal], None] = lambda refusal: None,
+    ) -> None:
+        self.handler = handler
+        self.render_error = render_error
+        self.limits = limits
+        self.count_rejection = count_rejection
+        self.draining = False
+        self._connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    def admit(self, connection: "_Connection") -> bool:
+        """Return whether one more connection is allowed, and note it."""
+        if len(self._connections) >= self.limits.connections:
+            return False
+        self._connections.add(connection)
+        return True
+
+    def discard(self, connection: "_Connection") -> None:
+        """Forget a closed connection."""
+        self._connections.discard(connection)
+
+    async def listen(
+        self, host: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> str:
+        """Start listening and return the address with the real port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self),
+            host,
+            port,
+            ssl=tls,
+            backlog=defaults.HTTP_BACKLOG,
+            reuse_address=True,
+        )
+        name = self._server.sockets[0].getsockname()
+        return f"{name[0]}:{name[1]}"
+
+    async def drain(self, timeout_s: float) -> None:
+        """Accept no new connection and wait until all requests have ended."""
+        self.draining = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while self._connections and loop.time() < deadline:
+            await asyncio.sleep(defaults.DRAIN_POLL_S)
+
+    async def close(self) -> None:
+        """Cut what is left."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.abort()
+
+
+def _classify(error: h11.RemoteProtocolError) -> Refusal:
+    if error.error_status_hint == HeadTooLarge.status:
+        return HeadTooLarge("the request head is too large")
+    return BadRequest(f"not a valid request: {error}")
+
+
+def _check_framing(head: h11.Request) -> None:
+    """Refuse heads whose body length another server could read differently."""
+    names = [name for name, _ in head.headers]
+    has_length = b"content-length" in names
+    if has_length and b"transfer-encoding" in names:
+        raise BadRequest("a request may not have both a length and chunks")
+    if names.count(b"content-length") > 1:
+        raise BadRequest("a request may not have two lengths")
+    if names.count(b"authorization") > 1:
+        raise BadRequest("a request may not have two authorization headers")
+
+
+def _content_length(head: h11.Request) -> int:
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
--- /dev/null
+++ b/src/jasminewharf/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services: tasks that own sockets, timers and files."""
--- /dev/null
+++ b/src/jasminewharf/services/controllers.py
@@ -0,0 +1,143 @@
+"""Requests to the control hosts: finds the leader and survives its change."""
+
+import asyncio
+from typing import Any, ClassVar
+
+from .. import defaults
+from ..exceptions import (
+    JasminewharfError,
+    LinkError,
+    LinkTimeout,
+    NotLeader,
+    PeerUnavailable,
+    QuorumLost,
+)
+from ..kernel import Kernel, Service
+from .link import LinkClient
+
+__all__ = ["Controllers"]
+
+
+class Controllers(Service):
+    """Links to all control hosts, one each.
+
+    Attributes:
+        links: Links by control host name; this process' own name is left out.
+    """
+
+    name: ClassVar[str] = "controllers"
+    requires: ClassVar[tuple[str, ...]] = ("process",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.links: dict[str, LinkClient] = {}
+        self._leaders: dict[str, str] = {}
+        self._handlers: dict[type, Any] = {}
+
+    def handle(self, kind: type, handler: Any) -> None:
+        """Call ``handler(host, message)`` for one-way messages of ``kind``."""
+        self._handlers[kind] = handler
+
+    async def start(self) -> None:
+        """Connect to every control host."""
+        process = self.kernel.find("process")
+        for host in self.kernel.settings.control:
+            if host.name == self.kernel.settings.node:
+                continue
+            self.links[host.name] = LinkClient(
+                process.identity,
+                process.context,
+                host.address,
+                _HostHandlers(host.name, self._handlers),
+            )
+
+    async def stop(self) -> None:
+        """Close the links."""
+        await super().stop()
+        for link in self.links.values():
+            link.close()
+
+    async def request(
+        self,
+        group: str,
+        message: Any,
+        timeout_s: float = defaults.LINK_REQUEST_TIMEOUT_S,
+    ) -> Any:
+        """Send a request to the leader of ``group`` and return its answer.
+
+        A request that was not taken is sent again, to another control host; one
+        that may have been carried out is not.
+
+        Raises:
+            QuorumLost: If no leader took the request; it was not carried out.
+            LinkTimeout: If the outcome is unknown.
+            JasminewharfError: The error that the leader answered with.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while (remaining := deadline - loop.time()) > 0:
+            name = self._choose(group)
+            try:
+                return await self.links[name].request(message, remaining)
+            except NotLeader as error:
+                self._note_leader(group, error.leader, name)
+            except PeerUnavailable:
+                self._note_leader(group, "", name)
+            await asyncio.sleep(defaults.CONTROL_RETRY_S)
+        raise QuorumLost(f"no leader of {group} answered within {timeout_s:g} s")
+
+    async def request_repeatable(
+        self,
+        group: str,
+        message: Any,
+        timeout_s: float = defaults.LINK_REQUEST_TIMEOUT_S,
+        attempt_s: float = defaults.CONTROL_ATTEMPT_S,
+    ) -> Any:
+        """Send a request that may be carried out twice without harm.
+
+        Raises:
+            QuorumLost: If no answer came within ``timeout_s``.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while (remaining := deadline - loop.time()) > 0:
+            try:
+                return await self.request(group, message, min(remaining, attempt_s))
+            except (LinkTimeout, QuorumLost):
+                self._leaders.pop(group, None)
+                await asyncio.sleep(defaults.CONTROL_RETRY_S)
+        raise QuorumLost(f"no leader of {group} answered within {timeout_s:g} s")
+
+    def _choose(self, group: str) -> str:
+        name = self._leaders.get(group)
+        if name is not None and self.links[name].is_connected:
+            return name
+        connected = [name for name, link in self.links.items() if link.is_connected]
+        return self.kernel.find("process").random.choice(connected or list(self.links))
+
+    def _note_leader(self, group: str, leader: str, asked: str) -> None:
+        if leader in self.links:
+            self._leaders[group] = leader
+        elif self._leaders.get(group) == asked:
+            del self._leaders[group]
+
+
+class _HostHandlers(dict):
+    """Handlers of one link; they get the control host's name as well."""
+
+    def __init__(self, host: str, shared: dict[type, Any]) -> None:
+        super().__init__()
+        self._host = host
+        self._shared = shared
+
+    def get(self, kind: type, default: Any = None) -> Any:
+        """Return the handler of ``kind`` bound to the control host."""
+        handler = self._shared.get(kind)
+        if handler is None:
+            return default
+        return lambda message: handler(self._host, message)
+
+
+def is_outcome_unknown(error: JasminewharfError) -> bool:
+    """Return whether the failed request may have been carried out."""
+    return isinstance(error, LinkError) and not isinstance(error, PeerUnavailable)
