--- /dev/null
+++ b/src/jasminewharf/decisions/admission.py
@@ -0,0 +1,295 @@
+"""Admission: what an agent runs now, lets wait, or refuses at once.
+
+The agent counts what is in flight itself. Waiting time is estimated from the
+time that recent calls took per token of their largest cost, and the estimate is
+corrected by the waits that followed.
+"""
+
+import math
+from typing import NamedTuple
+
+from .. import defaults
+from ..exceptions import ModelUnavailable, Overloaded
+from .queueing import CallQueue, QueuedCall
+
+__all__ = [
+    "Admission",
+    "AdmissionLimits",
+    "ColdLoad",
+    "Estimate",
+    "TokenRate",
+    "admit_on_cold_model",
+]
+
+
+class AdmissionLimits(NamedTuple):
+    """What one backend server runs at once.
+
+    ``slots`` are calls, ``tokens`` the sum of their largest costs.
+    """
+
+    slots: int = defaults.ADMISSION_SLOTS
+    tokens: int = defaults.QUEUE_LIMIT_TOKENS
+    seconds_per_token: float = defaults.ADMISSION_SECONDS_PER_TOKEN
+    gain: float = defaults.ADMISSION_GAIN
+
+
+_LIMITS = AdmissionLimits()
+
+
+class Estimate(NamedTuple):
+    """Expected seconds in the queue and at the backend server."""
+
+    wait_s: float
+    service_s: float
+
+
+class _Running(NamedTuple):
+    call: QueuedCall
+    model: str
+    started_at: float
+
+
+class _Waiting(NamedTuple):
+    model: str
+    estimate: Estimate
+    raw_wait_s: float
+
+
+class _ServiceTime:
+    """Seconds per token of cost, as a ratio of two decayed sums."""
+
+    def __init__(self, seconds_per_token: float, gain: float) -> None:
+        self._gain = gain
+        # The initial value weighs as much as one call of 100 tokens.
+        self._seconds = 100 * seconds_per_token
+        self._tokens = 100.0
+
+    def observe(self, seconds: float, tokens: int) -> None:
+        keep = 1 - self._gain
+        self._seconds = self._seconds * keep + seconds
+        self._tokens = self._tokens * keep + max(tokens, 1)
+
+    def seconds(self, tokens: float) -> float:
+        return tokens * self._seconds / self._tokens
+
+
+class TokenRate:
+    """Generated tokens per second, decayed exponentially."""
+
+    def __init__(self, time_constant_s: float = defaults.TOKEN_RATE_WINDOW_S) -> None:
+        self._time_constant_s = time_constant_s
+        self._tokens = 0.0
+        self._updated_at: float | None = None
+
+    def add(self, tokens: int, now: float) -> None:
+        """Count tokens that were generated just now."""
+        self._decay(now)
+        self._tokens += tokens
+
+    def read(self, now: float) -> float:
+        """Return the recent rate."""
+        self._decay(now)
+        return self._tokens / self._time_constant_s
+
+    def _decay(self, now: float) -> None:
+        if self._updated_at is not None:
+            elapsed = max(0.0, now - self._updated_at)
+            self._tokens *= math.exp(-elapsed / self._time_constant_s)
+        self._updated_at = now
+
+
+class Admission:
+    """Decides for one backend server; holds its queue and its calls in flight.
+
+    A call goes through :meth:`offer`, then either it is returned by :meth:`take`
+    and ends with :meth:`finish`, or it leaves by :meth:`cancel` or
+    :meth:`expire`.
+    """
+
+    def __init__(self, queue: CallQueue, limits: AdmissionLimits = _LIMITS) -> None:
+        self.queue = queue
+        self.limits = limits
+        self._running: dict[str, _Running] = {}
+        self._waiting: dict[str, _Waiting] = {}
+        self._running_tokens = 0
+        self._service: dict[tuple[str, str], _ServiceTime] = {}
+        self._any_service = _ServiceTime(limits.seconds_per_token, limits.gain)
+        self._log_correction = 0.0
+
+    @property
+    def running(self) -> int:
+        """Calls at the backend server."""
+        return len(self._running)
+
+    @property
+    def correction(self) -> float:
+        """Factor on the estimated wait, learned from the waits that followed."""
+        return math.exp(self._log_correction)
+
+    def offer(self, call: QueuedCall, model: str, now: float) -> Estimate:
+        """Queue a call that can be served before its deadline.
+
+        Raises:
+            Overloaded: If the estimate passes the deadline; ``retry_after_ms`` is
+                when a call with the same time left would be admitted.
+            QueueFull: If the queue holds its limit.
+        """
+        raw_wait = self._raw_wait(call, now)
+        estimate = self.estimate(call, model, now)
+        late_s = now + estimate.wait_s + estimate.service_s - call.deadline
+        # A call that need not wait is tried even if its service may be too long.
+        if late_s > 0 and estimate.wait_s > 0:
+            raise Overloaded(
+                "the call cannot be served before its deadline",
+                retry_after_ms=_retry_ms(min(late_s, estimate.wait_s)),
+            )
+        if call.deadline <= now:
+            raise Overloaded("the deadline has passed")
+        self.queue.push(call)
+        self._waiting[call.request_id] = _Waiting(model, estimate, raw_wait)
+        return estimate
+
+    def estimate(self, call: QueuedCall, model: str, now: float) -> Estimate:
+        """Return the expected wait and service time of a call."""
+        wait_s = self._raw_wait(call, now) * self.correction
+        return Estimate(wait_s, self._service_s(model, call.priority, call.cost_tokens))
+
+    def take(self, now: float) -> QueuedCall | None:
+        """Return the next call to run, or None if there is no slot or no call."""
+        if not self._has_slot():
+            return None
+        call = self.queue.pop(now)
+        if call is None:
+            return None
+        waiting = self._waiting.pop(call.request_id)
+        self._correct(waiting.raw_wait_s, now - call.enqueued_at)
+        self._running[call.request_id] = _Running(call, waiting.model, now)
+        self._running_tokens += call.cost_tokens
+        return call
+
+    def finish(self, request_id: str, now: float, *, complete: bool = True) -> None:
+        """Free the slot of a call; only complete calls tell the service time."""
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return
+        call = running.call
+        self._running_tokens -= call.cost_tokens
+        if not complete:
+            return
+        seconds = now - running.started_at
+        key = (running.model, call.priority)
+        service = self._service.get(key)
+        if service is None:
+            service = _ServiceTime(self._any_service.seconds(1.0), self.limits.gain)
+            self._service[key] = service
+        service.observe(seconds, call.cost_tokens)
+        self._any_service.observe(seconds, call.cost_tokens)
+
+    def cancel(self, request_id: str) -> bool:
+        """Remove a waiting call; return False if it is running or unknown."""
+        self._waiting.pop(request_id, None)
+        return self.queue.cancel(request_id) is not None
+
+    def expire(self, now: float) -> list[QueuedCall]:
+        """Remove and return waiting calls whose deadline has passed."""
+        expired = self.queue.expire(now)
+        for call in expired:
+            waiting = self._waiting.pop(call.request_id)
+            # The wait was longer than this; a lower bound still corrects upwards.
+            actual = now - call.enqueued_at
+            if actual > waiting.estimate.wait_s:
+                self._correct(waiting.raw_wait_s, actual)
+        return expired
+
+    def forget_model(self, model: str) -> None:
+        """Drop the service times of a model that was unloaded."""
+        for key in [key for key in self._service if key[0] == model]:
+            del self._service[key]
+
+    def _has_slot(self) -> bool:
+        if len(self._running) >= self.limits.slots:
+            return False
+        return not self._running or self._running_tokens < self.limits.tokens
+
+    def _service_s(self, model: str, priority: str, tokens: int) -> float:
+        service = self._service.get((model, priority), self._any_service)
+        return service.seconds(tokens)
+
+    def _raw_wait(self, call: QueuedCall, now: float) -> float:
+        """Return the uncorrected wait: work ahead of the call over the slots."""
+        if self._has_slot() and not len(self.queue):
+            return 0.0
+        remaining = [
+            max(
+                0.0,
+                self._service_s(item.model, item.call.priority, item.call.cost_tokens)
+                - (now - item.started_at),
+            )
+            for item in self._running.values()
+        ]
+        ahead = self.queue.tokens_ahead(call.workspace, call.priority, call.cost_tokens)
+        work = self._any_service.seconds(ahead)
+        if work == 0 and remaining:
+            return min(remaining)
+        return (sum(remaining) + work) / self.limits.slots
+
+    def _correct(self, raw_wait_s: float, actual_s: float) -> None:
+        if raw_wait_s <= 0:
+            return
+        ratio = max(actual_s, 1e-3) / max(raw_wait_s, 1e-3)
+        ratio = min(
+            max(ratio, defaults.ADMISSION_CORRECTION_MIN),
+            defaults.ADMISSION_CORRECTION_MAX,
+        )
+        gain = self.limits.gain
+        self._log_correction += gain * (math.log(ratio) - self._log_correction)
+
+
+class ColdLoad(NamedTuple):
+    """A model's load in progress, as an entry knows it.
+
+    ``ready_in_s`` is the estimated time until the load completes, ``replicas`` the
+    number of replicas being loaded, ``waiting_tokens`` the cost of the calls that
+    this entry already holds, ``entry_share`` this entry's share of the burst.
+    """
+
+    ready_in_s: float
+    replicas: int
+    waiting_tokens: int
+    slots: int = defaults.ADMISSION_SLOTS
+    seconds_per_token: float = defaults.ADMISSION_SECONDS_PER_TOKEN
+    entry_share: float = 1.0
+
+
+def admit_on_cold_model(load: ColdLoad, cost_tokens: int, budget_s: float) -> None:
+    """Let a call wait for a load if it can still be served in time.
+
+    Args:
+        load: The load in progress.
+        cost_tokens: The call's largest cost.
+        budget_s: Seconds until the call's deadline.
+
+    Raises:
+        ModelUnavailable: If it cannot; ``retry_after_ms`` is when the model is
+            expected to have served what waits already.
+    """
+    lanes = max(load.replicas * load.slots * load.entry_share, 1e-9)
+    service_s = cost_tokens * load.seconds_per_token
+    queue_s = load.waiting_tokens * load.seconds_per_token / lanes
+    left_s = (budget_s - load.ready_in_s) * defaults.COLD_BURST_SHARE
+    if queue_s + service_s <= left_s:
+        return
+    ready_s = load.ready_in_s + (queue_s if load.waiting_tokens else 0.0)
+    raise ModelUnavailable(
+        "the model cannot be loaded before the deadline",
+        retry_after_ms=_retry_ms(ready_s),
+    )
+
+
+def _retry_ms(seconds: float) -> int:
+    milliseconds = math.ceil(seconds * 1000)
+    return min(
+        max(milliseconds, defaults.ADMISSION_RETRY_MIN_MS),
+        defaults.ADMISSION_RETRY_MAX_MS,
+    )
--- /dev/null
+++ b/src/jasminewharf/decisions/prefixes.py
@@ -0,0 +1,123 @@
+"""Hints about which backend server has a prompt's prefix in its cache.
+
+Engines report cache events late and with gaps. A hint may therefore be wrong; it
+then costs time and never changes an answer.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import xxhash
+
+from .. import defaults
+
+__all__ = ["CacheEvent", "PrefixHints", "hash_prefixes"]
+
+
+class CacheEvent(NamedTuple):
+    """An engine stored or evicted a block.
+
+    ``sequence`` rises by one with each event of a backend server; ``block`` is the
+    hash from :func:`hash_prefixes`; ``kind`` is stored, evicted or cleared.
+    """
+
+    sequence: int
+    kind: str
+    block: int
+
+
+def hash_prefixes(
+    scope: str,
+    prompt: bytes,
+    block_bytes: int = defaults.PREFIX_BLOCK_BYTES,
+    blocks: int = defaults.PREFIX_BLOCKS,
+) -> list[int]:
+    """Return the hashes of a prompt's prefixes, one per whole block.
+
+    Args:
+        scope: Workspace, model and adapter; prefixes of different scopes differ,
+            so that a hint reveals nothing about other workspaces' prompts.
+        prompt: The prompt's bytes.
+        block_bytes: Length of a block.
+        blocks: Largest number of blocks that are hashed.
+    """
+    hasher = xxhash.xxh3_64(scope.encode())
+    hashes = []
+    for index in range(min(len(prompt) // block_bytes, blocks)):
+        hasher.update(prompt[index * block_bytes : (index + 1) * block_bytes])
+        hashes.append(hasher.intdigest())
+    return hashes
+
+
+class PrefixHints:
+    """Bounded memory of (backend server, block) pairs, oldest dropped first.
+
+    Hints come from cache events and from own routing decisions, which are known
+    at once while events are late.
+    """
+
+    def __init__(
+        self,
+        limit: int = defaults.PREFIX_HINT_LIMIT,
+        max_age_s: float = defaults.PREFIX_HINT_AGE_S,
+    ) -> None:
+        self._limit = limit
+        self._max_age_s = max_age_s
+        self._hints: OrderedDict[tuple[str, int], float] = OrderedDict()
+        self._sequences: dict[str, int] = {}
+        self.gaps = 0
+
+    def __len__(self) -> int:
+        return len(self._hints)
+
+    def note_route(self, backend: str, hashes: Sequence[int], now: float) -> None:
+        """Expect that the backend server caches the prompt it was given."""
+        for block in hashes:
+            self._store(backend, block, now)
+
+    def apply(self, backend: str, event: CacheEvent, now: float) -> None:
+        """Take a cache event; events that come again or too late are dropped."""
+        last = self._sequences.get(backend)
+        if last is not None and event.sequence <= last:
+            return
+        if last is not None and event.sequence > last + 1:
+            self.gaps += 1
+        self._sequences[backend] = event.sequence
+        if event.kind == "stored":
+            self._store(backend, event.block, now)
+        elif event.kind == "evicted":
+            self._hints.pop((backend, event.block), None)
+        elif event.kind == "cleared":
+            self._drop_blocks(backend)
+
+    def cached_share(self, backend: str, hashes: Sequence[int], now: float) -> float:
+        """Return the share of a prompt's blocks that are thought to be cached.
+
+        A block counts only if all blocks before it do.
+        """
+        if not hashes:
+            return 0.0
+        count = 0
+        for block in hashes:
+            stored_at = self._hints.get((backend, block))
+            if stored_at is None or now - stored_at > self._max_age_s:
+                break
+            count += 1
+        return count / len(hashes)
+
+    def forget(self, backend: str) -> None:
+        """Drop all hints of a backend server that is gone or has restarted."""
+        self._sequences.pop(backend, None)
+        self._drop_blocks(backend)
+
+    def _store(self, backend: str, block: int, now: float) -> None:
+        key = (backend, block)
+        self._hints[key] = now
+        self._hints.move_to_end(key)
+        if len(self._hints) > self._limit:
+            self._hints.popitem(last=False)
+
+    def _drop_blocks(self, backend: str) -> None:
+        for key in [key for key in self._hints if key[0] == backend]:
+            del self._hints[key]
--- /dev/null
+++ b/src/jasminewharf/decisions/queueing.py
@@ -0,0 +1,350 @@
+"""Queues of calls that wait for a backend server.
+
+``QUEUES`` holds the queue kinds by name: ``fair`` and the baseline ``fifo``. A
+queue orders calls, bounds them in calls and tokens, and hands out expired calls.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol
+
+from .. import defaults
+from ..exceptions import QueueFull
+from ..registry import register
+from .heaps import KeyedHeap
+
+__all__ = [
+    "BATCH",
+    "INTERACTIVE",
+    "QUEUES",
+    "CallQueue",
+    "FairQueue",
+    "FifoQueue",
+    "QueueLimits",
+    "QueuedCall",
+]
+
+INTERACTIVE = "interactive"
+BATCH = "batch"
+
+_MIN_WEIGHT = 1e-6
+
+
+class QueuedCall(NamedTuple):
+    """A waiting call.
+
+    ``cost_tokens`` is its largest cost; ``enqueued_at`` and ``deadline`` are
+    monotonic seconds of this process.
+    """
+
+    request_id: str
+    workspace: str
+    priority: str
+    cost_tokens: int
+    enqueued_at: float
+    deadline: float
+
+
+class QueueLimits(NamedTuple):
+    """Bounds of a queue and the parameters of its order."""
+
+    calls: int = defaults.QUEUE_LIMIT_CALLS
+    tokens: int = defaults.QUEUE_LIMIT_TOKENS
+    ageing_s: float = defaults.QUEUE_AGEING_S
+    aged_batch_share: float = defaults.QUEUE_AGED_BATCH_SHARE
+    credit_tokens: int = defaults.QUEUE_CREDIT_TOKENS
+
+
+_LIMITS = QueueLimits()
+
+
+class CallQueue(Protocol):
+    """What admission and the agent use of a queue."""
+
+    tokens: int
+
+    def __len__(self) -> int:
+        """Return the number of waiting calls."""
+
+    def push(self, call: QueuedCall) -> None:
+        """Add a call; raises ``QueueFull`` if it does not fit."""
+
+    def pop(self, now: float) -> QueuedCall | None:
+        """Remove and return the next call to run; None if empty."""
+
+    def cancel(self, request_id: str) -> QueuedCall | None:
+        """Remove a waiting call; None if it does not wait here."""
+
+    def expire(self, now: float) -> list[QueuedCall]:
+        """Remove and return all calls whose deadline has passed."""
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest deadline, or None if empty."""
+
+    def tokens_ahead(self, workspace: str, priority: str, cost_tokens: int) -> float:
+        """Return the tokens that would be served before such a call."""
+
+
+QUEUES: dict[str, Callable[[Mapping[str, float], QueueLimits], CallQueue]] = {}
+
+
+class _Base:
+    """Bounds, deadlines and lookup by request id."""
+
+    def __init__(
+        self, weights: Mapping[str, float], limits: QueueLimits = _LIMITS
+    ) -> None:
+        self._weights = weights
+        self._limits = limits
+        self._calls: OrderedDict[str, QueuedCall] = OrderedDict()
+        self._deadlines: KeyedHeap[str] = KeyedHeap()
+        self.tokens = 0
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def next_deadline(self) -> float | None:
+        lowest = self._deadlines.peek()
+        return None if lowest is None else lowest[0]
+
+    def expire(self, now: float) -> list[QueuedCall]:
+        expired = []
+        while (lowest := self._deadlines.peek()) and lowest[0] <= now:
+            call = self.cancel(lowest[1])
+            if call is not None:
+                expired.append(call)
+        return expired
+
+    def cancel(self, request_id: str) -> QueuedCall | None:
+        call = self._calls.pop(request_id, None)
+        if call is not None:
+            self._deadlines.discard(request_id)
+            self.tokens -= call.cost_tokens
+        return call
+
+    def _enter(self, call: QueuedCall) -> None:
+        if len(self._calls) >= self._limits.calls:
+            raise QueueFull("the queue holds its limit of calls")
+        if self._calls and self.tokens + call.cost_tokens > self._limits.tokens:
+            raise QueueFull("the queue holds its limit of tokens")
+        self._calls[call.request_id] = call
+        self._deadlines.set(call.request_id, call.deadline)
+        self.tokens += call.cost_tokens
+
+
+@register(QUEUES, "fifo")
+class FifoQueue(_Base):
+    """First in, first out; the baseline."""
+
+    def push(self, call: QueuedCall) -> None:
+        """Add a call.
+
+        Raises:
+            QueueFull: If the calls or tokens exceed the limits.
+        """
+        self._enter(call)
+
+    def pop(self, now: float) -> QueuedCall | None:
+        """Remove and return the oldest call."""
+        if not self._calls:
+            return None
+        return self.cancel(next(iter(self._calls)))
+
+    def tokens_ahead(self, workspace: str, priority: str, cost_tokens: int) -> float:
+        """Return the tokens of all waiting calls."""
+        return self.tokens
+
+
+class _Flow:
+    """The waiting calls of one workspace."""
+
+    __slots__ = (
+        "batch",
+        "batch_credit",
+        "interactive",
+        "interactive_tokens",
+        "start",
+        "tokens",
+        "weight",
+    )
+
+    def __init__(self, weight: float, start: float) -> None:
+        self.weight = weight
+        self.start = start
+        self.interactive: OrderedDict[str, QueuedCall] = OrderedDict()
+        self.batch: OrderedDict[str, QueuedCall] = OrderedDict()
+        self.batch_credit = 0.0
+        self.interactive_tokens = 0
+        self.tokens = 0
+
+    def calls_of(self, priority: str) -> OrderedDict[str, QueuedCall]:
+        return self.batch if priority == BATCH else self.interactive
+
+
+@register(QUEUES, "fair")
+class FairQueue(_Base):
+    """Start-time fair queueing per workspace, in tokens.
+
+    A workspace has a start tag in virtual tokens; serving a call moves it on by
+    cost / weight, and the workspace with the lowest tag is served next. A
+    workspace that was idle begins at the virtual time, so that it neither saves
+    up a share nor pays for an earlier one.
+
+    Workspaces with an interactive call, or a batch call that waited for
+    ``ageing_s``, go before workspaces with younger batch calls only. A workspace
+    kept waiting by that rule may catch up on ``credit_tokens`` at most; without
+    this bound a long batch backlog would block interactive calls for as long as
+    it had waited itself.
+    """
+
+    def __init__(
+        self, weights: Mapping[str, float], limits: QueueLimits = _LIMITS
+    ) -> None:
+        super().__init__(weights, limits)
+        self._flows: dict[str, _Flow] = {}
+        # Start tags of idle workspaces that are ahead of the virtual time.
+        self._resting: KeyedHeap[str] = KeyedHeap()
+        self._resting_tags: dict[str, float] = {}
+        self._urgent: KeyedHeap[str] = KeyedHeap()
+        self._patient: KeyedHeap[str] = KeyedHeap()
+        self._ageing: KeyedHeap[str] = KeyedHeap()
+        self._virtual = 0.0
+
+    def push(self, call: QueuedCall) -> None:
+        """Add a call.
+
+        Raises:
+            QueueFull: If the calls or tokens exceed the limits.
+        """
+        self._enter(call)
+        flow = self._flows.get(call.workspace)
+        if flow is None:
+            flow = self._open_flow(call.workspace)
+        flow.calls_of(call.priority)[call.request_id] = call
+        flow.tokens += call.cost_tokens
+        if call.priority != BATCH:
+            flow.interactive_tokens += call.cost_tokens
+        self._place(call.workspace, flow)
+
+    def pop(self, now: float) -> QueuedCall | None:
+        """Remove and return the call that is served next."""
+        self._promote_aged(now)
+        lowest = self._urgent.peek() or self._patient.peek()
+        if lowest is None:
+            return None
+        start, workspace = lowest
+        self._virtual = max(self._virtual, start)
+        flow = self._flows[workspace]
+        call = self._choose_in_flow(flow, now)
+        # The tag counts from the true start, so that credit is used up by service.
+        flow.start = start + call.cost_tokens / flow.weight
+        self.cancel(call.request_id)
+        self._release_resting()
+        return call
+
+    def cancel(self, request_id: str) -> QueuedCall | None:
+        """Remove a waiting call; its workspace is not charged for it."""
+        call = super().cancel(request_id)
+        if call is None:
+            return None
+        flow = self._flows[call.workspace]
+        del flow.calls_of(call.priority)[request_id]
+        flow.tokens -= call.cost_tokens
+        if call.priority != BATCH:
+            flow.interactive_tokens -= call.cost_tokens
+        self._place(call.workspace, flow)
+        return call
+
+    def tokens_ahead(self, workspace: str, priority: str, cost_tokens: int) -> float:
+        """Return the tokens that would be served before such a call.
+
+        Takes O(number of workspaces that wait). Another workspace is served at
+        most its weight's share of what this one gets until the call is next.
+        """
+        weight = self._weight(workspace)
+        own = self._flows.get(workspace)
+        own_ahead = 0
+        if own is not None:
+            own_ahead = own.tokens if priority == BATCH else own.interactive_tokens
+            tag = own.start
+        else:
+            tag = max(self._virtual, self._resting_tags.get(workspace, 0.0))
+        tag += own_ahead / weight
+        ahead = float(own_ahead)
+        for name, flow in self._flows.items():
+            if name == workspace:
+                continue
+            share = max(0.0, tag - flow.start) * flow.weight
+            if priority == BATCH:
+                ahead += min(flow.tokens, max(share, flow.interactive_tokens))
+            elif name in self._urgent:
+                ahead += min(flow.tokens, share)
+        return ahead
+
+    def _weight(self, workspace: str) -> float:
+        return max(self._weights.get(workspace, 1.0), _MIN_WEIGHT)
+
+    def _open_flow(self, workspace: str) -> _Flow:
+        tag = max(self._virtual, self._resting_tags.pop(workspace, 0.0))
+        self._resting.discard(workspace)
+        flow = _Flow(self._weight(workspace), tag)
+        self._flows[workspace] = flow
+        return flow
+
+    def _close_flow(self, workspace: str, flow: _Flow) -> None:
+        for heap in (self._urgent, self._patient, self._ageing):
+            heap.discard(workspace)
+        del self._flows[workspace]
+        if flow.start > self._virtual:
+            self._resting.set(workspace, flow.start)
+            self._resting_tags[workspace] = flow.start
+
+    def _release_resting(self) -> None:
+        while (lowest := self._resting.peek()) and lowest[0] <= self._virtual:
+            self._resting.pop()
+            del self._resting_tags[lowest[1]]
+
+    def _place(self, workspace: str, flow: _Flow) -> None:
+        """Put a workspace into the heap that its waiting calls ask for."""
+        if not flow.interactive and not flow.batch:
+            self._close_flow(workspace, flow)
+            return
+        if flow.batch:
+            oldest = next(iter(flow.batch.values()))
+            self._ageing.set(workspace, oldest.enqueued_at + self._limits.ageing_s)
+        else:
+            self._ageing.discard(workspace)
+        if flow.interactive:
+            self._patient.discard(workspace)
+            self._make_urgent(workspace, flow)
+        else:
+            self._urgent.discard(workspace)
+            self._patient.set(workspace, flow.start)
+
+    def _make_urgent(self, workspace: str, flow: _Flow) -> None:
+        credit = self._limits.credit_tokens / flow.weight
+        flow.start = max(flow.start, self._virtual - credit)
+        self._urgent.set(workspace, flow.start)
+
+    def _promote_aged(self, now: float) -> None:
+        while (lowest := self._ageing.peek()) and lowest[0] <= now:
+            workspace = lowest[1]
+            self._ageing.pop()
+            if workspace in self._patient:
+                self._patient.discard(workspace)
+                self._make_urgent(workspace, self._flows[workspace])
+
+    def _choose_in_flow(self, flow: _Flow, now: float) -> QueuedCall:
+        """Choose between a workspace's interactive and batch calls."""
+        if not flow.interactive:
+            return next(iter(flow.batch.values()))
+        first = next(iter(flow.interactive.values()))
+        if flow.batch:
+            oldest = next(iter(flow.batch.values()))
+            aged = now - oldest.enqueued_at >= self._limits.ageing_s
+            if aged and flow.batch_credit >= 0:
+                flow.batch_credit -= oldest.cost_tokens
+                return oldest
+            share = self._limits.aged_batch_share
+            flow.batch_credit = min(0.0, flow.batch_credit + first.cost_tokens * share)
+        return first
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -26,6 +26,75 @@
 DEFAULT_DEADLINE_MS = 30_000
 DEFAULT_MAX_TOKENS = 256
 
+# A queue holds at most a few deadlines' worth of work at 3,100 tokens/s.
+QUEUE_LIMIT_CALLS = 1_000
+QUEUE_LIMIT_TOKENS = 400_000
+# A batch call competes like an interactive one after this wait.
+QUEUE_AGEING_S = 5.0
+# Tokens of aged batch calls served per token of interactive calls of the same
+# workspace.
+QUEUE_AGED_BATCH_SHARE = 0.25
+# Unused share that a workspace may catch up on after its batch calls waited.
+QUEUE_CREDIT_TOKENS = 2_000
+
+ADMISSION_SLOTS = 16
+ADMISSION_SECONDS_PER_TOKEN = 0.02
+# Weight of one observation in the moving averages of admission.
+ADMISSION_GAIN = 0.1
+ADMISSION_CORRECTION_MIN = 0.25
+ADMISSION_CORRECTION_MAX = 4.0
+TOKEN_RATE_WINDOW_S = 5.0
+ADMISSION_RETRY_MIN_MS = 50
+ADMISSION_RETRY_MAX_MS = 60_000
+# Share of the time after a cold load that is planned for waiting calls.
+COLD_BURST_SHARE = 0.8
+
+# Reports older than this say nothing about the load of other entries.
+ROUTING_REPORT_HALF_LIFE_S = 2.0
+# Load per slot at which the own zone's servers count as full.
+ROUTING_SPILL_LOAD = 1.0
+# Load per slot that a fully cached prompt prefix is worth.
+ROUTING_AFFINITY_WEIGHT = 0.5
+
+PREFIX_BLOCK_BYTES = 256
+PREFIX_BLOCKS = 32
+PREFIX_HINT_LIMIT = 50_000
+PREFIX_HINT_AGE_S = 300.0
+
+HEALTH_WINDOW_S = 10.0
+HEALTH_CONSECUTIVE_FAILURES = 5
+HEALTH_FAILURE_SHARE = 0.5
+HEALTH_MIN_CALLS = 10
+HEALTH_EJECTION_S = 5.0
+HEALTH_EJECTION_MAX_S = 60.0
+HEALTH_PROBATION_SUCCESSES = 3
+HEALTH_MAX_EJECTED_SHARE = 0.34
+# Three missed reports at one a second.
+HEALTH_SUSPECT_AFTER_S = 3.0
+HEALTH_TRUST_REPORTS = 2
+
+# Retries are at most this share of the requests, so that a failing pool sees at
+# most a fifth more load.
+RETRY_BUDGET_SHARE = 0.2
+RETRY_BUDGET_FLOOR = 3.0
+RETRY_BUDGET_CAP = 50.0
+RETRY_ATTEMPTS = 3
+
+STREAM_REPLAY_BYTES = 256 * 1024
+STREAM_REORDER_BYTES = 256 * 1024
+STREAM_GAP_S = 0.2
+STREAM_RESUME_ATTEMPTS = 3
+# An answer of which nothing was heard for this long is asked for again.
+STREAM_IDLE_S = 5.0
+
+# 39 ms between tokens is the target for 95 in 100.
+COALESCE_TOKEN_GAP_S = 0.039
+COALESCE_MIN_DELAY_S = 0.002
+COALESCE_MAX_DELAY_S = 0.025
+# Room for the link and for scheduling on a busy host.
+COALESCE_MARGIN_S = 0.004
+COALESCE_BYTES = 32 * 1024
+
 # HTTP.
 
 HTTP_HEAD_LIMIT_BYTES = 32 * 1024
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,80 @@
+"""Routing spreads load, follows caches and prefers the own zone until it is full."""
+
+import random
+
+import pytest
+
+from jasminewharf.decisions.prefixes import CacheEvent, PrefixHints, hash_prefixes
+from jasminewharf.decisions.routing import ROUTERS, Candidate, estimate_load
+
+
+@pytest.mark.parametrize("name", sorted(ROUTERS))
+@pytest.mark.parametrize("size", [1, 2, 3, 7])
+def test_idle_candidates_are_all_used(name, size):
+    candidates = [Candidate(f"b{number}", "z") for number in range(size)]
+    source = random.Random(1)
+    chosen = {ROUTERS[name](candidates, "z", source).backend for _ in range(200)}
+    assert chosen == {item.backend for item in candidates}
+
+
+def test_own_calls_are_not_counted_twice_when_a_report_covers_them():
+    covered = Candidate("b", "z", 10, own=4, reported=4, own_at_report=4)
+    assert estimate_load(covered._replace(report_age_s=0.0)) == 0.4
+
+
+def test_old_report_says_nothing():
+    old = Candidate("b", "z", 10, own=1, reported=100, report_age_s=60.0)
+    assert estimate_load(old) == pytest.approx(0.1)
+
+
+def choose(candidates, zone="z1", times=100):
+    source = random.Random(1)
+    return [
+        ROUTERS["two_choices"](candidates, zone, source).backend for _ in range(times)
+    ]
+
+
+def test_own_zone_is_used_until_it_is_full():
+    near = Candidate("near", "z1", 10, own=9)
+    far = Candidate("far", "z2", 10, own=0)
+    assert set(choose([near, far])) == {"near"}
+    assert set(choose([near._replace(own=10), far])) == {"far"}
+
+
+def test_cached_prefix_wins_unless_its_server_is_loaded():
+    cached = Candidate("cached", "z1", 10, own=4, cached_share=1.0)
+    others = [Candidate(f"b{number}", "z1", 10) for number in range(5)]
+    assert set(choose([cached, *others])) == {"cached"}
+    assert "cached" not in choose([cached._replace(own=9), *others])
+
+
+def test_hints_count_only_an_unbroken_prefix():
+    hints = PrefixHints()
+    hashes = hash_prefixes("w/m", b"x" * 1024)
+    hints.note_route("b", hashes, 0.0)
+    hints.apply("b", CacheEvent(1, "evicted", hashes[1]), 0.0)
+    assert hints.cached_share("b", hashes, 0.0) == 0.25
+
+
+def test_prompts_of_different_scopes_share_no_hash():
+    """A hint must not tell one workspace about another's prompts."""
+    first = hash_prefixes("w1/m", b"x" * 1024)
+    second = hash_prefixes("w2/m", b"x" * 1024)
+    assert len(first) == 4 and not set(first) & set(second)
+
+
+def test_late_and_repeated_events_are_dropped_and_gaps_counted():
+    hints = PrefixHints()
+    hints.apply("b", CacheEvent(5, "stored", 1), 0.0)
+    hints.apply("b", CacheEvent(4, "evicted", 1), 0.0)
+    hints.apply("b", CacheEvent(9, "stored", 2), 0.0)
+    assert hints.cached_share("b", [1, 2], 0.0) == 1.0
+    assert hints.gaps == 1
+
+
+def test_hints_are_bounded_and_expire():
+    hints = PrefixHints(limit=10, max_age_s=5.0)
+    hints.note_route("b", range(100), 0.0)
+    assert len(hints) == 10
+    assert hints.cached_share("b", [99], 5.0) == 1.0
+    assert hints.cached_share("b", [99], 5.1) == 0.0
