--- a/src/jasminewharf/decisions/__init__.py
+++ b/src/jasminewharf/decisions/__init__.py
@@ -1,4 +1,5 @@
 """Decisions: pure functions and state machines.
 
-Nothing here reads a clock, opens a socket or creates a random source.
+Modules here have no clock, socket, file or random source of their own; ``now`` in
+monotonic seconds and the random source are arguments.
 """
