Add the planner of replicas and its decision modules

Cause: nothing decided yet which replicas are loaded, where, in which order, and which idle ones are unloaded.

How to call it (decisions/planner.py, pure, one object per term of leadership):

planner = Planner(PlannerSettings(...)) # after a quorum-confirmed read demands = DemandTable() demands.observe(report, now, age_s) # each entry's NodeReport, once demands.remove(node) # an entry has left actions = planner.plan(view, reports, demands, now) # every PLAN_INTERVAL_S planner.settle(action, committed=False) # only if known to have no effect planner.estimate_ready_s(key, now) # for admission at the entries

- view is PlannerView(version, replicas, models, draining, lost) of decisions/inventory.py. version must rise with each change of the other fields but lost. replicas maps the number to a record with the fields of ReplicaRecord (a NamedTuple of the fleet state with these names does).
- reports maps node names to the newest NodeReport of each live node; an unchanged report must be the same object as in the last call.
- Actions are to be proposed in the order given.
A proposed action counts (memory and store slot) until the view shows it or settle(action, False) is called, so plan() may be called again before the proposals are committed.
- An agent must report "gone" explicitly, also after "failed": a replica that is merely missing from a report keeps its memory.
It reports a backend server as reachable only after it has read the engine's state.
A host whose report lists a replica that the log does not have gets no new replica.
- An entry reports last_call_ms as the age of the last activity (0 while a call is in flight) for some seconds after the last call.

--- /dev/null
+++ b/src/jasminewharf/decisions/eviction.py
@@ -0,0 +1,142 @@
+"""Which idle replicas are unloaded, and which go first to make room."""
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple, Protocol
+
+from .. import defaults
+from ..registry import lookup, register
+
+__all__ = [
+    "EVICTION_POLICIES",
+    "EvictionPolicy",
+    "EvictionWeights",
+    "IdleReplica",
+    "create_eviction_policy",
+]
+
+_S_PER_HOUR = 3600.0
+
+
+class EvictionWeights(NamedTuple):
+    """What a second of cold start and an idle accelerator hour cost.
+
+    ``ttl_s`` is the time-to-live baseline's limit.
+    """
+
+    cold_start: float = defaults.COLD_START_WEIGHT
+    idle_hour: float = defaults.IDLE_HOUR_WEIGHT
+    ttl_s: float = defaults.EVICTION_TTL_S
+
+
+class IdleReplica(NamedTuple):
+    """An idle replica.
+
+    ``gaps`` are the model's own inter-call times in seconds, ``reload_s`` the load
+    time from where the checkpoint would be cached, ``accelerators`` what it holds.
+    """
+
+    idle_s: float
+    gaps: Sequence[float]
+    reload_s: float
+    accelerators: float
+
+
+class EvictionPolicy(Protocol):
+    """Judges idle replicas."""
+
+    def should_release(self, replica: IdleReplica) -> bool:
+        """Return whether to unload the replica though nobody wants its memory."""
+
+    def keep_value(self, replica: IdleReplica) -> float:
+        """Return what unloading costs, in seconds; the lowest goes first."""
+
+
+EVICTION_POLICIES: dict[str, Callable[[EvictionWeights], EvictionPolicy]] = {}
+
+
+def create_eviction_policy(name: str, weights: EvictionWeights) -> EvictionPolicy:
+    """Return the policy called ``name``.
+
+    Raises:
+        UnknownRegistration: If there is no such policy.
+    """
+    return lookup(EVICTION_POLICIES, name)(weights)
+
+
+@register(EVICTION_POLICIES, "least-recently-used")
+class LeastRecentlyUsed:
+    """Baseline: unloads only for room, the longest idle first."""
+
+    def __init__(self, weights: EvictionWeights) -> None:
+        del weights
+
+    def should_release(self, replica: IdleReplica) -> bool:
+        """Return False: idle replicas stay until their memory is wanted."""
+        return False
+
+    def keep_value(self, replica: IdleReplica) -> float:
+        """Return a value that falls with the idle time."""
+        return 1 / (1 + replica.idle_s)
+
+
+@register(EVICTION_POLICIES, "time-to-live")
+class TimeToLive(LeastRecentlyUsed):
+    """Baseline: unloads after a fixed idle time."""
+
+    def __init__(self, weights: EvictionWeights) -> None:
+        self._ttl_s = weights.ttl_s
+
+    def should_release(self, replica: IdleReplica) -> bool:
+        """Return whether the idle time has passed the limit."""
+        return replica.idle_s >= self._ttl_s
+
+
+@register(EVICTION_POLICIES, "expected-cost")
+class ExpectedCost:
+    """Weighs the next cold start against the idle time until the next call.
+
+    The next call is taken from the model's own inter-call times that are longer
+    than the present idle time. Keeping until time T costs the idle time up to the
+    call or T, and a cold start if the call comes after T. A replica is released
+    when no T costs less than releasing it now.
+    """
+
+    def __init__(self, weights: EvictionWeights) -> None:
+        self._weights = weights
+
+    def should_release(self, replica: IdleReplica) -> bool:
+        """Return whether releasing now is the cheapest choice."""
+        return self._best_keep_gain(replica) <= 0
+
+    def keep_value(self, replica: IdleReplica) -> float:
+        """Return the gain of keeping, as seconds of cold start."""
+        gain = self._best_keep_gain(replica)
+        return max(0.0, gain) / max(self._weights.cold_start, 1e-9)
+
+    def _best_keep_gain(self, replica: IdleReplica) -> float:
+        """Return the largest saving over releasing now, in weighted seconds."""
+        waits = self._remaining_waits(replica)
+        idle_rate = self._weights.idle_hour / _S_PER_HOUR * replica.accelerators
+        cold = self._weights.cold_start * replica.reload_s
+        best = 0.0
+        waited = 0.0
+        count = len(waits)
+        for called, wait in enumerate(waits, start=1):
+            waited += wait
+            idle = idle_rate * (waited + wait * (count - called))
+            best = max(best, cold * called - idle)
+        return best / count
+
+    def _remaining_waits(self, replica: IdleReplica) -> list[float]:
+        """Return equally likely waits until the next call, shortest first.
+
+        A few samples of a prior are mixed in, so that a model with little history
+        is neither kept for ever nor released at once. The prior's gaps double from
+        sample to sample, because a model that has been idle for long tends to stay
+        idle for about as long again.
+        """
+        idle = replica.idle_s
+        waits = [gap - idle for gap in replica.gaps if gap > idle]
+        scale = max(idle, defaults.EVICTION_PRIOR_GAP_S / 4)
+        prior = [scale * 2.0**step for step in range(defaults.EVICTION_PRIOR_GAPS)]
+        return sorted(waits + prior)
--- /dev/null
+++ b/src/jasminewharf/decisions/pacing.py
@@ -0,0 +1,183 @@
+"""Rules that space the starts of loads from the weight store."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from .. import defaults
+from ..registry import lookup, register
+
+__all__ = ["PACING_RULES", "PacingRule", "create_pacing_rule"]
+
+
+class PacingRule(Protocol):
+    """Says when the next load may start."""
+
+    def earliest(self, host: str, running: int, now: float) -> float:
+        """Return the earliest time at which a load may start.
+
+        Args:
+            host: The host it would run on.
+            running: How many loads run over the fleet.
+            now: Current time in seconds.
+        """
+
+    def note_start(self, host: str, now: float) -> None:
+        """Note that a load was started."""
+
+    def note_end(self, host: str, slowdown: float, failed: bool, now: float) -> None:
+        """Note that a load has ended.
+
+        Args:
+            host: The host it ran on.
+            slowdown: Its duration divided by the nominal duration.
+            failed: Whether it failed.
+            now: Current time in seconds.
+        """
+
+
+PACING_RULES: dict[str, Callable[[float, int], PacingRule]] = {}
+
+
+def create_pacing_rule(name: str, loads_per_s: float, burst: int) -> PacingRule:
+    """Return the rule called ``name``.
+
+    Args:
+        name: A name in ``PACING_RULES``.
+        loads_per_s: The store's rate.
+        burst: How many loads may start at once.
+
+    Raises:
+        UnknownRegistration: If there is no such rule.
+    """
+    return lookup(PACING_RULES, name)(loads_per_s, burst)
+
+
+class _Bucket:
+    """A token bucket whose rate may change."""
+
+    def __init__(self, rate: float, burst: int) -> None:
+        self.rate = rate
+        self._burst = float(burst)
+        self._level = float(burst)
+        self._at = float("-inf")
+
+    def refill(self, now: float) -> None:
+        if now > self._at:
+            gained = (now - self._at) * self.rate
+            self._level = min(self._burst, self._level + gained)
+            self._at = now
+
+    def earliest(self, now: float) -> float:
+        self.refill(now)
+        if self._level >= 1 - 1e-9:
+            return now
+        return now + (1 - self._level) / self.rate
+
+    def take(self, now: float) -> None:
+        self.refill(now)
+        self._level -= 1
+
+
+@register(PACING_RULES, "token-bucket")
+class TokenBucketRule:
+    """A fixed rate with a fixed burst; ignores how loads end."""
+
+    def __init__(self, loads_per_s: float, burst: int) -> None:
+        # One start at a time: a store limited to a rate counts starts, and a
+        # burst on top of a full second would exceed it.
+        del burst
+        self._bucket = _Bucket(loads_per_s, 1)
+
+    def earliest(self, host: str, running: int, now: float) -> float:
+        """Return when the bucket holds a whole load."""
+        return self._bucket.earliest(now)
+
+    def note_start(self, host: str, now: float) -> None:
+        """Take one load from the bucket."""
+        self._bucket.take(now)
+
+    def note_end(self, host: str, slowdown: float, failed: bool, now: float) -> None:
+        """Change nothing."""
+
+
+@register(PACING_RULES, "aimd")
+class AdditiveIncreaseRule:
+    """Additive increase and multiplicative decrease of rate and concurrency.
+
+    A load that fails or takes longer than ``PACING_SLOW_FACTOR`` times its nominal
+    duration halves the rate and the number of loads at once, at most once per
+    ``PACING_DECREASE_HOLD_S``, because loads that ran together report one
+    congestion together. A load that ends in time adds to both.
+    """
+
+    def __init__(self, loads_per_s: float, burst: int) -> None:
+        self._bucket = _Bucket(loads_per_s, 1)
+        self._most = loads_per_s
+        self._most_at_once = float(burst)
+        self._at_once = float(burst)
+        self._held_until = float("-inf")
+
+    def earliest(self, host: str, running: int, now: float) -> float:
+        """Return when the current rate and concurrency allow a load."""
+        if running >= max(1, int(self._at_once)):
+            return float("inf")
+        return self._bucket.earliest(now)
+
+    def note_start(self, host: str, now: float) -> None:
+        """Take one load from the bucket."""
+        self._bucket.take(now)
+
+    def note_end(self, host: str, slowdown: float, failed: bool, now: float) -> None:
+        """Raise the pace after a good load and lower it after a bad one."""
+        self._bucket.refill(now)
+        if not failed and slowdown <= defaults.PACING_SLOW_FACTOR:
+            raised = self._bucket.rate + defaults.PACING_INCREASE_LOADS_PER_S
+            self._bucket.rate = min(self._most, raised)
+            step = 1 / max(1.0, self._at_once)
+            self._at_once = min(self._most_at_once, self._at_once + step)
+        elif now >= self._held_until:
+            lowered = self._bucket.rate * defaults.PACING_DECREASE_FACTOR
+            self._bucket.rate = max(defaults.PACING_MIN_LOADS_PER_S, lowered)
+            self._at_once = max(1.0, self._at_once * defaults.PACING_DECREASE_FACTOR)
+            self._held_until = now + defaults.PACING_DECREASE_HOLD_S
+
+
+@register(PACING_RULES, "host-pressure")
+class HostPressureRule:
+    """Spacing per host that grows with recent loads, failures and slowness.
+
+    The spacing is ``base x (1 + pressure / 10)``, at most ``PACING_SPACING_MAX_S``;
+    the pressure decays by half each ``PACING_PRESSURE_HALF_LIFE_S``.
+    """
+
+    def __init__(self, loads_per_s: float, burst: int) -> None:
+        self._base_s = 1 / loads_per_s
+        self._pressure: dict[str, tuple[float, float]] = {}
+        self._last: dict[str, float] = {}
+
+    def pressure(self, host: str, now: float) -> float:
+        """Return the decayed pressure of ``host``."""
+        value, at = self._pressure.get(host, (0.0, now))
+        halvings = max(0.0, now - at) / defaults.PACING_PRESSURE_HALF_LIFE_S
+        return value * 0.5**halvings
+
+    def earliest(self, host: str, running: int, now: float) -> float:
+        """Return when the host's spacing since its last load has passed."""
+        spacing = self._base_s * (1 + self.pressure(host, now) / 10)
+        spacing = min(spacing, defaults.PACING_SPACING_MAX_S)
+        return self._last.get(host, float("-inf")) + spacing
+
+    def note_start(self, host: str, now: float) -> None:
+        """Add the pressure of one load."""
+        self._last[host] = now
+        self._add(host, defaults.PACING_PRESSURE_PER_LOAD, now)
+
+    def note_end(self, host: str, slowdown: float, failed: bool, now: float) -> None:
+        """Add pressure after a failed or slow load."""
+        if failed:
+            self._add(host, defaults.PACING_PRESSURE_PER_FAILURE, now)
+        elif slowdown > defaults.PACING_SLOW_FACTOR:
+            self._add(host, defaults.PACING_PRESSURE_PER_SLOW_LOAD, now)
+
+    def _add(self, host: str, amount: float, now: float) -> None:
+        self._pressure[host] = (self.pressure(host, now) + amount, now)
--- /dev/null
+++ b/src/jasminewharf/decisions/planner.py
@@ -0,0 +1,240 @@
+"""Decides which replicas are loaded and unloaded.
+
+:class:`Planner` combines the decision modules. The fleet leader calls
+:meth:`Planner.plan` with the committed state and the newest reports, proposes the
+actions in order and passes each known outcome to :meth:`Planner.settle`.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from .. import defaults
+from ..messages.feed import NodeReport
+from ..registry import lookup
+from .demand import DemandTable, ModelDemand
+from .eviction import EvictionWeights, create_eviction_policy
+from .inventory import ModelKey, ModelSpec, PlannerView, ReplicaRecord
+from .loads import LOAD_ORDERS, StoreBudget, WantedLoad
+from .pacing import create_pacing_rule
+from .placement import LoadTimes, count_needed
+from .placer import IdleJudge, Placer
+from .planstate import Action, PlanState
+
+__all__ = ["Planner", "PlannerSettings"]
+
+
+class PlannerSettings(NamedTuple):
+    """Policies, the weight store's limits and the deployment's weights."""
+
+    store_loads_per_s: float = defaults.STORE_LOADS_PER_S
+    store_concurrent_loads: int = defaults.STORE_CONCURRENT_LOADS
+    pacing: str = "aimd"
+    eviction: str = "expected-cost"
+    load_order: str = "deadline"
+    weights: EvictionWeights = EvictionWeights()
+    load_times: LoadTimes = LoadTimes()
+
+
+class Planner:
+    """Plans loads and unloads from the committed state and the newest reports.
+
+    One planner belongs to one term of leadership: a new leader creates a new one
+    after a quorum-confirmed read, so that slots and memory are recovered from the
+    log and no proposal of an earlier leader can still be committed.
+
+    Args:
+        settings: Policies, limits and weights.
+    """
+
+    def __init__(self, settings: PlannerSettings = PlannerSettings()) -> None:  # noqa: B008
+        self.settings = settings
+        pacing = create_pacing_rule(
+            settings.pacing, settings.store_loads_per_s, settings.store_concurrent_loads
+        )
+        budget = StoreBudget(settings.store_concurrent_loads, pacing)
+        self.state = PlanState(budget, settings.load_times)
+        policy = create_eviction_policy(settings.eviction, settings.weights)
+        self._judge = IdleJudge(self.state, policy)
+        self._placer = Placer(self.state, self._judge)
+        self._rank = lookup(LOAD_ORDERS, settings.load_order)
+        self._checks: deque[int] = deque()
+        self._checked_at = float("-inf")
+        self._surplus_since: dict[ModelKey, float] = {}
+
+    def plan(
+        self,
+        view: PlannerView,
+        reports: Mapping[str, NodeReport],
+        demands: DemandTable,
+        now: float,
+    ) -> list[Action]:
+        """Return the commands to propose, in this order.
+
+        Args:
+            view: The committed state; ``version`` must rise with every change.
+            reports: The newest report of each live node by node name. An unchanged
+                report must be the same object as before.
+            demands: The merged demands; the caller passes it each entry's report.
+            now: Current time in seconds.
+        """
+        state = self.state
+        state.actions = []
+        state.refresh(view, reports, now)
+        merged = demands.collect(now)
+        loads = self._find_wanted(merged, now)
+        self._placer.forget_unwanted({load.key for load in loads}, now)
+        self._placer.place(loads, demands, now)
+        self._unload_leaving()
+        self._check_idle(merged, demands, now)
+        return state.actions
+
+    def settle(self, action: Action, committed: bool) -> None:
+        """Note the outcome of a proposed action.
+
+        Must be called with False when an action is known to have had no effect.
+        An action whose outcome is unknown stays counted; it is settled when the
+        view shows its effect.
+        """
+        self.state.settle(action, committed)
+
+    def estimate_ready_s(self, key: ModelKey, now: float) -> float:
+        """Return the estimated seconds until a replica of a model serves.
+
+        Zero if one does; for a model that is not on its way, the wait for the
+        store and the load time from the fastest tier.
+        """
+        state = self.state
+        ready, _, _ = state.count(key, now)
+        if ready:
+            return 0.0
+        spec = state.models[key]
+        estimates = [
+            state.ordered_at.get(record.replica, now)
+            + state.load_times.estimate(
+                spec.weights_mb, record.from_tier, state.budget.slowdown
+            )
+            - now
+            for record in state.replicas.of_model(key)
+            if record.phase == "ordered" and state.is_usable(record, now)
+        ]
+        if estimates:
+            return max(min(estimates), 0.5)
+        wait = 0.0
+        tier = state.inventory.best_tier(spec.checkpoint)
+        if tier == "remote":
+            wait = state.budget.estimate_wait("", now)
+        return wait + self._load_s(spec)
+
+    def _load_s(self, spec: ModelSpec) -> float:
+        state = self.state
+        tier = state.inventory.best_tier(spec.checkpoint)
+        return state.load_times.estimate(spec.weights_mb, tier, state.budget.slowdown)
+
+    def _find_wanted(
+        self, merged: Mapping[ModelKey, ModelDemand], now: float
+    ) -> list[WantedLoad]:
+        """Return the loads that demand and documents call for, in order."""
+        loads = [
+            WantedLoad(key, None, 0.0, 0)
+            for key, spec in self.state.models.items()
+            if spec.min_replicas and self._is_below_minimum(key, spec, now)
+        ]
+        for key, demand in merged.items():
+            spec = self.state.models.get(key)
+            if spec is None or demand.requests <= 0:
+                continue
+            load = self._want_for_demand(key, spec, demand, now)
+            if load is not None:
+                loads.append(load)
+        loads.sort(key=lambda load: (*self._rank(load, now), load.key))
+        return loads
+
+    def _is_below_minimum(self, key: ModelKey, spec: ModelSpec, now: float) -> bool:
+        ready, coming, _ = self.state.count(key, now)
+        return ready + coming < spec.min_replicas
+
+    def _want_for_demand(
+        self, key: ModelKey, spec: ModelSpec, demand: ModelDemand, now: float
+    ) -> WantedLoad | None:
+        ready, coming, _ = self.state.count(key, now)
+        load_s = self._load_s(spec)
+        needed = count_needed(demand, spec, ready, load_s, now)
+        if needed > ready:
+            self._surplus_since.pop(key, None)
+        if ready + coming >= needed:
+            return None
+        return WantedLoad(key, demand, load_s, ready + coming)
+
+    def _unload_leaving(self) -> None:
+        """Unload loaded replicas of leaving hosts; they receive no new work."""
+        for host in self.state.leaving:
+            for record in self.state.replicas.on_host(host):
+                if record.phase == "loaded" and not self.state.is_unloading(record):
+                    self.state.advance(record, ("unloading",), "host leaving")
+
+    def _check_idle(
+        self,
+        merged: Mapping[ModelKey, ModelDemand],
+        demands: DemandTable,
+        now: float,
+    ) -> None:
+        """Check a few replicas, each about once per ``IDLE_CHECK_INTERVAL_S``."""
+        if (
+            not self._checks
+            and now - self._checked_at >= defaults.IDLE_CHECK_INTERVAL_S
+        ):
+            self._checks.extend(self.state.replicas.records)
+            self._checked_at = now
+        for _ in range(min(defaults.IDLE_CHECKS_PER_PLAN, len(self._checks))):
+            record = self.state.replicas.records.get(self._checks.popleft())
+            if record is not None and record.phase == "loaded":
+                self._check_replica(record, merged, demands, now)
+
+    def _check_replica(
+        self,
+        record: ReplicaRecord,
+        merged: Mapping[ModelKey, ModelDemand],
+        demands: DemandTable,
+        now: float,
+    ) -> None:
+        state = self.state
+        spec = state.models.get(record.key)
+        if spec is None:
+            if not state.is_unloading(record):
+                state.advance(record, ("unloading",), "model not offered")
+            return
+        if self._is_surplus(record, spec, now):
+            self._surplus_since[record.key] = now
+            state.advance(record, ("unloading",), "more replicas than needed")
+            return
+        demand = merged.get(record.key)
+        if demand is not None and demand.requests > 0:
+            return
+        if not self._judge.may_unload(record, demands, now):
+            return
+        if self._judge.policy.should_release(
+            self._judge.describe(record, demands, now)
+        ):
+            state.advance(record, ("unloading",), "idle")
+
+    def _is_surplus(self, record: ReplicaRecord, spec: ModelSpec, now: float) -> bool:
+        """Return whether the other replicas have long been enough.
+
+        The replicas' generation rate is compared with what one replica fewer can
+        generate; that the backlog is small does not show that a replica is idle.
+        """
+        state = self.state
+        ready, _, _ = state.count(record.key, now)
+        if ready <= max(1, spec.min_replicas) or state.is_unloading(record):
+            return False
+        rate = 0.0
+        for other in state.replicas.of_model(record.key):
+            backend = state.inventory.backends.get((other.host, other.backend))
+            rate += backend.report.tokens_per_s if backend is not None else 0.0
+        limit = defaults.SURPLUS_UTILISATION * (ready - 1) * spec.tokens_per_s
+        if rate > limit:
+            self._surplus_since.pop(record.key, None)
+            return False
+        since = self._surplus_since.setdefault(record.key, now)
+        return now - since >= defaults.SURPLUS_HOLD_S
--- /dev/null
+++ b/src/jasminewharf/decisions/planstate.py
@@ -0,0 +1,312 @@
+"""State that the planner keeps between plans, and the actions it has proposed.
+
+Actions that are proposed but not yet in the view count as if they had been
+committed: their memory and their store slots are taken at once.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from .. import defaults
+from ..messages.commands import AdvanceReplica, DecideReplica
+from ..messages.feed import NodeReport, ReplicaReport
+from .inventory import (
+    BackendKey,
+    Inventory,
+    ModelKey,
+    ModelSpec,
+    PlannerView,
+    ReplicaIndex,
+    ReplicaRecord,
+    Transition,
+)
+from .loads import StoreBudget
+from .memory import MemoryLedger
+from .placement import LoadTimes
+
+__all__ = ["Action", "PlanState"]
+
+Action = DecideReplica | AdvanceReplica
+
+# The steps from each phase to ``gone`` without the engine's further help.
+_PATHS_TO_GONE = {
+    "ordered": ("failed", "gone"),
+    "loaded": ("unloading", "gone"),
+    "unloading": ("gone",),
+    "failed": ("gone",),
+}
+
+
+class _Failures(NamedTuple):
+    count: int
+    until: float
+
+
+class _Decided(NamedTuple):
+    holder: object
+    command: DecideReplica
+
+
+class PlanState:
+    """Indexes, ledgers and proposed actions.
+
+    Args:
+        budget: The weight store's budget.
+        load_times: Estimates of load times.
+    """
+
+    def __init__(self, budget: StoreBudget, load_times: LoadTimes) -> None:
+        self.budget = budget
+        self.load_times = load_times
+        self.inventory = Inventory()
+        self.replicas = ReplicaIndex()
+        self.memory = MemoryLedger()
+        self.models: Mapping[ModelKey, ModelSpec] = {}
+        self.leaving: frozenset[str] = frozenset()
+        self.lost: frozenset[str] = frozenset()
+        self.loaded_at: dict[int, float] = {}
+        self.ordered_at: dict[int, float] = {}
+        self.actions: list[Action] = []
+        self._version = -1
+        self._reported_leaving: set[str] = set()
+        self._unknown: dict[str, dict[str, set[int]]] = {}
+        self._decided: list[_Decided] = []
+        self._advanced: dict[int, str] = {}
+        self._failures: dict[tuple[ModelKey, BackendKey], _Failures] = {}
+        self._missing: dict[BackendKey, float] = {}
+        self._serial = 0
+
+    # Taking over the view and the reports.
+
+    def refresh(
+        self, view: PlannerView, reports: Mapping[str, NodeReport], now: float
+    ) -> None:
+        """Take over what changed since the last plan."""
+        changed = self.inventory.refresh(reports)
+        for report in changed:
+            if report.role == "agent":
+                self._take_host(report)
+        if view.version != self._version:
+            self._version = view.version
+            self.models = view.models
+            for transition in self.replicas.refresh(view.replicas):
+                self._take_transition(transition, now)
+        self.leaving = view.draining | self._reported_leaving
+        self.lost = view.lost
+        for report in changed:
+            self._take_replicas(report)
+        for host in self.lost:
+            for record in list(self.replicas.on_host(host)):
+                self.advance_to_gone(record, "host lost")
+
+    def settle(self, action: Action, committed: bool) -> None:
+        """Note the outcome of a proposed action.
+
+        A committed decision stays counted until the view holds its replica.
+
+        Args:
+            action: An action of an earlier plan.
+            committed: False only if the action is known to have had no effect.
+        """
+        if isinstance(action, AdvanceReplica):
+            if not committed:
+                self._advanced.pop(action.replica, None)
+        elif not committed:
+            self._withdraw(action)
+
+    def _withdraw(self, command: DecideReplica) -> None:
+        for decided in self._decided:
+            if decided.command is command or decided.command == command:
+                self._decided.remove(decided)
+                self.memory.release(command.host, decided.holder)
+                self.budget.cancel(decided.holder)
+                return
+
+    def _take_host(self, report: NodeReport) -> None:
+        self.memory.set_capacity(report.host, report.memory_mb)
+        if report.leaving:
+            self._reported_leaving.add(report.host)
+        else:
+            self._reported_leaving.discard(report.host)
+
+    def _take_transition(self, change: Transition, now: float) -> None:
+        record = change.after or change.before
+        number = record.replica
+        if change.before is None:
+            self._take_new(record, now)
+        if change.after is None:
+            self.memory.release(record.host, number)
+        phase = change.after.phase if change.after is not None else "gone"
+        if phase != "ordered":
+            self.budget.end(number, phase != "loaded", now)
+            self.ordered_at.pop(number, None)
+        if phase == "loaded":
+            self.loaded_at[number] = now
+            self._failures.pop((record.key, _backend_key(record)), None)
+        if phase == "failed":
+            self._note_failure(record, now)
+        if phase == "gone":
+            self.loaded_at.pop(number, None)
+        self._settle_advance(number, phase)
+
+    def _take_new(self, record: ReplicaRecord, now: float) -> None:
+        self.memory.restore(record.host, record.replica, record.memory_mb)
+        if record.phase == "ordered":
+            self.ordered_at[record.replica] = now
+        for decided in self._decided:
+            command = decided.command
+            if (command.service, command.model, command.host, command.backend) == (
+                record.service,
+                record.model,
+                record.host,
+                record.backend,
+            ):
+                self._decided.remove(decided)
+                self.memory.release(record.host, decided.holder)
+                self.budget.adopt(decided.holder, record.replica)
+                break
+        self.budget.recover([record], now)
+
+    def _settle_advance(self, number: int, phase: str) -> None:
+        if phase == "gone" or self._advanced.get(number) == phase:
+            self._advanced.pop(number, None)
+
+    def _note_failure(self, record: ReplicaRecord, now: float) -> None:
+        key = (record.key, _backend_key(record))
+        count = self._failures.get(key, _Failures(0, 0.0)).count + 1
+        backoff = defaults.LOAD_FAILURE_BACKOFF_S * 2.0 ** (count - 1)
+        backoff = min(backoff, defaults.LOAD_FAILURE_BACKOFF_MAX_S)
+        self._failures[key] = _Failures(count, now + backoff)
+
+    def _take_replicas(self, report: NodeReport) -> None:
+        unknown = self._unknown.setdefault(report.host, {})
+        for backend in report.backends:
+            found = set()
+            for replica in backend.replicas:
+                record = self.replicas.records.get(replica.replica)
+                if record is None:
+                    if replica.state in ("loading", "loaded"):
+                        found.add(replica.replica)
+                elif (record.host, record.backend) == (report.host, backend.backend):
+                    self._take_state(record, replica)
+            unknown[backend.backend] = found
+
+    def _take_state(self, record: ReplicaRecord, report: ReplicaReport) -> None:
+        if report.state == "gone":
+            self.advance_to_gone(record, report.reason or "engine confirmed")
+        elif report.state == "loaded" and record.phase == "ordered":
+            self.advance(record, ("loaded",), "engine loaded")
+        elif report.state == "failed" and record.phase == "ordered":
+            self.advance(record, ("failed",), report.reason)
+        elif report.state == "failed" and record.phase == "loaded":
+            self.advance(record, ("unloading",), report.reason)
+
+    # Proposing actions.
+
+    def advance_to_gone(self, record: ReplicaRecord, reason: str) -> None:
+        """Propose every step that is left to ``gone``."""
+        self.advance(record, _PATHS_TO_GONE[record.phase], reason)
+
+    def advance(
+        self, record: ReplicaRecord, phases: tuple[str, ...], reason: str
+    ) -> None:
+        """Propose phases, unless the last of them is proposed already."""
+        number = record.replica
+        if self._advanced.get(number) in (phases[-1], "gone"):
+            return
+        self._advanced[number] = phases[-1]
+        self.actions += [AdvanceReplica(number, phase, reason) for phase in phases]
+
+    def decide(
+        self, spec: ModelSpec, target: BackendKey, tier: str, load_s: float, now: float
+    ) -> None:
+        """Propose a replica, with its memory and its store slot taken.
+
+        Raises:
+            MemoryOvercommit: If the host has too little memory left.
+        """
+        self._serial += 1
+        holder = ("proposed", self._serial)
+        self.memory.reserve(target.host, holder, spec.memory_mb)
+        if tier == "remote":
+            self.budget.begin(holder, target.host, load_s, now)
+        command = DecideReplica(
+            spec.service, spec.model, target.backend, target.host, spec.memory_mb, tier
+        )
+        self._decided.append(_Decided(holder, command))
+        self.actions.append(command)
+
+    # Questions of the other parts.
+
+    def is_unloading(self, record: ReplicaRecord) -> bool:
+        """Return whether a replica is on its way out, in the log or proposed."""
+        if record.phase not in ("ordered", "loaded"):
+            return True
+        return self._advanced.get(record.replica) in ("unloading", "failed", "gone")
+
+    def is_usable(self, record: ReplicaRecord, now: float) -> bool:
+        """Return whether a replica's host and backend server can serve or soon will."""
+        if record.host in self.leaving or record.host in self.lost:
+            return False
+        key = _backend_key(record)
+        backend = self.inventory.backends.get(key)
+        if backend is not None and backend.report.reachable:
+            self._missing.pop(key, None)
+            return True
+        since = self._missing.setdefault(key, now)
+        return now - since < defaults.UNREACHABLE_GRACE_S
+
+    def count(self, key: ModelKey, now: float) -> tuple[int, int, int]:
+        """Return how many replicas of a model are ready, on the way and decided."""
+        ready = coming = decided = 0
+        for record in self.replicas.of_model(key):
+            decided += 1
+            if self.is_unloading(record) or not self.is_usable(record, now):
+                continue
+            if record.phase == "loaded":
+                ready += 1
+            else:
+                coming += 1
+        proposed = sum(
+            1 for d in self._decided if (d.command.service, d.command.model) == key
+        )
+        return ready, coming + proposed, decided + proposed
+
+    def is_candidate(self, key: ModelKey, target: BackendKey, now: float) -> bool:
+        """Return whether a replica of ``key`` may be decided on ``target``.
+
+        A host whose engine holds a replica that the log does not have is no
+        candidate: its memory is not free although the ledger says so.
+        """
+        backend = self.inventory.backends[target]
+        if not backend.report.reachable or backend.leaving:
+            return False
+        if target.host in self.leaving or target.host in self.lost:
+            return False
+        if any(self._unknown.get(target.host, {}).values()):
+            return False
+        failures = self._failures.get((key, target))
+        return failures is None or now >= failures.until
+
+    def proposed_on(self, key: ModelKey, target: BackendKey) -> bool:
+        """Return whether the backend server has or will have a replica of ``key``."""
+        return any(
+            _backend_key(record) == target for record in self.replicas.of_model(key)
+        ) or any(
+            d.command.backend == target.backend
+            and d.command.host == target.host
+            and (d.command.service, d.command.model) == key
+            for d in self._decided
+        )
+
+    def unloading_mb(self, host: str) -> int:
+        """Return the memory that confirmed unloads will free on a host."""
+        return sum(
+            record.memory_mb
+            for record in self.replicas.on_host(host)
+            if self.is_unloading(record)
+        )
+
+
+def _backend_key(record: ReplicaRecord) -> BackendKey:
+    return BackendKey(record.host, record.backend)
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -21,6 +21,62 @@
 
 # Placement, loads, pacing, memory and eviction.
 
+PLAN_INTERVAL_S = 0.05
+STORE_LOADS_PER_S = 2.0
+STORE_CONCURRENT_LOADS = 4
+# Loading estimates per GB of weights and tier, used until loads are measured.
+LOAD_BASE_S = 1.0
+LOAD_S_PER_GB = {"memory": 0.05, "disk": 0.35, "remote": 1.0}
+UNLOAD_S = 1.0
+# The shortest window over which a backlog is spread when replicas are counted.
+BACKLOG_WINDOW_MIN_S = 5.0
+# A demand report that is not renewed within this time is dropped (3 reports).
+DEMAND_EXPIRY_S = 3.0
+# Replicas of an unreachable agent count as ready for this long, so that an agent
+# restart of a few seconds starts no load elsewhere.
+UNREACHABLE_GRACE_S = 5.0
+# No replica is unloaded for idleness or room sooner than this after its load
+# ended, and none is evicted for room unless it has been idle for this long.
+RESIDENCE_MIN_S = 20.0
+EVICTION_IDLE_MIN_S = 5.0
+SURPLUS_HOLD_S = 60.0
+SURPLUS_UTILISATION = 0.6
+ROOM_CLAIM_S = 30.0
+PLACEMENT_RETRY_S = 0.25
+PLACEMENTS_PER_PLAN = 8
+IDLE_CHECKS_PER_PLAN = 16
+IDLE_CHECK_INTERVAL_S = 1.0
+LOAD_FAILURE_BACKOFF_S = 5.0
+LOAD_FAILURE_BACKOFF_MAX_S = 120.0
+# Score added to a candidate in seconds, compared with seconds of load time.
+PLACEMENT_ZONE_PENALTY_S = 2.0
+PLACEMENT_QUEUE_PENALTY_S = 0.5
+PLACEMENT_FILL_PENALTY_S = 1.0
+EVICTION_GAPS_KEPT = 64
+EVICTION_PRIOR_GAPS = 4
+EVICTION_PRIOR_GAP_S = 600.0
+EVICTION_TTL_S = 300.0
+# Cost of a second of cold start and of an idle accelerator hour. With these, a
+# cold start of 10 s costs as much as 200 s of one idle accelerator.
+COLD_START_WEIGHT = 1.0
+IDLE_HOUR_WEIGHT = 180.0
+# Pacing of loads from the weight store.
+PACING_MIN_LOADS_PER_S = 0.05
+PACING_INCREASE_LOADS_PER_S = 0.1
+PACING_DECREASE_FACTOR = 0.5
+PACING_SLOW_FACTOR = 1.75
+PACING_DECREASE_HOLD_S = 5.0
+PACING_PRESSURE_PER_LOAD = 1.0
+PACING_PRESSURE_PER_FAILURE = 10.0
+PACING_PRESSURE_PER_SLOW_LOAD = 5.0
+PACING_PRESSURE_HALF_LIFE_S = 30.0
+PACING_SPACING_MAX_S = 30.0
+ADAPTER_LOADS_IN_FLIGHT = 30
+ADAPTER_SLOT_LEASE_S = 2.0
+# Clock drift of 0.1% and the time a grant is on its way.
+ADAPTER_SLOT_MARGIN_S = 0.5
+ADAPTER_BATCH = 8
+
 # Routing, queues, admission and retries.
 
 DEFAULT_DEADLINE_MS = 30_000
