--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -31,7 +31,11 @@
 # Largest relative error assumed between the clocks of two hosts.
 CLOCK_DRIFT_BOUND = 0.001
 CONTROL_RETRY_S = 0.05
+# A node further behind than this many commands is sent a snapshot.
+FEED_CHANGES_LIMIT = 1_000
+DIGEST_INTERVAL_S = 0.1
 CONTROL_ATTEMPT_S = 1.0
+OPERATOR_ATTEMPT_S = 3.0
 
 # Placement, loads, pacing, memory and eviction.
 
@@ -91,6 +95,9 @@
 ADAPTER_SLOT_MARGIN_S = 0.5
 ADAPTER_BATCH = 8
 
+# Events that arrive within this time are planned for together.
+PLAN_PAUSE_S = 0.01
+
 # Routing, queues, admission and retries.
 
 DEFAULT_DEADLINE_MS = 30_000
--- /dev/null
+++ b/src/jasminewharf/interfaces/callers.py
@@ -0,0 +1,307 @@
+"""The entry's routes towards callers."""
+
+import asyncio
+import json
+import logging
+from pathlib import Path
+from typing import Any, ClassVar
+
+from .. import events
+from ..decisions.keys import match_key, parse_key_id
+from ..exceptions import (
+    Forbidden,
+    KeyWithdrawn,
+    LeaseExpired,
+    NotFound,
+    Refusal,
+    StreamInterrupted,
+    Unauthorized,
+)
+from ..identifiers import RequestIds
+from ..kernel import Kernel, Service
+from ..messages.commands import WithdrawKey
+from ..services.router import Answer, CallPlan
+from ..settings import split_address
+from ..tracing import Span
+from .http import HttpServer, Request, Responder
+from .plans import (
+    Caller,
+    find_route,
+    plan_model_call,
+    plan_service_call,
+    split_service_target,
+)
+from .refusals import describe_refusal, render_refusal
+
+__all__ = ["Callers"]
+
+_logger = logging.getLogger(__name__)
+
+_MODEL_ROUTES = frozenset({"/v1/chat/completions", "/v1/completions"})
+_JSON = [("content-type", "application/json")]
+_TEXT = [("content-type", "text/plain; version=0.0.4")]
+_RETRY_FRESHNESS_MS = 500
+# Headers of a backend server's answer that end at this hop.
+_HOP_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "server", "date", "trailer"}
+)
+
+
+class _Exchange:
+    """One request in flight: what is needed to end it from outside."""
+
+    def __init__(self, request_id: str, caller: Caller) -> None:
+        self.request_id = request_id
+        self.caller = caller
+        self.task = asyncio.current_task()
+        self.refusal: Refusal | None = None
+
+    def end(self, refusal: Refusal) -> None:
+        """Stop the request; its caller is told of ``refusal``."""
+        if self.refusal is None and self.task is not None:
+            self.refusal = refusal
+            self.task.cancel()
+
+
+class Callers(Service):
+    """Serves callers over HTTP.
+
+    Attributes:
+        address: Where it listens.
+    """
+
+    name: ClassVar[str] = "callers"
+    requires: ClassVar[tuple[str, ...]] = (
+        "process",
+        "feed",
+        "reports",
+        "router",
+        "traces",
+    )
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        settings = kernel.settings
+        self.address = ""
+        self._hash_secret = Path(settings.hash_secret_file).read_bytes().strip()
+        self._http = HttpServer(
+            self._handle, render_refusal, settings.limits, self._count_rejection
+        )
+        self._exchanges: dict[str, _Exchange] = {}
+        process = kernel.find("process")
+        self._ids = RequestIds(process.identity.incarnation)
+        self._metrics = process.metrics
+
+    async def start(self) -> None:
+        """Listen for callers."""
+        self.kernel.find("feed").listen(self._end_withdrawn)
+        host, port = split_address(self.kernel.settings.listen)
+        self.address = await self._http.listen(host, port)
+        self._metrics.watch("open_connections", lambda: self._http.connection_count)
+        self._metrics.watch("requests_in_flight", lambda: len(self._exchanges))
+
+    async def drain(self) -> None:
+        """Finish the requests in flight and take no new connection."""
+        await self._http.drain(self.kernel.settings.timing.drain_timeout_s)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        await super().stop()
+        await self._http.close()
+
+    def _count_rejection(self, refusal: Refusal) -> None:
+        self._metrics.count("rejected_heads_total", type=refusal.kind)
+
+    def _end_withdrawn(self, applied: list[Any]) -> None:
+        """End requests whose key was withdrawn, streams included."""
+        keys = self.kernel.find("feed").state.keys
+        is_replaced = not applied
+        if not is_replaced and not any(isinstance(c, WithdrawKey) for c in applied):
+            return
+        for exchange in list(self._exchanges.values()):
+            record = keys.get(exchange.caller.key_id)
+            if exchange.caller.key_id and (record is None or record.withdrawn):
+                exchange.end(KeyWithdrawn("the key was withdrawn", not_run=False))
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        path = request.target.partition("?")[0]
+        if path in ("/healthz", "/readyz", "/metrics"):
+            self._answer_operations(path, responder)
+            return
+        request_id = self._ids.issue()
+        span = Span(
+            "entry",
+            request.header("traceparent"),
+            request_id=request_id,
+            method=request.method,
+            path=path,
+        )
+        started = asyncio.get_running_loop().time()
+        error = ""
+        try:
+            await self._serve(request, responder, request_id, span)
+        except Refusal as refusal:
+            error = refusal.kind
+            await self._refuse(responder, refusal, request_id)
+        finally:
+            elapsed_s = asyncio.get_running_loop().time() - started
+            self.kernel.find("traces").sink.add(span.end(error).to_json())
+            self._record(request_id, error, elapsed_s)
+
+    def _record(self, request_id: str, error: str, elapsed_s: float) -> None:
+        self._metrics.count("requests_total", outcome=error or "answered")
+        self._metrics.observe("request_seconds", elapsed_s)
+        event = events.REQUEST_REFUSED if error else events.REQUEST_FINISHED
+        events.emit(
+            _logger,
+            event,
+            request_id=request_id,
+            outcome=error or "answered",
+            elapsed_ms=round(elapsed_s * 1000, 3),
+        )
+
+    def _answer_operations(self, path: str, responder: Responder) -> None:
+        if path == "/healthz":
+            responder.respond(200, _TEXT, b"ok\n")
+        elif path == "/metrics":
+            responder.respond(200, _TEXT, self._metrics.render().encode())
+        elif self._http.draining or not self.kernel.find("feed").is_fresh():
+            responder.respond(503, _TEXT, b"not ready\n")
+        else:
+            responder.respond(200, _TEXT, b"ready\n")
+
+    async def _serve(
+        self, request: Request, responder: Responder, request_id: str, span: Span
+    ) -> None:
+        if not self.kernel.find("feed").is_fresh():
+            raise LeaseExpired(
+                "the configuration cannot be confirmed",
+                retry_after_ms=_RETRY_FRESHNESS_MS,
+            )
+        path = request.target.partition("?")[0]
+        if path == "/v1/models" and request.method == "GET":
+            self._list_models(request, responder)
+        elif path in _MODEL_ROUTES and request.method == "POST":
+            await self._serve_model(request, responder, request_id, span)
+        elif path.startswith("/services/"):
+            await self._serve_service(request, responder, request_id, span)
+        else:
+            raise NotFound("no such route")
+
+    def _authenticate(self, request: Request) -> Caller:
+        """Return the caller that the key stands for.
+
+        Raises:
+            Unauthorized: If there is no key or it is not granted.
+        """
+        scheme, _, key = (request.header("authorization") or "").partition(" ")
+        key = key.strip()
+        key_id = parse_key_id(key) if scheme.lower() == "bearer" else None
+        if key_id is None:
+            raise Unauthorized("a key is required")
+        record = self.kernel.find("feed").state.keys.get(key_id)
+        if record is None or not match_key(key, record, self._hash_secret):
+            raise Unauthorized("the key is not valid")
+        return Caller(record.workspace, key_id, key)
+
+    def _list_models(self, request: Request, responder: Responder) -> None:
+        caller = self._authenticate(request)
+        names = sorted(
+            (offer.adapter.name if offer.adapter else offer.model.name, offer.service)
+            for offer in self.kernel.find("feed").state.offers_for(caller.workspace)
+        )
+        listing = {
+            "object": "list",
+            "data": [
+                {"id": name, "object": "model", "created": 0, "owned_by": service}
+                for name, service in names
+            ],
+        }
+        responder.respond(200, _JSON, json.dumps(listing).encode())
+
+    async def _serve_model(
+        self, request: Request, responder: Responder, request_id: str, span: Span
+    ) -> None:
+        caller = self._authenticate(request)
+        plan, _ = plan_model_call(
+            request,
+            caller,
+            self.kernel.find("feed").state,
+            request_id,
+            asyncio.get_running_loop().time(),
+            span.traceparent,
+        )
+        await self._run(plan, caller, responder)
+
+    async def _serve_service(
+        self, request: Request, responder: Responder, request_id: str, span: Span
+    ) -> None:
+        service, target = split_service_target(request.target)
+        document = self.kernel.find("feed").state.document(service)
+        if document is None or document.kind != "plain":
+            raise NotFound(f"no service {service!r}")
+        route = find_route(document, request.method, target.partition("?")[0])
+        caller = Caller("", "", "") if route.open else self._authenticate(request)
+        if not route.open and document.find_access(caller.workspace) is None:
+            raise Forbidden(f"the workspace may not use {service!r}")
+        plan = plan_service_call(
+            request,
+            caller,
+            document,
+            route,
+            target,
+            request_id,
+            asyncio.get_running_loop().time(),
+            span.traceparent,
+        )
+        await self._run(plan, caller, responder)
+
+    async def _run(self, plan: CallPlan, caller: Caller, responder: Responder) -> None:
+        exchange = _Exchange(plan.request_id, caller)
+        self._exchanges[plan.request_id] = exchange
+        try:
+            answer = await self.kernel.find("router").call(plan)
+            await self._pass_on(answer, plan, responder)
+        except asyncio.CancelledError:
+            self.kernel.find("router").cancel(plan.request_id, "caller gone")
+            if exchange.refusal is None:
+                raise
+            raise exchange.refusal from None
+        finally:
+            del self._exchanges[plan.request_id]
+
+    async def _pass_on(
+        self, answer: Answer, plan: CallPlan, responder: Responder
+    ) -> None:
+        headers = [
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() not in _HOP_HEADERS
+        ]
+        headers.append(("x-request-id", plan.request_id))
+        is_started = False
+        async for chunk in answer.chunks():
+            if not is_started:
+                responder.start(answer.status, headers)
+                is_started = True
+            await responder.write(chunk)
+        if not is_started:
+            responder.start(answer.status, headers)
+        responder.finish()
+
+    async def _refuse(
+        self, responder: Responder, refusal: Refusal, request_id: str
+    ) -> None:
+        if not responder.has_started:
+            headers, body = render_refusal(refusal, request_id)
+            responder.respond(refusal.status, headers, body)
+            return
+        if isinstance(refusal, StreamInterrupted | KeyWithdrawn):
+            events.emit(
+                _logger, events.STREAM_BROKEN, request_id=request_id, error=refusal
+            )
+        # An explicit error event tells a reader of server-sent events what broke;
+        # the missing end of the chunked body tells everybody else.
+        error = json.dumps(describe_refusal(refusal, request_id))
+        await responder.write(f"data: {error}\n\n".encode())
+        responder.cut()
--- /dev/null
+++ b/src/jasminewharf/interfaces/daemon.py
@@ -0,0 +1,65 @@
+"""The daemon: one process of one role."""
+
+import asyncio
+import contextlib
+import logging
+import signal
+import sys
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from .. import events
+from ..exceptions import JasminewharfError, SettingsError
+from ..kernel import Kernel
+from ..logs import configure_logging
+from ..settings import Settings, load_settings
+from .roles import build_kernel
+
+__all__ = ["DaemonCommand", "main", "run_process"]
+
+_logger = logging.getLogger(__name__)
+
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+
+
+@dataclass
+class DaemonCommand:
+    """Run one process of jasminewharf; its role is in the settings."""
+
+    settings: Annotated[
+        str, cappa.Arg(long=True, help="The settings file (see docs/configuration.md).")
+    ]
+
+
+async def run_process(settings: Settings) -> None:
+    """Run until SIGTERM or SIGINT, then finish the work in flight and stop."""
+    kernel = build_kernel(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, _stop, kernel)
+    await kernel.run()
+
+
+def _stop(kernel: Kernel) -> None:
+    events.emit(_logger, events.PROCESS_STOPPING)
+    kernel.request_stop()
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run the daemon's command line."""
+    command = cappa.parse(DaemonCommand, argv=arguments)
+    try:
+        settings = load_settings(command.settings)
+    except SettingsError as error:
+        print(f"error: {error}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS) from error
+    configure_logging(settings.node, settings.logs.form, settings.logs.level)
+    try:
+        with contextlib.suppress(KeyboardInterrupt):
+            asyncio.run(run_process(settings))
+    except JasminewharfError as error:
+        print(f"error: {error}", file=sys.stderr)
+        raise SystemExit(EXIT_FAILED) from error
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -69,9 +69,9 @@
             self._connection.send_event(h11.Data(data=body))
         self.finish()
 
-    def abort(self) -> None:
-        """Cut the connection, so that a broken body is not taken for a whole one."""
-        self._connection.abort()
+    def cut(self) -> None:
+        """Close without the end of the body, so that it is not taken for whole."""
+        self._connection.close()
 
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
@@ -163,7 +163,7 @@
             self._disarm()
             self._task = asyncio.create_task(self._serve())
         elif isinstance(event, h11.ConnectionClosed):
-            self._close()
+            self.close()
 
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
@@ -207,7 +207,7 @@
     def _refuse(self, responder: Responder, refusal: Refusal) -> None:
         if responder.has_started:
             if not responder.is_finished:
-                self.abort()
+                self.close()
             return
         headers, body = self._server.render_error(refusal)
         responder.respond(refusal.status, headers, body)
@@ -230,15 +230,15 @@
         if self._transport is None or self._transport.is_closing():
             return
         if not responder.is_finished:
-            self.abort()
+            self.close()
             return
         if self._server.draining or self._h11.our_state is not h11.DONE:
-            self._close()
+            self.close()
             return
         try:
             self._h11.start_next_cycle()
         except h11.ProtocolError:
-            self._close()
+            self.close()
             return
         self._head = None
         self._body = []
@@ -260,9 +260,9 @@
 
     def close_if_idle(self) -> None:
         if self.is_idle:
-            self._close()
+            self.close()
 
-    def _close(self) -> None:
+    def close(self) -> None:
         self._closing = True
         if self._transport is not None:
             self._transport.close()
@@ -285,7 +285,7 @@
     def _time_out(self) -> None:
         if self._task is None:
             self._server.count_rejection(BadRequest("timed out"))
-            self._close()
+            self.close()
 
 
 class HttpServer:
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -18,7 +18,9 @@
     "StoreSettings",
     "TimingSettings",
     "TlsSettings",
+    "ToolSettings",
     "load_settings",
+    "load_tool_settings",
     "parse_settings",
     "split_address",
 ]
@@ -169,6 +171,22 @@
         return next(host for host in self.control if host.name == self.node)
 
 
+class ToolSettings(NamedTuple):
+    """Settings of the operators' tool.
+
+    ``timeout_s`` is how long an order may take, over all attempts.
+    """
+
+    control: list[ControlHost]
+    hash_secret_file: str = ""
+    trace_file: str = ""
+    curve: CurveSettings | None = None
+    timeout_s: Seconds = 10.0
+    node: str = "tool"
+    role: Literal["tool"] = "tool"
+    zone: str = ""
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return IP address and port of ``address``."""
     host, _, port = address.rpartition(":")
@@ -206,8 +224,20 @@
     Raises:
         SettingsError: If the file cannot be read or is not acceptable.
     """
+    return parse_settings(_read_text(path), path)
+
+
+def load_tool_settings(path: str) -> ToolSettings:
+    """Return the tool's settings in the file at ``path``.
+
+    Raises:
+        SettingsError: If the file cannot be read or is not acceptable.
+    """
+    return load_yaml(_read_text(path), ToolSettings, path, SettingsError)
+
+
+def _read_text(path: str) -> str:
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        return Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(path, 0, "", f"cannot be read: {error}") from error
-    return parse_settings(text, path)
