--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -95,6 +95,10 @@
 ADAPTER_SLOT_MARGIN_S = 0.5
 ADAPTER_BATCH = 8
 
+# An agent reads its engine's state this often, and more often during a load.
+ADAPTER_SLOT_RETRY_S = 0.02
+ENGINE_POLL_S = 0.5
+ENGINE_BUSY_POLL_S = 0.05
 # Events that arrive within this time are planned for together.
 PLAN_PAUSE_S = 0.01
 
@@ -183,6 +187,7 @@
 
 HTTP_BACKLOG = 1024
 HTTP_CONNECT_TIMEOUT_S = 1.0
+HTTP_FETCH_TIMEOUT_S = 5.0
 HTTP_READ_BYTES = 64 * 1024
 HTTP_IDLE_CONNECTIONS = 32
 DRAIN_POLL_S = 0.02
--- a/src/jasminewharf/interfaces/roles.py
+++ b/src/jasminewharf/interfaces/roles.py
@@ -4,6 +4,8 @@
 
 from ..kernel import Kernel
 from ..registry import lookup, register
+from ..services.adapterloads import AdapterLoads
+from ..services.adapterslots import AdapterSlotOwner
 from ..services.backends import Backends
 from ..services.control import ControlServer
 from ..services.controllers import Controllers
@@ -51,7 +53,17 @@
 def build_agent(kernel: Kernel) -> None:
     """Register the services of an agent."""
     _register_all(
-        kernel, (Process, Traces, Controllers, Feed, Reporter, Backends, Loader)
+        kernel,
+        (
+            Process,
+            Traces,
+            Controllers,
+            Feed,
+            Reporter,
+            AdapterLoads,
+            Backends,
+            Loader,
+        ),
     )
 
 
@@ -69,5 +81,6 @@
             Publisher,
             Gathering,
             PlannerService,
+            AdapterSlotOwner,
         ),
     )
--- a/src/jasminewharf/messages/control.py
+++ b/src/jasminewharf/messages/control.py
@@ -5,6 +5,9 @@
 from .codec import message
 
 __all__ = [
+    "AdapterSlotAnswer",
+    "AdapterSlotRelease",
+    "AdapterSlotRequest",
     "ClaimAnswer",
     "ClaimOrder",
     "FetchStatus",
@@ -20,6 +23,30 @@
 ]
 
 
+@message(102)
+class AdapterSlotRequest(NamedTuple):
+    """Asks for slots to load adapters from the weight store."""
+
+    holder: str
+    wanted: int
+
+
+@message(103)
+class AdapterSlotAnswer(NamedTuple):
+    """Slots granted for ``lease_ms`` from the request; none if ``count`` is 0."""
+
+    number: int
+    count: int
+    lease_ms: int
+
+
+@message(104)
+class AdapterSlotRelease(NamedTuple):
+    """Gives a grant back after its loads have ended."""
+
+    number: int
+
+
 @message(80)
 class Propose(NamedTuple):
     """An encoded command for a log group."""
--- /dev/null
+++ b/src/jasminewharf/services/adapterslots.py
@@ -0,0 +1,71 @@
+"""The fleet's slots for adapter loads, kept by the leader of group ``fleet``."""
+
+import asyncio
+from typing import ClassVar
+
+from .. import defaults
+from ..decisions.adapters import AdapterSlots
+from ..exceptions import NotLeader
+from ..kernel import Kernel, Service
+from ..messages.control import (
+    AdapterSlotAnswer,
+    AdapterSlotRelease,
+    AdapterSlotRequest,
+)
+from .control import FLEET_GROUP
+from .link import Peer
+
+__all__ = ["AdapterSlotOwner"]
+
+
+class AdapterSlotOwner(Service):
+    """Grants slots while this host leads.
+
+    A new leader first waits until the grants of an earlier one have ended, since
+    it does not know them.
+    """
+
+    name: ClassVar[str] = "adapter_slots"
+    requires: ClassVar[tuple[str, ...]] = ("log", "control")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._slots: AdapterSlots | None = None
+        # The wait after a change of leader is not needed for the first leader of a
+        # new cluster, but it cannot be told from a later one.
+        self._limit = kernel.settings.store.concurrent_adapter_loads
+
+    async def start(self) -> None:
+        """Answer requests for slots."""
+        control = self.kernel.find("control")
+        control.handle(AdapterSlotRequest, self._request)
+        control.handle(AdapterSlotRelease, self._release)
+
+    def _lead(self) -> AdapterSlots:
+        log = self.kernel.find("log")
+        if not log.is_leader(FLEET_GROUP):
+            self._slots = None
+            raise NotLeader(FLEET_GROUP, log.leader(FLEET_GROUP))
+        if self._slots is None:
+            self._slots = AdapterSlots(self._limit)
+            self._slots.start(_now())
+        return self._slots
+
+    async def _request(
+        self, peer: Peer, message: AdapterSlotRequest
+    ) -> AdapterSlotAnswer:
+        slots = self._lead()
+        await self.kernel.find("log").read_barrier(FLEET_GROUP)
+        grant = slots.request(message.holder, message.wanted, _now())
+        if grant is None:
+            return AdapterSlotAnswer(0, 0, 0)
+        lease_ms = int(defaults.ADAPTER_SLOT_LEASE_S * defaults.MS_PER_S)
+        return AdapterSlotAnswer(grant.number, grant.count, lease_ms)
+
+    def _release(self, peer: Peer, message: AdapterSlotRelease) -> None:
+        if self._slots is not None:
+            self._slots.release(message.number)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/jasminewharf/services/backends.py
@@ -0,0 +1,518 @@
+"""The agent's calls: admission, the backend server's answer, and the way back."""
+
+import asyncio
+import logging
+from pathlib import Path
+from typing import Any, ClassVar
+
+from .. import events
+from ..decisions.admission import Admission, AdmissionLimits, TokenRate
+from ..decisions.coalescing import Batch, Coalescer
+from ..decisions.queueing import QUEUES, QueuedCall, QueueLimits
+from ..decisions.streams import ReplayBuffer
+from ..dialects import DIALECTS, Dialect, HttpCall
+from ..exceptions import (
+    BackendError,
+    BackendUnreachable,
+    DeadlineExceeded,
+    IncarnationMismatch,
+    LeaseExpired,
+    ModelUnavailable,
+    NotFound,
+    OutcomeUnknown,
+    Overloaded,
+    Refusal,
+    ShuttingDown,
+)
+from ..kernel import Kernel, Service
+from ..messages.calls import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    CallRefused,
+    CancelCall,
+    ForwardCall,
+    LoadState,
+    ResumeCall,
+)
+from ..messages.feed import BackendReport
+from ..registry import lookup
+from ..settings import BackendSettings
+from ..tracing import Span
+from .client import HttpClient
+from .link import LinkServer, Peer
+
+__all__ = ["Backend", "Backends"]
+
+_logger = logging.getLogger(__name__)
+
+_RETRY_MS = 500
+_MS_PER_S = 1000
+# Tokens are counted from the end of an answer, where engines state them.
+_TAIL_BYTES = 4096
+# An entry that missed the end of an answer may ask for it again this long.
+_REPLAY_KEPT_S = 10.0
+# Engines send one server-sent event per token.
+_EVENT_MARK = b"data:"
+
+
+class Backend:
+    """One backend server of this host and what the agent counts for it.
+
+    Attributes:
+        loaded: Models that are ready for calls, with their replica's number.
+        reachable: Whether the engine's state has been read since it was last lost.
+    """
+
+    def __init__(self, settings: BackendSettings, queue_name: str) -> None:
+        self.settings = settings
+        self.dialect: Dialect = lookup(DIALECTS, settings.dialect)
+        self.token = _read_token(settings)
+        self.client = HttpClient(settings.address)
+        self.weights: dict[str, float] = {}
+        queue = lookup(QUEUES, queue_name)(self.weights, QueueLimits())
+        self.admission = Admission(queue, AdmissionLimits(slots=settings.concurrency))
+        self.rate = TokenRate()
+        self.loaded: dict[str, int] = {}
+        self.in_flight: dict[str, int] = {}
+        self.reachable = False
+
+    def read_load(self, now: float) -> LoadState:
+        """Return the load as it is at this moment."""
+        queue = self.admission.queue
+        return LoadState(
+            self.admission.running,
+            len(queue),
+            int(queue.tokens),
+            round(self.rate.read(now), 1),
+        )
+
+    def count_start(self, model: str) -> None:
+        """Note a call of ``model``, waiting or running."""
+        self.in_flight[model] = self.in_flight.get(model, 0) + 1
+
+    def count_end(self, model: str) -> None:
+        """Note the end of a call."""
+        self.in_flight[model] -= 1
+
+
+class _AgentCall:
+    def __init__(self, peer: Peer, call: ForwardCall, backend: Backend) -> None:
+        now = _now()
+        self.peer = peer
+        self.call = call
+        self.backend = backend
+        self.arrived_at = now
+        self.deadline = now + call.deadline_ms / _MS_PER_S
+        self.task: asyncio.Task[None] | None = None
+        self.replay = ReplayBuffer()
+        self.tail = b""
+        self.end: AnswerEnd | None = None
+        self.queue_span = Span("queue", call.traceparent, backend=call.backend)
+        self.spans: list[str] = []
+
+
+class Backends(Service):
+    """Takes calls from entries and passes them to this host's backend servers.
+
+    Attributes:
+        backends: By name.
+    """
+
+    name: ClassVar[str] = "backends"
+    requires: ClassVar[tuple[str, ...]] = ("process", "feed", "reports")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        settings = kernel.settings
+        self.backends = {
+            item.name: Backend(item, settings.policy.queue)
+            for item in settings.backends
+        }
+        self._calls: dict[str, _AgentCall] = {}
+        self._coalescer: Coalescer[tuple[Peer, Any]] = Coalescer()
+        self._flush_timer: asyncio.TimerHandle | None = None
+        self._expiry_timers: dict[str, asyncio.TimerHandle] = {}
+        self._leaving = False
+        self._server: LinkServer | None = None
+        self._metrics = kernel.find("process").metrics
+
+    async def start(self) -> None:
+        """Listen for entries."""
+        process = self.kernel.find("process")
+        self._server = LinkServer(
+            process.identity,
+            process.context,
+            {
+                ForwardCall: self._take_call,
+                CancelCall: self._take_cancel,
+                ResumeCall: self._take_resume,
+            },
+        )
+        reports = self.kernel.find("reports")
+        reports.address = self._server.bind(self.kernel.settings.listen)
+        self.kernel.find("feed").listen(lambda applied: self._read_weights())
+        self._metrics.watch("calls_in_flight", lambda: len(self._calls))
+
+    async def drain(self) -> None:
+        """Refuse new calls and wait for those in flight."""
+        self._leaving = True
+        timeout_s = self.kernel.settings.timing.drain_timeout_s
+        deadline = _now() + timeout_s
+        while self._unfinished() and _now() < deadline:
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        """Send what is left and close."""
+        self._send_batches(self._coalescer.flush_all())
+        await super().stop()
+        if self._server is not None:
+            self._server.close()
+        for backend in self.backends.values():
+            backend.client.close()
+
+    def _unfinished(self) -> bool:
+        return any(call.end is None for call in self._calls.values())
+
+    def _read_weights(self) -> None:
+        """Take the workspaces' weights from the documents."""
+        for document in self.kernel.find("feed").state.all_documents():
+            for backend in self.backends.values():
+                if backend.settings.pool == document.pool:
+                    for access in document.workspaces:
+                        backend.weights[access.workspace] = float(access.weight)
+
+    def _take_call(self, peer: Peer, call: ForwardCall) -> None:
+        backend = self.backends.get(call.backend)
+        now = _now()
+        try:
+            self._check(call, backend)
+            assert backend is not None
+            accepted = _AgentCall(peer, call, backend)
+            backend.admission.offer(
+                QueuedCall(
+                    call.request_id,
+                    call.workspace,
+                    call.priority,
+                    call.cost_tokens,
+                    now,
+                    accepted.deadline,
+                ),
+                call.model,
+                now,
+            )
+        except Refusal as refusal:
+            self._refuse(peer, call.request_id, refusal, backend)
+            return
+        self._calls[call.request_id] = accepted
+        backend.count_start(call.model)
+        self._start_ready(backend)
+
+    def _check(self, call: ForwardCall, backend: Backend | None) -> None:
+        """Refuse what must not run here.
+
+        Raises:
+            Refusal: With ``not_run`` true, since nothing was passed on.
+        """
+        if call.agent_incarnation != self.kernel.find("process").identity.incarnation:
+            # An order that was meant for an earlier life may have run there.
+            raise Overloaded(
+                IncarnationMismatch.__doc__ or "", retry_after_ms=_RETRY_MS
+            )
+        if self._leaving or self._is_draining():
+            raise ShuttingDown("this host takes no new work", retry_after_ms=_RETRY_MS)
+        if not self.kernel.find("feed").is_fresh():
+            raise LeaseExpired(
+                "the agent's configuration is not confirmed", retry_after_ms=_RETRY_MS
+            )
+        if backend is None:
+            raise NotFound(f"no backend server {call.backend!r} here")
+        if call.request_id in self._calls:
+            raise Overloaded("the request identifier is in use")
+        if not backend.reachable:
+            raise Overloaded(
+                "the backend server is not reachable", retry_after_ms=_RETRY_MS
+            )
+        if call.model and call.model not in backend.loaded:
+            raise ModelUnavailable(
+                f"model {call.model!r} is not loaded here", retry_after_ms=_RETRY_MS
+            )
+
+    def _is_draining(self) -> bool:
+        draining = self.kernel.find("feed").state.draining
+        return self.kernel.settings.host_name in draining
+
+    def _refuse(
+        self, peer: Peer, request_id: str, refusal: Refusal, backend: Backend | None
+    ) -> None:
+        self._metrics.count("calls_refused_total", type=refusal.kind)
+        load = backend.read_load(_now()) if backend else LoadState(0, 0, 0, 0.0)
+        peer.send(
+            CallRefused(
+                request_id,
+                type(refusal).__name__,
+                refusal.message,
+                refusal.not_run,
+                refusal.retry_after_ms or 0,
+                load,
+            )
+        )
+
+    def _start_ready(self, backend: Backend) -> None:
+        now = _now()
+        while (queued := backend.admission.take(now)) is not None:
+            call = self._calls[queued.request_id]
+            call.spans.append(call.queue_span.end().to_json())
+            self._metrics.observe("queue_seconds", now - call.arrived_at)
+            call.task = self.spawn(self._run(call))
+        self._arm_expiry(backend)
+
+    def _arm_expiry(self, backend: Backend) -> None:
+        name = backend.settings.name
+        timer = self._expiry_timers.pop(name, None)
+        if timer is not None:
+            timer.cancel()
+        deadline = backend.admission.queue.next_deadline()
+        if deadline is not None:
+            loop = asyncio.get_running_loop()
+            self._expiry_timers[name] = loop.call_at(deadline, self._expire, backend)
+
+    def _expire(self, backend: Backend) -> None:
+        self._expiry_timers.pop(backend.settings.name, None)
+        for queued in backend.admission.expire(_now()):
+            call = self._calls.pop(queued.request_id)
+            backend.count_end(call.call.model)
+            refusal = DeadlineExceeded("the deadline passed in the queue")
+            self._refuse(call.peer, queued.request_id, refusal, backend)
+        self._start_ready(backend)
+
+    async def _run(self, call: _AgentCall) -> None:
+        request = call.call
+        span = Span("backend", request.traceparent, backend=request.backend)
+        complete = False
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                await self._exchange_with_adapter(call, span)
+            complete = True
+        except Refusal as refusal:
+            self._end_refused(call, span, refusal)
+        except BackendUnreachable as error:
+            self._note_unreachable(call.backend, error)
+            refusal = Overloaded(
+                "the backend server is not reachable", retry_after_ms=_RETRY_MS
+            )
+            self._end_refused(call, span, refusal)
+        except BackendError as error:
+            self._end_refused(call, span, _broken_refusal(request, error))
+        except TimeoutError:
+            self._cancel_at_engine(call)
+            refusal = DeadlineExceeded("the deadline passed", not_run=False)
+            self._end_refused(call, span, refusal)
+        except asyncio.CancelledError:
+            self._cancel_at_engine(call)
+            self._forget(call)
+            raise
+        finally:
+            call.backend.admission.finish(request.request_id, _now(), complete=complete)
+            call.backend.count_end(request.model)
+            self._start_ready(call.backend)
+
+    async def _exchange_with_adapter(self, call: _AgentCall, span: Span) -> None:
+        request = call.call
+        if not request.adapter:
+            await self._exchange(call, span)
+            return
+        adapters = self.kernel.find("adapters")
+        number = await adapters.acquire(
+            call.backend, request.model, request.adapter, call.deadline
+        )
+        try:
+            await self._exchange(call, span)
+        finally:
+            adapters.release(number, request.adapter)
+
+    async def _exchange(self, call: _AgentCall, span: Span) -> None:
+        request = call.call
+        headers = [*request.headers, ("traceparent", span.traceparent)]
+        headers += call.backend.dialect.call_headers(
+            request.request_id,
+            request.model,
+            request.adapter,
+            request.priority,
+            call.backend.token,
+        )
+        response = await call.backend.client.open(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            repeatable=request.idempotent,
+        )
+        try:
+            load = call.backend.read_load(_now())
+            head = AnswerHead(
+                request.request_id, response.status, response.headers, load
+            )
+            self._send(call, head, 0, urgent=request.stream)
+            async for chunk in response.chunks():
+                self._send_chunk(call, chunk)
+        finally:
+            response.close()
+        self._end_answered(call, span, response.status)
+
+    def _send_chunk(self, call: _AgentCall, data: bytes) -> None:
+        is_first = call.replay.length == 0
+        offset = call.replay.append(data)
+        call.tail = (call.tail + data)[-_TAIL_BYTES:]
+        if call.call.stream:
+            call.backend.rate.add(data.count(_EVENT_MARK), _now())
+        chunk = AnswerChunk(call.call.request_id, offset, data)
+        self._send(call, chunk, len(data), urgent=call.call.stream and is_first)
+
+    def _end_answered(self, call: _AgentCall, span: Span, status: int) -> None:
+        tokens = call.backend.dialect.read_tokens(call.tail)
+        if not call.call.stream and tokens > 0:
+            call.backend.rate.add(tokens, _now())
+        call.spans.append(span.end(status=status, tokens=tokens).to_json())
+        self._send_end(call, "", tokens)
+
+    def _end_refused(self, call: _AgentCall, span: Span, refusal: Refusal) -> None:
+        call.spans.append(span.end(refusal.kind).to_json())
+        if call.replay.length or not refusal.not_run:
+            self._send_end_or_refusal(call, refusal)
+            return
+        self._forget(call)
+        self._refuse(call.peer, call.call.request_id, refusal, call.backend)
+
+    def _send_end_or_refusal(self, call: _AgentCall, refusal: Refusal) -> None:
+        if call.replay.length:
+            self._send_end(call, refusal.message, -1)
+            return
+        self._forget(call)
+        self._send_batches(self._coalescer.flush_all())
+        self._refuse(call.peer, call.call.request_id, refusal, call.backend)
+
+    def _send_end(self, call: _AgentCall, error: str, tokens: int) -> None:
+        load = call.backend.read_load(_now())
+        end = AnswerEnd(
+            call.call.request_id, call.replay.length, error, tokens, load, call.spans
+        )
+        call.end = end
+        self._send(call, end, 0, urgent=True)
+        asyncio.get_running_loop().call_later(_REPLAY_KEPT_S, self._forget, call)
+
+    def _send(self, call: _AgentCall, message: Any, size: int, *, urgent: bool) -> None:
+        peer = call.peer
+        key = peer.routing_id.hex()
+        batch = self._coalescer.add(key, (peer, message), size, _now(), urgent=urgent)
+        if batch is not None:
+            self._send_batches([batch])
+        due = self._coalescer.next_due()
+        if due is not None and self._flush_timer is None:
+            loop = asyncio.get_running_loop()
+            self._flush_timer = loop.call_at(due, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_timer = None
+        self._send_batches(self._coalescer.flush(_now()))
+        due = self._coalescer.next_due()
+        if due is not None:
+            loop = asyncio.get_running_loop()
+            self._flush_timer = loop.call_at(due, self._flush)
+
+    def _send_batches(self, batches: list[Batch[tuple[Peer, Any]]]) -> None:
+        for batch in batches:
+            for peer, message in batch.frames:
+                peer.send(message)
+
+    def _take_cancel(self, peer: Peer, message: CancelCall) -> None:
+        call = self._calls.get(message.request_id)
+        if call is None or call.end is not None:
+            return
+        if call.task is not None:
+            call.task.cancel()
+            return
+        if call.backend.admission.cancel(message.request_id):
+            self._forget(call)
+            call.backend.count_end(call.call.model)
+            self._arm_expiry(call.backend)
+
+    def _take_resume(self, peer: Peer, message: ResumeCall) -> None:
+        call = self._calls.get(message.request_id)
+        if call is None:
+            refusal = OutcomeUnknown("the answer is no longer kept", not_run=False)
+            self._refuse(peer, message.request_id, refusal, None)
+            return
+        call.peer = peer
+        try:
+            chunks = call.replay.read(message.offset)
+        except Refusal as refusal:
+            self._refuse(peer, message.request_id, refusal, call.backend)
+            return
+        for offset, data in chunks:
+            peer.send(AnswerChunk(message.request_id, offset, data))
+        if call.end is not None:
+            peer.send(call.end)
+
+    def _cancel_at_engine(self, call: _AgentCall) -> None:
+        backend = call.backend
+        if backend.dialect.has_models:
+            order = backend.dialect.cancel_call(call.call.request_id, backend.token)
+            self.spawn(self._send_cancel(backend, order))
+
+    async def _send_cancel(self, backend: Backend, order: HttpCall) -> None:
+        try:
+            await backend.client.fetch(
+                order.method, order.target, order.body, headers=list(order.headers)
+            )
+        except BackendError as error:
+            events.emit(
+                _logger,
+                events.ORDER_FAILED,
+                backend=backend.settings.name,
+                error=error,
+            )
+
+    def _note_unreachable(self, backend: Backend, error: BackendError) -> None:
+        if backend.reachable:
+            backend.reachable = False
+            events.emit(
+                _logger,
+                events.BACKEND_UNREACHABLE,
+                backend=backend.settings.name,
+                error=error,
+            )
+            self.kernel.find("reports").report_now()
+
+    def _forget(self, call: _AgentCall) -> None:
+        self._calls.pop(call.call.request_id, None)
+
+    def describe(self, backend: Backend, replicas: list, cached: list) -> BackendReport:
+        """Return the report of one backend server."""
+        load = backend.read_load(_now())
+        return BackendReport(
+            backend.settings.name,
+            backend.settings.pool,
+            backend.settings.dialect,
+            backend.reachable,
+            *load,
+            replicas,
+            cached,
+        )
+
+
+def _read_token(settings: BackendSettings) -> str:
+    if not settings.token_file:
+        return ""
+    return Path(settings.token_file).read_text(encoding="utf-8").strip()
+
+
+def _broken_refusal(request: ForwardCall, error: BackendError) -> Refusal:
+    if request.idempotent:
+        return Overloaded(f"the backend server failed: {error}", not_run=False)
+    text = "the backend server failed; the call may have run"
+    return OutcomeUnknown(text, not_run=False)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -128,18 +128,24 @@
         return await self._exchange(wire, method, target, headers, body)
 
     async def fetch(
-        self, method: str, target: str, body: bytes = b"", timeout_s: float = 5.0
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout_s: float = defaults.HTTP_FETCH_TIMEOUT_S,
+        headers: list[tuple[str, str]] | None = None,
     ) -> tuple[int, bytes]:
-        """Send a request with a JSON body and return status and whole body.
+        """Send a request and return status and whole body.
 
         Raises:
             BackendUnreachable: If the call did not begin.
             BackendError: If it may have begun.
         """
-        headers = [("content-type", "application/json")] if body else []
         try:
             async with asyncio.timeout(timeout_s):
-                response = await self.open(method, target, headers, body)
+                response = await self.open(
+                    method, target, headers or [], body, repeatable=method == "GET"
+                )
                 return response.status, await response.read()
         except TimeoutError:
             raise BackendError(f"no answer within {timeout_s:g} s") from None
--- a/src/jasminewharf/services/controllers.py
+++ b/src/jasminewharf/services/controllers.py
@@ -116,8 +116,10 @@
         return self.kernel.find("process").random.choice(connected or list(self.links))
 
     def _note_leader(self, group: str, leader: str, asked: str) -> None:
-        if leader in self.links:
-            self._leaders[group] = leader
+        # A member's identity is its host's name, a slash and its disk's identity.
+        host = leader.partition("/")[0]
+        if host in self.links:
+            self._leaders[group] = host
         elif self._leaders.get(group) == asked:
             del self._leaders[group]
 
--- a/src/jasminewharf/services/publisher.py
+++ b/src/jasminewharf/services/publisher.py
@@ -1,7 +1,7 @@
 """A control host's feed of committed changes to its subscribers."""
 
 import asyncio
-from typing import Any, ClassVar
+from typing import ClassVar
 
 from .. import defaults
 from ..kernel import Kernel, Service
@@ -22,7 +22,7 @@
     """Sends committed commands to subscribers and confirms their freshness."""
 
     name: ClassVar[str] = "publisher"
-    requires: ClassVar[tuple[str, ...]] = ("log", "fleet", "control", "controllers")
+    requires: ClassVar[tuple[str, ...]] = ("log", "fleet", "control")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -93,14 +93,5 @@
 
     async def _read_version(self) -> int:
         """Return a version that a quorum confirmed after this call began."""
-        log = self.kernel.find("log")
-        state = self.kernel.find("fleet").state
-        if log.is_leader(FLEET_GROUP):
-            await log.read_barrier(FLEET_GROUP)
-            return state.version
-        answer: Any = await self.kernel.find("controllers").request_repeatable(
-            FLEET_GROUP, ConfirmFreshness(0, state.version)
-        )
-        while state.version < answer.version:
-            await asyncio.sleep(defaults.LINK_CONNECT_POLL_S)
-        return state.version
+        await self.kernel.find("log").read_barrier(FLEET_GROUP)
+        return self.kernel.find("fleet").state.version
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -64,7 +64,8 @@
     """A backend server on this agent's host.
 
     ``checks_fencing`` tells whether it refuses orders with an old fencing number.
-    ``checks_sender`` tells whether it refuses orders from anyone but this agent.
+    ``token_file`` holds the secret that it asks of whoever gives it an order; empty
+    if it does not check that.
     """
 
     name: str
@@ -72,7 +73,7 @@
     address: Address
     dialect: str = "openai"
     checks_fencing: bool = False
-    checks_sender: bool = False
+    token_file: str = ""
     concurrency: Annotated[int, Range(1, 10_000)] = 16
 
 
@@ -96,8 +97,8 @@
     idle_weight: Annotated[float, Range(0, 1_000_000)] = 0.01
     routing: str = "two_choices"
     queue: str = "fair"
-    eviction: str = "expected_cost"
-    pacing: str = "token_bucket"
+    eviction: str = "expected-cost"
+    pacing: str = "aimd"
 
 
 class LimitSettings(NamedTuple):
