--- /dev/null
+++ b/src/jasminewharf/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, their checkers and the load tool."""
--- /dev/null
+++ b/src/jasminewharf/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure functions and state machines, without clock, socket, file or randomness."""
--- /dev/null
+++ b/src/jasminewharf/decisions/grants.py
@@ -0,0 +1,227 @@
+"""The owner of rate accounts: token buckets, grants with leases, checkpoints.
+
+For every account, level + outstanding grants + grants of a predecessor that may
+still be valid never exceed the burst, and only the refill adds to that sum. So
+the tokens truly spent in any window are at most burst + rate x window.
+
+The log holds two bounds per account. The owner never lets the level sink below
+the floor nor the outstanding grants rise above the ceiling, taking the stricter
+of what is committed and what may yet be. A successor starts with the floor as
+its level, since those tokens were granted by nobody, and counts the ceiling as
+outstanding until all leases of its predecessor have ended.
+"""
+
+import math
+from collections.abc import Iterable
+
+from ..defaults import (
+    CLOCK_DRIFT_BOUND,
+    GRANT_ADVANCE_SHARE,
+    GRANT_LEASE_MARGIN_S,
+    GRANT_LEASE_S,
+    GRANT_SCARCE_S,
+    OWNER_LEASE_S,
+    OWNER_RETRY_MS,
+)
+from ..messages.accounts import AccountBounds
+from ..messages.control import GrantAnswer, GrantRequest
+from .buckets import RateLimits
+from .ledgers import Holding, Ledger
+
+__all__ = ["GrantBook", "outlast", "refuse_start"]
+
+_NEVER_MS = -1
+_MS = 1000
+
+
+def outlast(lease_s: float) -> float:
+    """Return a local duration that outlasts ``lease_s`` on any other host's clock."""
+    drift = (1 + CLOCK_DRIFT_BOUND) / (1 - CLOCK_DRIFT_BOUND)
+    return lease_s * drift + GRANT_LEASE_MARGIN_S
+
+
+class GrantBook:
+    """All accounts of one term as owner.
+
+    Args:
+        bounds: Bounds found in the log; accounts without are untouched.
+        succeeds: Whether grants of an earlier owner may still be valid.
+        now: Monotonic seconds, read after the ownership was committed.
+    """
+
+    def __init__(
+        self, bounds: Iterable[AccountBounds], *, succeeds: bool, now: float
+    ) -> None:
+        self._ledgers: dict[str, Ledger] = {}
+        self._inherited = {entry.account: entry for entry in bounds}
+        self._touched: set[str] = set()
+        self._grants_until = -math.inf
+        self._next_number = 1
+        self.opens_at = now + outlast(OWNER_LEASE_S) if succeeds else now
+        self.foreign_until = self.opens_at + outlast(GRANT_LEASE_S)
+
+    def extend(self, confirmed_at: float) -> None:
+        """Note a quorum-confirmed read that was started at ``confirmed_at``."""
+        until = confirmed_at + OWNER_LEASE_S
+        self._grants_until = max(self._grants_until, until)
+
+    def may_grant(self, now: float) -> bool:
+        """Return whether no other owner can be granting at ``now``."""
+        return self.opens_at <= now < self._grants_until
+
+    def answer(
+        self, request: GrantRequest, limits: RateLimits | None, now: float
+    ) -> GrantAnswer | None:
+        """Answer a holder.
+
+        Args:
+            request: The holder's request.
+            limits: The account's limits in force; None if there is no such account.
+            now: Monotonic seconds.
+
+        Returns:
+            The answer, or None if a checkpoint must be committed first; the
+            request has then changed nothing and is to be passed in again.
+        """
+        if limits is None:
+            return _answer_plainly(request, "unknown_account", _NEVER_MS)
+        if not self.may_grant(now):
+            return refuse_start(request)
+        ledger = self._open_ledger(request.account, limits, now)
+        holding = ledger.holdings.get((request.holder, request.incarnation))
+        if holding is not None and request.sequence <= holding.sequence:
+            return _repeat_answer(request, holding)
+        return _take_request(ledger, holding or Holding(), request, now)
+
+    def _open_ledger(self, name: str, limits: RateLimits, now: float) -> Ledger:
+        # A fast clock must not refill faster than the rate in true time.
+        refill = limits._replace(rate=limits.rate * (1 - CLOCK_DRIFT_BOUND))
+        ledger = self._ledgers.get(name)
+        if ledger is None:
+            ledger = self._create_ledger(name, refill)
+            self._ledgers[name] = ledger
+        ledger.advance(now)
+        if ledger.bucket.limits != refill:
+            ledger.bucket.change_limits(refill, ledger.outside)
+        ledger.touched_at = now
+        self._touched.add(name)
+        return ledger
+
+    def _create_ledger(self, name: str, limits: RateLimits) -> Ledger:
+        bounds = self._inherited.pop(name, None)
+        if bounds is None:
+            return Ledger.create(limits, self.opens_at)
+        return Ledger.inherit(limits, bounds, self.opens_at, self.foreign_until)
+
+    def wanted_bounds(self, now: float) -> list[AccountBounds]:
+        """Return the bounds worth a checkpoint now, of accounts touched lately."""
+        wanted = []
+        for name in self._touched:
+            bounds = self._ledgers[name].choose_bounds(name, now)
+            if bounds is not None:
+                wanted.append(bounds)
+        self._touched.clear()
+        return wanted
+
+    def idle_bounds(self, now: float) -> list[AccountBounds]:
+        """Return removals of accounts that are full and long untouched."""
+        removals = []
+        for name, ledger in self._ledgers.items():
+            if ledger.is_idle(now):
+                removals.append(AccountBounds(name, AccountBounds.UNTOUCHED, 0))
+        return removals
+
+    def begin_checkpoint(self, entries: Iterable[AccountBounds], now: float) -> int:
+        """Note that bounds are being proposed and return the checkpoint's number.
+
+        Until a checkpoint of this or a later number is committed, the proposed
+        bounds count as well as the committed ones.
+        """
+        number = self._next_number
+        self._next_number += 1
+        for entry in entries:
+            self._ledgers[entry.account].propose_bounds(number, entry, now)
+        return number
+
+    def end_checkpoint(self, entries: Iterable[AccountBounds], number: int) -> None:
+        """Note that the checkpoint ``number`` was committed and accepted."""
+        for entry in entries:
+            ledger = self._ledgers[entry.account]
+            ledger.commit_bounds(number, entry)
+            removed = entry.floor == AccountBounds.UNTOUCHED
+            if removed and not ledger.bounds_pending:
+                del self._ledgers[entry.account]
+                self._touched.discard(entry.account)
+
+    def find_ledger(self, name: str) -> Ledger | None:
+        """Return an account's ledger, for inspection."""
+        return self._ledgers.get(name)
+
+
+def _take_request(
+    ledger: Ledger, holding: Holding, request: GrantRequest, now: float
+) -> GrantAnswer | None:
+    statement = ledger.read_statement(holding, request.held, request.returned)
+    need = _choose_need(request, statement.level)
+    if need and not ledger.permits(statement, need):
+        ledger.deferred = max(ledger.deferred, need)
+        return None
+    if need < request.needed:
+        ledger.scarce_until = now + GRANT_SCARCE_S
+    scarce = now < ledger.scarce_until
+    granted = need
+    if not scarce:
+        surplus = ledger.count_surplus(statement, need)
+        granted += min(request.wanted, int(surplus * GRANT_ADVANCE_SHARE))
+    ledger.grant(holding, statement, granted)
+    holding.sequence = request.sequence
+    holding.expires_at = now + outlast(GRANT_LEASE_S)
+    holding.answer = GrantAnswer(
+        account=request.account,
+        sequence=request.sequence,
+        state="granted",
+        granted=granted,
+        renewed=statement.renewed,
+        scarce=scarce,
+        lease_ms=int(GRANT_LEASE_S * _MS),
+        retry_after_ms=_estimate_retry(ledger, request, need),
+    )
+    ledger.holdings[(request.holder, request.incarnation)] = holding
+    return holding.answer
+
+
+def _choose_need(request: GrantRequest, level: float) -> int:
+    if request.needed <= level:
+        return request.needed
+    return int(level) if request.least <= level else 0
+
+
+def _estimate_retry(ledger: Ledger, request: GrantRequest, granted: int) -> int:
+    if granted >= request.needed:
+        return 0
+    wait_s = ledger.bucket.seconds_until(request.least)
+    return _NEVER_MS if math.isinf(wait_s) else math.ceil(wait_s * _MS)
+
+
+def refuse_start(request: GrantRequest) -> GrantAnswer:
+    """Return the answer of an owner that cannot grant yet."""
+    return _answer_plainly(request, "starting", OWNER_RETRY_MS)
+
+
+def _answer_plainly(request: GrantRequest, state: str, retry_ms: int) -> GrantAnswer:
+    return GrantAnswer(
+        account=request.account,
+        sequence=request.sequence,
+        state=state,
+        granted=0,
+        renewed=False,
+        scarce=False,
+        lease_ms=0,
+        retry_after_ms=retry_ms,
+    )
+
+
+def _repeat_answer(request: GrantRequest, holding: Holding) -> GrantAnswer:
+    if request.sequence == holding.sequence and holding.answer is not None:
+        return holding.answer
+    return _answer_plainly(request, "stale", _NEVER_MS)
--- /dev/null
+++ b/src/jasminewharf/decisions/ledgers.py
@@ -0,0 +1,222 @@
+"""One rate account at its owner: level, grants by holder, bounds in the log."""
+
+import math
+from typing import NamedTuple
+
+from ..defaults import (
+    ACCOUNT_IDLE_S,
+    CHECKPOINT_BLOCK_SHARE,
+    CHECKPOINT_RAISE_INTERVAL_S,
+)
+from ..messages.accounts import AccountBounds
+from ..messages.control import GrantAnswer
+from .buckets import RateLimits, TokenBucket
+
+__all__ = ["Holding", "Ledger", "Statement"]
+
+
+class Holding:
+    """What one life of a holder has of an account.
+
+    ``outstanding`` tokens include ``adopted`` ones, which a predecessor granted.
+    """
+
+    __slots__ = ("adopted", "answer", "expires_at", "outstanding", "sequence")
+
+    def __init__(self) -> None:
+        self.sequence = -1
+        self.outstanding = 0
+        self.adopted = 0
+        self.expires_at = math.inf
+        self.answer: GrantAnswer | None = None
+
+
+class Statement(NamedTuple):
+    """What a holder's request leaves, before any grant.
+
+    ``held`` and ``adopted`` are the holding's new amounts, ``level`` and
+    ``outside`` the account's.
+    """
+
+    renewed: bool
+    held: int
+    adopted: int
+    level: float
+    outside: int
+
+
+class Ledger:
+    """An account's bucket and everything granted from it.
+
+    Args:
+        bucket: The level and the limits.
+        floor: The committed floor; infinite if the account is untouched.
+        ceiling: The committed ceiling of the outstanding grants.
+        foreign: Tokens of a predecessor's grants that may still be valid.
+        foreign_until: When the last of those has ended.
+    """
+
+    def __init__(
+        self,
+        bucket: TokenBucket,
+        floor: float,
+        ceiling: int,
+        foreign: int,
+        foreign_until: float,
+    ) -> None:
+        self.bucket = bucket
+        self.holdings: dict[tuple[str, int], Holding] = {}
+        self.bounds_pending: dict[int, AccountBounds] = {}
+        self.deferred = 0
+        self.scarce_until = -math.inf
+        self.touched_at = bucket.updated_at
+        self._floor = floor
+        self._ceiling = ceiling
+        self._foreign = foreign
+        self._foreign_until = foreign_until
+        self._outstanding = 0
+        self._adopted = 0
+        self._bounds_set_at = -math.inf
+
+    @classmethod
+    def create(cls, limits: RateLimits, now: float) -> "Ledger":
+        """Return the ledger of an account that nothing was ever granted from."""
+        bucket = TokenBucket(limits, limits.burst, now)
+        return cls(bucket, math.inf, 0, 0, math.inf)
+
+    @classmethod
+    def inherit(
+        cls,
+        limits: RateLimits,
+        bounds: AccountBounds,
+        now: float,
+        foreign_until: float,
+    ) -> "Ledger":
+        """Return the ledger of a successor."""
+        level = min(bounds.floor, limits.burst)
+        bucket = TokenBucket(limits, level, now)
+        return cls(bucket, bounds.floor, bounds.ceiling, bounds.ceiling, foreign_until)
+
+    @property
+    def outside(self) -> int:
+        """Tokens outside the level that may still be spent or returned."""
+        return self._outstanding - self._adopted + self._foreign
+
+    def advance(self, now: float) -> None:
+        """Refill, and end the leases that ended, each at its time."""
+        while True:
+            expiries = (h.expires_at for h in self.holdings.values())
+            ends_at = min(expiries, default=math.inf)
+            step_to = min(ends_at, self._foreign_until, now)
+            self.bucket.accrue(step_to, self.outside)
+            if self._foreign_until <= step_to:
+                self._end_foreign()
+            elif ends_at <= step_to:
+                self._end_leases(ends_at)
+            else:
+                return
+
+    def _end_foreign(self) -> None:
+        self._foreign = 0
+        self._foreign_until = math.inf
+        self._adopted = 0
+        for holding in self.holdings.values():
+            holding.adopted = 0
+
+    def _end_leases(self, ends_at: float) -> None:
+        for key, holding in list(self.holdings.items()):
+            if holding.expires_at <= ends_at:
+                self._outstanding -= holding.outstanding
+                self._adopted -= holding.adopted
+                del self.holdings[key]
+
+    def read_statement(self, holding: Holding, held: int, returned: int) -> Statement:
+        """Work out what a holder's statement of its tokens leaves.
+
+        Tokens of a predecessor may be kept but not returned: the predecessor may
+        have taken the same return before.
+        """
+        shown = max(0, held - holding.outstanding)
+        renewed = self._adopted + shown <= self._foreign if shown else True
+        if not renewed:
+            held, returned, shown = holding.outstanding, 0, 0
+        adopted = min(holding.adopted + shown, held)
+        own_before = holding.outstanding - holding.adopted
+        own_after = held - adopted
+        outside = self.outside - own_before + own_after
+        returned = max(0, min(returned, own_before - own_after))
+        room = max(0.0, self.bucket.limits.burst - outside)
+        level = min(self.bucket.level + returned, room)
+        return Statement(renewed, held, adopted, level, outside)
+
+    def grant(self, holding: Holding, statement: Statement, tokens: int) -> None:
+        """Carry out a statement and move ``tokens`` from the level to the holder."""
+        self._outstanding += statement.held + tokens - holding.outstanding
+        self._adopted += statement.adopted - holding.adopted
+        self.bucket.level = statement.level - tokens
+        holding.outstanding = statement.held + tokens
+        holding.adopted = statement.adopted
+
+    def permits(self, statement: Statement, tokens: int) -> bool:
+        """Return whether the bounds that a successor may find allow a grant."""
+        return tokens <= self._bounded_room(statement)
+
+    def count_surplus(self, statement: Statement, need: int) -> float:
+        """Return what may be granted in advance beyond ``need``."""
+        return max(0.0, self._bounded_room(statement) - need)
+
+    def _bounded_room(self, statement: Statement) -> float:
+        above_floor = statement.level - self._effective_floor()
+        return min(above_floor, self._effective_ceiling() - statement.outside)
+
+    def _effective_floor(self) -> float:
+        return max([self._floor, *(b.floor for b in self.bounds_pending.values())])
+
+    def _effective_ceiling(self) -> int:
+        return min([self._ceiling, *(b.ceiling for b in self.bounds_pending.values())])
+
+    def choose_bounds(self, name: str, now: float) -> AccountBounds | None:
+        """Return better bounds, or None if those in the log serve."""
+        if self.bounds_pending and not self.deferred:
+            return None
+        burst = self.bucket.limits.burst
+        block = max(1, int(burst * CHECKPOINT_BLOCK_SHARE), 2 * self.deferred)
+        floor = max(0, int(self.bucket.level - block))
+        ceiling = self.outside + block
+        wanted = AccountBounds(name, floor, ceiling)
+        if self.deferred or self._is_tight(floor, ceiling, block):
+            return wanted
+        is_loose = floor > self._floor + block or ceiling < self._ceiling - block
+        is_due = now - self._bounds_set_at >= CHECKPOINT_RAISE_INTERVAL_S
+        return wanted if is_loose and is_due else None
+
+    def _is_tight(self, floor: int, ceiling: int, block: int) -> bool:
+        near_floor = floor < self._floor and self.bucket.level - self._floor < block / 2
+        near_ceiling = self._ceiling - self.outside < block / 2
+        return near_floor or near_ceiling
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether the account is full and may leave the log."""
+        if self.holdings or self.bounds_pending:
+            return False
+        if now - self.touched_at < ACCOUNT_IDLE_S:
+            return False
+        self.advance(now)
+        return self.outside == 0 and self.bucket.level >= self.bucket.limits.burst
+
+    def propose_bounds(self, number: int, bounds: AccountBounds, now: float) -> None:
+        """Obey bounds that may be committed."""
+        if bounds.floor == AccountBounds.UNTOUCHED:
+            bounds = bounds._replace(floor=self.bucket.limits.burst)
+        self.bounds_pending[number] = bounds
+        self._bounds_set_at = now
+
+    def commit_bounds(self, number: int, bounds: AccountBounds) -> None:
+        """Replace the committed bounds; earlier proposals can no longer take hold."""
+        untouched = bounds.floor == AccountBounds.UNTOUCHED
+        self._floor = math.inf if untouched else bounds.floor
+        self._ceiling = bounds.ceiling
+        self.deferred = 0
+        self.bounds_pending = {
+            n: b for n, b in self.bounds_pending.items() if n > number
+        }
--- /dev/null
+++ b/src/jasminewharf/decisions/purses.py
@@ -0,0 +1,283 @@
+"""One rate account at a holder: tokens, running charges and waiting calls."""
+
+import math
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from ..defaults import (
+    DEMAND_TIME_CONSTANT_S,
+    GRANT_ASK_INTERVAL_S,
+    GRANT_HORIZON_S,
+    GRANT_IDLE_S,
+    GRANT_LEASE_S,
+    GRANT_LOW_WATER_S,
+    GRANT_RENEW_SHARE,
+    GRANT_RESEND_S,
+    GRANT_RETRY_S,
+    GRANT_RETURN_INTERVAL_S,
+    GRANT_SCARCE_S,
+    OWNER_WAIT_S,
+    REFILL_WAIT_S,
+)
+from ..messages.control import GrantAnswer, GrantRequest
+from .buckets import DemandMeter
+
+__all__ = ["Charged", "Purse", "Refused"]
+
+_MS = 1000
+_RETRY_OWNER_MS = 1000
+
+
+class Charged(NamedTuple):
+    """The call's tokens are charged; it may run."""
+
+    charge_id: str
+
+
+class Refused(NamedTuple):
+    """The call is refused: ``reason`` is rate, owner or account.
+
+    ``retry_after_ms`` is None if the call can never be admitted.
+    """
+
+    charge_id: str
+    reason: str
+    retry_after_ms: int | None
+
+
+class _Call:
+    """A call that waits for tokens."""
+
+    __slots__ = ("asked", "charge_id", "give_up_at", "retry_at", "tokens")
+
+    def __init__(self, charge_id: str, tokens: int, give_up_at: float) -> None:
+        self.charge_id = charge_id
+        self.tokens = tokens
+        self.give_up_at = give_up_at
+        self.asked = -1
+        self.retry_at = -math.inf
+
+
+class Purse:
+    """What a holder has of one account.
+
+    Args:
+        account: The account's name.
+        now: Monotonic seconds.
+    """
+
+    def __init__(self, account: str, now: float) -> None:
+        self._account = account
+        self._unspent = 0
+        self._charges: dict[str, int] = {}
+        self._charged = 0
+        self._lease_from = -math.inf
+        self._calls: dict[str, _Call] = {}
+        self._demand = DemandMeter(DEMAND_TIME_CONSTANT_S)
+        self._used_at = now
+        self._pending: GrantRequest | None = None
+        self._pending_since = -math.inf
+        self._resend_at = math.inf
+        self._asked_at = -math.inf
+        self._advance_at = -math.inf
+        self._scarce_until = -math.inf
+        self._refusals: list[Refused] = []
+
+    @property
+    def held(self) -> int:
+        """Unspent tokens and running charges."""
+        return self._unspent + self._charged
+
+    def add_call(
+        self, charge_id: str, tokens: int, deadline: float, now: float
+    ) -> None:
+        """Let a call wait; :meth:`settle` charges it at once if tokens suffice."""
+        self._used_at = now
+        self._demand.add(tokens, now)
+        give_up_at = min(deadline, now + OWNER_WAIT_S)
+        self._calls[charge_id] = _Call(charge_id, tokens, give_up_at)
+
+    def end_call(self, charge_id: str, spent: int) -> None:
+        """End a running charge or withdraw a waiting call."""
+        self._calls.pop(charge_id, None)
+        tokens = self._charges.pop(charge_id, 0)
+        self._charged -= tokens
+        self._unspent += max(0, tokens - spent)
+
+    def settle(self, now: float) -> Iterator[Charged | Refused]:
+        """Charge the calls that fit and refuse those whose time is up."""
+        self._end_lease(now)
+        refusals, self._refusals = self._refusals, []
+        yield from refusals
+        may_spend = now < self._lease_from + GRANT_LEASE_S
+        for call in list(self._calls.values()):
+            if may_spend and call.tokens <= self._unspent:
+                del self._calls[call.charge_id]
+                self._unspent -= call.tokens
+                self._charges[call.charge_id] = call.tokens
+                self._charged += call.tokens
+                yield Charged(call.charge_id)
+            elif now >= call.give_up_at:
+                del self._calls[call.charge_id]
+                yield Refused(call.charge_id, "owner", _RETRY_OWNER_MS)
+
+    def _end_lease(self, now: float) -> None:
+        if now < self._lease_from + GRANT_LEASE_S:
+            return
+        if self._pending is not None:
+            if now < self._pending_since + GRANT_LEASE_S:
+                # The answer may still renew the lease; until then nothing is spent.
+                return
+            self._pending = None
+            for call in self._calls.values():
+                call.asked = -1
+        self._drop_holdings()
+
+    def _drop_holdings(self) -> None:
+        self._unspent = 0
+        self._charges.clear()
+        self._charged = 0
+
+    def take_answer(self, answer: GrantAnswer, now: float) -> None:
+        """Take the owner's answer to the request that is out."""
+        pending = self._pending
+        if pending is None or answer.sequence != pending.sequence:
+            return
+        if answer.state == "starting":
+            self._resend_at = now + answer.retry_after_ms / _MS
+            return
+        self._pending = None
+        if now >= self._pending_since + GRANT_LEASE_S:
+            self._drop_holdings()
+            return
+        if answer.state == "granted":
+            self._lease_from = self._pending_since
+            if not answer.renewed:
+                self._drop_holdings()
+            self._unspent += answer.granted
+        if answer.scarce:
+            self._scarce_until = now + GRANT_SCARCE_S
+        self._advance_at = now + GRANT_LOW_WATER_S / 2
+        self._judge_calls(answer, now)
+
+    def _judge_calls(self, answer: GrantAnswer, now: float) -> None:
+        """Refuse the calls that the answer was asked for and does not cover."""
+        left = self._unspent
+        for call in list(self._calls.values()):
+            if call.tokens <= left:
+                left -= call.tokens
+            elif call.asked == answer.sequence:
+                self._refuse_or_keep(call, answer, now)
+
+    def _refuse_or_keep(self, call: _Call, answer: GrantAnswer, now: float) -> None:
+        wait_ms = answer.retry_after_ms
+        retry_at = now + wait_ms / _MS
+        worth_waiting = 0 <= wait_ms <= REFILL_WAIT_S * _MS
+        if worth_waiting and retry_at < call.give_up_at:
+            call.retry_at = retry_at
+            call.asked = -1
+            return
+        del self._calls[call.charge_id]
+        reason = "account" if answer.state == "unknown_account" else "rate"
+        retry_after_ms = None if wait_ms < 0 else max(1, wait_ms)
+        self._refusals.append(Refused(call.charge_id, reason, retry_after_ms))
+
+    def schedule_resend(self, now: float) -> None:
+        """Send the request that is out again soon."""
+        self._resend_at = min(self._resend_at, now + GRANT_RETRY_S)
+
+    def due_request(
+        self, now: float, draining: bool, make_request: Callable[..., GrantRequest]
+    ) -> GrantRequest | None:
+        """Return the request to send now, if any."""
+        if self._pending is not None:
+            return self._resend(now)
+        if now < self._next_request_at(now, draining):
+            return None
+        self._pending = self._compose(now, draining, make_request)
+        self._pending_since = now
+        self._asked_at = now
+        self._resend_at = now + GRANT_RESEND_S
+        return self._pending
+
+    def _resend(self, now: float) -> GrantRequest | None:
+        if now < self._resend_at:
+            return None
+        self._resend_at = now + GRANT_RESEND_S
+        return self._pending
+
+    def _compose(
+        self, now: float, draining: bool, make_request: Callable[..., GrantRequest]
+    ) -> GrantRequest:
+        returned = self._count_surplus(now, draining)
+        self._unspent -= returned
+        lacking = [max(0, c.tokens - self._unspent) for c in self._calls.values()]
+        target = int(self._target(now, draining))
+        wanted = 0 if returned else max(0, target - self._unspent)
+        waiting = sum(call.tokens for call in self._calls.values())
+        request = make_request(
+            account=self._account,
+            held=self.held,
+            returned=returned,
+            needed=max(0, waiting - self._unspent),
+            least=min(lacking, default=0),
+            wanted=wanted,
+        )
+        for call in self._calls.values():
+            call.asked = request.sequence
+        return request
+
+    def _target(self, now: float, draining: bool) -> float:
+        """Return the tokens worth holding in advance."""
+        if draining or now < self._scarce_until or now >= self._used_at + GRANT_IDLE_S:
+            return 0.0
+        return self._demand.rate(now) * GRANT_HORIZON_S
+
+    def _count_surplus(self, now: float, draining: bool) -> int:
+        if self._calls:
+            return 0
+        keep = 2 * self._target(now, draining)
+        return max(0, self._unspent - int(keep))
+
+    def _next_request_at(self, now: float, draining: bool) -> float:
+        """Return when a request is next due, judged by the present state."""
+        times = [math.inf]
+        if any(call.asked < 0 for call in self._calls.values()):
+            retry_at = min(c.retry_at for c in self._calls.values() if c.asked < 0)
+            times.append(max(retry_at, self._asked_at + GRANT_ASK_INTERVAL_S))
+        if self._count_surplus(now, draining):
+            times.append(self._asked_at + GRANT_RETURN_INTERVAL_S)
+        if self.held:
+            times.append(self._lease_from + GRANT_LEASE_S * GRANT_RENEW_SHARE)
+        low = self._demand.rate(now) * GRANT_LOW_WATER_S
+        if self._unspent < min(low, self._target(now, draining)):
+            times.append(max(self._advance_at, self._asked_at + GRANT_ASK_INTERVAL_S))
+        return min(times)
+
+    def wakeup(self, now: float, draining: bool) -> float:
+        """Return when the purse next needs attention."""
+        if self._refusals:
+            return now
+        times = [call.give_up_at for call in self._calls.values()]
+        if self._pending is not None:
+            times.append(self._resend_at)
+            times.append(self._pending_since + GRANT_LEASE_S)
+        else:
+            times.append(self._next_request_at(now, draining))
+            if self.held:
+                times.append(self._lease_from + GRANT_LEASE_S)
+        if self._unspent or min(times) == math.inf:
+            # Demand decays without an event, so a surplus is looked for regularly.
+            times.append(max(self._used_at + GRANT_IDLE_S, now + GRANT_IDLE_S / 4))
+        return min(times)
+
+    def is_empty(self, now: float) -> bool:
+        """Return whether the purse may be forgotten."""
+        return self.is_settled and now >= self._used_at + GRANT_IDLE_S
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether nothing is held, waits or is being returned."""
+        if self._pending is not None or self._refusals:
+            return False
+        return not self.held and not self._calls
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -11,8 +11,65 @@
 
 # Order claims and recorded answers.
 
+CLAIM_PARTITIONS = 4
+CLAIM_WINDOW_MS = 24 * 3600 * 1000
+# Wall clocks of entries may differ by this much; the window is lengthened by it.
+CLAIM_CLOCK_SKEW_MS = 5 * 60 * 1000
+# Claims are dropped in groups of this span, once the last of them is too old.
+CLAIM_EXPIRY_SPAN_MS = 10 * 60 * 1000
+CLAIM_ANSWER_LIMIT_BYTES = 64 * 1024
+# Four partitions of this size leave half of a control host's 128 MB.
+CLAIM_PARTITION_LIMIT_BYTES = 16 * 1024 * 1024
+# New claims are refused above this share, so that running ones can be recorded.
+CLAIM_ADMIT_SHARE = 0.9
+# Memory of a claim besides its bytes: dict slots, object heads, expiry list.
+CLAIM_OVERHEAD_BYTES = 220
+# Request ids that gave a claim back are remembered, so that a late duplicate of
+# such a claim does not take it again.
+CLAIM_RELEASED_IDS = 8
+CLAIM_REQUEST_TIMEOUT_S = 1.0
+CLAIM_POLL_FIRST_S = 0.05
+CLAIM_POLL_LIMIT_S = 0.5
+CLAIM_RECORD_RETRY_S = 30.0
+CLAIM_RETRY_AFTER_MS = 1_000
+
 # Rate accounts.
 
+# Clock rates of two hosts differ from true time by at most this share each.
+CLOCK_DRIFT_BOUND = 0.001
+GRANT_LEASE_S = 3.0
+GRANT_LEASE_MARGIN_S = 0.05
+GRANT_RENEW_SHARE = 1 / 3
+# The owner stops granting this long after the start of its last quorum read.
+OWNER_LEASE_S = 1.0
+OWNER_RENEW_INTERVAL_S = 0.25
+OWNER_RETRY_MS = 50
+# A lost request is sent again with the same sequence number after this time.
+GRANT_RESEND_S = 0.25
+# A request that failed at once is sent again after this time.
+GRANT_RETRY_S = 0.05
+# One account of one entry asks at most 100 times a second.
+GRANT_ASK_INTERVAL_S = 0.01
+GRANT_RETURN_INTERVAL_S = 0.1
+GRANT_IDLE_S = 1.0
+DEMAND_TIME_CONSTANT_S = 1.0
+GRANT_LOW_WATER_S = 0.1
+GRANT_HORIZON_S = 0.5
+# At most this share of the free level is granted in advance of need.
+GRANT_ADVANCE_SHARE = 0.25
+GRANT_SCARCE_S = 0.5
+# A call waits this long for the owner to come back before it is refused.
+OWNER_WAIT_S = 2.5
+# A call short of tokens waits for the refill if it takes no longer than this.
+REFILL_WAIT_S = 0.0
+CHECKPOINT_BLOCK_SHARE = 0.25
+CHECKPOINT_RAISE_INTERVAL_S = 1.0
+# A full account that nobody asked for during this time leaves memory and log.
+ACCOUNT_IDLE_S = 60.0
+ACCOUNT_SWEEP_INTERVAL_S = 10.0
+# A stopping entry waits this long for the owner to take its grants back.
+ACCOUNT_DRAIN_S = 1.0
+
 # Dissemination, freshness and membership.
 
 FRESHNESS_LEASE_S = 3.0
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -12,6 +12,8 @@
     "BadRequest",
     "BodyTooLarge",
     "ClaimConflict",
+    "ClaimStoreFull",
+    "ClaimsUnavailable",
     "ConfigurationError",
     "ConsensusError",
     "CorruptLog",
@@ -283,6 +285,20 @@
     kind = "outcome_unknown"
 
 
+class ClaimStoreFull(Refusal):
+    """No room for another claim; nothing was claimed or forwarded."""
+
+    status = 503
+    kind = "claims_full"
+
+
+class ClaimsUnavailable(Refusal):
+    """The claim could not be made durable; nothing was forwarded."""
+
+    status = 503
+    kind = "claims_unavailable"
+
+
 class BodyTooLarge(Refusal):
     """The body is longer than the limit."""
 
--- a/src/jasminewharf/messages/__init__.py
+++ b/src/jasminewharf/messages/__init__.py
@@ -1,11 +1,13 @@
 """Typed messages between the processes."""
 
-from . import calls, commands, control, feed, link
+from . import accounts, calls, claims, commands, control, feed, link
 from .codec import MESSAGE_TYPES, decode, encode, message, message_code
 
 __all__ = [
     "MESSAGE_TYPES",
+    "accounts",
     "calls",
+    "claims",
     "commands",
     "control",
     "decode",
--- a/src/jasminewharf/messages/control.py
+++ b/src/jasminewharf/messages/control.py
@@ -65,19 +65,28 @@
 
 @message(90)
 class ClaimOrder(NamedTuple):
-    """Claims an order before it is forwarded."""
+    """Claims an order before it is forwarded.
+
+    ``entry`` and ``incarnation`` name the life of the entry that will forward the
+    order. ``entry_ms`` is that entry's wall clock in milliseconds since the epoch.
+    """
 
     workspace: str
     idempotency_key: str
     digest: str
     request_id: str
+    entry: str
+    incarnation: int
+    entry_ms: int
 
 
 @message(91)
 class ClaimAnswer(NamedTuple):
-    """``state``: claimed, running, done, unknown or conflict.
+    """``state``: claimed, running, done, unknown, released, conflict or full.
 
-    For done, ``status``, ``headers`` and ``body`` hold the recorded answer.
+    For done, ``status``, ``headers`` and ``body`` hold the recorded answer. For
+    unknown, ``status`` is the backend server's status, or 0 if there was none.
+    ``released`` answers a claim whose own request id gave it back earlier.
     """
 
     state: str
@@ -100,15 +109,21 @@
     status: int
     headers: list[tuple[str, str]]
     body: bytes
+    entry_ms: int
 
 
 @message(93)
 class ReleaseClaim(NamedTuple):
-    """Gives a claim back: no backend server began the call."""
+    """Gives a claim back: no backend server began the call.
+
+    It may overtake its own claim, so it carries the body's digest.
+    """
 
     workspace: str
     idempotency_key: str
+    digest: str
     request_id: str
+    entry_ms: int
 
 
 @message(100)
@@ -116,25 +131,39 @@
     """Asks the owner of rate accounts for tokens and returns unused ones.
 
     ``sequence`` rises with each request of a holder, so that a resend is answered
-    without a second debit. ``wanted`` and ``returned`` are tokens.
+    without a second debit. All amounts are tokens. ``held`` is what the holder
+    still holds after this request's return: unspent tokens and the charges of
+    calls that run. ``needed`` is what the waiting calls lack, ``least`` what the
+    smallest of them lacks, ``wanted`` what the holder would like in advance.
     """
 
     holder: str
     incarnation: int
     sequence: int
     account: str
-    wanted: int
+    held: int
     returned: int
+    needed: int
+    least: int
+    wanted: int
 
 
 @message(101)
 class GrantAnswer(NamedTuple):
-    """Tokens granted; the holder may spend them for ``lease_ms`` from its request.
+    """Answers the request ``sequence``; the lease runs from when it was first sent.
 
-    ``retry_after_ms`` tells when the account will hold what was wanted.
+    ``state`` is granted, starting (the owner cannot grant yet; the request was not
+    taken) or unknown_account. ``renewed`` tells whether the lease covers what was
+    held; if not, only ``granted`` remains. ``scarce`` asks for the return of all
+    tokens that no call waits for. ``retry_after_ms`` tells when the account will
+    hold ``least``; -1 if never.
     """
 
     account: str
+    sequence: int
+    state: str
     granted: int
+    renewed: bool
+    scarce: bool
     lease_ms: int
     retry_after_ms: int
--- /dev/null
+++ b/src/jasminewharf/services/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks with sockets, timers and files that feed the decisions."""
--- /dev/null
+++ b/src/jasminewharf/services/accounts.py
@@ -0,0 +1,308 @@
+"""Rate accounts: the owner on the control leader and the holder on an entry."""
+
+import asyncio
+import itertools
+import logging
+import time
+from collections.abc import Callable
+
+from .. import events
+from ..decisions.accounts import AccountLog
+from ..decisions.buckets import RateLimits
+from ..decisions.grants import GrantBook, refuse_start
+from ..decisions.holders import Action, Ask, Charged, GrantHolder, Refused
+from ..defaults import (
+    ACCOUNT_DRAIN_S,
+    ACCOUNT_SWEEP_INTERVAL_S,
+    GRANT_LEASE_S,
+    GRANT_RESEND_S,
+    OWNER_LEASE_S,
+    OWNER_RENEW_INTERVAL_S,
+)
+from ..exceptions import (
+    AccountOwnerUnavailable,
+    ConsensusError,
+    Forbidden,
+    JasminewharfError,
+    LinkError,
+    NotLeader,
+    ProposalRejected,
+    RateExceeded,
+    Refusal,
+)
+from ..kernel import Kernel, Service
+from ..messages.accounts import (
+    AccountBounds,
+    CheckpointAccounts,
+    TakeAccounts,
+)
+from ..messages.codec import decode, encode
+from ..messages.control import GrantAnswer, GrantRequest
+from .groups import GroupLog, GroupRequester
+
+__all__ = ["ACCOUNTS_GROUP", "AccountHolder", "AccountOwner"]
+
+ACCOUNTS_GROUP = "accounts"
+
+_logger = logging.getLogger(__name__)
+
+
+class AccountOwner(Service):
+    """Grants tokens while this control host leads the group ``accounts``.
+
+    Args:
+        kernel: The process's kernel.
+        log: The log groups of this host.
+        limits: Returns an account's limits in force; None if there is none.
+        owner: This host's node name.
+        incarnation: This process's life.
+    """
+
+    name = "account-owner"
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        log: GroupLog,
+        limits: Callable[[str], RateLimits | None],
+        owner: str,
+        incarnation: int,
+    ) -> None:
+        super().__init__(kernel)
+        self._log = log
+        self._limits = limits
+        self._owner = owner
+        self._incarnation = incarnation
+        self._machine = AccountLog()
+        self._book: GrantBook | None = None
+        self._fence = 0
+        self._checkpoint: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Take part in the group and renew the ownership while leading."""
+        self._log.register_machine(ACCOUNTS_GROUP, self._machine)
+        self.spawn(self._keep_ownership(), essential=True)
+        self.spawn(self._sweep(), essential=True)
+
+    async def answer(self, request: GrantRequest) -> GrantAnswer:
+        """Answer a holder.
+
+        Raises:
+            NotLeader: If this host does not lead the group.
+            ConsensusError: If a checkpoint that the grant needs cannot be committed.
+        """
+        while True:
+            if not self._log.is_leader(ACCOUNTS_GROUP):
+                raise NotLeader(ACCOUNTS_GROUP, "")
+            book = self._book
+            if book is None:
+                return refuse_start(request)
+            limits = self._limits(request.account)
+            answer = book.answer(request, limits, time.monotonic())
+            checkpoint = self._start_checkpoint(book)
+            if answer is not None:
+                return answer
+            if checkpoint is None:
+                raise ProposalRejected(f"no checkpoint serves {request.account}")
+            await asyncio.shield(checkpoint)
+
+    async def _keep_ownership(self) -> None:
+        while True:
+            if self._log.is_leader(ACCOUNTS_GROUP):
+                try:
+                    await asyncio.wait_for(self._renew_ownership(), OWNER_LEASE_S)
+                except (ConsensusError, LinkError, TimeoutError) as error:
+                    events.emit(_logger, events.ACCOUNTS_LOST, error=repr(error))
+            await asyncio.sleep(OWNER_RENEW_INTERVAL_S)
+
+    async def _renew_ownership(self) -> None:
+        confirmed_at = time.monotonic()
+        await self._log.read_barrier(ACCOUNTS_GROUP)
+        if self._book is None or self._machine.fence != self._fence:
+            self._book = None
+            self._book = await self._take_accounts()
+        self._book.extend(confirmed_at)
+
+    async def _take_accounts(self) -> GrantBook:
+        command = encode(TakeAccounts(self._owner, self._incarnation))
+        _, result = await self._log.propose(ACCOUNTS_GROUP, command)
+        taken = decode(result)
+        self._fence = taken.fence
+        events.emit(_logger, events.ACCOUNTS_TAKEN, fence=taken.fence)
+        succeeds = taken.predecessor != 0
+        return GrantBook(taken.bounds, succeeds=succeeds, now=time.monotonic())
+
+    def _start_checkpoint(self, book: GrantBook) -> asyncio.Task[None] | None:
+        """Start a checkpoint if one is wanted; return the one that runs, if any."""
+        if self._checkpoint is None or self._checkpoint.done():
+            bounds = book.wanted_bounds(time.monotonic())
+            if not bounds:
+                return None
+            self._checkpoint = self.spawn(self._commit_bounds(book, bounds))
+            self._checkpoint.add_done_callback(_read_exception)
+        return self._checkpoint
+
+    async def _commit_bounds(
+        self, book: GrantBook, bounds: list[AccountBounds]
+    ) -> None:
+        number = book.begin_checkpoint(bounds, time.monotonic())
+        command = encode(CheckpointAccounts(self._fence, number, bounds))
+        try:
+            _, result = await self._log.propose(ACCOUNTS_GROUP, command)
+        except JasminewharfError as error:
+            events.emit(_logger, events.CHECKPOINT_FAILED, error=repr(error))
+            raise
+        if not decode(result).accepted:
+            self._book = None
+            raise NotLeader(ACCOUNTS_GROUP, "")
+        book.end_checkpoint(bounds, number)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(ACCOUNT_SWEEP_INTERVAL_S)
+            book = self._book
+            running = self._checkpoint is not None and not self._checkpoint.done()
+            if book is None or running or not book.may_grant(time.monotonic()):
+                continue
+            removals = book.idle_bounds(time.monotonic())
+            if removals:
+                self._checkpoint = self.spawn(self._commit_bounds(book, removals))
+                self._checkpoint.add_done_callback(_read_exception)
+
+
+class AccountHolder(Service):
+    """Charges calls on an entry against grants of the owner.
+
+    Args:
+        kernel: The process's kernel.
+        requester: Reaches the leader of the group.
+        holder: This entry's node name.
+        incarnation: This process's life.
+    """
+
+    name = "accounts"
+
+    def __init__(
+        self, kernel: Kernel, requester: GroupRequester, holder: str, incarnation: int
+    ) -> None:
+        super().__init__(kernel)
+        self._requester = requester
+        self._holder = GrantHolder(holder, incarnation)
+        self._counter = itertools.count(1)
+        self._waiting: dict[str, asyncio.Future[None]] = {}
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+
+    async def charge(self, account: str, tokens: int, deadline: float) -> str:
+        """Charge a call's largest cost and return the charge's identifier.
+
+        Args:
+            account: The account's name.
+            tokens: The largest cost in tokens.
+            deadline: Monotonic seconds.
+
+        Raises:
+            RateExceeded: If the owner does not hold the tokens.
+            AccountOwnerUnavailable: If no owner answered in time.
+            Forbidden: If there is no such account.
+        """
+        charge_id = f"{next(self._counter):x}"
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[charge_id] = future
+        now = time.monotonic()
+        actions = self._holder.charge(account, charge_id, tokens, deadline, now)
+        self._carry_out(account, actions)
+        try:
+            await future
+        except asyncio.CancelledError:
+            self.refund(account, charge_id, 0)
+            raise
+        finally:
+            self._waiting.pop(charge_id, None)
+        return charge_id
+
+    def refund(self, account: str, charge_id: str, spent: int) -> None:
+        """End a charge of which ``spent`` tokens were used; ends it only once."""
+        now = time.monotonic()
+        actions = self._holder.refund(account, charge_id, spent, now)
+        self._carry_out(account, actions)
+
+    async def drain(self) -> None:
+        """Return the grants to the owner."""
+        now = time.monotonic()
+        for account in self._holder.accounts():
+            self._carry_out(account, self._holder.drain(account, now))
+        give_up_at = now + ACCOUNT_DRAIN_S
+        while not self._holder.is_drained():
+            if time.monotonic() >= give_up_at:
+                events.emit(_logger, events.GRANTS_NOT_RETURNED)
+                return
+            await asyncio.sleep(GRANT_RESEND_S / 10)
+
+    async def stop(self) -> None:
+        """Cancel timers and requests."""
+        for timer in self._timers.values():
+            timer.cancel()
+        self._timers.clear()
+        await super().stop()
+
+    def _carry_out(self, account: str, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Ask):
+                self.spawn(self._ask(action.request))
+            else:
+                self._end_wait(action)
+        self._set_timer(account)
+
+    def _end_wait(self, action: Charged | Refused) -> None:
+        future = self._waiting.get(action.charge_id)
+        if future is None or future.done():
+            return
+        if isinstance(action, Charged):
+            future.set_result(None)
+        else:
+            future.set_exception(_make_refusal(action))
+
+    def _set_timer(self, account: str) -> None:
+        timer = self._timers.pop(account, None)
+        if timer is not None:
+            timer.cancel()
+        now = time.monotonic()
+        wakeup = self._holder.wakeup(account, now)
+        if wakeup is not None:
+            loop = asyncio.get_running_loop()
+            delay_s = min(max(0.0, wakeup - now), GRANT_LEASE_S)
+            self._timers[account] = loop.call_later(delay_s, self._wake, account)
+
+    def _wake(self, account: str) -> None:
+        self._carry_out(account, self._holder.poll(account, time.monotonic()))
+
+    async def _ask(self, request: GrantRequest) -> None:
+        try:
+            answer = await self._requester.request(
+                ACCOUNTS_GROUP, request, GRANT_LEASE_S
+            )
+        except JasminewharfError as error:
+            events.emit(_logger, events.GRANT_REQUEST_FAILED, error=repr(error))
+            actions = self._holder.failed(request.account, time.monotonic())
+        else:
+            actions = self._holder.answered(answer, time.monotonic())
+        self._carry_out(request.account, actions)
+
+
+def _make_refusal(action: Refused) -> Refusal:
+    retry_after_ms = action.retry_after_ms
+    if action.reason == "account":
+        return Forbidden("the workspace has no rate for this service")
+    if action.reason == "rate":
+        return RateExceeded(
+            "the workspace's rate is spent", retry_after_ms=retry_after_ms
+        )
+    return AccountOwnerUnavailable(
+        "the rate account's owner does not answer", retry_after_ms=retry_after_ms
+    )
+
+
+def _read_exception(task: asyncio.Task[None]) -> None:
+    """Retrieve a failed checkpoint's error; whoever waits for it gets it too."""
+    if not task.cancelled():
+        task.exception()
--- /dev/null
+++ b/src/jasminewharf/services/claims.py
@@ -0,0 +1,378 @@
+"""Order claims: the control part beside the log and the client on an entry."""
+
+import asyncio
+import hashlib
+import logging
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from .. import events
+from ..decisions.claims import ClaimLog, choose_partition, measure_answer
+from ..defaults import (
+    CLAIM_ANSWER_LIMIT_BYTES,
+    CLAIM_PARTITIONS,
+    CLAIM_POLL_FIRST_S,
+    CLAIM_POLL_LIMIT_S,
+    CLAIM_RECORD_RETRY_S,
+    CLAIM_REQUEST_TIMEOUT_S,
+    CLAIM_RETRY_AFTER_MS,
+)
+from ..exceptions import (
+    ClaimConflict,
+    ClaimStoreFull,
+    ClaimsUnavailable,
+    JasminewharfError,
+    OutcomeUnknown,
+)
+from ..kernel import Kernel, Service
+from ..messages.claims import (
+    ClaimRecord,
+    EndEntry,
+    MakeClaim,
+    SettleClaim,
+    WithdrawClaim,
+)
+from ..messages.codec import decode, encode
+from ..messages.control import ClaimAnswer, ClaimOrder, RecordOutcome, ReleaseClaim
+from .groups import GroupLog, GroupRequester
+
+__all__ = ["ClaimKeeper", "OrderClaims", "RecordedAnswer", "claims_group"]
+
+_MS = 1000
+_DIGEST_HEADER = "x-body-sha256"
+
+_logger = logging.getLogger(__name__)
+
+
+def claims_group(partition: int) -> str:
+    """Return the name of a partition's log group."""
+    return f"claims-{partition}"
+
+
+def _group_of(message: Any, partitions: int) -> str:
+    partition = choose_partition(message.workspace, message.idempotency_key, partitions)
+    return claims_group(partition)
+
+
+def _wall_ms() -> int:
+    return int(time.time() * _MS)
+
+
+class ClaimKeeper(Service):
+    """Answers claims on a control host for the partitions it leads.
+
+    Args:
+        kernel: The process's kernel.
+        log: The log groups of this host.
+        is_gone: Tells whether an entry's life is known to be over.
+        partitions: How many log groups hold claims; fixed for a fleet.
+    """
+
+    name = "claim-keeper"
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        log: GroupLog,
+        is_gone: Callable[[int], bool],
+        partitions: int = CLAIM_PARTITIONS,
+    ) -> None:
+        super().__init__(kernel)
+        self._log = log
+        self._is_gone = is_gone
+        self._partitions = partitions
+        self._machines = {claims_group(n): ClaimLog() for n in range(partitions)}
+
+    async def start(self) -> None:
+        """Take part in the groups."""
+        for group, machine in self._machines.items():
+            self._log.register_machine(group, machine)
+
+    async def answer(
+        self, message: ClaimOrder | RecordOutcome | ReleaseClaim
+    ) -> ClaimAnswer:
+        """Carry out an entry's request durably.
+
+        Raises:
+            ConsensusError: If this host does not lead the group, or no quorum
+                answers; the command may still be committed later.
+        """
+        group = _group_of(message, self._partitions)
+        if not isinstance(message, ClaimOrder):
+            return await self._propose(group, message)
+        if await self._is_running_elsewhere(group, message):
+            return ClaimAnswer("running", 0, [], b"")
+        return await self._propose(group, message)
+
+    async def _is_running_elsewhere(self, group: str, message: ClaimOrder) -> bool:
+        """Return whether another call holds the claim; spares the log a command.
+
+        A claim of an entry that is gone is marked unknown first.
+        """
+        if self._find_other(group, message) is None:
+            return False
+        await self._log.read_barrier(group)
+        record = self._find_other(group, message)
+        if record is None:
+            return False
+        if self._is_gone(record.incarnation):
+            await self._log.propose(group, encode(EndEntry(record.incarnation)))
+            events.emit(_logger, events.CLAIMS_ENDED, incarnation=record.incarnation)
+            return False
+        return True
+
+    def _find_other(self, group: str, message: ClaimOrder) -> ClaimRecord | None:
+        """Return the running claim of another call with the same body."""
+        machine = self._machines[group]
+        record = machine.find(message.workspace, message.idempotency_key)
+        if record is None or record.state != "running":
+            return None
+        if record.request_id == message.request_id or record.digest != message.digest:
+            return None
+        return record
+
+    async def _propose(
+        self, group: str, message: ClaimOrder | RecordOutcome | ReleaseClaim
+    ) -> ClaimAnswer:
+        command = _make_command(message)
+        _, result = await self._log.propose(group, encode(command))
+        answer = decode(result)
+        if answer.state == "full":
+            events.emit(_logger, events.CLAIMS_FULL, group=group)
+        return answer
+
+
+def _make_command(
+    message: ClaimOrder | RecordOutcome | ReleaseClaim,
+) -> MakeClaim | SettleClaim | WithdrawClaim:
+    if isinstance(message, ClaimOrder):
+        return MakeClaim(*message, leader_ms=_wall_ms())
+    if isinstance(message, RecordOutcome):
+        return SettleClaim(*message, leader_ms=_wall_ms())
+    return WithdrawClaim(*message, leader_ms=_wall_ms())
+
+
+class RecordedAnswer(NamedTuple):
+    """The answer that an earlier call under the same key got."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class OrderClaims(Service):
+    """Claims orders for an entry before it forwards them.
+
+    Args:
+        kernel: The process's kernel.
+        requester: Reaches the leaders of the groups.
+        entry: This entry's node name.
+        incarnation: This process's life.
+        partitions: As on the control hosts.
+    """
+
+    name = "claims"
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        requester: GroupRequester,
+        entry: str,
+        incarnation: int,
+        partitions: int = CLAIM_PARTITIONS,
+    ) -> None:
+        super().__init__(kernel)
+        self._requester = requester
+        self._entry = entry
+        self._incarnation = incarnation
+        self._partitions = partitions
+        self._in_doubt: dict[str, bool] = {}
+
+    async def claim(
+        self,
+        workspace: str,
+        idempotency_key: str,
+        digest: str,
+        request_id: str,
+        deadline: float,
+    ) -> RecordedAnswer | None:
+        """Claim an order, or wait for the outcome of the call that holds it.
+
+        Args:
+            workspace: The key's workspace.
+            idempotency_key: What the caller sent.
+            digest: A digest of method, target and body.
+            request_id: Identifies this call.
+            deadline: Monotonic seconds.
+
+        Returns:
+            None if the order is claimed and this call is to forward it, once.
+
+        Raises:
+            ClaimConflict: If the key was used with another body.
+            OutcomeUnknown: If an earlier call may have run and has no known answer.
+            ClaimStoreFull: If there is no room.
+            ClaimsUnavailable: If no quorum answered; nothing is forwarded.
+        """
+        message = ClaimOrder(
+            workspace=workspace,
+            idempotency_key=idempotency_key,
+            digest=digest,
+            request_id=request_id,
+            entry=self._entry,
+            incarnation=self._incarnation,
+            entry_ms=_wall_ms(),
+        )
+        claimed = False
+        self._in_doubt[request_id] = False
+        try:
+            answer = await self._claim_until(message, deadline)
+            claimed = answer is None
+            return answer
+        finally:
+            if self._in_doubt.pop(request_id) and not claimed:
+                # An unanswered attempt may yet be committed; nobody would run it.
+                self.spawn(self.release(workspace, idempotency_key, digest, request_id))
+
+    async def _claim_until(
+        self, message: ClaimOrder, deadline: float
+    ) -> RecordedAnswer | None:
+        pause_s = CLAIM_POLL_FIRST_S
+        state = ""
+        while True:
+            left_s = deadline - time.monotonic()
+            if left_s <= 0:
+                raise _make_timeout(state)
+            answer = await self._request_claim(message, left_s)
+            if answer is not None:
+                state = answer.state
+                if state == "claimed":
+                    return None
+                if state != "running":
+                    return _read_answer(answer)
+            await asyncio.sleep(min(pause_s, left_s))
+            pause_s = min(2 * pause_s, CLAIM_POLL_LIMIT_S)
+            message = message._replace(entry_ms=_wall_ms())
+
+    async def _request_claim(
+        self, message: ClaimOrder, left_s: float
+    ) -> ClaimAnswer | None:
+        group = _group_of(message, self._partitions)
+        timeout_s = min(CLAIM_REQUEST_TIMEOUT_S, left_s)
+        doubted = self._in_doubt[message.request_id]
+        self._in_doubt[message.request_id] = True
+        try:
+            answer = await self._requester.request(group, message, timeout_s)
+        except JasminewharfError:
+            return None
+        self._in_doubt[message.request_id] = doubted
+        return answer
+
+    async def record(
+        self,
+        workspace: str,
+        idempotency_key: str,
+        request_id: str,
+        answer: RecordedAnswer,
+    ) -> bool:
+        """Record the whole answer to a claimed order; return whether it is durable.
+
+        Of an answer above the limit only the status and a digest are kept.
+        """
+        status, headers, body = answer
+        outcome = "done"
+        if measure_answer(headers, body) > CLAIM_ANSWER_LIMIT_BYTES:
+            outcome = "unknown"
+            headers = [(_DIGEST_HEADER, hashlib.sha256(body).hexdigest())]
+            body = b""
+        message = RecordOutcome(
+            workspace=workspace,
+            idempotency_key=idempotency_key,
+            request_id=request_id,
+            outcome=outcome,
+            status=status,
+            headers=headers,
+            body=body,
+            entry_ms=_wall_ms(),
+        )
+        return await self._insist(message, events.CLAIM_NOT_RECORDED)
+
+    async def record_unknown(
+        self, workspace: str, idempotency_key: str, request_id: str
+    ) -> bool:
+        """Record that the call may have run and that its answer is lost."""
+        message = RecordOutcome(
+            workspace=workspace,
+            idempotency_key=idempotency_key,
+            request_id=request_id,
+            outcome="unknown",
+            status=0,
+            headers=[],
+            body=b"",
+            entry_ms=_wall_ms(),
+        )
+        return await self._insist(message, events.CLAIM_NOT_RECORDED)
+
+    async def release(
+        self, workspace: str, idempotency_key: str, digest: str, request_id: str
+    ) -> bool:
+        """Give a claim back; only if no backend server can have begun the call."""
+        message = ReleaseClaim(
+            workspace=workspace,
+            idempotency_key=idempotency_key,
+            digest=digest,
+            request_id=request_id,
+            entry_ms=_wall_ms(),
+        )
+        return await self._insist(message, events.CLAIM_NOT_RELEASED)
+
+    async def _insist(
+        self, message: RecordOutcome | ReleaseClaim, failure: events.Event
+    ) -> bool:
+        group = _group_of(message, self._partitions)
+        give_up_at = time.monotonic() + CLAIM_RECORD_RETRY_S
+        pause_s = CLAIM_POLL_FIRST_S
+        while time.monotonic() < give_up_at:
+            try:
+                await self._requester.request(group, message, CLAIM_REQUEST_TIMEOUT_S)
+            except JasminewharfError:
+                await asyncio.sleep(pause_s)
+                pause_s = min(2 * pause_s, CLAIM_POLL_LIMIT_S)
+            else:
+                return True
+        events.emit(_logger, failure, request_id=message.request_id)
+        return False
+
+
+def _make_timeout(state: str) -> JasminewharfError:
+    """Return the refusal of a claim whose deadline passed."""
+    if state == "running":
+        return OutcomeUnknown(
+            "an earlier call under this idempotency key still runs",
+            not_run=False,
+            retry_after_ms=CLAIM_RETRY_AFTER_MS,
+        )
+    return ClaimsUnavailable(
+        "the order could not be claimed in time", retry_after_ms=CLAIM_RETRY_AFTER_MS
+    )
+
+
+def _read_answer(answer: ClaimAnswer) -> RecordedAnswer:
+    """Return the recorded answer, or raise what the state means for a caller."""
+    if answer.state == "done":
+        return RecordedAnswer(answer.status, answer.headers, answer.body)
+    if answer.state == "conflict":
+        raise ClaimConflict("the idempotency key was used with another body")
+    if answer.state == "unknown":
+        status = f" (status {answer.status})" if answer.status else ""
+        raise OutcomeUnknown(
+            f"an earlier call under this key may have run{status}", not_run=False
+        )
+    if answer.state == "full":
+        raise ClaimStoreFull(
+            "no room for another order", retry_after_ms=CLAIM_RETRY_AFTER_MS
+        )
+    raise ClaimsUnavailable(
+        "the claim was not accepted", retry_after_ms=CLAIM_RETRY_AFTER_MS
+    )
