--- a/src/jasminewharf/interfaces/callers.py
+++ b/src/jasminewharf/interfaces/callers.py
@@ -9,6 +9,7 @@
 from .. import events
 from ..decisions.keys import match_key, parse_key_id
 from ..exceptions import (
+    BadRequest,
     Forbidden,
     KeyWithdrawn,
     LeaseExpired,
@@ -20,10 +21,12 @@
 from ..identifiers import RequestIds
 from ..kernel import Kernel, Service
 from ..messages.commands import WithdrawKey
+from ..services.requests import account_name
 from ..services.router import Answer, CallPlan
 from ..settings import split_address
 from ..tracing import Span
 from .http import HttpServer, Request, Responder
+from .orders import Claim, OrderRelay, digest_call
 from .plans import (
     Caller,
     find_route,
@@ -41,9 +44,11 @@
 _JSON = [("content-type", "application/json")]
 _TEXT = [("content-type", "text/plain; version=0.0.4")]
 _RETRY_FRESHNESS_MS = 500
+_IDEMPOTENCY_KEY_LIMIT_BYTES = 255
+_REPLAYED_HEADER = ("idempotency-replayed", "true")
 # Headers of a backend server's answer that end at this hop.
 _HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "server", "date", "trailer"}
+    {"connection", "keep-alive", "transfer-encoding", "server", "trailer"}
 )
 
 
@@ -63,6 +68,36 @@
             self.task.cancel()
 
 
+class _Charge:
+    """Tokens charged for a call, until its true cost is known."""
+
+    def __init__(
+        self, accounts: Any, account: str, charge_id: str, tokens: int
+    ) -> None:
+        self._accounts = accounts
+        self._account = account
+        self._charge_id = charge_id
+        self._tokens = tokens
+
+    def cancel(self) -> None:
+        """Give everything back: the call did not run."""
+        self._tokens = 0
+
+    def end(self, tokens: int) -> None:
+        """Give back what the call did not use; all is kept if that is unknown."""
+        if self._accounts is None:
+            return
+        spent = self._tokens if tokens < 0 else tokens
+        self._accounts.refund(self._account, self._charge_id, min(spent, self._tokens))
+
+
+def _keep_end_headers(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers that do not end at this hop."""
+    return [
+        (name, value) for name, value in headers if name.lower() not in _HOP_HEADERS
+    ]
+
+
 class Callers(Service):
     """Serves callers over HTTP.
 
@@ -77,6 +112,8 @@
         "reports",
         "router",
         "traces",
+        "accounts",
+        "claims",
     )
 
     def __init__(self, kernel: Kernel) -> None:
@@ -231,7 +268,7 @@
             asyncio.get_running_loop().time(),
             span.traceparent,
         )
-        await self._run(plan, caller, responder)
+        await self._run(plan, caller, request, responder)
 
     async def _serve_service(
         self, request: Request, responder: Responder, request_id: str, span: Span
@@ -254,30 +291,109 @@
             asyncio.get_running_loop().time(),
             span.traceparent,
         )
-        await self._run(plan, caller, responder)
+        await self._run(plan, caller, request, responder)
 
-    async def _run(self, plan: CallPlan, caller: Caller, responder: Responder) -> None:
+    async def _run(
+        self, plan: CallPlan, caller: Caller, request: Request, responder: Responder
+    ) -> None:
         exchange = _Exchange(plan.request_id, caller)
         self._exchanges[plan.request_id] = exchange
+        idempotency_key = request.header("idempotency-key")
         try:
-            answer = await self.kernel.find("router").call(plan)
-            await self._pass_on(answer, plan, responder)
+            if idempotency_key is None or plan.idempotent:
+                await self._run_charged(plan, responder)
+            else:
+                await self._run_claimed(plan, idempotency_key, responder)
         except asyncio.CancelledError:
-            self.kernel.find("router").cancel(plan.request_id, "caller gone")
             if exchange.refusal is None:
                 raise
             raise exchange.refusal from None
         finally:
             del self._exchanges[plan.request_id]
 
+    async def _run_charged(self, plan: CallPlan, responder: Responder) -> None:
+        """Run a call that nobody claims; it ends when its caller goes."""
+        charge = await self._charge(plan)
+        answer = None
+        try:
+            answer = await self.kernel.find("router").call(plan)
+            await self._pass_on(answer, plan, responder)
+        except asyncio.CancelledError:
+            self.kernel.find("router").cancel(plan.request_id, "caller gone")
+            raise
+        except Refusal as refusal:
+            if refusal.not_run:
+                charge.cancel()
+            raise
+        finally:
+            charge.end(answer.tokens if answer else -1)
+
+    async def _charge(self, plan: CallPlan) -> "_Charge":
+        """Charge the largest cost.
+
+        Raises:
+            Refusal: If the workspace's rate does not allow it.
+        """
+        if not plan.workspace:
+            return _Charge(None, "", "", 0)
+        accounts = self.kernel.find("accounts")
+        account = account_name(plan.service, plan.workspace)
+        charge_id = await accounts.charge(account, plan.cost_tokens, plan.deadline)
+        return _Charge(accounts, account, charge_id, plan.cost_tokens)
+
+    async def _run_claimed(
+        self, plan: CallPlan, idempotency_key: str, responder: Responder
+    ) -> None:
+        """Run an order at most once, or answer with what an earlier call got."""
+        if not 0 < len(idempotency_key.encode()) <= _IDEMPOTENCY_KEY_LIMIT_BYTES:
+            raise BadRequest(
+                f"Idempotency-Key may have {_IDEMPOTENCY_KEY_LIMIT_BYTES} bytes"
+            )
+        claim = Claim(
+            plan.workspace, idempotency_key, digest_call(plan), plan.request_id
+        )
+        claims = self.kernel.find("claims")
+        recorded = await claims.claim(*claim, plan.deadline)
+        if recorded is not None:
+            headers = [*_keep_end_headers(recorded.headers), _REPLAYED_HEADER]
+            headers.append(("x-request-id", plan.request_id))
+            responder.respond(recorded.status, headers, recorded.body)
+            return
+        # The caller may go while the order runs; its outcome is recorded all the same.
+        started: asyncio.Future[OrderRelay] = asyncio.get_running_loop().create_future()
+        self.spawn(self._carry_out(plan, claim, started))
+        relay = await asyncio.shield(started)
+        await self._pass_on(relay, plan, responder)
+
+    async def _carry_out(
+        self, plan: CallPlan, claim: Claim, started: "asyncio.Future[OrderRelay]"
+    ) -> None:
+        claims = self.kernel.find("claims")
+        charge = _Charge(None, "", "", 0)
+        tokens = -1
+        try:
+            charge = await self._charge(plan)
+            answer = await self.kernel.find("router").call(plan)
+            relay = OrderRelay(claims, claim, answer)
+            started.set_result(relay)
+            await relay.run()
+            tokens = relay.tokens
+        except Refusal as refusal:
+            if refusal.not_run:
+                charge.cancel()
+                await claims.release(*claim)
+            else:
+                await claims.record_unknown(*claim[:2], claim.request_id)
+            started.set_exception(refusal)
+            # The exception counts as seen even if the caller has gone.
+            started.exception()
+        finally:
+            charge.end(tokens)
+
     async def _pass_on(
-        self, answer: Answer, plan: CallPlan, responder: Responder
+        self, answer: Answer | OrderRelay, plan: CallPlan, responder: Responder
     ) -> None:
-        headers = [
-            (name, value)
-            for name, value in answer.headers
-            if name.lower() not in _HOP_HEADERS
-        ]
+        headers = _keep_end_headers(answer.headers)
         headers.append(("x-request-id", plan.request_id))
         is_started = False
         async for chunk in answer.chunks():
--- a/src/jasminewharf/interfaces/roles.py
+++ b/src/jasminewharf/interfaces/roles.py
@@ -2,22 +2,29 @@
 
 from collections.abc import Callable
 
-from ..kernel import Kernel
+from ..kernel import Kernel, Service
 from ..registry import lookup, register
+from ..services.accounts import ACCOUNTS_GROUP, AccountHolder
 from ..services.adapterloads import AdapterLoads
 from ..services.adapterslots import AdapterSlotOwner
 from ..services.backends import Backends
-from ..services.control import ControlServer
+from ..services.claims import OrderClaims, claims_group
+from ..services.control import FLEET_GROUP, ControlServer
 from ..services.controllers import Controllers
 from ..services.feed import Feed
 from ..services.fleet import Fleet
 from ..services.gathering import Gathering
 from ..services.loader import Loader
-from ..services.log import LogService
+from ..services.log import LogService, LogSettings
 from ..services.planner import PlannerService
 from ..services.process import Process
 from ..services.publisher import Publisher
 from ..services.reports import Reporter
+from ..services.requests import (
+    Requests,
+    build_account_owner,
+    build_claim_keeper,
+)
 from ..services.router import Router
 from ..services.traces import Traces
 from ..settings import Settings
@@ -25,6 +32,7 @@
 
 __all__ = ["ROLES", "build_kernel"]
 
+ServiceBuilder = Callable[[Kernel], Service]
 RoleBuilder = Callable[[Kernel], None]
 ROLES: dict[str, RoleBuilder] = {}
 
@@ -36,16 +44,71 @@
     return kernel
 
 
-def _register_all(kernel: Kernel, kinds: tuple[type, ...]) -> None:
+def _register_all(
+    kernel: Kernel, kinds: tuple[ServiceBuilder, ...]
+) -> None:
     for kind in kinds:
         kernel.register(kind(kernel))
 
 
+def build_log(kernel: Kernel) -> LogService:
+    """Return the log service with its groups."""
+    settings = kernel.settings
+    partitions = range(settings.claim_partitions)
+    return LogService(
+        kernel,
+        LogSettings(
+            name=settings.node,
+            folder=settings.data_folder,
+            address=settings.own_control_host.peer_address,
+            peers={
+                host.name: host.peer_address
+                for host in settings.control
+                if host.name != settings.node
+            },
+            groups=(FLEET_GROUP, ACCOUNTS_GROUP, *map(claims_group, partitions)),
+            election_s=settings.timing.election_timeout_s,
+            heartbeat_s=settings.timing.heartbeat_s,
+        ),
+    )
+
+
+def build_account_holder(kernel: Kernel) -> AccountHolder:
+    """Return the entry's part of rate accounts."""
+    identity = kernel.find("process").identity
+    return AccountHolder(
+        kernel, kernel.find("controllers"), identity.node, identity.incarnation
+    )
+
+
+def build_order_claims(kernel: Kernel) -> OrderClaims:
+    """Return the entry's part of order claims."""
+    identity = kernel.find("process").identity
+    return OrderClaims(
+        kernel,
+        kernel.find("controllers"),
+        identity.node,
+        identity.incarnation,
+        kernel.settings.claim_partitions,
+    )
+
+
 @register(ROLES, "entry")
 def build_entry(kernel: Kernel) -> None:
     """Register the services of an entry."""
     _register_all(
-        kernel, (Process, Traces, Controllers, Feed, Reporter, Router, Callers)
+        kernel,
+        (
+            Process,
+            Traces,
+            Controllers,
+            Feed,
+            Reporter,
+            build_account_holder,
+            build_order_claims,
+            Router,
+            Callers,
+        ),
     )
 
 
@@ -74,7 +137,7 @@
         kernel,
         (
             Process,
-            LogService,
+            build_log,
             Controllers,
             Fleet,
             ControlServer,
@@ -82,5 +145,8 @@
             Gathering,
             PlannerService,
             AdapterSlotOwner,
+            build_account_owner,
+            build_claim_keeper,
+            Requests,
         ),
     )
--- /dev/null
+++ b/src/jasminewharf/services/requests.py
@@ -0,0 +1,143 @@
+"""A control host's answers to entries: rate grants, order claims and status."""
+
+import asyncio
+from typing import Any, ClassVar
+
+import msgspec
+
+from ..decisions.buckets import RateLimits
+from ..exceptions import Forbidden
+from ..kernel import Kernel, Service
+from ..messages.control import (
+    ClaimOrder,
+    FetchStatus,
+    GrantRequest,
+    RecordOutcome,
+    ReleaseClaim,
+    StatusAnswer,
+)
+from .accounts import AccountOwner
+from .claims import ClaimKeeper
+from .control import FLEET_GROUP
+from .link import Peer
+
+__all__ = ["Requests", "account_name", "build_account_owner", "build_claim_keeper"]
+
+_SEPARATOR = "/"
+
+
+def account_name(service: str, workspace: str) -> str:
+    """Return the name of a workspace's account with a service."""
+    return f"{service}{_SEPARATOR}{workspace}"
+
+
+def build_account_owner(kernel: Kernel) -> AccountOwner:
+    """Return the owner of rate accounts, with limits from the documents."""
+    identity = kernel.find("process").identity
+
+    def find_limits(account: str) -> RateLimits | None:
+        service, _, workspace = account.partition(_SEPARATOR)
+        document = kernel.find("fleet").state.document(service)
+        access = document.find_access(workspace) if document else None
+        if access is None:
+            return None
+        return RateLimits(access.rate_tokens_per_s, access.burst_tokens)
+
+    return AccountOwner(
+        kernel,
+        kernel.find("log"),
+        find_limits,
+        identity.node,
+        identity.incarnation,
+    )
+
+
+def build_claim_keeper(kernel: Kernel) -> ClaimKeeper:
+    """Return the keeper of order claims; lives of entries come from reports."""
+    started = asyncio.get_running_loop().time()
+
+    def is_gone(incarnation: int) -> bool:
+        now = asyncio.get_running_loop().time()
+        if now - started <= kernel.settings.timing.suspicion_s:
+            return False
+        live = kernel.find("gathering").live(now).values()
+        return all(report.incarnation != incarnation for report in live)
+
+    return ClaimKeeper(
+        kernel, kernel.find("log"), is_gone, kernel.settings.claim_partitions
+    )
+
+
+class Requests(Service):
+    """Registers the handlers of entries' and the tool's requests."""
+
+    name: ClassVar[str] = "requests"
+    requires: ClassVar[tuple[str, ...]] = (
+        "control",
+        "gathering",
+        "account-owner",
+        "claim-keeper",
+    )
+
+    async def start(self) -> None:
+        """Answer requests."""
+        control = self.kernel.find("control")
+        control.handle(GrantRequest, self._grant)
+        for kind in (ClaimOrder, RecordOutcome, ReleaseClaim):
+            control.handle(kind, self._claim)
+        control.handle(FetchStatus, self._fetch_status)
+
+    def _grant(self, peer: Peer, message: GrantRequest) -> Any:
+        _check_entry(peer)
+        return self.kernel.find("account-owner").answer(message)
+
+    def _claim(self, peer: Peer, message: Any) -> Any:
+        _check_entry(peer)
+        return self.kernel.find("claim-keeper").answer(message)
+
+    async def _fetch_status(self, peer: Peer, message: FetchStatus) -> StatusAnswer:
+        if peer.hello is None or peer.hello.role != "tool":
+            raise Forbidden("only the operator's tool may read the status")
+        await self.kernel.find("log").read_barrier(FLEET_GROUP)
+        return StatusAnswer(msgspec.json.encode(self._describe()))
+
+    def _describe(self) -> dict[str, Any]:
+        now = asyncio.get_running_loop().time()
+        gathering = self.kernel.find("gathering")
+        live = gathering.live(now)
+        state = self.kernel.find("fleet").state
+        log = self.kernel.find("log")
+        return {
+            "version": state.version,
+            "control": {
+                "answered_by": self.kernel.settings.node,
+                "leader": log.leader(FLEET_GROUP),
+                "members": [member._asdict() for member in log.members()],
+            },
+            "nodes": [
+                {
+                    "node": report.node,
+                    "role": report.role,
+                    "host": report.host,
+                    "zone": report.zone,
+                    "live": report.node in live,
+                    "leaving": report.leaving or report.host in state.draining,
+                    "version": report.version,
+                    "age_ms": int((now - at) * 1000),
+                    "backends": [item._asdict() for item in report.backends],
+                    "demands": [item._asdict() for item in report.demands],
+                }
+                for at, report in gathering.reports.values()
+            ],
+            "replicas": [item._asdict() for item in state.replicas.values()],
+            "draining": sorted(state.draining),
+            "services": [
+                {"service": name, "version": record.version, "author": record.author}
+                for name, record in state.documents.items()
+            ],
+        }
+
+
+def _check_entry(peer: Peer) -> None:
+    if peer.hello is None or peer.hello.role != "entry":
+        raise Forbidden("only an entry may ask for this")
