--- /dev/null
+++ b/src/jasminewharf/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tools."""
--- /dev/null
+++ b/src/jasminewharf/decisions/elections.py
@@ -0,0 +1,143 @@
+"""Elections: trial votes, votes and transfer of leadership."""
+
+from ..messages.log import RequestVote, TimeoutNow, VoteAnswer
+from .group import CANDIDATE, FOLLOWER, LEADER, TRIAL, GroupState
+from .replication import start_leading
+
+__all__ = [
+    "answer_vote",
+    "begin_trial",
+    "check_quorum",
+    "count_vote",
+    "finish_transfer",
+    "start_transfer",
+    "take_over",
+]
+
+
+def begin_trial(state: GroupState, now: float) -> None:
+    """Ask whether an election would succeed, without raising the term."""
+    state.reset_election_timer(now)
+    if not state.is_voter():
+        return
+    state.role = TRIAL
+    state.leader = ""
+    state.votes = {state.identity}
+    if state.has_quorum(state.votes):
+        _begin_election(state, now, transfer=False)
+        return
+    _ask_voters(state, state.term + 1, trial=True, transfer=False)
+
+
+def _begin_election(state: GroupState, now: float, *, transfer: bool) -> None:
+    state.reset_election_timer(now)
+    state.role = CANDIDATE
+    state.leader = ""
+    state.save_hard_state(state.term + 1, state.identity)
+    state.votes = set()
+    _ask_voters(state, state.term, trial=False, transfer=transfer)
+    # The own vote counts once it is durable: this message is held like the others.
+    own = VoteAnswer(state.group, state.term, True, False)
+    state.send(state.identity, own)
+
+
+def _ask_voters(state: GroupState, term: int, *, trial: bool, transfer: bool) -> None:
+    log = state.log
+    request = RequestVote(
+        state.group, term, log.last_index, log.last_term, trial, transfer
+    )
+    for voter in state.voters():
+        if voter != state.identity:
+            state.send(voter, request)
+
+
+def answer_vote(
+    state: GroupState, sender: str, request: RequestVote, now: float
+) -> None:
+    """Grant or refuse a vote or a trial vote."""
+    if not request.transfer and _hears_leader(state, now):
+        return
+    if request.term < state.term:
+        refusal = VoteAnswer(state.group, state.term, False, request.trial)
+        state.send(sender, refusal)
+        return
+    if request.trial:
+        granted = request.term > state.term and _is_current(state, request)
+        term = request.term if granted else state.term
+        state.send(sender, VoteAnswer(state.group, term, granted, True))
+        return
+    if request.term > state.term:
+        state.become_follower(request.term, "", now)
+    granted = state.vote in ("", sender) and _is_current(state, request)
+    if granted:
+        if not state.vote:
+            state.save_hard_state(state.term, sender)
+        state.reset_election_timer(now)
+    state.send(sender, VoteAnswer(state.group, state.term, granted, False))
+
+
+def _hears_leader(state: GroupState, now: float) -> bool:
+    # A member that hears its leader ignores candidates, so that one cut-off or
+    # removed member cannot depose a working leader.
+    if state.role == LEADER:
+        return True
+    silent_s = now - state.leader_contact
+    return bool(state.leader) and silent_s < state.timing.election_s
+
+
+def _is_current(state: GroupState, request: RequestVote) -> bool:
+    own = (state.log.last_term, state.log.last_index)
+    return (request.last_term, request.last_index) >= own
+
+
+def count_vote(state: GroupState, sender: str, answer: VoteAnswer, now: float) -> None:
+    """Count an answer; start the election or lead when a quorum agrees."""
+    if not answer.granted:
+        if answer.term > state.term:
+            state.become_follower(answer.term, "", now)
+        return
+    if answer.trial:
+        if state.role == TRIAL and answer.term == state.term + 1:
+            state.votes.add(sender)
+            if state.has_quorum(state.votes):
+                _begin_election(state, now, transfer=False)
+        return
+    if state.role == CANDIDATE and answer.term == state.term:
+        state.votes.add(sender)
+        if state.has_quorum(state.votes):
+            start_leading(state, now)
+
+
+def check_quorum(state: GroupState, now: float) -> None:
+    """Step down if no quorum answered within the election timeout."""
+    oldest = now - state.timing.election_s
+    heard = {p for p, progress in state.progress.items() if progress.heard >= oldest}
+    if not state.has_quorum(heard | {state.identity}):
+        state.become_follower(state.term, "", now)
+    elif state.transfer_target and now >= state.transfer_deadline:
+        state.transfer_target = ""
+
+
+def start_transfer(state: GroupState, target: str, now: float) -> None:
+    """Stop taking proposals and hand over once ``target`` holds every entry."""
+    if state.role != LEADER or target == state.identity:
+        return
+    if target not in state.voters():
+        return
+    state.transfer_target = target
+    state.transfer_deadline = now + state.timing.election_s
+    finish_transfer(state)
+
+
+def finish_transfer(state: GroupState) -> None:
+    """Ask the target to start its election if it holds every entry."""
+    progress = state.progress.get(state.transfer_target)
+    if progress is not None and progress.match == state.log.last_index:
+        state.send(state.transfer_target, TimeoutNow(state.group, state.term))
+
+
+def take_over(state: GroupState, sender: str, request: TimeoutNow, now: float) -> None:
+    """Start an election because the leader asked for it."""
+    ready = state.role == FOLLOWER and state.is_voter() and not state.installing
+    if request.term == state.term and ready:
+        _begin_election(state, now, transfer=True)
--- /dev/null
+++ b/src/jasminewharf/decisions/group.py
@@ -0,0 +1,351 @@
+"""The state of one member in one log group and the steps that all parts share."""
+
+from collections import deque
+from typing import Any
+
+import msgspec
+
+from ..messages.log import MemberRecord
+from ..randomness import RandomSource
+from .entries import EntryLog
+from .records import (
+    MEMBERS,
+    Effects,
+    Entry,
+    HardState,
+    LogReset,
+    Restored,
+    SnapshotMeta,
+    Timing,
+)
+
+__all__ = [
+    "CANDIDATE",
+    "FOLLOWER",
+    "LEADER",
+    "TRIAL",
+    "GroupState",
+    "Progress",
+    "decode_members",
+    "encode_members",
+]
+
+FOLLOWER = "follower"
+TRIAL = "trial"
+CANDIDATE = "candidate"
+LEADER = "leader"
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(tuple[MemberRecord, ...])
+
+
+def encode_members(members: tuple[MemberRecord, ...]) -> bytes:
+    """Return the data of a MEMBERS entry."""
+    return _encoder.encode(members)
+
+
+def decode_members(data: bytes) -> tuple[MemberRecord, ...]:
+    """Return the members in the data of a MEMBERS entry."""
+    return _decoder.decode(data)
+
+
+class Progress:
+    """What the leader knows of another member.
+
+    Attributes:
+        match: Last index known to be durable there.
+        next: Next index to send.
+        probing: Whether the point of agreement is still unknown; then only one
+            message is in flight.
+        paused: Whether a probe or chunk is in flight.
+        heard: Time of the last answer.
+        sequence: Newest sequence number that it echoed.
+        in_flight: Pairs of last index and bytes of unanswered batches.
+        in_flight_bytes: Sum of the bytes in ``in_flight``.
+        snapshot_index: Index of the snapshot in transfer, 0 if there is none.
+        snapshot_offset: Next byte of that snapshot to send.
+    """
+
+    __slots__ = (
+        "heard",
+        "in_flight",
+        "in_flight_bytes",
+        "match",
+        "next",
+        "paused",
+        "probing",
+        "sequence",
+        "snapshot_index",
+        "snapshot_offset",
+    )
+
+    def __init__(self, next_index: int, now: float) -> None:
+        self.match = 0
+        self.next = next_index
+        self.probing = True
+        self.paused = False
+        self.heard = now
+        self.sequence = 0
+        self.in_flight: deque[tuple[int, int]] = deque()
+        self.in_flight_bytes = 0
+        self.snapshot_index = 0
+        self.snapshot_offset = 0
+
+
+class GroupState:
+    """The data of one member in one group.
+
+    Args:
+        group: The group's name.
+        identity: The member's own identity.
+        restored: What storage found.
+        timing: Timeouts.
+        random_source: Source of the election timeouts.
+        now: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        identity: str,
+        restored: Restored,
+        timing: Timing,
+        random_source: RandomSource,
+        now: float,
+    ) -> None:
+        self.group = group
+        self.identity = identity
+        self.timing = timing
+        self.random = random_source
+        self.term = restored.hard_state.term
+        self.vote = restored.hard_state.vote
+        self.snapshot = restored.snapshot
+        self.log = EntryLog(restored.base.index, restored.base.term, restored.entries)
+        self.commit = restored.snapshot.index if restored.snapshot else 0
+        self.delivered = self.commit
+        self.durable = self.log.last_index
+        self.role = FOLLOWER
+        self.leader = ""
+        self.votes: set[str] = set()
+        self.progress: dict[str, Progress] = {}
+        self.sequence = 0
+        self.pending_reads: list[tuple[int, int, str, int]] = []
+        self.waiting_reads: list[tuple[str, int]] = []
+        self.transfer_target = ""
+        self.transfer_deadline = 0.0
+        self.verified = 0
+        self.echo = 0
+        self.incoming: SnapshotMeta | None = None
+        self.incoming_term = 0
+        self.incoming_offset = 0
+        self.installing = False
+        self.leader_contact = now - timing.election_s
+        self.election_deadline = now
+        self.heartbeat_due = now
+        # Followers learn the commit index with the next entries. If none follow,
+        # the next tick tells them, so that their subscribers need not wait longer.
+        self.commit_untold = False
+        self._configurations: list[tuple[int, tuple[MemberRecord, ...]]] = []
+        self._load_configurations()
+        self._token = 0
+        self._synced = 0
+        self._hard_token = 0
+        self._unsynced: list[tuple[int, int]] = []
+        self._held: list[tuple[int, int, str, Any]] = []
+        self._clear_effects()
+        self.reset_election_timer(now)
+        if self.voters() == [identity]:
+            # Nobody else could lead, so there is nobody to wait for.
+            self.election_deadline = now
+
+    def _clear_effects(self) -> None:
+        self.persist: list[Any] = []
+        self.messages: list[tuple[str, Any]] = []
+        self.chunk_reads: list[Any] = []
+        self.chunk_writes: list[Any] = []
+        self.install: SnapshotMeta | None = None
+        self.committed: list[Entry] = []
+        self.accepted: list[tuple[int, int, int]] = []
+        self.refused: list[int] = []
+        self.reads: list[tuple[int, int]] = []
+
+    def take_effects(self) -> Effects:
+        """Return what the step asked for and start anew."""
+        token = 0
+        if self.persist:
+            self._token += 1
+            token = self._token
+            self._unsynced.append((token, self.log.last_index))
+        effects = Effects(
+            self.persist,
+            token,
+            self.messages,
+            self.chunk_reads,
+            self.chunk_writes,
+            self.install,
+            self.committed,
+            self.accepted,
+            self.refused,
+            self.reads,
+        )
+        self._clear_effects()
+        return effects
+
+    # Members.
+
+    def _load_configurations(self) -> None:
+        if self.snapshot is not None:
+            self._configurations.append((self.snapshot.index, self.snapshot.members))
+        first = self.log.base_index + 1
+        for entry in self.log.between(first, self.log.last_index):
+            if entry.kind == MEMBERS and entry.index > self.commit:
+                self._configurations.append((entry.index, decode_members(entry.data)))
+
+    @property
+    def members(self) -> tuple[MemberRecord, ...]:
+        """The newest configuration in the log, committed or not."""
+        return self._configurations[-1][1] if self._configurations else ()
+
+    @property
+    def members_index(self) -> int:
+        """Index of the entry that holds the newest configuration."""
+        return self._configurations[-1][0] if self._configurations else 0
+
+    def members_at(self, index: int) -> tuple[MemberRecord, ...]:
+        """Return the configuration that was in force at ``index``."""
+        members: tuple[MemberRecord, ...] = ()
+        for at, configuration in self._configurations:
+            if at <= index:
+                members = configuration
+        return members
+
+    def voters(self) -> list[str]:
+        """Return the identities whose answers count in a quorum."""
+        return [member.identity for member in self.members if member.voter]
+
+    def is_voter(self) -> bool:
+        """Return whether this member counts in a quorum."""
+        return self.identity in self.voters()
+
+    def peers(self) -> list[str]:
+        """Return the other members, learners included."""
+        return [m.identity for m in self.members if m.identity != self.identity]
+
+    def has_quorum(self, identities: set[str]) -> bool:
+        """Return whether ``identities`` hold a majority of the voters."""
+        voters = self.voters()
+        held = sum(voter in identities for voter in voters)
+        return held * 2 > len(voters)
+
+    # Durability.
+
+    def save_hard_state(self, term: int, vote: str) -> None:
+        """Change term and vote; messages wait until they are durable."""
+        if term != self.term:
+            self._held.clear()
+            self.verified = 0
+            self.echo = 0
+        self.term, self.vote = term, vote
+        self.persist.append(HardState(term, vote))
+        self._hard_token = self._token + 1
+
+    def append(self, entry: Entry) -> None:
+        """Add an entry to the log and to what is written."""
+        self.log.append(entry)
+        self.persist.append(entry)
+        if entry.kind == MEMBERS:
+            self._configurations.append((entry.index, decode_members(entry.data)))
+
+    def truncate(self, index: int) -> None:
+        """Drop entries from ``index`` on; the next append overwrites them."""
+        self.log.truncate(index)
+        self.durable = min(self.durable, index - 1)
+        self._unsynced = [(t, min(last, index - 1)) for t, last in self._unsynced]
+        self._configurations = [c for c in self._configurations if c[0] < index]
+
+    def reset_log(self, meta: SnapshotMeta) -> None:
+        """Replace the log by the snapshot ``meta``, which is durable."""
+        self.log.reset(meta.index, meta.term)
+        self.persist.append(LogReset(meta.index, meta.term))
+        self.durable = meta.index
+        self._unsynced = [(token, meta.index) for token, _ in self._unsynced]
+        self._configurations = [(meta.index, meta.members)]
+
+    def trim(self, meta: SnapshotMeta, retained: int) -> None:
+        """Drop entries that the snapshot covers, except the newest ``retained``."""
+        self.snapshot = meta
+        self.log.compact(min(meta.index - retained, self.durable))
+        older = [c for c in self._configurations if c[0] <= meta.index]
+        newer = [c for c in self._configurations if c[0] > meta.index]
+        self._configurations = older[-1:] + newer
+
+    def mark_synced(self, token: int) -> bool:
+        """Note what became durable; return whether the durable index rose."""
+        self._synced = max(self._synced, token)
+        before = self.durable
+        while self._unsynced and self._unsynced[0][0] <= token:
+            self.durable = max(self.durable, self._unsynced.pop(0)[1])
+        released = [item for item in self._held if item[0] <= token]
+        self._held = [item for item in self._held if item[0] > token]
+        for _, term, receiver, message in released:
+            if term == self.term:
+                self.messages.append((receiver, message))
+        return self.durable > before
+
+    def send(self, receiver: str, message: Any) -> None:
+        """Send a message, after the current term and vote are durable."""
+        if self._hard_token > self._synced:
+            self._held.append((self._hard_token, self.term, receiver, message))
+        else:
+            self.messages.append((receiver, message))
+
+    # Roles and commitment.
+
+    def reset_election_timer(self, now: float) -> None:
+        """Choose the time at which an election starts if no leader is heard."""
+        timeout = self.timing.election_s
+        self.election_deadline = now + self.random.uniform(timeout, 2 * timeout)
+
+    def become_follower(self, term: int, leader: str, now: float) -> None:
+        """Follow ``leader`` (empty if unknown) in ``term``."""
+        if self.role == LEADER:
+            self._drop_reads()
+        if term > self.term:
+            self.save_hard_state(term, "")
+        self.role = FOLLOWER
+        self.leader = leader
+        self.votes = set()
+        self.progress = {}
+        self.transfer_target = ""
+        self.reset_election_timer(now)
+
+    def follow(self, term: int, leader: str, now: float) -> None:
+        """Note a message from the leader of ``term``."""
+        self.become_follower(term, leader, now)
+        self.leader_contact = now
+
+    def _drop_reads(self) -> None:
+        for _, _, reader, token in self.pending_reads:
+            if not reader:
+                self.reads.append((token, -1))
+        for reader, token in self.waiting_reads:
+            if not reader:
+                self.reads.append((token, -1))
+        self.pending_reads = []
+        self.waiting_reads = []
+
+    def leads_with_commit(self) -> bool:
+        """Return whether this member leads and has committed in its own term.
+
+        Only then does its commit index cover everything that earlier leaders
+        committed, which reads and changes of members rely on.
+        """
+        return self.role == LEADER and self.log.term_at(self.commit) == self.term
+
+    def advance_commit(self, index: int) -> None:
+        """Commit up to ``index`` and hand the entries over."""
+        if index <= self.commit:
+            return
+        self.commit = index
+        self.committed.extend(self.log.between(self.delivered + 1, index))
+        self.delivered = index
--- /dev/null
+++ b/src/jasminewharf/decisions/memberchanges.py
@@ -0,0 +1,87 @@
+"""Changes of a group's members, one at a time."""
+
+from ..defaults import LOG_LEARNER_GAP_ENTRIES
+from ..messages.log import MemberRecord
+from .group import LEADER, GroupState, Progress, encode_members
+from .records import MEMBERS, ChangeMembers, Entry
+from .replication import broadcast
+
+__all__ = ["change_members", "leave_if_removed", "promote_learners"]
+
+
+def change_members(state: GroupState, change: ChangeMembers, now: float) -> None:
+    """Append a configuration that differs by one member, or refuse."""
+    if not _can_change(state):
+        state.refused.append(change.token)
+        return
+    members = _changed(state.members, change)
+    if not any(member.voter for member in members):
+        state.refused.append(change.token)
+        return
+    if members != state.members:
+        _append_members(state, members, now)
+    state.accepted.append((change.token, state.members_index, state.term))
+
+
+def _can_change(state: GroupState) -> bool:
+    # Two changes in flight could lead to two disjoint quorums, and so could a
+    # change before the first commit of the term.
+    return (
+        state.leads_with_commit()
+        and state.commit >= state.members_index
+        and not state.transfer_target
+    )
+
+
+def _changed(
+    members: tuple[MemberRecord, ...], change: ChangeMembers
+) -> tuple[MemberRecord, ...]:
+    if change.member is None:
+        return tuple(m for m in members if m.identity != change.identity)
+    if any(m.identity == change.member.identity for m in members):
+        return members
+    return (*members, change.member._replace(voter=False))
+
+
+def _append_members(
+    state: GroupState, members: tuple[MemberRecord, ...], now: float
+) -> None:
+    index = state.log.last_index + 1
+    state.append(Entry(index, state.term, MEMBERS, encode_members(members)))
+    peers = state.peers()
+    for peer in peers:
+        if peer not in state.progress:
+            state.progress[peer] = Progress(index, now)
+    for peer in list(state.progress):
+        if peer not in peers:
+            del state.progress[peer]
+    broadcast(state)
+
+
+def promote_learners(state: GroupState, now: float) -> None:
+    """Make one learner a voter that has caught up and is alive."""
+    if all(member.voter for member in state.members) or not _can_change(state):
+        return
+    for member in state.members:
+        if not member.voter and _has_caught_up(state, member.identity, now):
+            promoted = member._replace(voter=True)
+            members = tuple(promoted if m == member else m for m in state.members)
+            _append_members(state, members, now)
+            return
+
+
+def _has_caught_up(state: GroupState, identity: str, now: float) -> bool:
+    progress = state.progress.get(identity)
+    if progress is None or progress.probing:
+        return False
+    gap = state.log.last_index - progress.match
+    alive = now - progress.heard < state.timing.election_s
+    return alive and gap <= LOG_LEARNER_GAP_ENTRIES
+
+
+def leave_if_removed(state: GroupState, now: float) -> None:
+    """Step down when the configuration without this member is committed."""
+    if state.role != LEADER or state.commit < state.members_index:
+        return
+    if not state.is_voter():
+        state.become_follower(state.term, "", now)
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -29,6 +29,7 @@
     "LinkError",
     "LinkTimeout",
     "MalformedMessage",
+    "MemberChangeRefused",
     "MemoryOvercommit",
     "MissingService",
     "ModelUnavailable",
@@ -152,7 +153,7 @@
 
 
 class NotLeader(ConsensusError):
-    """This control host does not lead the group.
+    """This control host does not lead the group; the command is not committed.
 
     Attributes:
         group: The log group's name.
@@ -166,13 +167,20 @@
 
 
 class QuorumLost(ConsensusError):
-    """No quorum of control hosts answered in time."""
+    """No quorum of control hosts answered in time.
+
+    A proposed command may still be committed later: its outcome is unknown.
+    """
 
 
 class ProposalRejected(ConsensusError):
     """The state machine refused a command."""
 
 
+class MemberChangeRefused(ConsensusError):
+    """A change of members is in progress, or the member cannot be reached."""
+
+
 class LinkError(JasminewharfError):
     """An internal link failed."""
 
--- a/src/jasminewharf/messages/__init__.py
+++ b/src/jasminewharf/messages/__init__.py
@@ -1,6 +1,6 @@
 """Typed messages between the processes."""
 
-from . import calls, commands, control, feed, link
+from . import calls, commands, control, feed, link, log
 from .codec import MESSAGE_TYPES, decode, encode, message, message_code
 
 __all__ = [
@@ -12,6 +12,7 @@
     "encode",
     "feed",
     "link",
+    "log",
     "message",
     "message_code",
 ]
--- /dev/null
+++ b/src/jasminewharf/services/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets, timers and files."""
--- /dev/null
+++ b/src/jasminewharf/services/loggroup.py
@@ -0,0 +1,379 @@
+"""Runs one log group on one control host: files, decisions and waiting callers."""
+
+import asyncio
+import heapq
+import logging
+from collections.abc import Callable
+from concurrent.futures import Executor
+from typing import Any, Protocol
+
+from .. import events
+from ..decisions import records
+from ..decisions.consensus import Consensus
+from ..decisions.snapshots import chunk_length
+from ..defaults import (
+    LOG_PENDING_LIMIT_COMMANDS,
+    LOG_PROPOSE_TIMEOUT_S,
+    LOG_READ_TIMEOUT_S,
+)
+from ..exceptions import (
+    CorruptLog,
+    MemberChangeRefused,
+    NotLeader,
+    ProposalRejected,
+    QuorumLost,
+    StorageError,
+    StorageFull,
+)
+from ..messages.log import MemberRecord
+from .logwriter import LogWriter
+from .storage import GroupStorage
+from .waiters import Waiters
+
+__all__ = ["GroupRunner", "Machine"]
+
+_logger = logging.getLogger(__name__)
+
+
+class Machine(Protocol):
+    """A deterministic state machine that a group's commands are applied to."""
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a committed command and return its result.
+
+        Raises:
+            ProposalRejected: If the command is refused; the state is unchanged.
+        """
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, state: bytes) -> None:
+        """Replace the whole state."""
+
+
+class GroupRunner:
+    """One group on one host.
+
+    Args:
+        group: The group's name.
+        consensus: The group's decisions.
+        storage: The group's opened storage.
+        snapshot_entries: Number of entries after which a snapshot is taken.
+        send: Sends a message to a member.
+        executor: Runs blocking file operations.
+        first_token: A random number from which proposals and reads are counted, so
+            that answers to an earlier life of the process match none of them.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        consensus: Consensus,
+        storage: GroupStorage,
+        snapshot_entries: int,
+        send: Callable[[str, Any], None],
+        executor: Executor,
+        first_token: int,
+    ) -> None:
+        self.group = group
+        self.consensus = consensus
+        self.applied = 0
+        self._storage = storage
+        self._snapshot_entries = snapshot_entries
+        self._send = send
+        self._loop = asyncio.get_running_loop()
+        self._writer = LogWriter(group, storage, executor, self._note_synced)
+        self._proposals = Waiters(group, LOG_PROPOSE_TIMEOUT_S, first_token)
+        self._reads = Waiters(group, LOG_READ_TIMEOUT_S, first_token)
+        self._machine: Machine | None = None
+        self._subscribers: list[
+            tuple[Callable[[int, bytes], None], Callable[[int], None] | None]
+        ] = []
+        self._new_commands: list[tuple[int, bytes]] = []
+        self._new_reads: list[int] = []
+        self._flush_scheduled = False
+        self._at_index: dict[int, tuple[int, int]] = {}
+        self._confirmed_reads: list[tuple[int, int]] = []
+        self._saving = False
+        self._known_leader = ""
+
+    # Requests of other services.
+
+    def set_machine(self, machine: Machine) -> None:
+        """Restore ``machine`` and apply to it what is committed."""
+        self._machine = machine
+        snapshot = self._storage.snapshots.newest
+        if snapshot is not None:
+            machine.restore(self._storage.snapshots.read_state())
+            self.applied = snapshot.index
+        self._apply_committed()
+
+    def subscribe(
+        self,
+        callback: Callable[[int, bytes], None],
+        on_restore: Callable[[int], None] | None,
+    ) -> None:
+        """Call ``callback`` with every command that is applied from now on."""
+        self._subscribers.append((callback, on_restore))
+
+    def propose(self, command: bytes) -> asyncio.Future[tuple[int, bytes]]:
+        """Queue a command; the future ends with its index and result.
+
+        Raises:
+            NotLeader: If this member does not lead.
+            StorageFull: If the disk is full.
+            ProposalRejected: If too many commands are in flight.
+        """
+        if not self.consensus.is_leader:
+            raise NotLeader(self.group, self.consensus.leader)
+        if self._writer.full:
+            raise StorageFull(f"the disk of group {self.group} is full")
+        if len(self._proposals) >= LOG_PENDING_LIMIT_COMMANDS:
+            raise ProposalRejected(f"too many commands in flight in {self.group}")
+        token, future = self._proposals.add()
+        self._new_commands.append((token, command))
+        self._schedule_flush()
+        return future
+
+    def read(self) -> asyncio.Future[int]:
+        """Start a quorum-confirmed read; the future ends with its index."""
+        token, future = self._reads.add()
+        self._new_reads.append(token)
+        self._schedule_flush()
+        return future
+
+    def change_members(
+        self, member: MemberRecord | None, identity: str
+    ) -> asyncio.Future[tuple[int, bytes]]:
+        """Add ``member`` as a learner, or remove ``identity``.
+
+        Raises:
+            NotLeader: If this member does not lead.
+        """
+        if not self.consensus.is_leader:
+            raise NotLeader(self.group, self.consensus.leader)
+        token, future = self._proposals.add()
+        self.submit(records.ChangeMembers(token, member, identity))
+        return future
+
+    def _schedule_flush(self) -> None:
+        # Everything that is asked for in one turn of the event loop is one step.
+        if not self._flush_scheduled:
+            self._flush_scheduled = True
+            self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flush_scheduled = False
+        if self._new_commands:
+            commands, self._new_commands = self._new_commands, []
+            self.submit(records.Propose(commands))
+        if self._new_reads:
+            reads, self._new_reads = self._new_reads, []
+            self.submit(records.Read(reads))
+
+    # Running.
+
+    async def run(self) -> None:
+        """Write to the files until cancelled; raises :class:`StorageError`."""
+        await self._writer.run()
+
+    def tick(self) -> None:
+        """Let time pass and give up on callers whose time is over."""
+        self.submit(records.Tick())
+        now = self._loop.time()
+        self._proposals.expire(now)
+        self._reads.expire(now)
+
+    def stop(self) -> None:
+        """Fail the waiting callers and close the files."""
+        error = QuorumLost(f"the log group {self.group} is stopping")
+        self._proposals.fail_all(error)
+        self._reads.fail_all(error)
+        self._storage.close()
+
+    # Steps and their effects.
+
+    def submit(self, event: Any) -> None:
+        """Step with an event and carry out the effects."""
+        effects = self.consensus.step(event, self._loop.time())
+        if effects.persist:
+            self._writer.add_records(effects.persist, effects.sync_token)
+        for receiver, message in effects.messages:
+            self._send(receiver, message)
+        for receiver, chunk in effects.chunk_reads:
+            self._send_chunk(receiver, chunk)
+        for chunk in effects.chunk_writes:
+            self._writer.add_job(lambda chunk=chunk: self._store_chunk(chunk))
+        if effects.install is not None:
+            meta = effects.install
+            self._writer.add_job(lambda: self._install(meta))
+        self._note_outcomes(effects)
+        if effects.committed:
+            self._apply_committed()
+        self._note_leader()
+
+    def _note_synced(self, token: int) -> None:
+        self.submit(records.Synced(token))
+
+    def _send_chunk(self, receiver: str, chunk: Any) -> None:
+        try:
+            data = self._storage.snapshots.read_chunk(
+                chunk.index, chunk.offset, chunk_length(chunk)
+            )
+        except StorageError:
+            # A newer snapshot has replaced this one; the next heartbeat starts it.
+            return
+        self._send(receiver, chunk._replace(data=data))
+
+    def _note_outcomes(self, effects: records.Effects) -> None:
+        for token, index, term in effects.accepted:
+            if index <= self.applied:
+                self._proposals.finish(token, (index, b""))
+            else:
+                self._at_index[index] = (term, token)
+        for token in effects.refused:
+            self._proposals.fail(token, self._refusal())
+        for token, index in effects.reads:
+            if index < 0:
+                self._reads.fail(token, NotLeader(self.group, self.consensus.leader))
+            else:
+                heapq.heappush(self._confirmed_reads, (index, token))
+        self._finish_reads()
+
+    def _refusal(self) -> Exception:
+        if self.consensus.is_leader:
+            return MemberChangeRefused(f"{self.group}: a change is in progress")
+        return NotLeader(self.group, self.consensus.leader)
+
+    def _finish_reads(self) -> None:
+        reads = self._confirmed_reads
+        while reads and reads[0][0] <= self.applied:
+            index, token = heapq.heappop(reads)
+            self._reads.finish(token, index)
+
+    def _note_leader(self) -> None:
+        leader = self.consensus.leader
+        if leader != self._known_leader:
+            self._known_leader = leader
+            events.emit(
+                _logger,
+                events.LEADER_CHANGED,
+                group=self.group,
+                leader=leader,
+                term=self.consensus.term,
+            )
+
+    # Applying.
+
+    def _apply_committed(self) -> None:
+        if self._machine is None:
+            return
+        first, last = self.applied + 1, self.consensus.commit_index
+        for entry in self.consensus.entries_between(first, last):
+            self._apply_entry(entry)
+        self._finish_reads()
+        self._save_snapshot_if_due()
+
+    def _apply_entry(self, entry: records.Entry) -> None:
+        result = b""
+        error: Exception | None = None
+        if entry.kind == records.COMMAND:
+            try:
+                result = self._machine.apply(entry.index, entry.data)
+            except ProposalRejected as rejection:
+                error = rejection
+        self.applied = entry.index
+        self._tell_proposer(entry, result, error)
+        if entry.kind == records.COMMAND and error is None:
+            for callback, _ in self._subscribers:
+                callback(entry.index, entry.data)
+
+    def _tell_proposer(
+        self, entry: records.Entry, result: bytes, error: Exception | None
+    ) -> None:
+        proposed = self._at_index.pop(entry.index, None)
+        if proposed is None:
+            return
+        term, token = proposed
+        if term != entry.term:
+            # Another leader's entry took the place, so this one never commits.
+            error = NotLeader(self.group, self.consensus.leader)
+        if error is not None:
+            self._proposals.fail(token, error)
+        else:
+            self._proposals.finish(token, (entry.index, result))
+
+    # Snapshots.
+
+    def _save_snapshot_if_due(self) -> None:
+        newest = self._storage.snapshots.newest
+        covered = newest.index if newest else 0
+        due = self.applied - covered >= self._snapshot_entries
+        if not due or self._saving or self._writer.full:
+            return
+        if self.consensus.is_transferring(self._loop.time()):
+            return
+        self._saving = True
+        index = self.applied
+        term = self.consensus.term_at(index)
+        members = self.consensus.members_at(index)
+        state = self._machine.snapshot()
+        self._writer.add_job(lambda: self._save_snapshot(index, term, members, state))
+
+    async def _save_snapshot(
+        self, index: int, term: int, members: tuple[MemberRecord, ...], state: bytes
+    ) -> None:
+        snapshots = self._storage.snapshots
+        try:
+            meta = await self._writer.call(snapshots.save, index, term, members, state)
+        except StorageFull as error:
+            events.emit(_logger, events.DISK_FULL, group=self.group, error=error)
+            return
+        finally:
+            self._saving = False
+        self.submit(records.Compacted(meta))
+        events.emit(
+            _logger,
+            events.SNAPSHOT_SAVED,
+            group=self.group,
+            index=index,
+            size=meta.size,
+        )
+        await self._writer.call(self._storage.drop_before, self.consensus.base_index)
+
+    async def _store_chunk(self, chunk: Any) -> None:
+        write = self._storage.snapshots.write_chunk
+        try:
+            await self._writer.call(write, chunk.offset, chunk.data)
+        except StorageFull as error:
+            self._refuse_snapshot(error)
+
+    async def _install(self, meta: records.SnapshotMeta) -> None:
+        try:
+            state = await self._writer.call(self._storage.snapshots.install, meta)
+        except (CorruptLog, StorageFull) as error:
+            self._refuse_snapshot(error)
+            return
+        if self._machine is not None:
+            self._machine.restore(state)
+            self.applied = meta.index
+        self._forget_covered(meta.index)
+        self.submit(records.SnapshotInstalled(meta))
+        events.emit(
+            _logger, events.SNAPSHOT_RECEIVED, group=self.group, index=meta.index
+        )
+        for _, on_restore in self._subscribers:
+            if on_restore is not None:
+                on_restore(meta.index)
+        self._finish_reads()
+
+    def _refuse_snapshot(self, error: Exception) -> None:
+        events.emit(_logger, events.SNAPSHOT_REFUSED, group=self.group, error=error)
+        self.submit(records.SnapshotFailed())
+
+    def _forget_covered(self, index: int) -> None:
+        for at in [at for at in self._at_index if at <= index]:
+            _, token = self._at_index.pop(at)
+            text = f"{self.group}: the outcome is covered by a snapshot"
+            self._proposals.fail(token, QuorumLost(text))
