--- a/src/jasminewharf/interfaces/roles.py
+++ b/src/jasminewharf/interfaces/roles.py
@@ -44,9 +44,7 @@
     return kernel
 
 
-def _register_all(
-    kernel: Kernel, kinds: tuple[ServiceBuilder, ...]
-) -> None:
+def _register_all(kernel: Kernel, kinds: tuple[ServiceBuilder, ...]) -> None:
     for kind in kinds:
         kernel.register(kind(kernel))
 
--- a/src/jasminewharf/messages/__init__.py
+++ b/src/jasminewharf/messages/__init__.py
@@ -1,6 +1,6 @@
 """Typed messages between the processes."""
 
-from . import accounts, calls, claims, commands, control, feed, link
+from . import accounts, calls, claims, commands, control, feed, link, log
 from .codec import MESSAGE_TYPES, decode, encode, message, message_code
 
 __all__ = [
@@ -14,6 +14,7 @@
     "encode",
     "feed",
     "link",
+    "log",
     "message",
     "message_code",
 ]
