--- a/src/jasminewharf/services/feed.py
+++ b/src/jasminewharf/services/feed.py
@@ -129,7 +129,9 @@
     def _rank_hosts(self, names: list[str]) -> list[str]:
         """Order the control hosts by a hash, so that nodes spread over them."""
         node = self.kernel.settings.node
-        return sorted(names, key=lambda name: xxhash.xxh64_intdigest(f"{node}/{name}"))
+        return sorted(
+            names, key=lambda name: xxhash.xxh64_intdigest(f"{node}/{name}".encode())
+        )
 
     def _move_source(self, failures: int) -> None:
         if not self.source or failures < defaults.FEED_FAILURES_BEFORE_MOVE:
--- a/src/jasminewharf/services/link.py
+++ b/src/jasminewharf/services/link.py
@@ -311,7 +311,7 @@
     ) -> None:
         self._identity = identity
         self.address = address
-        self._handlers = handlers or {}
+        self._handlers = {} if handlers is None else handlers
         self._numbers = itertools.count(1)
         self._pending: dict[bytes, asyncio.Future[Any]] = {}
         self.welcome: Welcome | None = None
