--- a/src/jasminewharf/decisions/fleet.py
+++ b/src/jasminewharf/decisions/fleet.py
@@ -63,7 +63,7 @@
     version: int
     documents: list[DocumentRecord]
     keys: list[KeyRecord]
-    draining: list[str]
+    draining: dict[str, tuple[str, ...]]
     replicas: list[Replica]
     verdicts: list[tuple[str, CommandResult]]
 
@@ -89,7 +89,7 @@
         version: Log index of the last command applied.
         documents: Document records by service.
         keys: Key records by key identifier.
-        draining: Hosts that the operator has marked as leaving.
+        draining: Leaving hosts, with who says so: operator, platform or both.
         replicas: Replicas by number; those that are gone are left out.
     """
 
@@ -97,7 +97,7 @@
         self.version = 0
         self.documents: dict[str, DocumentRecord] = {}
         self.keys: dict[str, KeyRecord] = {}
-        self.draining: set[str] = set()
+        self.draining: dict[str, tuple[str, ...]] = {}
         self.replicas: dict[int, Replica] = {}
         self._verdicts: OrderedDict[str, CommandResult] = OrderedDict()
         self._parsed: dict[str, Document] = {}
@@ -166,16 +166,22 @@
 
     @_applies(SetDraining)
     def _set_draining(self, index: int, command: SetDraining) -> CommandResult:
+        sources = set(self.draining.get(command.host, ()))
         if command.draining:
-            self.draining.add(command.host)
+            sources.add(command.source)
         else:
-            self.draining.discard(command.host)
-        return CommandResult("", "draining" if command.draining else "live", index)
+            sources.discard(command.source)
+        if sources:
+            self.draining[command.host] = tuple(sorted(sources))
+        else:
+            self.draining.pop(command.host, None)
+        return CommandResult("", "draining" if sources else "live", index)
 
     @_applies(DecideReplica)
     def _decide_replica(self, index: int, command: DecideReplica) -> CommandResult:
         for replica in self.replicas.values():
-            if (replica.backend, replica.model) == (command.backend, command.model):
+            place = (replica.host, replica.backend, replica.model)
+            if place == (command.host, command.backend, command.model):
                 return CommandResult(
                     "ProposalRejected", "already decided there", replica.number
                 )
@@ -217,6 +223,16 @@
                 name = offer.adapter.name if offer.adapter else offer.model.name
                 self._offers.setdefault(name, []).append(offer)
 
+    def loaded_backends(self, service: str, model: str) -> set[tuple[str, str]]:
+        """Return pairs of host and backend server on which a model is loaded."""
+        return {
+            (replica.host, replica.backend)
+            for replica in self.replicas.values()
+            if replica.model == model
+            and replica.service == service
+            and replica.phase == "loaded"
+        }
+
     def document(self, service: str) -> Document | None:
         """Return the current document of ``service``."""
         return self._parsed.get(service)
@@ -252,7 +268,7 @@
                 self.version,
                 list(self.documents.values()),
                 list(self.keys.values()),
-                sorted(self.draining),
+                dict(sorted(self.draining.items())),
                 list(self.replicas.values()),
                 list(self._verdicts.items()),
             )
@@ -264,7 +280,7 @@
         self.version = snapshot.version
         self.documents = {record.service: record for record in snapshot.documents}
         self.keys = {record.key_id: record for record in snapshot.keys}
-        self.draining = set(snapshot.draining)
+        self.draining = snapshot.draining
         self.replicas = {replica.number: replica for replica in snapshot.replicas}
         self._verdicts = OrderedDict(snapshot.verdicts)
         self._parsed = {
--- /dev/null
+++ b/src/jasminewharf/decisions/hostlist.py
@@ -0,0 +1,40 @@
+"""What the platform's host list changes.
+
+The list lags and may be wrong, so it is one input among others: it can mark a host
+as leaving, and take back only a mark that it has set itself. A host that is missing
+from the list is left alone.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from ..messages.commands import SetDraining
+from ..platforms import ListedHost
+
+__all__ = ["compare_host_list"]
+
+PLATFORM = "platform"
+_LEAVING = "leaving"
+
+
+def compare_host_list(
+    listed: Iterable[ListedHost],
+    draining: Mapping[str, tuple[str, ...]],
+    known: set[str],
+    submission_id: str,
+) -> list[SetDraining]:
+    """Return the commands that the list calls for.
+
+    Args:
+        listed: The platform's hosts.
+        draining: The marks in force, by host.
+        known: Hosts that agents have reported from; others are of no concern.
+        submission_id: A new identifier for these commands.
+    """
+    commands = []
+    for item in listed:
+        leaving = item.state == _LEAVING
+        marked = PLATFORM in draining.get(item.host, ())
+        if leaving != marked and item.host in known:
+            identifier = f"{submission_id}-{item.host}"
+            commands.append(SetDraining(identifier, item.host, leaving, PLATFORM))
+    return commands
--- /dev/null
+++ b/src/jasminewharf/decisions/membership.py
@@ -0,0 +1,133 @@
+"""Which nodes are alive, judged from their reports.
+
+A node's life is named by its incarnation. Incarnations are random and have no
+order, so a life that was replaced is remembered and its late reports are dropped.
+A node is suspected after a time without reports and believed again only after
+some reports in a row, so that a flapping node is not used. A host is lost after a
+longer time; what it had loaded then no longer counts.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from .. import defaults
+from ..messages.feed import NodeReport
+from .health import Suspicion
+
+__all__ = ["LIVE", "LOST", "SUSPECTED", "Membership", "MembershipLimits"]
+
+LIVE = "live"
+SUSPECTED = "suspected"
+LOST = "lost"
+
+
+class MembershipLimits(NamedTuple):
+    """Seconds without a report after which a node is suspected, and lost."""
+
+    suspect_s: float = defaults.SUSPECT_AFTER_S
+    lost_s: float = defaults.LOST_AFTER_S
+
+
+class _Member:
+    def __init__(self, report: NodeReport, at: float) -> None:
+        self.report = report
+        self.heard_at = at
+        self.retired: deque[int] = deque(maxlen=defaults.RETIRED_INCARNATIONS)
+
+
+class Membership:
+    """The newest report of each node and what is believed of it.
+
+    Args:
+        limits: Times after which a node is suspected and lost.
+        started_at: When this observer began; nobody is lost before it has
+            listened long enough.
+    """
+
+    def __init__(self, limits: MembershipLimits, started_at: float) -> None:
+        self._limits = limits
+        self._started_at = started_at
+        self._members: dict[str, _Member] = {}
+        self._suspicion = Suspicion(limits.suspect_s)
+
+    def hear(self, report: NodeReport, at: float) -> bool:
+        """Take a report made at ``at``; return whether it is news.
+
+        Reports of a replaced life, and older reports of the same life, are not.
+        """
+        member = self._members.get(report.node)
+        if member is None:
+            self._members[report.node] = _Member(report, at)
+            self._suspicion.hear(report.node, at)
+            return True
+        if report.incarnation in member.retired:
+            return False
+        if report.incarnation == member.report.incarnation:
+            if report.sequence <= member.report.sequence:
+                return False
+        else:
+            member.retired.append(member.report.incarnation)
+        member.report = report
+        member.heard_at = max(member.heard_at, at)
+        self._suspicion.hear(report.node, member.heard_at)
+        return True
+
+    def state(self, node: str, now: float) -> str:
+        """Return ``LIVE``, ``SUSPECTED`` or ``LOST``; an unknown node is lost."""
+        member = self._members.get(node)
+        if member is None:
+            return LOST
+        silent_s = now - member.heard_at
+        listening_s = now - self._started_at
+        if silent_s > self._limits.lost_s and listening_s > self._limits.lost_s:
+            return LOST
+        return SUSPECTED if self._suspicion.is_suspected(node, now) else LIVE
+
+    def report(self, node: str) -> NodeReport | None:
+        """Return the newest report of a node."""
+        member = self._members.get(node)
+        return member.report if member else None
+
+    def age_s(self, node: str, now: float) -> float:
+        """Return the age of a known node's newest report in seconds."""
+        return now - self._members[node].heard_at
+
+    def nodes(self) -> Iterator[str]:
+        """Yield the names of all nodes ever heard of and not forgotten."""
+        yield from self._members
+
+    def live(self, now: float) -> dict[str, NodeReport]:
+        """Return the newest reports of all live nodes."""
+        return {
+            node: member.report
+            for node, member in self._members.items()
+            if self.state(node, now) == LIVE
+        }
+
+    def find_lost_hosts(self, hosts: set[str], now: float) -> set[str]:
+        """Return those of ``hosts`` that no agent has reported from for too long."""
+        if now - self._started_at <= self._limits.lost_s:
+            return set()
+        heard = {
+            member.report.host
+            for node, member in self._members.items()
+            if member.report.role == "agent" and self.state(node, now) != LOST
+        }
+        return hosts - heard
+
+    def forget_lost(self, now: float) -> list[str]:
+        """Forget nodes that have long been lost; return their names."""
+        horizon = now - defaults.FORGET_AFTER_S
+        old = [n for n, member in self._members.items() if member.heard_at < horizon]
+        for node in old:
+            del self._members[node]
+            self._suspicion.forget(node)
+        return old
+
+    def is_life_over(self, incarnation: int, now: float) -> bool:
+        """Return whether a process life is known to have ended or to be cut off."""
+        for node, member in self._members.items():
+            if member.report.incarnation == incarnation:
+                return self.state(node, now) != LIVE
+        return now - self._started_at > self._limits.lost_s
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -116,7 +116,13 @@
 FEED_FAILURES_BEFORE_MOVE = 2
 # Largest relative error assumed between the clocks of two hosts.
 CLOCK_DRIFT_BOUND = 0.001
+HOST_LIST_INTERVAL_S = 0.5
 CONTROL_RETRY_S = 0.05
+SUSPECT_AFTER_S = 5.0
+LOST_AFTER_S = 30.0
+FORGET_AFTER_S = 3600.0
+# Lives of a node whose late reports are recognised.
+RETIRED_INCARNATIONS = 16
 # A node further behind than this many commands is sent a snapshot.
 FEED_CHANGES_LIMIT = 1_000
 DIGEST_INTERVAL_S = 0.1
@@ -193,7 +199,13 @@
 DEFAULT_DEADLINE_MS = 30_000
 # An agent ends a call at its deadline; the entry waits this much longer for word.
 DEADLINE_GRACE_S = 0.5
-FORWARD_ATTEMPTS = 3
+# A call whose link is lost waits this long for the same agent life to come back.
+RESUME_WINDOW_S = 3.0
+# An agent keeps a finished answer this long for an entry that missed its end.
+REPLAY_KEPT_S = 10.0
+ESTIMATE_INTERVAL_S = 0.1
+ESTIMATE_KEPT_S = 5.0
+CACHE_FEED_INTERVAL_S = 0.5
 FORWARD_RETRY_S = 0.02
 # An entry reports the age of a model's last call for this long.
 DEMAND_MEMORY_S = 60.0
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -90,6 +90,8 @@
 CLAIM_NOT_RELEASED = _define(422, logging.WARNING, "claim of an order not released")
 CLAIMS_FULL = _define(423, logging.ERROR, "claim refused: partition is full")
 
+HOST_LIST_UNREADABLE = _define(405, logging.WARNING, "host list unreadable")
+
 # Callers: 500 to 599.
 REQUEST_FINISHED = _define(500, logging.INFO, "request finished")
 REQUEST_REFUSED = _define(501, logging.INFO, "request refused")
--- a/src/jasminewharf/interfaces/plans.py
+++ b/src/jasminewharf/interfaces/plans.py
@@ -6,7 +6,9 @@
 
 from .. import defaults
 from ..decisions.fleet import FleetState
-from ..documents import Access, Document, Route
+from ..decisions.prefixes import hash_prefixes
+from ..dialects.openai import read_prompt
+from ..documents import Access, Adapter, Document, Route
 from ..exceptions import BadRequest, Forbidden, NotFound
 from ..services.router import CallPlan
 from .http import Request
@@ -168,10 +170,18 @@
         idempotent=request.header("idempotency-key") is None,
         stream=is_stream,
         traceparent=traceparent,
+        prefix_hashes=_hash_prompt(body, model.name, offer.adapter),
     )
     return plan, access
 
 
+def _hash_prompt(
+    body: dict[str, Any], model: str, adapter: Adapter | None
+) -> tuple[int, ...]:
+    scope = f"{model}/{adapter.name if adapter else ''}"
+    return tuple(hash_prefixes(scope, read_prompt(body)))
+
+
 def _prepare_body(raw: bytes, body: dict[str, Any], caller: Caller) -> bytes:
     """Ask the engine for its token count at a stream's end, and keep the key out.
 
--- a/src/jasminewharf/interfaces/roles.py
+++ b/src/jasminewharf/interfaces/roles.py
@@ -7,13 +7,16 @@
 from ..services.accounts import ACCOUNTS_GROUP, AccountHolder
 from ..services.adapterloads import AdapterLoads
 from ..services.adapterslots import AdapterSlotOwner
+from ..services.agents import Agents
 from ..services.backends import Backends
+from ..services.cachefeed import CacheFeedReader
 from ..services.claims import OrderClaims, claims_group
 from ..services.control import FLEET_GROUP, ControlServer
 from ..services.controllers import Controllers
 from ..services.feed import Feed
 from ..services.fleet import Fleet
 from ..services.gathering import Gathering
+from ..services.hostlist import HostList
 from ..services.loader import Loader
 from ..services.log import LogService, LogSettings
 from ..services.planner import PlannerService
@@ -104,6 +107,7 @@
             Reporter,
             build_account_holder,
             build_order_claims,
+            Agents,
             Router,
             Callers,
         ),
@@ -124,6 +128,7 @@
             AdapterLoads,
             Backends,
             Loader,
+            CacheFeedReader,
         ),
     )
 
@@ -142,6 +147,7 @@
             Publisher,
             Gathering,
             PlannerService,
+            HostList,
             AdapterSlotOwner,
             build_account_owner,
             build_claim_keeper,
--- a/src/jasminewharf/messages/calls.py
+++ b/src/jasminewharf/messages/calls.py
@@ -8,6 +8,7 @@
     "AnswerChunk",
     "AnswerEnd",
     "AnswerHead",
+    "CacheEvents",
     "CallRefused",
     "CancelCall",
     "ForwardCall",
@@ -118,3 +119,14 @@
 
     request_id: str
     offset: int
+
+
+@message(27)
+class CacheEvents(NamedTuple):
+    """Cache events of an engine, late and with gaps.
+
+    Each is a sequence number, a kind and a block's hash.
+    """
+
+    backend: str
+    events: list[tuple[int, str, int]]
--- a/src/jasminewharf/messages/commands.py
+++ b/src/jasminewharf/messages/commands.py
@@ -52,11 +52,15 @@
 
 @message(43)
 class SetDraining(NamedTuple):
-    """Marks a host as leaving, or takes the mark back."""
+    """Marks a host as leaving, or takes the mark back.
+
+    ``source`` is operator or platform; a host is leaving while either says so.
+    """
 
     submission_id: str
     host: str
     draining: bool
+    source: str = "operator"
 
 
 @message(44)
--- a/src/jasminewharf/messages/feed.py
+++ b/src/jasminewharf/messages/feed.py
@@ -11,6 +11,7 @@
     "FeedChanges",
     "FeedSnapshot",
     "FreshnessConfirmed",
+    "LoadEstimate",
     "NodeReport",
     "ReplicaReport",
     "ReportDigest",
@@ -127,8 +128,22 @@
     demands: list[Demand]
 
 
+class LoadEstimate(NamedTuple):
+    """When a model is expected to serve, in milliseconds from the message."""
+
+    service: str
+    model: str
+    ready_ms: int
+
+
 @message(66)
 class ReportDigest(NamedTuple):
-    """The newest report of each node, with its age in milliseconds."""
+    """The newest report of each node, with its age in milliseconds.
+
+    ``estimates`` are for models that are wanted and not loaded. ``gone`` names
+    nodes that have been lost for so long that they are forgotten.
+    """
 
     reports: list[tuple[int, NodeReport]]
+    estimates: list[LoadEstimate] = []
+    gone: list[str] = []
--- /dev/null
+++ b/src/jasminewharf/services/agents.py
@@ -0,0 +1,260 @@
+"""An entry's links to the agents, and the calls in flight over them."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any, ClassVar, NamedTuple
+
+from .. import defaults, events, exceptions
+from ..exceptions import OutcomeUnknown, Overloaded, PeerUnavailable, Refusal
+from ..kernel import Kernel, Service
+from ..messages.calls import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    CacheEvents,
+    CallRefused,
+    CancelCall,
+    ForwardCall,
+    LoadState,
+    ResumeCall,
+)
+from ..messages.feed import NodeReport
+from ..messages.link import Welcome
+from .answers import CallInFlight, CallPlan
+from .link import LinkClient
+
+__all__ = ["Agents", "FreshLoad"]
+
+_logger = logging.getLogger(__name__)
+
+
+class FreshLoad(NamedTuple):
+    """A backend server's load as its agent last told this entry.
+
+    ``own`` are this entry's calls that the load covers; ``at`` is in seconds of
+    the event loop's clock.
+    """
+
+    load: LoadState
+    own: int
+    at: float
+
+
+class Agents(Service):
+    """Owns one link per agent.
+
+    Attributes:
+        loads: The last load of each backend server.
+        own: This entry's calls at each backend server.
+    """
+
+    name: ClassVar[str] = "agents"
+    requires: ClassVar[tuple[str, ...]] = ("process", "reports", "traces")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.loads: dict[str, FreshLoad] = {}
+        self.own: dict[str, int] = {}
+        self._links: dict[str, LinkClient] = {}
+        self._calls: dict[str, CallInFlight] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._cache_listeners: list[Callable[[CacheEvents], None]] = []
+        self._metrics = kernel.find("process").metrics
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when an agent is connected or reports."""
+        self._listeners.append(listener)
+
+    def listen_cache(self, listener: Callable[[CacheEvents], None]) -> None:
+        """Call ``listener`` with the cache events of engines."""
+        self._cache_listeners.append(listener)
+
+    async def start(self) -> None:
+        """Connect to each agent that is reported."""
+        self.kernel.find("reports").listen(self._follow_reports)
+        self._metrics.watch("agent_links", lambda: len(self._links))
+
+    async def stop(self) -> None:
+        """Close the links."""
+        await super().stop()
+        for link in self._links.values():
+            link.close()
+
+    def is_connected(self, node: str) -> bool:
+        """Return whether the agent can be sent a call."""
+        link = self._links.get(node)
+        return link is not None and link.is_connected
+
+    def forward(self, plan: CallPlan, node: str, backend: str) -> CallInFlight:
+        """Send a call to an agent.
+
+        Raises:
+            Overloaded: If nothing was sent.
+        """
+        link = self._links.get(node)
+        if link is None or link.welcome is None:
+            raise Overloaded("the agent is not reachable", retry_after_ms=200)
+        incarnation = link.welcome.incarnation
+        call = CallInFlight(
+            plan, node, incarnation, backend, lambda m: self._send_resume(node, m)
+        )
+        try:
+            link.send(_build_forward(plan, incarnation, backend))
+        except PeerUnavailable:
+            raise Overloaded("the agent is not reachable", retry_after_ms=200) from None
+        self._calls[plan.request_id] = call
+        self.own[backend] = self.own.get(backend, 0) + 1
+        return call
+
+    def finish(self, call: CallInFlight) -> None:
+        """Forget a call that has ended."""
+        if self._calls.pop(call.plan.request_id, None) is not None:
+            self.own[call.backend] -= 1
+
+    def cancel(self, call: CallInFlight, reason: str) -> None:
+        """Tell the agent that the answer is no longer wanted, and forget the call."""
+        if call.plan.request_id not in self._calls:
+            return
+        self.finish(call)
+        try:
+            self._links[call.agent].send(CancelCall(call.plan.request_id, reason))
+        except (KeyError, PeerUnavailable):
+            return
+
+    def _send_resume(self, node: str, message: ResumeCall) -> None:
+        try:
+            self._links[node].send(message)
+        except (KeyError, PeerUnavailable):
+            return
+
+    def _follow_reports(self) -> None:
+        digest = self.kernel.find("reports").digest
+        for report in digest.values():
+            if report.role == "agent" and report.address:
+                self._follow(report)
+        for node in [node for node in self._links if node not in digest]:
+            self._links.pop(node).close()
+        self._notify()
+
+    def _follow(self, report: NodeReport) -> None:
+        link = self._links.get(report.node)
+        if link is None or link.address != report.address:
+            if link is not None:
+                link.close()
+            self._links[report.node] = self._connect(report)
+
+    def _connect(self, report: NodeReport) -> LinkClient:
+        process = self.kernel.find("process")
+        link = LinkClient(
+            process.identity,
+            process.context,
+            report.address,
+            {
+                AnswerHead: self._take_head,
+                AnswerChunk: self._take_chunk,
+                AnswerEnd: self._take_end,
+                CallRefused: self._take_refusal,
+                CacheEvents: self._take_cache_events,
+            },
+        )
+        node = report.node
+        link.on_lost = lambda: self._lose(node)
+        link.on_welcome = lambda welcome: self._regain(node, welcome)
+        return link
+
+    def _lose(self, node: str) -> None:
+        for call in self._calls.values():
+            if call.agent == node:
+                call.lose_link()
+
+    def _regain(self, node: str, welcome: Welcome) -> None:
+        """Resume the calls of the same agent life; others cannot be completed."""
+        for call in list(self._calls.values()):
+            if call.agent != node or not call.is_lost:
+                continue
+            if call.incarnation == welcome.incarnation:
+                call.regain_link()
+            else:
+                call.fail(OutcomeUnknown("the agent restarted", not_run=False))
+        self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+    def _find(self, request_id: str) -> CallInFlight | None:
+        call = self._calls.get(request_id)
+        if call is None:
+            self._metrics.count("dropped_answers_total")
+            events.emit(_logger, events.ANSWER_DROPPED, request_id=request_id)
+        return call
+
+    def _note_load(self, call: CallInFlight, load: LoadState) -> None:
+        own = self.own.get(call.backend, 0)
+        self.loads[call.backend] = FreshLoad(
+            load, own, asyncio.get_running_loop().time()
+        )
+
+    def _take_head(self, head: AnswerHead) -> None:
+        call = self._find(head.request_id)
+        if call is not None:
+            self._note_load(call, head.load)
+            call.take_head(head)
+
+    def _take_chunk(self, chunk: AnswerChunk) -> None:
+        call = self._find(chunk.request_id)
+        if call is not None:
+            call.take_chunk(chunk)
+
+    def _take_end(self, end: AnswerEnd) -> None:
+        call = self._find(end.request_id)
+        if call is None:
+            return
+        for span in end.spans:
+            self.kernel.find("traces").sink.add(span)
+        self._note_load(call, end.load)
+        call.take_end(end)
+
+    def _take_refusal(self, refused: CallRefused) -> None:
+        call = self._find(refused.request_id)
+        if call is not None:
+            self._note_load(call, refused.load)
+            call.fail(_restore_refusal(refused))
+
+    def _take_cache_events(self, message: CacheEvents) -> None:
+        for listener in self._cache_listeners:
+            listener(message)
+
+
+def _build_forward(plan: CallPlan, incarnation: int, backend: str) -> ForwardCall:
+    left_s = plan.deadline - asyncio.get_running_loop().time()
+    return ForwardCall(
+        plan.request_id,
+        incarnation,
+        backend,
+        plan.workspace,
+        plan.model,
+        plan.adapter,
+        plan.method,
+        plan.target,
+        plan.headers,
+        plan.body,
+        max(int(left_s * defaults.MS_PER_S), 0),
+        plan.cost_tokens,
+        plan.priority,
+        plan.idempotent,
+        plan.stream,
+        plan.traceparent,
+    )
+
+
+def _restore_refusal(refused: CallRefused) -> Refusal:
+    kind: Any = getattr(exceptions, refused.error, None)
+    if not isinstance(kind, type) or not issubclass(kind, Refusal):
+        kind = Overloaded
+    return kind(
+        refused.text,
+        not_run=refused.not_run,
+        retry_after_ms=refused.retry_after_ms or None,
+    )
--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any, ClassVar
 
-from .. import events
+from .. import defaults, events
 from ..decisions.admission import Admission, AdmissionLimits, TokenRate
 from ..decisions.coalescing import Batch, Coalescer
 from ..decisions.queueing import QUEUES, QueuedCall, QueueLimits
@@ -50,8 +50,6 @@
 _MS_PER_S = 1000
 # Tokens are counted from the end of an answer, where engines state them.
 _TAIL_BYTES = 4096
-# An entry that missed the end of an answer may ask for it again this long.
-_REPLAY_KEPT_S = 10.0
 # Engines send one server-sent event per token.
 _EVENT_MARK = b"data:"
 
@@ -107,6 +105,7 @@
         self.task: asyncio.Task[None] | None = None
         self.replay = ReplayBuffer()
         self.tail = b""
+        self.head: AnswerHead | None = None
         self.end: AnswerEnd | None = None
         self.queue_span = Span("queue", call.traceparent, backend=call.backend)
         self.spans: list[str] = []
@@ -157,6 +156,7 @@
     async def drain(self) -> None:
         """Refuse new calls and wait for those in flight."""
         self._leaving = True
+        self.kernel.find("reports").leave()
         timeout_s = self.kernel.settings.timing.drain_timeout_s
         deadline = _now() + timeout_s
         while self._unfinished() and _now() < deadline:
@@ -171,6 +171,10 @@
         for backend in self.backends.values():
             backend.client.close()
 
+    def entries(self) -> list[Peer]:
+        """Return the connected entries."""
+        return self._server.peers() if self._server is not None else []
+
     def _unfinished(self) -> bool:
         return any(call.end is None for call in self._calls.values())
 
@@ -353,6 +357,7 @@
             head = AnswerHead(
                 request.request_id, response.status, response.headers, load
             )
+            call.head = head
             self._send(call, head, 0, urgent=request.stream)
             async for chunk in response.chunks():
                 self._send_chunk(call, chunk)
@@ -399,7 +404,9 @@
         )
         call.end = end
         self._send(call, end, 0, urgent=True)
-        asyncio.get_running_loop().call_later(_REPLAY_KEPT_S, self._forget, call)
+        asyncio.get_running_loop().call_later(
+            defaults.REPLAY_KEPT_S, self._forget, call
+        )
 
     def _send(self, call: _AgentCall, message: Any, size: int, *, urgent: bool) -> None:
         peer = call.peer
@@ -449,6 +456,8 @@
         except Refusal as refusal:
             self._refuse(peer, message.request_id, refusal, call.backend)
             return
+        if message.offset == 0 and call.head is not None:
+            peer.send(call.head)
         for offset, data in chunks:
             peer.send(AnswerChunk(message.request_id, offset, data))
         if call.end is not None:
--- a/src/jasminewharf/services/gathering.py
+++ b/src/jasminewharf/services/gathering.py
@@ -2,29 +2,26 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import ClassVar, NamedTuple
+from typing import ClassVar
 
 from .. import defaults
+from ..decisions.membership import Membership, MembershipLimits
 from ..exceptions import PeerUnavailable
 from ..kernel import Kernel, Service
-from ..messages.feed import NodeReport, ReportDigest
+from ..messages.feed import LoadEstimate, NodeReport, ReportDigest
 from .link import Peer
 
-__all__ = ["Gathering", "HeardReport"]
-
-
-class HeardReport(NamedTuple):
-    """A report and when it was made, in seconds of this host's clock."""
-
-    at: float
-    report: NodeReport
+__all__ = ["Gathering"]
 
 
 class Gathering(Service):
-    """Holds the newest report of each node.
+    """Collects reports and passes them on.
+
+    The reports of this host's own nodes go to the other control hosts, the changed
+    reports of all agents to this host's entries.
 
     Attributes:
-        reports: By node name.
+        membership: What is believed of each node.
     """
 
     name: ClassVar[str] = "gathering"
@@ -32,9 +29,15 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self.reports: dict[str, HeardReport] = {}
+        timing = kernel.settings.timing
+        self.membership = Membership(
+            MembershipLimits(timing.suspicion_s, timing.host_lost_s), _now()
+        )
         self._changed_own: set[str] = set()
-        self._changed_all: set[str] = set()
+        self._changed_agents: set[str] = set()
+        self._estimates: list[LoadEstimate] = []
+        self._relayed: list[LoadEstimate] = []
+        self._told: set[bytes] = set()
         self._wake = asyncio.Event()
         self._listeners: list[Callable[[NodeReport], None]] = []
 
@@ -42,6 +45,15 @@
         """Call ``listener`` with each new report."""
         self._listeners.append(listener)
 
+    def live(self) -> dict[str, NodeReport]:
+        """Return the newest reports of all live nodes."""
+        return self.membership.live(_now())
+
+    def set_estimates(self, estimates: list[LoadEstimate]) -> None:
+        """Tell all entries when models that they wait for are expected to serve."""
+        self._estimates = estimates
+        self._wake.set()
+
     async def start(self) -> None:
         """Take reports and exchange digests."""
         control = self.kernel.find("control")
@@ -49,35 +61,41 @@
         control.handle(ReportDigest, self._take_digest)
         self.spawn(self._share_forever(), essential=True)
 
-    def live(self, now: float) -> dict[str, NodeReport]:
-        """Return the reports of nodes that are not suspected to be down."""
-        limit = self.kernel.settings.timing.suspicion_s
-        return {
-            node: heard.report
-            for node, heard in self.reports.items()
-            if now - heard.at <= limit
-        }
-
     def _take_report(self, peer: Peer, report: NodeReport) -> None:
         if peer.node != report.node:
             return
-        self._accept(report, 0)
-        self._changed_own.add(report.node)
+        if self._accept(report, 0):
+            self._changed_own.add(report.node)
+        if report.role == "entry" and peer.routing_id not in self._told:
+            self._told.add(peer.routing_id)
+            self._tell_everything(peer)
+
+    def _tell_everything(self, peer: Peer) -> None:
+        """Send a new entry all agents' reports, since digests hold only changes."""
+        agents = [
+            node for node, report in self.live().items() if report.role == "agent"
+        ]
+        peer.send(self._build(set(agents)))
 
     def _take_digest(self, peer: Peer, digest: ReportDigest) -> None:
+        if peer.hello is None or peer.hello.role != "control":
+            return
         for age_ms, report in digest.reports:
             self._accept(report, age_ms)
-
-    def _accept(self, report: NodeReport, age_ms: int) -> None:
-        at = asyncio.get_running_loop().time() - age_ms / defaults.MS_PER_S
-        known = self.reports.get(report.node)
-        if known is not None and not _is_newer(report, at, known):
-            return
-        self.reports[report.node] = HeardReport(at, report)
-        self._changed_all.add(report.node)
+        if digest.estimates:
+            self._relayed = digest.estimates
+            self._wake.set()
+
+    def _accept(self, report: NodeReport, age_ms: int) -> bool:
+        before = self.membership.report(report.node)
+        if not self.membership.hear(report, _now() - age_ms / defaults.MS_PER_S):
+            return False
+        if report.role == "agent" and _is_different(before, report):
+            self._changed_agents.add(report.node)
         self._wake.set()
         for listener in self._listeners:
             listener(report)
+        return True
 
     async def _share_forever(self) -> None:
         while True:
@@ -88,30 +106,59 @@
 
     def _share(self) -> None:
         own = self._build(self._changed_own)
-        everything = self._build(self._changed_all)
+        own = own._replace(estimates=self._estimates)
+        digest = self._build(self._changed_agents)
+        digest = digest._replace(
+            estimates=self._estimates + self._relayed,
+            gone=self.membership.forget_lost(_now()),
+        )
         self._changed_own = set()
-        self._changed_all = set()
-        if own.reports:
-            for link in self.kernel.find("controllers").links.values():
-                try:
-                    link.send(own)
-                except PeerUnavailable:
-                    continue
+        self._changed_agents = set()
+        self._estimates = []
+        self._relayed = []
+        if own.reports or own.estimates:
+            self._send_to_controls(own)
+        if any(digest):
+            self._send_to_entries(digest)
+
+    def _send_to_controls(self, digest: ReportDigest) -> None:
+        for link in self.kernel.find("controllers").links.values():
+            try:
+                link.send(digest)
+            except PeerUnavailable:
+                continue
+
+    def _send_to_entries(self, digest: ReportDigest) -> None:
+        live = set()
         for peer in self.kernel.find("control").peers():
             if peer.hello is not None and peer.hello.role == "entry":
-                peer.send(everything)
+                live.add(peer.routing_id)
+                peer.send(digest)
+        self._told &= live
 
     def _build(self, nodes: set[str]) -> ReportDigest:
-        now = asyncio.get_running_loop().time()
-        return ReportDigest(
-            [
-                (int((now - heard.at) * defaults.MS_PER_S), heard.report)
-                for heard in (self.reports[node] for node in nodes)
-            ]
-        )
+        now = _now()
+        reports = []
+        for node in nodes:
+            report = self.membership.report(node)
+            if report is not None:
+                age_ms = int(self.membership.age_s(node, now) * defaults.MS_PER_S)
+                reports.append((age_ms, report))
+        return ReportDigest(reports)
+
+
+def _is_different(before: NodeReport | None, report: NodeReport) -> bool:
+    """Return whether entries need to hear of the report.
+
+    A heartbeat that repeats what was said is kept from them: at 300 agents and 43
+    entries it would be most of the digests' bytes.
+    """
+    if before is None:
+        return True
+    return before._replace(sequence=0, version=0) != report._replace(
+        sequence=0, version=0
+    )
 
 
-def _is_newer(report: NodeReport, at: float, known: HeardReport) -> bool:
-    if report.incarnation != known.report.incarnation:
-        return at > known.at
-    return report.sequence > known.report.sequence
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/jasminewharf/services/planner.py
+++ b/src/jasminewharf/services/planner.py
@@ -14,7 +14,7 @@
 from ..kernel import Kernel, Service
 from ..messages import decode, encode
 from ..messages.commands import AdvanceReplica, CommandResult, DecideReplica
-from ..messages.feed import NodeReport
+from ..messages.feed import LoadEstimate, NodeReport
 from .control import FLEET_GROUP
 
 __all__ = ["PlannerService"]
@@ -38,7 +38,7 @@
         self._demands = DemandTable()
         self._view: PlannerView | None = None
         self._wake = asyncio.Event()
-        self._proposing = 0
+        self._estimated_at = float("-inf")
 
     async def start(self) -> None:
         """Follow reports and plan at intervals."""
@@ -91,13 +91,31 @@
 
     async def _plan(self, planner: Planner) -> None:
         now = _now()
-        reports = self.kernel.find("gathering").live(now)
+        gathering = self.kernel.find("gathering")
+        reports = gathering.live()
         view = self._read_view()
+        hosts = {record.host for record in view.replicas.values()}
+        lost = frozenset(gathering.membership.find_lost_hosts(hosts, now))
+        view = view._replace(lost=lost)
         actions = planner.plan(view, reports, self._demands, now)
         for action in actions:
             committed = await self._propose(action)
             if not committed:
                 planner.settle(action, committed=False)
+        self._publish_estimates(planner, now)
+
+    def _publish_estimates(self, planner: Planner, now: float) -> None:
+        if now - self._estimated_at < defaults.ESTIMATE_INTERVAL_S:
+            return
+        self._estimated_at = now
+        assert self._view is not None
+        estimates = [
+            LoadEstimate(*key, int(planner.estimate_ready_s(key, now) * 1000))
+            for key, demand in self._demands.collect(now).items()
+            if demand.requests > 0 and key in self._view.models
+        ]
+        if estimates:
+            self.kernel.find("gathering").set_estimates(estimates)
 
     def _read_view(self) -> PlannerView:
         state: FleetState = self.kernel.find("fleet").state
--- a/src/jasminewharf/services/reports.py
+++ b/src/jasminewharf/services/reports.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import ClassVar
 
+from .. import defaults
+from ..decisions.membership import Membership, MembershipLimits
 from ..exceptions import PeerUnavailable
 from ..kernel import Kernel, Service
 from ..messages.feed import BackendReport, Demand, NodeReport, ReportDigest
@@ -30,12 +32,25 @@
         self.read_demands: Callable[[], list[Demand]] = list
         self._listeners: list[Callable[[], None]] = []
         self._sequence = 0
+        self._membership = Membership(
+            MembershipLimits(), asyncio.get_running_loop().time()
+        )
+        self._pools: dict[str, list[NodeReport]] = {}
+        self._estimates: dict[tuple[str, str], float] = {}
         self._wake = asyncio.Event()
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each digest."""
         self._listeners.append(listener)
 
+    def agents_of(self, pool: str) -> list[NodeReport]:
+        """Return the reports of agents with a backend server in ``pool``."""
+        return self._pools.get(pool, [])
+
+    def find_estimate(self, service: str, model: str) -> float | None:
+        """Return when a model is expected to serve, on the event loop's clock."""
+        return self._estimates.get((service, model))
+
     def report_now(self) -> None:
         """Send a report without waiting for the interval's end."""
         self._wake.set()
@@ -46,8 +61,8 @@
         self.kernel.find("feed").listen(lambda applied: self.report_now())
         self.spawn(self._report_forever(), essential=True)
 
-    async def drain(self) -> None:
-        """Tell the control host that this node is leaving."""
+    def leave(self) -> None:
+        """Tell the control host at once that this node takes no new work."""
         self.leaving = True
         self._send()
 
@@ -92,15 +107,28 @@
         )
 
     def _take_digest(self, host: str, digest: ReportDigest) -> None:
-        for _, report in digest.reports:
-            known = self.digest.get(report.node)
-            if known is None or _is_newer(report, known):
+        for age_ms, report in digest.reports:
+            at = asyncio.get_running_loop().time() - age_ms / defaults.MS_PER_S
+            if self._membership.hear(report, at):
                 self.digest[report.node] = report
+        for node in digest.gone:
+            self.digest.pop(node, None)
+        self._index_pools()
+        self._take_estimates(digest)
         for listener in self._listeners:
             listener()
 
-
-def _is_newer(report: NodeReport, known: NodeReport) -> bool:
-    if report.incarnation != known.incarnation:
-        return True
-    return report.sequence > known.sequence
+    def _index_pools(self) -> None:
+        self._pools = {}
+        for report in self.digest.values():
+            for pool in {backend.pool for backend in report.backends}:
+                self._pools.setdefault(pool, []).append(report)
+
+    def _take_estimates(self, digest: ReportDigest) -> None:
+        now = asyncio.get_running_loop().time()
+        for estimate in digest.estimates:
+            ready_at = now + estimate.ready_ms / defaults.MS_PER_S
+            self._estimates[(estimate.service, estimate.model)] = ready_at
+        stale = now - defaults.ESTIMATE_KEPT_S
+        for key in [key for key, at in self._estimates.items() if at < stale]:
+            del self._estimates[key]
--- a/src/jasminewharf/services/requests.py
+++ b/src/jasminewharf/services/requests.py
@@ -54,14 +54,10 @@
 
 def build_claim_keeper(kernel: Kernel) -> ClaimKeeper:
     """Return the keeper of order claims; lives of entries come from reports."""
-    started = asyncio.get_running_loop().time()
 
     def is_gone(incarnation: int) -> bool:
         now = asyncio.get_running_loop().time()
-        if now - started <= kernel.settings.timing.suspicion_s:
-            return False
-        live = kernel.find("gathering").live(now).values()
-        return all(report.incarnation != incarnation for report in live)
+        return kernel.find("gathering").membership.is_life_over(incarnation, now)
 
     return ClaimKeeper(
         kernel, kernel.find("log"), is_gone, kernel.settings.claim_partitions
@@ -104,7 +100,7 @@
     def _describe(self) -> dict[str, Any]:
         now = asyncio.get_running_loop().time()
         gathering = self.kernel.find("gathering")
-        live = gathering.live(now)
+        membership = gathering.membership
         state = self.kernel.find("fleet").state
         log = self.kernel.find("log")
         return {
@@ -120,14 +116,15 @@
                     "role": report.role,
                     "host": report.host,
                     "zone": report.zone,
-                    "live": report.node in live,
+                    "state": membership.state(report.node, now),
                     "leaving": report.leaving or report.host in state.draining,
                     "version": report.version,
-                    "age_ms": int((now - at) * 1000),
+                    "age_ms": int(membership.age_s(report.node, now) * 1000),
                     "backends": [item._asdict() for item in report.backends],
                     "demands": [item._asdict() for item in report.demands],
                 }
-                for at, report in gathering.reports.values()
+                for report in map(membership.report, membership.nodes())
+                if report is not None
             ],
             "replicas": [item._asdict() for item in state.replicas.values()],
             "draining": sorted(state.draining),
--- a/src/jasminewharf/services/router.py
+++ b/src/jasminewharf/services/router.py
@@ -1,149 +1,74 @@
-"""The entry's way to the agents: waiting, choosing, forwarding, reassembling."""
+"""The entry's choice of a backend server: waiting, choosing, trying again."""
 
 import asyncio
-import logging
-from collections.abc import AsyncIterator
 from typing import ClassVar, NamedTuple
 
-from .. import defaults, events, exceptions
+from .. import defaults
+from ..decisions.admission import ColdLoad, admit_on_cold_model
+from ..decisions.health import OutlierDetector
+from ..decisions.prefixes import CacheEvent, PrefixHints
+from ..decisions.retries import (
+    MAY_HAVE_BEGUN,
+    NOT_BEGUN,
+    Attempt,
+    RetryBudget,
+    may_retry,
+)
+from ..decisions.routing import ROUTERS, Candidate
 from ..exceptions import (
     DeadlineExceeded,
     ModelUnavailable,
     OutcomeUnknown,
-    Overloaded,
-    PeerUnavailable,
     QueueFull,
     Refusal,
     StreamInterrupted,
 )
 from ..kernel import Kernel, Service
-from ..messages.calls import (
-    AnswerChunk,
-    AnswerEnd,
-    AnswerHead,
-    CallRefused,
-    CancelCall,
-    ForwardCall,
-    LoadState,
-)
+from ..messages.calls import CacheEvents
 from ..messages.feed import BackendReport, Demand, NodeReport
-from .link import LinkClient
+from ..registry import lookup
+from .answers import Answer, CallInFlight, CallPlan
 
 __all__ = ["Answer", "CallPlan", "Router"]
 
-_logger = logging.getLogger(__name__)
-
-
-class CallPlan(NamedTuple):
-    """A checked request, ready to be forwarded.
-
-    ``deadline`` is in seconds of the event loop's clock.
-    """
-
-    request_id: str
-    workspace: str
-    service: str
-    pool: str
-    model: str
-    adapter: str
-    method: str
-    target: str
-    headers: list[tuple[str, str]]
-    body: bytes
-    deadline: float
-    cost_tokens: int
-    priority: str
-    idempotent: bool
-    stream: bool
-    traceparent: str
-
-
-class Target(NamedTuple):
-    """A backend server that can take the call."""
 
+class _Target(NamedTuple):
     agent: NodeReport
     backend: BackendReport
 
 
-class Answer:
-    """An answer as it arrives.
-
-    Attributes:
-        status: The HTTP status.
-        headers: The backend server's headers.
-        tokens: The true cost in tokens once the answer has ended; -1 if unknown.
-    """
-
-    def __init__(self, head: AnswerHead, call: "_Call") -> None:
-        self.status = head.status
-        self.headers = head.headers
-        self.tokens = -1
-        self._call = call
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body.
-
-        Raises:
-            StreamInterrupted: If the answer cannot be completed.
-        """
-        received = 0
-        while True:
-            event = await self._call.events.get()
-            if isinstance(event, AnswerChunk):
-                if event.offset != received:
-                    raise StreamInterrupted("part of the answer is lost", not_run=False)
-                received += len(event.data)
-                yield event.data
-            elif isinstance(event, AnswerEnd):
-                if event.error or event.length != received:
-                    text = event.error or "part of the answer is lost"
-                    raise StreamInterrupted(text, not_run=False)
-                self.tokens = event.tokens
-                return
-            elif isinstance(event, Refusal):
-                raise event
-
-
-class _Call:
-    def __init__(self, plan: CallPlan, agent: str) -> None:
-        self.plan = plan
-        self.agent = agent
-        self.events: asyncio.Queue = asyncio.Queue()
-        self.has_head = False
-
-
 class _Waiter(NamedTuple):
     plan: CallPlan
-    ready: asyncio.Future
+    ready: asyncio.Future[None]
 
 
 class Router(Service):
-    """Forwards calls to agents and hands their answers back."""
+    """Finds a backend server for a call and tries again where that is safe."""
 
     name: ClassVar[str] = "router"
-    requires: ClassVar[tuple[str, ...]] = ("process", "feed", "reports", "traces")
+    requires: ClassVar[tuple[str, ...]] = ("process", "feed", "reports", "agents")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self._links: dict[str, LinkClient] = {}
-        self._calls: dict[str, _Call] = {}
+        self._agents = kernel.find("agents")
+        self._choose = lookup(ROUTERS, kernel.settings.policy.routing)
+        self._health = OutlierDetector()
+        self._hints = PrefixHints()
+        self._budget = RetryBudget()
         self._waiters: list[_Waiter] = []
-        self._loads: dict[str, LoadState] = {}
         self._last_call: dict[tuple[str, str, str], float] = {}
-        self.stale_answer_count = 0
+        self._calls: dict[str, CallInFlight] = {}
+        self._metrics = kernel.find("process").metrics
 
     async def start(self) -> None:
-        """Follow the reports of agents."""
+        """Report demand and follow what is loaded."""
         reports = self.kernel.find("reports")
         reports.read_demands = self._read_demands
-        reports.listen(self._follow_agents)
+        reports.listen(self._review_waiters)
+        self._agents.listen(self._wake_waiters)
+        self._agents.listen_cache(self._take_cache_events)
         self.kernel.find("feed").listen(lambda applied: self._wake_waiters())
-
-    async def stop(self) -> None:
-        """Close the links to agents."""
-        await super().stop()
-        for link in self._links.values():
-            link.close()
+        self._metrics.watch("waiting_requests", lambda: len(self._waiters))
 
     async def call(self, plan: CallPlan) -> Answer:
         """Forward a call and return its answer once its head has arrived.
@@ -151,40 +76,89 @@
         Raises:
             Refusal: Saying whether a backend server can have begun the call.
         """
-        self._last_call[(plan.service, plan.model, plan.adapter)] = _now()
-        attempts = 0
+        self._budget.deposit()
+        number = 0
+        may_have_run = False
         while True:
-            target = await self._wait_for_target(plan)
+            number += 1
             try:
-                return await self._forward(plan, target)
+                return await self._attempt(plan)
             except Refusal as refusal:
-                attempts += 1
-                if not refusal.not_run or attempts >= defaults.FORWARD_ATTEMPTS:
-                    raise
-                await asyncio.sleep(defaults.FORWARD_RETRY_S)
+                may_have_run = may_have_run or not refusal.not_run
+                if not self._may_retry(plan, refusal, number):
+                    raise _conclude(plan, refusal, may_have_run) from None
+            self._metrics.count("retries_total")
+            await asyncio.sleep(defaults.FORWARD_RETRY_S)
+
+    def _may_retry(self, plan: CallPlan, refusal: Refusal, number: int) -> bool:
+        if isinstance(refusal, DeadlineExceeded | QueueFull):
+            return False
+        progress = NOT_BEGUN if refusal.not_run else MAY_HAVE_BEGUN
+        left_s = plan.deadline - _now()
+        attempt = Attempt(progress, plan.idempotent, 0, number, left_s)
+        return may_retry(attempt, self._budget)
 
     def cancel(self, request_id: str, reason: str) -> None:
-        """Tell the agent that the answer is no longer wanted."""
+        """End a call whose answer is no longer wanted."""
         call = self._calls.pop(request_id, None)
-        if call is None:
-            return
+        if call is not None:
+            self._agents.cancel(call, reason)
+
+    async def _attempt(self, plan: CallPlan) -> Answer:
+        target = await self._wait_for_target(plan)
+        if plan.deadline <= _now():
+            raise DeadlineExceeded("the deadline has passed")
+        name = target.backend.backend
+        call = self._agents.forward(plan, target.agent.node, name)
+        self._calls[plan.request_id] = call
         try:
-            self._links[call.agent].send(CancelCall(request_id, reason))
-        except (KeyError, PeerUnavailable):
+            await call.wait_head()
+        except Refusal as refusal:
+            self._end(call, refusal.not_run, "refused")
+            raise
+        except BaseException:
+            self.cancel(plan.request_id, "caller gone")
+            raise
+        self._hints.note_route(name, plan.prefix_hashes, _now())
+        return Answer(call, lambda complete: self._end(call, complete, "not wanted"))
+
+    def _end(self, call: CallInFlight, succeeded: bool, reason: str) -> None:
+        self._calls.pop(call.plan.request_id, None)
+        if call.failure is None and not succeeded:
+            self._agents.cancel(call, reason)
             return
+        self._agents.finish(call)
+        self._health.record(call.backend, succeeded, _now())
 
-    async def _wait_for_target(self, plan: CallPlan) -> Target:
+    async def _wait_for_target(self, plan: CallPlan) -> _Target:
         targets = self._find_targets(plan)
         if not targets:
-            await self._wait_until_loaded(plan)
+            await self._wait_until_ready(plan)
             targets = self._find_targets(plan)
+        self._note_call(plan)
         if not targets:
-            raise ModelUnavailable("no backend server is ready", retry_after_ms=1000)
-        return self._choose(targets)
+            raise ModelUnavailable("no backend server is ready", retry_after_ms=500)
+        candidates = [self._describe(plan, target) for target in targets]
+        usable = set(self._health.usable([c.backend for c in candidates], _now()))
+        candidates = [c for c in candidates if c.backend in usable]
+        settings = self.kernel.settings
+        random = self.kernel.find("process").random
+        chosen = self._choose(candidates, settings.zone, random)
+        return next(t for t in targets if t.backend.backend == chosen.backend)
+
+    def _note_call(self, plan: CallPlan) -> None:
+        self._last_call[(plan.service, plan.model, plan.adapter)] = _now()
 
-    async def _wait_until_loaded(self, plan: CallPlan) -> None:
+    async def _wait_until_ready(self, plan: CallPlan) -> None:
+        """Wait in a bounded queue until a backend server can take the call.
+
+        Raises:
+            Refusal: If the queue is full, or the model cannot be ready in time.
+        """
         if len(self._waiters) >= self.kernel.settings.limits.waiting_requests:
             raise QueueFull("too many requests wait", retry_after_ms=1000)
+        self._note_call(plan)
+        self._check_estimate(plan)
         waiter = _Waiter(plan, asyncio.get_running_loop().create_future())
         self._waiters.append(waiter)
         self.kernel.find("reports").report_now()
@@ -193,220 +167,134 @@
                 await waiter.ready
         except TimeoutError:
             raise ModelUnavailable(
-                "the model was not loaded in time", retry_after_ms=1000
+                "no backend server was ready in time", retry_after_ms=1000
             ) from None
         finally:
             self._waiters.remove(waiter)
 
+    def _check_estimate(self, plan: CallPlan) -> None:
+        """Refuse at once what the load's estimated end does not allow.
+
+        Raises:
+            ModelUnavailable: If the call cannot be served before its deadline.
+        """
+        estimate = self.kernel.find("reports").find_estimate(plan.service, plan.model)
+        if not plan.model or estimate is None:
+            return
+        waiting = [
+            waiter.plan
+            for waiter in self._waiters
+            if waiter.plan.model == plan.model
+            and waiter.plan.deadline <= plan.deadline
+            and waiter.plan is not plan
+        ]
+        load = ColdLoad(
+            ready_in_s=max(estimate - _now(), 0.0),
+            replicas=1,
+            waiting_tokens=sum(item.cost_tokens for item in waiting),
+        )
+        admit_on_cold_model(load, plan.cost_tokens, plan.deadline - _now())
+
+    def _review_waiters(self) -> None:
+        """Refuse the waiting requests that a new estimate leaves no time for."""
+        for waiter in self._waiters:
+            if waiter.ready.done():
+                continue
+            try:
+                self._check_estimate(waiter.plan)
+            except ModelUnavailable as refusal:
+                waiter.ready.set_exception(refusal)
+
     def _wake_waiters(self) -> None:
         for waiter in self._waiters:
             if not waiter.ready.done() and self._find_targets(waiter.plan):
                 waiter.ready.set_result(None)
 
-    def _find_targets(self, plan: CallPlan) -> list[Target]:
+    def _find_targets(self, plan: CallPlan) -> list[_Target]:
         state = self.kernel.find("feed").state
-        loaded = {
-            replica.backend
-            for replica in state.replicas.values()
-            if replica.model == plan.model and replica.phase == "loaded"
-        }
+        loaded = state.loaded_backends(plan.service, plan.model) if plan.model else ()
         targets = []
-        for agent in self.kernel.find("reports").digest.values():
+        for agent in self.kernel.find("reports").agents_of(plan.pool):
             if agent.leaving or agent.host in state.draining:
                 continue
-            link = self._links.get(agent.node)
-            if link is None or not link.is_connected:
+            if not self._agents.is_connected(agent.node):
                 continue
             for backend in agent.backends:
                 if backend.pool != plan.pool or not backend.reachable:
                     continue
-                if not plan.model or backend.backend in loaded:
-                    targets.append(Target(agent, backend))
+                if not plan.model or (agent.host, backend.backend) in loaded:
+                    targets.append(_Target(agent, backend))
         return targets
 
-    def _choose(self, targets: list[Target]) -> Target:
-        chosen = self.kernel.find("process").random.sample(
-            targets, min(2, len(targets))
-        )
-        return min(chosen, key=self._load_of)
-
-    def _load_of(self, target: Target) -> int:
-        load = self._loads.get(target.backend.backend)
-        return load.running + load.queued if load else target.backend.running
-
-    async def _forward(self, plan: CallPlan, target: Target) -> Answer:
-        link = self._links[target.agent.node]
-        if link.welcome is None:
-            raise Overloaded("the agent is not reachable", retry_after_ms=200)
-        remaining_s = plan.deadline - _now()
-        if remaining_s <= 0:
-            raise DeadlineExceeded("the deadline has passed")
-        call = _Call(plan, target.agent.node)
-        self._calls[plan.request_id] = call
-        try:
-            link.send(_build_forward(plan, target, link, remaining_s))
-            head = await self._wait_for_head(call)
-        except PeerUnavailable:
-            self._calls.pop(plan.request_id, None)
-            raise Overloaded("the agent is not reachable", retry_after_ms=200) from None
-        except BaseException:
-            self.cancel(plan.request_id, "not wanted")
-            raise
-        return Answer(head, call)
-
-    async def _wait_for_head(self, call: _Call) -> AnswerHead:
-        try:
-            async with asyncio.timeout_at(
-                call.plan.deadline + defaults.DEADLINE_GRACE_S
-            ):
-                event = await call.events.get()
-        except TimeoutError:
-            raise DeadlineExceeded("no answer in time", not_run=False) from None
-        if isinstance(event, Refusal):
-            raise event
-        return event
-
-    def _follow_agents(self) -> None:
-        for report in self.kernel.find("reports").digest.values():
-            if report.role != "agent" or not report.address:
-                continue
-            link = self._links.get(report.node)
-            if link is not None and link.address == report.address:
-                continue
-            if link is not None:
-                link.close()
-            self._links[report.node] = self._connect(report)
-        self._wake_waiters()
-
-    def _connect(self, report: NodeReport) -> LinkClient:
-        process = self.kernel.find("process")
-        link = LinkClient(
-            process.identity,
-            process.context,
-            report.address,
-            {
-                AnswerHead: self._take_head,
-                AnswerChunk: self._take_event,
-                AnswerEnd: self._take_end,
-                CallRefused: self._take_refusal,
-            },
+    def _describe(self, plan: CallPlan, target: _Target) -> Candidate:
+        name = target.backend.backend
+        now = _now()
+        fresh = self._agents.loads.get(name)
+        share = self._hints.cached_share(name, plan.prefix_hashes, now)
+        own = self._agents.own.get(name, 0)
+        if fresh is None:
+            reported = target.backend.running + target.backend.queued
+            return Candidate(
+                name, target.agent.zone, own=own, reported=reported, cached_share=share
+            )
+        return Candidate(
+            name,
+            target.agent.zone,
+            own=own,
+            reported=fresh.load.running + fresh.load.queued,
+            own_at_report=fresh.own,
+            report_age_s=now - fresh.at,
+            cached_share=share,
         )
-        node = report.node
-        link.on_lost = lambda: self._fail_calls(node)
-        link.on_welcome = lambda welcome: self._wake_waiters()
-        return link
-
-    def _fail_calls(self, node: str) -> None:
-        """End the calls of an agent that is lost; whether they ran is unknown."""
-        for request_id, call in list(self._calls.items()):
-            if call.agent == node:
-                del self._calls[request_id]
-                call.events.put_nowait(
-                    StreamInterrupted("the agent was lost", not_run=False)
-                    if call.has_head
-                    else _lost_refusal(call.plan)
-                )
-
-    def _find_call(self, request_id: str) -> _Call | None:
-        call = self._calls.get(request_id)
-        if call is None:
-            self.stale_answer_count += 1
-            events.emit(_logger, events.ANSWER_DROPPED, request_id=request_id)
-        return call
-
-    def _take_head(self, head: AnswerHead) -> None:
-        call = self._find_call(head.request_id)
-        if call is not None and not call.has_head:
-            call.has_head = True
-            call.events.put_nowait(head)
-
-    def _take_event(self, chunk: AnswerChunk) -> None:
-        call = self._find_call(chunk.request_id)
-        if call is not None:
-            call.events.put_nowait(chunk)
 
-    def _take_end(self, end: AnswerEnd) -> None:
-        call = self._find_call(end.request_id)
-        if call is None:
-            return
-        del self._calls[end.request_id]
-        for span in end.spans:
-            self.kernel.find("traces").sink.add(span)
-        call.events.put_nowait(end)
-
-    def _take_refusal(self, refused: CallRefused) -> None:
-        call = self._find_call(refused.request_id)
-        if call is None:
-            return
-        del self._calls[refused.request_id]
-        kind = getattr(exceptions, refused.error, Overloaded)
-        if not isinstance(kind, type) or not issubclass(kind, Refusal):
-            kind = Overloaded
-        retry_after_ms = refused.retry_after_ms or None
-        call.events.put_nowait(
-            kind(refused.text, not_run=refused.not_run, retry_after_ms=retry_after_ms)
-        )
+    def _take_cache_events(self, message: CacheEvents) -> None:
+        for sequence, kind, block in message.events:
+            event = CacheEvent(sequence, kind, block)
+            self._hints.apply(message.backend, event, _now())
 
     def _read_demands(self) -> list[Demand]:
-        grouped: dict[tuple[str, str, str], list[CallPlan]] = {}
+        now = _now()
+        waiting: dict[tuple[str, str, str], list[CallPlan]] = {}
         for waiter in self._waiters:
             plan = waiter.plan
-            if plan.model:
-                key = (plan.service, plan.model, plan.adapter)
-                grouped.setdefault(key, []).append(plan)
-        now = _now()
-        demands = []
-        for key, last in list(self._last_call.items()):
-            if not key[1]:
-                continue
-            plans = grouped.get(key, [])
-            deadline = min((plan.deadline for plan in plans), default=now)
-            demands.append(
-                Demand(
-                    *key,
-                    len(plans),
-                    sum(plan.cost_tokens for plan in plans),
-                    _to_ms(deadline - now),
-                    _to_ms(now - last),
-                )
-            )
-            if not plans and now - last > defaults.DEMAND_MEMORY_S:
-                del self._last_call[key]
-        return demands
-
-
-def _build_forward(
-    plan: CallPlan, target: Target, link: LinkClient, remaining_s: float
-) -> ForwardCall:
-    assert link.welcome is not None
-    return ForwardCall(
-        plan.request_id,
-        link.welcome.incarnation,
-        target.backend.backend,
-        plan.workspace,
-        plan.model,
-        plan.adapter,
-        plan.method,
-        plan.target,
-        plan.headers,
-        plan.body,
-        _to_ms(remaining_s),
-        plan.cost_tokens,
-        plan.priority,
-        plan.idempotent,
-        plan.stream,
-        plan.traceparent,
+            key = (plan.service, plan.model, plan.adapter)
+            waiting.setdefault(key, []).append(plan)
+        for call in self._calls.values():
+            plan = call.plan
+            self._last_call[(plan.service, plan.model, plan.adapter)] = now
+        self._forget_old_calls(now)
+        return [
+            _build_demand(key, waiting.get(key, []), last, now)
+            for key, last in self._last_call.items()
+            if key[1]
+        ]
+
+    def _forget_old_calls(self, now: float) -> None:
+        horizon = now - defaults.DEMAND_MEMORY_S
+        for key in [key for key, last in self._last_call.items() if last < horizon]:
+            del self._last_call[key]
+
+
+def _build_demand(
+    key: tuple[str, str, str], plans: list[CallPlan], last: float, now: float
+) -> Demand:
+    deadline = min((plan.deadline for plan in plans), default=now)
+    return Demand(
+        *key,
+        len(plans),
+        sum(plan.cost_tokens for plan in plans),
+        max(int((deadline - now) * defaults.MS_PER_S), 0),
+        int((now - last) * defaults.MS_PER_S),
     )
 
 
-def _lost_refusal(plan: CallPlan) -> Refusal:
-    if plan.idempotent:
-        return StreamInterrupted("the agent was lost", not_run=False)
-    return OutcomeUnknown("the agent was lost; the call may have run", not_run=False)
-
-
-def _to_ms(seconds: float) -> int:
-    return max(int(seconds * defaults.MS_PER_S), 0)
+def _conclude(plan: CallPlan, refusal: Refusal, may_have_run: bool) -> Refusal:
+    """Return the refusal for the caller; no attempt's run may be denied."""
+    if may_have_run and refusal.not_run:
+        return OutcomeUnknown(refusal.message, not_run=False)
+    if isinstance(refusal, StreamInterrupted) and not plan.idempotent:
+        return OutcomeUnknown(refusal.message, not_run=False)
+    return refusal
 
 
 def _now() -> float:
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -121,6 +121,7 @@
     election_timeout_s: Seconds = 1.0
     heartbeat_s: Seconds = 0.1
     suspicion_s: Seconds = 5.0
+    host_lost_s: Seconds = 30.0
     order_settle_s: Seconds = 0.5
     drain_timeout_s: Seconds = 60.0
 
@@ -153,6 +154,7 @@
     claim_partitions: Annotated[int, Range(1, 256)] = 2
     backends: list[BackendSettings] = []
     host_list_address: str = ""
+    host_list_dialect: str = "http"
     store: StoreSettings = StoreSettings()
     policy: PolicySettings = PolicySettings()
     limits: LimitSettings = LimitSettings()
