--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -51,6 +51,7 @@
     "StorageError",
     "StorageFull",
     "StreamInterrupted",
+    "TrialError",
     "Unauthorized",
     "UnknownRegistration",
     "VersionConflict",
@@ -219,6 +220,10 @@
     """An order would reserve more memory than the host has."""
 
 
+class TrialError(JasminewharfError):
+    """A trial could not be set up."""
+
+
 class Refusal(JasminewharfError):
     """What a caller is told instead of an answer.
 
--- a/src/jasminewharf/interfaces/callers.py
+++ b/src/jasminewharf/interfaces/callers.py
@@ -338,7 +338,15 @@
             return _Charge(None, "", "", 0)
         accounts = self.kernel.find("accounts")
         account = account_name(plan.service, plan.workspace)
+        span = Span(
+            "charge",
+            plan.traceparent,
+            request_id=plan.request_id,
+            account=account,
+            tokens=plan.cost_tokens,
+        )
         charge_id = await accounts.charge(account, plan.cost_tokens, plan.deadline)
+        self.kernel.find("traces").sink.add(span.end().to_json())
         return _Charge(accounts, account, charge_id, plan.cost_tokens)
 
     async def _run_claimed(
--- a/src/jasminewharf/services/requests.py
+++ b/src/jasminewharf/services/requests.py
@@ -114,6 +114,7 @@
                 {
                     "node": report.node,
                     "role": report.role,
+                    "incarnation": report.incarnation,
                     "host": report.host,
                     "zone": report.zone,
                     "state": membership.state(report.node, now),
--- /dev/null
+++ b/src/jasminewharf/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Trials: real processes on loopback, faults, recorded histories and checks."""
