--- a/src/jasminewharf/services/agents.py
+++ b/src/jasminewharf/services/agents.py
@@ -81,10 +81,15 @@
         for link in self._links.values():
             link.close()
 
-    def is_connected(self, node: str) -> bool:
-        """Return whether the agent can be sent a call."""
-        link = self._links.get(node)
-        return link is not None and link.is_connected
+    def can_take_calls(self, report: NodeReport) -> bool:
+        """Return whether the agent is connected and the report is of this life.
+
+        What an earlier life reported as loaded, a new one may not have found yet.
+        """
+        link = self._links.get(report.node)
+        if link is None or link.welcome is None:
+            return False
+        return link.welcome.incarnation == report.incarnation
 
     def forward(self, plan: CallPlan, node: str, backend: str) -> CallInFlight:
         """Send a call to an agent.
--- a/src/jasminewharf/services/publisher.py
+++ b/src/jasminewharf/services/publisher.py
@@ -4,6 +4,7 @@
 from typing import ClassVar
 
 from .. import defaults
+from ..exceptions import ConsensusError
 from ..kernel import Kernel, Service
 from ..messages.feed import (
     ConfirmFreshness,
@@ -28,8 +29,8 @@
         super().__init__(kernel)
         self._sent: dict[bytes, tuple[Peer, int]] = {}
         self._scheduled = False
-        self._round: asyncio.Task[int] | None = None
-        self._next_round: asyncio.Task[int] | None = None
+        self._round: asyncio.Task[int | ConsensusError] | None = None
+        self._next_round: asyncio.Task[int | ConsensusError] | None = None
 
     async def start(self) -> None:
         """Answer subscriptions and pings."""
@@ -76,20 +77,27 @@
         self, peer: Peer, message: ConfirmFreshness
     ) -> FreshnessConfirmed:
         version = await asyncio.shield(self._join_round())
+        if isinstance(version, ConsensusError):
+            raise version
         return FreshnessConfirmed(message.nonce, version)
 
-    def _join_round(self) -> asyncio.Task[int]:
+    def _join_round(self) -> asyncio.Task[int | ConsensusError]:
         """Return a confirmation that has not begun yet, so that it covers now."""
         if self._next_round is None:
             self._next_round = self.spawn(self._run_round(self._round))
         return self._next_round
 
-    async def _run_round(self, previous: asyncio.Task[int] | None) -> int:
+    async def _run_round(
+        self, previous: asyncio.Task[int | ConsensusError] | None
+    ) -> int | ConsensusError:
         if previous is not None:
             await asyncio.wait([previous])
         self._round = self._next_round
         self._next_round = None
-        return await self._read_version()
+        try:
+            return await self._read_version()
+        except ConsensusError as error:
+            return error
 
     async def _read_version(self) -> int:
         """Return a version that a quorum confirmed after this call began."""
--- a/src/jasminewharf/services/requests.py
+++ b/src/jasminewharf/services/requests.py
@@ -108,7 +108,7 @@
             "control": {
                 "answered_by": self.kernel.settings.node,
                 "leader": log.leader(FLEET_GROUP),
-                "members": [member._asdict() for member in log.members()],
+                "members": [member._asdict() for member in log.members(FLEET_GROUP)],
             },
             "nodes": [
                 {
--- a/src/jasminewharf/services/router.py
+++ b/src/jasminewharf/services/router.py
@@ -217,7 +217,7 @@
         for agent in self.kernel.find("reports").agents_of(plan.pool):
             if agent.leaving or agent.host in state.draining:
                 continue
-            if not self._agents.is_connected(agent.node):
+            if not self._agents.can_take_calls(agent):
                 continue
             for backend in agent.backends:
                 if backend.pool != plan.pool or not backend.reachable:
--- a/src/jasminewharf/trials/callers.py
+++ b/src/jasminewharf/trials/callers.py
@@ -185,12 +185,16 @@
             status=response.status, request_id=names.get("x-request-id", "")
         )
         parts = []
-        async for chunk in response.chunks():
-            if not parts:
-                elapsed_s = loop.time() - record.started
-                record = record._replace(first_byte_s=elapsed_s)
-            parts.append(chunk)
-        client.close()
+        try:
+            async for chunk in response.chunks():
+                if not parts:
+                    elapsed_s = loop.time() - record.started
+                    record = record._replace(first_byte_s=elapsed_s)
+                parts.append(chunk)
+        except BackendError as error:
+            return _judge_broken(record, b"".join(parts), str(error))
+        finally:
+            client.close()
         return _judge(record, b"".join(parts), body)
 
 
@@ -207,6 +211,16 @@
     return record._replace(whole=True)
 
 
+def _judge_broken(record: Record, content: bytes, error: str) -> Record:
+    """Judge an answer whose connection was cut: was the caller told why?"""
+    last = content.rstrip().rpartition(b"data: ")[2]
+    try:
+        told = json.loads(last)["error"]
+        return record._replace(error=told["type"], not_run=told["not_run"])
+    except (ValueError, KeyError, TypeError):
+        return record._replace(status=0, error=f"connection: {error}")
+
+
 def _read_refusal(record: Record, content: bytes) -> Record:
     try:
         error = json.loads(content)["error"]
--- a/src/jasminewharf/trials/runner.py
+++ b/src/jasminewharf/trials/runner.py
@@ -10,7 +10,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from ..exceptions import JasminewharfError
+from ..exceptions import JasminewharfError, TrialError
 from ..fakes.engine import ModelSpec
 from ..interfaces.operator import OperatorClient
 from ..registry import lookup
@@ -148,6 +148,8 @@
             watcher.cancel()
         await asyncio.gather(*watchers, return_exceptions=True)
         await asyncio.sleep(_SETTLE_S)
+        if not self._versions or not self._samples:
+            raise TrialError("nothing was sampled, so nothing can be checked")
 
     async def _call_until(self, end: float, number: int) -> None:
         random = Random(self.options.seed * 1000 + number)
