--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -116,17 +116,32 @@
 
         Raises:
             BackendUnreachable: If no connection was made; the call did not begin.
-            BackendError: If the connection broke; the call may have begun.
+            BackendError: If a connection broke; the call may have begun.
         """
         wire = self._take_idle() if repeatable else None
         if wire is not None:
             try:
                 return await self._exchange(wire, method, target, headers, body)
-            except BackendError:
-                wire.close()
+            except BackendError as error:
+                return await self._repeat(error, method, target, headers, body)
         wire = await self._connect()
         return await self._exchange(wire, method, target, headers, body)
 
+    async def _repeat(
+        self,
+        first: BackendError,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> ClientResponse:
+        """Send a request again that may have begun on a kept connection."""
+        try:
+            wire = await self._connect()
+        except BackendUnreachable as error:
+            raise BackendError(f"{first}; {error}") from error
+        return await self._exchange(wire, method, target, headers, body)
+
     async def fetch(
         self,
         method: str,
