--- a/src/jasminewharf/decisions/memberchanges.py
+++ b/src/jasminewharf/decisions/memberchanges.py
@@ -3,7 +3,7 @@
 from ..defaults import LOG_LEARNER_GAP_ENTRIES
 from ..messages.log import MemberRecord
 from .group import LEADER, GroupState, Progress, encode_members
-from .records import MEMBERS, ChangeMembers, Entry
+from .records import MEMBERS, ChangeMembers, Entry, host_name
 from .replication import broadcast
 
 __all__ = ["change_members", "leave_if_removed", "promote_learners"]
@@ -64,19 +64,59 @@
         return
     for member in state.members:
         if not member.voter and _has_caught_up(state, member.identity, now):
-            promoted = member._replace(voter=True)
-            members = tuple(promoted if m == member else m for m in state.members)
-            _append_members(state, members, now)
+            _promote(state, member, now)
             return
 
 
 def _has_caught_up(state: GroupState, identity: str, now: float) -> bool:
     progress = state.progress.get(identity)
+    if progress is None or not _answers(state, identity, now):
+        return False
+    return state.log.last_index - progress.match <= LOG_LEARNER_GAP_ENTRIES
+
+
+def _is_silent(state: GroupState, identity: str, now: float) -> bool:
+    progress = state.progress.get(identity)
+    return progress is not None and now - progress.heard >= state.timing.election_s
+
+
+def _answers(state: GroupState, identity: str, now: float) -> bool:
+    if identity == state.identity:
+        return True
+    progress = state.progress.get(identity)
     if progress is None or progress.probing:
         return False
-    gap = state.log.last_index - progress.match
-    alive = now - progress.heard < state.timing.election_s
-    return alive and gap <= LOG_LEARNER_GAP_ENTRIES
+    return not _is_silent(state, identity, now)
+
+
+def _promote(state: GroupState, learner: MemberRecord, now: float) -> None:
+    former = _former_identity(state, learner)
+    if former is not None:
+        # The former disk of the host goes first. While both counted, a quorum would
+        # need the new member, and its loss right after the repair would stop writes.
+        if _is_silent(state, former.identity, now):
+            kept = tuple(m for m in state.members if m != former)
+            _append_members(state, kept, now)
+        return
+    if _can_spare(state, now):
+        promoted = learner._replace(voter=True)
+        members = tuple(promoted if m == learner else m for m in state.members)
+        _append_members(state, members, now)
+
+
+def _former_identity(state: GroupState, learner: MemberRecord) -> MemberRecord | None:
+    host = host_name(learner.identity)
+    for member in state.members:
+        if member.voter and host_name(member.identity) == host:
+            return member
+    return None
+
+
+def _can_spare(state: GroupState, now: float) -> bool:
+    """Return whether a quorum would survive the loss of a new voter."""
+    voters = state.voters()
+    answering = sum(_answers(state, voter, now) for voter in voters)
+    return answering == len(voters) or answering * 2 > len(voters) + 1
 
 
 def leave_if_removed(state: GroupState, now: float) -> None:
--- a/src/jasminewharf/decisions/records.py
+++ b/src/jasminewharf/decisions/records.py
@@ -25,6 +25,7 @@
     "Tick",
     "Timing",
     "Transfer",
+    "host_name",
 ]
 
 COMMAND = 0
@@ -32,6 +33,11 @@
 MEMBERS = 2
 
 
+def host_name(identity: str) -> str:
+    """Return the host name in a member's identity."""
+    return identity.partition("/")[0]
+
+
 class Entry(NamedTuple):
     """One entry of the log; ``kind`` is COMMAND, NOOP or MEMBERS."""
 
--- a/src/jasminewharf/services/disk.py
+++ b/src/jasminewharf/services/disk.py
@@ -19,7 +19,7 @@
 from .files import Files, replace_file
 from .storage import GroupStorage
 
-__all__ = ["Disk", "DiskIdentity", "host_name"]
+__all__ = ["Disk", "DiskIdentity"]
 
 _FILE = "identity"
 _GROUPS = "groups"
@@ -43,11 +43,6 @@
 _decoder = msgspec.msgpack.Decoder(DiskIdentity)
 
 
-def host_name(identity: str) -> str:
-    """Return the host name in a member's identity."""
-    return identity.partition("/")[0]
-
-
 class Disk:
     """The data folder of one control host.
 
--- a/src/jasminewharf/services/founding.py
+++ b/src/jasminewharf/services/founding.py
@@ -7,9 +7,9 @@
 
 from typing import NamedTuple
 
+from ..decisions.records import host_name
 from ..defaults import LOG_PROBE_VALID_S
 from ..messages.log import BatchHeader, MemberRecord
-from .disk import host_name
 
 __all__ = ["Founding", "Seen"]
 
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -10,7 +10,7 @@
 
 from .. import events
 from ..decisions.consensus import Consensus
-from ..decisions.records import COMMAND, Received, Timing, Transfer
+from ..decisions.records import COMMAND, Received, Timing, Transfer, host_name
 from ..defaults import (
     LOG_MEMBER_CHANGE_TIMEOUT_S,
     LOG_MEMBER_POLL_S,
@@ -22,7 +22,7 @@
 from ..kernel import Kernel, Service
 from ..messages import codec
 from ..messages.log import BatchHeader, DiskAnswer, DiskProbe, MemberRecord
-from .disk import Disk, host_name
+from .disk import Disk
 from .files import DiskFiles, Files
 from .founding import Founding
 from .loggroup import GroupRunner, Machine
@@ -217,7 +217,7 @@
     async def add_member(self, group: str, host: str, address: str) -> str:
         """Add a host; return its identity when it has caught up and votes.
 
-        An earlier identity of the same host, whose disk is gone, is removed then.
+        An earlier identity of the same host, whose disk is gone, is removed first.
 
         Raises:
             NotLeader: If this member does not lead.
@@ -229,9 +229,6 @@
         record = MemberRecord(identity, address, False)
         await self._change(runner, record, "")
         await self._wait_for_vote(runner, identity)
-        for member in self.members(group):
-            if host_name(member.identity) == host and member.identity != identity:
-                await self._change(runner, None, member.identity)
         return identity
 
     async def remove_member(self, group: str, identity: str) -> None:
