--- a/src/jasminewharf/services/storage.py
+++ b/src/jasminewharf/services/storage.py
@@ -58,8 +58,9 @@
             self._take_entry(record)
 
     def _take_entry(self, entry: Entry) -> None:
-        if self.entries and entry.index >= self.entries[0].index:
-            del self.entries[entry.index - self.entries[0].index :]
+        # An entry may replace some whose segment has been removed since.
+        if self.entries:
+            del self.entries[max(entry.index - self.entries[0].index, 0) :]
         follows = not self.entries or self.entries[-1].index == entry.index - 1
         after_base = self.base is None or entry.index > self.base.index
         if not follows or not after_base:
@@ -99,6 +100,7 @@
         self._sequence = 0
         self._last_index = 0
         self._hard_state = HardState(0, "")
+        self._unwritten_reset: list[LogReset] = []
 
     def open(self) -> Restored:
         """Read everything, cut a torn tail and return what is durable.
@@ -119,7 +121,12 @@
         elif self._file is None:
             self._file = self._files.open(self._path(self._name))
         self._mark = self._files.open(self._path(_MARK))
-        return _restore(replay, snapshot, self._folder)
+        restored = _restore(replay, snapshot, self._folder)
+        if replay.entries and not restored.entries:
+            # The next entry does not follow those on the disk, so that the reset,
+            # which a crash may have cut off, has to come before it.
+            self._unwritten_reset = [restored.base]
+        return restored
 
     def _path(self, name: str) -> str:
         return f"{self._folder}/{name}"
@@ -209,7 +216,9 @@
             self._dirty = False
         if self._offset >= self._segment_bytes:
             self._begin_segment()
-        written = [self._hard_state, *records] if self._offset == 0 else records
+        written = [*self._unwritten_reset, *records]
+        if self._offset == 0:
+            written.insert(0, self._hard_state)
         frame = encode_frame(written, self._sequence + 1, self._seed)
         self._dirty = True
         self._file.write(self._offset, frame)
@@ -217,6 +226,7 @@
         self._dirty = False
         self._offset += len(frame)
         self._sequence += 1
+        self._unwritten_reset = []
         self._note_records(records)
         self._write_mark()
 
--- a/tests/log_simulation.py
+++ b/tests/log_simulation.py
@@ -33,7 +33,7 @@
         self.simulation = simulation
         self.name = name
         self.disks = 0
-        self.rate = simulation.random.uniform(0.9, 1.1)
+        self.rate = simulation.random.uniform(*simulation.clock_rates)
         self.offset = simulation.random.uniform(0, 1000)
         self.up = False
         self.life = 0
@@ -246,6 +246,8 @@
         self.installs = 0
         self.loss = self.random.choice((0.0, 0.02, 0.2))
         self.delay = self.random.choice((0.001, 0.02, 0.2))
+        # Safety must not depend on clocks, so half of the schedules have wild ones.
+        self.clock_rates = self.random.choice(((0.9, 1.1), (0.2, 4.0)))
         self.fault_rate = self.random.choice((0.02, 0.1, 0.5))
         self.severed = set()
         self._events = []
@@ -307,8 +309,8 @@
 
     def _call(self, host, chance):
         self._token += 1
-        if chance < 0.4:
-            leaders = self.leaders()
+        leaders = self.leaders()
+        if chance < 0.35:
             if leaders:
                 host = self.random.choice(leaders)
             first = self._token
@@ -316,6 +318,8 @@
             commands = [(t, b"%d" % t) for t in range(first, self._token + 1)]
             host.submit(records.Propose(commands))
             return
+        if leaders and chance < 0.55:
+            host = self.random.choice(leaders)
         host.reads[self._token] = max(self.checks.acknowledged, default=0)
         host.submit(records.Read([self._token]))
 
@@ -359,19 +363,33 @@
             self._crash(host)
         elif chance < 0.76:
             self._lose_disk(host)
-        elif chance < 0.80:
+        elif chance < 0.78:
+            self._jump_clocks()
+        elif chance < 0.81:
+            leaders = self.leaders()
+            if leaders and self.random.random() < 0.7:
+                host = leaders[0]
             others = [h for h in self.hosts if h != host.name]
             self.severed = {(host.name, o) for o in others}
             if self.random.random() < 0.7:
                 self.severed |= {(o, host.name) for o in others}
-        elif chance < 0.84:
+        elif chance < 0.85:
             self.severed = set()
-        elif chance < 0.86:
+        elif chance < 0.87:
             host.files.full = True
         elif chance < 0.90:
             for each in self.hosts.values():
                 each.files.full = False
 
+    def _jump_clocks(self):
+        # Followers that skip ahead elect a leader while the old one still leads.
+        leader_names = {host.name for host in self.leaders()}
+        for host in self.hosts.values():
+            if host.name not in leader_names:
+                host.offset += 5.0
+        if self.random.random() < 0.5:
+            self.severed = {(a, b) for a in leader_names for b in self.hosts}
+
     def _crash(self, host):
         if not host.up:
             return
@@ -410,6 +428,8 @@
         """End all faults; the group must then elect, commit and converge."""
         self.loss, self.delay, self.severed = 0.0, 0.002, set()
         for host in self.hosts.values():
+            host.offset, host.rate = host.now(), 1.0
+            host.offset -= self.time
             host.files.full = False
             host.files.crash_after = None
             if not host.up:
