--- /dev/null
+++ b/src/jasminewharf/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: experiments in virtual time and load on loopback."""
