Estimate the wait by filling the slots

Cause: the sum of remaining work over the slots overstates the wait when long plans run, because the next free slot comes much earlier than the mean one.

--- a/src/jasminewharf/bench/queues.py
+++ b/src/jasminewharf/bench/queues.py
@@ -22,7 +22,7 @@
 __all__ = ["compare_queues", "main", "run_queue"]
 
 # Share of refused calls that run nevertheless, to judge the refusals.
-_EXPLORED_SHARE = 0.05
+_EXPLORED_SHARE = 0.1
 
 
 def run_queue(
@@ -82,7 +82,8 @@
     regular = [item for item in results if not item.explored]
     explored = [item for item in results if item.explored]
     done = [item for item in regular if item.outcome == "done"]
-    refused = [item for item in regular if item.outcome in ("refused", "full")]
+    refused = [item for item in regular if item.outcome == "refused"]
+    full = [item for item in regular if item.outcome == "full"]
     late = [item for item in regular if item.outcome == "late"]
     interactive = [item for item in done if item.arrival.priority != BATCH]
     batch = [item for item in done if item.arrival.priority == BATCH]
@@ -91,6 +92,7 @@
         "calls": len(results),
         "done_share": len(done) / len(results),
         "refused_share": (len(refused) + len(explored)) / len(results),
+        "full_share": len(full) / len(results),
         "late_share": len(late) / len(results),
         "goodput_tokens_per_s": sum(item.arrival.tokens for item in done)
         / scenario.seconds,
--- a/src/jasminewharf/decisions/admission.py
+++ b/src/jasminewharf/decisions/admission.py
@@ -220,19 +220,20 @@
         """Return the uncorrected wait: work ahead of the call over the slots."""
         if self._has_slot() and not len(self.queue):
             return 0.0
-        remaining = [
-            max(
-                0.0,
-                self._service_s(item.model, item.call.priority, item.call.cost_tokens)
-                - (now - item.started_at),
-            )
-            for item in self._running.values()
-        ]
-        ahead = self.queue.tokens_ahead(call.workspace, call.priority, call.cost_tokens)
-        work = self._any_service.seconds(ahead)
-        if work == 0 and remaining:
-            return min(remaining)
-        return (sum(remaining) + work) / self.limits.slots
+        ahead = self.queue.tokens_ahead(
+            call.workspace, call.priority, call.cost_tokens
+        )
+        remaining = [self._remaining_s(item, now) for item in self._running.values()]
+        free = [0.0] * max(0, self.limits.slots - len(remaining))
+        return _fill_slots(sorted(free + remaining), self._any_service.seconds(ahead))
+
+    def _remaining_s(self, item: _Running, now: float) -> float:
+        """Return how long a running call is expected to run on."""
+        call = item.call
+        expected = self._service_s(item.model, call.priority, call.cost_tokens)
+        left = expected - (now - item.started_at)
+        # A call that has taken longer than expected still takes some time.
+        return max(left, expected * defaults.ADMISSION_OVERDUE_SHARE)
 
     def _correct(self, raw_wait_s: float, actual_s: float) -> None:
         if raw_wait_s <= 0:
@@ -287,6 +288,23 @@
     )
 
 
+def _fill_slots(free_at: list[float], work_s: float) -> float:
+    """Return when a slot is free after ``work_s`` were spread over the slots.
+
+    Args:
+        free_at: Ascending times until each slot is free.
+        work_s: Seconds of work that go first, each piece to the first free slot.
+    """
+    level = free_at[0]
+    for slots, following in enumerate(free_at[1:], start=1):
+        room = (following - level) * slots
+        if work_s <= room:
+            return level + work_s / slots
+        work_s -= room
+        level = following
+    return level + work_s / len(free_at)
+
+
 def _retry_ms(seconds: float) -> int:
     milliseconds = math.ceil(seconds * 1000)
     return min(
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -41,6 +41,8 @@
 ADMISSION_SECONDS_PER_TOKEN = 0.02
 # Weight of one observation in the moving averages of admission.
 ADMISSION_GAIN = 0.1
+# Expected rest of a call that has outlasted its estimate, as a share of it.
+ADMISSION_OVERDUE_SHARE = 0.1
 ADMISSION_CORRECTION_MIN = 0.25
 ADMISSION_CORRECTION_MAX = 4.0
 TOKEN_RATE_WINDOW_S = 5.0
