Correct the estimated wait per workspace and priority

Cause: calls of workspaces below their share pass those of a workspace above it, so one factor for all understates the wait of the latter.

--- a/src/jasminewharf/decisions/admission.py
+++ b/src/jasminewharf/decisions/admission.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections import OrderedDict
 from typing import NamedTuple
 
 from .. import defaults
@@ -22,6 +23,9 @@
 ]
 
 
+_SHORTEST_S = 1e-3
+
+
 class AdmissionLimits(NamedTuple):
     """What one backend server runs at once.
 
@@ -115,17 +119,20 @@
         self._running_tokens = 0
         self._service: dict[tuple[str, str], _ServiceTime] = {}
         self._any_service = _ServiceTime(limits.seconds_per_token, limits.gain)
-        self._log_correction = 0.0
+        self._corrections: OrderedDict[tuple[str, str], float] = OrderedDict()
 
     @property
     def running(self) -> int:
         """Calls at the backend server."""
         return len(self._running)
 
-    @property
-    def correction(self) -> float:
-        """Factor on the estimated wait, learned from the waits that followed."""
-        return math.exp(self._log_correction)
+    def correction(self, workspace: str, priority: str) -> float:
+        """Return the factor on estimated waits, learned from those that followed.
+
+        It differs between workspaces: calls that arrive later pass those of a
+        workspace above its share.
+        """
+        return math.exp(self._corrections.get((workspace, priority), 0.0))
 
     def offer(self, call: QueuedCall, model: str, now: float) -> Estimate:
         """Queue a call that can be served before its deadline.
@@ -152,7 +159,9 @@
 
     def estimate(self, call: QueuedCall, model: str, now: float) -> Estimate:
         """Return the expected wait and service time of a call."""
-        wait_s = self._raw_wait(call, now) * self.correction
+        wait_s = self._raw_wait(call, now) * self.correction(
+            call.workspace, call.priority
+        )
         return Estimate(wait_s, self._service_s(model, call.priority, call.cost_tokens))
 
     def take(self, now: float) -> QueuedCall | None:
@@ -163,7 +172,7 @@
         if call is None:
             return None
         waiting = self._waiting.pop(call.request_id)
-        self._correct(waiting.raw_wait_s, now - call.enqueued_at)
+        self._correct(call, waiting.raw_wait_s, now)
         self._running[call.request_id] = _Running(call, waiting.model, now)
         self._running_tokens += call.cost_tokens
         return call
@@ -197,9 +206,8 @@
         for call in expired:
             waiting = self._waiting.pop(call.request_id)
             # The wait was longer than this; a lower bound still corrects upwards.
-            actual = now - call.enqueued_at
-            if actual > waiting.estimate.wait_s:
-                self._correct(waiting.raw_wait_s, actual)
+            if now - call.enqueued_at > waiting.estimate.wait_s:
+                self._correct(call, waiting.raw_wait_s, now)
         return expired
 
     def forget_model(self, model: str) -> None:
@@ -235,16 +243,20 @@
         # A call that has taken longer than expected still takes some time.
         return max(left, expected * defaults.ADMISSION_OVERDUE_SHARE)
 
-    def _correct(self, raw_wait_s: float, actual_s: float) -> None:
+    def _correct(self, call: QueuedCall, raw_wait_s: float, now: float) -> None:
         if raw_wait_s <= 0:
             return
-        ratio = max(actual_s, 1e-3) / max(raw_wait_s, 1e-3)
+        actual_s = now - call.enqueued_at
+        ratio = max(actual_s, _SHORTEST_S) / max(raw_wait_s, _SHORTEST_S)
         ratio = min(
             max(ratio, defaults.ADMISSION_CORRECTION_MIN),
             defaults.ADMISSION_CORRECTION_MAX,
         )
-        gain = self.limits.gain
-        self._log_correction += gain * (math.log(ratio) - self._log_correction)
+        key = (call.workspace, call.priority)
+        known = self._corrections.pop(key, 0.0)
+        self._corrections[key] = known + self.limits.gain * (math.log(ratio) - known)
+        if len(self._corrections) > defaults.ADMISSION_CORRECTIONS:
+            self._corrections.popitem(last=False)
 
 
 class ColdLoad(NamedTuple):
