--- a/src/jasminewharf/bench/queues.py
+++ b/src/jasminewharf/bench/queues.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, NamedTuple
 
 import cappa
 
@@ -19,16 +19,21 @@
 from .simulation import Arrival, CallResult, SimulatedBackend, Timeline
 from .workloads import SCENARIOS, Scenario, draw_arrivals
 
-__all__ = ["compare_queues", "main", "run_queue"]
+__all__ = ["QueueRun", "compare_queues", "main", "run_queue", "summarise"]
 
 # Share of refused calls that run nevertheless, to judge the refusals.
 _EXPLORED_SHARE = 0.1
 
 
-def run_queue(
-    scenario: Scenario, queue: str, admit_all: bool, seed: int
-) -> list[CallResult]:
-    """Run a scenario on one backend server; return what became of each call."""
+class QueueRun(NamedTuple):
+    """What became of each call and of each refused call's retry."""
+
+    results: list[CallResult]
+    retries_admitted: list[bool]
+
+
+def run_queue(scenario: Scenario, queue: str, admit_all: bool, seed: int) -> QueueRun:
+    """Run a scenario on one backend server."""
     timeline = Timeline()
     results: list[CallResult] = []
     source = random.Random(seed + 1)
@@ -48,7 +53,7 @@
     for arrival in draw_arrivals(scenario, seed):
         timeline.at(arrival.at, _bind(backend.arrive, arrival))
     timeline.run()
-    return results
+    return QueueRun(results, backend.retries_admitted)
 
 
 def _bind(action: Callable[[Arrival], None], arrival: Arrival) -> Callable[[], None]:
@@ -77,13 +82,15 @@
     return entitled
 
 
-def summarise(scenario: Scenario, results: list[CallResult]) -> dict[str, float]:
+def summarise(scenario: Scenario, run: QueueRun) -> dict[str, float]:
     """Return the figures of one run; explored calls count for refusals only."""
+    results = run.results
     regular = [item for item in results if not item.explored]
     explored = [item for item in results if item.explored]
     done = [item for item in regular if item.outcome == "done"]
     refused = [item for item in regular if item.outcome == "refused"]
     full = [item for item in regular if item.outcome == "full"]
+    shed = [item for item in regular if item.outcome == "shed"]
     late = [item for item in regular if item.outcome == "late"]
     interactive = [item for item in done if item.arrival.priority != BATCH]
     batch = [item for item in done if item.arrival.priority == BATCH]
@@ -93,6 +100,7 @@
         "done_share": len(done) / len(results),
         "refused_share": (len(refused) + len(explored)) / len(results),
         "full_share": len(full) / len(results),
+        "shed_share": len(shed) / len(results),
         "late_share": len(late) / len(results),
         "goodput_tokens_per_s": sum(item.arrival.tokens for item in done)
         / scenario.seconds,
@@ -103,6 +111,8 @@
         "batch_wait_p99_s": _percentile(batch, 99),
         "estimate_error": _measure_error(regular),
         "estimate_bias": _measure_bias(regular),
+        "retry_admitted_share": sum(run.retries_admitted)
+        / max(1, len(run.retries_admitted)),
         "explored": len(explored),
         "incorrect_refusal_share": wrong / len(explored) if explored else 0.0,
     }
@@ -168,8 +178,8 @@
         for queue in ("fair", "fifo"):
             for admit_all in (False, True):
                 label = f"{queue}, no admission" if admit_all else queue
-                results = run_queue(scenario, queue, admit_all, seed)
-                runs[label] = summarise(scenario, results)
+                run = run_queue(scenario, queue, admit_all, seed)
+                runs[label] = summarise(scenario, run)
     return figures
 
 
--- a/src/jasminewharf/bench/simulation.py
+++ b/src/jasminewharf/bench/simulation.py
@@ -54,7 +54,10 @@
 
 
 class CallResult(NamedTuple):
-    """What became of a call: done, late, refused or full.
+    """What became of a call: done, late, refused, full or shed.
+
+    A call that is shed waited until it could no longer be served, and did not run.
+
 
     ``explored`` marks a call that admission refused and that ran nevertheless, to
     find out whether the refusal was right. ``estimate_s`` is the estimated wait.
@@ -101,6 +104,10 @@
         slow: Factor on all times at a given moment.
         admit_all: Whether calls are queued whatever the estimate says.
         explore: Decides whether a refused call runs nevertheless.
+
+    Attributes:
+        retries_admitted: For each refusal with a retry time, whether the call
+            would have been admitted at that time.
     """
 
     def __init__(
@@ -121,6 +128,7 @@
         self._explore = explore
         self._times = times
         self._live: dict[str, _Live] = {}
+        self.retries_admitted: list[bool] = []
 
     @property
     def load(self) -> int:
@@ -133,6 +141,7 @@
         try:
             live.estimate = self._offer(arrival, self._admit_all)
         except Overloaded as refusal:
+            self._plan_probe(arrival, (refusal.retry_after_ms or 0) / 1000)
             if not self._explore():
                 self._report_refusal(arrival, "refused", refusal)
                 return
@@ -152,17 +161,31 @@
         self._start_calls()
 
     def _offer(self, arrival: Arrival, always: bool) -> float:
+        call = self._build_call(arrival, always)
+        return self.admission.offer(call, "m", self.timeline.now).wait_s
+
+    def _build_call(self, arrival: Arrival, always: bool) -> QueuedCall:
         now = self.timeline.now
-        deadline = now + (_FAR if always else arrival.deadline_s)
-        call = QueuedCall(
+        return QueuedCall(
             str(arrival.number),
             arrival.workspace,
             arrival.priority,
             arrival.cost,
             now,
-            deadline,
+            now + (_FAR if always else arrival.deadline_s),
         )
-        return self.admission.offer(call, "m", now).wait_s
+
+    def _plan_probe(self, arrival: Arrival, retry_s: float) -> None:
+        def probe() -> None:
+            now = self.timeline.now
+            try:
+                self.admission.check(self._build_call(arrival, False), "m", now)
+            except Overloaded:
+                self.retries_admitted.append(False)
+            else:
+                self.retries_admitted.append(True)
+
+        self.timeline.at(self.timeline.now + retry_s, probe)
 
     def _report_refusal(self, arrival: Arrival, outcome: str, error: Refusal) -> None:
         retry_s = (error.retry_after_ms or 0) / 1000
@@ -176,6 +199,11 @@
             request_id = call.request_id
             end = now + self._measure_prefill(live) + self._measure_service(live)
             self.timeline.at(end, lambda name=request_id: self._end(name))
+        self._report_shed()
+
+    def _report_shed(self) -> None:
+        for call in self.admission.expire(self.timeline.now):
+            self._report(self._live.pop(call.request_id), "shed")
 
     def _measure_prefill(self, live: _Live) -> float:
         uncached = live.arrival.prompt_tokens * (1 - live.cached)
@@ -201,7 +229,6 @@
         if live is None:
             return
         if live.started is None:
-            self.admission.expire(now)
             self.admission.cancel(request_id)
         else:
             self.admission.finish(request_id, now, complete=False)
--- a/src/jasminewharf/bench/workloads.py
+++ b/src/jasminewharf/bench/workloads.py
@@ -65,6 +65,8 @@
         ),
         {},
     ),
+    # More plans than can be served, and nothing else.
+    "plans_only": Scenario(_spread("abc", 0.2, **_PLAN), {}),
     # Nothing should be refused here.
     "steady": Scenario(_spread("abcde", 0.5, **_MEDIUM), {}),
     # Half as much again as can be served.
--- a/src/jasminewharf/decisions/admission.py
+++ b/src/jasminewharf/decisions/admission.py
@@ -11,7 +11,7 @@
 
 from .. import defaults
 from ..exceptions import ModelUnavailable, Overloaded
-from .queueing import CallQueue, QueuedCall
+from .queueing import BATCH, CallQueue, QueuedCall
 
 __all__ = [
     "Admission",
@@ -29,10 +29,13 @@
 class AdmissionLimits(NamedTuple):
     """What one backend server runs at once.
 
-    ``slots`` are calls, ``tokens`` the sum of their largest costs.
+    ``slots`` are calls, ``tokens`` the sum of their largest costs. Up to
+    ``reserve_share`` of the slots are kept from batch calls, by the recent demand
+    of interactive calls.
     """
 
     slots: int = defaults.ADMISSION_SLOTS
+    reserve_share: float = defaults.ADMISSION_RESERVE_SHARE
     tokens: int = defaults.QUEUE_LIMIT_TOKENS
     seconds_per_token: float = defaults.ADMISSION_SECONDS_PER_TOKEN
     gain: float = defaults.ADMISSION_GAIN
@@ -86,7 +89,7 @@
         self._tokens = 0.0
         self._updated_at: float | None = None
 
-    def add(self, tokens: int, now: float) -> None:
+    def add(self, tokens: float, now: float) -> None:
         """Count tokens that were generated just now."""
         self._decay(now)
         self._tokens += tokens
@@ -116,7 +119,11 @@
         self.limits = limits
         self._running: dict[str, _Running] = {}
         self._waiting: dict[str, _Waiting] = {}
+        self._expired: list[QueuedCall] = []
         self._running_tokens = 0
+        self._running_batch = 0
+        # Service seconds offered per second: the mean number of interactive calls.
+        self._interactive_load = TokenRate(defaults.ADMISSION_RESERVE_WINDOW_S)
         self._service: dict[tuple[str, str], _ServiceTime] = {}
         self._any_service = _ServiceTime(limits.seconds_per_token, limits.gain)
         self._corrections: OrderedDict[tuple[str, str], float] = OrderedDict()
@@ -143,18 +150,32 @@
             QueueFull: If the queue holds its limit.
         """
         raw_wait = self._raw_wait(call, now)
+        if call.priority != BATCH:
+            service_s = self._service_s(model, call.priority, call.cost_tokens)
+            self._interactive_load.add(service_s, now)
+        estimate = self.check(call, model, now)
+        latest = _find_latest_start(call, estimate)
+        start_by = latest if latest > now else call.deadline
+        self.queue.push(call._replace(deadline=start_by))
+        self._waiting[call.request_id] = _Waiting(model, estimate, raw_wait)
+        return estimate
+
+    def check(self, call: QueuedCall, model: str, now: float) -> Estimate:
+        """Return the estimate for a call that would be admitted; change nothing.
+
+        Raises:
+            Overloaded: If it would be refused.
+        """
+        if call.deadline <= now:
+            raise Overloaded("the deadline has passed")
         estimate = self.estimate(call, model, now)
-        late_s = now + estimate.wait_s + estimate.service_s - call.deadline
+        late_s = now + estimate.wait_s - _find_latest_start(call, estimate)
         # A call that need not wait is tried even if its service may be too long.
         if late_s > 0 and estimate.wait_s > 0:
             raise Overloaded(
                 "the call cannot be served before its deadline",
                 retry_after_ms=_retry_ms(min(late_s, estimate.wait_s)),
             )
-        if call.deadline <= now:
-            raise Overloaded("the deadline has passed")
-        self.queue.push(call)
-        self._waiting[call.request_id] = _Waiting(model, estimate, raw_wait)
         return estimate
 
     def estimate(self, call: QueuedCall, model: str, now: float) -> Estimate:
@@ -168,13 +189,15 @@
         """Return the next call to run, or None if there is no slot or no call."""
         if not self._has_slot():
             return None
-        call = self.queue.pop(now)
+        self._shed(now)
+        call = self.queue.pop(now, self._running_batch < self._batch_slots(now))
         if call is None:
             return None
         waiting = self._waiting.pop(call.request_id)
         self._correct(call, waiting.raw_wait_s, now)
         self._running[call.request_id] = _Running(call, waiting.model, now)
         self._running_tokens += call.cost_tokens
+        self._running_batch += call.priority == BATCH
         return call
 
     def finish(self, request_id: str, now: float, *, complete: bool = True) -> None:
@@ -184,6 +207,7 @@
             return
         call = running.call
         self._running_tokens -= call.cost_tokens
+        self._running_batch -= call.priority == BATCH
         if not complete:
             return
         seconds = now - running.started_at
@@ -201,14 +225,23 @@
         return self.queue.cancel(request_id) is not None
 
     def expire(self, now: float) -> list[QueuedCall]:
-        """Remove and return waiting calls whose deadline has passed."""
-        expired = self.queue.expire(now)
-        for call in expired:
+        """Remove and return waiting calls that can no longer be served in time.
+
+        Call it after :meth:`take` and at the queue's ``next_deadline``. None of
+        these calls began. Their ``deadline`` is the latest time to begin.
+        """
+        self._shed(now)
+        expired = self._expired
+        self._expired = []
+        return expired
+
+    def _shed(self, now: float) -> None:
+        for call in self.queue.expire(now):
+            self._expired.append(call)
             waiting = self._waiting.pop(call.request_id)
             # The wait was longer than this; a lower bound still corrects upwards.
             if now - call.enqueued_at > waiting.estimate.wait_s:
                 self._correct(call, waiting.raw_wait_s, now)
-        return expired
 
     def forget_model(self, model: str) -> None:
         """Drop the service times of a model that was unloaded."""
@@ -220,19 +253,33 @@
             return False
         return not self._running or self._running_tokens < self.limits.tokens
 
+    def _batch_slots(self, now: float) -> int:
+        """Return how many slots batch calls may use.
+
+        Kept from them is the mean number of interactive calls and two standard
+        deviations of a Poisson distribution, as continuous batching engines do
+        not interrupt a long call.
+        """
+        mean = self._interactive_load.read(now)
+        wanted = mean + 2 * math.sqrt(mean)
+        slots = self.limits.slots
+        reserved = min(round(wanted), int(slots * self.limits.reserve_share))
+        return max(1, slots - reserved)
+
     def _service_s(self, model: str, priority: str, tokens: int) -> float:
         service = self._service.get((model, priority), self._any_service)
         return service.seconds(tokens)
 
     def _raw_wait(self, call: QueuedCall, now: float) -> float:
         """Return the uncorrected wait: work ahead of the call over the slots."""
-        if self._has_slot() and not len(self.queue):
-            return 0.0
-        ahead = self.queue.tokens_ahead(
-            call.workspace, call.priority, call.cost_tokens
-        )
-        remaining = [self._remaining_s(item, now) for item in self._running.values()]
-        free = [0.0] * max(0, self.limits.slots - len(remaining))
+        ahead = self.queue.tokens_ahead(call.workspace, call.priority, call.cost_tokens)
+        running = list(self._running.values())
+        slots = self.limits.slots
+        if call.priority == BATCH and self._running_batch >= self._batch_slots(now):
+            running = [item for item in running if item.call.priority == BATCH]
+            slots = len(running)
+        remaining = [self._remaining_s(item, now) for item in running]
+        free = [0.0] * max(0, slots - len(remaining))
         return _fill_slots(sorted(free + remaining), self._any_service.seconds(ahead))
 
     def _remaining_s(self, item: _Running, now: float) -> float:
@@ -300,6 +347,11 @@
     )
 
 
+def _find_latest_start(call: QueuedCall, estimate: Estimate) -> float:
+    """Return the time past which the call cannot be served any more."""
+    return call.deadline - defaults.ADMISSION_LEAST_SERVICE * estimate.service_s
+
+
 def _fill_slots(free_at: list[float], work_s: float) -> float:
     """Return when a slot is free after ``work_s`` were spread over the slots.
 
--- a/src/jasminewharf/decisions/queueing.py
+++ b/src/jasminewharf/decisions/queueing.py
@@ -5,12 +5,19 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Mapping
-from typing import NamedTuple, Protocol
+from collections.abc import Mapping
 
-from .. import defaults
-from ..exceptions import QueueFull
 from ..registry import register
+from .boundedqueue import (
+    BATCH,
+    DEFAULT_LIMITS,
+    INTERACTIVE,
+    QUEUES,
+    BoundedQueue,
+    CallQueue,
+    QueuedCall,
+    QueueLimits,
+)
 from .heaps import KeyedHeap
 
 __all__ = [
@@ -24,116 +31,11 @@
     "QueuedCall",
 ]
 
-INTERACTIVE = "interactive"
-BATCH = "batch"
-
 _MIN_WEIGHT = 1e-6
 
 
-class QueuedCall(NamedTuple):
-    """A waiting call.
-
-    ``cost_tokens`` is its largest cost; ``enqueued_at`` and ``deadline`` are
-    monotonic seconds of this process.
-    """
-
-    request_id: str
-    workspace: str
-    priority: str
-    cost_tokens: int
-    enqueued_at: float
-    deadline: float
-
-
-class QueueLimits(NamedTuple):
-    """Bounds of a queue and the parameters of its order."""
-
-    calls: int = defaults.QUEUE_LIMIT_CALLS
-    tokens: int = defaults.QUEUE_LIMIT_TOKENS
-    ageing_s: float = defaults.QUEUE_AGEING_S
-    aged_batch_share: float = defaults.QUEUE_AGED_BATCH_SHARE
-    credit_tokens: int = defaults.QUEUE_CREDIT_TOKENS
-
-
-_LIMITS = QueueLimits()
-
-
-class CallQueue(Protocol):
-    """What admission and the agent use of a queue."""
-
-    tokens: int
-
-    def __len__(self) -> int:
-        """Return the number of waiting calls."""
-
-    def push(self, call: QueuedCall) -> None:
-        """Add a call; raises ``QueueFull`` if it does not fit."""
-
-    def pop(self, now: float) -> QueuedCall | None:
-        """Remove and return the next call to run; None if empty."""
-
-    def cancel(self, request_id: str) -> QueuedCall | None:
-        """Remove a waiting call; None if it does not wait here."""
-
-    def expire(self, now: float) -> list[QueuedCall]:
-        """Remove and return all calls whose deadline has passed."""
-
-    def next_deadline(self) -> float | None:
-        """Return the earliest deadline, or None if empty."""
-
-    def tokens_ahead(self, workspace: str, priority: str, cost_tokens: int) -> float:
-        """Return the tokens that would be served before such a call."""
-
-
-QUEUES: dict[str, Callable[[Mapping[str, float], QueueLimits], CallQueue]] = {}
-
-
-class _Base:
-    """Bounds, deadlines and lookup by request id."""
-
-    def __init__(
-        self, weights: Mapping[str, float], limits: QueueLimits = _LIMITS
-    ) -> None:
-        self._weights = weights
-        self._limits = limits
-        self._calls: OrderedDict[str, QueuedCall] = OrderedDict()
-        self._deadlines: KeyedHeap[str] = KeyedHeap()
-        self.tokens = 0
-
-    def __len__(self) -> int:
-        return len(self._calls)
-
-    def next_deadline(self) -> float | None:
-        lowest = self._deadlines.peek()
-        return None if lowest is None else lowest[0]
-
-    def expire(self, now: float) -> list[QueuedCall]:
-        expired = []
-        while (lowest := self._deadlines.peek()) and lowest[0] <= now:
-            call = self.cancel(lowest[1])
-            if call is not None:
-                expired.append(call)
-        return expired
-
-    def cancel(self, request_id: str) -> QueuedCall | None:
-        call = self._calls.pop(request_id, None)
-        if call is not None:
-            self._deadlines.discard(request_id)
-            self.tokens -= call.cost_tokens
-        return call
-
-    def _enter(self, call: QueuedCall) -> None:
-        if len(self._calls) >= self._limits.calls:
-            raise QueueFull("the queue holds its limit of calls")
-        if self._calls and self.tokens + call.cost_tokens > self._limits.tokens:
-            raise QueueFull("the queue holds its limit of tokens")
-        self._calls[call.request_id] = call
-        self._deadlines.set(call.request_id, call.deadline)
-        self.tokens += call.cost_tokens
-
-
 @register(QUEUES, "fifo")
-class FifoQueue(_Base):
+class FifoQueue(BoundedQueue):
     """First in, first out; the baseline."""
 
     def push(self, call: QueuedCall) -> None:
@@ -144,8 +46,8 @@
         """
         self._enter(call)
 
-    def pop(self, now: float) -> QueuedCall | None:
-        """Remove and return the oldest call."""
+    def pop(self, now: float, allow_batch: bool = True) -> QueuedCall | None:
+        """Remove and return the oldest call; it knows no priorities."""
         if not self._calls:
             return None
         return self.cancel(next(iter(self._calls)))
@@ -182,7 +84,7 @@
 
 
 @register(QUEUES, "fair")
-class FairQueue(_Base):
+class FairQueue(BoundedQueue):
     """Start-time fair queueing per workspace, in tokens.
 
     A workspace has a start tag in virtual tokens; serving a call moves it on by
@@ -198,14 +100,15 @@
     """
 
     def __init__(
-        self, weights: Mapping[str, float], limits: QueueLimits = _LIMITS
+        self, weights: Mapping[str, float], limits: QueueLimits = DEFAULT_LIMITS
     ) -> None:
         super().__init__(weights, limits)
         self._flows: dict[str, _Flow] = {}
         # Start tags of idle workspaces that are ahead of the virtual time.
         self._resting: KeyedHeap[str] = KeyedHeap()
         self._resting_tags: dict[str, float] = {}
-        self._urgent: KeyedHeap[str] = KeyedHeap()
+        self._interactive: KeyedHeap[str] = KeyedHeap()
+        self._aged: KeyedHeap[str] = KeyedHeap()
         self._patient: KeyedHeap[str] = KeyedHeap()
         self._ageing: KeyedHeap[str] = KeyedHeap()
         self._virtual = 0.0
@@ -226,16 +129,16 @@
             flow.interactive_tokens += call.cost_tokens
         self._place(call.workspace, flow)
 
-    def pop(self, now: float) -> QueuedCall | None:
-        """Remove and return the call that is served next."""
+    def pop(self, now: float, allow_batch: bool = True) -> QueuedCall | None:
+        """Remove and return the call that is served next; None if there is none."""
         self._promote_aged(now)
-        lowest = self._urgent.peek() or self._patient.peek()
+        lowest = self._find_next(allow_batch)
         if lowest is None:
             return None
         start, workspace = lowest
         self._virtual = max(self._virtual, start)
         flow = self._flows[workspace]
-        call = self._choose_in_flow(flow, now)
+        call = self._choose_in_flow(flow, now, allow_batch)
         # The tag counts from the true start, so that credit is used up by service.
         flow.start = start + call.cost_tokens / flow.weight
         self.cancel(call.request_id)
@@ -277,13 +180,23 @@
             share = max(0.0, tag - flow.start) * flow.weight
             if priority == BATCH:
                 ahead += min(flow.tokens, max(share, flow.interactive_tokens))
-            elif name in self._urgent:
+            elif name in self._interactive or name in self._aged:
                 ahead += min(flow.tokens, share)
         return ahead
 
     def _weight(self, workspace: str) -> float:
         return max(self._weights.get(workspace, 1.0), _MIN_WEIGHT)
 
+    def _find_next(self, allow_batch: bool) -> tuple[float, str] | None:
+        if not allow_batch:
+            return self._interactive.peek()
+        urgent = [
+            lowest
+            for lowest in (self._interactive.peek(), self._aged.peek())
+            if lowest is not None
+        ]
+        return min(urgent) if urgent else self._patient.peek()
+
     def _open_flow(self, workspace: str) -> _Flow:
         tag = max(self._virtual, self._resting_tags.pop(workspace, 0.0))
         self._resting.discard(workspace)
@@ -292,7 +205,7 @@
         return flow
 
     def _close_flow(self, workspace: str, flow: _Flow) -> None:
-        for heap in (self._urgent, self._patient, self._ageing):
+        for heap in (self._interactive, self._aged, self._patient, self._ageing):
             heap.discard(workspace)
         del self._flows[workspace]
         if flow.start > self._virtual:
@@ -314,17 +227,18 @@
             self._ageing.set(workspace, oldest.enqueued_at + self._limits.ageing_s)
         else:
             self._ageing.discard(workspace)
+        self._aged.discard(workspace)
         if flow.interactive:
             self._patient.discard(workspace)
-            self._make_urgent(workspace, flow)
+            self._make_urgent(self._interactive, workspace, flow)
         else:
-            self._urgent.discard(workspace)
+            self._interactive.discard(workspace)
             self._patient.set(workspace, flow.start)
 
-    def _make_urgent(self, workspace: str, flow: _Flow) -> None:
+    def _make_urgent(self, heap: KeyedHeap[str], workspace: str, flow: _Flow) -> None:
         credit = self._limits.credit_tokens / flow.weight
         flow.start = max(flow.start, self._virtual - credit)
-        self._urgent.set(workspace, flow.start)
+        heap.set(workspace, flow.start)
 
     def _promote_aged(self, now: float) -> None:
         while (lowest := self._ageing.peek()) and lowest[0] <= now:
@@ -332,14 +246,14 @@
             self._ageing.pop()
             if workspace in self._patient:
                 self._patient.discard(workspace)
-                self._make_urgent(workspace, self._flows[workspace])
+                self._make_urgent(self._aged, workspace, self._flows[workspace])
 
-    def _choose_in_flow(self, flow: _Flow, now: float) -> QueuedCall:
+    def _choose_in_flow(self, flow: _Flow, now: float, allow_batch: bool) -> QueuedCall:
         """Choose between a workspace's interactive and batch calls."""
         if not flow.interactive:
             return next(iter(flow.batch.values()))
         first = next(iter(flow.interactive.values()))
-        if flow.batch:
+        if flow.batch and allow_batch:
             oldest = next(iter(flow.batch.values()))
             aged = now - oldest.enqueued_at >= self._limits.ageing_s
             if aged and flow.batch_credit >= 0:
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -38,9 +38,16 @@
 QUEUE_CREDIT_TOKENS = 2_000
 
 ADMISSION_SLOTS = 16
+# Largest share of the slots that batch calls leave to interactive ones, and the
+# time over which the demand of those is averaged.
+ADMISSION_RESERVE_SHARE = 0.4
+ADMISSION_RESERVE_WINDOW_S = 60.0
 ADMISSION_SECONDS_PER_TOKEN = 0.02
 # Weight of one observation in the moving averages of admission.
 ADMISSION_GAIN = 0.1
+# Expected service times that must be left for a call to begin. At 1.0 three times
+# as many calls run and miss their deadline; at 1.5 more wait and are then refused.
+ADMISSION_LEAST_SERVICE = 1.15
 # Expected rest of a call that has outlasted its estimate, as a share of it.
 ADMISSION_OVERDUE_SHARE = 0.1
 ADMISSION_CORRECTIONS = 1_000
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,7 +10,13 @@
     ColdLoad,
     admit_on_cold_model,
 )
-from jasminewharf.decisions.queueing import INTERACTIVE, FifoQueue, QueuedCall
+from jasminewharf.decisions.queueing import (
+    BATCH,
+    INTERACTIVE,
+    FairQueue,
+    FifoQueue,
+    QueuedCall,
+)
 from jasminewharf.exceptions import ModelUnavailable, Overloaded
 
 LIMITS = AdmissionLimits(slots=2, seconds_per_token=0.01)
@@ -131,3 +137,39 @@
             break
         waiting += 100
     assert ready + waiting * 0.01 / 4 <= budget or waiting == 0
+
+
+def test_call_that_waited_too_long_is_handed_out_before_its_deadline_and_not_run():
+    """Beginning it would only end as an interrupted call."""
+    admission = Admission(FifoQueue({}), LIMITS)
+    fill(admission, 2)
+    admission.offer(make_call("a", 0.0, 4.0), "m", 0.0)
+    assert admission.expire(2.0) == []
+    due = admission.queue.next_deadline()
+    assert 2.0 < due < 4.0
+    admission.finish("r-f0", due)
+    assert admission.take(due) is None
+    assert [call.request_id for call in admission.expire(due)] == ["r-a"]
+
+
+def offer_batch(admission, number, now):
+    call = make_call(number, now, 1e6)._replace(priority=BATCH)
+    admission.offer(call, "m", now)
+
+
+def test_batch_calls_leave_slots_to_recent_interactive_calls_only():
+    """Otherwise a question waits until a long plan ends, or slots stay idle."""
+    limits = LIMITS._replace(slots=4, reserve_share=0.5)
+    admission = Admission(FairQueue({}), limits)
+    for number in range(8):
+        offer_batch(admission, number, 0.0)
+    assert [admission.take(0.0) is not None for _ in range(5)] == [True] * 4 + [False]
+    for number in range(20):
+        admission.offer(make_call(f"q{number}", 1.0, 1e6, cost=2000), "m", 1.0)
+    for number in range(4):
+        admission.finish(f"r-{number}", 1.0)
+    taken = [admission.take(100.0).priority for _ in range(4)]
+    assert taken.count(BATCH) <= 2
+    for number in range(20):
+        admission.cancel(f"r-q{number}")
+    assert admission.take(1e4) is None
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -109,6 +109,15 @@
     assert order[-1] == "r-1"
 
 
+def test_aged_batch_call_waits_while_batch_is_not_allowed():
+    queue = FairQueue({})
+    queue.push(make_call(1, "a", 10, BATCH))
+    queue.push(make_call(2, "b", 400))
+    assert queue.pop(60.0, allow_batch=False).request_id == "r-2"
+    assert queue.pop(60.0, allow_batch=False) is None
+    assert queue.pop(60.0).request_id == "r-1"
+
+
 def test_long_batch_backlog_delays_interactive_calls_by_its_credit_only():
     """A backlog that aged all at once must not claim all the time it waited."""
     queue = FairQueue({})
@@ -202,6 +211,12 @@
     for number in range(20_000):
         queue.push(make_call(number, f"w{number % 7}", 1))
         queue.cancel(f"r-{number}")
-    heaps = (queue._urgent, queue._patient, queue._ageing, queue._deadlines)
+    heaps = (
+        queue._interactive,
+        queue._aged,
+        queue._patient,
+        queue._ageing,
+        queue._deadlines,
+    )
     assert sum(len(heap._heap) for heap in heaps) < 1000
     assert not queue._flows
