Give the time when the present queue has begun as the retry time

Cause: the time by which a refused call is late is short at overload, and a caller that returns then meets the same queue.

The estimates move to decisions/estimates.py. The test of the retry time lets the served queue run empty, and also bounds the time from above.

--- a/src/jasminewharf/decisions/admission.py
+++ b/src/jasminewharf/decisions/admission.py
@@ -6,11 +6,17 @@
 """
 
 import math
-from collections import OrderedDict
 from typing import NamedTuple
 
 from .. import defaults
 from ..exceptions import ModelUnavailable, Overloaded
+from .estimates import (
+    ServiceTime,
+    TokenRate,
+    WaitCorrection,
+    fill_slots,
+    to_retry_ms,
+)
 from .queueing import BATCH, CallQueue, QueuedCall
 
 __all__ = [
@@ -23,9 +29,6 @@
 ]
 
 
-_SHORTEST_S = 1e-3
-
-
 class AdmissionLimits(NamedTuple):
     """What one backend server runs at once.
 
@@ -63,49 +66,6 @@
     raw_wait_s: float
 
 
-class _ServiceTime:
-    """Seconds per token of cost, as a ratio of two decayed sums."""
-
-    def __init__(self, seconds_per_token: float, gain: float) -> None:
-        self._gain = gain
-        # The initial value weighs as much as one call of 100 tokens.
-        self._seconds = 100 * seconds_per_token
-        self._tokens = 100.0
-
-    def observe(self, seconds: float, tokens: int) -> None:
-        keep = 1 - self._gain
-        self._seconds = self._seconds * keep + seconds
-        self._tokens = self._tokens * keep + max(tokens, 1)
-
-    def seconds(self, tokens: float) -> float:
-        return tokens * self._seconds / self._tokens
-
-
-class TokenRate:
-    """Generated tokens per second, decayed exponentially."""
-
-    def __init__(self, time_constant_s: float = defaults.TOKEN_RATE_WINDOW_S) -> None:
-        self._time_constant_s = time_constant_s
-        self._tokens = 0.0
-        self._updated_at: float | None = None
-
-    def add(self, tokens: float, now: float) -> None:
-        """Count tokens that were generated just now."""
-        self._decay(now)
-        self._tokens += tokens
-
-    def read(self, now: float) -> float:
-        """Return the recent rate."""
-        self._decay(now)
-        return self._tokens / self._time_constant_s
-
-    def _decay(self, now: float) -> None:
-        if self._updated_at is not None:
-            elapsed = max(0.0, now - self._updated_at)
-            self._tokens *= math.exp(-elapsed / self._time_constant_s)
-        self._updated_at = now
-
-
 class Admission:
     """Decides for one backend server; holds its queue and its calls in flight.
 
@@ -124,29 +84,21 @@
         self._running_batch = 0
         # Service seconds offered per second: the mean number of interactive calls.
         self._interactive_load = TokenRate(defaults.ADMISSION_RESERVE_WINDOW_S)
-        self._service: dict[tuple[str, str], _ServiceTime] = {}
-        self._any_service = _ServiceTime(limits.seconds_per_token, limits.gain)
-        self._corrections: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._service: dict[tuple[str, str], ServiceTime] = {}
+        self._any_service = ServiceTime(limits.seconds_per_token, limits.gain)
+        self._correction = WaitCorrection(limits.gain)
 
     @property
     def running(self) -> int:
         """Calls at the backend server."""
         return len(self._running)
 
-    def correction(self, workspace: str, priority: str) -> float:
-        """Return the factor on estimated waits, learned from those that followed.
-
-        It differs between workspaces: calls that arrive later pass those of a
-        workspace above its share.
-        """
-        return math.exp(self._corrections.get((workspace, priority), 0.0))
-
     def offer(self, call: QueuedCall, model: str, now: float) -> Estimate:
         """Queue a call that can be served before its deadline.
 
         Raises:
             Overloaded: If the estimate passes the deadline; ``retry_after_ms`` is
-                when a call with the same time left would be admitted.
+                when all calls that wait now are expected to have begun.
             QueueFull: If the queue holds its limit.
         """
         raw_wait = self._raw_wait(call, now)
@@ -174,13 +126,13 @@
         if late_s > 0 and estimate.wait_s > 0:
             raise Overloaded(
                 "the call cannot be served before its deadline",
-                retry_after_ms=_retry_ms(min(late_s, estimate.wait_s)),
+                retry_after_ms=to_retry_ms(estimate.wait_s),
             )
         return estimate
 
     def estimate(self, call: QueuedCall, model: str, now: float) -> Estimate:
         """Return the expected wait and service time of a call."""
-        wait_s = self._raw_wait(call, now) * self.correction(
+        wait_s = self._raw_wait(call, now) * self._correction.factor(
             call.workspace, call.priority
         )
         return Estimate(wait_s, self._service_s(model, call.priority, call.cost_tokens))
@@ -194,7 +146,12 @@
         if call is None:
             return None
         waiting = self._waiting.pop(call.request_id)
-        self._correct(call, waiting.raw_wait_s, now)
+        self._correction.observe(
+            call.workspace,
+            call.priority,
+            waiting.raw_wait_s,
+            now - call.enqueued_at,
+        )
         self._running[call.request_id] = _Running(call, waiting.model, now)
         self._running_tokens += call.cost_tokens
         self._running_batch += call.priority == BATCH
@@ -214,7 +171,7 @@
         key = (running.model, call.priority)
         service = self._service.get(key)
         if service is None:
-            service = _ServiceTime(self._any_service.seconds(1.0), self.limits.gain)
+            service = ServiceTime(self._any_service.seconds(1.0), self.limits.gain)
             self._service[key] = service
         service.observe(seconds, call.cost_tokens)
         self._any_service.observe(seconds, call.cost_tokens)
@@ -241,7 +198,12 @@
             waiting = self._waiting.pop(call.request_id)
             # The wait was longer than this; a lower bound still corrects upwards.
             if now - call.enqueued_at > waiting.estimate.wait_s:
-                self._correct(call, waiting.raw_wait_s, now)
+                self._correction.observe(
+                    call.workspace,
+                    call.priority,
+                    waiting.raw_wait_s,
+                    now - call.enqueued_at,
+                )
 
     def forget_model(self, model: str) -> None:
         """Drop the service times of a model that was unloaded."""
@@ -274,13 +236,13 @@
         """Return the uncorrected wait: work ahead of the call over the slots."""
         ahead = self.queue.tokens_ahead(call.workspace, call.priority, call.cost_tokens)
         running = list(self._running.values())
-        slots = self.limits.slots
+        slots = self.limits.slots if self._has_slot() else len(running)
         if call.priority == BATCH and self._running_batch >= self._batch_slots(now):
             running = [item for item in running if item.call.priority == BATCH]
             slots = len(running)
         remaining = [self._remaining_s(item, now) for item in running]
         free = [0.0] * max(0, slots - len(remaining))
-        return _fill_slots(sorted(free + remaining), self._any_service.seconds(ahead))
+        return fill_slots(sorted(free + remaining), self._any_service.seconds(ahead))
 
     def _remaining_s(self, item: _Running, now: float) -> float:
         """Return how long a running call is expected to run on."""
@@ -290,21 +252,6 @@
         # A call that has taken longer than expected still takes some time.
         return max(left, expected * defaults.ADMISSION_OVERDUE_SHARE)
 
-    def _correct(self, call: QueuedCall, raw_wait_s: float, now: float) -> None:
-        if raw_wait_s <= 0:
-            return
-        actual_s = now - call.enqueued_at
-        ratio = max(actual_s, _SHORTEST_S) / max(raw_wait_s, _SHORTEST_S)
-        ratio = min(
-            max(ratio, defaults.ADMISSION_CORRECTION_MIN),
-            defaults.ADMISSION_CORRECTION_MAX,
-        )
-        key = (call.workspace, call.priority)
-        known = self._corrections.pop(key, 0.0)
-        self._corrections[key] = known + self.limits.gain * (math.log(ratio) - known)
-        if len(self._corrections) > defaults.ADMISSION_CORRECTIONS:
-            self._corrections.popitem(last=False)
-
 
 class ColdLoad(NamedTuple):
     """A model's load in progress, as an entry knows it.
@@ -343,35 +290,10 @@
     ready_s = load.ready_in_s + (queue_s if load.waiting_tokens else 0.0)
     raise ModelUnavailable(
         "the model cannot be loaded before the deadline",
-        retry_after_ms=_retry_ms(ready_s),
+        retry_after_ms=to_retry_ms(ready_s),
     )
 
 
 def _find_latest_start(call: QueuedCall, estimate: Estimate) -> float:
     """Return the time past which the call cannot be served any more."""
     return call.deadline - defaults.ADMISSION_LEAST_SERVICE * estimate.service_s
-
-
-def _fill_slots(free_at: list[float], work_s: float) -> float:
-    """Return when a slot is free after ``work_s`` were spread over the slots.
-
-    Args:
-        free_at: Ascending times until each slot is free.
-        work_s: Seconds of work that go first, each piece to the first free slot.
-    """
-    level = free_at[0]
-    for slots, following in enumerate(free_at[1:], start=1):
-        room = (following - level) * slots
-        if work_s <= room:
-            return level + work_s / slots
-        work_s -= room
-        level = following
-    return level + work_s / len(free_at)
-
-
-def _retry_ms(seconds: float) -> int:
-    milliseconds = math.ceil(seconds * 1000)
-    return min(
-        max(milliseconds, defaults.ADMISSION_RETRY_MIN_MS),
-        defaults.ADMISSION_RETRY_MAX_MS,
-    )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -56,7 +56,9 @@
         now += 1.0
         for request_id in running:
             admission.finish(request_id, now)
-        running = [admission.take(now).request_id for _ in running]
+        taken = [admission.take(now) for _ in running]
+        running = [call.request_id for call in taken if call is not None]
+    assert retry_at <= 5.0 + 0.001
     admission.offer(make_call("y", retry_at, 3.0), "m", retry_at)
 
 
@@ -173,3 +175,11 @@
     for number in range(20):
         admission.cancel(f"r-q{number}")
     assert admission.take(1e4) is None
+
+
+def test_wait_is_expected_when_the_tokens_and_not_the_slots_are_used_up():
+    admission = Admission(FifoQueue({}), LIMITS._replace(slots=8, tokens=150))
+    fill(admission, 2)
+    assert admission.take(0.0) is None
+    estimate = admission.estimate(make_call("x", 0.0, 60.0), "m", 0.0)
+    assert estimate.wait_s > 0
