--- a/src/jasminewharf/decisions/admission.py
+++ b/src/jasminewharf/decisions/admission.py
@@ -10,7 +10,14 @@
 
 from .. import defaults
 from ..exceptions import ModelUnavailable, Overloaded
-from .queueing import CallQueue, QueuedCall
+from .estimates import (
+    ServiceTime,
+    TokenRate,
+    WaitCorrection,
+    fill_slots,
+    to_retry_ms,
+)
+from .queueing import BATCH, CallQueue, QueuedCall
 
 __all__ = [
     "Admission",
@@ -25,10 +32,13 @@
 class AdmissionLimits(NamedTuple):
     """What one backend server runs at once.
 
-    ``slots`` are calls, ``tokens`` the sum of their largest costs.
+    ``slots`` are calls, ``tokens`` the sum of their largest costs. Up to
+    ``reserve_share`` of the slots are kept from batch calls, by the recent demand
+    of interactive calls.
     """
 
     slots: int = defaults.ADMISSION_SLOTS
+    reserve_share: float = defaults.ADMISSION_RESERVE_SHARE
     tokens: int = defaults.QUEUE_LIMIT_TOKENS
     seconds_per_token: float = defaults.ADMISSION_SECONDS_PER_TOKEN
     gain: float = defaults.ADMISSION_GAIN
@@ -56,49 +66,6 @@
     raw_wait_s: float
 
 
-class _ServiceTime:
-    """Seconds per token of cost, as a ratio of two decayed sums."""
-
-    def __init__(self, seconds_per_token: float, gain: float) -> None:
-        self._gain = gain
-        # The initial value weighs as much as one call of 100 tokens.
-        self._seconds = 100 * seconds_per_token
-        self._tokens = 100.0
-
-    def observe(self, seconds: float, tokens: int) -> None:
-        keep = 1 - self._gain
-        self._seconds = self._seconds * keep + seconds
-        self._tokens = self._tokens * keep + max(tokens, 1)
-
-    def seconds(self, tokens: float) -> float:
-        return tokens * self._seconds / self._tokens
-
-
-class TokenRate:
-    """Generated tokens per second, decayed exponentially."""
-
-    def __init__(self, time_constant_s: float = defaults.TOKEN_RATE_WINDOW_S) -> None:
-        self._time_constant_s = time_constant_s
-        self._tokens = 0.0
-        self._updated_at: float | None = None
-
-    def add(self, tokens: int, now: float) -> None:
-        """Count tokens that were generated just now."""
-        self._decay(now)
-        self._tokens += tokens
-
-    def read(self, now: float) -> float:
-        """Return the recent rate."""
-        self._decay(now)
-        return self._tokens / self._time_constant_s
-
-    def _decay(self, now: float) -> None:
-        if self._updated_at is not None:
-            elapsed = max(0.0, now - self._updated_at)
-            self._tokens *= math.exp(-elapsed / self._time_constant_s)
-        self._updated_at = now
-
-
 class Admission:
     """Decides for one backend server; holds its queue and its calls in flight.
 
@@ -112,60 +79,82 @@
         self.limits = limits
         self._running: dict[str, _Running] = {}
         self._waiting: dict[str, _Waiting] = {}
+        self._expired: list[QueuedCall] = []
         self._running_tokens = 0
-        self._service: dict[tuple[str, str], _ServiceTime] = {}
-        self._any_service = _ServiceTime(limits.seconds_per_token, limits.gain)
-        self._log_correction = 0.0
+        self._running_batch = 0
+        # Service seconds offered per second: the mean number of interactive calls.
+        self._interactive_load = TokenRate(defaults.ADMISSION_RESERVE_WINDOW_S)
+        self._service: dict[tuple[str, str], ServiceTime] = {}
+        self._any_service = ServiceTime(limits.seconds_per_token, limits.gain)
+        self._correction = WaitCorrection(limits.gain)
 
     @property
     def running(self) -> int:
         """Calls at the backend server."""
         return len(self._running)
 
-    @property
-    def correction(self) -> float:
-        """Factor on the estimated wait, learned from the waits that followed."""
-        return math.exp(self._log_correction)
-
     def offer(self, call: QueuedCall, model: str, now: float) -> Estimate:
         """Queue a call that can be served before its deadline.
 
         Raises:
             Overloaded: If the estimate passes the deadline; ``retry_after_ms`` is
-                when a call with the same time left would be admitted.
+                when all calls that wait now are expected to have begun.
             QueueFull: If the queue holds its limit.
         """
         raw_wait = self._raw_wait(call, now)
+        if call.priority != BATCH:
+            service_s = self._service_s(model, call.priority, call.cost_tokens)
+            self._interactive_load.add(service_s, now)
+        estimate = self.check(call, model, now)
+        latest = _find_latest_start(call, estimate)
+        start_by = latest if latest > now else call.deadline
+        self.queue.push(call._replace(deadline=start_by))
+        self._waiting[call.request_id] = _Waiting(model, estimate, raw_wait)
+        return estimate
+
+    def check(self, call: QueuedCall, model: str, now: float) -> Estimate:
+        """Return the estimate for a call that would be admitted; change nothing.
+
+        Raises:
+            Overloaded: If it would be refused.
+        """
+        if call.deadline <= now:
+            raise Overloaded("the deadline has passed")
         estimate = self.estimate(call, model, now)
-        late_s = now + estimate.wait_s + estimate.service_s - call.deadline
+        late_s = now + estimate.wait_s - _find_latest_start(call, estimate)
         # A call that need not wait is tried even if its service may be too long.
         if late_s > 0 and estimate.wait_s > 0:
             raise Overloaded(
                 "the call cannot be served before its deadline",
-                retry_after_ms=_retry_ms(min(late_s, estimate.wait_s)),
+                retry_after_ms=to_retry_ms(estimate.wait_s),
             )
-        if call.deadline <= now:
-            raise Overloaded("the deadline has passed")
-        self.queue.push(call)
-        self._waiting[call.request_id] = _Waiting(model, estimate, raw_wait)
         return estimate
 
     def estimate(self, call: QueuedCall, model: str, now: float) -> Estimate:
         """Return the expected wait and service time of a call."""
-        wait_s = self._raw_wait(call, now) * self.correction
+        wait_s = self._raw_wait(call, now) * self._correction.factor(
+            call.workspace, call.priority
+        )
         return Estimate(wait_s, self._service_s(model, call.priority, call.cost_tokens))
 
     def take(self, now: float) -> QueuedCall | None:
         """Return the next call to run, or None if there is no slot or no call."""
         if not self._has_slot():
             return None
-        call = self.queue.pop(now)
+        self._shed(now)
+        call = self.queue.pop(now, self._running_batch < self._batch_slots(now))
         if call is None:
             return None
         waiting = self._waiting.pop(call.request_id)
-        self._correct(waiting.raw_wait_s, now - call.enqueued_at)
+        self._correction.observe(
+            call.workspace,
+            call.priority,
+            waiting.raw_wait_s,
+            now - call.enqueued_at,
+        )
         self._running[call.request_id] = _Running(call, waiting.model, now)
         self._running_tokens += call.cost_tokens
+        self._running_batch += call.priority == BATCH
         return call
 
     def finish(self, request_id: str, now: float, *, complete: bool = True) -> None:
@@ -175,13 +164,14 @@
             return
         call = running.call
         self._running_tokens -= call.cost_tokens
+        self._running_batch -= call.priority == BATCH
         if not complete:
             return
         seconds = now - running.started_at
         key = (running.model, call.priority)
         service = self._service.get(key)
         if service is None:
-            service = _ServiceTime(self._any_service.seconds(1.0), self.limits.gain)
+            service = ServiceTime(self._any_service.seconds(1.0), self.limits.gain)
             self._service[key] = service
         service.observe(seconds, call.cost_tokens)
         self._any_service.observe(seconds, call.cost_tokens)
@@ -192,15 +182,28 @@
         return self.queue.cancel(request_id) is not None
 
     def expire(self, now: float) -> list[QueuedCall]:
-        """Remove and return waiting calls whose deadline has passed."""
-        expired = self.queue.expire(now)
-        for call in expired:
+        """Remove and return waiting calls that can no longer be served in time.
+
+        Call it after :meth:`take` and at the queue's ``next_deadline``. None of
+        these calls began. Their ``deadline`` is the latest time to begin.
+        """
+        self._shed(now)
+        expired = self._expired
+        self._expired = []
+        return expired
+
+    def _shed(self, now: float) -> None:
+        for call in self.queue.expire(now):
+            self._expired.append(call)
             waiting = self._waiting.pop(call.request_id)
             # The wait was longer than this; a lower bound still corrects upwards.
-            actual = now - call.enqueued_at
-            if actual > waiting.estimate.wait_s:
-                self._correct(waiting.raw_wait_s, actual)
-        return expired
+            if now - call.enqueued_at > waiting.estimate.wait_s:
+                self._correction.observe(
+                    call.workspace,
+                    call.priority,
+                    waiting.raw_wait_s,
+                    now - call.enqueued_at,
+                )
 
     def forget_model(self, model: str) -> None:
         """Drop the service times of a model that was unloaded."""
@@ -212,38 +215,42 @@
             return False
         return not self._running or self._running_tokens < self.limits.tokens
 
+    def _batch_slots(self, now: float) -> int:
+        """Return how many slots batch calls may use.
+
+        Kept from them is the mean number of interactive calls and two standard
+        deviations of a Poisson distribution, as continuous batching engines do
+        not interrupt a long call.
+        """
+        mean = self._interactive_load.read(now)
+        wanted = mean + 2 * math.sqrt(mean)
+        slots = self.limits.slots
+        reserved = min(round(wanted), int(slots * self.limits.reserve_share))
+        return max(1, slots - reserved)
+
     def _service_s(self, model: str, priority: str, tokens: int) -> float:
         service = self._service.get((model, priority), self._any_service)
         return service.seconds(tokens)
 
     def _raw_wait(self, call: QueuedCall, now: float) -> float:
         """Return the uncorrected wait: work ahead of the call over the slots."""
-        if self._has_slot() and not len(self.queue):
-            return 0.0
-        remaining = [
-            max(
-                0.0,
-                self._service_s(item.model, item.call.priority, item.call.cost_tokens)
-                - (now - item.started_at),
-            )
-            for item in self._running.values()
-        ]
         ahead = self.queue.tokens_ahead(call.workspace, call.priority, call.cost_tokens)
-        work = self._any_service.seconds(ahead)
-        if work == 0 and remaining:
-            return min(remaining)
-        return (sum(remaining) + work) / self.limits.slots
-
-    def _correct(self, raw_wait_s: float, actual_s: float) -> None:
-        if raw_wait_s <= 0:
-            return
-        ratio = max(actual_s, 1e-3) / max(raw_wait_s, 1e-3)
-        ratio = min(
-            max(ratio, defaults.ADMISSION_CORRECTION_MIN),
-            defaults.ADMISSION_CORRECTION_MAX,
-        )
-        gain = self.limits.gain
-        self._log_correction += gain * (math.log(ratio) - self._log_correction)
+        running = list(self._running.values())
+        slots = self.limits.slots if self._has_slot() else len(running)
+        if call.priority == BATCH and self._running_batch >= self._batch_slots(now):
+            running = [item for item in running if item.call.priority == BATCH]
+            slots = len(running)
+        remaining = [self._remaining_s(item, now) for item in running]
+        free = [0.0] * max(0, slots - len(remaining))
+        return fill_slots(sorted(free + remaining), self._any_service.seconds(ahead))
+
+    def _remaining_s(self, item: _Running, now: float) -> float:
+        """Return how long a running call is expected to run on."""
+        call = item.call
+        expected = self._service_s(item.model, call.priority, call.cost_tokens)
+        left = expected - (now - item.started_at)
+        # A call that has taken longer than expected still takes some time.
+        return max(left, expected * defaults.ADMISSION_OVERDUE_SHARE)
 
 
 class ColdLoad(NamedTuple):
@@ -283,13 +290,10 @@
     ready_s = load.ready_in_s + (queue_s if load.waiting_tokens else 0.0)
     raise ModelUnavailable(
         "the model cannot be loaded before the deadline",
-        retry_after_ms=_retry_ms(ready_s),
+        retry_after_ms=to_retry_ms(ready_s),
     )
 
 
-def _retry_ms(seconds: float) -> int:
-    milliseconds = math.ceil(seconds * 1000)
-    return min(
-        max(milliseconds, defaults.ADMISSION_RETRY_MIN_MS),
-        defaults.ADMISSION_RETRY_MAX_MS,
-    )
+def _find_latest_start(call: QueuedCall, estimate: Estimate) -> float:
+    """Return the time past which the call cannot be served any more."""
+    return call.deadline - defaults.ADMISSION_LEAST_SERVICE * estimate.service_s
