Check versions in the order of a node's own reports

The samples came from different control hosts, and the cut-off one showed an older report of the same node; the node's own version had not gone back. The check now orders each life's samples by the report's sequence number, which it did not know before, and still rejects the injected violation.

--- a/src/jasminewharf/services/requests.py
+++ b/src/jasminewharf/services/requests.py
@@ -115,6 +115,7 @@
                     "node": report.node,
                     "role": report.role,
                     "incarnation": report.incarnation,
+                    "sequence": report.sequence,
                     "host": report.host,
                     "zone": report.zone,
                     "state": membership.state(report.node, now),
--- a/src/jasminewharf/trials/runner.py
+++ b/src/jasminewharf/trials/runner.py
@@ -106,7 +106,7 @@
         self.withdrawals: dict[str, float] = {}
         self.drains: dict[str, float] = {}
         self._samples: list[list[tuple[str, str, int]]] = []
-        self._versions: dict[str, list[tuple[int, int]]] = {}
+        self._versions: dict[str, list[tuple[int, int, int]]] = {}
         self._random = Random(options.seed)
 
     async def set_up(self) -> None:
@@ -204,7 +204,7 @@
                     await asyncio.sleep(_SAMPLE_S)
                     continue
                 for node in status["nodes"]:
-                    sample = (node["incarnation"], node["version"])
+                    sample = (node["incarnation"], node["sequence"], node["version"])
                     self._versions.setdefault(node["node"], []).append(sample)
                 await asyncio.sleep(_SAMPLE_S * 3)
 
