--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -269,6 +269,7 @@
             call.spans.append(call.queue_span.end().to_json())
             self._metrics.observe("queue_seconds", now - call.arrived_at)
             call.task = self.spawn(self._run(call))
+        self._refuse_expired(backend, now)
         self._arm_expiry(backend)
 
     def _arm_expiry(self, backend: Backend) -> None:
@@ -283,12 +284,18 @@
 
     def _expire(self, backend: Backend) -> None:
         self._expiry_timers.pop(backend.settings.name, None)
-        for queued in backend.admission.expire(_now()):
+        self._start_ready(backend)
+
+    def _refuse_expired(self, backend: Backend, now: float) -> None:
+        """Refuse waiting calls as soon as they can no longer be served in time."""
+        for queued in backend.admission.expire(now):
             call = self._calls.pop(queued.request_id)
             backend.count_end(call.call.model)
-            refusal = DeadlineExceeded("the deadline passed in the queue")
+            refusal = Overloaded(
+                "the call can no longer be served before its deadline",
+                retry_after_ms=_RETRY_MS,
+            )
             self._refuse(call.peer, queued.request_id, refusal, backend)
-        self._start_ready(backend)
 
     async def _run(self, call: _AgentCall) -> None:
         request = call.call
