--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -93,7 +93,7 @@
 HOST_LIST_UNREADABLE = _define(405, logging.WARNING, "host list unreadable")
 
 # Callers: 500 to 599.
-REQUEST_FINISHED = _define(500, logging.INFO, "request finished")
+REQUEST_FINISHED = _define(500, logging.DEBUG, "request finished")
 REQUEST_REFUSED = _define(501, logging.INFO, "request refused")
 CONNECTION_REJECTED = _define(502, logging.INFO, "connection rejected")
 ANSWER_DROPPED = _define(503, logging.WARNING, "answer to an unknown request dropped")
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -50,16 +50,20 @@
         Without a ``content-length`` the body is sent in chunks.
         """
         self.has_started = True
+        # The head waits for the first bytes of the body: one write, one packet.
+        self._connection.hold()
         self._connection.send_head(status, headers)
 
     async def write(self, data: bytes) -> None:
         """Send body bytes; waits while the caller reads slowly."""
         self._connection.send_event(h11.Data(data=data))
+        self._connection.release()
         await self._connection.wait_writable()
 
     def finish(self) -> None:
         """End the body."""
         self._connection.send_event(h11.EndOfMessage())
+        self._connection.release()
         self.is_finished = True
 
     def respond(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
@@ -93,6 +97,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._closing = False
+        self._held: list[bytes] | None = None
 
     def _new_h11(self) -> h11.Connection:
         return h11.Connection(
@@ -246,6 +251,20 @@
         self._arm(self._limits.idle_timeout_s)
         self._read_events()
 
+    def hold(self) -> None:
+        """Keep what is sent until :meth:`release`, so that it leaves at once."""
+        self._held = []
+
+    def release(self) -> None:
+        """Write what was kept."""
+        held, self._held = self._held, None
+        if held:
+            self._write(b"".join(held))
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
     def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
         encoded = [(k.encode(), v.encode()) for k, v in headers]
         encoded.append((b"server", _SERVER_NAME))
@@ -255,8 +274,12 @@
 
     def send_event(self, event: Any) -> None:
         data = self._h11.send(event)
-        if data and self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+        if not data:
+            return
+        if self._held is not None:
+            self._held.append(data)
+        else:
+            self._write(data)
 
     def close_if_idle(self) -> None:
         if self.is_idle:
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -43,6 +43,7 @@
         self._client = client
         self._wire = wire
         self._finished = False
+        self._closed = False
         self.status = head.status_code
         self.headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -76,8 +77,9 @@
 
     def close(self) -> None:
         """Give the connection back if the body was read, else close it."""
-        if self._wire.h11.our_state is h11.CLOSED:
+        if self._closed:
             return
+        self._closed = True
         if self._finished:
             self._client.give_back(self._wire)
         else:
--- a/src/jasminewharf/services/link.py
+++ b/src/jasminewharf/services/link.py
@@ -1,16 +1,17 @@
 """Links between processes over ZeroMQ.
 
-A server owns one ROUTER socket, a client one DEALER socket. A ZeroMQ message
-holds an even number of frames: a correlation number and an encoded message,
-repeated. Correlation 0 marks a one-way message; an answer carries the number of
-its request.
+A server owns one ROUTER socket, a client one DEALER socket. A ZeroMQ message has
+one frame of payload. It holds one message after the other, each as a correlation
+number of eight bytes, a length of four bytes and the encoded message; messages
+share a frame because every frame costs a call into the library. Correlation 0
+marks a one-way message; an answer carries the number of its request.
 """
 
 import asyncio
 import inspect
 import itertools
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, NamedTuple
 
 import zmq
@@ -33,7 +34,9 @@
 
 _CORRELATION_BYTES = 8
 _ONE_WAY = bytes(_CORRELATION_BYTES)
-_FRAMES_PER_FLUSH = 512
+_LENGTH_BYTES = 4
+_HEADER_BYTES = _CORRELATION_BYTES + _LENGTH_BYTES
+_FLUSH_BYTES = 256 * 1024
 
 Handler = Callable[["Peer", Any], Any]
 
@@ -64,8 +67,14 @@
         self._loop = asyncio.get_running_loop()
         self._descriptor = socket.getsockopt(zmq.FD)
         self._loop.add_reader(self._descriptor, self._read_all)
-        self._loop.call_soon(self._read_all)
         self._closed = False
+        self._is_read_scheduled = False
+        self._schedule_read()
+
+    def _schedule_read(self) -> None:
+        if not self._is_read_scheduled:
+            self._is_read_scheduled = True
+            self._loop.call_soon(self._read_all)
 
     def send(self, frames: list[bytes]) -> bool:
         """Send without waiting; return False if the queue is full or absent."""
@@ -78,10 +87,11 @@
                 return False
             raise
         finally:
-            self._loop.call_soon(self._read_all)
+            self._schedule_read()
         return True
 
     def _read_all(self) -> None:
+        self._is_read_scheduled = False
         while not self._closed:
             try:
                 frames = self.socket.recv_multipart(zmq.DONTWAIT)
@@ -114,7 +124,8 @@
         self._server = server
         self.routing_id = routing_id
         self.hello: Hello | None = None
-        self._frames: list[bytes] = []
+        self._parts: list[bytes] = []
+        self._size = 0
 
     @property
     def node(self) -> str:
@@ -123,19 +134,23 @@
 
     def send(self, message: Any, correlation: bytes = _ONE_WAY) -> None:
         """Queue a message; all of one event-loop turn leave together."""
-        if not self._frames:
+        if not self._parts:
             self._server.schedule_flush(self)
-        self._frames.append(correlation)
-        self._frames.append(encode(message))
-        if len(self._frames) >= _FRAMES_PER_FLUSH:
+        data = encode(message)
+        self._parts.append(_pack_header(correlation, data))
+        self._parts.append(data)
+        self._size += len(data)
+        if self._size >= _FLUSH_BYTES:
             self.flush()
 
     def flush(self) -> None:
         """Send what is queued."""
-        if self._frames:
-            frames = self._frames
-            self._frames = []
-            self._server.send_frames(self, frames)
+        if self._parts:
+            payload = b"".join(self._parts)
+            count = len(self._parts) // 2
+            self._parts = []
+            self._size = 0
+            self._server.send_payload(self, payload, count)
 
 
 class LinkServer:
@@ -197,12 +212,12 @@
         for peer in peers:
             peer.flush()
 
-    def send_frames(self, peer: Peer, frames: list[bytes]) -> None:
-        """Send frames to a peer; a lost or blocked peer is forgotten."""
+    def send_payload(self, peer: Peer, payload: bytes, count: int) -> None:
+        """Send ``count`` messages to a peer; a lost or blocked peer is forgotten."""
         if self._channel is None:
             return
-        if not self._channel.send([peer.routing_id, *frames]):
-            self.dropped_count += len(frames) // 2
+        if not self._channel.send([peer.routing_id, payload]):
+            self.dropped_count += count
             self.forget(peer)
             events.emit(_logger, events.PEER_LOST, peer=peer.node)
 
@@ -211,15 +226,17 @@
         peer = self._peers.get(routing_id)
         if peer is None:
             peer = self._peers[routing_id] = Peer(self, routing_id)
-        for correlation, data in _pairs(frames[1:]):
-            self._receive_one(peer, correlation, data)
+        try:
+            for correlation, data in _unpack(frames[-1]):
+                self._receive_one(peer, correlation, data)
+        except MalformedMessage as error:
+            self._count_malformed(peer, error)
 
     def _receive_one(self, peer: Peer, correlation: bytes, data: bytes) -> None:
         try:
             message = decode(data)
         except MalformedMessage as error:
-            self.malformed_count += 1
-            events.emit(_logger, events.MESSAGE_MALFORMED, peer=peer.node, error=error)
+            self._count_malformed(peer, error)
             return
         if isinstance(message, Hello):
             self._welcome(peer, correlation, message)
@@ -229,6 +246,10 @@
             return
         self._dispatch(peer, correlation, message)
 
+    def _count_malformed(self, peer: Peer, error: MalformedMessage) -> None:
+        self.malformed_count += 1
+        events.emit(_logger, events.MESSAGE_MALFORMED, peer=peer.node, error=error)
+
     def _welcome(self, peer: Peer, correlation: bytes, hello: Hello) -> None:
         is_new = peer.hello != hello
         peer.hello = hello
@@ -346,7 +367,7 @@
             self._lose_server()
 
     def _say_hello(self) -> None:
-        self._channel.send([_ONE_WAY, encode(self._identity.hello())])
+        self._channel.send([_pack(_ONE_WAY, self._identity.hello())])
 
     def _lose_server(self) -> None:
         was_connected = self.welcome is not None
@@ -370,7 +391,7 @@
     def _send(self, correlation: bytes, message: Any) -> None:
         if self.welcome is None:
             raise PeerUnavailable(f"no link to {self.address}")
-        if not self._channel.send([correlation, encode(message)]):
+        if not self._channel.send([_pack(correlation, message)]):
             raise PeerUnavailable(f"no link to {self.address}")
 
     async def request(
@@ -411,16 +432,14 @@
             await asyncio.sleep(defaults.LINK_CONNECT_POLL_S)
 
     def _receive(self, frames: list[bytes]) -> None:
-        for correlation, data in _pairs(frames):
-            try:
-                message = decode(data)
-            except MalformedMessage as error:
-                self.malformed_count += 1
-                events.emit(
-                    _logger, events.MESSAGE_MALFORMED, peer=self.address, error=error
-                )
-                continue
-            self._receive_one(correlation, message)
+        try:
+            for correlation, data in _unpack(frames[-1]):
+                self._receive_one(correlation, decode(data))
+        except MalformedMessage as error:
+            self.malformed_count += 1
+            events.emit(
+                _logger, events.MESSAGE_MALFORMED, peer=self.address, error=error
+            )
 
     def _receive_one(self, correlation: bytes, message: Any) -> None:
         if isinstance(message, Welcome):
@@ -469,6 +488,27 @@
                 future.set_exception(LinkError("link closed"))
 
 
-def _pairs(frames: list[bytes]) -> list[tuple[bytes, bytes]]:
-    even = len(frames) - len(frames) % 2
-    return [(frames[i], frames[i + 1]) for i in range(0, even, 2)]
+def _pack_header(correlation: bytes, data: bytes) -> bytes:
+    return correlation + len(data).to_bytes(_LENGTH_BYTES, "big")
+
+
+def _pack(correlation: bytes, message: Any) -> bytes:
+    data = encode(message)
+    return _pack_header(correlation, data) + data
+
+
+def _unpack(payload: bytes) -> Iterator[tuple[bytes, bytes]]:
+    """Yield pairs of correlation and encoded message.
+
+    Raises:
+        MalformedMessage: If the payload does not divide into messages.
+    """
+    at = 0
+    while at < len(payload):
+        start = at + _HEADER_BYTES
+        length = payload[at + _CORRELATION_BYTES : start]
+        end = start + int.from_bytes(length, "big")
+        if start > len(payload) or end > len(payload):
+            raise MalformedMessage("a payload ends within a message")
+        yield payload[at : at + _CORRELATION_BYTES], payload[start:end]
+        at = end
--- a/src/jasminewharf/tracing.py
+++ b/src/jasminewharf/tracing.py
@@ -5,11 +5,11 @@
 its spans to the entry with the end of the answer.
 """
 
-import json
 import time
 from collections import deque
 from typing import Any
 
+import msgspec
 from opentelemetry.sdk.trace.id_generator import RandomIdGenerator
 
 from . import defaults
@@ -84,7 +84,7 @@
             ],
             "status": {"code": 2, "message": self._error} if self._error else {},
         }
-        return json.dumps(record, ensure_ascii=False)
+        return msgspec.json.encode(record).decode()
 
 
 class SpanSink:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -7,7 +7,12 @@
 
 from jasminewharf.exceptions import LinkTimeout, NotLeader, PeerUnavailable
 from jasminewharf.messages.control import FetchStatus, StatusAnswer
-from jasminewharf.services.link import Identity, LinkClient, LinkServer
+from jasminewharf.services.link import (
+    Identity,
+    LinkClient,
+    LinkServer,
+    _pack_header,
+)
 
 CLIENT = Identity("entry-1", "entry", "zone-a", 11)
 SERVER = Identity("control-1", "control", "zone-a", 12)
@@ -73,10 +78,11 @@
 
 def test_malformed_and_foreign_messages_are_counted_and_the_link_goes_on():
     async def scenario(server, client, context):
-        client._channel.send([bytes(8), b"\xff\xffjunk"])
+        client._channel.send([_pack_header(bytes(8), b"\xff\xff") + b"\xff\xff"])
         client._channel.send([b"odd"])
+        client._channel.send([bytes(11) + b"\xff"])
         answer = await client.request(FetchStatus())
         assert answer == StatusAnswer(b"ok")
-        assert server.malformed_count == 1
+        assert server.malformed_count == 3
 
     run(scenario, {FetchStatus: lambda peer, message: StatusAnswer(b"ok")})
