--- a/src/jasminewharf/services/link.py
+++ b/src/jasminewharf/services/link.py
@@ -320,6 +320,8 @@
         on_welcome: Called with the server's :class:`Welcome` when the link is
             new or the server has restarted.
         on_lost: Called when the server has stopped answering.
+        bytes_sent: Payload bytes sent.
+        bytes_received: Payload bytes received.
     """
 
     def __init__(
@@ -339,6 +341,8 @@
         self.on_welcome: Callable[[Welcome], None] | None = None
         self.on_lost: Callable[[], None] | None = None
         self.malformed_count = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self._socket = context.socket(zmq.DEALER, socket_class=zmq.Socket)
         # Without this option a message waits for a server that may never come,
         # and an unsent request could not be told from a sent one.
@@ -391,8 +395,10 @@
     def _send(self, correlation: bytes, message: Any) -> None:
         if self.welcome is None:
             raise PeerUnavailable(f"no link to {self.address}")
-        if not self._channel.send([_pack(correlation, message)]):
+        payload = _pack(correlation, message)
+        if not self._channel.send([payload]):
             raise PeerUnavailable(f"no link to {self.address}")
+        self.bytes_sent += len(payload)
 
     async def request(
         self, message: Any, timeout_s: float = defaults.LINK_REQUEST_TIMEOUT_S
@@ -432,6 +438,7 @@
             await asyncio.sleep(defaults.LINK_CONNECT_POLL_S)
 
     def _receive(self, frames: list[bytes]) -> None:
+        self.bytes_received += len(frames[-1])
         try:
             for correlation, data in _unpack(frames[-1]):
                 self._receive_one(correlation, decode(data))
