--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Executor, ThreadPoolExecutor
 from typing import Any
 
 from .. import events
@@ -46,6 +46,7 @@
         settings: The log's settings.
         transport: Links to the other control hosts; ZeroMQ by default.
         files: Access to files; the disk by default.
+        executor: Runs blocking file operations; a thread per group by default.
     """
 
     name = "log"
@@ -56,11 +57,13 @@
         settings: LogSettings,
         transport: PeerTransport | None = None,
         files: Files | None = None,
+        executor: Executor | None = None,
     ) -> None:
         super().__init__(kernel)
         self._settings = settings
         self._transport = transport or ZmqPeers(settings.address, settings.curve)
         self._files = files or DiskFiles()
+        self._executor = executor or ThreadPoolExecutor(len(settings.groups))
         self._runners: dict[str, GroupRunner] = {}
         self._machines: dict[str, Machine] = {}
         self._subscribers: dict[str, list[tuple[Any, Any]]] = {}
@@ -74,7 +77,6 @@
         """
         settings = self._settings
         self._disk = Disk(self._files, settings.folder, settings.name, settings.groups)
-        self._executor = ThreadPoolExecutor(max_workers=len(settings.groups))
         self._founding = Founding(settings.name, set(settings.peers))
         if self._disk.cluster:
             self._open_groups()
