--- /dev/null
+++ b/src/jasminewharf/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool: ``python -m jasminewharf.bench``."""
--- /dev/null
+++ b/src/jasminewharf/bench/scenario.py
@@ -0,0 +1,176 @@
+"""Scenario files: sizes, traffic, cases and faults of a virtual-time run."""
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+from ruamel.yaml import YAML
+
+__all__ = [
+    "Burst",
+    "Case",
+    "Fault",
+    "ModelRange",
+    "Pool",
+    "RequestKind",
+    "Scenario",
+    "StoreLimits",
+    "Surge",
+    "WorkspaceShare",
+    "load_scenario",
+]
+
+
+class Pool(NamedTuple):
+    """Engine hosts of a pool; checkpoints are kept per host, oldest out first."""
+
+    name: str
+    hosts: int
+    memory_mb: int
+    disk_checkpoints: int
+    memory_checkpoints: int
+
+
+class StoreLimits(NamedTuple):
+    """The weight store: starts per second, loads at once, time limit of a load."""
+
+    loads_per_s: float
+    concurrent: int
+    timeout_s: float = 120.0
+
+
+class ModelRange(NamedTuple):
+    """The models; sizes are drawn between the two bounds.
+
+    ``tokens_per_s`` is what a replica generates with a full batch of ``batch``.
+    """
+
+    count: int
+    adapters: int
+    weights_gb: tuple[float, float]
+    cache_mb: int
+    adapters_mb: int
+    adapter_mb: int
+    tokens_per_s: float
+    batch: int
+    max_replicas: int
+
+
+class WorkspaceShare(NamedTuple):
+    """A workspace: its share of the traffic and its rate in tokens."""
+
+    name: str
+    share: float
+    rate_tokens_per_s: float
+    burst_tokens: float
+
+
+class RequestKind(NamedTuple):
+    """A kind of request: generated tokens between bounds and a deadline."""
+
+    name: str
+    share: float
+    tokens: tuple[int, int]
+    deadline_s: float
+
+
+class Burst(NamedTuple):
+    """Requests for one idle model at every entry at once."""
+
+    at_s: float
+    requests: int
+    over_s: float
+
+
+class Surge(NamedTuple):
+    """One workspace sends ``factor`` times its traffic for a while."""
+
+    workspace: str
+    factor: float
+    from_s: float
+    to_s: float
+
+
+class Case(NamedTuple):
+    """Traffic of one run.
+
+    ``requests_per_s`` is the mean at the peak. Calls of a model come in sessions of
+    ``session_calls`` on average, ``call_gap_s`` apart. ``shape`` is flat or peak.
+    """
+
+    duration_s: float
+    requests_per_s: float
+    session_calls: float
+    call_gap_s: float
+    kinds: list[str]
+    shape: str = "flat"
+    bursts: list[Burst] = []
+    surge: Surge | None = None
+
+
+class Fault(NamedTuple):
+    """Something that breaks at ``at_s`` for ``for_s`` seconds.
+
+    ``kind``: agent-killed, store-slow, host-reclaimed, host-lost, entry-restarted.
+    ``factor`` is the share of the store's capacity that is left.
+    """
+
+    kind: str
+    at_s: float
+    for_s: float = 0.0
+    factor: float = 1.0
+
+
+class Scenario(NamedTuple):
+    """A deployment with its cases and faults."""
+
+    name: str
+    zones: list[str]
+    entries: int
+    pool: Pool
+    store: StoreLimits
+    models: ModelRange
+    workspaces: list[WorkspaceShare]
+    kinds: list[RequestKind]
+    cases: dict[str, Case]
+    faults: dict[str, list[Fault]]
+    cold_start_weight: float
+    idle_hour_weight: float
+
+
+def _as_arrays(value: Any, target: Any) -> Any:
+    """Return mappings as the arrays that NamedTuples are converted from."""
+    fields = getattr(target, "__annotations__", {})
+    if isinstance(value, dict) and hasattr(target, "_fields"):
+        unknown = set(value) - set(target._fields)
+        if unknown:
+            raise ValueError(f"{target.__name__}: unknown fields {sorted(unknown)}")
+        given = {
+            name: _as_arrays(value[name], fields[name])
+            for name in target._fields
+            if name in value
+        }
+        return msgspec.to_builtins(target(**given))
+    arguments = getattr(target, "__args__", ())
+    inner = [kind for kind in arguments if hasattr(kind, "_fields")]
+    if inner and isinstance(value, list):
+        return [_as_arrays(item, inner[0]) for item in value]
+    if inner and isinstance(value, dict) and arguments[0] is str:
+        return {key: _as_arrays(item, inner[0]) for key, item in value.items()}
+    if arguments and isinstance(value, dict):
+        last = arguments[-1]
+        if getattr(last, "__args__", None):
+            return {key: _as_arrays(item, last) for key, item in value.items()}
+        return _as_arrays(value, inner[0]) if inner else value
+    return value
+
+
+def load_scenario(path: str | Path) -> Scenario:
+    """Read a scenario file.
+
+    Raises:
+        ValueError: If a field is unknown.
+        msgspec.ValidationError: If a value has the wrong type.
+    """
+    data = YAML(typ="safe").load(Path(path))
+    return msgspec.convert(_as_arrays(data, Scenario), Scenario)
