--- a/src/jasminewharf/bench/engines.py
+++ b/src/jasminewharf/bench/engines.py
@@ -16,18 +16,20 @@
 
 
 class Job(NamedTuple):
-    """Work of one call; ``done(ok)`` is called once."""
+    """Work of one call; ``done`` is called once with answered, refused or failed."""
 
     number: int
     workspace: str
     tokens: int
-    done: Callable[[bool], None]
+    deadline: float
+    done: Callable[[str], None]
 
 
 class BatchServer:
     """Serves up to ``batch`` jobs at once at a rate they share equally.
 
-    Jobs that do not fit wait in a start-time fair queue over workspaces.
+    Jobs that do not fit wait in a start-time fair queue over workspaces; one that
+    can no longer end in time is refused before it begins.
     """
 
     def __init__(self, clock: Clock, spec: ModelSpec, batch: int) -> None:
@@ -66,6 +68,10 @@
         left = sum(end - self._attained for end, _, _ in self._active)
         return (self.queued_tokens + left / 2) / self._rate
 
+    def service_s(self, tokens: int) -> float:
+        """Return how long a job takes in a full batch."""
+        return tokens * self._batch / self._rate
+
     def add(self, job: Job) -> None:
         """Take a job into the batch or the queue."""
         self._advance()
@@ -82,7 +88,7 @@
         self._active, self._waiting = [], []
         self.queued_tokens = 0
         for job in jobs:
-            job.done(False)
+            job.done("failed")
 
     def _speed(self) -> float:
         """Return the tokens per second of each active job."""
@@ -102,6 +108,9 @@
             start, _, job = heapq.heappop(self._waiting)
             self._virtual = start
             self.queued_tokens -= job.tokens
+            if self._clock.now + self.service_s(job.tokens) > job.deadline:
+                self._clock.call_in(0.0, job.done, "refused")
+                continue
             entry = (self._attained + job.tokens, job.number, job)
             heapq.heappush(self._active, entry)
         self._generation += 1
@@ -123,4 +132,4 @@
             finished.append(heapq.heappop(self._active)[2])
         self._fill()
         for job in finished:
-            job.done(True)
+            job.done("answered")
--- a/src/jasminewharf/bench/entries.py
+++ b/src/jasminewharf/bench/entries.py
@@ -127,7 +127,7 @@
     def _dispatch(self, attempt: Attempt, known: _Model, held: EngineReplica) -> None:
         call = attempt.call
         left = attempt.deadline - self.clock.now
-        service_s = call.tokens * 16 / held.spec.tokens_per_s
+        service_s = held.server.service_s(call.tokens)
         if held.server.backlog_s() + service_s > left:
             self._refuse(attempt, known, "overloaded", held.server.backlog_s())
             return
@@ -139,23 +139,27 @@
     def _begin(self, attempt: Attempt, known: _Model, held: EngineReplica) -> None:
         host = self._hosts[held.record.host]
 
-        def finish(ok: bool) -> None:
+        def finish(outcome: str) -> None:
             if not held.server.unfinished:
                 held.idle_since = self.clock.now
-            self._finish(attempt, known, ok)
+            self._finish(attempt, known, outcome)
 
         if not (host.alive and host.agent_alive and held.state != "gone"):
-            self._finish(attempt, known, False)
+            self._finish(attempt, known, "failed")
             return
         if not held.server.unfinished:
             host.count_idle(held)
         call = attempt.call
-        held.server.add(Job(call.number, call.workspace, call.tokens, finish))
+        held.server.add(
+            Job(call.number, call.workspace, call.tokens, attempt.deadline, finish)
+        )
 
-    def _finish(self, attempt: Attempt, known: _Model, ok: bool) -> None:
+    def _finish(self, attempt: Attempt, known: _Model, outcome: str) -> None:
         known.in_flight -= 1
         known.last_call = self.clock.now
-        if ok:
+        if outcome == "refused":
+            self._refuse(attempt, known, "overloaded", _MIN_RETRY_S)
+        elif outcome == "answered":
             self._measures.note_answer(attempt.call, self.clock.now, attempt.deadline)
         elif attempt.retries and self.alive:
             # Translations and plans are idempotent and may be repeated.
@@ -209,6 +213,7 @@
                     self._retry(attempt, 0.5)
                 else:
                     self._measures.note_failure(attempt.call, self.clock.now)
+            known.waiting = {}
         self._known = {}
         self.clock.call_in(for_s, self._restart)
 
--- a/src/jasminewharf/bench/measures.py
+++ b/src/jasminewharf/bench/measures.py
@@ -44,7 +44,10 @@
         self.entries = scenario.entries
         self.idle_s = 0.0
         self._note = note
+        self._weights = (scenario.cold_start_weight, scenario.idle_hour_weight)
         self._cold = _histogram()
+        self._cold_s = 0.0
+        self._starts = _histogram()
         self._waits = {w.name: _histogram() for w in scenario.workspaces}
         self._offered: Counter[str] = Counter()
         self._served: Counter[str] = Counter()
@@ -67,10 +70,12 @@
 
     def note_cold_start(self, seconds: float) -> None:
         """Record the wait of a call for a model that was not loaded."""
+        self._cold_s += seconds
         self._cold.record_value(max(1, int(seconds * _MS_PER_S)))
 
     def note_dispatch(self, call: Call, seconds: float) -> None:
         """Record how long a call waited before it reached an engine."""
+        self._starts.record_value(max(1, int(seconds * _MS_PER_S)))
         self._waits[call.workspace].record_value(max(1, int(seconds * _MS_PER_S)))
 
     def note_answer(self, call: Call, now: float, deadline: float) -> None:
@@ -89,7 +94,7 @@
             self._note(Event(now, "refused", call.number))
             self._counts[f"refused: {reason}"] += 1
             if reason != "overloaded":
-                self._cold.record_value(int(call.deadline_s * _MS_PER_S))
+                self.note_cold_start(call.deadline_s)
 
     def note_failure(self, call: Call, now: float) -> None:
         """Count a call that ended with an error."""
@@ -105,11 +110,17 @@
         }
         waits = {name: _percentiles(h)["p95"] for name, h in self._waits.items()}
         refused = sum(n for key, n in counts.items() if key.startswith("refused: "))
+        cold_weight, idle_weight = self._weights
+        idle_h = self.idle_s / _S_PER_HOUR
         return {
+            "weighted_cost": round(
+                cold_weight * self._cold_s + idle_weight * idle_h, 1
+            ),
+            "start_wait_s": _percentiles(self._starts),
             "calls_within_rate": counts["within rate"],
             "cold_start_s": _percentiles(self._cold),
             "cold_starts": self._cold.get_total_count(),
-            "idle_accelerator_hours": round(self.idle_s / _S_PER_HOUR, 3),
+            "idle_accelerator_hours": round(idle_h, 3),
             "worst_workspace_share": round(min(shares.values(), default=1.0), 4),
             "worst_workspace_wait_p95_s": max(waits.values()),
             "refused_within_rate": refused,
--- a/src/jasminewharf/bench/tables.py
+++ b/src/jasminewharf/bench/tables.py
@@ -7,6 +7,9 @@
 
 # Heading, path of the measure, whether less is better.
 COLUMNS = [
+    ("cost", ("weighted_cost",), True),
+    ("start p99", ("start_wait_s", "p99"), True),
+    ("colds", ("cold_starts",), True),
     ("cold p50", ("cold_start_s", "p50"), True),
     ("p95", ("cold_start_s", "p95"), True),
     ("p99", ("cold_start_s", "p99"), True),
--- a/src/jasminewharf/decisions/demand.py
+++ b/src/jasminewharf/decisions/demand.py
@@ -4,7 +4,12 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from ..defaults import DEMAND_EXPIRY_S, EVICTION_GAPS_KEPT, EVICTION_IDLE_MIN_S
+from ..defaults import (
+    DEMAND_EXPIRY_S,
+    EVICTION_GAPS_KEPT,
+    EVICTION_IDLE_MIN_S,
+    EVICTION_POOLED_GAPS,
+)
 from ..messages.feed import Demand, NodeReport
 from .inventory import ModelKey
 
@@ -41,13 +46,17 @@
         self.last_call = last_call
         self.gaps: deque[float] = deque(maxlen=EVICTION_GAPS_KEPT)
 
-    def observe(self, last_call: float) -> None:
-        """Note a call; one that is not newer than the last changes nothing."""
-        if last_call <= self.last_call:
-            return
-        if last_call - self.last_call >= EVICTION_IDLE_MIN_S:
-            self.gaps.append(last_call - self.last_call)
-        self.last_call = last_call
+    def observe(self, last_call: float) -> float | None:
+        """Note a call and return the gap before it if it is kept.
+
+        A call that is not newer than the last changes nothing.
+        """
+        gap = last_call - self.last_call
+        self.last_call = max(self.last_call, last_call)
+        if gap < EVICTION_IDLE_MIN_S:
+            return None
+        self.gaps.append(gap)
+        return gap
 
 
 class _Reported(NamedTuple):
@@ -64,6 +73,7 @@
 
     def __init__(self) -> None:
         self.histories: dict[ModelKey, CallHistory] = {}
+        self.pooled_gaps: deque[float] = deque(maxlen=EVICTION_POOLED_GAPS)
         self._entries: dict[str, tuple[int, int, set[ModelKey]]] = {}
         self._parts: dict[ModelKey, dict[str, list[_Reported]]] = {}
         self._since: dict[ModelKey, float] = {}
@@ -121,7 +131,9 @@
         if history is None:
             self.histories[key] = CallHistory(last_call)
         else:
-            history.observe(last_call)
+            gap = history.observe(last_call)
+            if gap is not None:
+                self.pooled_gaps.append(gap)
 
     def _expire(self, now: float) -> None:
         if now < self._next_expiry:
--- a/src/jasminewharf/decisions/eviction.py
+++ b/src/jasminewharf/decisions/eviction.py
@@ -31,12 +31,14 @@
 class IdleReplica(NamedTuple):
     """An idle replica.
 
-    ``gaps`` are the model's own inter-call times in seconds, ``reload_s`` the load
-    time from where the checkpoint would be cached, ``accelerators`` what it holds.
+    ``gaps`` are the model's own inter-call times in seconds, ``pooled_gaps`` those
+    of all models, ``reload_s`` the load time from where the checkpoint would be
+    cached, ``accelerators`` what the replica holds.
     """
 
     idle_s: float
     gaps: Sequence[float]
+    pooled_gaps: Sequence[float]
     reload_s: float
     accelerators: float
 
@@ -131,12 +133,19 @@
         """Return equally likely waits until the next call, shortest first.
 
         A few samples of a prior are mixed in, so that a model with little history
-        is neither kept for ever nor released at once. The prior's gaps double from
-        sample to sample, because a model that has been idle for long tends to stay
-        idle for about as long again.
+        is neither kept for ever nor released at once: quantiles of the gaps of all
+        models, or, without such gaps, gaps that double from one to the next.
         """
         idle = replica.idle_s
         waits = [gap - idle for gap in replica.gaps if gap > idle]
-        scale = max(idle, defaults.EVICTION_PRIOR_GAP_S / 4)
-        prior = [scale * 2.0**step for step in range(defaults.EVICTION_PRIOR_GAPS)]
-        return sorted(waits + prior)
+        return sorted(waits + _prior_waits(replica))
+
+
+def _prior_waits(replica: IdleReplica) -> list[float]:
+    idle = replica.idle_s
+    count = defaults.EVICTION_PRIOR_GAPS
+    pooled = sorted(gap - idle for gap in replica.pooled_gaps if gap > idle)
+    if len(pooled) >= count:
+        return [pooled[(2 * i + 1) * len(pooled) // (2 * count)] for i in range(count)]
+    scale = max(idle, defaults.EVICTION_PRIOR_GAP_S / 4)
+    return [scale * 2.0**step for step in range(count)]
--- a/src/jasminewharf/decisions/placer.py
+++ b/src/jasminewharf/decisions/placer.py
@@ -50,6 +50,7 @@
         return IdleReplica(
             self.idle_s(record.key, demands, now),
             history.gaps if history is not None else (),
+            demands.pooled_gaps,
             self._state.load_times.estimate(spec.weights_mb, tier, slowdown),
             spec.accelerators,
         )
--- a/src/jasminewharf/decisions/planner.py
+++ b/src/jasminewharf/decisions/planner.py
@@ -142,7 +142,12 @@
         ]
         for key, demand in merged.items():
             spec = self.state.models.get(key)
-            if spec is None or demand.requests <= 0:
+            if spec is None:
+                continue
+            queued = self._count_queued_tokens(key, merged, now)
+            if queued:
+                demand = _add_queued(demand, queued, now)
+            if demand.requests <= 0:
                 continue
             load = self._want_for_demand(key, spec, demand, now)
             if load is not None:
@@ -166,6 +171,33 @@
             return None
         return WantedLoad(key, demand, load_s, ready + coming)
 
+    def _count_queued_tokens(
+        self, key: ModelKey, merged: Mapping[ModelKey, ModelDemand], now: float
+    ) -> float:
+        """Return the tokens queued at the backend servers that have a model.
+
+        A backend server reports one queue for all its replicas. It is divided
+        among those whose model was called lately.
+        """
+        state = self.state
+        queued = 0.0
+        for record in state.replicas.of_model(key):
+            if record.phase != "loaded":
+                continue
+            backend = state.inventory.backends.get((record.host, record.backend))
+            if backend is None or not backend.report.queued_tokens:
+                continue
+            sharing = sum(
+                1
+                for other in state.replicas.on_host(record.host)
+                if other.backend == record.backend
+                and other.phase == "loaded"
+                and (found := merged.get(other.key)) is not None
+                and now - found.last_call < defaults.QUEUE_SHARE_WINDOW_S
+            )
+            queued += backend.report.queued_tokens / max(1, sharing)
+        return queued
+
     def _unload_leaving(self) -> None:
         """Unload loaded replicas of leaving hosts; they receive no new work."""
         for host in self.state.leaving:
@@ -238,3 +270,13 @@
             return False
         since = self._surplus_since.setdefault(record.key, now)
         return now - since >= defaults.SURPLUS_HOLD_S
+
+
+def _add_queued(demand: ModelDemand, tokens: float, now: float) -> ModelDemand:
+    """Return the demand with work that already waits at loaded replicas."""
+    deadline = min(demand.deadline, now + defaults.DEFAULT_DEADLINE_MS / 1000)
+    return demand._replace(
+        requests=demand.requests + 1,
+        tokens=demand.tokens + int(tokens),
+        deadline=deadline,
+    )
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -39,6 +39,8 @@
 # ended, and none is evicted for room unless it has been idle for this long.
 RESIDENCE_MIN_S = 20.0
 EVICTION_IDLE_MIN_S = 5.0
+# A backend server's queue is divided among its models called within this time.
+QUEUE_SHARE_WINDOW_S = 5.0
 SURPLUS_HOLD_S = 60.0
 SURPLUS_UTILISATION = 0.6
 ROOM_CLAIM_S = 30.0
@@ -54,6 +56,7 @@
 PLACEMENT_FILL_PENALTY_S = 1.0
 EVICTION_GAPS_KEPT = 64
 EVICTION_PRIOR_GAPS = 4
+EVICTION_POOLED_GAPS = 512
 EVICTION_PRIOR_GAP_S = 600.0
 EVICTION_TTL_S = 300.0
 # Cost of a second of cold start and of an idle accelerator hour. With these, a
