--- a/src/jasminewharf/bench/hosts.py
+++ b/src/jasminewharf/bench/hosts.py
@@ -123,6 +123,7 @@
             # the store that nobody granted.
             self._fail(held, "checkpoint not cached")
             return
+        held.idle_since = self.clock.now
         self._note_load("load-started", held, record.from_tier)
         seconds = defaults.LOAD_BASE_S
         seconds += defaults.LOAD_S_PER_GB[tier] * spec.weights_mb / 1024
@@ -137,11 +138,11 @@
             return
         self._note_load("load-ended", held)
         if not ok:
+            self._release((self.clock.now - held.idle_since) * held.spec.accelerators)
             self._note_load("freed", held)
             self._fail(held, "weight store")
             return
         held.state = "loaded"
-        held.idle_since = self.clock.now
         self._keep(
             self.disk, held.spec.checkpoint, self._scenario.pool.disk_checkpoints
         )
@@ -172,7 +173,10 @@
         self.report()
 
     def count_idle(self, held: EngineReplica) -> None:
-        """Account for the idle time of a replica up to now."""
+        """Account for the idle time of a replica up to now.
+
+        Loading and unloading count: the accelerator serves nobody meanwhile.
+        """
         if held.state in ("loaded", "draining", "unloading"):
             if not held.server.unfinished:
                 idle = self.clock.now - held.idle_since
--- a/src/jasminewharf/decisions/adapters.py
+++ b/src/jasminewharf/decisions/adapters.py
@@ -116,7 +116,7 @@
 
 
 def _rank(adapter: str, replica: int) -> int:
-    return xxhash.xxh64_intdigest(f"{adapter}\0{replica}")
+    return xxhash.xxh64_intdigest(f"{adapter}\0{replica}".encode())
 
 
 def batch_adapters(
--- a/src/jasminewharf/decisions/eviction.py
+++ b/src/jasminewharf/decisions/eviction.py
@@ -33,7 +33,8 @@
 
     ``gaps`` are the model's own inter-call times in seconds, ``pooled_gaps`` those
     of all models, ``reload_s`` the load time from where the checkpoint would be
-    cached, ``accelerators`` what the replica holds.
+    cached, ``accelerators`` what the replica holds, ``callers`` how many callers a
+    cold start of the model makes wait for all of it.
     """
 
     idle_s: float
@@ -41,6 +42,7 @@
     pooled_gaps: Sequence[float]
     reload_s: float
     accelerators: float
+    callers: float = 1.0
 
 
 class EvictionPolicy(Protocol):
@@ -119,7 +121,8 @@
         """Return the largest saving over releasing now, in weighted seconds."""
         waits = self._remaining_waits(replica)
         idle_rate = self._weights.idle_hour / _S_PER_HOUR * replica.accelerators
-        cold = self._weights.cold_start * replica.reload_s
+        cold = self._weights.cold_start * replica.reload_s * replica.callers
+        cold += idle_rate * (replica.reload_s + defaults.UNLOAD_S)
         best = 0.0
         waited = 0.0
         count = len(waits)
--- a/src/jasminewharf/decisions/placer.py
+++ b/src/jasminewharf/decisions/placer.py
@@ -25,19 +25,38 @@
     def __init__(self, state: PlanState, policy: EvictionPolicy) -> None:
         self.policy = policy
         self._state = state
-        self._reloads: dict[ModelKey, float] = {}
+        self._callers: dict[ModelKey, float] = {}
+        self._pooled_callers = 1.0
         self._started: float | None = None
 
+    def note_cold_start(self, key: ModelKey, waiting: int) -> None:
+        """Note how many requests waited when a replica became ready.
+
+        Those that came during the load waited half of it on average, so that they
+        count half; a load that nobody waits for counts as one caller.
+        """
+        callers = 1 + max(0, waiting - 1) / 2
+        pooled = self._pooled_callers
+        gain = defaults.CALLERS_GAIN
+        self._pooled_callers += gain * (min(callers, 10.0) - pooled) / 4
+        mean = self._callers.get(key, pooled)
+        self._callers[key] = mean + gain * (callers - mean)
+
     def idle_s(self, key: ModelKey, demands: DemandTable, now: float) -> float:
         """Return how long a model has had no call, in seconds.
 
         A planner that has just started knows no calls, and counts from its start.
         """
+        started = self.start(now)
+        history = demands.histories.get(key)
+        last = history.last_call if history is not None else started
+        return now - max(last, started)
+
+    def start(self, now: float) -> float:
+        """Return the time of the first plan; the first call sets it."""
         if self._started is None:
             self._started = now
-        history = demands.histories.get(key)
-        last = history.last_call if history is not None else self._started
-        return now - max(last, self._started)
+        return self._started
 
     def describe(
         self, record: ReplicaRecord, demands: DemandTable, now: float
@@ -53,6 +72,7 @@
             demands.pooled_gaps,
             self._state.load_times.estimate(spec.weights_mb, tier, slowdown),
             spec.accelerators,
+            self._callers.get(record.key, self._pooled_callers),
         )
 
     def may_unload(
--- a/src/jasminewharf/decisions/planner.py
+++ b/src/jasminewharf/decisions/planner.py
@@ -80,8 +80,12 @@
         """
         state = self.state
         state.actions = []
+        self._judge.start(now)
         state.refresh(view, reports, now)
         merged = demands.collect(now)
+        for record in state.newly_loaded:
+            demand = merged.get(record.key)
+            self._judge.note_cold_start(record.key, demand.requests if demand else 0)
         loads = self._find_wanted(merged, now)
         self._placer.forget_unwanted({load.key for load in loads}, now)
         self._placer.place(loads, demands, now)
--- a/src/jasminewharf/decisions/planstate.py
+++ b/src/jasminewharf/decisions/planstate.py
@@ -67,6 +67,7 @@
         self.loaded_at: dict[int, float] = {}
         self.ordered_at: dict[int, float] = {}
         self.actions: list[Action] = []
+        self.newly_loaded: list[ReplicaRecord] = []
         self._version = -1
         self._reported_leaving: set[str] = set()
         self._unknown: dict[str, dict[str, set[int]]] = {}
@@ -82,6 +83,7 @@
         self, view: PlannerView, reports: Mapping[str, NodeReport], now: float
     ) -> None:
         """Take over what changed since the last plan."""
+        self.newly_loaded = []
         changed = self.inventory.refresh(reports)
         for report in changed:
             if report.role == "agent":
@@ -142,6 +144,7 @@
             self.ordered_at.pop(number, None)
         if phase == "loaded":
             self.loaded_at[number] = now
+            self.newly_loaded.append(record)
             self._failures.pop((record.key, _backend_key(record)), None)
         if phase == "failed":
             self._note_failure(record, now)
