Weigh how many callers a cold start makes wait

Conclusion: callers are counted, at most CALLERS_MAX: uncapped, one burst kept a model loaded for hours.

--- a/src/jasminewharf/decisions/placer.py
+++ b/src/jasminewharf/decisions/placer.py
@@ -35,10 +35,10 @@
         Those that came during the load waited half of it on average, so that they
         count half; a load that nobody waits for counts as one caller.
         """
-        callers = 1 + max(0, waiting - 1) / 2
+        callers = min(1 + max(0, waiting - 1) / 2, defaults.CALLERS_MAX)
         pooled = self._pooled_callers
         gain = defaults.CALLERS_GAIN
-        self._pooled_callers += gain * (min(callers, 10.0) - pooled) / 4
+        self._pooled_callers += gain * (callers - pooled) / 4
         mean = self._callers.get(key, pooled)
         self._callers[key] = mean + gain * (callers - mean)
 
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -60,6 +60,8 @@
 EVICTION_PRIOR_GAP_S = 600.0
 # Weight of the newest cold start in the mean number of its callers.
 CALLERS_GAIN = 0.2
+# One burst of hundreds of calls says little about the next cold start.
+CALLERS_MAX = 6.0
 EVICTION_TTL_S = 300.0
 # Cost of a second of cold start and of an idle accelerator hour. With these, a
 # cold start of 10 s costs as much as 200 s of one idle accelerator.
