--- a/src/jasminewharf/decisions/demand.py
+++ b/src/jasminewharf/decisions/demand.py
@@ -29,7 +29,6 @@
     deadline: float
     since: float
     last_call: float
-    adapters: frozenset[str] = frozenset()
 
 
 class CallHistory:
@@ -59,9 +58,23 @@
         return gap
 
 
-class _Reported(NamedTuple):
-    demand: Demand
+class _Part(NamedTuple):
+    """What one entry waits for; ``deadline`` is infinite if for nothing."""
+
     at: float
+    requests: int
+    tokens: int
+    deadline: float
+    adapters: tuple[str, ...]
+
+
+class _Entry(NamedTuple):
+    incarnation: int
+    sequence: int
+    keys: frozenset[ModelKey]
+
+
+_NO_ENTRY = _Entry(0, -1, frozenset())
 
 
 class DemandTable:
@@ -74,8 +87,8 @@
     def __init__(self) -> None:
         self.histories: dict[ModelKey, CallHistory] = {}
         self.pooled_gaps: deque[float] = deque(maxlen=EVICTION_POOLED_GAPS)
-        self._entries: dict[str, tuple[int, int, set[ModelKey]]] = {}
-        self._parts: dict[ModelKey, dict[str, list[_Reported]]] = {}
+        self._entries: dict[str, _Entry] = {}
+        self._parts: dict[ModelKey, dict[str, _Part]] = {}
         self._since: dict[ModelKey, float] = {}
         self._merged: dict[ModelKey, ModelDemand] = {}
         self._dirty: set[ModelKey] = set()
@@ -89,34 +102,28 @@
             now: Current time in seconds.
             age_s: How long ago the entry made the report, in seconds.
         """
-        _, sequence, old = self._entries.get(report.node, (0, -1, set()))
-        known = report.node in self._entries
-        incarnation = self._entries[report.node][0] if known else report.incarnation
-        if incarnation == report.incarnation and report.sequence <= sequence:
+        entry = self._entries.get(report.node, _NO_ENTRY)
+        same = entry.incarnation == report.incarnation
+        if same and report.sequence <= entry.sequence:
             return
         made = now - age_s
-        grouped: dict[ModelKey, list[_Reported]] = {}
+        grouped: dict[tuple[str, str], list[Demand]] = {}
         for demand in report.demands:
-            key = ModelKey(demand.service, demand.model)
-            grouped.setdefault(key, []).append(_Reported(demand, made))
-            self._observe_call(key, made - demand.last_call_ms / 1000)
-        for key in old - grouped.keys():
+            grouped.setdefault((demand[0], demand[1]), []).append(demand)
+        keys = frozenset(ModelKey(*names) for names in grouped)
+        for key in entry.keys - keys:
             self._parts[key].pop(report.node, None)
-        for key, parts in grouped.items():
-            self._parts.setdefault(key, {})[report.node] = parts
-        self._dirty |= old | grouped.keys()
-        self._entries[report.node] = (
-            report.incarnation,
-            report.sequence,
-            set(grouped),
-        )
+        for key in keys:
+            self._take_part(report.node, key, grouped[key], made)
+        self._dirty |= entry.keys | keys
+        self._entries[report.node] = _Entry(report.incarnation, report.sequence, keys)
 
     def remove(self, node: str) -> None:
         """Drop the demands of an entry that has left."""
-        _, _, keys = self._entries.pop(node, (0, 0, set()))
-        for key in keys:
+        entry = self._entries.pop(node, _NO_ENTRY)
+        for key in entry.keys:
             self._parts[key].pop(node, None)
-        self._dirty |= keys
+        self._dirty |= entry.keys
 
     def collect(self, now: float) -> Mapping[ModelKey, ModelDemand]:
         """Return the demand of every model that an entry reports."""
@@ -126,6 +133,26 @@
         self._dirty.clear()
         return self._merged
 
+    def collect_adapters(self, key: ModelKey) -> frozenset[str]:
+        """Return the adapters of a model that requests wait for at any entry."""
+        parts = self._parts.get(key, {}).values()
+        return frozenset(name for part in parts for name in part.adapters)
+
+    def _take_part(
+        self, node: str, key: ModelKey, demands: list[Demand], made: float
+    ) -> None:
+        waiting = [demand for demand in demands if demand.requests > 0]
+        deadline = min((d.deadline_ms for d in waiting), default=float("inf"))
+        self._parts.setdefault(key, {})[node] = _Part(
+            made,
+            sum(d.requests for d in waiting),
+            sum(d.tokens for d in waiting),
+            made + deadline / 1000,
+            tuple(d.adapter for d in waiting if d.adapter),
+        )
+        newest = min(d.last_call_ms for d in demands)
+        self._observe_call(key, made - newest / 1000)
+
     def _observe_call(self, key: ModelKey, last_call: float) -> None:
         history = self.histories.get(key)
         if history is None:
@@ -141,32 +168,29 @@
         self._next_expiry = now + DEMAND_EXPIRY_S / 3
         oldest = now - DEMAND_EXPIRY_S
         for key, parts in self._parts.items():
-            stale = [node for node, part in parts.items() if part[0].at < oldest]
+            stale = [node for node, part in parts.items() if part.at < oldest]
             for node in stale:
                 del parts[node]
                 self._dirty.add(key)
 
     def _merge(self, key: ModelKey) -> None:
-        parts = [p for found in self._parts.get(key, {}).values() for p in found]
+        parts = self._parts.get(key)
         if not parts:
             self._parts.pop(key, None)
             self._merged.pop(key, None)
             self._since.pop(key, None)
             return
-        waiting = [p for p in parts if p.demand.requests > 0]
-        first = min(p.at for p in parts)
+        first, requests, tokens, deadline, _ = zip(*parts.values(), strict=True)
+        waiting = sum(requests)
+        since = min(first)
         if waiting:
-            self._since.setdefault(key, first)
+            since = self._since.setdefault(key, since)
         else:
             self._since.pop(key, None)
         self._merged[key] = ModelDemand(
-            sum(p.demand.requests for p in waiting),
-            sum(p.demand.tokens for p in waiting),
-            min(
-                (p.at + p.demand.deadline_ms / 1000 for p in waiting),
-                default=float("inf"),
-            ),
-            self._since.get(key, first),
+            waiting,
+            sum(tokens),
+            min(deadline),
+            since,
             self.histories[key].last_call,
-            frozenset(p.demand.adapter for p in waiting if p.demand.adapter),
         )
--- a/src/jasminewharf/decisions/loads.py
+++ b/src/jasminewharf/decisions/loads.py
@@ -85,6 +85,12 @@
             return float("inf")
         return self._pacing.earliest(host, len(self._held), now)
 
+    def is_blocked(self, now: float) -> bool:
+        """Return whether no load from remote may start now on any host."""
+        if len(self._held) >= self._concurrency:
+            return True
+        return not self._pacing.per_host and self.earliest("", now) > now
+
     def estimate_wait(self, host: str, now: float) -> float:
         """Return the expected wait for a slot on ``host`` in seconds."""
         if len(self._held) < self._concurrency:
--- a/src/jasminewharf/decisions/pacing.py
+++ b/src/jasminewharf/decisions/pacing.py
@@ -10,7 +10,13 @@
 
 
 class PacingRule(Protocol):
-    """Says when the next load may start."""
+    """Says when the next load may start.
+
+    Attributes:
+        per_host: Whether the answer differs from host to host.
+    """
+
+    per_host: bool
 
     def earliest(self, host: str, running: int, now: float) -> float:
         """Return the earliest time at which a load may start.
@@ -80,7 +86,9 @@
 
 @register(PACING_RULES, "token-bucket")
 class TokenBucketRule:
-    """A fixed rate with a fixed burst; ignores how loads end."""
+    """A fixed rate; ignores how loads end."""
+
+    per_host = False
 
     def __init__(self, loads_per_s: float, burst: int) -> None:
         # One start at a time: a store limited to a rate counts starts, and a
@@ -110,6 +118,8 @@
     congestion together. A load that ends in time adds to both.
     """
 
+    per_host = False
+
     def __init__(self, loads_per_s: float, burst: int) -> None:
         self._bucket = _Bucket(loads_per_s, 1)
         self._most = loads_per_s
@@ -150,6 +160,8 @@
     the pressure decays by half each ``PACING_PRESSURE_HALF_LIFE_S``.
     """
 
+    per_host = True
+
     def __init__(self, loads_per_s: float, burst: int) -> None:
         self._base_s = 1 / loads_per_s
         self._pressure: dict[str, tuple[float, float]] = {}
--- a/src/jasminewharf/decisions/placement.py
+++ b/src/jasminewharf/decisions/placement.py
@@ -17,6 +17,8 @@
 ]
 
 _MB_PER_GB = 1024
+# A running call delays a new replica less than one that already waits.
+_RUNNING_SHARE = 0.1
 
 
 class LoadTimes(NamedTuple):
@@ -97,7 +99,8 @@
         shared_zone: Replicas of the model that are already in this zone.
         evict_cost: Expected cost of the replicas to unload first.
     """
-    queue = backend.report.queued + backend.report.running * 0.1
+    report = backend.report
+    queue = report.queued + report.running * _RUNNING_SHARE
     return (
         wait_s
         + load_s
--- a/src/jasminewharf/decisions/placer.py
+++ b/src/jasminewharf/decisions/placer.py
@@ -1,6 +1,7 @@
 """Decides replicas for wanted loads, making room where it must."""
 
-from collections.abc import Iterable, Iterator
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
 from .. import defaults
@@ -113,6 +114,19 @@
     until: float
 
 
+class _Search(NamedTuple):
+    """What is the same for all candidates of one load; memory in MB by host."""
+
+    spec: ModelSpec
+    now: float
+    blocked: bool
+    keys: list[BackendKey]
+    cached: Mapping[BackendKey, str]
+    occupied: set[BackendKey]
+    zones: Counter[str]
+    claimed: Counter[str]
+
+
 class Placer:
     """Places wanted loads, one plan at a time."""
 
@@ -144,11 +158,11 @@
 
     def _place_one(self, load: WantedLoad, demands: DemandTable, now: float) -> bool:
         spec = self._state.models[load.key]
-        best = choose_candidate(self._find_with_room(spec, now))
+        search = self._start_search(spec, now)
+        best = choose_candidate(self._find_with_room(search))
         if load.key not in self._claims:
-            other = choose_candidate(
-                self._find_with_evictions(spec, best, demands, now)
-            )
+            found = self._find_with_evictions(search, best, demands)
+            other = choose_candidate(found)
             if other is not None and (best is None or other.score < best.score):
                 self._make_room(spec, other, now)
                 return True
@@ -156,6 +170,29 @@
             return False
         return self._decide(spec, best, now)
 
+    def _start_search(self, spec: ModelSpec, now: float) -> _Search:
+        """Collect what is the same for all candidates of one load.
+
+        While no load from remote may start, only backend servers that have the
+        checkpoint cached are searched.
+        """
+        state = self._state
+        pool = state.inventory.pools.get(spec.pool, set())
+        cached = state.inventory.cached_at.get(spec.checkpoint, {})
+        blocked = state.budget.is_blocked(now)
+        keys = [key for key in cached if key in pool] if blocked else list(pool)
+        occupied = state.find_occupied(spec.key)
+        zones = Counter(
+            state.inventory.backends[key].zone
+            for key in occupied
+            if key in state.inventory.backends
+        )
+        claimed: Counter[str] = Counter()
+        for key, claim in self._claims.items():
+            if key != spec.key:
+                claimed[claim.target.host] += claim.memory_mb
+        return _Search(spec, now, blocked, keys, cached, occupied, zones, claimed)
+
     def _decide(self, spec: ModelSpec, best: Candidate, now: float) -> bool:
         state = self._state
         if best.tier == "remote" and state.budget.earliest(best.key.host, now) > now:
@@ -173,52 +210,76 @@
             reason = f"room for {spec.model}"
             self._state.advance(record, ("unloading",), reason)
 
-    def _find_with_room(self, spec: ModelSpec, now: float) -> Iterator[Candidate]:
-        """Yield the backend servers that have room for the model now."""
-        for key in self._state.inventory.pools.get(spec.pool, ()):
-            free = self._state.memory.free_mb(key.host)
-            if free < spec.memory_mb:
-                continue
-            if free - self._claimed_mb(key.host, spec.key) < spec.memory_mb:
+    def _find_with_room(self, search: _Search) -> Iterator[Candidate]:
+        """Yield the backend servers that have room for the model now.
+
+        Of those without the checkpoint only the emptiest are described: their load
+        times are the same, and describing hundreds takes most of a plan's time.
+        """
+        need = search.spec.memory_mb
+        free_mb = self._state.memory.free_mb
+        remote = []
+        for key in search.keys:
+            free = free_mb(key.host) - search.claimed[key.host]
+            if free < need:
                 continue
-            if self._is_open(spec, key, now):
-                yield self._describe(spec, key, now)
+            if key not in search.cached:
+                remote.append((-free, key))
+            elif self._is_open(search, key):
+                yield self._describe(search, key)
+        remote.sort()
+        described = 0
+        for _, key in remote:
+            if self._is_open(search, key):
+                yield self._describe(search, key)
+                described += 1
+            if described == defaults.PLACEMENT_SHORTLIST:
+                break
 
     def _find_with_evictions(
-        self,
-        spec: ModelSpec,
-        best: Candidate | None,
-        demands: DemandTable,
-        now: float,
+        self, search: _Search, best: Candidate | None, demands: DemandTable
     ) -> Iterator[Candidate]:
         """Yield backend servers on which idle replicas would have to go.
 
         If a backend server has room, only those that have the checkpoint in a
         faster tier are worth it.
         """
-        cached = self._state.inventory.cached_at.get(spec.checkpoint, {})
-        keys: Iterable[BackendKey] = self._state.inventory.pools.get(spec.pool, ())
+        keys: Iterable[BackendKey] = search.keys
         if best is not None:
             rank = TIERS.index(best.tier)
-            keys = [key for key, tier in cached.items() if TIERS.index(tier) < rank]
+            keys = [
+                key
+                for key in keys
+                if TIERS.index(search.cached.get(key, "remote")) < rank
+            ]
+        need = search.spec.memory_mb
         for key in keys:
-            if self._state.memory.free_mb(key.host) >= spec.memory_mb:
+            if self._state.memory.free_mb(key.host) >= need:
                 continue
-            if key not in self._state.inventory.pools.get(spec.pool, ()):
+            if not self._is_open(search, key):
                 continue
-            if not self._is_open(spec, key, now):
+            found = self._choose_victims(search, key, demands)
+            if found is None:
                 continue
-            found = self._choose_victims(spec, key, demands, now)
-            if found is not None:
-                victims, cost = found
-                yield self._describe(spec, key, now, victims, cost, defaults.UNLOAD_S)
+            victims, cost = found
+            candidate = self._describe(search, key, victims, cost, defaults.UNLOAD_S)
+            if not search.blocked or candidate.score < self._score_wait(search):
+                yield candidate
+
+    def _score_wait(self, search: _Search) -> float:
+        """Return the score of waiting for the store instead of making room."""
+        state = self._state
+        weights_mb, slowdown = search.spec.weights_mb, state.budget.slowdown
+        load_s = state.load_times.estimate(weights_mb, "remote", slowdown)
+        return load_s + state.budget.estimate_wait("", search.now)
 
     def _choose_victims(
-        self, spec: ModelSpec, key: BackendKey, demands: DemandTable, now: float
+        self, search: _Search, key: BackendKey, demands: DemandTable
     ) -> tuple[tuple[int, ...], float] | None:
         """Return the cheapest replicas whose memory makes room, and their cost."""
         state, judge = self._state, self._judge
-        short = spec.memory_mb + self._claimed_mb(key.host, spec.key)
+        now = search.now
+        short = search.spec.memory_mb + search.claimed[key.host]
         short -= state.memory.free_mb(key.host) + state.unloading_mb(key.host)
         if short <= 0:
             return (), 0.0
@@ -237,50 +298,33 @@
             short -= state.replicas.records[number].memory_mb
         return (tuple(victims), cost) if short <= 0 else None
 
-    def _is_open(self, spec: ModelSpec, key: BackendKey, now: float) -> bool:
-        state = self._state
-        if not state.is_candidate(spec.key, key, now):
+    def _is_open(self, search: _Search, key: BackendKey) -> bool:
+        if key in search.occupied:
             return False
-        return not state.proposed_on(spec.key, key)
-
-    def _claimed_mb(self, host: str, but: ModelKey) -> int:
-        return sum(
-            claim.memory_mb
-            for key, claim in self._claims.items()
-            if claim.target.host == host and key != but
-        )
+        return self._state.is_candidate(search.spec.key, key, search.now)
 
     def _describe(
         self,
-        spec: ModelSpec,
+        search: _Search,
         key: BackendKey,
-        now: float,
         evict: tuple[int, ...] = (),
         cost: float = 0.0,
         unload_s: float = 0.0,
     ) -> Candidate:
         state = self._state
         backend = state.inventory.backends[key]
-        tier = state.inventory.cached_at.get(spec.checkpoint, {}).get(key, "remote")
+        tier = search.cached.get(key, "remote")
         slowdown = state.budget.slowdown
-        load_s = state.load_times.estimate(spec.weights_mb, tier, slowdown)
+        load_s = state.load_times.estimate(search.spec.weights_mb, tier, slowdown)
         wait_s = unload_s
         if tier == "remote":
-            wait_s = max(wait_s, state.budget.estimate_wait(key.host, now))
+            wait_s = max(wait_s, state.budget.estimate_wait(key.host, search.now))
         score = score_candidate(
             backend,
             load_s=load_s,
             wait_s=wait_s,
             fill=state.memory.fill(key.host),
-            shared_zone=self._count_in_zone(spec.key, backend.zone),
+            shared_zone=search.zones[backend.zone],
             evict_cost=cost,
         )
         return Candidate(key, tier, load_s, wait_s, score, evict)
-
-    def _count_in_zone(self, key: ModelKey, zone: str) -> int:
-        backends = self._state.inventory.backends
-        found = 0
-        for record in self._state.replicas.of_model(key):
-            backend = backends.get(BackendKey(record.host, record.backend))
-            found += backend is not None and backend.zone == zone
-        return found
--- a/src/jasminewharf/decisions/planner.py
+++ b/src/jasminewharf/decisions/planner.py
@@ -61,6 +61,7 @@
         self._checks: deque[int] = deque()
         self._checked_at = float("-inf")
         self._surplus_since: dict[ModelKey, float] = {}
+        self._enough_until: dict[ModelKey, float] = {}
 
     def plan(
         self,
@@ -146,7 +147,7 @@
         ]
         for key, demand in merged.items():
             spec = self.state.models.get(key)
-            if spec is None:
+            if spec is None or now < self._enough_until.get(key, now):
                 continue
             queued = self._count_queued_tokens(key, merged, now)
             if queued:
@@ -171,7 +172,8 @@
         needed = count_needed(demand, spec, ready, load_s, now)
         if needed > ready:
             self._surplus_since.pop(key, None)
-        if ready + coming >= needed:
+        if ready + coming >= max(1, needed):
+            self._enough_until[key] = now + defaults.DEMAND_CHECK_INTERVAL_S
             return None
         return WantedLoad(key, demand, load_s, ready + coming)
 
--- a/src/jasminewharf/decisions/planstate.py
+++ b/src/jasminewharf/decisions/planstate.py
@@ -71,6 +71,7 @@
         self._version = -1
         self._reported_leaving: set[str] = set()
         self._unknown: dict[str, dict[str, set[int]]] = {}
+        self._blocked_hosts: set[str] = set()
         self._decided: list[_Decided] = []
         self._advanced: dict[int, str] = {}
         self._failures: dict[tuple[ModelKey, BackendKey], _Failures] = {}
@@ -193,6 +194,10 @@
                 elif (record.host, record.backend) == (report.host, backend.backend):
                     self._take_state(record, replica)
             unknown[backend.backend] = found
+        if any(unknown.values()):
+            self._blocked_hosts.add(report.host)
+        else:
+            self._blocked_hosts.discard(report.host)
 
     def _take_state(self, record: ReplicaRecord, report: ReplicaReport) -> None:
         if report.state == "gone":
@@ -270,9 +275,11 @@
                 ready += 1
             else:
                 coming += 1
-        proposed = sum(
-            1 for d in self._decided if (d.command.service, d.command.model) == key
-        )
+        proposed = 0
+        if self._decided:
+            proposed = sum(
+                1 for d in self._decided if (d.command.service, d.command.model) == key
+            )
         return ready, coming + proposed, decided + proposed
 
     def is_candidate(self, key: ModelKey, target: BackendKey, now: float) -> bool:
@@ -284,23 +291,20 @@
         backend = self.inventory.backends[target]
         if not backend.report.reachable or backend.leaving:
             return False
-        if target.host in self.leaving or target.host in self.lost:
-            return False
-        if any(self._unknown.get(target.host, {}).values()):
+        host = target.host
+        if host in self.leaving or host in self.lost or host in self._blocked_hosts:
             return False
         failures = self._failures.get((key, target))
         return failures is None or now >= failures.until
 
-    def proposed_on(self, key: ModelKey, target: BackendKey) -> bool:
-        """Return whether the backend server has or will have a replica of ``key``."""
-        return any(
-            _backend_key(record) == target for record in self.replicas.of_model(key)
-        ) or any(
-            d.command.backend == target.backend
-            and d.command.host == target.host
-            and (d.command.service, d.command.model) == key
-            for d in self._decided
-        )
+    def find_occupied(self, key: ModelKey) -> set[BackendKey]:
+        """Return the backend servers that have or will have a replica of a model."""
+        occupied = {_backend_key(record) for record in self.replicas.of_model(key)}
+        for decided in self._decided:
+            command = decided.command
+            if (command.service, command.model) == key:
+                occupied.add(BackendKey(command.host, command.backend))
+        return occupied
 
     def unloading_mb(self, host: str) -> int:
         """Return the memory that confirmed unloads will free on a host."""
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -46,6 +46,10 @@
 ROOM_CLAIM_S = 30.0
 PLACEMENT_RETRY_S = 0.25
 PLACEMENTS_PER_PLAN = 8
+PLACEMENT_SHORTLIST = 16
+# A model with enough replicas is looked at again after this time; a cold one is
+# looked at in every plan.
+DEMAND_CHECK_INTERVAL_S = 0.25
 IDLE_CHECKS_PER_PLAN = 16
 IDLE_CHECK_INTERVAL_S = 1.0
 LOAD_FAILURE_BACKOFF_S = 5.0
