--- a/src/jasminewharf/decisions/demand.py
+++ b/src/jasminewharf/decisions/demand.py
@@ -141,17 +141,22 @@
     def _take_part(
         self, node: str, key: ModelKey, demands: list[Demand], made: float
     ) -> None:
-        waiting = [demand for demand in demands if demand.requests > 0]
-        deadline = min((d.deadline_ms for d in waiting), default=float("inf"))
+        requests = tokens = 0
+        deadline_ms = newest_ms = float("inf")
+        adapters = []
+        for _, _, adapter, count, cost, left_ms, last_call_ms in demands:
+            newest_ms = min(newest_ms, last_call_ms)
+            if count <= 0:
+                continue
+            requests += count
+            tokens += cost
+            deadline_ms = min(deadline_ms, left_ms)
+            if adapter:
+                adapters.append(adapter)
         self._parts.setdefault(key, {})[node] = _Part(
-            made,
-            sum(d.requests for d in waiting),
-            sum(d.tokens for d in waiting),
-            made + deadline / 1000,
-            tuple(d.adapter for d in waiting if d.adapter),
+            made, requests, tokens, made + deadline_ms / 1000, tuple(adapters)
         )
-        newest = min(d.last_call_ms for d in demands)
-        self._observe_call(key, made - newest / 1000)
+        self._observe_call(key, made - newest_ms / 1000)
 
     def _observe_call(self, key: ModelKey, last_call: float) -> None:
         history = self.histories.get(key)
--- a/src/jasminewharf/decisions/placer.py
+++ b/src/jasminewharf/decisions/placer.py
@@ -247,10 +247,11 @@
         keys: Iterable[BackendKey] = search.keys
         if best is not None:
             rank = TIERS.index(best.tier)
+            pool = self._state.inventory.pools[search.spec.pool]
             keys = [
                 key
-                for key in keys
-                if TIERS.index(search.cached.get(key, "remote")) < rank
+                for key, tier in search.cached.items()
+                if TIERS.index(tier) < rank and key in pool
             ]
         need = search.spec.memory_mb
         for key in keys:
