--- a/src/jasminewharf/bench/queues.py
+++ b/src/jasminewharf/bench/queues.py
@@ -16,7 +16,7 @@
 from ..decisions.admission import Admission
 from ..decisions.queueing import BATCH, QUEUES, QueueLimits
 from .routes import compare_routers
-from .simulation import Arrival, CallResult, SimulatedBackend, Timeline
+from .queue_simulation import Arrival, CallResult, SimulatedBackend, Timeline
 from .workloads import SCENARIOS, Scenario, draw_arrivals
 
 __all__ = ["QueueRun", "compare_queues", "main", "run_queue", "summarise"]
--- a/src/jasminewharf/bench/routes.py
+++ b/src/jasminewharf/bench/routes.py
@@ -8,7 +8,7 @@
 from ..decisions.prefixes import CacheEvent, PrefixHints
 from ..decisions.queueing import INTERACTIVE, QUEUES, QueueLimits
 from ..decisions.routing import ROUTERS, Candidate
-from .simulation import Arrival, CallResult, SimulatedBackend, Timeline
+from .queue_simulation import Arrival, CallResult, SimulatedBackend, Timeline
 
 __all__ = ["FLEETS", "Fleet", "compare_routers", "run_router"]
 
--- a/src/jasminewharf/bench/simulation.py
+++ b/src/jasminewharf/bench/simulation.py
@@ -1,247 +1,286 @@
-"""Virtual time and a simulated backend server behind real admission decisions."""
+"""A virtual-time run of the planner on one case with one policy."""
+
+from random import Random
+from typing import Any, NamedTuple
+
+from ..decisions.adapters import AdapterSlots
+from ..decisions.inventory import ReplicaRecord
+from ..decisions.planner import PlannerSettings
+from .clock import Clock
+from .control import Control
+from .entries import Attempt, Entry
+from .history import Event, Limits, find_violations
+from .hosts import EngineReplica, Host
+from .measures import Measures
+from .scenario import Case, Fault, Scenario
+from .store import WeightStore
+from .traffic import Call, create_models, draw_calls
+
+__all__ = ["Run", "simulate"]
+
+_REPORT_INTERVAL_S = 1.0
+_FEED_LAG_S = 0.02
+_SUSPICION_S = 3.0
+_HOST_LEASE_S = 10.0
+_REPLACEMENT_S = 120.0
+_ADAPTER_LOAD_S = 0.005
+_ADAPTER_RETRY_S = 0.02
+_CALLER_RETRIES = 1
+# After the traffic ends, calls under way get this long to finish.
+_SETTLE_S = 900.0
+
+
+class Run(NamedTuple):
+    """What one run measured and which promises it broke."""
+
+    measures: dict[str, Any]
+    violations: dict[str, list[str]]
+
+
+def simulate(
+    scenario: Scenario,
+    case: Case,
+    faults: list[Fault],
+    settings: PlannerSettings,
+    seed: int,
+) -> Run:
+    """Run a case in virtual time.
 
-import heapq
-from collections.abc import Callable
-from typing import NamedTuple
-
-from ..decisions.admission import Admission
-from ..decisions.queueing import QueuedCall
-from ..exceptions import Overloaded, QueueFull, Refusal
-
-__all__ = [
-    "Arrival",
-    "BackendTimes",
-    "CallResult",
-    "SimulatedBackend",
-    "Timeline",
-]
-
-_FAR = 1e9
-
-
-class Timeline:
-    """Events in virtual seconds, run in order of time and entry."""
-
-    def __init__(self) -> None:
-        self.now = 0.0
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._counter = 0
-
-    def at(self, when: float, action: Callable[[], None]) -> None:
-        """Run ``action`` at a time."""
-        self._counter += 1
-        heapq.heappush(self._events, (when, self._counter, action))
-
-    def run(self) -> None:
-        """Run until no event is left."""
-        while self._events:
-            self.now, _, action = heapq.heappop(self._events)
-            action()
-
-
-class Arrival(NamedTuple):
-    """A call of the workload; ``tokens`` is its true cost, ``cost`` the largest."""
-
-    at: float
-    number: int
-    workspace: str
-    priority: str
-    tokens: int
-    cost: int
-    deadline_s: float
-    prefix: int = -1
-    prompt_tokens: int = 0
-
-
-class CallResult(NamedTuple):
-    """What became of a call: done, late, refused, full or shed.
-
-    A call that is shed waited until it could no longer be served, and did not run.
-
-
-    ``explored`` marks a call that admission refused and that ran nevertheless, to
-    find out whether the refusal was right. ``estimate_s`` is the estimated wait.
+    Args:
+        scenario: The deployment.
+        case: The traffic.
+        faults: What breaks.
+        settings: The planner's policies.
+        seed: Traffic, caches and load durations depend on it alone.
     """
+    return _Simulation(scenario, case, faults, settings, seed).run()
 
-    arrival: Arrival
-    outcome: str
-    wait_s: float
-    first_token_s: float
-    estimate_s: float
-    explored: bool
-    retry_after_s: float = 0.0
-
-
-class BackendTimes(NamedTuple):
-    """Times of the simulated engine, in seconds; as those of the fake engine."""
 
-    step_s: float = 0.012
-    step_per_call_s: float = 0.0004
-    prefill_per_token_s: float = 0.0002
-
-
-class _Live:
-    __slots__ = ("arrival", "cached", "done", "estimate", "explored", "started")
-
-    def __init__(self, arrival: Arrival, explored: bool, cached: float) -> None:
-        self.arrival = arrival
-        self.explored = explored
-        self.cached = cached
-        self.estimate = 0.0
-        self.started: float | None = None
-        self.done = False
+class _Simulation:
+    def __init__(
+        self,
+        scenario: Scenario,
+        case: Case,
+        faults: list[Fault],
+        settings: PlannerSettings,
+        seed: int,
+    ) -> None:
+        self._scenario = scenario
+        self._case = case
+        self._clock = Clock()
+        self._history: list[Event] = []
+        self._models = create_models(scenario, Random(f"{seed} models"))
+        self._calls = draw_calls(scenario, case, Random(f"{seed} calls"))
+        self._caches = Random(f"{seed} caches")
+        self._durations = Random(f"{seed} durations")
+        self._measures = Measures(scenario, self._history.append)
+        self._store = WeightStore(self._clock, scenario.store)
+        self._by_key = {spec.key: spec for spec in self._models}
+        self._control = Control(
+            self._clock, self._by_key, settings, self._history.append, self._publish
+        )
+        self._hosts: dict[str, Host] = {}
+        for _ in range(scenario.pool.hosts):
+            self._add_host(seeded=True)
+        self._slots = AdapterSlots()
+        routing = Random(f"{seed} routing")
+        self._entries = [
+            self._create_entry(number, routing) for number in range(scenario.entries)
+        ]
+        for fault in faults:
+            self._clock.call_at(fault.at_s, self._break, fault)
+
+    def run(self) -> Run:
+        """Run the case and return its measures."""
+        end = self._case.duration_s
+        for call in self._calls:
+            self._clock.call_at(call.at, self._arrive, call)
+        self._clock.call_at(0.0, self._report_hosts)
+        self._clock.call_at(0.5, self._report_entries)
+        self._control.start()
+        self._clock.run(end)
+        for host in self._hosts.values():
+            for held in host.replicas.values():
+                host.count_idle(held)
+        idle_s = self._measures.idle_s
+        self._clock.run(end + _SETTLE_S)
+        self._measures.idle_s = idle_s
+        return Run(self._summarise(end), self._check(end))
+
+    def _summarise(self, end: float) -> dict[str, Any]:
+        control = self._control
+        return {
+            **self._measures.summarise(end),
+            "replicas_decided": control.decided,
+            "unloads": dict(sorted(control.unloads.items())),
+            "reloads_within_60_s": _count_quick_reloads(self._history),
+            "store_refusals": self._store.refused,
+            "store_timeouts": self._store.timed_out,
+            "store_most_at_once": self._store.most,
+            "actions_rejected": control.rejected,
+        }
+
+    def _check(self, end: float) -> dict[str, list[str]]:
+        memory = dict.fromkeys(self._hosts, self._scenario.pool.memory_mb)
+        limits = Limits(memory, self._scenario.store.concurrent, end)
+        return find_violations(self._history, limits)
+
+    # Parts.
+
+    def _add_host(self, *, seeded: bool) -> None:
+        number = len(self._hosts)
+        zones = self._scenario.zones
+        host = Host(
+            self._clock,
+            self._scenario,
+            f"host-{number:02d}",
+            zones[number % len(zones)],
+            store=self._store,
+            models=self._by_key,
+            random=self._durations,
+            note=self._history.append,
+            send=self._take_agent_report,
+            release=self._measures.note_idle,
+        )
+        if seeded:
+            checkpoints = [spec.checkpoint for spec in self._models]
+            host.seed_caches(checkpoints, self._caches)
+        self._hosts[host.name] = host
+
+    def _create_entry(self, number: int, routing: Random) -> Entry:
+        return Entry(
+            self._clock,
+            number,
+            control=self._control,
+            hosts=self._hosts,
+            models=self._models,
+            measures=self._measures,
+            random=routing,
+            load_adapter=self._load_adapter,
+            retry=self._retry,
+        )
 
+    def _publish(self, record: ReplicaRecord) -> None:
+        self._hosts[record.host].apply(record)
+        for entry in self._entries:
+            self._clock.call_in(_FEED_LAG_S, entry.on_record, record)
 
-class SimulatedBackend:
-    """A backend server and its agent's admission.
+    def _take_agent_report(self, report: Any) -> None:
+        if self._hosts[report.host].alive:
+            self._control.take_report(report)
 
-    The token time is fixed when a call starts, from the batch at that moment.
+    def _report_hosts(self) -> None:
+        for host in self._hosts.values():
+            host.report()
+        self._clock.call_in(_REPORT_INTERVAL_S, self._report_hosts)
 
-    Args:
-        timeline: Virtual time.
-        admission: The decisions under test.
-        finish: Called with each result.
-        slow: Factor on all times at a given moment.
-        admit_all: Whether calls are queued whatever the estimate says.
-        explore: Decides whether a refused call runs nevertheless.
-
-    Attributes:
-        retries_admitted: For each refusal with a retry time, whether the call
-            would have been admitted at that time.
-    """
+    def _report_entries(self) -> None:
+        for entry in self._entries:
+            entry.report()
+        self._clock.call_in(_REPORT_INTERVAL_S, self._report_entries)
 
-    def __init__(
-        self,
-        timeline: Timeline,
-        admission: Admission,
-        finish: Callable[[CallResult], None],
-        slow: Callable[[float], float] = lambda now: 1.0,
-        admit_all: bool = False,
-        explore: Callable[[], bool] = lambda: False,
-        times: BackendTimes = BackendTimes(),  # noqa: B008
-    ) -> None:
-        self.timeline = timeline
-        self.admission = admission
-        self._finish = finish
-        self._slow = slow
-        self._admit_all = admit_all
-        self._explore = explore
-        self._times = times
-        self._live: dict[str, _Live] = {}
-        self.retries_admitted: list[bool] = []
-
-    @property
-    def load(self) -> int:
-        """Running and queued calls."""
-        return self.admission.running + len(self.admission.queue)
-
-    def arrive(self, arrival: Arrival, cached: float = 0.0) -> None:
-        """Offer a call now; ``cached`` is the cached share of its prompt."""
-        live = _Live(arrival, False, cached)
-        try:
-            live.estimate = self._offer(arrival, self._admit_all)
-        except Overloaded as refusal:
-            self._plan_probe(arrival, (refusal.retry_after_ms or 0) / 1000)
-            if not self._explore():
-                self._report_refusal(arrival, "refused", refusal)
-                return
-            live.explored = True
-            try:
-                live.estimate = self._offer(arrival, True)
-            except QueueFull as full:
-                self._report_refusal(arrival, "full", full)
-                return
-        except QueueFull as refusal:
-            self._report_refusal(arrival, "full", refusal)
-            return
-        request_id = str(arrival.number)
-        self._live[request_id] = live
-        deadline = self.timeline.now + arrival.deadline_s
-        self.timeline.at(deadline, lambda: self._end_at_deadline(request_id))
-        self._start_calls()
-
-    def _offer(self, arrival: Arrival, always: bool) -> float:
-        call = self._build_call(arrival, always)
-        return self.admission.offer(call, "m", self.timeline.now).wait_s
-
-    def _build_call(self, arrival: Arrival, always: bool) -> QueuedCall:
-        now = self.timeline.now
-        return QueuedCall(
-            str(arrival.number),
-            arrival.workspace,
-            arrival.priority,
-            arrival.cost,
-            now,
-            now + (_FAR if always else arrival.deadline_s),
-        )
+    # Calls.
 
-    def _plan_probe(self, arrival: Arrival, retry_s: float) -> None:
-        def probe() -> None:
-            now = self.timeline.now
-            try:
-                self.admission.check(self._build_call(arrival, False), "m", now)
-            except Overloaded:
-                self.retries_admitted.append(False)
-            else:
-                self.retries_admitted.append(True)
-
-        self.timeline.at(self.timeline.now + retry_s, probe)
-
-    def _report_refusal(self, arrival: Arrival, outcome: str, error: Refusal) -> None:
-        retry_s = (error.retry_after_ms or 0) / 1000
-        self._finish(CallResult(arrival, outcome, 0.0, 0.0, 0.0, False, retry_s))
-
-    def _start_calls(self) -> None:
-        now = self.timeline.now
-        while (call := self.admission.take(now)) is not None:
-            live = self._live[call.request_id]
-            live.started = now
-            request_id = call.request_id
-            end = now + self._measure_prefill(live) + self._measure_service(live)
-            self.timeline.at(end, lambda name=request_id: self._end(name))
-        self._report_shed()
-
-    def _report_shed(self) -> None:
-        for call in self.admission.expire(self.timeline.now):
-            self._report(self._live.pop(call.request_id), "shed")
-
-    def _measure_prefill(self, live: _Live) -> float:
-        uncached = live.arrival.prompt_tokens * (1 - live.cached)
-        now = self.timeline.now
-        return uncached * self._times.prefill_per_token_s * self._slow(now)
-
-    def _measure_service(self, live: _Live) -> float:
-        times = self._times
-        step_s = times.step_s + times.step_per_call_s * self.admission.running
-        return live.arrival.tokens * step_s * self._slow(self.timeline.now)
-
-    def _end(self, request_id: str) -> None:
-        live = self._live.pop(request_id, None)
-        if live is None:
+    def _arrive(self, call: Call) -> None:
+        if not self._measures.note_arrival(call):
             return
-        self.admission.finish(request_id, self.timeline.now)
-        self._report(live, "done")
-        self._start_calls()
-
-    def _end_at_deadline(self, request_id: str) -> None:
-        now = self.timeline.now
-        live = self._live.pop(request_id, None)
-        if live is None:
-            return
-        if live.started is None:
-            self.admission.cancel(request_id)
-        else:
-            self.admission.finish(request_id, now, complete=False)
-        self._report(live, "late")
-        self._start_calls()
-
-    def _report(self, live: _Live, outcome: str) -> None:
-        arrived = live.arrival.at
-        started = self.timeline.now if live.started is None else live.started
-        wait_s = started - arrived
-        first_s = wait_s + self._measure_prefill(live) + self._times.step_s
-        self._finish(
-            CallResult(
-                live.arrival, outcome, wait_s, first_s, live.estimate, live.explored
-            )
-        )
+        now = self._clock.now
+        self._send(Attempt(call, now, now + call.deadline_s, _CALLER_RETRIES))
+
+    def _retry(self, attempt: Attempt, delay: float) -> None:
+        deadline = self._clock.now + delay + attempt.call.deadline_s
+        again = attempt._replace(deadline=deadline, retries=attempt.retries - 1)
+        self._clock.call_in(delay, self._send, again)
+
+    def _send(self, attempt: Attempt) -> None:
+        entries = self._entries
+        number = attempt.call.entry
+        while not entries[number % len(entries)].alive:
+            number += 1
+        entries[number % len(entries)].take(attempt)
+
+    def _load_adapter(self, held: EngineReplica, adapter: str) -> float:
+        """Return the delay until an adapter is loaded on a replica."""
+        size = self._scenario.models.adapter_mb
+        reservation = held.adapters
+        if reservation.holds(adapter):
+            reservation.touch(adapter)
+            return 0.0
+        if not reservation.admit(adapter, size):
+            for gone in reservation.evict_for(size, lambda name: False):
+                reservation.confirm_gone(gone)
+            reservation.admit(adapter, size)
+        grant = self._slots.request(held.record.host, 1, self._clock.now)
+        if grant is None:
+            return _ADAPTER_RETRY_S + _ADAPTER_LOAD_S
+        self._clock.call_in(_ADAPTER_LOAD_S, self._slots.release, grant.number)
+        return _ADAPTER_LOAD_S
+
+    # Faults.
+
+    def _break(self, fault: Fault) -> None:
+        handlers = {
+            "agent-killed": self._kill_agent,
+            "store-slow": self._slow_store,
+            "host-reclaimed": self._reclaim_host,
+            "host-lost": self._lose_busiest,
+            "entry-restarted": self._crash_entry,
+        }
+        handlers[fault.kind](fault)
+
+    def _busiest(self) -> Host:
+        """Return the host with the most loads under way, then the most replicas."""
+
+        def rank(host: Host) -> tuple[int, int]:
+            states = [held.state for held in host.replicas.values()]
+            return states.count("loading"), len(states)
+
+        alive = [host for host in self._hosts.values() if host.alive]
+        return max(alive, key=rank)
+
+    def _kill_agent(self, fault: Fault) -> None:
+        host = self._busiest()
+        host.kill_agent(fault.for_s)
+        if fault.for_s > _SUSPICION_S:
+            node = f"agent-{host.name}"
+            self._clock.call_in(_SUSPICION_S, self._control.remove_node, node)
+
+    def _slow_store(self, fault: Fault) -> None:
+        self._store.set_capacity(fault.factor)
+        self._clock.call_in(fault.for_s, self._store.set_capacity, 1.0)
+
+    def _reclaim_host(self, fault: Fault) -> None:
+        host = self._busiest()
+        host.leaving = True
+        host.report()
+        self._clock.call_in(fault.for_s, self._lose, host)
+
+    def _lose_busiest(self, fault: Fault) -> None:
+        self._lose(self._busiest())
+
+    def _lose(self, host: Host) -> None:
+        host.lose()
+        node = f"agent-{host.name}"
+        self._clock.call_in(_SUSPICION_S, self._control.remove_node, node)
+        self._clock.call_in(_HOST_LEASE_S, self._control.declare_lost, host.name)
+        self._clock.call_in(_REPLACEMENT_S, self._replace_host)
+
+    def _replace_host(self) -> None:
+        self._add_host(seeded=False)
+
+    def _crash_entry(self, fault: Fault) -> None:
+        entry = max(self._entries, key=lambda e: e.name)
+        entry.crash(fault.for_s)
+        self._clock.call_in(_SUSPICION_S, self._control.remove_node, entry.name)
+
+
+def _count_quick_reloads(history: list[Event]) -> int:
+    """Count decisions within 60 s of the unload of the same model."""
+    gone: dict[str, float] = {}
+    found = 0
+    for event in history:
+        if event.kind == "freed":
+            gone[event.model] = event.at
+        elif event.kind == "decided" and event.at - gone.get(event.model, -1e9) < 60:
+            found += 1
+    return found
--- a/src/jasminewharf/bench/workloads.py
+++ b/src/jasminewharf/bench/workloads.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from ..decisions.queueing import BATCH, INTERACTIVE
-from .simulation import Arrival
+from .queue_simulation import Arrival
 
 __all__ = ["SCENARIOS", "Scenario", "Stream", "draw_arrivals"]
 
--- a/src/jasminewharf/decisions/demand.py
+++ b/src/jasminewharf/decisions/demand.py
@@ -4,7 +4,12 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from ..defaults import DEMAND_EXPIRY_S, EVICTION_GAPS_KEPT, EVICTION_IDLE_MIN_S
+from ..defaults import (
+    DEMAND_EXPIRY_S,
+    EVICTION_GAPS_KEPT,
+    EVICTION_IDLE_MIN_S,
+    EVICTION_POOLED_GAPS,
+)
 from ..messages.feed import Demand, NodeReport
 from .inventory import ModelKey
 
@@ -24,7 +29,6 @@
     deadline: float
     since: float
     last_call: float
-    adapters: frozenset[str] = frozenset()
 
 
 class CallHistory:
@@ -41,18 +45,36 @@
         self.last_call = last_call
         self.gaps: deque[float] = deque(maxlen=EVICTION_GAPS_KEPT)
 
-    def observe(self, last_call: float) -> None:
-        """Note a call; one that is not newer than the last changes nothing."""
-        if last_call <= self.last_call:
-            return
-        if last_call - self.last_call >= EVICTION_IDLE_MIN_S:
-            self.gaps.append(last_call - self.last_call)
-        self.last_call = last_call
+    def observe(self, last_call: float) -> float | None:
+        """Note a call and return the gap before it if it is kept.
+
+        A call that is not newer than the last changes nothing.
+        """
+        gap = last_call - self.last_call
+        self.last_call = max(self.last_call, last_call)
+        if gap < EVICTION_IDLE_MIN_S:
+            return None
+        self.gaps.append(gap)
+        return gap
+
 
+class _Part(NamedTuple):
+    """What one entry waits for; ``deadline`` is infinite if for nothing."""
 
-class _Reported(NamedTuple):
-    demand: Demand
     at: float
+    requests: int
+    tokens: int
+    deadline: float
+    adapters: tuple[str, ...]
+
+
+class _Entry(NamedTuple):
+    incarnation: int
+    sequence: int
+    keys: frozenset[ModelKey]
+
+
+_NO_ENTRY = _Entry(0, -1, frozenset())
 
 
 class DemandTable:
@@ -64,8 +86,9 @@
 
     def __init__(self) -> None:
         self.histories: dict[ModelKey, CallHistory] = {}
-        self._entries: dict[str, tuple[int, int, set[ModelKey]]] = {}
-        self._parts: dict[ModelKey, dict[str, list[_Reported]]] = {}
+        self.pooled_gaps: deque[float] = deque(maxlen=EVICTION_POOLED_GAPS)
+        self._entries: dict[str, _Entry] = {}
+        self._parts: dict[ModelKey, dict[str, _Part]] = {}
         self._since: dict[ModelKey, float] = {}
         self._merged: dict[ModelKey, ModelDemand] = {}
         self._dirty: set[ModelKey] = set()
@@ -79,34 +102,28 @@
             now: Current time in seconds.
             age_s: How long ago the entry made the report, in seconds.
         """
-        _, sequence, old = self._entries.get(report.node, (0, -1, set()))
-        known = report.node in self._entries
-        incarnation = self._entries[report.node][0] if known else report.incarnation
-        if incarnation == report.incarnation and report.sequence <= sequence:
+        entry = self._entries.get(report.node, _NO_ENTRY)
+        same = entry.incarnation == report.incarnation
+        if same and report.sequence <= entry.sequence:
             return
         made = now - age_s
-        grouped: dict[ModelKey, list[_Reported]] = {}
+        grouped: dict[tuple[str, str], list[Demand]] = {}
         for demand in report.demands:
-            key = ModelKey(demand.service, demand.model)
-            grouped.setdefault(key, []).append(_Reported(demand, made))
-            self._observe_call(key, made - demand.last_call_ms / 1000)
-        for key in old - grouped.keys():
+            grouped.setdefault((demand[0], demand[1]), []).append(demand)
+        keys = frozenset(ModelKey(*names) for names in grouped)
+        for key in entry.keys - keys:
             self._parts[key].pop(report.node, None)
-        for key, parts in grouped.items():
-            self._parts.setdefault(key, {})[report.node] = parts
-        self._dirty |= old | grouped.keys()
-        self._entries[report.node] = (
-            report.incarnation,
-            report.sequence,
-            set(grouped),
-        )
+        for key in keys:
+            self._take_part(report.node, key, grouped[key], made)
+        self._dirty |= entry.keys | keys
+        self._entries[report.node] = _Entry(report.incarnation, report.sequence, keys)
 
     def remove(self, node: str) -> None:
         """Drop the demands of an entry that has left."""
-        _, _, keys = self._entries.pop(node, (0, 0, set()))
-        for key in keys:
+        entry = self._entries.pop(node, _NO_ENTRY)
+        for key in entry.keys:
             self._parts[key].pop(node, None)
-        self._dirty |= keys
+        self._dirty |= entry.keys
 
     def collect(self, now: float) -> Mapping[ModelKey, ModelDemand]:
         """Return the demand of every model that an entry reports."""
@@ -116,12 +133,39 @@
         self._dirty.clear()
         return self._merged
 
+    def collect_adapters(self, key: ModelKey) -> frozenset[str]:
+        """Return the adapters of a model that requests wait for at any entry."""
+        parts = self._parts.get(key, {}).values()
+        return frozenset(name for part in parts for name in part.adapters)
+
+    def _take_part(
+        self, node: str, key: ModelKey, demands: list[Demand], made: float
+    ) -> None:
+        requests = tokens = 0
+        deadline_ms = newest_ms = float("inf")
+        adapters = []
+        for _, _, adapter, count, cost, left_ms, last_call_ms in demands:
+            newest_ms = min(newest_ms, last_call_ms)
+            if count <= 0:
+                continue
+            requests += count
+            tokens += cost
+            deadline_ms = min(deadline_ms, left_ms)
+            if adapter:
+                adapters.append(adapter)
+        self._parts.setdefault(key, {})[node] = _Part(
+            made, requests, tokens, made + deadline_ms / 1000, tuple(adapters)
+        )
+        self._observe_call(key, made - newest_ms / 1000)
+
     def _observe_call(self, key: ModelKey, last_call: float) -> None:
         history = self.histories.get(key)
         if history is None:
             self.histories[key] = CallHistory(last_call)
         else:
-            history.observe(last_call)
+            gap = history.observe(last_call)
+            if gap is not None:
+                self.pooled_gaps.append(gap)
 
     def _expire(self, now: float) -> None:
         if now < self._next_expiry:
@@ -129,32 +173,29 @@
         self._next_expiry = now + DEMAND_EXPIRY_S / 3
         oldest = now - DEMAND_EXPIRY_S
         for key, parts in self._parts.items():
-            stale = [node for node, part in parts.items() if part[0].at < oldest]
+            stale = [node for node, part in parts.items() if part.at < oldest]
             for node in stale:
                 del parts[node]
                 self._dirty.add(key)
 
     def _merge(self, key: ModelKey) -> None:
-        parts = [p for found in self._parts.get(key, {}).values() for p in found]
+        parts = self._parts.get(key)
         if not parts:
             self._parts.pop(key, None)
             self._merged.pop(key, None)
             self._since.pop(key, None)
             return
-        waiting = [p for p in parts if p.demand.requests > 0]
-        first = min(p.at for p in parts)
+        first, requests, tokens, deadline, _ = zip(*parts.values(), strict=True)
+        waiting = sum(requests)
+        since = min(first)
         if waiting:
-            self._since.setdefault(key, first)
+            since = self._since.setdefault(key, since)
         else:
             self._since.pop(key, None)
         self._merged[key] = ModelDemand(
-            sum(p.demand.requests for p in waiting),
-            sum(p.demand.tokens for p in waiting),
-            min(
-                (p.at + p.demand.deadline_ms / 1000 for p in waiting),
-                default=float("inf"),
-            ),
-            self._since.get(key, first),
+            waiting,
+            sum(tokens),
+            min(deadline),
+            since,
             self.histories[key].last_call,
-            frozenset(p.demand.adapter for p in waiting if p.demand.adapter),
         )
--- a/src/jasminewharf/decisions/planner.py
+++ b/src/jasminewharf/decisions/planner.py
@@ -61,6 +61,7 @@
         self._checks: deque[int] = deque()
         self._checked_at = float("-inf")
         self._surplus_since: dict[ModelKey, float] = {}
+        self._enough_until: dict[ModelKey, float] = {}
 
     def plan(
         self,
@@ -80,8 +81,12 @@
         """
         state = self.state
         state.actions = []
+        self._judge.start(now)
         state.refresh(view, reports, now)
         merged = demands.collect(now)
+        for record in state.newly_loaded:
+            demand = merged.get(record.key)
+            self._judge.note_cold_start(record.key, demand.requests if demand else 0)
         loads = self._find_wanted(merged, now)
         self._placer.forget_unwanted({load.key for load in loads}, now)
         self._placer.place(loads, demands, now)
@@ -142,7 +147,12 @@
         ]
         for key, demand in merged.items():
             spec = self.state.models.get(key)
-            if spec is None or demand.requests <= 0:
+            if spec is None or now < self._enough_until.get(key, now):
+                continue
+            queued = self._count_queued_tokens(key, merged, now)
+            if queued:
+                demand = _add_queued(demand, queued, now)
+            if demand.requests <= 0:
                 continue
             load = self._want_for_demand(key, spec, demand, now)
             if load is not None:
@@ -162,10 +172,38 @@
         needed = count_needed(demand, spec, ready, load_s, now)
         if needed > ready:
             self._surplus_since.pop(key, None)
-        if ready + coming >= needed:
+        if ready + coming >= max(1, needed):
+            self._enough_until[key] = now + defaults.DEMAND_CHECK_INTERVAL_S
             return None
         return WantedLoad(key, demand, load_s, ready + coming)
 
+    def _count_queued_tokens(
+        self, key: ModelKey, merged: Mapping[ModelKey, ModelDemand], now: float
+    ) -> float:
+        """Return the tokens queued at the backend servers that have a model.
+
+        A backend server reports one queue for all its replicas. It is divided
+        among those whose model was called lately.
+        """
+        state = self.state
+        queued = 0.0
+        for record in state.replicas.of_model(key):
+            if record.phase != "loaded":
+                continue
+            backend = state.inventory.backends.get((record.host, record.backend))
+            if backend is None or not backend.report.queued_tokens:
+                continue
+            sharing = sum(
+                1
+                for other in state.replicas.on_host(record.host)
+                if other.backend == record.backend
+                and other.phase == "loaded"
+                and (found := merged.get(other.key)) is not None
+                and now - found.last_call < defaults.QUEUE_SHARE_WINDOW_S
+            )
+            queued += backend.report.queued_tokens / max(1, sharing)
+        return queued
+
     def _unload_leaving(self) -> None:
         """Unload loaded replicas of leaving hosts; they receive no new work."""
         for host in self.state.leaving:
@@ -238,3 +276,13 @@
             return False
         since = self._surplus_since.setdefault(record.key, now)
         return now - since >= defaults.SURPLUS_HOLD_S
+
+
+def _add_queued(demand: ModelDemand, tokens: float, now: float) -> ModelDemand:
+    """Return the demand with work that already waits at loaded replicas."""
+    deadline = min(demand.deadline, now + defaults.DEFAULT_DEADLINE_MS / 1000)
+    return demand._replace(
+        requests=demand.requests + 1,
+        tokens=demand.tokens + int(tokens),
+        deadline=deadline,
+    )
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -149,11 +149,17 @@
 # ended, and none is evicted for room unless it has been idle for this long.
 RESIDENCE_MIN_S = 20.0
 EVICTION_IDLE_MIN_S = 5.0
+# A backend server's queue is divided among its models called within this time.
+QUEUE_SHARE_WINDOW_S = 5.0
 SURPLUS_HOLD_S = 60.0
 SURPLUS_UTILISATION = 0.6
 ROOM_CLAIM_S = 30.0
 PLACEMENT_RETRY_S = 0.25
 PLACEMENTS_PER_PLAN = 8
+PLACEMENT_SHORTLIST = 16
+# A model with enough replicas is looked at again after this time; a cold one is
+# looked at in every plan.
+DEMAND_CHECK_INTERVAL_S = 0.25
 IDLE_CHECKS_PER_PLAN = 16
 IDLE_CHECK_INTERVAL_S = 1.0
 LOAD_FAILURE_BACKOFF_S = 5.0
@@ -164,7 +170,12 @@
 PLACEMENT_FILL_PENALTY_S = 1.0
 EVICTION_GAPS_KEPT = 64
 EVICTION_PRIOR_GAPS = 4
+EVICTION_POOLED_GAPS = 512
 EVICTION_PRIOR_GAP_S = 600.0
+# Weight of the newest cold start in the mean number of its callers.
+CALLERS_GAIN = 0.2
+# One burst of hundreds of calls says little about the next cold start.
+CALLERS_MAX = 6.0
 EVICTION_TTL_S = 300.0
 # Cost of a second of cold start and of an idle accelerator hour. With these, a
 # cold start of 10 s costs as much as 200 s of one idle accelerator.
