--- a/src/jasminewharf/bench/queues.py
+++ b/src/jasminewharf/bench/queues.py
@@ -1,4 +1,4 @@
-"""Queues, admission and routing in virtual time.
+"""Queues, admission, routing, cold bursts and coalescing in virtual time.
 
 ``python -m jasminewharf.bench.queues --seed 1 --output text`` compares fair
 queueing with first-in-first-out, with and without admission, and the routing
@@ -15,6 +15,7 @@
 
 from ..decisions.admission import Admission
 from ..decisions.queueing import BATCH, QUEUES, QueueLimits
+from .bursts import compare_bursts, measure_coalescing
 from .routes import compare_routers
 from .simulation import Arrival, CallResult, SimulatedBackend, Timeline
 from .workloads import SCENARIOS, Scenario, draw_arrivals
@@ -194,7 +195,7 @@
 
 @dataclass
 class Command:
-    """Measure queues, admission and routing in virtual time."""
+    """Measure queues, admission, routing and coalescing in virtual time."""
 
     seed: Annotated[int, cappa.Arg(long=True)] = 1
     output: Annotated[Literal["text", "json"], cappa.Arg(long=True)] = "text"
@@ -207,12 +208,22 @@
         "seed": command.seed,
         "queues": compare_queues(command.seed),
         "routing": compare_routers(command.seed),
+        "cold bursts": compare_bursts(command.seed),
+        "coalescing": {
+            f"token interval {interval_ms} ms": {
+                f"{peers} entries": measure_coalescing(
+                    command.seed, peers, interval_ms / 1000
+                )
+                for peers in (1, 2, 4, 8)
+            }
+            for interval_ms in (12, 20, 30)
+        },
     }
     if command.output == "json":
         print(json.dumps(figures, indent=2))
         return
     print(f"seed {command.seed}")
-    for part in ("queues", "routing"):
+    for part in ("queues", "routing", "cold bursts", "coalescing"):
         for name, runs in figures[part].items():
             _print_table(f"{part}: {name}", runs)
 
--- a/src/jasminewharf/bench/routes.py
+++ b/src/jasminewharf/bench/routes.py
@@ -212,6 +212,7 @@
     count = len(firsts)
     return {
         "calls": count,
+        "first_token_mean_s": sum(firsts) / count,
         "first_token_p50_s": firsts[count // 2],
         "first_token_p95_s": firsts[int(count * 0.95)],
         "first_token_p99_s": firsts[int(count * 0.99)],
--- a/src/jasminewharf/decisions/admission.py
+++ b/src/jasminewharf/decisions/admission.py
@@ -284,7 +284,7 @@
     lanes = max(load.replicas * load.slots * load.entry_share, 1e-9)
     service_s = cost_tokens * load.seconds_per_token
     queue_s = load.waiting_tokens * load.seconds_per_token / lanes
-    left_s = (budget_s - load.ready_in_s) * defaults.COLD_BURST_SHARE
+    left_s = budget_s - load.ready_in_s
     if queue_s + service_s <= left_s:
         return
     ready_s = load.ready_in_s + (queue_s if load.waiting_tokens else 0.0)
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -56,11 +56,9 @@
 TOKEN_RATE_WINDOW_S = 5.0
 ADMISSION_RETRY_MIN_MS = 50
 ADMISSION_RETRY_MAX_MS = 60_000
-# Share of the time after a cold load that is planned for waiting calls.
-COLD_BURST_SHARE = 0.8
 
 # Reports older than this say nothing about the load of other entries.
-ROUTING_REPORT_HALF_LIFE_S = 2.0
+ROUTING_REPORT_HALF_LIFE_S = 8.0
 # Load per slot at which the own zone's servers count as full.
 ROUTING_SPILL_LOAD = 1.0
 # Load per slot that a fully cached prompt prefix is worth.
--- a/tests/test_coalescing.py
+++ b/tests/test_coalescing.py
@@ -13,8 +13,9 @@
     """Return send times per message and (wait, stream gap) figures of frames."""
     source = random.Random(seed)
     coalescer = Coalescer(delay_s)
+    phases = [source.uniform(0, interval_s) for _ in range(streams)]
     ticks = sorted(
-        (source.uniform(0, interval_s) + step * interval_s, stream)
+        (phases[stream] + step * interval_s, stream)
         for stream in range(streams)
         for step in range(int(seconds / interval_s))
     )
