--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jasminewharf import defaults
 from jasminewharf.decisions.prefixes import CacheEvent, PrefixHints, hash_prefixes
 from jasminewharf.decisions.routing import ROUTERS, Candidate, estimate_load
 
@@ -23,7 +24,8 @@
 
 
 def test_old_report_says_nothing():
-    old = Candidate("b", "z", 10, own=1, reported=100, report_age_s=60.0)
+    age_s = 30 * defaults.ROUTING_REPORT_HALF_LIFE_S
+    old = Candidate("b", "z", 10, own=1, reported=100, report_age_s=age_s)
     assert estimate_load(old) == pytest.approx(0.1)
 
 
