--- a/src/jasminewharf/fakes/batching.py
+++ b/src/jasminewharf/fakes/batching.py
@@ -57,6 +57,7 @@
         cached_tokens: int,
         kind: str,
         created: int,
+        streamed: bool,
     ) -> None:
         self.request_id = request_id
         self.model = model
@@ -71,7 +72,9 @@
         self.cancelled = False
         self.finished_at = 0.0
         self.readers = 0
+        self._streamed = streamed
         self._listeners: set[asyncio.Event] = set()
+        self._before, self._after = self._split_chunk()
 
     @property
     def cost(self) -> int:
@@ -92,14 +95,26 @@
         """Generate the next token; the last one ends the stream."""
         text = self.tokens[self.generated] if self.tokens else ""
         self.generated = min(self.generated + 1, len(self.tokens))
-        self._append_event(self._build_chunk(text, None))
+        if self._streamed:
+            self.output += self._before + json.dumps(text).encode() + self._after
         if self.generated == len(self.tokens):
+            self._append_end()
+            self.finish()
+        elif self._streamed:
+            self._notify()
+
+    def _append_end(self) -> None:
+        if self._streamed:
             final = self._build_chunk("", "stop")
             final["usage"] = self.usage
-            self._append_event(final)
+            self.output += b"data: " + json.dumps(final).encode() + b"\n\n"
             self.output += b"data: [DONE]\n\n"
-            self.finish()
-        self._notify()
+
+    def _split_chunk(self) -> tuple[bytes, bytes]:
+        """Return what comes before and after the text in the event of a token."""
+        chunk = json.dumps(self._build_chunk("@", None))
+        before, after = chunk.split('"@"')
+        return b"data: " + before.encode(), after.encode() + b"\n\n"
 
     def finish(self) -> None:
         """Mark the job as ended, by its last token or by a cancel."""
@@ -155,9 +170,6 @@
         for listener in self._listeners:
             listener.set()
 
-    def _append_event(self, value: dict[str, object]) -> None:
-        self.output += b"data: " + json.dumps(value).encode() + b"\n\n"
-
     def _build_chunk(self, text: str, reason: str | None) -> dict[str, object]:
         choice: dict[str, object] = {"index": 0, "finish_reason": reason}
         if self.kind == "chat":
--- a/src/jasminewharf/fakes/engine.py
+++ b/src/jasminewharf/fakes/engine.py
@@ -171,6 +171,7 @@
             cached_tokens,
             kind,
             int(time.time()),
+            bool(body.get("stream")),
         )
         self.runs[request_id] += 1
         self._keep(job)
