--- a/src/jasminewharf/bench/workloads.py
+++ b/src/jasminewharf/bench/workloads.py
@@ -13,7 +13,7 @@
     """Calls of one workspace.
 
     ``rate`` is calls a second; ``cost`` bounds the largest cost in tokens, of
-    which calls use between half and all. With ``burst_every_s`` the calls of that
+    which calls use a share between the bounds of ``used``. With ``burst_every_s`` the calls of that
     time arrive together.
     """
 
@@ -23,6 +23,7 @@
     deadline_s: float
     priority: str = INTERACTIVE
     burst_every_s: float = 0.0
+    used: tuple[float, float] = (0.5, 1.0)
 
 
 class Scenario(NamedTuple):
@@ -67,6 +68,14 @@
     ),
     # More plans than can be served, and nothing else.
     "plans_only": Scenario(_spread("abc", 0.2, **_PLAN), {}),
+    # Workspace a asks for far larger answers than it gets; capacity is exceeded.
+    "overstated": Scenario(
+        (
+            Stream("a", 1.2, (800, 2000), 40.0, used=(0.1, 0.3)),
+            *_spread("bcd", 1.2, cost=(200, 500), deadline_s=40.0),
+        ),
+        {},
+    ),
     # Nothing should be refused here.
     "steady": Scenario(_spread("abcde", 0.5, **_MEDIUM), {}),
     # Half as much again as can be served.
@@ -86,7 +95,7 @@
         at = 0.0
         while (at := at + source.expovariate(stream.rate)) < scenario.seconds:
             cost = source.randint(*stream.cost)
-            tokens = int(cost * source.uniform(0.5, 1.0))
+            tokens = int(cost * source.uniform(*stream.used))
             every = stream.burst_every_s
             when = at - at % every if every else at
             drawn.append((when, stream, tokens, cost))
