--- /dev/null
+++ b/src/jasminewharf/bench/rate_model.py
@@ -0,0 +1,412 @@
+"""An adversarial model of rate accounts for seeded schedules.
+
+One true time drives processes with clocks of their own. Messages are lost,
+duplicated, reordered and delayed without bound; holders crash; the owner changes
+while its predecessor still answers; proposals are lost or committed late. Every
+step is one call, so that random walks and hypothesis share the model.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from ..decisions.accounts import AccountLog
+from ..decisions.buckets import RateLimits
+from ..decisions.grants import GrantBook, outlast
+from ..decisions.holders import Ask, Charged, GrantHolder
+from ..defaults import CLOCK_DRIFT_BOUND, GRANT_LEASE_S
+from ..messages.accounts import CheckpointAccounts, TakeAccounts
+from ..messages.codec import decode, encode
+from ..messages.control import GrantAnswer, GrantRequest
+from .rate_checks import LimitsTimeline, Overshoot, Spending, find_overshoot
+
+__all__ = ["RateModel", "run_schedule"]
+
+_DEADLINE_S = 5.0
+_START_LIMITS = RateLimits(100.0, 500)
+_OTHER_LIMITS = (RateLimits(100.0, 500), RateLimits(30.0, 900), RateLimits(200.0, 150))
+_BOUND_HOLDERS = 4
+_MESSAGE_LIMIT = 60
+_SLICE_S = 0.2
+_WORK_STEPS = 30
+
+
+class _Clock:
+    """A local clock with an offset and a rate within the drift bound."""
+
+    def __init__(self, model: "RateModel", source: random.Random) -> None:
+        self._model = model
+        self._offset = source.uniform(0, 1e5)
+        self._rate = 1 + source.choice((-1, 0, 1)) * CLOCK_DRIFT_BOUND
+
+    def now(self) -> float:
+        return self._offset + self._model.time * self._rate
+
+
+class _Entry:
+    """A holder process with its running calls."""
+
+    def __init__(self, name: str, incarnation: int, clock: _Clock) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.clock = clock
+        self.holder = GrantHolder(name, incarnation)
+        self.waiting: dict[str, tuple[str, int]] = {}
+        self.running: dict[str, tuple[str, int, float]] = {}
+
+
+class _Owner:
+    """A control host: its book, and what it knows of its ownership."""
+
+    def __init__(self, name: str, clock: _Clock) -> None:
+        self.name = name
+        self.clock = clock
+        self.book: GrantBook | None = None
+        self.fence = 0
+        self.taking = False
+        self.barrier: tuple[float, int] | None = None
+        self.deferred: list[tuple[GrantRequest, str]] = []
+
+
+class _Proposal:
+    def __init__(
+        self, proposer: _Owner, command: bytes, ended: Callable[[Any], None]
+    ) -> None:
+        self.proposer = proposer
+        self.command = command
+        self.ended = ended
+
+
+class RateModel:
+    """The whole fleet; every public method named ``do_*`` is one step.
+
+    Args:
+        source: Decides delays, amounts and choices.
+        entries: Number of holder processes.
+    """
+
+    def __init__(self, source: random.Random, entries: int = _BOUND_HOLDERS) -> None:
+        self.time = 0.0
+        self.random = source
+        self.admitted = 0
+        self.health = 0.9
+        self.accounts = ["service/one", "service/two"]
+        self.limits = dict.fromkeys(self.accounts, _START_LIMITS)
+        grace_s = 2 * outlast(GRANT_LEASE_S)
+        self._timelines = {
+            name: LimitsTimeline(_START_LIMITS, grace_s) for name in self.accounts
+        }
+        self._spent: dict[str, list[Spending]] = {name: [] for name in self.accounts}
+        self._lives = 0
+        self._calls = 0
+        self.entries = [self._make_entry(f"entry-{n}") for n in range(entries)]
+        self.owners = [
+            _Owner(f"control-{n}", _Clock(self, source)) for n in range(3)
+        ]
+        self._leader = self.owners[0]
+        self._term = 1
+        self._machine = AccountLog()
+        self._log_index = 0
+        self._proposals: list[_Proposal] = []
+        self._messages: list[tuple[_Owner | int, Any]] = []
+        self._limits_changed_at = 0.0
+        self._cut: set[int] = set()
+
+    def _make_entry(self, name: str) -> _Entry:
+        self._lives += 1
+        return _Entry(name, self._lives, _Clock(self, self.random))
+
+    def do_wait(self, seconds: float) -> None:
+        """Let true time pass while processes work, in a healthy fleet or not."""
+        end = self.time + seconds
+        while self.time < end:
+            self.time = min(end, self.time + _SLICE_S)
+            for entry in self.entries:
+                for account in entry.holder.accounts():
+                    self._act(entry, entry.holder.poll(account, entry.clock.now()))
+            if self.random.random() < self.health:
+                self.do_work()
+
+    def do_work(self) -> None:
+        """Renew the ownership, commit what is proposed, deliver what was sent."""
+        self.do_begin_barrier()
+        self.do_end_barrier()
+        for _ in range(_WORK_STEPS):
+            if not self._messages and not self._proposals:
+                return
+            self.do_deliver_newest()
+            self.do_commit()
+
+    def do_charge(self) -> None:
+        """A call arrives at an entry."""
+        entry = self.random.choice(self.entries)
+        account = self.random.choice(self.accounts)
+        tokens = self.random.choice((1, 10, 50, 120))
+        self.charge(entry, account, tokens)
+
+    def charge(self, entry: _Entry, account: str, tokens: int) -> str:
+        """Charge a call at an entry and return its identifier."""
+        self._calls += 1
+        charge_id = str(self._calls)
+        entry.waiting[charge_id] = (account, tokens)
+        now = entry.clock.now()
+        actions = entry.holder.charge(account, charge_id, tokens, now + _DEADLINE_S, now)
+        self._act(entry, actions)
+        return charge_id
+
+    def do_burst(self) -> None:
+        """Calls arrive at all entries until the account is spent."""
+        account = self.random.choice(self.accounts)
+        entries = self.random.sample(self.entries, len(self.entries))
+        for entry in entries:
+            for _ in range(12):
+                self.charge(entry, account, 50)
+                for _ in range(4):
+                    self.do_deliver_newest()
+                    self.do_commit()
+
+    def do_cut(self) -> None:
+        """An entry loses its connection to the control hosts, or gets it back."""
+        entry = self.random.choice(self.entries)
+        self._cut ^= {entry.incarnation}
+
+    def do_finish(self) -> None:
+        """A running call ends, having spent part of its charge."""
+        entry = self.random.choice(self.entries)
+        if entry.running:
+            self._finish(entry, self.random.choice(list(entry.running)))
+
+    def _finish(self, entry: _Entry, charge_id: str) -> None:
+        account, tokens, began = entry.running.pop(charge_id)
+        spent = self.random.choice((0, tokens, tokens, tokens))
+        self._spent[account].append(Spending(began, spent))
+        now = entry.clock.now()
+        self._act(entry, entry.holder.refund(account, charge_id, spent, now))
+
+    def _act(self, entry: _Entry, actions: list[Any]) -> None:
+        for action in actions:
+            if isinstance(action, Ask):
+                if entry.incarnation in self._cut:
+                    continue
+                self._send(self._choose_owner(), action.request)
+                continue
+            account, tokens = entry.waiting.pop(action.charge_id)
+            if isinstance(action, Charged):
+                self.admitted += 1
+                entry.running[action.charge_id] = (account, tokens, self.time)
+
+    def _choose_owner(self) -> _Owner:
+        if self.random.random() < 0.8:
+            return self._leader
+        return self.random.choice(self.owners)
+
+    def _send(self, target: _Owner | int, message: Any) -> None:
+        self._messages.append((target, message))
+        if len(self._messages) > _MESSAGE_LIMIT:
+            del self._messages[self.random.randrange(len(self._messages))]
+
+    def do_deliver(self) -> None:
+        """Deliver any message in flight."""
+        if self._messages:
+            at = self.random.randrange(len(self._messages))
+            self._receive(*self._messages.pop(at))
+
+    def do_deliver_newest(self) -> None:
+        """Deliver the newest message, as a healthy network would."""
+        if self._messages:
+            self._receive(*self._messages.pop())
+
+    def do_lose(self) -> None:
+        """Lose any message in flight."""
+        if self._messages:
+            del self._messages[self.random.randrange(len(self._messages))]
+
+    def do_duplicate(self) -> None:
+        """Deliver any message in flight and keep it."""
+        if self._messages:
+            self._receive(*self.random.choice(self._messages))
+
+    def _receive(self, target: _Owner | int, message: Any) -> None:
+        if isinstance(target, _Owner):
+            self._answer(target, message)
+            return
+        for entry in self.entries:
+            if entry.incarnation == target and target not in self._cut:
+                self._act(entry, entry.holder.answered(message, entry.clock.now()))
+
+    def _answer(self, owner: _Owner, request: GrantRequest) -> None:
+        if owner.book is None:
+            return
+        limits = self.limits[request.account]
+        answer = owner.book.answer(request, limits, owner.clock.now())
+        if answer is None:
+            owner.deferred.append((request, request.account))
+        else:
+            self._send(request.incarnation, answer)
+        self._checkpoint(owner)
+
+    def _checkpoint(self, owner: _Owner) -> None:
+        book, now = owner.book, owner.clock.now()
+        bounds = book.wanted_bounds(now)
+        if not bounds:
+            return
+        number = book.begin_checkpoint(bounds, now)
+        command = encode(CheckpointAccounts(owner.fence, number, bounds))
+
+        def end(result: Any) -> None:
+            if owner.book is book and result.accepted:
+                book.end_checkpoint(bounds, number)
+            self._retry_deferred(owner)
+
+        self._proposals.append(_Proposal(owner, command, end))
+
+    def _retry_deferred(self, owner: _Owner) -> None:
+        deferred, owner.deferred = owner.deferred, []
+        for request, _ in deferred:
+            self._answer(owner, request)
+
+    def do_commit(self) -> None:
+        """Commit the oldest proposal if its proposer still leads."""
+        if not self._proposals:
+            return
+        proposal = self._proposals.pop(0)
+        if proposal.proposer is self._leader:
+            self._apply(proposal, lost=self.random.random() < 0.1)
+
+    def _apply(self, proposal: _Proposal, *, lost: bool) -> None:
+        self._log_index += 1
+        result = self._machine.apply(self._log_index, proposal.command)
+        if not lost:
+            proposal.ended(decode(result))
+
+    def do_elect(self) -> None:
+        """Another control host leads; some late proposals were already replicated."""
+        survivors = self.random.randrange(len(self._proposals) + 1)
+        for proposal in self._proposals[:survivors]:
+            if proposal.proposer is self._leader:
+                self._apply(proposal, lost=self.random.random() < 0.5)
+        self._proposals.clear()
+        self._leader = self.random.choice(self.owners)
+        self._term += 1
+
+    def do_restart_owner(self) -> None:
+        """A control host loses its memory."""
+        owner = self.random.choice(self.owners)
+        owner.book = None
+        owner.fence = 0
+        owner.taking = False
+        owner.barrier = None
+        owner.deferred.clear()
+        self._proposals = [p for p in self._proposals if p.proposer is not owner]
+
+    def do_begin_barrier(self) -> None:
+        """The leader starts a quorum read."""
+        self._leader.barrier = (self._leader.clock.now(), self._term)
+
+    def do_end_barrier(self) -> None:
+        """A quorum read ends; it fails if the leadership changed meanwhile."""
+        owner = self._leader
+        if owner.barrier is None:
+            return
+        (started, term), owner.barrier = owner.barrier, None
+        if term != self._term:
+            return
+        if owner.book is not None and owner.fence == self._machine.fence:
+            owner.book.extend(started)
+            return
+        owner.book = None
+        self._take(owner, started)
+
+    def _take(self, owner: _Owner, confirmed_at: float) -> None:
+        def end(taken: Any) -> None:
+            owner.fence = taken.fence
+            owner.deferred.clear()
+            owner.book = GrantBook(
+                taken.bounds, succeeds=taken.predecessor != 0, now=owner.clock.now()
+            )
+            owner.book.extend(confirmed_at)
+
+        self._proposals = [p for p in self._proposals if p.proposer is not owner]
+        command = encode(TakeAccounts(owner.name, 0))
+        self._proposals.append(_Proposal(owner, command, end))
+
+    def do_crash_entry(self) -> None:
+        """An entry dies; its running calls spend all they were charged."""
+        at = self.random.randrange(len(self.entries))
+        entry = self.entries[at]
+        for account, tokens, began in entry.running.values():
+            self._spent[account].append(Spending(began, tokens))
+        self.entries[at] = self._make_entry(entry.name)
+
+    def do_change_limits(self) -> None:
+        """Settings change an account's limits; at most once in two leases."""
+        if self.time - self._limits_changed_at < 2 * outlast(GRANT_LEASE_S):
+            return
+        self._limits_changed_at = self.time
+        account = self.random.choice(self.accounts)
+        self.limits[account] = self.random.choice(_OTHER_LIMITS)
+        self._timelines[account].change(self.time, self.limits[account])
+        for owner in self.owners:
+            if owner.book is not None:
+                owner.book.refresh_limits(self.limits.get, owner.clock.now())
+
+    def find_overshoots(self) -> dict[str, Overshoot]:
+        """Return accounts with a window of too much true spending."""
+        found = {}
+        for account in self.accounts:
+            history = list(self._spent[account])
+            for entry in self.entries:
+                history += [
+                    Spending(began, tokens)
+                    for name, tokens, began in entry.running.values()
+                    if name == account
+                ]
+            overshoot = find_overshoot(history, self._timelines[account])
+            if overshoot is not None:
+                found[account] = overshoot
+        return found
+
+    def heal(self, seconds: float) -> None:
+        """Run without faults."""
+        self.health = 1.0
+        self._cut.clear()
+        end = self.time + seconds
+        while self.time < end:
+            for entry in self.entries:
+                for charge_id in list(entry.running):
+                    self._finish(entry, charge_id)
+            self.do_wait(0.5)
+
+
+_STEPS: dict[Callable[[RateModel], None], float] = {
+    RateModel.do_charge: 3,
+    RateModel.do_burst: 1,
+    RateModel.do_finish: 4,
+    RateModel.do_work: 2,
+    RateModel.do_deliver: 2,
+    RateModel.do_lose: 1,
+    RateModel.do_duplicate: 1,
+    RateModel.do_commit: 1,
+    RateModel.do_begin_barrier: 0.5,
+    RateModel.do_end_barrier: 0.5,
+    RateModel.do_cut: 0.4,
+    RateModel.do_crash_entry: 0.05,
+    RateModel.do_elect: 0.2,
+    RateModel.do_restart_owner: 0.05,
+    RateModel.do_change_limits: 0.05,
+}
+_WAITS_S = (0.001, 0.01, 0.05, 0.2, 1.0, 2.5, 3.5)
+
+
+def run_schedule(seed: int, steps: int) -> RateModel:
+    """Run a random schedule and return the model for inspection."""
+    source = random.Random(seed)
+    model = RateModel(source)
+    model.health = source.choice((0.5, 0.9, 0.99))
+    choices, weights = list(_STEPS), list(_STEPS.values())
+    for _ in range(steps):
+        if source.random() < 0.2:
+            model.do_wait(source.choice(_WAITS_S))
+        else:
+            source.choices(choices, weights)[0](model)
+    return model
--- a/src/jasminewharf/decisions/grants.py
+++ b/src/jasminewharf/decisions/grants.py
@@ -12,7 +12,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..defaults import (
     CLOCK_DRIFT_BOUND,
@@ -94,15 +94,12 @@
         return _take_request(ledger, holding or Holding(), request, now)
 
     def _open_ledger(self, name: str, limits: RateLimits, now: float) -> Ledger:
-        # A fast clock must not refill faster than the rate in true time.
-        refill = limits._replace(rate=limits.rate * (1 - CLOCK_DRIFT_BOUND))
+        refill = _slow_down(limits)
         ledger = self._ledgers.get(name)
         if ledger is None:
             ledger = self._create_ledger(name, refill)
             self._ledgers[name] = ledger
-        ledger.advance(now)
-        if ledger.bucket.limits != refill:
-            ledger.bucket.change_limits(refill, ledger.outside)
+        ledger.adopt_limits(refill, now)
         ledger.touched_at = now
         self._touched.add(name)
         return ledger
@@ -113,6 +110,15 @@
             return Ledger.create(limits, self.opens_at)
         return Ledger.inherit(limits, bounds, self.opens_at, self.foreign_until)
 
+    def refresh_limits(
+        self, limits: Callable[[str], RateLimits | None], now: float
+    ) -> None:
+        """Adopt changed limits also for accounts that nobody asks for."""
+        for name, ledger in self._ledgers.items():
+            found = limits(name)
+            if found is not None:
+                ledger.adopt_limits(_slow_down(found), now)
+
     def wanted_bounds(self, now: float) -> list[AccountBounds]:
         """Return the bounds worth a checkpoint now, of accounts touched lately."""
         wanted = []
@@ -158,6 +164,11 @@
         return self._ledgers.get(name)
 
 
+def _slow_down(limits: RateLimits) -> RateLimits:
+    """Return limits at which a fast clock keeps to the rate in true time."""
+    return limits._replace(rate=limits.rate * (1 - CLOCK_DRIFT_BOUND))
+
+
 def _take_request(
     ledger: Ledger, holding: Holding, request: GrantRequest, now: float
 ) -> GrantAnswer | None:
--- a/src/jasminewharf/decisions/ledgers.py
+++ b/src/jasminewharf/decisions/ledgers.py
@@ -102,6 +102,19 @@
         """Tokens outside the level that may still be spent or returned."""
         return self._outstanding - self._adopted + self._foreign
 
+    def adopt_limits(self, limits: RateLimits, now: float) -> None:
+        """Refill and take on limits that may have changed since the last refill.
+
+        When they changed is not known, so the lower rate counts for the whole time.
+        """
+        known = self.bucket.limits
+        if limits != known:
+            rate = min(limits.rate, known.rate)
+            self.bucket.limits = known._replace(rate=rate)
+        self.advance(now)
+        if limits != known:
+            self.bucket.change_limits(limits, self.outside)
+
     def advance(self, now: float) -> None:
         """Refill, and end the leases that ended, each at its time."""
         while True:
@@ -137,7 +150,10 @@
         have taken the same return before.
         """
         shown = max(0, held - holding.outstanding)
-        renewed = self._adopted + shown <= self._foreign if shown else True
+        renewed = shown == 0 or self._adopted + shown <= self._foreign
+        if held and self.outside > self.bucket.limits.burst:
+            # The burst was lowered: grants from the time before end with their lease.
+            renewed = False
         if not renewed:
             held, returned, shown = holding.outstanding, 0, 0
         adopted = min(holding.adopted + shown, held)
--- a/src/jasminewharf/services/accounts.py
+++ b/src/jasminewharf/services/accounts.py
@@ -164,6 +164,7 @@
             running = self._checkpoint is not None and not self._checkpoint.done()
             if book is None or running or not book.may_grant(time.monotonic()):
                 continue
+            book.refresh_limits(self._limits, time.monotonic())
             removals = book.idle_bounds(time.monotonic())
             if removals:
                 self._checkpoint = self.spawn(self._commit_bounds(book, removals))
