Add the operators' tool, member changes and CURVE on internal links

Cause: the tool knew only `run`; `status` failed with an internal error because it asked the log for members without naming a group; internal links had no authentication.

The tool has config, key, status, drain, trace and member commands with text or JSON output and documented exit codes. Member changes use messages 105 to 109. Links take keys from files, check role and node against the key's file name at Hello and the key at every message, and take up changed files.

test_link expected one malformed message where two were sent: a batch with an odd number of frames was dropped without being counted. It now expects two.

--- a/src/jasminewharf/decisions/grants.py
+++ b/src/jasminewharf/decisions/grants.py
@@ -153,6 +153,18 @@
                 del self._ledgers[entry.account]
                 self._touched.discard(entry.account)
 
+    def list_short(self, now: float, within_s: float) -> list[tuple[str, int]]:
+        """Return accounts that lacked tokens within the last ``within_s``.
+
+        Pairs of account and level in tokens.
+        """
+        since = now - within_s + GRANT_SCARCE_S
+        return [
+            (name, int(ledger.bucket.level))
+            for name, ledger in sorted(self._ledgers.items())
+            if ledger.scarce_until > since
+        ]
+
     def find_ledger(self, name: str) -> Ledger | None:
         """Return an account's ledger, for inspection."""
         return self._ledgers.get(name)
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -282,3 +282,19 @@
 
 SPAN_QUEUE = 10_000
 SPAN_WRITE_INTERVAL_S = 0.5
+
+# Operators' tool.
+
+# An account counts as over its rate for this long after it lacked tokens.
+STATUS_OVER_RATE_S = 5.0
+# Adding a member may wait for a snapshot on top of the change itself.
+MEMBER_REQUEST_TIMEOUT_S = 40.0
+PROGRESS_INTERVAL_S = 1.0
+WAIT_POLL_S = 0.1
+WAIT_TIMEOUT_S = 60.0
+
+# Secure links and TLS.
+
+# Changed key files and certificates are taken up within this time.
+CURVE_REFRESH_S = 0.5
+TLS_REFRESH_S = 0.5
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -102,3 +102,12 @@
 REPLICA_ADVANCED = _define(601, logging.INFO, "replica phase changed")
 BACKEND_UNREACHABLE = _define(602, logging.WARNING, "backend server unreachable")
 ORDER_FAILED = _define(603, logging.WARNING, "order to backend server failed")
+
+# Secure links and hostile input: 700 to 799.
+KEY_REFUSED = _define(700, logging.WARNING, "link from an unknown key refused")
+PEER_REFUSED = _define(701, logging.WARNING, "peer may not claim its role or node")
+SERVER_KEY_MISSING = _define(702, logging.WARNING, "public key of a server missing")
+KEY_FILE_REFUSED = _define(703, logging.ERROR, "key file not used")
+KEYS_CHANGED = _define(704, logging.INFO, "changed key files taken up")
+CERTIFICATE_CHANGED = _define(705, logging.INFO, "changed certificate taken up")
+CERTIFICATE_REFUSED = _define(706, logging.ERROR, "changed certificate not used")
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -26,16 +26,19 @@
     "IncarnationMismatch",
     "JasminewharfError",
     "KernelError",
+    "KeyFileError",
     "KeyWithdrawn",
     "LeaseExpired",
     "LinkError",
     "LinkTimeout",
+    "ListenFailed",
     "MalformedMessage",
     "MemberChangeRefused",
     "MemoryOvercommit",
     "MissingService",
     "ModelUnavailable",
     "NotFound",
+    "NotKnown",
     "NotLeader",
     "OutcomeUnknown",
     "Overloaded",
@@ -51,9 +54,12 @@
     "StorageError",
     "StorageFull",
     "StreamInterrupted",
+    "SubmissionUnconfirmed",
+    "TraceNotFound",
     "Unauthorized",
     "UnknownRegistration",
     "VersionConflict",
+    "WaitTimeout",
 ]
 
 
@@ -138,6 +144,51 @@
         )
 
 
+class SubmissionUnconfirmed(JasminewharfError):
+    """No answer came to an operator's order; it may have been accepted.
+
+    Attributes:
+        submission_id: Sending the order again under this identifier is safe.
+    """
+
+    def __init__(self, submission_id: str, reason: str) -> None:
+        self.submission_id = submission_id
+        self.reason = reason
+        super().__init__(
+            f"the outcome is unknown ({reason}); "
+            f"to send it again safely, add --submission {submission_id}"
+        )
+
+
+class NotKnown(JasminewharfError):
+    """The named thing does not exist in the fleet's state."""
+
+
+class WaitTimeout(JasminewharfError):
+    """What the operator waits for has not happened in time.
+
+    The order itself was accepted.
+    """
+
+
+class TraceNotFound(JasminewharfError):
+    """No span of the request is in the trace files."""
+
+
+class KeyFileError(JasminewharfError):
+    """A file that holds a secret cannot be used.
+
+    Attributes:
+        file: The file's path.
+        reason: What is wrong, without the file's content.
+    """
+
+    def __init__(self, file: str, reason: str) -> None:
+        self.file = file
+        self.reason = reason
+        super().__init__(f"{file}: {reason}")
+
+
 class StorageError(JasminewharfError):
     """The disk did not do what it was asked."""
 
@@ -195,6 +246,15 @@
     """The peer cannot be reached; nothing was sent."""
 
 
+class ListenFailed(LinkError):
+    """A process cannot listen where its settings say."""
+
+    def __init__(self, address: str, reason: str) -> None:
+        self.address = address
+        self.reason = reason
+        super().__init__(f"cannot listen on {address}: {reason}")
+
+
 class MalformedMessage(LinkError):
     """Bytes on an internal link are not a message of this protocol."""
 
--- a/src/jasminewharf/interfaces/callers.py
+++ b/src/jasminewharf/interfaces/callers.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import logging
-from pathlib import Path
 from typing import Any, ClassVar
 
 from .. import events
@@ -23,6 +22,7 @@
 from ..messages.commands import WithdrawKey
 from ..services.requests import account_name
 from ..services.router import Answer, CallPlan
+from ..services.secretfiles import read_secret
 from ..settings import split_address
 from ..tracing import Span
 from .http import HttpServer, Request, Responder
@@ -120,7 +120,7 @@
         super().__init__(kernel)
         settings = kernel.settings
         self.address = ""
-        self._hash_secret = Path(settings.hash_secret_file).read_bytes().strip()
+        self._hash_secret = read_secret(settings.hash_secret_file)
         self._http = HttpServer(
             self._handle, render_refusal, settings.limits, self._count_rejection
         )
--- a/src/jasminewharf/interfaces/daemon.py
+++ b/src/jasminewharf/interfaces/daemon.py
@@ -15,15 +15,13 @@
 from ..kernel import Kernel
 from ..logs import configure_logging
 from ..settings import Settings, load_settings
+from .exits import find_exit_code
 from .roles import build_kernel
 
 __all__ = ["DaemonCommand", "main", "run_process"]
 
 _logger = logging.getLogger(__name__)
 
-EXIT_FAILED = 1
-EXIT_BAD_SETTINGS = 2
-
 
 @dataclass
 class DaemonCommand:
@@ -55,11 +53,11 @@
         settings = load_settings(command.settings)
     except SettingsError as error:
         print(f"error: {error}", file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTINGS) from error
+        raise SystemExit(find_exit_code(error)) from error
     configure_logging(settings.node, settings.logs.form, settings.logs.level)
     try:
         with contextlib.suppress(KeyboardInterrupt):
             asyncio.run(run_process(settings))
     except JasminewharfError as error:
         print(f"error: {error}", file=sys.stderr)
-        raise SystemExit(EXIT_FAILED) from error
+        raise SystemExit(find_exit_code(error)) from error
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import os
 import ssl
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
@@ -9,7 +10,13 @@
 import h11
 
 from .. import defaults, events
-from ..exceptions import BadRequest, BodyTooLarge, HeadTooLarge, Refusal
+from ..exceptions import (
+    BadRequest,
+    BodyTooLarge,
+    HeadTooLarge,
+    ListenFailed,
+    Refusal,
+)
 from ..settings import LimitSettings
 
 __all__ = ["HttpServer", "Request", "Responder"]
@@ -332,16 +339,24 @@
     async def listen(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> str:
-        """Start listening and return the address with the real port."""
+        """Start listening and return the address with the real port.
+
+        Raises:
+            ListenFailed: If the address is in use or not of this host.
+        """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _Connection(self),
-            host,
-            port,
-            ssl=tls,
-            backlog=defaults.HTTP_BACKLOG,
-            reuse_address=True,
-        )
+        try:
+            self._server = await loop.create_server(
+                lambda: _Connection(self),
+                host,
+                port,
+                ssl=tls,
+                backlog=defaults.HTTP_BACKLOG,
+                reuse_address=True,
+            )
+        except OSError as error:
+            reason = os.strerror(error.errno) if error.errno else str(error)
+            raise ListenFailed(f"{host}:{port}", reason) from error
         name = self._server.sockets[0].getsockname()
         return f"{name[0]}:{name[1]}"
 
--- a/src/jasminewharf/interfaces/local.py
+++ b/src/jasminewharf/interfaces/local.py
@@ -94,14 +94,18 @@
         ]
         self._secret_file = folder / "hash-secret"
         self.tool_settings = ToolSettings(
-            self._control, str(self._secret_file), str(folder / "traces.jsonl")
+            self._control,
+            str(self._secret_file.absolute()),
+            str((folder / "traces.jsonl").absolute()),
         )
+        self.tool_settings_file = folder.absolute() / "tool.yaml"
         self.address = ""
         self.key = ""
 
     async def start(self) -> None:
         """Start everything and wait until a call can be served."""
         self._write_secret()
+        self._write_tool_settings()
         backends = await self._start_fakes()
         await self._start_kernel(self._settings("control-1", "control"))
         for number, backend in enumerate(backends, 1):
@@ -124,6 +128,19 @@
             self._secret_file.touch(mode=0o600)
             self._secret_file.write_text(secrets.token_hex(_SECRET_BYTES))
 
+    def _write_tool_settings(self) -> None:
+        host = self._control[0]
+        lines = [
+            "control:",
+            f"  - name: {host.name}",
+            f"    address: {host.address}",
+            f"    peer_address: {host.peer_address}",
+            f"hash_secret_file: {json.dumps(self.tool_settings.hash_secret_file)}",
+            f"trace_file: {json.dumps(self.tool_settings.trace_file)}",
+        ]
+        text = "\n".join(lines) + "\n"
+        self.tool_settings_file.write_text(text, encoding="utf-8")
+
     def _settings(self, node: str, role: str) -> Settings:
         return Settings(
             node=node,
@@ -161,8 +178,9 @@
 
     async def _start_kernel(self, settings: Settings) -> Kernel:
         kernel = build_kernel(settings)
-        await kernel.start()
+        # Appended first, so that a start that fails half-way is stopped too.
         self._kernels.append(kernel)
+        await kernel.start()
         return kernel
 
     async def _set_up(self) -> None:
@@ -235,5 +253,6 @@
     async with open_local_system(options) as system:
         events.emit(_logger, events.PROCESS_READY, address=system.address)
         show(system.format_curl())
+        show(f"export JASMINEWHARF_SETTINGS={system.tool_settings_file}")
         await ended.wait()
         events.emit(_logger, events.PROCESS_STOPPING)
--- a/src/jasminewharf/interfaces/roles.py
+++ b/src/jasminewharf/interfaces/roles.py
@@ -15,7 +15,8 @@
 from ..services.fleet import Fleet
 from ..services.gathering import Gathering
 from ..services.loader import Loader
-from ..services.log import LogService, LogSettings
+from ..services.log import CurveSettings, LogService, LogSettings
+from ..services.members import Members
 from ..services.planner import PlannerService
 from ..services.process import Process
 from ..services.publisher import Publisher
@@ -53,6 +54,9 @@
     """Return the log service with its groups."""
     settings = kernel.settings
     partitions = range(settings.claim_partitions)
+    curve = None
+    if settings.curve is not None:
+        curve = CurveSettings(settings.curve.secret_file, settings.curve.trusted_folder)
     return LogService(
         kernel,
         LogSettings(
@@ -67,6 +71,7 @@
             groups=(FLEET_GROUP, ACCOUNTS_GROUP, *map(claims_group, partitions)),
             election_s=settings.timing.election_timeout_s,
             heartbeat_s=settings.timing.heartbeat_s,
+            curve=curve,
         ),
     )
 
@@ -146,5 +151,6 @@
             build_account_owner,
             build_claim_keeper,
             Requests,
+            Members,
         ),
     )
--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -3,20 +3,28 @@
 import asyncio
 import sys
 from dataclasses import dataclass
-from typing import Annotated
+from typing import Annotated, Literal
 
 import cappa
 
 from ..exceptions import JasminewharfError
 from ..logs import configure_logging
+from .exits import find_exit_code
 from .local import LocalOptions, run_local
+from .tool_config import ConfigCommand
+from .tool_keys import KeyCommand
+from .tool_members import MemberCommand
+from .tool_status import DrainCommand, StatusCommand
+from .tool_trace import TraceCommand
 
 __all__ = ["Tool", "main"]
 
-EXIT_FAILED = 1
 
-
-@cappa.command(name="run", help="Run a whole local system with stand-in engines.")
+@cappa.command(
+    name="run",
+    help="Run a whole local system with stand-in engines.",
+    description="Example: jasminewharf run --port 8080 --data ./state",
+)
 @dataclass
 class RunCommand:
     """Run a whole local system with stand-in engines."""
@@ -26,28 +34,45 @@
         str, cappa.Arg(long=True, help="Folder that keeps the state; else temporary.")
     ] = ""
     log_level: Annotated[
-        str, cappa.Arg(long=True, help="debug, info, warning or error.")
+        Literal["debug", "info", "warning", "error"],
+        cappa.Arg(long=True, help="Least level of the log lines shown."),
     ] = "warning"
 
     def __call__(self) -> None:
         """Run until interrupted."""
         configure_logging("local", "text", self.log_level)
         options = LocalOptions(self.port, self.data, self.log_level)
-        asyncio.run(run_local(options, lambda line: print(line, flush=True)))
+        try:
+            asyncio.run(run_local(options, lambda line: print(line, flush=True)))
+        except JasminewharfError as error:
+            print(f"error: {error}", file=sys.stderr)
+            raise SystemExit(find_exit_code(error)) from error
 
 
-@cappa.command(name="jasminewharf", help="Operate jasminewharf.")
+@cappa.command(
+    name="jasminewharf",
+    help="Operate jasminewharf.",
+    description=(
+        "Every subcommand explains itself with --help. Shell completion: "
+        'eval "$(jasminewharf --completion generate)". '
+        "Exit codes are listed in docs/operations.md."
+    ),
+)
 @dataclass
 class Tool:
     """Operate jasminewharf."""
 
-    command: cappa.Subcommands[RunCommand]
+    command: cappa.Subcommands[
+        ConfigCommand
+        | KeyCommand
+        | StatusCommand
+        | DrainCommand
+        | TraceCommand
+        | MemberCommand
+        | RunCommand
+    ]
 
 
 def main(arguments: list[str] | None = None) -> None:
     """Run the tool's command line."""
-    try:
-        cappa.invoke(Tool, argv=arguments)
-    except JasminewharfError as error:
-        print(f"error: {error}", file=sys.stderr)
-        raise SystemExit(EXIT_FAILED) from error
+    cappa.invoke(Tool, argv=arguments)
--- a/src/jasminewharf/messages/control.py
+++ b/src/jasminewharf/messages/control.py
@@ -8,16 +8,22 @@
     "AdapterSlotAnswer",
     "AdapterSlotRelease",
     "AdapterSlotRequest",
+    "AddMember",
     "ClaimAnswer",
     "ClaimOrder",
+    "FetchMembers",
     "FetchStatus",
     "GrantAnswer",
     "GrantRequest",
+    "GroupMembers",
+    "MemberChanged",
+    "MembersAnswer",
     "Propose",
     "Proposed",
     "ReadState",
     "RecordOutcome",
     "ReleaseClaim",
+    "RemoveMember",
     "StateAnswer",
     "StatusAnswer",
 ]
@@ -194,3 +200,54 @@
     scarce: bool
     lease_ms: int
     retry_after_ms: int
+
+
+@message(105)
+class FetchMembers(NamedTuple):
+    """Asks a control host for the members of every log group."""
+
+
+class GroupMembers(NamedTuple):
+    """Members of a log group: identity, address and whether it votes."""
+
+    group: str
+    leader: str
+    members: list[tuple[str, str, bool]]
+
+
+@message(106)
+class MembersAnswer(NamedTuple):
+    """The members as the answering control host knows them."""
+
+    groups: list[GroupMembers]
+
+
+@message(107)
+class AddMember(NamedTuple):
+    """Adds a control host to a group; only its leader can do so.
+
+    Repeating the message changes nothing.
+    """
+
+    group: str
+    host: str
+    address: str
+
+
+@message(108)
+class RemoveMember(NamedTuple):
+    """Removes all identities of a control host from a group."""
+
+    group: str
+    host: str
+
+
+@message(109)
+class MemberChanged(NamedTuple):
+    """Answers :class:`AddMember` and :class:`RemoveMember`.
+
+    ``identities`` are those added or removed; empty if there was nothing to do.
+    """
+
+    group: str
+    identities: list[str]
--- a/src/jasminewharf/services/accounts.py
+++ b/src/jasminewharf/services/accounts.py
@@ -18,6 +18,7 @@
     GRANT_RESEND_S,
     OWNER_LEASE_S,
     OWNER_RENEW_INTERVAL_S,
+    STATUS_OVER_RATE_S,
 )
 from ..exceptions import (
     AccountOwnerUnavailable,
@@ -106,6 +107,12 @@
                 raise ProposalRejected(f"no checkpoint serves {request.account}")
             await asyncio.shield(checkpoint)
 
+    def list_short(self) -> list[tuple[str, int]] | None:
+        """Return accounts over their rate; None if this host is not the owner."""
+        if self._book is None or not self._log.is_leader(ACCOUNTS_GROUP):
+            return None
+        return self._book.list_short(time.monotonic(), STATUS_OVER_RATE_S)
+
     async def _keep_ownership(self) -> None:
         while True:
             if self._log.is_leader(ACCOUNTS_GROUP):
--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from pathlib import Path
 from typing import Any, ClassVar
 
 from .. import events
@@ -44,9 +43,12 @@
 
 __all__ = ["Backend", "Backends"]
 
+from .secretfiles import read_secret
+
 _logger = logging.getLogger(__name__)
 
 _RETRY_MS = 500
+_CALLING_ROLES = frozenset({"entry"})
 _MS_PER_S = 1000
 # Tokens are counted from the end of an answer, where engines state them.
 _TAIL_BYTES = 4096
@@ -148,7 +150,10 @@
                 CancelCall: self._take_cancel,
                 ResumeCall: self._take_resume,
             },
+            process.security,
+            _CALLING_ROLES,
         )
+        self._server.is_idle = lambda: not self._calls
         reports = self.kernel.find("reports")
         reports.address = self._server.bind(self.kernel.settings.listen)
         self.kernel.find("feed").listen(lambda applied: self._read_weights())
@@ -504,7 +509,7 @@
 def _read_token(settings: BackendSettings) -> str:
     if not settings.token_file:
         return ""
-    return Path(settings.token_file).read_text(encoding="utf-8").strip()
+    return read_secret(settings.token_file).decode("ascii", "replace")
 
 
 def _broken_refusal(request: ForwardCall, error: BackendError) -> Refusal:
--- a/src/jasminewharf/services/control.py
+++ b/src/jasminewharf/services/control.py
@@ -48,7 +48,9 @@
     async def start(self) -> None:
         """Listen where the settings say."""
         process = self.kernel.find("process")
-        self._server = LinkServer(process.identity, process.context, self._handlers)
+        self._server = LinkServer(
+            process.identity, process.context, self._handlers, process.security
+        )
         self.address = self._server.bind(self.kernel.settings.own_control_host.address)
 
     async def stop(self) -> None:
--- a/src/jasminewharf/services/controllers.py
+++ b/src/jasminewharf/services/controllers.py
@@ -44,9 +44,9 @@
         for host in self.kernel.settings.control:
             if host.name == self.kernel.settings.node:
                 continue
-            self.links[host.name] = LinkClient(
-                process.identity,
-                process.context,
+            self.links[host.name] = process.connect(
+                "control",
+                host.name,
                 host.address,
                 _HostHandlers(host.name, self._handlers),
             )
--- a/src/jasminewharf/services/link.py
+++ b/src/jasminewharf/services/link.py
@@ -20,12 +20,14 @@
     JasminewharfError,
     LinkError,
     LinkTimeout,
+    ListenFailed,
     MalformedMessage,
     PeerUnavailable,
 )
 from ..messages import decode, encode
 from ..messages.link import Failure, Hello, Welcome
 from .failures import describe_failure, restore_failure
+from .security import LinkSecurity
 
 __all__ = ["Identity", "LinkClient", "LinkServer", "Peer"]
 
@@ -58,14 +60,21 @@
     receive side is checked again.
     """
 
-    def __init__(self, socket: zmq.Socket, receive: Callable[[list], None]) -> None:
+    def __init__(
+        self,
+        socket: zmq.Socket,
+        receive: Callable[[list], None],
+        *,
+        copy: bool = True,
+    ) -> None:
         self.socket = socket
+        self._copy = copy
         self._receive = receive
         self._loop = asyncio.get_running_loop()
         self._descriptor = socket.getsockopt(zmq.FD)
         self._loop.add_reader(self._descriptor, self._read_all)
         self._loop.call_soon(self._read_all)
-        self._closed = False
+        self.is_closed = False
 
     def send(self, frames: list[bytes]) -> bool:
         """Send without waiting; return False if the queue is full or absent."""
@@ -82,18 +91,18 @@
         return True
 
     def _read_all(self) -> None:
-        while not self._closed:
+        while not self.is_closed:
             try:
-                frames = self.socket.recv_multipart(zmq.DONTWAIT)
+                frames = self.socket.recv_multipart(zmq.DONTWAIT, copy=self._copy)
             except zmq.Again:
                 return
             self._receive(frames)
 
     def close(self) -> None:
         """Close the socket; what is queued is sent within a short linger."""
-        if self._closed:
+        if self.is_closed:
             return
-        self._closed = True
+        self.is_closed = True
         self._loop.remove_reader(self._descriptor)
         self.socket.close(linger=defaults.LINK_LINGER_MS)
 
@@ -114,6 +123,8 @@
         self._server = server
         self.routing_id = routing_id
         self.hello: Hello | None = None
+        self.public_key = ""
+        self.is_revoked = False
         self._frames: list[bytes] = []
 
     @property
@@ -122,7 +133,12 @@
         return self.hello.node if self.hello else ""
 
     def send(self, message: Any, correlation: bytes = _ONE_WAY) -> None:
-        """Queue a message; all of one event-loop turn leave together."""
+        """Queue a message; all of one event-loop turn leave together.
+
+        Nothing is sent to a peer whose key is no longer trusted.
+        """
+        if self.is_revoked:
+            return
         if not self._frames:
             self._server.schedule_flush(self)
         self._frames.append(correlation)
@@ -146,7 +162,8 @@
         context: The ZeroMQ context.
         handlers: A function per message type. It gets the peer and the message; a
             returned message, or one that an awaitable yields, is the answer.
-        configure: Called with the socket before it is bound, for CURVE keys.
+        security: CURVE keys; None for a link without authentication.
+        roles: Roles of the peers that are served; None for all.
     """
 
     def __init__(
@@ -154,28 +171,47 @@
         identity: Identity,
         context: zmq.Context,
         handlers: dict[type, Handler],
-        configure: Callable[[zmq.Socket], None] | None = None,
+        security: LinkSecurity | None = None,
+        roles: frozenset[str] | None = None,
     ) -> None:
         self._identity = identity
         self._handlers = handlers
+        self._security = security
+        self._roles = roles
+        self._address = ""
+        self.is_idle: Callable[[], bool] = lambda: True
         self._peers: dict[bytes, Peer] = {}
         self._pending_flush: list[Peer] = []
         self._tasks: set[asyncio.Task[Any]] = set()
         self.malformed_count = 0
         self.dropped_count = 0
+        self.refused_count = 0
+        self.unexpected_count = 0
         self.on_peer: Callable[[Peer], None] | None = None
         self._socket = context.socket(zmq.ROUTER, socket_class=zmq.Socket)
         self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         _bound_queues(self._socket)
-        if configure is not None:
-            configure(self._socket)
+        if security is not None:
+            security.configure_server(self._socket)
+            security.watch_link(self)
+        self._public_key = security.public_key if security is not None else b""
         self._channel: _Channel | None = None
 
     def bind(self, address: str) -> str:
-        """Listen on ``address`` and return the address with the real port."""
-        self._socket.bind(f"tcp://{address}")
-        self._channel = _Channel(self._socket, self._receive)
-        return self._socket.getsockopt_string(zmq.LAST_ENDPOINT).removeprefix("tcp://")
+        """Listen on ``address`` and return the address with the real port.
+
+        Raises:
+            ListenFailed: If the address is in use or not of this host.
+        """
+        try:
+            self._socket.bind(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            raise ListenFailed(address, error.strerror) from error
+        receive = self._receive if self._security is None else self._receive_secured
+        self._channel = _Channel(self._socket, receive, copy=self._security is None)
+        endpoint = self._socket.getsockopt_string(zmq.LAST_ENDPOINT)
+        self._address = endpoint.removeprefix("tcp://")
+        return self._address
 
     def peers(self) -> list[Peer]:
         """Return the peers that have said hello."""
@@ -206,20 +242,83 @@
             self.forget(peer)
             events.emit(_logger, events.PEER_LOST, peer=peer.node)
 
+    def take_new_keys(self) -> None:
+        """Cut off peers that are no longer trusted, and listen with a new own key.
+
+        ZeroMQ closes the accepted connections together with their listener, so
+        that the own key changes only while ``is_idle``.
+        """
+        for peer in list(self._peers.values()):
+            if peer.hello is not None and not self._is_trusted(peer):
+                self._revoke(peer)
+        if self._security.public_key != self._public_key:
+            self._rebind()
+
+    def _is_trusted(self, peer: Peer) -> bool:
+        hello = peer.hello
+        return self._security.trust.allows(peer.public_key, hello.role, hello.node)
+
+    def _revoke(self, peer: Peer) -> None:
+        events.emit(_logger, events.PEER_REFUSED, peer=peer.node)
+        peer.send(Failure("HelloRequired", "the key is no longer trusted"))
+        peer.flush()
+        peer.is_revoked = True
+        self.forget(peer)
+
+    def _rebind(self) -> None:
+        if self._channel is None or self._channel.is_closed:
+            return
+        if not self.is_idle():
+            loop = asyncio.get_running_loop()
+            loop.call_later(defaults.CURVE_REFRESH_S, self._rebind)
+            return
+        self._socket.unbind(f"tcp://{self._address}")
+        self._security.configure_server(self._socket)
+        self._public_key = self._security.public_key
+        self._bind_again()
+
+    def _bind_again(self) -> None:
+        # The old listener is closed by ZeroMQ's own thread a moment later.
+        if self._channel is None or self._channel.is_closed:
+            return
+        try:
+            self._socket.bind(f"tcp://{self._address}")
+        except zmq.ZMQError:
+            loop = asyncio.get_running_loop()
+            loop.call_later(defaults.LINK_CONNECT_POLL_S, self._bind_again)
+
+    def _receive_secured(self, frames: list[zmq.Frame]) -> None:
+        public_key = frames[-1].get("User-Id")
+        contents = [frame.bytes for frame in frames]
+        peer = self._peers.get(contents[0])
+        # A routing id may be used again by another connection.
+        if peer is not None and peer.public_key not in ("", public_key):
+            self._revoke(peer)
+            peer = None
+        if peer is None:
+            peer = self._peers[contents[0]] = Peer(self, contents[0])
+        peer.public_key = public_key
+        self._receive(contents)
+
     def _receive(self, frames: list[bytes]) -> None:
         routing_id = frames[0]
         peer = self._peers.get(routing_id)
         if peer is None:
             peer = self._peers[routing_id] = Peer(self, routing_id)
+        if len(frames) % 2 == 0:
+            self._count_malformed(peer, "odd number of frames")
         for correlation, data in _pairs(frames[1:]):
             self._receive_one(peer, correlation, data)
 
+    def _count_malformed(self, peer: Peer, error: object) -> None:
+        self.malformed_count += 1
+        events.emit(_logger, events.MESSAGE_MALFORMED, peer=peer.node, error=error)
+
     def _receive_one(self, peer: Peer, correlation: bytes, data: bytes) -> None:
         try:
             message = decode(data)
         except MalformedMessage as error:
-            self.malformed_count += 1
-            events.emit(_logger, events.MESSAGE_MALFORMED, peer=peer.node, error=error)
+            self._count_malformed(peer, error)
             return
         if isinstance(message, Hello):
             self._welcome(peer, correlation, message)
@@ -229,7 +328,21 @@
             return
         self._dispatch(peer, correlation, message)
 
+    def _refuses(self, peer: Peer, hello: Hello) -> bool:
+        if self._roles is not None and hello.role not in self._roles:
+            return True
+        if self._security is None:
+            return False
+        return not self._security.check(peer.public_key, hello.role, hello.node)
+
     def _welcome(self, peer: Peer, correlation: bytes, hello: Hello) -> None:
+        if self._refuses(peer, hello):
+            self.refused_count += 1
+            events.emit(_logger, events.PEER_REFUSED, peer=hello.node, role=hello.role)
+            peer.send(Failure("Forbidden", "role or node is refused"), correlation)
+            peer.flush()
+            self.forget(peer)
+            return
         is_new = peer.hello != hello
         peer.hello = hello
         me = self._identity
@@ -242,6 +355,7 @@
     def _dispatch(self, peer: Peer, correlation: bytes, message: Any) -> None:
         handler = self._handlers.get(type(message))
         if handler is None:
+            self.unexpected_count += 1
             kind = type(message).__name__
             events.emit(
                 _logger, events.MESSAGE_UNEXPECTED, peer=peer.node, message_type=kind
@@ -325,8 +439,10 @@
         self._socket.setsockopt(zmq.RECONNECT_IVL, defaults.LINK_RECONNECT_MS)
         self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, defaults.LINK_RECONNECT_MAX_MS)
         _bound_queues(self._socket)
+        self._configure = configure
         if configure is not None:
             configure(self._socket)
+        self._has_new_keys = False
         watched = zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
         monitor = self._socket.get_monitor_socket(watched)
         self._channel = _Channel(self._socket, self._receive)
@@ -345,6 +461,24 @@
         elif event == zmq.EVENT_DISCONNECTED:
             self._lose_server()
 
+    def take_new_keys(self) -> None:
+        """Connect with the new keys, at once or when the connection ends.
+
+        What the present connection carries is not interrupted.
+        """
+        self._has_new_keys = True
+        if self.welcome is None:
+            self._reconnect()
+
+    def _reconnect(self) -> None:
+        if not self._has_new_keys or self._configure is None or self._channel.is_closed:
+            return
+        self._has_new_keys = False
+        endpoint = f"tcp://{self.address}"
+        self._socket.disconnect(endpoint)
+        self._configure(self._socket)
+        self._socket.connect(endpoint)
+
     def _say_hello(self) -> None:
         self._channel.send([_ONE_WAY, encode(self._identity.hello())])
 
@@ -358,6 +492,7 @@
                 future.set_exception(LinkTimeout(f"link to {self.address} was lost"))
         if was_connected and self.on_lost is not None:
             self.on_lost()
+        self._reconnect()
 
     def send(self, message: Any) -> None:
         """Send a one-way message.
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -127,6 +127,11 @@
         """The identity of this member: host name, slash, disk."""
         return self._disk.identity
 
+    @property
+    def groups(self) -> tuple[str, ...]:
+        """Names of the log groups."""
+        return self._settings.groups
+
     async def propose(self, group: str, command: bytes) -> tuple[int, bytes]:
         """Commit a command and return its index and the machine's result.
 
--- a/src/jasminewharf/services/logsettings.py
+++ b/src/jasminewharf/services/logsettings.py
@@ -15,8 +15,8 @@
     """Keys of the links between control hosts.
 
     Attributes:
-        own_key: Path of the own secret certificate (``NAME.key_secret``).
-        peer_keys: Folder with the public certificate ``NAME.key`` of every control
+        own_key: Path of the own key pair.
+        peer_keys: Folder with the public key ``control-NAME.key`` of every control
             host; others are not admitted.
     """
 
--- a/src/jasminewharf/services/peers.py
+++ b/src/jasminewharf/services/peers.py
@@ -1,29 +1,47 @@
 """Transport of batches between control hosts."""
 
 import asyncio
+import contextlib
+import logging
 from collections.abc import Callable
-from pathlib import Path
 from typing import Protocol
 
 import zmq
 import zmq.asyncio
-import zmq.auth
-from zmq.auth.asyncio import AsyncioAuthenticator
 
+from .. import events
 from ..defaults import (
+    LINK_CONNECT_POLL_S,
     LINK_HEARTBEAT_MS,
     LINK_MESSAGE_LIMIT_BYTES,
     LOG_PEER_QUEUE_BATCHES,
     LOG_RECONNECT_MAX_MS,
     LOG_RECONNECT_MS,
 )
+from ..exceptions import ListenFailed, MalformedMessage
+from ..messages import codec
+from ..messages.log import BatchHeader
+from ..metrics import Metrics
+from .disk import host_name
 from .logsettings import CurveSettings
+from .security import LinkSecurity
 
 __all__ = ["MemoryNetwork", "MemoryPeers", "PeerTransport", "ZmqPeers"]
 
+_logger = logging.getLogger(__name__)
+
 OnBatch = Callable[[list[bytes]], None]
 
 
+def _read_sender(frames: list[bytes]) -> str:
+    """Return the host that a batch names as its sender; empty if it names none."""
+    try:
+        header = codec.decode(frames[0])
+    except (MalformedMessage, IndexError):
+        return ""
+    return host_name(header.sender) if isinstance(header, BatchHeader) else ""
+
+
 class PeerTransport(Protocol):
     """Sends batches to other control hosts; a batch may be lost."""
 
@@ -116,7 +134,9 @@
         self._curve = curve
         self._context = zmq.Context()
         self._receiver: zmq.asyncio.Socket | None = None
-        self._authenticator: AsyncioAuthenticator | None = None
+        self._security: LinkSecurity | None = None
+        self._watcher: asyncio.Task[None] | None = None
+        self._public_key = b""
         self._senders: dict[str, tuple[str, zmq.Socket]] = {}
         self._on_batch: OnBatch | None = None
 
@@ -125,17 +145,15 @@
         self._on_batch = on_batch
         shared = zmq.asyncio.Context(self._context)
         if self._curve is not None:
-            self._authenticator = AsyncioAuthenticator(shared)
-            self._authenticator.start()
-            self._authenticator.configure_curve(
-                domain="*", location=self._curve.peer_keys
-            )
+            self._start_security(self._curve)
         self._receiver = shared.socket(zmq.ROUTER)
         self._set_options(self._receiver)
-        if self._curve is not None:
-            self._set_own_key(self._receiver)
-            self._receiver.curve_server = True
-        self._receiver.bind(f"tcp://{self._address}")
+        if self._security is not None:
+            self._security.configure_server(self._receiver)
+        try:
+            self._receiver.bind(f"tcp://{self._address}")
+        except zmq.ZMQError as error:
+            raise ListenFailed(self._address, error.strerror) from error
 
     def _set_options(self, socket: zmq.Socket) -> None:
         socket.linger = 0
@@ -145,15 +163,60 @@
         socket.setsockopt(zmq.RECONNECT_IVL, LOG_RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, LOG_RECONNECT_MAX_MS)
 
-    def _set_own_key(self, socket: zmq.Socket) -> None:
-        public, secret = zmq.auth.load_certificate(self._curve.own_key)
-        socket.curve_publickey, socket.curve_secretkey = public, secret
+    def _start_security(self, curve: CurveSettings) -> None:
+        self._security = LinkSecurity(
+            curve.own_key, curve.peer_keys, self._context, Metrics()
+        )
+        self._security.start()
+        self._public_key = self._security.public_key
+        self._security.watch_link(self)
+        self._watcher = asyncio.ensure_future(self._security.watch_files())
+
+    def take_new_keys(self) -> None:
+        """Connect again with the changed keys; consensus repeats what is lost."""
+        if self._security.public_key != self._public_key:
+            self._rebind()
+        addresses = {host: address for host, (address, _) in self._senders.items()}
+        for host, address in addresses.items():
+            self._senders.pop(host)[1].close()
+            self.connect(host, address)
+
+    def _rebind(self) -> None:
+        endpoint = f"tcp://{self._address}"
+        with contextlib.suppress(zmq.ZMQError):
+            self._receiver.unbind(endpoint)
+        self._public_key = self._security.public_key
+        self._security.configure_server(self._receiver)
+        self._bind_again()
+
+    def _bind_again(self) -> None:
+        # The old listener is closed by ZeroMQ's own thread a moment later.
+        if self._receiver is None or self._receiver.closed:
+            return
+        try:
+            self._receiver.bind(f"tcp://{self._address}")
+        except zmq.ZMQError:
+            loop = asyncio.get_running_loop()
+            loop.call_later(LINK_CONNECT_POLL_S, self._bind_again)
 
     async def receive(self) -> None:
         """Hand received batches over until cancelled."""
         while True:
-            frames = await self._receiver.recv_multipart()
-            self._on_batch(frames[1:])
+            if self._security is None:
+                frames = await self._receiver.recv_multipart()
+                self._on_batch(frames[1:])
+            else:
+                frames = await self._receiver.recv_multipart(copy=False)
+                self._take_secured(frames)
+
+    def _take_secured(self, frames: list[zmq.Frame]) -> None:
+        """Hand a batch over if its sender's key is that of the control host named."""
+        contents = [frame.bytes for frame in frames[1:]]
+        host = _read_sender(contents)
+        if not self._security.check(frames[-1].get("User-Id"), "control", host):
+            events.emit(_logger, events.PEER_REFUSED, peer=host, role="control")
+            return
+        self._on_batch(contents)
 
     async def stop(self) -> None:
         """Close the sockets."""
@@ -162,8 +225,10 @@
         self._senders.clear()
         if self._receiver is not None:
             self._receiver.close()
-        if self._authenticator is not None:
-            self._authenticator.stop()
+        if self._watcher is not None:
+            self._watcher.cancel()
+        if self._security is not None:
+            self._security.stop()
         self._context.term()
 
     def connect(self, host: str, address: str) -> None:
@@ -178,10 +243,8 @@
         # Nothing is queued for a host that is not connected: consensus repeats
         # what was lost, and old batches would only delay new ones.
         sender.immediate = True
-        if self._curve is not None:
-            self._set_own_key(sender)
-            path = Path(self._curve.peer_keys) / f"{host}.key"
-            sender.curve_serverkey = zmq.auth.load_certificate(path)[0]
+        if self._security is not None:
+            self._security.client_configurer("control", host)(sender)
         sender.connect(f"tcp://{address}")
         self._senders[host] = (address, sender)
 
--- a/src/jasminewharf/services/requests.py
+++ b/src/jasminewharf/services/requests.py
@@ -20,6 +20,7 @@
 from .claims import ClaimKeeper
 from .control import FLEET_GROUP
 from .link import Peer
+from .status import describe_fleet
 
 __all__ = ["Requests", "account_name", "build_account_owner", "build_claim_keeper"]
 
@@ -79,8 +80,13 @@
         "claim-keeper",
     )
 
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._started = 0.0
+
     async def start(self) -> None:
         """Answer requests."""
+        self._started = asyncio.get_running_loop().time()
         control = self.kernel.find("control")
         control.handle(GrantRequest, self._grant)
         for kind in (ClaimOrder, RecordOutcome, ReleaseClaim):
@@ -102,40 +108,7 @@
         return StatusAnswer(msgspec.json.encode(self._describe()))
 
     def _describe(self) -> dict[str, Any]:
-        now = asyncio.get_running_loop().time()
-        gathering = self.kernel.find("gathering")
-        live = gathering.live(now)
-        state = self.kernel.find("fleet").state
-        log = self.kernel.find("log")
-        return {
-            "version": state.version,
-            "control": {
-                "answered_by": self.kernel.settings.node,
-                "leader": log.leader(FLEET_GROUP),
-                "members": [member._asdict() for member in log.members()],
-            },
-            "nodes": [
-                {
-                    "node": report.node,
-                    "role": report.role,
-                    "host": report.host,
-                    "zone": report.zone,
-                    "live": report.node in live,
-                    "leaving": report.leaving or report.host in state.draining,
-                    "version": report.version,
-                    "age_ms": int((now - at) * 1000),
-                    "backends": [item._asdict() for item in report.backends],
-                    "demands": [item._asdict() for item in report.demands],
-                }
-                for at, report in gathering.reports.values()
-            ],
-            "replicas": [item._asdict() for item in state.replicas.values()],
-            "draining": sorted(state.draining),
-            "services": [
-                {"service": name, "version": record.version, "author": record.author}
-                for name, record in state.documents.items()
-            ],
-        }
+        return describe_fleet(self.kernel, self._started)
 
 
 def _check_entry(peer: Peer) -> None:
--- a/src/jasminewharf/services/router.py
+++ b/src/jasminewharf/services/router.py
@@ -279,10 +279,9 @@
         self._wake_waiters()
 
     def _connect(self, report: NodeReport) -> LinkClient:
-        process = self.kernel.find("process")
-        link = LinkClient(
-            process.identity,
-            process.context,
+        link = self.kernel.find("process").connect(
+            "agent",
+            report.node,
             report.address,
             {
                 AnswerHead: self._take_head,
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -1,6 +1,6 @@
 """Settings of a process, read from one YAML file."""
 
-import re
+import ipaddress
 from pathlib import Path
 from typing import Annotated, Literal, NamedTuple
 
@@ -19,14 +19,30 @@
     "TimingSettings",
     "TlsSettings",
     "ToolSettings",
+    "is_address",
     "load_settings",
     "load_tool_settings",
     "parse_settings",
     "split_address",
 ]
 
+_PORT_DIGITS = 5
+_PORT_MAX = 65_535
+
+
+def is_address(text: str) -> bool:
+    """Return whether ``text`` is an IP address and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    is_plain = port.isascii() and port.isdigit() and len(port) <= _PORT_DIGITS
+    return is_plain and int(port) <= _PORT_MAX
+
+
 _ADDRESS = Matches(
-    re.compile(r"(\[[0-9a-fA-F:]+\]|[0-9.]+):[0-9]{1,5}").fullmatch,
+    is_address,
     "an IP address and a port, such as 127.0.0.1:7100",
 )
 Address = Annotated[str, _ADDRESS]
@@ -44,13 +60,13 @@
 class CurveSettings(NamedTuple):
     """CURVE keys of internal links.
 
-    ``secret_file`` holds this process' key pair; ``trusted_folder`` holds the
-    public keys of the processes that may connect, one file each.
+    ``secret_file`` holds this process' key pair, written by ``jasminewharf key
+    pair``; ``trusted_folder`` holds a file ``ROLE-NODE.key`` for each process of
+    the fleet. Both are read again while running.
     """
 
     secret_file: str
     trusted_folder: str
-    control_public_file: str = ""
 
 
 class TlsSettings(NamedTuple):
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -77,6 +77,6 @@
         client._channel.send([b"odd"])
         answer = await client.request(FetchStatus())
         assert answer == StatusAnswer(b"ok")
-        assert server.malformed_count == 1
+        assert server.malformed_count == 2
 
     run(scenario, {FetchStatus: lambda peer, message: StatusAnswer(b"ok")})
