Test the example deployment as processes; answer member lists from the leader

Cause: a removed control host answered `member list` from the configuration that it had been part of. The tool imported the services of all roles for every command. A link whose key was refused was given up by ZeroMQ and never made again.

Member lists now come from the leader after a read confirmed by a quorum; `run` imports the roles when it is called; refused links are made anew every second. Certificates towards callers are read again while running. Caller keys are cut out of log lines and spans.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -298,3 +298,6 @@
 # Changed key files and certificates are taken up within this time.
 CURVE_REFRESH_S = 0.5
 TLS_REFRESH_S = 0.5
+# ZeroMQ gives a connection up once its key was refused; it is made anew after
+# this time, since the key may have become trusted.
+CURVE_RETRY_S = 1.0
--- a/src/jasminewharf/interfaces/callers.py
+++ b/src/jasminewharf/interfaces/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import ssl
 from typing import Any, ClassVar
 
 from .. import events
@@ -35,6 +36,7 @@
     split_service_target,
 )
 from .refusals import describe_refusal, render_refusal
+from .tls import CallerTls
 
 __all__ = ["Callers"]
 
@@ -133,10 +135,18 @@
         """Listen for callers."""
         self.kernel.find("feed").listen(self._end_withdrawn)
         host, port = split_address(self.kernel.settings.listen)
-        self.address = await self._http.listen(host, port)
+        self.address = await self._http.listen(host, port, self._start_tls())
         self._metrics.watch("open_connections", lambda: self._http.connection_count)
         self._metrics.watch("requests_in_flight", lambda: len(self._exchanges))
 
+    def _start_tls(self) -> ssl.SSLContext | None:
+        settings = self.kernel.settings.tls
+        if settings is None:
+            return None
+        tls = CallerTls(settings)
+        self.spawn(tls.watch_files(), essential=True)
+        return tls.context
+
     async def drain(self) -> None:
         """Finish the requests in flight and take no new connection."""
         await self._http.drain(self.kernel.settings.timing.drain_timeout_s)
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -353,6 +353,8 @@
                 ssl=tls,
                 backlog=defaults.HTTP_BACKLOG,
                 reuse_address=True,
+                # A handshake counts as part of the head: slow ones end in time.
+                ssl_handshake_timeout=self.limits.head_timeout_s if tls else None,
             )
         except OSError as error:
             reason = os.strerror(error.errno) if error.errno else str(error)
--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -10,7 +10,6 @@
 from ..exceptions import JasminewharfError
 from ..logs import configure_logging
 from .exits import find_exit_code
-from .local import LocalOptions, run_local
 from .tool_config import ConfigCommand
 from .tool_keys import KeyCommand
 from .tool_members import MemberCommand
@@ -40,6 +39,9 @@
 
     def __call__(self) -> None:
         """Run until interrupted."""
+        # The services of all roles double the tool's start-up time of half a second.
+        from .local import LocalOptions, run_local
+
         configure_logging("local", "text", self.log_level)
         options = LocalOptions(self.port, self.data, self.log_level)
         try:
--- a/src/jasminewharf/logs.py
+++ b/src/jasminewharf/logs.py
@@ -6,6 +6,8 @@
 import time
 from typing import Any
 
+from .redaction import redact
+
 __all__ = ["JsonFormatter", "TextFormatter", "configure_logging"]
 
 
@@ -48,7 +50,7 @@
         line.update(_fields(record))
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
-        return json.dumps(line, ensure_ascii=False)
+        return redact(json.dumps(line, ensure_ascii=False))
 
 
 class TextFormatter(logging.Formatter):
@@ -68,7 +70,7 @@
         ).rstrip()
         if record.exc_info:
             line = f"{line}\n{self.formatException(record.exc_info)}"
-        return line
+        return redact(line)
 
 
 _FORMATTERS = {"json": JsonFormatter, "text": TextFormatter}
--- a/src/jasminewharf/services/link.py
+++ b/src/jasminewharf/services/link.py
@@ -443,11 +443,14 @@
         if configure is not None:
             configure(self._socket)
         self._has_new_keys = False
+        self._retry: asyncio.TimerHandle | None = None
         watched = zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
         monitor = self._socket.get_monitor_socket(watched)
         self._channel = _Channel(self._socket, self._receive)
         self._monitor = _Channel(monitor, self._observe)
         self._socket.connect(f"tcp://{address}")
+        if configure is not None:
+            self._schedule_retry()
 
     @property
     def is_connected(self) -> bool:
@@ -470,6 +473,16 @@
         if self.welcome is None:
             self._reconnect()
 
+    def _schedule_retry(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._retry = loop.call_later(defaults.CURVE_RETRY_S, self._retry_refused)
+
+    def _retry_refused(self) -> None:
+        if self.welcome is None:
+            self._has_new_keys = True
+            self._reconnect()
+        self._schedule_retry()
+
     def _reconnect(self) -> None:
         if not self._has_new_keys or self._configure is None or self._channel.is_closed:
             return
@@ -596,6 +609,8 @@
 
     def close(self) -> None:
         """Close the link; requests in flight fail."""
+        if self._retry is not None:
+            self._retry.cancel()
         self._monitor.close()
         self._socket.disable_monitor()
         self._channel.close()
--- a/src/jasminewharf/services/members.py
+++ b/src/jasminewharf/services/members.py
@@ -12,6 +12,7 @@
     MembersAnswer,
     RemoveMember,
 )
+from .control import FLEET_GROUP
 from .disk import host_name
 from .link import Peer
 
@@ -31,9 +32,14 @@
         control.handle(AddMember, self._add)
         control.handle(RemoveMember, self._remove)
 
-    def _fetch(self, peer: Peer, message: FetchMembers) -> MembersAnswer:
+    async def _fetch(self, peer: Peer, message: FetchMembers) -> MembersAnswer:
         _check_tool(peer)
         log = self.kernel.find("log")
+        # A removed member still knows the configuration that it was part of.
+        if not log.is_leader(FLEET_GROUP):
+            raise NotLeader(FLEET_GROUP, log.leader(FLEET_GROUP))
+        for group in log.groups:
+            await log.read_barrier(group)
         return MembersAnswer(
             [
                 GroupMembers(
--- a/src/jasminewharf/services/peers.py
+++ b/src/jasminewharf/services/peers.py
@@ -11,6 +11,7 @@
 
 from .. import events
 from ..defaults import (
+    CURVE_RETRY_S,
     LINK_CONNECT_POLL_S,
     LINK_HEARTBEAT_MS,
     LINK_MESSAGE_LIMIT_BYTES,
@@ -139,6 +140,7 @@
         self._public_key = b""
         self._senders: dict[str, tuple[str, zmq.Socket]] = {}
         self._on_batch: OnBatch | None = None
+        self._failing_since: dict[str, float] = {}
 
     async def start(self, on_batch: OnBatch) -> None:
         """Begin to receive; :meth:`receive` must run as a task."""
@@ -256,5 +258,17 @@
         try:
             known[1].send_multipart(frames, zmq.NOBLOCK)
         except zmq.Again:
+            if self._security is not None:
+                self._retry_refused(host)
             return False
+        self._failing_since.pop(host, None)
         return True
+
+    def _retry_refused(self, host: str) -> None:
+        now = asyncio.get_running_loop().time()
+        since = self._failing_since.setdefault(host, now)
+        if now - since > CURVE_RETRY_S:
+            self._failing_since[host] = now
+            address, sender = self._senders.pop(host)
+            sender.close()
+            self.connect(host, address)
--- a/src/jasminewharf/tracing.py
+++ b/src/jasminewharf/tracing.py
@@ -13,6 +13,7 @@
 from opentelemetry.sdk.trace.id_generator import RandomIdGenerator
 
 from . import defaults
+from .redaction import redact
 
 __all__ = ["Span", "SpanSink", "format_traceparent", "parse_traceparent"]
 
@@ -84,7 +85,7 @@
             ],
             "status": {"code": 2, "message": self._error} if self._error else {},
         }
-        return json.dumps(record, ensure_ascii=False)
+        return redact(json.dumps(record, ensure_ascii=False))
 
 
 class SpanSink:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import jasminewharf
+from jasminewharf.services.curve import write_key_pair
 
 EXAMPLES = Path(__file__).parent.parent / "examples" / "three-control"
 NODES = [
@@ -32,7 +33,7 @@
 class Deployment:
     """The processes of examples/three-control in a folder of their own."""
 
-    def __init__(self, folder, tls=False):
+    def __init__(self, folder):
         self.folder = Path(folder)
         self.processes = {}
         self._ports = {}
@@ -45,7 +46,7 @@
             (self.folder / path.name).write_text(text, encoding="utf-8")
         for name in (*NODES, "tool"):
             role = name.partition("-")[0]
-            self.tool("key", "pair", role, name, "--folder", "keys")
+            write_key_pair(str(self.folder / "keys"), role, name)
 
     def _replace(self, found):
         address = found.group(0)
