--- a/src/jasminewharf/bench/queues.py
+++ b/src/jasminewharf/bench/queues.py
@@ -16,8 +16,8 @@
 from ..decisions.admission import Admission
 from ..decisions.queueing import BATCH, QUEUES, QueueLimits
 from .bursts import compare_bursts, measure_coalescing
-from .routes import compare_routers
 from .queue_simulation import Arrival, CallResult, SimulatedBackend, Timeline
+from .routes import compare_routers
 from .workloads import SCENARIOS, Scenario, draw_arrivals
 
 __all__ = ["QueueRun", "compare_queues", "main", "run_queue", "summarise"]
--- a/src/jasminewharf/bench/rate_model.py
+++ b/src/jasminewharf/bench/rate_model.py
@@ -17,7 +17,7 @@
 from ..defaults import CLOCK_DRIFT_BOUND, GRANT_LEASE_S
 from ..messages.accounts import CheckpointAccounts, TakeAccounts
 from ..messages.codec import decode, encode
-from ..messages.control import GrantAnswer, GrantRequest
+from ..messages.control import GrantRequest
 from .rate_checks import LimitsTimeline, Overshoot, Spending, find_overshoot
 
 __all__ = ["RateModel", "run_schedule"]
@@ -100,9 +100,7 @@
         self._lives = 0
         self._calls = 0
         self.entries = [self._make_entry(f"entry-{n}") for n in range(entries)]
-        self.owners = [
-            _Owner(f"control-{n}", _Clock(self, source)) for n in range(3)
-        ]
+        self.owners = [_Owner(f"control-{n}", _Clock(self, source)) for n in range(3)]
         self._leader = self.owners[0]
         self._term = 1
         self._machine = AccountLog()
@@ -150,7 +148,9 @@
         charge_id = str(self._calls)
         entry.waiting[charge_id] = (account, tokens)
         now = entry.clock.now()
-        actions = entry.holder.charge(account, charge_id, tokens, now + _DEADLINE_S, now)
+        actions = entry.holder.charge(
+            account, charge_id, tokens, now + _DEADLINE_S, now
+        )
         self._act(entry, actions)
         return charge_id
 
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -303,6 +303,10 @@
 # HTTP.
 
 HTTP_BACKLOG = 1024
+# A refused caller has this long to read why, while it may still be sending.
+HTTP_LINGER_S = 0.5
+# At most this many connections beyond the limit are answered at a time.
+HTTP_REFUSED_CONNECTIONS = 64
 HTTP_CONNECT_TIMEOUT_S = 1.0
 HTTP_FETCH_TIMEOUT_S = 5.0
 HTTP_READ_BYTES = 64 * 1024
@@ -313,3 +317,22 @@
 
 SPAN_QUEUE = 10_000
 SPAN_WRITE_INTERVAL_S = 0.5
+
+# Operators' tool.
+
+# An account counts as over its rate for this long after it lacked tokens.
+STATUS_OVER_RATE_S = 5.0
+# Adding a member may wait for a snapshot on top of the change itself.
+MEMBER_REQUEST_TIMEOUT_S = 40.0
+PROGRESS_INTERVAL_S = 1.0
+WAIT_POLL_S = 0.1
+WAIT_TIMEOUT_S = 60.0
+
+# Secure links and TLS.
+
+# Changed key files and certificates are taken up within this time.
+CURVE_REFRESH_S = 0.5
+TLS_REFRESH_S = 0.5
+# ZeroMQ gives a connection up once its key was refused; it is made anew after
+# this time, since the key may have become trusted.
+CURVE_RETRY_S = 1.0
--- a/src/jasminewharf/interfaces/callers.py
+++ b/src/jasminewharf/interfaces/callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import logging
-from pathlib import Path
+import ssl
 from typing import Any, ClassVar
 
 from .. import events
@@ -23,9 +23,11 @@
 from ..messages.commands import WithdrawKey
 from ..services.requests import account_name
 from ..services.router import Answer, CallPlan
+from ..services.secretfiles import read_secret
 from ..settings import split_address
 from ..tracing import Span
 from .http import HttpServer, Request, Responder
+from .limits import WorkspaceLimits
 from .orders import Claim, OrderRelay, digest_call
 from .plans import (
     Caller,
@@ -35,6 +37,7 @@
     split_service_target,
 )
 from .refusals import describe_refusal, render_refusal
+from .tls import CallerTls
 
 __all__ = ["Callers"]
 
@@ -120,10 +123,12 @@
         super().__init__(kernel)
         settings = kernel.settings
         self.address = ""
-        self._hash_secret = Path(settings.hash_secret_file).read_bytes().strip()
+        self._hash_secret = read_secret(settings.hash_secret_file)
         self._http = HttpServer(
             self._handle, render_refusal, settings.limits, self._count_rejection
         )
+        self._workspaces = WorkspaceLimits(settings.limits)
+        self._http.on_close = self._workspaces.forget
         self._exchanges: dict[str, _Exchange] = {}
         process = kernel.find("process")
         self._ids = RequestIds(process.identity.incarnation)
@@ -133,10 +138,18 @@
         """Listen for callers."""
         self.kernel.find("feed").listen(self._end_withdrawn)
         host, port = split_address(self.kernel.settings.listen)
-        self.address = await self._http.listen(host, port)
+        self.address = await self._http.listen(host, port, self._start_tls())
         self._metrics.watch("open_connections", lambda: self._http.connection_count)
         self._metrics.watch("requests_in_flight", lambda: len(self._exchanges))
 
+    def _start_tls(self) -> ssl.SSLContext | None:
+        settings = self.kernel.settings.tls
+        if settings is None:
+            return None
+        tls = CallerTls(settings)
+        self.spawn(tls.watch_files(), essential=True)
+        return tls.context
+
     async def drain(self) -> None:
         """Finish the requests in flight and take no new connection."""
         await self._http.drain(self.kernel.settings.timing.drain_timeout_s)
@@ -300,10 +313,8 @@
         self._exchanges[plan.request_id] = exchange
         idempotency_key = request.header("idempotency-key")
         try:
-            if idempotency_key is None or plan.idempotent:
-                await self._run_charged(plan, responder)
-            else:
-                await self._run_claimed(plan, idempotency_key, responder)
+            with self._workspaces.admit(caller.workspace, request.peer):
+                await self._dispatch(plan, idempotency_key, responder)
         except asyncio.CancelledError:
             if exchange.refusal is None:
                 raise
@@ -311,6 +322,14 @@
         finally:
             del self._exchanges[plan.request_id]
 
+    async def _dispatch(
+        self, plan: CallPlan, idempotency_key: str | None, responder: Responder
+    ) -> None:
+        if idempotency_key is None or plan.idempotent:
+            await self._run_charged(plan, responder)
+        else:
+            await self._run_claimed(plan, idempotency_key, responder)
+
     async def _run_charged(self, plan: CallPlan, responder: Responder) -> None:
         """Run a call that nobody claims; it ends when its caller goes."""
         charge = await self._charge(plan)
--- a/src/jasminewharf/services/agents.py
+++ b/src/jasminewharf/services/agents.py
@@ -150,10 +150,9 @@
             self._links[report.node] = self._connect(report)
 
     def _connect(self, report: NodeReport) -> LinkClient:
-        process = self.kernel.find("process")
-        link = LinkClient(
-            process.identity,
-            process.context,
+        link = self.kernel.find("process").connect(
+            "agent",
+            report.node,
             report.address,
             {
                 AnswerHead: self._take_head,
