Adapt the merged parts to each other

Peer keys are named control-NAME and private, so the log's CURVE test creates them so. The report interval is again a named default, and the host name of a member identity comes from the decisions.

--- a/src/jasminewharf/services/members.py
+++ b/src/jasminewharf/services/members.py
@@ -2,6 +2,7 @@
 
 from typing import ClassVar
 
+from ..decisions.records import host_name
 from ..exceptions import Forbidden, MemberChangeRefused, NotLeader
 from ..kernel import Service
 from ..messages.control import (
@@ -13,7 +14,6 @@
     RemoveMember,
 )
 from .control import FLEET_GROUP
-from .disk import host_name
 from .link import Peer
 
 __all__ = ["Members"]
--- a/src/jasminewharf/services/peers.py
+++ b/src/jasminewharf/services/peers.py
@@ -10,6 +10,7 @@
 import zmq.asyncio
 
 from .. import events
+from ..decisions.records import host_name
 from ..defaults import (
     CURVE_RETRY_S,
     LINK_CONNECT_POLL_S,
@@ -23,7 +24,6 @@
 from ..messages import codec
 from ..messages.log import BatchHeader
 from ..metrics import Metrics
-from .disk import host_name
 from .logsettings import CurveSettings
 from .security import LinkSecurity
 
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Annotated, Literal, NamedTuple
 
+from . import defaults
 from .exceptions import SettingsError
 from .schema import Matches, Range, load_yaml
 
@@ -134,12 +135,12 @@
 class TimingSettings(NamedTuple):
     """Leases, intervals and time-outs in seconds."""
 
-    freshness_lease_s: Seconds = 3.0
-    report_interval_s: Seconds = 1.0
+    freshness_lease_s: Seconds = defaults.FRESHNESS_LEASE_S
+    report_interval_s: Seconds = defaults.REPORT_INTERVAL_S
     election_timeout_s: Seconds = 1.0
     heartbeat_s: Seconds = 0.1
-    suspicion_s: Seconds = 5.0
-    host_lost_s: Seconds = 30.0
+    suspicion_s: Seconds = defaults.SUSPECT_AFTER_S
+    host_lost_s: Seconds = defaults.LOST_AFTER_S
     order_settle_s: Seconds = 0.5
     drain_timeout_s: Seconds = 60.0
 
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -326,10 +326,12 @@
 async def test_curve_admits_only_known_hosts(tmp_path):
     keys = tmp_path / "keys"
     (keys / "public").mkdir(parents=True)
-    for name in ("c0", "c1", "c2"):
+    for name in ("control-c0", "control-c1", "control-c2"):
         zmq.auth.create_certificates(keys, name)
         shutil.copy(keys / f"{name}.key", keys / "public")
     zmq.auth.create_certificates(keys, "stranger")
+    for secret in keys.glob("*.key_secret"):
+        secret.chmod(0o600)
 
     def curve(key):
         own = str(keys / f"{key}.key_secret")
@@ -337,14 +339,14 @@
 
     cluster = Cluster(tmp_path, 3)
     try:
-        await cluster.start("c0", curve=curve("c0"))
-        await cluster.start("c1", curve=curve("c1"))
+        await cluster.start("c0", curve=curve("control-c0"))
+        await cluster.start("c1", curve=curve("control-c1"))
         await cluster.start("c2", curve=curve("stranger"))
         await asyncio.sleep(1.5)
         # The host with the unknown key is not heard, so nothing is founded.
         assert cluster.services["c0"].leader("fleet") == ""
         await cluster.stop("c2")
-        await cluster.start("c2", curve=curve("c2"))
+        await cluster.start("c2", curve=curve("control-c2"))
         await cluster.propose(b"x")
     finally:
         for name in list(cluster.services):
