Let a member campaign whose removal is not committed; batch reads; split modules

Reads: one round in flight at a time, reads that arrive meanwhile share the next; a follower asks one question for all reads of a step.

--- a/src/jasminewharf/decisions/consensus.py
+++ b/src/jasminewharf/decisions/consensus.py
@@ -158,6 +158,7 @@
 @_handles(records.Tick)
 def _tick(state: GroupState, event: records.Tick, now: float) -> None:
     if state.role != LEADER:
+        reads.expire_reads(state, now)
         if now >= state.election_deadline and not state.installing:
             elections.begin_trial(state, now)
         return
--- a/src/jasminewharf/decisions/elections.py
+++ b/src/jasminewharf/decisions/elections.py
@@ -18,7 +18,7 @@
 def begin_trial(state: GroupState, now: float) -> None:
     """Ask whether an election would succeed, without raising the term."""
     state.reset_election_timer(now)
-    if not state.is_voter():
+    if not state.may_campaign():
         return
     state.role = TRIAL
     state.leader = ""
@@ -138,6 +138,6 @@
 
 def take_over(state: GroupState, sender: str, request: TimeoutNow, now: float) -> None:
     """Start an election because the leader asked for it."""
-    ready = state.role == FOLLOWER and state.is_voter() and not state.installing
+    ready = state.role == FOLLOWER and state.may_campaign() and not state.installing
     if request.term == state.term and ready:
         _begin_election(state, now, transfer=True)
--- a/src/jasminewharf/decisions/entries.py
+++ b/src/jasminewharf/decisions/entries.py
@@ -60,6 +60,17 @@
                 return candidates[:count]
         return candidates
 
+    def first_within(self, index: int, max_entries: int, max_bytes: int) -> int:
+        """Return the first of the entries up to ``index`` that fit the limits."""
+        first = index + 1
+        size = 0
+        for entry in reversed(self.between(index - max_entries + 1, index)):
+            size += len(entry.data)
+            if size > max_bytes:
+                break
+            first = entry.index
+        return first
+
     def first_of_term(self, index: int) -> int:
         """Return the first held index with the same term as ``index``."""
         term = self.term_at(index)
--- a/src/jasminewharf/decisions/group.py
+++ b/src/jasminewharf/decisions/group.py
@@ -1,13 +1,12 @@
 """The state of one member in one log group and the steps that all parts share."""
 
-from collections import deque
 from typing import Any
 
-import msgspec
-
-from ..messages.log import MemberRecord
+from ..defaults import LOG_RETAINED_BYTES
+from ..messages.log import MemberRecord, ReadIndexAnswer
 from ..randomness import RandomSource
 from .entries import EntryLog
+from .progress import Progress
 from .records import (
     MEMBERS,
     Effects,
@@ -17,6 +16,7 @@
     Restored,
     SnapshotMeta,
     Timing,
+    decode_members,
 )
 
 __all__ = [
@@ -25,9 +25,6 @@
     "LEADER",
     "TRIAL",
     "GroupState",
-    "Progress",
-    "decode_members",
-    "encode_members",
 ]
 
 FOLLOWER = "follower"
@@ -35,62 +32,6 @@
 CANDIDATE = "candidate"
 LEADER = "leader"
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(tuple[MemberRecord, ...])
-
-
-def encode_members(members: tuple[MemberRecord, ...]) -> bytes:
-    """Return the data of a MEMBERS entry."""
-    return _encoder.encode(members)
-
-
-def decode_members(data: bytes) -> tuple[MemberRecord, ...]:
-    """Return the members in the data of a MEMBERS entry."""
-    return _decoder.decode(data)
-
-
-class Progress:
-    """What the leader knows of another member.
-
-    Attributes:
-        match: Last index known to be durable there.
-        next: Next index to send.
-        probing: Whether the point of agreement is still unknown; then only one
-            message is in flight.
-        paused: Whether a probe or chunk is in flight.
-        heard: Time of the last answer.
-        sequence: Newest sequence number that it echoed.
-        in_flight: Pairs of last index and bytes of unanswered batches.
-        in_flight_bytes: Sum of the bytes in ``in_flight``.
-        snapshot_index: Index of the snapshot in transfer, 0 if there is none.
-        snapshot_offset: Next byte of that snapshot to send.
-    """
-
-    __slots__ = (
-        "heard",
-        "in_flight",
-        "in_flight_bytes",
-        "match",
-        "next",
-        "paused",
-        "probing",
-        "sequence",
-        "snapshot_index",
-        "snapshot_offset",
-    )
-
-    def __init__(self, next_index: int, now: float) -> None:
-        self.match = 0
-        self.next = next_index
-        self.probing = True
-        self.paused = False
-        self.heard = now
-        self.sequence = 0
-        self.in_flight: deque[tuple[int, int]] = deque()
-        self.in_flight_bytes = 0
-        self.snapshot_index = 0
-        self.snapshot_offset = 0
-
 
 class GroupState:
     """The data of one member in one group.
@@ -131,6 +72,7 @@
         self.sequence = 0
         self.pending_reads: list[tuple[int, int, str, int]] = []
         self.waiting_reads: list[tuple[str, int]] = []
+        self.forwarded_reads: dict[int, tuple[float, list[int]]] = {}
         self.transfer_target = ""
         self.transfer_deadline = 0.0
         self.verified = 0
@@ -227,6 +169,16 @@
         """Return whether this member counts in a quorum."""
         return self.identity in self.voters()
 
+    def may_campaign(self) -> bool:
+        """Return whether this member may become the leader.
+
+        A member that an uncommitted configuration removes may hold the newest log,
+        so that no other member could win.
+        """
+        committed = self.members_at(self.commit)
+        former = any(m.voter and m.identity == self.identity for m in committed)
+        return former or self.is_voter()
+
     def peers(self) -> list[str]:
         """Return the other members, learners included."""
         return [m.identity for m in self.members if m.identity != self.identity]
@@ -274,7 +226,8 @@
     def trim(self, meta: SnapshotMeta, retained: int) -> None:
         """Drop entries that the snapshot covers, except the newest ``retained``."""
         self.snapshot = meta
-        self.log.compact(min(meta.index - retained, self.durable))
+        first = self.log.first_within(meta.index, retained, LOG_RETAINED_BYTES)
+        self.log.compact(min(first - 1, self.durable))
         older = [c for c in self._configurations if c[0] <= meta.index]
         newer = [c for c in self._configurations if c[0] > meta.index]
         self._configurations = older[-1:] + newer
@@ -310,6 +263,8 @@
         """Follow ``leader`` (empty if unknown) in ``term``."""
         if self.role == LEADER:
             self._drop_reads()
+        if leader != self.leader:
+            self._drop_forwarded_reads()
         if term > self.term:
             self.save_hard_state(term, "")
         self.role = FOLLOWER
@@ -325,15 +280,21 @@
         self.leader_contact = now
 
     def _drop_reads(self) -> None:
-        for _, _, reader, token in self.pending_reads:
-            if not reader:
-                self.reads.append((token, -1))
-        for reader, token in self.waiting_reads:
-            if not reader:
+        dropped = [(reader, token) for _, _, reader, token in self.pending_reads]
+        for reader, token in dropped + self.waiting_reads:
+            if reader:
+                refusal = ReadIndexAnswer(self.group, self.term, token, -1)
+                self.send(reader, refusal)
+            else:
                 self.reads.append((token, -1))
         self.pending_reads = []
         self.waiting_reads = []
 
+    def _drop_forwarded_reads(self) -> None:
+        for _, tokens in self.forwarded_reads.values():
+            self.reads.extend((token, -1) for token in tokens)
+        self.forwarded_reads = {}
+
     def leads_with_commit(self) -> bool:
         """Return whether this member leads and has committed in its own term.
 
--- a/src/jasminewharf/decisions/memberchanges.py
+++ b/src/jasminewharf/decisions/memberchanges.py
@@ -2,8 +2,9 @@
 
 from ..defaults import LOG_LEARNER_GAP_ENTRIES
 from ..messages.log import MemberRecord
-from .group import LEADER, GroupState, Progress, encode_members
-from .records import MEMBERS, ChangeMembers, Entry, host_name
+from .group import LEADER, GroupState
+from .progress import Progress
+from .records import MEMBERS, ChangeMembers, Entry, encode_members, host_name
 from .replication import broadcast
 
 __all__ = ["change_members", "leave_if_removed", "promote_learners"]
--- a/src/jasminewharf/decisions/reads.py
+++ b/src/jasminewharf/decisions/reads.py
@@ -4,19 +4,25 @@
 from .group import LEADER, GroupState
 from .replication import send_heartbeats
 
-__all__ = ["answer_read", "confirm_reads", "finish_read", "request_reads"]
+__all__ = [
+    "answer_read",
+    "confirm_reads",
+    "expire_reads",
+    "finish_read",
+    "request_reads",
+]
 
 
 def request_reads(state: GroupState, tokens: list[int], now: float) -> None:
     """Ask for an index that covers everything committed before ``now``."""
     if state.role == LEADER:
         _add_reads(state, [("", token) for token in tokens], now)
-        return
-    for token in tokens:
-        if state.leader:
-            state.send(state.leader, ReadIndex(state.group, state.term, token))
-        else:
-            state.reads.append((token, -1))
+    elif state.leader:
+        # One question stands for all reads of this step.
+        state.forwarded_reads[tokens[0]] = (now, tokens)
+        state.send(state.leader, ReadIndex(state.group, state.term, tokens[0]))
+    else:
+        state.reads.extend((token, -1) for token in tokens)
 
 
 def answer_read(state: GroupState, sender: str, request: ReadIndex, now: float) -> None:
@@ -30,32 +36,54 @@
 
 def finish_read(state: GroupState, answer: ReadIndexAnswer) -> None:
     """Pass the leader's answer on."""
-    state.reads.append((answer.token, answer.index))
+    _, tokens = state.forwarded_reads.pop(answer.token, (0.0, []))
+    state.reads.extend((token, answer.index) for token in tokens)
+
+
+def expire_reads(state: GroupState, now: float) -> None:
+    """Refuse reads that the leader has not answered: a message was lost."""
+    oldest = now - 2 * state.timing.election_s
+    while state.forwarded_reads:
+        first = next(iter(state.forwarded_reads))
+        asked, tokens = state.forwarded_reads[first]
+        if asked > oldest:
+            return
+        del state.forwarded_reads[first]
+        state.reads.extend((token, -1) for token in tokens)
 
 
 def _add_reads(state: GroupState, reads: list[tuple[str, int]], now: float) -> None:
-    if not state.leads_with_commit():
-        state.waiting_reads.extend(reads)
-        return
-    # Answers that echo this number or a later one were given after the request.
+    state.waiting_reads.extend(reads)
+    confirm_reads(state, now)
+
+
+def _begin_round(state: GroupState, now: float) -> None:
+    # Answers that echo this number or a later one were given after the requests.
     state.sequence += 1
-    for reader, token in reads:
+    for reader, token in state.waiting_reads:
         state.pending_reads.append((state.sequence, state.commit, reader, token))
+    state.waiting_reads = []
     send_heartbeats(state, now)
-    confirm_reads(state, now)
 
 
 def confirm_reads(state: GroupState, now: float) -> None:
-    """Complete the reads that a quorum has confirmed."""
-    if state.waiting_reads and state.leads_with_commit():
-        waiting, state.waiting_reads = state.waiting_reads, []
-        _add_reads(state, waiting, now)
-        return
+    """Complete the reads that a quorum has confirmed, and begin the next round.
+
+    One round is in flight at a time; reads that arrive meanwhile share the next.
+    """
+    _finish_round(state)
+    may_begin = state.waiting_reads and not state.pending_reads
+    if may_begin and state.leads_with_commit():
+        _begin_round(state, now)
+        _finish_round(state)
+
+
+def _finish_round(state: GroupState) -> None:
     if not state.pending_reads:
         return
-    confirmed = _confirmed_sequence(state)
-    ready = [read for read in state.pending_reads if read[0] <= confirmed]
-    state.pending_reads = [read for read in state.pending_reads if read[0] > confirmed]
+    if state.pending_reads[0][0] > _confirmed_sequence(state):
+        return
+    ready, state.pending_reads = state.pending_reads, []
     for _, index, reader, token in ready:
         if reader:
             answer = ReadIndexAnswer(state.group, state.term, token, index)
--- a/src/jasminewharf/decisions/records.py
+++ b/src/jasminewharf/decisions/records.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NamedTuple
 
+import msgspec
+
 from ..messages.log import MemberRecord, SnapshotChunk
 
 __all__ = [
@@ -25,6 +27,8 @@
     "Tick",
     "Timing",
     "Transfer",
+    "decode_members",
+    "encode_members",
     "host_name",
 ]
 
@@ -32,6 +36,19 @@
 NOOP = 1
 MEMBERS = 2
 
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(tuple[MemberRecord, ...])
+
+
+def encode_members(members: tuple[MemberRecord, ...]) -> bytes:
+    """Return the data of a MEMBERS entry."""
+    return _encoder.encode(members)
+
+
+def decode_members(data: bytes) -> tuple[MemberRecord, ...]:
+    """Return the members in the data of a MEMBERS entry."""
+    return _decoder.decode(data)
+
 
 def host_name(identity: str) -> str:
     """Return the host name in a member's identity."""
--- a/src/jasminewharf/decisions/replication.py
+++ b/src/jasminewharf/decisions/replication.py
@@ -7,7 +7,8 @@
     LOG_WINDOW_ENTRIES,
 )
 from ..messages.log import AppendAnswer, AppendEntries
-from .group import LEADER, GroupState, Progress
+from .group import LEADER, GroupState
+from .progress import Progress
 from .records import COMMAND, NOOP, Entry
 from .snapshots import send_chunk
 
--- a/src/jasminewharf/decisions/snapshots.py
+++ b/src/jasminewharf/decisions/snapshots.py
@@ -2,7 +2,8 @@
 
 from ..defaults import LOG_RETAINED_ENTRIES, LOG_SNAPSHOT_CHUNK_BYTES
 from ..messages.log import SnapshotAnswer, SnapshotChunk
-from .group import LEADER, GroupState, Progress
+from .group import LEADER, GroupState
+from .progress import Progress
 from .records import SnapshotMeta
 
 __all__ = [
@@ -129,13 +130,14 @@
     """
     state.installing = False
     state.incoming = None
+    if meta.index <= state.commit:
+        return
     if state.log.term_at(meta.index) == meta.term:
         state.trim(meta, LOG_RETAINED_ENTRIES)
     else:
         state.snapshot = meta
         state.reset_log(meta)
-    state.commit = max(state.commit, meta.index)
-    state.delivered = max(state.delivered, meta.index)
+    state.commit = state.delivered = meta.index
     if state.term == state.incoming_term:
         state.verified = max(state.verified, meta.index)
 
--- a/src/jasminewharf/services/disk.py
+++ b/src/jasminewharf/services/disk.py
@@ -11,8 +11,7 @@
 import msgspec
 import xxhash
 
-from ..decisions.group import encode_members
-from ..decisions.records import MEMBERS, Entry, HardState
+from ..decisions.records import MEMBERS, Entry, HardState, encode_members
 from ..exceptions import CorruptLog
 from ..identifiers import new_token
 from ..messages.log import MemberRecord
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -11,22 +11,19 @@
 from .. import events
 from ..decisions.consensus import Consensus
 from ..decisions.records import COMMAND, Received, Timing, Transfer, host_name
-from ..defaults import (
-    LOG_MEMBER_CHANGE_TIMEOUT_S,
-    LOG_MEMBER_POLL_S,
-    LOG_PROBE_INTERVAL_S,
-    LOG_TICK_S,
-)
-from ..exceptions import MalformedMessage, MemberChangeRefused, NotLeader
+from ..defaults import LOG_PROBE_INTERVAL_S, LOG_TICK_S
+from ..exceptions import CorruptLog, NotLeader
 from ..identifiers import new_token
 from ..kernel import Kernel, Service
-from ..messages import codec
 from ..messages.log import BatchHeader, DiskAnswer, DiskProbe, MemberRecord
+from .batches import Batches
 from .disk import Disk
 from .files import DiskFiles, Files
 from .founding import Founding
-from .loggroup import GroupRunner, Machine
+from .loggroup import GroupRunner
 from .logsettings import CurveSettings, LogSettings
+from .machine import Machine
+from .memberwork import add_member, identify, remove_member
 from .peers import PeerTransport, ZmqPeers
 
 __all__ = ["CurveSettings", "LogService", "LogSettings", "Machine"]
@@ -67,7 +64,7 @@
         self._runners: dict[str, GroupRunner] = {}
         self._machines: dict[str, Machine] = {}
         self._subscribers: dict[str, list[tuple[Any, Any]]] = {}
-        self._outbox: dict[str, list[Any]] = {}
+        self._batches = Batches(self._transport, self._make_header, self._take_message)
 
     async def start(self) -> None:
         """Open the logs and links.
@@ -76,11 +73,13 @@
             CorruptLog: If a log is damaged; nothing was changed.
         """
         settings = self._settings
-        self._disk = Disk(self._files, settings.folder, settings.name, settings.groups)
+        try:
+            self._open_disk()
+        except CorruptLog as error:
+            events.emit(_logger, events.LOG_CORRUPT, error=error)
+            raise
         self._founding = Founding(settings.name, set(settings.peers))
-        if self._disk.cluster:
-            self._open_groups()
-        await self._transport.start(self._take_batch)
+        await self._transport.start(self._batches.take)
         for host, address in settings.peers.items():
             self._transport.connect(host, address)
         self.spawn(self._transport.receive(), essential=True)
@@ -89,6 +88,12 @@
             self._try_founding()
             self.spawn(self._probe_peers(), essential=True)
 
+    def _open_disk(self) -> None:
+        settings = self._settings
+        self._disk = Disk(self._files, settings.folder, settings.name, settings.groups)
+        if self._disk.cluster:
+            self._open_groups()
+
     async def stop(self) -> None:
         """Close the logs and links."""
         await super().stop()
@@ -228,9 +233,7 @@
         """
         runner = self._leading_runner(group)
         identity = await self._identify(host, address)
-        record = MemberRecord(identity, address, False)
-        await self._change(runner, record, "")
-        await self._wait_for_vote(runner, identity)
+        await add_member(runner, MemberRecord(identity, address, False))
         return identity
 
     async def remove_member(self, group: str, identity: str) -> None:
@@ -241,7 +244,7 @@
             MemberChangeRefused: If it is the last voter.
             QuorumLost: If the outcome is unknown.
         """
-        await self._change(self._leading_runner(group), None, identity)
+        await remove_member(self._leading_runner(group), identity)
 
     def transfer_leadership(self, group: str, target: str) -> None:
         """Ask the voter ``target`` to take over; proposals are refused meanwhile.
@@ -257,55 +260,21 @@
             raise NotLeader(group, runner.consensus.leader)
         return runner
 
-    async def _change(
-        self, runner: GroupRunner, member: MemberRecord | None, identity: str
-    ) -> None:
-        deadline = self._deadline()
-        while True:
-            try:
-                await runner.change_members(member, identity)
-                return
-            except MemberChangeRefused:
-                # Another change, or the first commit of the term, is in progress.
-                if asyncio.get_running_loop().time() > deadline:
-                    raise
-            await asyncio.sleep(LOG_MEMBER_POLL_S)
-
-    def _deadline(self) -> float:
-        return asyncio.get_running_loop().time() + LOG_MEMBER_CHANGE_TIMEOUT_S
-
-    async def _wait_for_vote(self, runner: GroupRunner, identity: str) -> None:
-        deadline = self._deadline()
-        while not self._is_committed_voter(runner, identity):
-            if asyncio.get_running_loop().time() > deadline:
-                raise MemberChangeRefused(f"{identity} has not caught up in time")
-            await asyncio.sleep(LOG_MEMBER_POLL_S)
-
-    def _is_committed_voter(self, runner: GroupRunner, identity: str) -> bool:
-        consensus = runner.consensus
-        members = consensus.members_at(consensus.commit_index)
-        return any(m.voter and m.identity == identity for m in members)
-
     async def _identify(self, host: str, address: str) -> str:
         self._founding.forget(host)
         self._transport.connect(host, address)
-        deadline = self._deadline()
-        while asyncio.get_running_loop().time() < deadline:
-            self._send_batch(host, "", [DiskProbe()])
-            await asyncio.sleep(LOG_MEMBER_POLL_S)
-            seen = self._founding.seen(host)
-            if seen is not None:
-                if seen.cluster not in ("", self._disk.cluster):
-                    raise MemberChangeRefused(f"{host} belongs to another cluster")
-                return seen.identity
-        raise MemberChangeRefused(f"{host} at {address} cannot be reached")
+
+        def probe() -> None:
+            self._batches.send_batch(host, "", [DiskProbe()])
+
+        return await identify(self._founding, host, self._disk.cluster, probe)
 
     # Founding and joining.
 
     async def _probe_peers(self) -> None:
         while not self._disk.cluster:
             for host in self._settings.peers:
-                self._send_batch(host, "", [DiskProbe()])
+                self._batches.send_batch(host, "", [DiskProbe()])
             await asyncio.sleep(LOG_PROBE_INTERVAL_S)
             self._try_founding()
 
@@ -350,7 +319,7 @@
             consensus,
             storage,
             settings.snapshot_entries,
-            self._send,
+            self._batches.send,
             self._executor,
             secrets.randbits(_TOKEN_BITS),
         )
@@ -363,45 +332,17 @@
                 runner.tick()
             await asyncio.sleep(LOG_TICK_S)
 
-    def _send(self, receiver: str, message: Any) -> None:
-        # Messages of all groups in one turn of the event loop share a batch.
-        if not self._outbox:
-            asyncio.get_running_loop().call_soon(self._flush_outbox)
-        self._outbox.setdefault(receiver, []).append(message)
-
-    def _flush_outbox(self) -> None:
-        outbox, self._outbox = self._outbox, {}
-        for receiver, messages in outbox.items():
-            self._send_batch(host_name(receiver), receiver, messages)
-
-    def _send_batch(self, host: str, receiver: str, messages: list[Any]) -> None:
-        header = BatchHeader(
-            self._disk.cluster, self.identity, receiver, self._settings.address
+    def _make_header(self, receiver: str) -> BatchHeader:
+        disk = self._disk
+        return BatchHeader(
+            disk.cluster, disk.identity, receiver, self._settings.address
         )
-        frames = [codec.encode(header)]
-        frames.extend(codec.encode(message) for message in messages)
-        if not self._transport.send(host, frames):
-            events.emit(_logger, events.PEER_QUEUE_FULL, host=host)
-
-    def _take_batch(self, frames: list[bytes]) -> None:
-        try:
-            header, *messages = [codec.decode(frame) for frame in frames]
-            if not isinstance(header, BatchHeader):
-                raise MalformedMessage("batch without a header")
-        except (MalformedMessage, ValueError) as error:
-            events.emit(_logger, events.MESSAGE_MALFORMED, error=error)
-            return
-        if host_name(header.sender) == self._settings.name:
-            events.emit(_logger, events.BATCH_REFUSED, sender=header.sender)
-            return
-        self._transport.connect(host_name(header.sender), header.address)
-        for message in messages:
-            self._take_message(header, message)
 
     def _take_message(self, header: BatchHeader, message: Any) -> None:
         if isinstance(message, DiskProbe):
             answer = DiskAnswer(bool(self._disk.cluster))
-            self._send_batch(host_name(header.sender), header.sender, [answer])
+            host = host_name(header.sender)
+            self._batches.send_batch(host, header.sender, [answer])
         elif isinstance(message, DiskAnswer):
             now = asyncio.get_running_loop().time()
             self._founding.note(header, now)
--- a/src/jasminewharf/services/loggroup.py
+++ b/src/jasminewharf/services/loggroup.py
@@ -5,53 +5,36 @@
 import logging
 from collections.abc import Callable
 from concurrent.futures import Executor
-from typing import Any, Protocol
+from typing import Any
 
 from .. import events
 from ..decisions import records
 from ..decisions.consensus import Consensus
-from ..decisions.snapshots import chunk_length
 from ..defaults import (
+    LOG_COMMAND_LIMIT_BYTES,
     LOG_PENDING_LIMIT_COMMANDS,
     LOG_PROPOSE_TIMEOUT_S,
     LOG_READ_TIMEOUT_S,
 )
 from ..exceptions import (
-    CorruptLog,
     MemberChangeRefused,
     NotLeader,
     ProposalRejected,
     QuorumLost,
-    StorageError,
     StorageFull,
 )
 from ..messages.log import MemberRecord
+from .groupsnapshots import GroupSnapshots
 from .logwriter import LogWriter
+from .machine import Machine
 from .storage import GroupStorage
 from .waiters import Waiters
 
-__all__ = ["GroupRunner", "Machine"]
+__all__ = ["GroupRunner"]
 
 _logger = logging.getLogger(__name__)
 
 
-class Machine(Protocol):
-    """A deterministic state machine that a group's commands are applied to."""
-
-    def apply(self, index: int, command: bytes) -> bytes:
-        """Apply a committed command and return its result.
-
-        Raises:
-            ProposalRejected: If the command is refused; the state is unchanged.
-        """
-
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-
-    def restore(self, state: bytes) -> None:
-        """Replace the whole state."""
-
-
 class GroupRunner:
     """One group on one host.
 
@@ -80,10 +63,10 @@
         self.consensus = consensus
         self.applied = 0
         self._storage = storage
-        self._snapshot_entries = snapshot_entries
-        self._send = send
+        self.send = send
         self._loop = asyncio.get_running_loop()
         self._writer = LogWriter(group, storage, executor, self._note_synced)
+        self._snapshots = GroupSnapshots(self, storage, self._writer, snapshot_entries)
         self._proposals = Waiters(group, LOG_PROPOSE_TIMEOUT_S, first_token)
         self._reads = Waiters(group, LOG_READ_TIMEOUT_S, first_token)
         self._machine: Machine | None = None
@@ -95,7 +78,6 @@
         self._flush_scheduled = False
         self._at_index: dict[int, tuple[int, int]] = {}
         self._confirmed_reads: list[tuple[int, int]] = []
-        self._saving = False
         self._known_leader = ""
 
     # Requests of other services.
@@ -123,12 +105,14 @@
         Raises:
             NotLeader: If this member does not lead.
             StorageFull: If the disk is full.
-            ProposalRejected: If too many commands are in flight.
+            ProposalRejected: If the command is too long or too many are in flight.
         """
         if not self.consensus.is_leader:
             raise NotLeader(self.group, self.consensus.leader)
         if self._writer.full:
             raise StorageFull(f"the disk of group {self.group} is full")
+        if len(command) > LOG_COMMAND_LIMIT_BYTES:
+            raise ProposalRejected(f"a command of {len(command)} bytes is too long")
         if len(self._proposals) >= LOG_PENDING_LIMIT_COMMANDS:
             raise ProposalRejected(f"too many commands in flight in {self.group}")
         token, future = self._proposals.add()
@@ -200,14 +184,13 @@
         if effects.persist:
             self._writer.add_records(effects.persist, effects.sync_token)
         for receiver, message in effects.messages:
-            self._send(receiver, message)
+            self.send(receiver, message)
         for receiver, chunk in effects.chunk_reads:
-            self._send_chunk(receiver, chunk)
+            self._snapshots.send_chunk(receiver, chunk)
         for chunk in effects.chunk_writes:
-            self._writer.add_job(lambda chunk=chunk: self._store_chunk(chunk))
+            self._snapshots.store_chunk(chunk)
         if effects.install is not None:
-            meta = effects.install
-            self._writer.add_job(lambda: self._install(meta))
+            self._snapshots.install(effects.install)
         self._note_outcomes(effects)
         if effects.committed:
             self._apply_committed()
@@ -216,16 +199,6 @@
     def _note_synced(self, token: int) -> None:
         self.submit(records.Synced(token))
 
-    def _send_chunk(self, receiver: str, chunk: Any) -> None:
-        try:
-            data = self._storage.snapshots.read_chunk(
-                chunk.index, chunk.offset, chunk_length(chunk)
-            )
-        except StorageError:
-            # A newer snapshot has replaced this one; the next heartbeat starts it.
-            return
-        self._send(receiver, chunk._replace(data=data))
-
     def _note_outcomes(self, effects: records.Effects) -> None:
         for token, index, term in effects.accepted:
             if index <= self.applied:
@@ -273,7 +246,7 @@
         for entry in self.consensus.entries_between(first, last):
             self._apply_entry(entry)
         self._finish_reads()
-        self._save_snapshot_if_due()
+        self._snapshots.save_if_due(self._machine)
 
     def _apply_entry(self, entry: records.Entry) -> None:
         result = b""
@@ -284,6 +257,7 @@
             except ProposalRejected as rejection:
                 error = rejection
         self.applied = entry.index
+        self._snapshots.note_applied(len(entry.data))
         self._tell_proposer(entry, result, error)
         if entry.kind == records.COMMAND and error is None:
             for callback, _ in self._subscribers:
@@ -304,76 +278,19 @@
         else:
             self._proposals.finish(token, (entry.index, result))
 
-    # Snapshots.
-
-    def _save_snapshot_if_due(self) -> None:
-        newest = self._storage.snapshots.newest
-        covered = newest.index if newest else 0
-        due = self.applied - covered >= self._snapshot_entries
-        if not due or self._saving or self._writer.full:
-            return
-        if self.consensus.is_transferring(self._loop.time()):
-            return
-        self._saving = True
-        index = self.applied
-        term = self.consensus.term_at(index)
-        members = self.consensus.members_at(index)
-        state = self._machine.snapshot()
-        self._writer.add_job(lambda: self._save_snapshot(index, term, members, state))
-
-    async def _save_snapshot(
-        self, index: int, term: int, members: tuple[MemberRecord, ...], state: bytes
-    ) -> None:
-        snapshots = self._storage.snapshots
-        try:
-            meta = await self._writer.call(snapshots.save, index, term, members, state)
-        except StorageFull as error:
-            events.emit(_logger, events.DISK_FULL, group=self.group, error=error)
-            return
-        finally:
-            self._saving = False
-        self.submit(records.Compacted(meta))
-        events.emit(
-            _logger,
-            events.SNAPSHOT_SAVED,
-            group=self.group,
-            index=index,
-            size=meta.size,
-        )
-        await self._writer.call(self._storage.drop_before, self.consensus.base_index)
-
-    async def _store_chunk(self, chunk: Any) -> None:
-        write = self._storage.snapshots.write_chunk
-        try:
-            await self._writer.call(write, chunk.offset, chunk.data)
-        except StorageFull as error:
-            self._refuse_snapshot(error)
-
-    async def _install(self, meta: records.SnapshotMeta) -> None:
-        try:
-            state = await self._writer.call(self._storage.snapshots.install, meta)
-        except (CorruptLog, StorageFull) as error:
-            self._refuse_snapshot(error)
-            return
+    def replace_state(self, index: int, state: bytes) -> None:
+        """Restore the machine from a snapshot that covers ``index``."""
         if self._machine is not None:
             self._machine.restore(state)
-            self.applied = meta.index
-        self._forget_covered(meta.index)
-        self.submit(records.SnapshotInstalled(meta))
-        events.emit(
-            _logger, events.SNAPSHOT_RECEIVED, group=self.group, index=meta.index
-        )
-        for _, on_restore in self._subscribers:
-            if on_restore is not None:
-                on_restore(meta.index)
-        self._finish_reads()
-
-    def _refuse_snapshot(self, error: Exception) -> None:
-        events.emit(_logger, events.SNAPSHOT_REFUSED, group=self.group, error=error)
-        self.submit(records.SnapshotFailed())
-
-    def _forget_covered(self, index: int) -> None:
+            self.applied = index
         for at in [at for at in self._at_index if at <= index]:
             _, token = self._at_index.pop(at)
             text = f"{self.group}: the outcome is covered by a snapshot"
             self._proposals.fail(token, QuorumLost(text))
+
+    def announce_restore(self, index: int) -> None:
+        """Tell subscribers that commands up to ``index`` were skipped."""
+        for _, on_restore in self._subscribers:
+            if on_restore is not None:
+                on_restore(index)
+        self._finish_reads()
--- a/tests/log_checks.py
+++ b/tests/log_checks.py
@@ -1,7 +1,6 @@
 """Checkers of what must hold in every schedule of a log group."""
 
-from jasminewharf.decisions.group import encode_members
-from jasminewharf.decisions.records import MEMBERS
+from jasminewharf.decisions.records import MEMBERS, encode_members
 
 
 class InvariantViolation(AssertionError):
--- a/tests/log_simulation.py
+++ b/tests/log_simulation.py
@@ -12,7 +12,6 @@
 
 import msgspec
 
-from jasminewharf.decisions import group as group_module
 from jasminewharf.decisions import records, snapshots
 from jasminewharf.decisions.consensus import Consensus
 from jasminewharf.decisions.snapshots import chunk_length
@@ -41,7 +40,7 @@
         if first_members:
             storage = self._storage()
             storage.open()
-            data = group_module.encode_members(first_members)
+            data = records.encode_members(first_members)
             first = records.Entry(1, 1, records.MEMBERS, data)
             storage.write([records.HardState(1, ""), first])
 
@@ -356,7 +355,7 @@
         self.after(3.0, self._stop_retired, name, identity)
 
     def _stop_retired(self, name, identity):
-        members = group_module.decode_members(self.checks.newest_members[1])
+        members = records.decode_members(self.checks.newest_members[1])
         host = self.hosts.get(name)
         if host and host.identity not in {m.identity for m in members}:
             host.up = False
@@ -413,11 +412,11 @@
     def may_lose(self, host):
         """Return whether a quorum of every configuration keeps its disks."""
         index, data = self.checks.newest_members
-        configurations = [group_module.decode_members(data)]
+        configurations = [records.decode_members(data)]
         # Any later configuration may be on the disk of a host that is down.
         for (at, _), (kind, later, _) in self.checks.entries.items():
             if kind == records.MEMBERS and at > index:
-                configurations.append(group_module.decode_members(later))
+                configurations.append(records.decode_members(later))
         # Before the first commit the founder's disk holds the only configuration.
         if not self.checks.committed:
             return False
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -5,7 +5,6 @@
 import pytest
 
 from jasminewharf.decisions.consensus import Consensus
-from jasminewharf.decisions.group import decode_members, encode_members
 from jasminewharf.decisions.records import (
     COMMAND,
     MEMBERS,
@@ -20,6 +19,8 @@
     SnapshotMeta,
     Synced,
     Tick,
+    decode_members,
+    encode_members,
 )
 from jasminewharf.messages.log import (
     AppendAnswer,
@@ -130,6 +131,17 @@
     assert member.term == 2
 
 
+def test_member_that_an_uncommitted_change_removes_still_campaigns():
+    """Guards against the loss of quorum that seed 21074 of the exploration found."""
+    member = make_member("c/1")
+    message = heartbeat(1, 1, 1)._replace(commit=1)
+    step_durably(member, "a/1", message)
+    removal = (1, MEMBERS, encode_members(VOTERS[:2]))
+    step_durably(member, "a/1", heartbeat(1, 1, 1, entries=[removal]))
+    sent = member.step(Tick(), 9.0).messages
+    assert {receiver for receiver, _ in sent} == {"a/1", "b/1"}
+
+
 def test_leader_without_a_quorum_steps_down():
     leader, _ = make_leader()
     leader.step(Tick(), 2.0 + TIMING.election_s * 1.1)
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -285,7 +285,7 @@
             if member.identity != leader.identity:
                 await leader.remove_member("fleet", member.identity)
         with pytest.raises(MemberChangeRefused):
-            await leader._runners["fleet"].change_members(None, leader.identity)
+            await leader.remove_member("fleet", leader.identity)
 
 
 @in_event_loop
