--- a/src/jasminewharf/decisions/replication.py
+++ b/src/jasminewharf/decisions/replication.py
@@ -6,6 +6,7 @@
     LOG_WINDOW_BYTES,
     LOG_WINDOW_ENTRIES,
 )
+from ..exceptions import LogDivergence
 from ..messages.log import AppendAnswer, AppendEntries
 from .group import LEADER, GroupState
 from .progress import Progress
@@ -50,7 +51,9 @@
 
 def send_heartbeats(state: GroupState, now: float) -> None:
     """Send to every member, also if there is nothing new."""
-    state.heartbeat_due = now + state.timing.heartbeat_s
+    # Multiples of the interval, so that all groups of a host share a batch.
+    interval = state.timing.heartbeat_s
+    state.heartbeat_due = (now // interval + 1) * interval
     state.commit_untold = False
     for peer in state.peers():
         replicate(state, peer, force=True)
@@ -168,6 +171,8 @@
         index += 1
         if index <= state.log.base_index or state.log.term_at(index) == term:
             continue
+        if index <= state.commit:
+            raise LogDivergence(state.group, index)
         if index <= state.log.last_index:
             state.truncate(index)
         state.append(Entry(index, term, kind, data))
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -28,6 +28,7 @@
     "LeaseExpired",
     "LinkError",
     "LinkTimeout",
+    "LogDivergence",
     "MalformedMessage",
     "MemberChangeRefused",
     "MemoryOvercommit",
@@ -177,6 +178,15 @@
     """The state machine refused a command."""
 
 
+class LogDivergence(ConsensusError):
+    """A leader sent another entry in place of a committed one."""
+
+    def __init__(self, group: str, index: int) -> None:
+        self.group = group
+        self.index = index
+        super().__init__(f"{group}: committed entry {index} would be replaced")
+
+
 class MemberChangeRefused(ConsensusError):
     """A change of members is in progress, or the member cannot be reached."""
 
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -188,7 +188,8 @@
 
         Args:
             group: The group's name.
-            callback: Called after the command is applied.
+            callback: Called after the command is applied, also if the machine
+                refused it: whoever applies the commands elsewhere refuses it too.
             on_restore: Called with an index when a snapshot replaced the state, so
                 that commands up to the index were skipped.
         """
--- a/src/jasminewharf/services/loggroup.py
+++ b/src/jasminewharf/services/loggroup.py
@@ -259,7 +259,7 @@
         self.applied = entry.index
         self._snapshots.note_applied(len(entry.data))
         self._tell_proposer(entry, result, error)
-        if entry.kind == records.COMMAND and error is None:
+        if entry.kind == records.COMMAND:
             for callback, _ in self._subscribers:
                 callback(entry.index, entry.data)
 
--- a/src/jasminewharf/services/peers.py
+++ b/src/jasminewharf/services/peers.py
@@ -114,7 +114,7 @@
     def __init__(self, address: str, curve: CurveSettings | None = None) -> None:
         self._address = address
         self._curve = curve
-        self._context = zmq.Context()
+        self._context: zmq.Context | None = None
         self._receiver: zmq.asyncio.Socket | None = None
         self._authenticator: AsyncioAuthenticator | None = None
         self._senders: dict[str, tuple[str, zmq.Socket]] = {}
@@ -123,6 +123,7 @@
     async def start(self, on_batch: OnBatch) -> None:
         """Begin to receive; :meth:`receive` must run as a task."""
         self._on_batch = on_batch
+        self._context = zmq.Context()
         shared = zmq.asyncio.Context(self._context)
         if self._curve is not None:
             self._authenticator = AsyncioAuthenticator(shared)
@@ -164,7 +165,8 @@
             self._receiver.close()
         if self._authenticator is not None:
             self._authenticator.stop()
-        self._context.term()
+        if self._context is not None:
+            self._context.term()
 
     def connect(self, host: str, address: str) -> None:
         """Set where ``host`` listens."""
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -22,6 +22,7 @@
     decode_members,
     encode_members,
 )
+from jasminewharf.exceptions import LogDivergence
 from jasminewharf.messages.log import (
     AppendAnswer,
     AppendEntries,
@@ -108,6 +109,13 @@
     assert sent.match == 1
 
 
+def test_replacing_a_committed_entry_is_refused():
+    member = make_member("b/1", 1)
+    step_durably(member, "a/1", heartbeat(1, 2, 1)._replace(commit=2))
+    with pytest.raises(LogDivergence):
+        step_durably(member, "c/1", heartbeat(2, 1, 1, entries=[(2, COMMAND, b"y")]))
+
+
 def test_snapshot_does_not_drop_entries_that_were_acknowledged():
     member = make_member("b/1", 1, 1, 1, 1)
     member.step(SnapshotInstalled(SnapshotMeta(3, 1, VOTERS, 10)), 1.0)
@@ -176,7 +184,7 @@
     run_until(
         simulation, lambda: lost.identity in {m.identity for m in voters(simulation)}
     )
-    assert len(voters(simulation)) == 3
+    assert "h1/1" not in {member.identity for member in voters(simulation)}
     simulation._lose_disk(simulation.hosts["h2"])
     assert simulation.hosts["h2"].identity == "h2/2"
     simulation.settle()
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -9,8 +9,10 @@
 import pytest
 import zmq.auth
 
+from jasminewharf.decisions.records import MEMBERS
 from jasminewharf.exceptions import (
     CorruptLog,
+    MalformedMessage,
     MemberChangeRefused,
     NotLeader,
     ProposalRejected,
@@ -19,7 +21,14 @@
 )
 from jasminewharf.kernel import Kernel
 from jasminewharf.messages import encode
-from jasminewharf.messages.log import BatchHeader, RequestVote
+from jasminewharf.messages.commands import GrantKey
+from jasminewharf.messages.log import (
+    AppendEntries,
+    BatchHeader,
+    RequestVote,
+    TimeoutNow,
+)
+from jasminewharf.services.batches import decode_batch
 from jasminewharf.services.log import CurveSettings, LogService, LogSettings
 from jasminewharf.services.peers import MemoryNetwork, MemoryPeers
 from memory_files import MemoryFiles
@@ -276,6 +285,21 @@
         assert service._runners["fleet"].consensus.term == term
 
 
+@pytest.mark.parametrize(
+    "message",
+    [
+        AppendEntries("fleet", 1, 0, 0, 0, 0, [(1, 9, b"")]),
+        AppendEntries("fleet", 1, 0, 0, 0, 0, [(1, MEMBERS, b"\xc1")]),
+        TimeoutNow("fleet", -1),
+        GrantKey("s", "k", "d", "w"),
+    ],
+)
+def test_batch_with_a_message_that_no_member_sends_is_malformed(message):
+    header = encode(BatchHeader("c", "a/1", "b/1", ""))
+    with pytest.raises(MalformedMessage):
+        decode_batch([header, encode(message)])
+
+
 @in_event_loop
 async def test_members_can_be_removed_but_not_the_last(tmp_path):
     async with running(tmp_path, 3, MemoryNetwork()) as cluster:
