--- a/tests/log_simulation.py
+++ b/tests/log_simulation.py
@@ -115,6 +115,7 @@
             checks.leader(
                 consensus.term, self.identity, consensus.term_at, consensus.base_index
             )
+            self.simulation.crash_soon(self)
         if effects.persist:
             self.pending.append((effects.persist, effects.sync_token))
         for receiver, message in effects.messages:
@@ -140,6 +141,7 @@
             checks.durable(self.identity, message.match, self.durable_index)
         if isinstance(message, VoteAnswer) and message.granted and not message.trial:
             checks.vote(self.identity, message.term, receiver)
+            self.simulation.crash_soon(self)
 
     def _send_chunk(self, receiver, chunk):
         data = self.storage.snapshots.read_chunk(
@@ -244,6 +246,7 @@
         self.time = 0.0
         self.checks = Checks()
         self.installs = 0
+        self.faults = False
         self.loss = self.random.choice((0.0, 0.02, 0.2))
         self.delay = self.random.choice((0.001, 0.02, 0.2))
         # Safety must not depend on clocks, so half of the schedules have wild ones.
@@ -291,6 +294,7 @@
         return sorted(hosts, key=lambda host: -host.consensus.term)
 
     def run(self, steps, faults=True):
+        self.faults = faults
         for step in range(steps):
             if step % 10 == 0:
                 self.act(faults)
@@ -393,6 +397,15 @@
         if self.random.random() < 0.5:
             self.severed = {(a, b) for a in leader_names for b in self.hosts}
 
+    def crash_soon(self, host):
+        # Votes and first entries of a term are what a crash can break most.
+        if self.faults and self.random.random() < self.fault_rate / 2:
+            self.after(self.random.random() * 0.1, self._crash_life, host, host.life)
+
+    def _crash_life(self, host, life):
+        if host.up and host.life == life:
+            host.crash()
+
     def _crash(self, host):
         if not host.up:
             return
@@ -430,6 +443,7 @@
     def settle(self, seconds=30.0):
         """End all faults; the group must then elect, commit and converge."""
         self.loss, self.delay, self.severed = 0.0, 0.002, set()
+        self.faults = False
         for host in self.hosts.values():
             host.offset, host.rate = host.now(), 1.0
             host.offset -= self.time
