Hand over to an answering successor; reach members that the settings do not name

A proposal during a handover raised MemberChangeRefused instead of NotLeader. A restarted leader could not reach a member that was added later and is not in its settings; the test fails without the connection from the configuration.

--- a/src/jasminewharf/decisions/consensus.py
+++ b/src/jasminewharf/decisions/consensus.py
@@ -150,6 +150,10 @@
         """Return the held entries from ``first`` to ``last``."""
         return self._state.log.between(first, last)
 
+    def choose_successor(self, now: float) -> str:
+        """Return the member that a leader should hand over to, or an empty string."""
+        return elections.choose_successor(self._state, now)
+
     def is_transferring(self, now: float) -> bool:
         """Return whether a snapshot is being sent or installed."""
         return snapshots.is_transferring(self._state, now)
--- a/src/jasminewharf/decisions/elections.py
+++ b/src/jasminewharf/decisions/elections.py
@@ -8,6 +8,7 @@
     "answer_vote",
     "begin_trial",
     "check_quorum",
+    "choose_successor",
     "count_vote",
     "finish_transfer",
     "start_transfer",
@@ -118,6 +119,19 @@
         state.transfer_target = ""
 
 
+def choose_successor(state: GroupState, now: float) -> str:
+    """Return the answering voter with the most entries, or an empty string."""
+    oldest = now - state.timing.election_s
+    best, best_match = "", -1
+    for voter in state.voters():
+        progress = state.progress.get(voter)
+        if progress is None or progress.probing or progress.heard < oldest:
+            continue
+        if progress.match > best_match:
+            best, best_match = voter, progress.match
+    return best
+
+
 def start_transfer(state: GroupState, target: str, now: float) -> None:
     """Stop taking proposals and hand over once ``target`` holds every entry."""
     if state.role != LEADER or target == state.identity:
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -105,28 +105,14 @@
 
     async def drain(self) -> None:
         """Hand leadership of every group to another member."""
-        for group, runner in self._runners.items():
-            if runner.consensus.is_leader:
-                self._hand_over(group)
-        deadline = asyncio.get_running_loop().time() + self._settings.election_s
-        while self._leads_shared_group():
-            if asyncio.get_running_loop().time() > deadline:
+        now = asyncio.get_running_loop().time
+        deadline = now() + self._settings.election_s
+        handed_over = [r for r in self._runners.values() if r.hand_over()]
+        while any(runner.consensus.is_leader for runner in handed_over):
+            if now() > deadline:
                 return
             await asyncio.sleep(LOG_TICK_S)
 
-    def _leads_shared_group(self) -> bool:
-        runners = self._runners.values()
-        return any(
-            r.consensus.is_leader and len(r.consensus.members) > 1 for r in runners
-        )
-
-    def _hand_over(self, group: str) -> None:
-        consensus = self._runners[group].consensus
-        for member in consensus.members:
-            if member.voter and member.identity != self.identity:
-                self.transfer_leadership(group, member.identity)
-                return
-
     # Reading and writing.
 
     @property
@@ -173,7 +159,10 @@
         return runner.applied if runner else 0
 
     def register_machine(self, group: str, machine: Machine) -> None:
-        """Give the group its state machine; it is restored at once if possible."""
+        """Give the group its state machine; it is restored at once if possible.
+
+        Until then nothing is applied, and proposals and reads wait.
+        """
         self._machines[group] = machine
         if group in self._runners:
             self._runners[group].set_machine(machine)
@@ -331,8 +320,25 @@
         while True:
             for runner in list(self._runners.values()):
                 runner.tick()
+                if runner.take_member_change():
+                    self._connect_members(runner)
             await asyncio.sleep(LOG_TICK_S)
 
+    def _connect_members(self, runner: GroupRunner) -> None:
+        members = runner.consensus.members
+        events.emit(
+            _logger,
+            events.MEMBERS_CHANGED,
+            group=runner.group,
+            members=[member.identity for member in members],
+        )
+        known = {self._settings.name, *self._settings.peers}
+        for member in members:
+            # The settings of a host that was added later are not in these settings.
+            host = host_name(member.identity)
+            if host not in known and member.address:
+                self._transport.connect(host, member.address)
+
     def _make_header(self, receiver: str) -> BatchHeader:
         disk = self._disk
         return BatchHeader(
--- a/src/jasminewharf/services/loggroup.py
+++ b/src/jasminewharf/services/loggroup.py
@@ -79,6 +79,8 @@
         self._at_index: dict[int, tuple[int, int]] = {}
         self._confirmed_reads: list[tuple[int, int]] = []
         self._known_leader = ""
+        self._known_members: tuple[MemberRecord, ...] = ()
+        self._changes: set[int] = set()
 
     # Requests of other services.
 
@@ -138,9 +140,26 @@
         if not self.consensus.is_leader:
             raise NotLeader(self.group, self.consensus.leader)
         token, future = self._proposals.add()
+        self._changes.add(token)
         self.submit(records.ChangeMembers(token, member, identity))
+        self._changes.discard(token)
         return future
 
+    def hand_over(self) -> bool:
+        """Hand leadership to another member; return whether there is one."""
+        successor = ""
+        if self.consensus.is_leader:
+            successor = self.consensus.choose_successor(self._loop.time())
+        if successor:
+            self.submit(records.Transfer(successor))
+        return bool(successor)
+
+    def take_member_change(self) -> bool:
+        """Return whether the configuration changed since the last call."""
+        changed = self.consensus.members != self._known_members
+        self._known_members = self.consensus.members
+        return changed
+
     def _schedule_flush(self) -> None:
         # Everything that is asked for in one turn of the event loop is one step.
         if not self._flush_scheduled:
@@ -206,7 +225,7 @@
             else:
                 self._at_index[index] = (term, token)
         for token in effects.refused:
-            self._proposals.fail(token, self._refusal())
+            self._proposals.fail(token, self._refusal(token))
         for token, index in effects.reads:
             if index < 0:
                 self._reads.fail(token, NotLeader(self.group, self.consensus.leader))
@@ -214,10 +233,13 @@
                 heapq.heappush(self._confirmed_reads, (index, token))
         self._finish_reads()
 
-    def _refusal(self) -> Exception:
-        if self.consensus.is_leader:
+    def _refusal(self, token: int) -> Exception:
+        if not self.consensus.is_leader:
+            return NotLeader(self.group, self.consensus.leader)
+        if token in self._changes:
             return MemberChangeRefused(f"{self.group}: a change is in progress")
-        return NotLeader(self.group, self.consensus.leader)
+        # Leadership is being handed over.
+        return NotLeader(self.group, "")
 
     def _finish_reads(self) -> None:
         reads = self._confirmed_reads
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -83,8 +83,9 @@
         self.services = {}
         self.machines = {}
 
-    async def start(self, name, files=None, **options):
-        peers = {n: a for n, a in self.addresses.items() if n != name}
+    async def start(self, name, files=None, peers=None, **options):
+        if peers is None:
+            peers = {n: a for n, a in self.addresses.items() if n != name}
         settings = LogSettings(
             name,
             str(self.folder / name),
@@ -254,6 +255,26 @@
         await cluster.propose(b"second")
 
 
+@in_event_loop
+async def test_added_host_is_found_after_a_restart_without_settings(tmp_path):
+    cluster = Cluster(tmp_path, 2)
+    addresses = cluster.addresses
+    await cluster.start("c0", peers={})
+    await cluster.propose(b"x")
+    # The new host does not know the others either and answers whoever asks.
+    await cluster.start("c1", peers={"a-host-that-is-gone": "127.0.0.1:1"})
+    leader = cluster.services["c0"]
+    await leader.add_member("fleet", "c1", addresses["c1"])
+    assert [m.voter for m in leader.members("fleet")] == [True, True]
+    for name in ("c0", "c1"):
+        await cluster.stop(name)
+    await cluster.start("c0", peers={})
+    await cluster.start("c1", peers={})
+    await cluster.propose(b"y")
+    for name in ("c0", "c1"):
+        await cluster.stop(name)
+
+
 @in_event_loop
 async def test_host_without_a_disk_does_not_found_a_second_cluster(tmp_path):
     async with running(tmp_path, 3, MemoryNetwork()) as cluster:
