--- a/src/jasminewharf/decisions/consensus.py
+++ b/src/jasminewharf/decisions/consensus.py
@@ -150,6 +150,10 @@
         """Return the held entries from ``first`` to ``last``."""
         return self._state.log.between(first, last)
 
+    def choose_successor(self, now: float) -> str:
+        """Return the member that a leader should hand over to, or an empty string."""
+        return elections.choose_successor(self._state, now)
+
     def is_transferring(self, now: float) -> bool:
         """Return whether a snapshot is being sent or installed."""
         return snapshots.is_transferring(self._state, now)
@@ -158,6 +162,7 @@
 @_handles(records.Tick)
 def _tick(state: GroupState, event: records.Tick, now: float) -> None:
     if state.role != LEADER:
+        reads.expire_reads(state, now)
         if now >= state.election_deadline and not state.installing:
             elections.begin_trial(state, now)
         return
--- a/src/jasminewharf/decisions/elections.py
+++ b/src/jasminewharf/decisions/elections.py
@@ -8,6 +8,7 @@
     "answer_vote",
     "begin_trial",
     "check_quorum",
+    "choose_successor",
     "count_vote",
     "finish_transfer",
     "start_transfer",
@@ -18,7 +19,7 @@
 def begin_trial(state: GroupState, now: float) -> None:
     """Ask whether an election would succeed, without raising the term."""
     state.reset_election_timer(now)
-    if not state.is_voter():
+    if not state.may_campaign():
         return
     state.role = TRIAL
     state.leader = ""
@@ -118,6 +119,19 @@
         state.transfer_target = ""
 
 
+def choose_successor(state: GroupState, now: float) -> str:
+    """Return the answering voter with the most entries, or an empty string."""
+    oldest = now - state.timing.election_s
+    best, best_match = "", -1
+    for voter in state.voters():
+        progress = state.progress.get(voter)
+        if progress is None or progress.probing or progress.heard < oldest:
+            continue
+        if progress.match > best_match:
+            best, best_match = voter, progress.match
+    return best
+
+
 def start_transfer(state: GroupState, target: str, now: float) -> None:
     """Stop taking proposals and hand over once ``target`` holds every entry."""
     if state.role != LEADER or target == state.identity:
@@ -138,6 +152,6 @@
 
 def take_over(state: GroupState, sender: str, request: TimeoutNow, now: float) -> None:
     """Start an election because the leader asked for it."""
-    ready = state.role == FOLLOWER and state.is_voter() and not state.installing
+    ready = state.role == FOLLOWER and state.may_campaign() and not state.installing
     if request.term == state.term and ready:
         _begin_election(state, now, transfer=True)
--- a/src/jasminewharf/services/peers.py
+++ b/src/jasminewharf/services/peers.py
@@ -133,7 +133,7 @@
     def __init__(self, address: str, curve: CurveSettings | None = None) -> None:
         self._address = address
         self._curve = curve
-        self._context = zmq.Context()
+        self._context: zmq.Context | None = None
         self._receiver: zmq.asyncio.Socket | None = None
         self._security: LinkSecurity | None = None
         self._watcher: asyncio.Task[None] | None = None
@@ -145,6 +145,7 @@
     async def start(self, on_batch: OnBatch) -> None:
         """Begin to receive; :meth:`receive` must run as a task."""
         self._on_batch = on_batch
+        self._context = zmq.Context()
         shared = zmq.asyncio.Context(self._context)
         if self._curve is not None:
             self._start_security(self._curve)
@@ -231,7 +232,8 @@
             self._watcher.cancel()
         if self._security is not None:
             self._security.stop()
-        self._context.term()
+        if self._context is not None:
+            self._context.term()
 
     def connect(self, host: str, address: str) -> None:
         """Set where ``host`` listens."""
