--- a/src/jasminewharf/bench/entries.py
+++ b/src/jasminewharf/bench/entries.py
@@ -42,6 +42,12 @@
         self.in_flight = 0
         self.last_call = 0.0
 
+    def is_active(self, now: float) -> bool:
+        """Return whether the entry reports the model."""
+        if self.waiting or self.in_flight or self.refused:
+            return True
+        return now - self.last_call < _DEMAND_KEPT_S
+
 
 class Entry:
     """One entry.
@@ -229,7 +235,7 @@
         demands = [
             self._describe(key, known)
             for key, known in self._known.items()
-            if self.clock.now - known.last_call < _DEMAND_KEPT_S
+            if known.is_active(self.clock.now)
         ]
         if not demands and self._sent_empty:
             return
--- a/src/jasminewharf/bench/scenario.py
+++ b/src/jasminewharf/bench/scenario.py
@@ -75,11 +75,15 @@
 
 
 class Burst(NamedTuple):
-    """Requests for one idle model at every entry at once."""
+    """Requests for one idle model at every entry at once.
+
+    ``kind`` names the kind of all its requests; without it they are mixed.
+    """
 
     at_s: float
     requests: int
     over_s: float
+    kind: str = ""
 
 
 class Surge(NamedTuple):
@@ -96,6 +100,7 @@
 
     ``requests_per_s`` is the mean at the peak. Calls of a model come in sessions of
     ``session_calls`` on average, ``call_gap_s`` apart. ``shape`` is flat or peak.
+    Hosts begin with some checkpoints on disk unless ``cached`` is false.
     """
 
     duration_s: float
@@ -105,6 +110,7 @@
     kinds: list[str]
     shape: str = "flat"
     bursts: list[Burst] = []
+    cached: bool = True
     surge: Surge | None = None
 
 
--- a/src/jasminewharf/bench/simulation.py
+++ b/src/jasminewharf/bench/simulation.py
@@ -81,7 +81,7 @@
         )
         self._hosts: dict[str, Host] = {}
         for _ in range(scenario.pool.hosts):
-            self._add_host(seeded=True)
+            self._add_host(seeded=case.cached)
         self._slots = AdapterSlots()
         routing = Random(f"{seed} routing")
         self._entries = [
--- a/src/jasminewharf/bench/traffic.py
+++ b/src/jasminewharf/bench/traffic.py
@@ -12,7 +12,6 @@
 _MB_PER_GB = 1024
 # Calls around a burst that would make its model not cold.
 _QUIET_S = 180.0
-_BURST_ZIPF = 1.0
 
 
 class Call(NamedTuple):
@@ -30,6 +29,10 @@
     within_rate: bool
 
 
+# Time, model and the kind of request or an empty string.
+_Drawn = tuple[float, int, str]
+
+
 def create_models(scenario: Scenario, random: Random) -> list[ModelSpec]:
     """Return the models of a scenario with sizes drawn from its bounds."""
     given = scenario.models
@@ -53,14 +56,14 @@
 def draw_calls(scenario: Scenario, case: Case, random: Random) -> list[Call]:
     """Return the calls of a case in order of time."""
     kinds = [kind for kind in scenario.kinds if kind.name in case.kinds]
-    drawn: list[tuple[float, int]] = []
+    drawn: list[_Drawn] = []
     for model in range(scenario.models.count):
         drawn += _draw_model(scenario, case, model, random)
     drawn.sort()
     for burst in case.bursts:
         drawn += _draw_burst(scenario, drawn, burst, random)
     drawn.sort()
-    calls = [_complete(scenario, kinds, at, model, random) for at, model in drawn]
+    calls = [_complete(scenario, kinds, found, random) for found in drawn]
     if case.surge is not None:
         calls = _add_surge(case, calls, random)
     return _mark_rates(scenario, calls)
@@ -74,7 +77,7 @@
 
 def _draw_model(
     scenario: Scenario, case: Case, model: int, random: Random
-) -> list[tuple[float, int]]:
+) -> list[_Drawn]:
     """Draw one model's sessions; every second model is called periodically."""
     ranks = range(1, scenario.models.count + 1)
     share = (1 / (model + 1)) / sum(1 / rank for rank in ranks)
@@ -91,27 +94,25 @@
     return found
 
 
-def _draw_session(
-    case: Case, model: int, at: float, random: Random
-) -> list[tuple[float, int]]:
+def _draw_session(case: Case, model: int, at: float, random: Random) -> list[_Drawn]:
     calls = max(1, round(random.expovariate(1 / case.session_calls)))
     found = []
     for _ in range(calls):
         if at < case.duration_s:
-            found.append((at, model))
+            found.append((at, model, ""))
         at += random.expovariate(1 / case.call_gap_s)
     return found
 
 
 def _draw_burst(
-    scenario: Scenario, drawn: list[tuple[float, int]], burst: Burst, random: Random
-) -> list[tuple[float, int]]:
+    scenario: Scenario, drawn: list[_Drawn], burst: Burst, random: Random
+) -> list[_Drawn]:
     """Draw a burst on a model that nobody calls around that time."""
-    near = {model for at, model in drawn if abs(at - burst.at_s) < _QUIET_S}
+    near = {model for at, model, _ in drawn if abs(at - burst.at_s) < _QUIET_S}
     quiet = [m for m in range(scenario.models.count) if m not in near]
     model = random.choice(quiet or [scenario.models.count - 1])
     return [
-        (burst.at_s + random.uniform(0, burst.over_s), model)
+        (burst.at_s + random.uniform(0, burst.over_s), model, burst.kind)
         for _ in range(burst.requests)
     ]
 
@@ -119,13 +120,14 @@
 def _complete(
     scenario: Scenario,
     kinds: list[RequestKind],
-    at: float,
-    model: int,
+    found: _Drawn,
     random: Random,
 ) -> Call:
+    at, model, name = found
     workspaces = scenario.workspaces
     workspace = random.choices(workspaces, [w.share for w in workspaces])[0]
-    kind = random.choices(kinds, [k.share for k in kinds])[0]
+    named = [kind for kind in scenario.kinds if kind.name == name] or kinds
+    kind = random.choices(named, [k.share for k in named])[0]
     per_model = scenario.models.adapters // scenario.models.count
     adapter = ""
     if per_model and random.random() < 0.5:
