--- a/src/jasminewharf/bench/routes.py
+++ b/src/jasminewharf/bench/routes.py
@@ -5,12 +5,14 @@
 from typing import NamedTuple
 
 from ..decisions.admission import Admission, AdmissionLimits
+from ..decisions.health import OutlierDetector
 from ..decisions.prefixes import CacheEvent, PrefixHints
 from ..decisions.queueing import INTERACTIVE, QUEUES, QueueLimits
+from ..decisions.retries import NOT_BEGUN, Attempt, RetryBudget, may_retry
 from ..decisions.routing import ROUTERS, Candidate
 from .simulation import Arrival, CallResult, SimulatedBackend, Timeline
 
-__all__ = ["FLEETS", "Fleet", "compare_routers", "run_router"]
+__all__ = ["FLEETS", "POLICIES", "Fleet", "Policy", "compare_routers", "run_router"]
 
 _REPORT_EVERY_S = 1.0
 _REPORT_LAG_S = 0.5
@@ -18,7 +20,7 @@
 _EVENT_LOSS = 0.1
 _BLOCKS = 16
 _BLOCK_TOKENS = 64
-_ZONE_DELAY_S = 0.001
+_FAILURE_S = 0.02
 
 
 class Fleet(NamedTuple):
@@ -26,7 +28,7 @@
 
     ``prefixes`` is the number of prompts that calls share; ``cache_blocks`` is
     the size of each server's prefix cache. ``slow_backend`` is a factor on the
-    times of the first server.
+    times of the first server, which refuses all calls in ``failing_between``.
     """
 
     entries: int
@@ -38,6 +40,27 @@
     seconds: float = 300.0
     slots: int = 16
     slow_backend: float = 1.0
+    failing_between: tuple[float, float] = (0.0, 0.0)
+
+
+class Policy(NamedTuple):
+    """A router and what stands beside it."""
+
+    router: str
+    affinity: bool = False
+    ejection: bool = True
+    retries: bool = True
+
+
+POLICIES: dict[str, Policy] = {
+    "two_choices": Policy("two_choices", True),
+    "without affinity": Policy("two_choices"),
+    "least_loaded": Policy("least_loaded"),
+    "random": Policy("random"),
+    "without ejection": Policy("two_choices", True, ejection=False),
+    "without retries": Policy("two_choices", True, retries=False),
+    "without both": Policy("two_choices", True, False, False),
+}
 
 
 FLEETS: dict[str, Fleet] = {
@@ -45,6 +68,7 @@
     "qurum night": Fleet(3, 6, 3, 0.3),
     "many entries": Fleet(24, 12, 3, 0.85, seconds=120.0),
     "one slow server": Fleet(4, 5, 4, 0.6, slow_backend=2.5),
+    "one failing server": Fleet(4, 5, 4, 0.5, failing_between=(60.0, 180.0)),
 }
 
 
@@ -73,13 +97,17 @@
         self.own = dict.fromkeys(backends, 0)
         self.reports: dict[str, tuple[int, int, float]] = {}
         self.hints = PrefixHints()
+        self.health = OutlierDetector()
+        self.budget = RetryBudget()
 
 
 class _Run:
-    def __init__(self, fleet: Fleet, policy: str, affinity: bool, seed: int) -> None:
+    def __init__(self, fleet: Fleet, policy: Policy, seed: int) -> None:
         self.fleet = fleet
-        self.choose = ROUTERS[policy]
-        self.affinity = affinity
+        self.policy = policy
+        self.choose = ROUTERS[policy.router]
+        self.failed = 0
+        self.retries = 0
         self.source = random.Random(seed + 2)
         self.timeline = Timeline()
         self.results: list[CallResult] = []
@@ -109,11 +137,28 @@
 
     def arrive(self, arrival: Arrival) -> None:
         entry = self.entries[arrival.number % len(self.entries)]
+        entry.budget.deposit()
+        self._try(entry, arrival, 1, frozenset())
+
+    def _try(
+        self, entry: _Entry, arrival: Arrival, number: int, tried: frozenset[str]
+    ) -> None:
+        now = self.timeline.now
         hashes = [arrival.prefix * _BLOCKS + index for index in range(_BLOCKS)]
-        candidates = [self._describe(entry, name, hashes) for name in self.names]
+        usable = [name for name in self.names if name not in tried]
+        if self.policy.ejection:
+            usable = entry.health.usable(usable, now)
+        candidates = [self._describe(entry, name, hashes) for name in usable]
         chosen = self.choose(candidates, entry.zone, self.source).backend
         entry.own[chosen] += 1
-        entry.hints.note_route(chosen, hashes, self.timeline.now)
+        start, end = self.fleet.failing_between
+        if chosen == self.names[0] and start <= now < end:
+            self.timeline.at(
+                now + _FAILURE_S,
+                lambda: self._fail(entry, arrival, number, tried | {chosen}),
+            )
+            return
+        entry.hints.note_route(chosen, hashes, now)
         self.entry_of[arrival.number] = (entry, chosen)
         cached, events = self.caches[chosen].use(hashes)
         self.cached.append(cached)
@@ -121,10 +166,25 @@
         self._publish_events(chosen, events)
         self.backends[chosen].arrive(arrival, cached)
 
+    def _fail(
+        self, entry: _Entry, arrival: Arrival, number: int, tried: frozenset[str]
+    ) -> None:
+        failing = self.names[0]
+        entry.own[failing] -= 1
+        entry.health.record(failing, False, self.timeline.now)
+        attempt = Attempt(NOT_BEGUN, False, 0, number, arrival.deadline_s)
+        if self.policy.retries and may_retry(attempt, entry.budget):
+            self.retries += 1
+            self._try(entry, arrival, number + 1, tried)
+        else:
+            self.failed += 1
+
     def _describe(self, entry: _Entry, name: str, hashes: list[int]) -> Candidate:
         now = self.timeline.now
         reported, own_then, at = entry.reports.get(name, (0, 0, float("-inf")))
-        share = entry.hints.cached_share(name, hashes, now) if self.affinity else 0.0
+        share = (
+            entry.hints.cached_share(name, hashes, now) if self.policy.affinity else 0.0
+        )
         return Candidate(
             name,
             self.zones[name],
@@ -164,6 +224,7 @@
     def _finish(self, result: CallResult) -> None:
         entry, name = self.entry_of.pop(result.arrival.number)
         entry.own[name] -= 1
+        entry.health.record(name, True, self.timeline.now)
         # Every answer carries the load that its agent counts.
         load = self.backends[name].load
         entry.reports[name] = (load, entry.own[name], self.timeline.now)
@@ -198,11 +259,9 @@
     return arrivals
 
 
-def run_router(
-    fleet: Fleet, policy: str, affinity: bool, seed: int
-) -> dict[str, float]:
+def run_router(fleet: Fleet, policy: Policy, seed: int) -> dict[str, float]:
     """Run one fleet with one policy; return its figures."""
-    run = _Run(fleet, policy, affinity, seed)
+    run = _Run(fleet, policy, seed)
     run.timeline.at(0.0, run.publish_reports)
     for arrival in _draw_calls(fleet, seed):
         run.timeline.at(arrival.at, lambda call=arrival: run.arrive(call))
@@ -211,7 +270,9 @@
     waits = sorted(item.wait_s for item in run.results)
     count = len(firsts)
     return {
-        "calls": count,
+        "calls": count + run.failed,
+        "failed_share": run.failed / (count + run.failed),
+        "retry_share": run.retries / (count + run.failed),
         "first_token_mean_s": sum(firsts) / count,
         "first_token_p50_s": firsts[count // 2],
         "first_token_p95_s": firsts[int(count * 0.95)],
@@ -223,13 +284,16 @@
 
 
 def compare_routers(seed: int) -> dict[str, dict[str, dict[str, float]]]:
-    """Run every fleet with each policy on the same arrivals."""
-    return {
-        name: {
-            "two_choices": run_router(fleet, "two_choices", True, seed),
-            "without affinity": run_router(fleet, "two_choices", False, seed),
-            "least_loaded": run_router(fleet, "least_loaded", False, seed),
-            "random": run_router(fleet, "random", False, seed),
+    """Run every fleet with each policy on the same arrivals.
+
+    Ejection and retries are switched off only where a server fails.
+    """
+    figures: dict[str, dict[str, dict[str, float]]] = {}
+    for name, fleet in FLEETS.items():
+        failing = fleet.failing_between[1] > 0
+        figures[name] = {
+            label: run_router(fleet, policy, seed)
+            for label, policy in POLICIES.items()
+            if failing or (policy.ejection and policy.retries)
         }
-        for name, fleet in FLEETS.items()
-    }
+    return figures
--- a/tests/test_queue_bench.py
+++ b/tests/test_queue_bench.py
@@ -4,7 +4,7 @@
 
 from jasminewharf.bench.bursts import BURSTS, measure_coalescing, run_burst
 from jasminewharf.bench.queues import compute_entitlement, run_queue, summarise
-from jasminewharf.bench.routes import FLEETS, run_router
+from jasminewharf.bench.routes import FLEETS, POLICIES, run_router
 from jasminewharf.bench.workloads import SCENARIOS
 
 SHORT = {name: item._replace(seconds=200.0) for name, item in SCENARIOS.items()}
@@ -51,12 +51,20 @@
 
 def test_choice_of_two_with_affinity_beats_random_routing():
     fleet = FLEETS["many entries"]._replace(seconds=20.0)
-    chosen = run_router(fleet, "two_choices", True, 1)
-    drawn = run_router(fleet, "random", False, 1)
+    chosen = run_router(fleet, POLICIES["two_choices"], 1)
+    drawn = run_router(fleet, POLICIES["random"], 1)
     assert chosen["first_token_p99_s"] < drawn["first_token_p99_s"]
     assert chosen["cached_share"] > drawn["cached_share"]
 
 
+def test_ejection_and_retries_hide_a_failing_server():
+    fleet = FLEETS["one failing server"]
+    fleet = fleet._replace(seconds=60.0, failing_between=(20.0, 50.0))
+    with_both = run_router(fleet, POLICIES["two_choices"], 1)
+    without = run_router(fleet, POLICIES["without both"], 1)
+    assert with_both["failed_share"] < 0.01 < without["failed_share"]
+
+
 @pytest.mark.parametrize("interval_ms", [12, 20, 30])
 def test_coalescing_keeps_the_time_between_tokens(interval_ms):
     figures = measure_coalescing(1, 2, interval_ms / 1000)
