--- a/src/jasminewharf/bench/queues.py
+++ b/src/jasminewharf/bench/queues.py
@@ -95,10 +95,12 @@
     late = [item for item in regular if item.outcome == "late"]
     interactive = [item for item in done if item.arrival.priority != BATCH]
     batch = [item for item in done if item.arrival.priority == BATCH]
+    batch_calls = sum(1 for item in regular if item.arrival.priority == BATCH)
     wrong = sum(1 for item in explored if item.outcome == "done")
     return {
         "calls": len(results),
         "done_share": len(done) / len(results),
+        "batch_done_share": len(batch) / max(1, batch_calls),
         "refused_share": (len(refused) + len(explored)) / len(results),
         "full_share": len(full) / len(results),
         "shed_share": len(shed) / len(results),
--- a/src/jasminewharf/bench/workloads.py
+++ b/src/jasminewharf/bench/workloads.py
@@ -42,6 +42,7 @@
 
 _SHORT = {"cost": (40, 200), "deadline_s": 8.0}
 _MEDIUM = {"cost": (100, 500), "deadline_s": 20.0}
+_DRAFT = {"cost": (400, 800), "deadline_s": 300.0, "priority": BATCH}
 _PLAN = {"cost": (1500, 4000), "deadline_s": 300.0, "priority": BATCH}
 
 SCENARIOS: dict[str, Scenario] = {
@@ -68,6 +69,20 @@
     ),
     # More plans than can be served, and nothing else.
     "plans_only": Scenario(_spread("abc", 0.2, **_PLAN), {}),
+    # A workspace that sends batch calls only, beside too many interactive calls.
+    "batch_in_overload": Scenario(
+        (Stream("a", 0.35, **_DRAFT), *_spread("bcde", 1.1, **_MEDIUM)), {}
+    ),
+    # A workspace whose own interactive calls would use all of its share.
+    "own_batch": Scenario(
+        (
+            Stream("a", 0.35, **_DRAFT),
+            Stream("a", 2.0, **_MEDIUM),
+            Stream("b", 1.5, **_MEDIUM),
+            Stream("c", 0.5, **_MEDIUM),
+        ),
+        {},
+    ),
     # Workspace a asks for far larger answers than it gets; capacity is exceeded.
     "overstated": Scenario(
         (
--- a/src/jasminewharf/decisions/boundedqueue.py
+++ b/src/jasminewharf/decisions/boundedqueue.py
@@ -45,7 +45,6 @@
     tokens: int = defaults.QUEUE_LIMIT_TOKENS
     ageing_s: float = defaults.QUEUE_AGEING_S
     aged_batch_share: float = defaults.QUEUE_AGED_BATCH_SHARE
-    credit_tokens: int = defaults.QUEUE_CREDIT_TOKENS
 
 
 DEFAULT_LIMITS = QueueLimits()
--- a/src/jasminewharf/decisions/queueing.py
+++ b/src/jasminewharf/decisions/queueing.py
@@ -97,9 +97,8 @@
 
     Workspaces with an interactive call, or a batch call that waited for
     ``ageing_s``, go before workspaces with younger batch calls only. A workspace
-    kept waiting by that rule may catch up on ``credit_tokens`` at most; without
-    this bound a long batch backlog would block interactive calls for as long as
-    it had waited itself.
+    kept waiting by that rule does not catch up: a long batch backlog would block
+    interactive calls for as long as it had waited itself.
     """
 
     def __init__(
@@ -142,7 +141,6 @@
         self._virtual = max(self._virtual, start)
         flow = self._flows[workspace]
         call = self._choose_in_flow(flow, now, allow_batch)
-        # The tag counts from the true start, so that credit is used up by service.
         flow.start = start + call.cost_tokens / flow.weight
         self.cancel(call.request_id)
         self._release_resting()
@@ -263,8 +261,7 @@
             self._patient.set(workspace, flow.start)
 
     def _make_urgent(self, heap: KeyedHeap[str], workspace: str, flow: _Flow) -> None:
-        credit = self._limits.credit_tokens / flow.weight
-        flow.start = max(flow.start, self._virtual - credit)
+        flow.start = max(flow.start, self._virtual)
         heap.set(workspace, flow.start)
 
     def _promote_aged(self, now: float) -> None:
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -34,8 +34,6 @@
 # Tokens of aged batch calls served per token of interactive calls of the same
 # workspace.
 QUEUE_AGED_BATCH_SHARE = 0.25
-# Unused share that a workspace may catch up on after its batch calls waited.
-QUEUE_CREDIT_TOKENS = 2_000
 
 ADMISSION_SLOTS = 16
 # Largest share of the slots that batch calls leave to interactive ones, and the
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -120,7 +120,7 @@
     assert queue.pop(60.0).request_id == "r-1"
 
 
-def test_long_batch_backlog_delays_interactive_calls_by_its_credit_only():
+def test_long_batch_backlog_that_aged_delays_an_interactive_call_by_two_calls():
     """A backlog that aged all at once must not claim all the time it waited."""
     queue = FairQueue({})
     for number in range(200):
@@ -132,7 +132,7 @@
     before = 0
     while (call := queue.pop(60.0)).request_id != "r-2000":
         before += call.cost_tokens
-    assert before <= QueueLimits().credit_tokens + 2 * MAX_COST
+    assert before <= 2 * MAX_COST
 
 
 @pytest.mark.parametrize("kind", sorted(QUEUES))
