Let a stalled stand-in engine stop calls that already run

A process stopped in the middle makes no progress at all; before, only new requests hung. Repeated runs are counted, and the scope of prefix hashes has one function for entries and engines.

--- a/src/jasminewharf/decisions/prefixes.py
+++ b/src/jasminewharf/decisions/prefixes.py
@@ -12,7 +12,7 @@
 
 from .. import defaults
 
-__all__ = ["CacheEvent", "PrefixHints", "hash_prefixes"]
+__all__ = ["CacheEvent", "PrefixHints", "hash_prefixes", "prefix_scope"]
 
 
 class CacheEvent(NamedTuple):
@@ -27,6 +27,11 @@
     block: int
 
 
+def prefix_scope(model: str, adapter: str) -> str:
+    """Return the scope of a prefix cache; engines keep one per model and adapter."""
+    return f"{model}/{adapter}"
+
+
 def hash_prefixes(
     scope: str,
     prompt: bytes,
@@ -36,8 +41,7 @@
     """Return the hashes of a prompt's prefixes, one per whole block.
 
     Args:
-        scope: Workspace, model and adapter; prefixes of different scopes differ,
-            so that a hint reveals nothing about other workspaces' prompts.
+        scope: What the cache is kept for, from :func:`prefix_scope`.
         prompt: The prompt's bytes.
         block_bytes: Length of a block.
         blocks: Largest number of blocks that are hashed.
--- a/src/jasminewharf/fakes/batching.py
+++ b/src/jasminewharf/fakes/batching.py
@@ -13,6 +13,7 @@
 __all__ = ["Batch", "BatchConfig", "Job", "PrefixCache", "expected_tokens"]
 
 _WORDS = 4096
+_STALL_POLL_S = 0.01
 
 
 def expected_tokens(
@@ -195,11 +196,17 @@
         generated: Tokens generated since the start.
     """
 
-    def __init__(self, config: BatchConfig, slow: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        config: BatchConfig,
+        slow: Callable[[], float],
+        is_stalled: Callable[[], bool],
+    ) -> None:
         self.config = config
         self.running: list[Job] = []
         self.generated = 0
         self._slow = slow
+        self._is_stalled = is_stalled
         self._heap: list[tuple[int, int, Job]] = []
         self._counter = 0
         self._task: asyncio.Task[None] | None = None
@@ -239,6 +246,8 @@
 
     async def _run(self) -> None:
         while self.running or self._heap:
+            while self._is_stalled():
+                await asyncio.sleep(_STALL_POLL_S)
             entered = self._admit()
             await asyncio.sleep(self._measure_step(entered) * self._slow())
             self.running = [job for job in self.running if not job.done]
--- a/src/jasminewharf/fakes/engine.py
+++ b/src/jasminewharf/fakes/engine.py
@@ -12,7 +12,7 @@
 
 import h11
 
-from ..decisions.prefixes import hash_prefixes
+from ..decisions.prefixes import hash_prefixes, prefix_scope
 from ..dialects.openai import read_prompt
 from .batching import Batch, BatchConfig, Job, PrefixCache, expected_tokens
 from .client import fetch
@@ -90,7 +90,9 @@
             self.config.event_lag_s,
             lambda: source.random() < self.config.event_loss,
         )
-        self.batch = Batch(self.config.batch, lambda: self.faults.slow)
+        self.batch = Batch(
+            self.config.batch, lambda: self.faults.slow, lambda: self.faults.stall
+        )
         self._load_history: deque[tuple[float, dict[str, Any]]] = deque(maxlen=1000)
         self._sampler: asyncio.Task[None] | None = None
         self._graces: set[asyncio.Task[None]] = set()
@@ -108,6 +110,10 @@
         self.route("GET", "/feeds/cache", self._serve_cache_events)
         self.route("GET", "/fake/runs", self._serve_runs)
 
+    def count_repeated(self) -> dict[str, int]:
+        """Return the request ids that ran more than once, with their counts."""
+        return {name: count for name, count in self.runs.items() if count > 1}
+
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen and begin to record the load."""
         await super().start(host, port)
@@ -154,7 +160,7 @@
         name, adapter = self._find_target(request, str(body.get("model", "")))
         prompt = read_prompt(body)
         max_tokens = int(body.get("max_tokens") or _DEFAULT_MAX_TOKENS)
-        hashes = hash_prefixes(f"{name}/{adapter}", prompt)
+        hashes = hash_prefixes(prefix_scope(name, adapter), prompt)
         cached = self.cache.use(hashes)
         prompt_tokens = max(1, len(prompt) // _BYTES_PER_TOKEN)
         cached_tokens = prompt_tokens * cached // max(1, len(hashes))
@@ -330,6 +336,7 @@
             200,
             {
                 "runs": self.runs,
+                "repeated": self.count_repeated(),
                 "overcommits": self.models.overcommits,
                 "fence_refusals": self.models.fence_refusals,
                 "load_counts": self.models.load_counts,
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -113,6 +113,30 @@
     with_engine(work)
 
 
+def test_stalled_engine_makes_no_progress_until_the_stall_ends():
+    async def work(engine):
+        running = asyncio.create_task(complete(engine, "r-1", max_tokens=8))
+        while not engine.batch.running:
+            await asyncio.sleep(0.001)
+        engine.faults.stall = True
+        queued = asyncio.create_task(complete(engine, "r-2"))
+        await asyncio.sleep(0.1)
+        assert not running.done() and engine.runs["r-2"] == 0
+        engine.faults.stall = False
+        assert [(await task)[0] for task in (running, queued)] == [200, 200]
+
+    with_engine(work)
+
+
+def test_repeated_calls_are_found():
+    async def work(engine):
+        for request_id in ("r-1", "r-2", "r-2"):
+            await complete(engine, request_id)
+        assert engine.count_repeated() == {"r-2": 2}
+
+    with_engine(work)
+
+
 def test_cancelled_call_frees_its_slot():
     async def work(engine):
         long = [
