--- a/src/jasminewharf/decisions/admission.py
+++ b/src/jasminewharf/decisions/admission.py
@@ -60,6 +60,7 @@
     model: str
     started_at: float
     expected_tokens: int
+    expected_s: float
 
 
 class _Waiting(NamedTuple):
@@ -108,11 +109,10 @@
         """
         raw_wait = self._raw_wait(call, now)
         expected = self._usage.expected(call.workspace, model, call.cost_tokens)
+        estimate = self._estimate(call, model, raw_wait, expected)
         if call.priority != BATCH:
-            service_s = self._service_s(model, call.priority, expected)
-            self._interactive_load.add(service_s, now)
-        estimate = self.check(call, model, now)
-        latest = _find_latest_start(call, estimate)
+            self._interactive_load.add(estimate.service_s, now)
+        latest = _check_deadline(call, estimate, now)
         start_by = latest if latest > now else call.deadline
         self.queue.push(call._replace(cost_tokens=expected, deadline=start_by))
         self._waiting[call.request_id] = _Waiting(
@@ -126,25 +126,23 @@
         Raises:
             Overloaded: If it would be refused.
         """
-        if call.deadline <= now:
-            raise Overloaded("the deadline has passed")
         estimate = self.estimate(call, model, now)
-        late_s = now + estimate.wait_s - _find_latest_start(call, estimate)
-        # A call that need not wait is tried even if its service may be too long.
-        if late_s > 0 and estimate.wait_s > 0:
-            raise Overloaded(
-                "the call cannot be served before its deadline",
-                retry_after_ms=to_retry_ms(estimate.wait_s),
-            )
+        _check_deadline(call, estimate, now)
         return estimate
 
     def estimate(self, call: QueuedCall, model: str, now: float) -> Estimate:
         """Return the expected wait and service time of a call."""
-        wait_s = self._raw_wait(call, now) * self._correction.factor(
-            call.workspace, call.priority
-        )
         expected = self._usage.expected(call.workspace, model, call.cost_tokens)
-        return Estimate(wait_s, self._service_s(model, call.priority, expected))
+        return self._estimate(call, model, self._raw_wait(call, now), expected)
+
+    def _estimate(
+        self, call: QueuedCall, model: str, raw_wait: float, expected: int
+    ) -> Estimate:
+        factor = 1.0
+        if raw_wait > 0:
+            factor = self._correction.factor(call.workspace, call.priority)
+        service_s = self._service_s(model, call.priority, expected)
+        return Estimate(raw_wait * factor, service_s)
 
     def take(self, now: float) -> QueuedCall | None:
         """Return the next call to run, or None if there is no slot or no call."""
@@ -157,8 +155,10 @@
         waiting = self._waiting.pop(queued.request_id)
         call = waiting.call
         self._observe_wait(waiting, now)
+        tokens = waiting.expected_tokens
+        service_s = self._service_s(waiting.model, call.priority, tokens)
         self._running[call.request_id] = _Running(
-            call, waiting.model, now, waiting.expected_tokens
+            call, waiting.model, now, tokens, service_s
         )
         self._running_tokens += call.cost_tokens
         self._running_batch += call.priority == BATCH
@@ -259,24 +259,18 @@
 
     def _raw_wait(self, call: QueuedCall, now: float) -> float:
         """Return the uncorrected wait: work ahead of the call over the slots."""
+        if not len(self.queue) and self._has_slot() and call.priority != BATCH:
+            return 0.0
         ahead = self.queue.tokens_ahead(call.workspace, call.priority)
         running = list(self._running.values())
         slots = self.limits.slots if self._has_slot() else len(running)
         if call.priority == BATCH and self._running_batch >= self._batch_slots(now):
             running = [item for item in running if item.call.priority == BATCH]
             slots = len(running)
-        remaining = [self._remaining_s(item, now) for item in running]
+        remaining = [_find_remaining(item, now) for item in running]
         free = [0.0] * max(0, slots - len(remaining))
         return fill_slots(sorted(free + remaining), self._any_service.seconds(ahead))
 
-    def _remaining_s(self, item: _Running, now: float) -> float:
-        """Return how long a running call is expected to run on."""
-        call = item.call
-        expected = self._service_s(item.model, call.priority, item.expected_tokens)
-        left = expected - (now - item.started_at)
-        # A call that has taken longer than expected still takes some time.
-        return max(left, expected * defaults.ADMISSION_OVERDUE_SHARE)
-
 
 class ColdLoad(NamedTuple):
     """A model's load in progress, as an entry knows it.
@@ -319,6 +313,28 @@
     )
 
 
-def _find_latest_start(call: QueuedCall, estimate: Estimate) -> float:
-    """Return the time past which the call cannot be served any more."""
-    return call.deadline - defaults.ADMISSION_LEAST_SERVICE * estimate.service_s
+def _find_remaining(item: _Running, now: float) -> float:
+    """Return how long a running call is expected to run on.
+
+    A call that has taken longer than expected still takes some time.
+    """
+    left = item.started_at + item.expected_s - now
+    return max(left, item.expected_s * defaults.ADMISSION_OVERDUE_SHARE)
+
+
+def _check_deadline(call: QueuedCall, estimate: Estimate, now: float) -> float:
+    """Return the time past which the call cannot be served any more.
+
+    Raises:
+        Overloaded: If the call is expected to begin later than that. A call that
+            need not wait is tried even if its service may be too long.
+    """
+    if call.deadline <= now:
+        raise Overloaded("the deadline has passed")
+    latest = call.deadline - defaults.ADMISSION_LEAST_SERVICE * estimate.service_s
+    if estimate.wait_s > 0 and now + estimate.wait_s > latest:
+        raise Overloaded(
+            "the call cannot be served before its deadline",
+            retry_after_ms=to_retry_ms(estimate.wait_s),
+        )
+    return latest
