Recall advance grants, trim refunds of running calls, add the rates bench

Cause: a burst at one entry was refused while another held tokens in advance, and long calls' charges stopped the refill.

--- a/src/jasminewharf/bench/rate_model.py
+++ b/src/jasminewharf/bench/rate_model.py
@@ -14,10 +14,15 @@
 from ..decisions.buckets import RateLimits
 from ..decisions.grants import GrantBook, outlast
 from ..decisions.holders import Ask, Charged, GrantHolder
-from ..defaults import CLOCK_DRIFT_BOUND, GRANT_LEASE_S
+from ..defaults import (
+    CLOCK_DRIFT_BOUND,
+    GRANT_ASK_INTERVAL_S,
+    GRANT_LEASE_S,
+    OWNER_LEASE_S,
+)
 from ..messages.accounts import CheckpointAccounts, TakeAccounts
 from ..messages.codec import decode, encode
-from ..messages.control import GrantAnswer, GrantRequest
+from ..messages.control import GrantRequest
 from .rate_checks import LimitsTimeline, Overshoot, Spending, find_overshoot
 
 __all__ = ["RateModel", "run_schedule"]
@@ -29,6 +34,7 @@
 _MESSAGE_LIMIT = 60
 _SLICE_S = 0.2
 _WORK_STEPS = 30
+_BURST_ROUNDS = 6
 
 
 class _Clock:
@@ -100,9 +106,7 @@
         self._lives = 0
         self._calls = 0
         self.entries = [self._make_entry(f"entry-{n}") for n in range(entries)]
-        self.owners = [
-            _Owner(f"control-{n}", _Clock(self, source)) for n in range(3)
-        ]
+        self.owners = [_Owner(f"control-{n}", _Clock(self, source)) for n in range(3)]
         self._leader = self.owners[0]
         self._term = 1
         self._machine = AccountLog()
@@ -111,6 +115,7 @@
         self._messages: list[tuple[_Owner | int, Any]] = []
         self._limits_changed_at = 0.0
         self._cut: set[int] = set()
+        self._steered_to: _Owner | None = None
 
     def _make_entry(self, name: str) -> _Entry:
         self._lives += 1
@@ -121,9 +126,7 @@
         end = self.time + seconds
         while self.time < end:
             self.time = min(end, self.time + _SLICE_S)
-            for entry in self.entries:
-                for account in entry.holder.accounts():
-                    self._act(entry, entry.holder.poll(account, entry.clock.now()))
+            self._poll()
             if self.random.random() < self.health:
                 self.do_work()
 
@@ -150,20 +153,60 @@
         charge_id = str(self._calls)
         entry.waiting[charge_id] = (account, tokens)
         now = entry.clock.now()
-        actions = entry.holder.charge(account, charge_id, tokens, now + _DEADLINE_S, now)
+        actions = entry.holder.charge(
+            account, charge_id, tokens, now + _DEADLINE_S, now
+        )
         self._act(entry, actions)
         return charge_id
 
     def do_burst(self) -> None:
         """Calls arrive at all entries until the account is spent."""
         account = self.random.choice(self.accounts)
-        entries = self.random.sample(self.entries, len(self.entries))
-        for entry in entries:
-            for _ in range(12):
+        for _ in range(_BURST_ROUNDS):
+            for entry in self.entries:
                 self.charge(entry, account, 50)
-                for _ in range(4):
-                    self.do_deliver_newest()
-                    self.do_commit()
+            for _ in range(4 * len(self.entries)):
+                self.do_deliver_newest()
+                self.do_commit()
+            self.time += 1.1 * GRANT_ASK_INTERVAL_S
+            self._poll()
+
+    def _poll(self) -> None:
+        for entry in self.entries:
+            for account in entry.holder.accounts():
+                self._act(entry, entry.holder.poll(account, entry.clock.now()))
+
+    def do_strand(self) -> None:
+        """An entry is cut off while it holds tokens, and calls arrive later."""
+        self.do_rest()
+        entry = self.random.choice(self.entries)
+        account = self.random.choice(self.accounts)
+        for _ in range(3):
+            self.charge(entry, account, 50)
+            self.do_work()
+        self._cut.add(entry.incarnation)
+        self.do_wait(self.random.uniform(0.2, 1.1 * GRANT_LEASE_S))
+        self.do_burst()
+
+    def do_usurp(self) -> None:
+        """Another control host leads while entries still reach the old one."""
+        self.do_rest()
+        if self.random.random() < 0.5:
+            self.do_burst()
+        self.do_work()
+        old = self._leader
+        self.do_elect()
+        for _ in range(2):
+            self.do_begin_barrier()
+            self.do_end_barrier()
+            self.do_commit()
+        self._steered_to = old
+        self.do_wait(self.random.uniform(0, 1.2 * OWNER_LEASE_S))
+        self.do_burst()
+        self._steered_to = self._leader if self.random.random() < 0.8 else None
+        self.do_wait(self.random.uniform(0, 1.2 * GRANT_LEASE_S))
+        self.do_burst()
+        self._steered_to = None
 
     def do_cut(self) -> None:
         """An entry loses its connection to the control hosts, or gets it back."""
@@ -171,18 +214,29 @@
         self._cut ^= {entry.incarnation}
 
     def do_finish(self) -> None:
-        """A running call ends, having spent part of its charge."""
+        """The running calls of an entry end, each having spent its charge or none."""
         entry = self.random.choice(self.entries)
-        if entry.running:
-            self._finish(entry, self.random.choice(list(entry.running)))
+        share = self.random.choice((0, 1, 1))
+        for charge_id in list(entry.running):
+            self._finish(entry, charge_id, share)
 
-    def _finish(self, entry: _Entry, charge_id: str) -> None:
+    def _finish(self, entry: _Entry, charge_id: str, share: int) -> None:
         account, tokens, began = entry.running.pop(charge_id)
-        spent = self.random.choice((0, tokens, tokens, tokens))
+        spent = tokens * share
         self._spent[account].append(Spending(began, spent))
         now = entry.clock.now()
         self._act(entry, entry.holder.refund(account, charge_id, spent, now))
 
+    def do_rest(self) -> None:
+        """All calls end and the accounts fill up."""
+        self._cut.clear()
+        for entry in self.entries:
+            for charge_id in list(entry.running):
+                self._finish(entry, charge_id, 1)
+        health, self.health = self.health, 1.0
+        self.do_wait(8.0)
+        self.health = health
+
     def _act(self, entry: _Entry, actions: list[Any]) -> None:
         for action in actions:
             if isinstance(action, Ask):
@@ -196,6 +250,8 @@
                 entry.running[action.charge_id] = (account, tokens, self.time)
 
     def _choose_owner(self) -> _Owner:
+        if self._steered_to is not None:
+            return self._steered_to
         if self.random.random() < 0.8:
             return self._leader
         return self.random.choice(self.owners)
@@ -374,7 +430,7 @@
         while self.time < end:
             for entry in self.entries:
                 for charge_id in list(entry.running):
-                    self._finish(entry, charge_id)
+                    self._finish(entry, charge_id, 1)
             self.do_wait(0.5)
 
 
@@ -390,6 +446,9 @@
     RateModel.do_begin_barrier: 0.5,
     RateModel.do_end_barrier: 0.5,
     RateModel.do_cut: 0.4,
+    RateModel.do_rest: 0.2,
+    RateModel.do_strand: 0.2,
+    RateModel.do_usurp: 0.2,
     RateModel.do_crash_entry: 0.05,
     RateModel.do_elect: 0.2,
     RateModel.do_restart_owner: 0.05,
--- /dev/null
+++ b/src/jasminewharf/bench/rate_policies.py
@@ -0,0 +1,219 @@
+"""Rate policies to compare: the product's grants and two simple baselines."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from ..decisions.buckets import RateLimits, TokenBucket
+from ..exceptions import LinkTimeout, RateExceeded
+from ..kernel import Kernel
+from ..registry import register
+from ..services.accounts import ACCOUNTS_GROUP, AccountHolder, AccountOwner
+from .virtual import MemoryLog, MemoryNetwork
+
+__all__ = ["POLICIES", "RatePolicy"]
+
+_COMMIT_S = 0.004
+_DELAY_S = 0.0005
+_ELECTION_S = 1.0
+_ASK_TIMEOUT_S = 2.5
+
+
+class RatePolicy(Protocol):
+    """Admission to accounts over a fleet of entries."""
+
+    messages: int
+
+    async def start(self) -> None:
+        """Start the processes."""
+
+    async def charge(self, entry: int, account: str, tokens: int) -> Any:
+        """Charge a call at an entry; raises a refusal if it is not admitted."""
+
+    def refund(self, entry: int, account: str, charge: Any, spent: int) -> None:
+        """End a call's charge."""
+
+    async def kill_owner(self) -> None:
+        """Stop the process that owns the accounts and let another take over."""
+
+    async def stop(self) -> None:
+        """Stop the processes."""
+
+
+PolicyFactory = Callable[[random.Random, int, dict[str, RateLimits]], RatePolicy]
+POLICIES: dict[str, PolicyFactory] = {}
+
+
+@register(POLICIES, "grants")
+class GrantsPolicy:
+    """The product's services over a log and a network in memory."""
+
+    def __init__(
+        self, source: random.Random, entries: int, limits: dict[str, RateLimits]
+    ) -> None:
+        self._source = source
+        self._limits = limits
+        self._entry_count = entries
+        self._owners: list[AccountOwner] = []
+        self._entries: list[AccountHolder] = []
+
+    @property
+    def messages(self) -> int:
+        """Requests to the owner, resends included."""
+        return self._network.requests
+
+    async def start(self) -> None:
+        """Start two control hosts and the entries."""
+        clock = asyncio.get_running_loop().time
+        kernel = Kernel(None)
+        self._log = MemoryLog(self._source, _COMMIT_S)
+        self._network = MemoryNetwork(self._source, _DELAY_S, 0.0)
+        self._members = [self._log.add_member() for _ in range(2)]
+        for number, member in enumerate(self._members):
+            owner = AccountOwner(
+                kernel, member, self._limits.get, f"control-{number}", number, clock
+            )
+            self._owners.append(owner)
+            await owner.start()
+        for number in range(self._entry_count):
+            holder = AccountHolder(
+                kernel, self._network, f"entry-{number}", number, clock
+            )
+            self._entries.append(holder)
+        self._network.serve(ACCOUNTS_GROUP, self._owners[0].answer)
+        await asyncio.sleep(0.5)
+
+    async def charge(self, entry: int, account: str, tokens: int) -> str:
+        """Charge a call through the entry's holder."""
+        deadline = asyncio.get_running_loop().time() + 10.0
+        return await self._entries[entry].charge(account, tokens, deadline)
+
+    def refund(self, entry: int, account: str, charge: str, spent: int) -> None:
+        """End a call's charge at its entry."""
+        self._entries[entry].refund(account, charge, spent)
+
+    async def kill_owner(self) -> None:
+        """Stop the leader; after an election the other host leads."""
+        self._network.serve(ACCOUNTS_GROUP, _refuse)
+        self._log.leader = None
+        await self._owners[0].stop()
+        await asyncio.sleep(_ELECTION_S)
+        self._log.leader = self._members[1]
+        self._network.serve(ACCOUNTS_GROUP, self._owners[1].answer)
+
+    async def stop(self) -> None:
+        """Stop all services."""
+        for service in [*self._entries, *self._owners]:
+            await service.stop()
+
+
+async def _refuse(message: Any) -> Any:
+    raise LinkTimeout("no leader")
+
+
+@register(POLICIES, "static-shares")
+class StaticShares:
+    """Every entry has a bucket with an equal share of rate and burst."""
+
+    def __init__(
+        self, source: random.Random, entries: int, limits: dict[str, RateLimits]
+    ) -> None:
+        self.messages = 0
+        self._buckets = {
+            (entry, account): TokenBucket(
+                RateLimits(limit.rate / entries, limit.burst // entries),
+                limit.burst // entries,
+                0.0,
+            )
+            for entry in range(entries)
+            for account, limit in limits.items()
+        }
+
+    async def start(self) -> None:
+        """Nothing to start."""
+
+    async def charge(self, entry: int, account: str, tokens: int) -> int:
+        """Charge the entry's own bucket."""
+        bucket = self._buckets[(entry, account)]
+        bucket.accrue(asyncio.get_running_loop().time())
+        if bucket.level < tokens:
+            raise RateExceeded("the entry's share is spent")
+        bucket.take(tokens)
+        return tokens
+
+    def refund(self, entry: int, account: str, charge: int, spent: int) -> None:
+        """Return nothing: a late refund could exceed the bound on a window."""
+
+    async def kill_owner(self) -> None:
+        """There is no owner."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+
+@register(POLICIES, "ask-every-request")
+class AskEveryRequest:
+    """One bucket in one process; every call asks it, every end tells it."""
+
+    def __init__(
+        self, source: random.Random, entries: int, limits: dict[str, RateLimits]
+    ) -> None:
+        self._network = MemoryNetwork(source, _DELAY_S, 0.0)
+        self._limits = limits
+        self._buckets: dict[str, TokenBucket] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def messages(self) -> int:
+        """Requests to the owner."""
+        return self._network.requests
+
+    async def start(self) -> None:
+        """Start with full buckets."""
+        self._open(full=True)
+
+    def _open(self, *, full: bool) -> None:
+        now = asyncio.get_running_loop().time()
+        for account, limit in self._limits.items():
+            level = limit.burst if full else 0
+            self._buckets[account] = TokenBucket(limit, level, now)
+        self._network.serve(ACCOUNTS_GROUP, self._answer)
+
+    async def _answer(self, message: tuple[str, int]) -> bool:
+        account, tokens = message
+        bucket = self._buckets[account]
+        bucket.accrue(asyncio.get_running_loop().time())
+        if bucket.level < tokens:
+            return False
+        bucket.take(tokens)
+        return True
+
+    async def charge(self, entry: int, account: str, tokens: int) -> int:
+        """Ask the owner, again until it answers or the wait is over."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + _ASK_TIMEOUT_S
+        while loop.time() < give_up_at:
+            try:
+                admitted = await self._network.request(
+                    ACCOUNTS_GROUP, (account, tokens), 0.25
+                )
+            except LinkTimeout:
+                await asyncio.sleep(0.05)
+                continue
+            if admitted:
+                return tokens
+            break
+        raise RateExceeded("the rate is spent")
+
+    def refund(self, entry: int, account: str, charge: int, spent: int) -> None:
+        """Return nothing: a late refund could exceed the bound on a window."""
+
+    async def kill_owner(self) -> None:
+        """Lose the buckets; a successor may not grant a burst again."""
+        self._network.serve(ACCOUNTS_GROUP, _refuse)
+        await asyncio.sleep(_ELECTION_S)
+        self._open(full=False)
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
--- a/src/jasminewharf/decisions/grants.py
+++ b/src/jasminewharf/decisions/grants.py
@@ -184,7 +184,12 @@
     if not scarce:
         surplus = ledger.count_surplus(statement, need)
         granted += min(request.wanted, int(surplus * GRANT_ADVANCE_SHARE))
+    recalled = need < request.needed and ledger.could_recall(
+        holding, request.least - statement.level
+    )
     ledger.grant(holding, statement, granted)
+    holding.unspent = request.unspent + granted - need
+    holding.running = max(0, statement.held - request.unspent)
     holding.sequence = request.sequence
     holding.expires_at = now + outlast(GRANT_LEASE_S)
     holding.answer = GrantAnswer(
@@ -194,6 +199,8 @@
         granted=granted,
         renewed=statement.renewed,
         scarce=scarce,
+        recalled=recalled,
+        trim=ledger.choose_trim(holding),
         lease_ms=int(GRANT_LEASE_S * _MS),
         retry_after_ms=_estimate_retry(ledger, request, need),
     )
@@ -227,6 +234,8 @@
         granted=0,
         renewed=False,
         scarce=False,
+        recalled=False,
+        trim=0,
         lease_ms=0,
         retry_after_ms=retry_ms,
     )
--- a/src/jasminewharf/decisions/ledgers.py
+++ b/src/jasminewharf/decisions/ledgers.py
@@ -7,6 +7,7 @@
     ACCOUNT_IDLE_S,
     CHECKPOINT_BLOCK_SHARE,
     CHECKPOINT_RAISE_INTERVAL_S,
+    GRANT_TRIM_HEADROOM_S,
 )
 from ..messages.accounts import AccountBounds
 from ..messages.control import GrantAnswer
@@ -21,12 +22,22 @@
     ``outstanding`` tokens include ``adopted`` ones, which a predecessor granted.
     """
 
-    __slots__ = ("adopted", "answer", "expires_at", "outstanding", "sequence")
+    __slots__ = (
+        "adopted",
+        "answer",
+        "expires_at",
+        "outstanding",
+        "running",
+        "sequence",
+        "unspent",
+    )
 
     def __init__(self) -> None:
         self.sequence = -1
         self.outstanding = 0
         self.adopted = 0
+        self.unspent = 0
+        self.running = 0
         self.expires_at = math.inf
         self.answer: GrantAnswer | None = None
 
@@ -173,6 +184,27 @@
         holding.outstanding = statement.held + tokens
         holding.adopted = statement.adopted
 
+    def could_recall(self, holding: Holding, tokens: float) -> bool:
+        """Return whether the others last had ``tokens`` that no call runs on."""
+        others = sum(h.unspent for h in self.holdings.values()) - holding.unspent
+        return others >= tokens > 0
+
+    def choose_trim(self, holding: Holding) -> int:
+        """Return by how much a holder should cut the refunds of its running calls.
+
+        Without running calls the bucket would refill up to its burst; their charges
+        are outstanding and would stop the refill instead.
+        """
+        if holding.running <= 0:
+            return 0
+        headroom = self.bucket.limits.rate * GRANT_TRIM_HEADROOM_S
+        excess = self.bucket.level + self.outside + headroom - self.bucket.limits.burst
+        if excess <= 0:
+            return 0
+        total = sum(h.running for h in self.holdings.values())
+        share = excess * holding.running / max(total, holding.running)
+        return min(holding.running, math.ceil(share))
+
     def permits(self, statement: Statement, tokens: int) -> bool:
         """Return whether the bounds that a successor may find allow a grant."""
         return tokens <= self._bounded_room(statement)
--- a/src/jasminewharf/decisions/purses.py
+++ b/src/jasminewharf/decisions/purses.py
@@ -7,17 +7,19 @@
 from ..defaults import (
     DEMAND_TIME_CONSTANT_S,
     GRANT_ASK_INTERVAL_S,
+    GRANT_CHECK_INTERVAL_S,
     GRANT_HORIZON_S,
     GRANT_IDLE_S,
     GRANT_LEASE_S,
     GRANT_LOW_WATER_S,
+    GRANT_RECALL_INTERVAL_S,
+    GRANT_RECALL_WAIT_S,
     GRANT_RENEW_SHARE,
     GRANT_RESEND_S,
     GRANT_RETRY_S,
     GRANT_RETURN_INTERVAL_S,
     GRANT_SCARCE_S,
     OWNER_WAIT_S,
-    REFILL_WAIT_S,
 )
 from ..messages.control import GrantAnswer, GrantRequest
 from .buckets import DemandMeter
@@ -45,17 +47,26 @@
     retry_after_ms: int | None
 
 
+class _Charge(NamedTuple):
+    """What a running call was charged, and how much of it may be refunded."""
+
+    tokens: int
+    refundable: int
+
+
 class _Call:
     """A call that waits for tokens."""
 
-    __slots__ = ("asked", "charge_id", "give_up_at", "retry_at", "tokens")
+    __slots__ = ("asked", "charge_id", "give_up_at", "recall_until", "tokens")
 
-    def __init__(self, charge_id: str, tokens: int, give_up_at: float) -> None:
+    def __init__(
+        self, charge_id: str, tokens: int, give_up_at: float, recall_until: float
+    ) -> None:
         self.charge_id = charge_id
         self.tokens = tokens
         self.give_up_at = give_up_at
         self.asked = -1
-        self.retry_at = -math.inf
+        self.recall_until = recall_until
 
 
 class Purse:
@@ -69,7 +80,7 @@
     def __init__(self, account: str, now: float) -> None:
         self._account = account
         self._unspent = 0
-        self._charges: dict[str, int] = {}
+        self._charges: dict[str, _Charge] = {}
         self._charged = 0
         self._lease_from = -math.inf
         self._calls: dict[str, _Call] = {}
@@ -81,6 +92,7 @@
         self._asked_at = -math.inf
         self._advance_at = -math.inf
         self._scarce_until = -math.inf
+        self._retry_at = -math.inf
         self._refusals: list[Refused] = []
 
     @property
@@ -95,14 +107,16 @@
         self._used_at = now
         self._demand.add(tokens, now)
         give_up_at = min(deadline, now + OWNER_WAIT_S)
-        self._calls[charge_id] = _Call(charge_id, tokens, give_up_at)
+        recall_until = now + GRANT_RECALL_WAIT_S
+        self._calls[charge_id] = _Call(charge_id, tokens, give_up_at, recall_until)
 
     def end_call(self, charge_id: str, spent: int) -> None:
         """End a running charge or withdraw a waiting call."""
         self._calls.pop(charge_id, None)
-        tokens = self._charges.pop(charge_id, 0)
-        self._charged -= tokens
-        self._unspent += max(0, tokens - spent)
+        charge = self._charges.pop(charge_id, None)
+        if charge is not None:
+            self._charged -= charge.refundable
+            self._unspent += max(0, min(charge.tokens - spent, charge.refundable))
 
     def settle(self, now: float) -> Iterator[Charged | Refused]:
         """Charge the calls that fit and refuse those whose time is up."""
@@ -114,7 +128,7 @@
             if may_spend and call.tokens <= self._unspent:
                 del self._calls[call.charge_id]
                 self._unspent -= call.tokens
-                self._charges[call.charge_id] = call.tokens
+                self._charges[call.charge_id] = _Charge(call.tokens, call.tokens)
                 self._charged += call.tokens
                 yield Charged(call.charge_id)
             elif now >= call.give_up_at:
@@ -133,6 +147,18 @@
                 call.asked = -1
         self._drop_holdings()
 
+    def _trim_charges(self, tokens: int) -> None:
+        """Cut the refunds of running calls, oldest first."""
+        for charge_id, charge in self._charges.items():
+            if tokens <= 0:
+                return
+            cut = min(tokens, charge.refundable)
+            tokens -= cut
+            self._charged -= cut
+            self._charges[charge_id] = charge._replace(
+                refundable=charge.refundable - cut
+            )
+
     def _drop_holdings(self) -> None:
         self._unspent = 0
         self._charges.clear()
@@ -155,6 +181,7 @@
             if not answer.renewed:
                 self._drop_holdings()
             self._unspent += answer.granted
+            self._trim_charges(answer.trim)
         if answer.scarce:
             self._scarce_until = now + GRANT_SCARCE_S
         self._advance_at = now + GRANT_LOW_WATER_S / 2
@@ -170,13 +197,11 @@
                 self._refuse_or_keep(call, answer, now)
 
     def _refuse_or_keep(self, call: _Call, answer: GrantAnswer, now: float) -> None:
-        wait_ms = answer.retry_after_ms
-        retry_at = now + wait_ms / _MS
-        worth_waiting = 0 <= wait_ms <= REFILL_WAIT_S * _MS
-        if worth_waiting and retry_at < call.give_up_at:
-            call.retry_at = retry_at
+        if answer.recalled and now < call.recall_until:
+            self._retry_at = now + GRANT_RECALL_INTERVAL_S
             call.asked = -1
             return
+        wait_ms = answer.retry_after_ms
         del self._calls[call.charge_id]
         reason = "account" if answer.state == "unknown_account" else "rate"
         retry_after_ms = None if wait_ms < 0 else max(1, wait_ms)
@@ -218,6 +243,7 @@
         request = make_request(
             account=self._account,
             held=self.held,
+            unspent=self._unspent,
             returned=returned,
             needed=max(0, waiting - self._unspent),
             least=min(lacking, default=0),
@@ -243,10 +269,15 @@
         """Return when a request is next due, judged by the present state."""
         times = [math.inf]
         if any(call.asked < 0 for call in self._calls.values()):
-            retry_at = min(c.retry_at for c in self._calls.values() if c.asked < 0)
-            times.append(max(retry_at, self._asked_at + GRANT_ASK_INTERVAL_S))
+            times.append(max(self._retry_at, self._asked_at + GRANT_ASK_INTERVAL_S))
         if self._count_surplus(now, draining):
-            times.append(self._asked_at + GRANT_RETURN_INTERVAL_S)
+            is_scarce = now < self._scarce_until
+            interval_s = (
+                GRANT_RECALL_INTERVAL_S if is_scarce else GRANT_RETURN_INTERVAL_S
+            )
+            times.append(self._asked_at + interval_s)
+        if self._unspent:
+            times.append(self._asked_at + GRANT_CHECK_INTERVAL_S)
         if self.held:
             times.append(self._lease_from + GRANT_LEASE_S * GRANT_RENEW_SHARE)
         low = self._demand.rate(now) * GRANT_LOW_WATER_S
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -40,6 +40,8 @@
 GRANT_LEASE_S = 3.0
 GRANT_LEASE_MARGIN_S = 0.05
 GRANT_RENEW_SHARE = 1 / 3
+# Refunds are trimmed ahead of the refill of one renewal interval and a delay.
+GRANT_TRIM_HEADROOM_S = 1.5
 # The owner stops granting this long after the start of its last quorum read.
 OWNER_LEASE_S = 1.0
 OWNER_RENEW_INTERVAL_S = 0.25
@@ -60,8 +62,12 @@
 GRANT_SCARCE_S = 0.5
 # A call waits this long for the owner to come back before it is refused.
 OWNER_WAIT_S = 2.5
-# A call short of tokens waits for the refill if it takes no longer than this.
-REFILL_WAIT_S = 0.0
+# A holder of unspent tokens asks at least this often whether they are scarce.
+GRANT_CHECK_INTERVAL_S = 0.25
+# When tokens are scarce, holders return theirs and those short of them ask again.
+GRANT_RECALL_INTERVAL_S = 0.05
+# A call waits for tokens of other holders for a check, a return and two messages.
+GRANT_RECALL_WAIT_S = 0.4
 CHECKPOINT_BLOCK_SHARE = 0.25
 CHECKPOINT_RAISE_INTERVAL_S = 1.0
 # A full account that nobody asked for during this time leaves memory and log.
--- a/src/jasminewharf/messages/control.py
+++ b/src/jasminewharf/messages/control.py
@@ -132,7 +132,7 @@
 
     ``sequence`` rises with each request of a holder, so that a resend is answered
     without a second debit. All amounts are tokens. ``held`` is what the holder
-    still holds after this request's return: unspent tokens and the charges of
+    still holds after this request's return: ``unspent`` tokens and the charges of
     calls that run. ``needed`` is what the waiting calls lack, ``least`` what the
     smallest of them lacks, ``wanted`` what the holder would like in advance.
     """
@@ -142,6 +142,7 @@
     sequence: int
     account: str
     held: int
+    unspent: int
     returned: int
     needed: int
     least: int
@@ -155,8 +156,10 @@
     ``state`` is granted, starting (the owner cannot grant yet; the request was not
     taken) or unknown_account. ``renewed`` tells whether the lease covers what was
     held; if not, only ``granted`` remains. ``scarce`` asks for the return of all
-    tokens that no call waits for. ``retry_after_ms`` tells when the account will
-    hold ``least``; -1 if never.
+    tokens that no call waits for. ``recalled`` tells that other holders have what
+    is missing and will be asked to return it. ``trim`` is by how much the refunds of
+    running calls are to be cut, since the bucket has refilled meanwhile.
+    ``retry_after_ms`` tells when the account will hold ``least``; -1 if never.
     """
 
     account: str
@@ -165,5 +168,7 @@
     granted: int
     renewed: bool
     scarce: bool
+    recalled: bool
+    trim: int
     lease_ms: int
     retry_after_ms: int
--- a/src/jasminewharf/services/accounts.py
+++ b/src/jasminewharf/services/accounts.py
@@ -56,6 +56,7 @@
         limits: Returns an account's limits in force; None if there is none.
         owner: This host's node name.
         incarnation: This process's life.
+        clock: Returns monotonic seconds.
     """
 
     name = "account-owner"
@@ -67,8 +68,10 @@
         limits: Callable[[str], RateLimits | None],
         owner: str,
         incarnation: int,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__(kernel)
+        self._clock = clock
         self._log = log
         self._limits = limits
         self._owner = owner
@@ -98,7 +101,7 @@
             if book is None:
                 return refuse_start(request)
             limits = self._limits(request.account)
-            answer = book.answer(request, limits, time.monotonic())
+            answer = book.answer(request, limits, self._clock())
             checkpoint = self._start_checkpoint(book)
             if answer is not None:
                 return answer
@@ -116,7 +119,7 @@
             await asyncio.sleep(OWNER_RENEW_INTERVAL_S)
 
     async def _renew_ownership(self) -> None:
-        confirmed_at = time.monotonic()
+        confirmed_at = self._clock()
         await self._log.read_barrier(ACCOUNTS_GROUP)
         if self._book is None or self._machine.fence != self._fence:
             self._book = None
@@ -130,12 +133,12 @@
         self._fence = taken.fence
         events.emit(_logger, events.ACCOUNTS_TAKEN, fence=taken.fence)
         succeeds = taken.predecessor != 0
-        return GrantBook(taken.bounds, succeeds=succeeds, now=time.monotonic())
+        return GrantBook(taken.bounds, succeeds=succeeds, now=self._clock())
 
     def _start_checkpoint(self, book: GrantBook) -> asyncio.Task[None] | None:
         """Start a checkpoint if one is wanted; return the one that runs, if any."""
         if self._checkpoint is None or self._checkpoint.done():
-            bounds = book.wanted_bounds(time.monotonic())
+            bounds = book.wanted_bounds(self._clock())
             if not bounds:
                 return None
             self._checkpoint = self.spawn(self._commit_bounds(book, bounds))
@@ -145,7 +148,7 @@
     async def _commit_bounds(
         self, book: GrantBook, bounds: list[AccountBounds]
     ) -> None:
-        number = book.begin_checkpoint(bounds, time.monotonic())
+        number = book.begin_checkpoint(bounds, self._clock())
         command = encode(CheckpointAccounts(self._fence, number, bounds))
         try:
             _, result = await self._log.propose(ACCOUNTS_GROUP, command)
@@ -162,10 +165,10 @@
             await asyncio.sleep(ACCOUNT_SWEEP_INTERVAL_S)
             book = self._book
             running = self._checkpoint is not None and not self._checkpoint.done()
-            if book is None or running or not book.may_grant(time.monotonic()):
+            if book is None or running or not book.may_grant(self._clock()):
                 continue
-            book.refresh_limits(self._limits, time.monotonic())
-            removals = book.idle_bounds(time.monotonic())
+            book.refresh_limits(self._limits, self._clock())
+            removals = book.idle_bounds(self._clock())
             if removals:
                 self._checkpoint = self.spawn(self._commit_bounds(book, removals))
                 self._checkpoint.add_done_callback(_read_exception)
@@ -179,14 +182,21 @@
         requester: Reaches the leader of the group.
         holder: This entry's node name.
         incarnation: This process's life.
+        clock: Returns monotonic seconds.
     """
 
     name = "accounts"
 
     def __init__(
-        self, kernel: Kernel, requester: GroupRequester, holder: str, incarnation: int
+        self,
+        kernel: Kernel,
+        requester: GroupRequester,
+        holder: str,
+        incarnation: int,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__(kernel)
+        self._clock = clock
         self._requester = requester
         self._holder = GrantHolder(holder, incarnation)
         self._counter = itertools.count(1)
@@ -209,7 +219,7 @@
         charge_id = f"{next(self._counter):x}"
         future = asyncio.get_running_loop().create_future()
         self._waiting[charge_id] = future
-        now = time.monotonic()
+        now = self._clock()
         actions = self._holder.charge(account, charge_id, tokens, deadline, now)
         self._carry_out(account, actions)
         try:
@@ -223,18 +233,18 @@
 
     def refund(self, account: str, charge_id: str, spent: int) -> None:
         """End a charge of which ``spent`` tokens were used; ends it only once."""
-        now = time.monotonic()
+        now = self._clock()
         actions = self._holder.refund(account, charge_id, spent, now)
         self._carry_out(account, actions)
 
     async def drain(self) -> None:
         """Return the grants to the owner."""
-        now = time.monotonic()
+        now = self._clock()
         for account in self._holder.accounts():
             self._carry_out(account, self._holder.drain(account, now))
         give_up_at = now + ACCOUNT_DRAIN_S
         while not self._holder.is_drained():
-            if time.monotonic() >= give_up_at:
+            if self._clock() >= give_up_at:
                 events.emit(_logger, events.GRANTS_NOT_RETURNED)
                 return
             await asyncio.sleep(GRANT_RESEND_S / 10)
@@ -267,7 +277,7 @@
         timer = self._timers.pop(account, None)
         if timer is not None:
             timer.cancel()
-        now = time.monotonic()
+        now = self._clock()
         wakeup = self._holder.wakeup(account, now)
         if wakeup is not None:
             loop = asyncio.get_running_loop()
@@ -275,7 +285,7 @@
             self._timers[account] = loop.call_later(delay_s, self._wake, account)
 
     def _wake(self, account: str) -> None:
-        self._carry_out(account, self._holder.poll(account, time.monotonic()))
+        self._carry_out(account, self._holder.poll(account, self._clock()))
 
     async def _ask(self, request: GrantRequest) -> None:
         try:
@@ -284,9 +294,9 @@
             )
         except JasminewharfError as error:
             events.emit(_logger, events.GRANT_REQUEST_FAILED, error=repr(error))
-            actions = self._holder.failed(request.account, time.monotonic())
+            actions = self._holder.failed(request.account, self._clock())
         else:
-            actions = self._holder.answered(answer, time.monotonic())
+            actions = self._holder.answered(answer, self._clock())
         self._carry_out(request.account, actions)
 
 
