Trim refunds by the holder's own pace, advance only under dense demand

Cause: trims ahead of 1.5 s of refill forfeited refunds; advance grants at sparse entries tied up tokens; a successor refused during the handover.

--- a/src/jasminewharf/bench/rate_policies.py
+++ b/src/jasminewharf/bench/rate_policies.py
@@ -3,13 +3,14 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from ..decisions.buckets import RateLimits, TokenBucket
 from ..exceptions import LinkTimeout, RateExceeded
 from ..kernel import Kernel
 from ..registry import register
 from ..services.accounts import ACCOUNTS_GROUP, AccountHolder, AccountOwner
+from .ideal import IdealBucket
 from .virtual import MemoryLog, MemoryNetwork
 
 __all__ = ["POLICIES", "RatePolicy"]
@@ -152,16 +153,26 @@
         """Nothing to stop."""
 
 
+class _Charge(NamedTuple):
+    """A charge at the bucket of one owner's life."""
+
+    bucket: IdealBucket
+    number: int
+
+
 @register(POLICIES, "ask-every-request")
 class AskEveryRequest:
-    """One bucket in one process; every call asks it, every end tells it."""
+    """One ideal bucket in one process; every call asks it, every end tells it.
+
+    Unlike the grants it needs a working owner for every call.
+    """
 
     def __init__(
         self, source: random.Random, entries: int, limits: dict[str, RateLimits]
     ) -> None:
         self._network = MemoryNetwork(source, _DELAY_S, 0.0)
         self._limits = limits
-        self._buckets: dict[str, TokenBucket] = {}
+        self._buckets: dict[str, IdealBucket] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
     @property
@@ -175,39 +186,55 @@
 
     def _open(self, *, full: bool) -> None:
         now = asyncio.get_running_loop().time()
-        for account, limit in self._limits.items():
-            level = limit.burst if full else 0
-            self._buckets[account] = TokenBucket(limit, level, now)
+        self._buckets = {
+            account: IdealBucket(limit, now) for account, limit in self._limits.items()
+        }
+        if not full:
+            for account, limit in self._limits.items():
+                bucket = self._buckets[account]
+                bucket.end(bucket.charge(limit.burst, now), limit.burst, now)
         self._network.serve(ACCOUNTS_GROUP, self._answer)
 
-    async def _answer(self, message: tuple[str, int]) -> bool:
-        account, tokens = message
+    async def _answer(self, message: tuple[str, int, _Charge | None]) -> _Charge | None:
+        account, tokens, charge = message
         bucket = self._buckets[account]
-        bucket.accrue(asyncio.get_running_loop().time())
-        if bucket.level < tokens:
-            return False
-        bucket.take(tokens)
-        return True
-
-    async def charge(self, entry: int, account: str, tokens: int) -> int:
+        now = asyncio.get_running_loop().time()
+        if charge is not None:
+            if charge.bucket is bucket:
+                bucket.end(charge.number, tokens, now)
+            return None
+        if not bucket.holds(tokens, now):
+            return None
+        return _Charge(bucket, bucket.charge(tokens, now))
+
+    async def charge(self, entry: int, account: str, tokens: int) -> _Charge:
         """Ask the owner, again until it answers or the wait is over."""
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + _ASK_TIMEOUT_S
         while loop.time() < give_up_at:
             try:
-                admitted = await self._network.request(
-                    ACCOUNTS_GROUP, (account, tokens), 0.25
+                charge = await self._network.request(
+                    ACCOUNTS_GROUP, (account, tokens, None), 0.25
                 )
             except LinkTimeout:
                 await asyncio.sleep(0.05)
                 continue
-            if admitted:
-                return tokens
+            if charge is not None:
+                return charge
             break
         raise RateExceeded("the rate is spent")
 
-    def refund(self, entry: int, account: str, charge: int, spent: int) -> None:
-        """Return nothing: a late refund could exceed the bound on a window."""
+    def refund(self, entry: int, account: str, charge: _Charge, spent: int) -> None:
+        """Tell the owner what the call spent."""
+        task = asyncio.create_task(self._tell((account, spent, charge)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tell(self, message: tuple[str, int, _Charge]) -> None:
+        try:
+            await self._network.request(ACCOUNTS_GROUP, message, 0.25)
+        except LinkTimeout:
+            return
 
     async def kill_owner(self) -> None:
         """Lose the buckets; a successor may not grant a burst again."""
--- a/src/jasminewharf/bench/rates.py
+++ b/src/jasminewharf/bench/rates.py
@@ -27,6 +27,7 @@
 _CALL_S = (0.2, 4.0)
 _STEADY_LOAD = 0.7
 _OVERLOAD = 4.0
+_DENSITY = 10
 _BURST_PERIOD_S = 8.0
 _BURST_SHARE = 0.95
 _BURST_SPAN_S = 0.2
@@ -103,7 +104,19 @@
     ]
 
 
+def _draw_dense(source: random.Random) -> list[Arrival]:
+    """Ten times as many calls that cost a tenth each."""
+    arrivals = []
+    for first in _draw_poisson(source, _ACCOUNTS[0], _STEADY_LOAD):
+        for _ in range(_DENSITY):
+            small = _make_arrival(source, source.uniform(0, _DURATION_S), first.account)
+            tokens, spent = small.tokens // _DENSITY, small.spent // _DENSITY
+            arrivals.append(small._replace(tokens=tokens, spent=spent))
+    return arrivals
+
+
 register(SCENARIOS, "steady")(Scenario(_draw_steady))
+register(SCENARIOS, "dense")(Scenario(_draw_dense))
 register(SCENARIOS, "burst")(Scenario(_draw_bursts))
 register(SCENARIOS, "overload")(Scenario(_draw_overload))
 register(SCENARIOS, "owner-death")(Scenario(_draw_steady, owner_dies=True))
@@ -120,8 +133,22 @@
         self._waits_s: list[float] = []
         self._refused = 0
         self._incorrect = 0
+        self._own = {name: IdealBucket(_LIMITS, self._start) for name in _ACCOUNTS}
+        self._ideal_refused = 0
         self._tokens = 0
 
+    async def serve_ideally(self, arrival: Arrival) -> None:
+        """Carry out one call as an ideal fleet with one bucket would."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(self._start + arrival.at - loop.time())
+        bucket = self._own[arrival.account]
+        if not bucket.holds(arrival.tokens, loop.time()):
+            self._ideal_refused += 1
+            return
+        charge = bucket.charge(arrival.tokens, loop.time())
+        await asyncio.sleep(arrival.duration_s)
+        bucket.end(charge, arrival.spent, loop.time())
+
     async def serve(self, arrival: Arrival) -> None:
         """Carry out one call."""
         loop = asyncio.get_running_loop()
@@ -158,6 +185,7 @@
         return {
             "requests": requests,
             "refused": self._refused,
+            "ideal_refused": self._ideal_refused,
             "incorrect_refusals": self._incorrect,
             "incorrect_percent": round(100 * self._incorrect / requests, 3),
             "overshoot_tokens": round(max(o.tokens if o else 0 for o in overshoots), 3),
@@ -183,6 +211,7 @@
         await subject.start()
         run = _Run(subject)
         work = [run.serve(arrival) for arrival in arrivals]
+        work += [run.serve_ideally(arrival) for arrival in arrivals]
         if SCENARIOS[scenario].owner_dies:
             work.append(_kill_owner(subject))
         await asyncio.gather(*work)
--- a/src/jasminewharf/decisions/grants.py
+++ b/src/jasminewharf/decisions/grants.py
@@ -190,17 +190,19 @@
     ledger.grant(holding, statement, granted)
     holding.unspent = request.unspent + granted - need
     holding.running = max(0, statement.held - request.unspent)
+    holding.trim = ledger.choose_trim(holding, now)
+    holding.asked_at = now
     holding.sequence = request.sequence
     holding.expires_at = now + outlast(GRANT_LEASE_S)
     holding.answer = GrantAnswer(
         account=request.account,
         sequence=request.sequence,
-        state="granted",
+        state="handover" if ledger.is_inheriting else "granted",
         granted=granted,
         renewed=statement.renewed,
         scarce=scarce,
         recalled=recalled,
-        trim=ledger.choose_trim(holding),
+        trim=holding.trim,
         lease_ms=int(GRANT_LEASE_S * _MS),
         retry_after_ms=_estimate_retry(ledger, request, need),
     )
--- a/src/jasminewharf/decisions/ledgers.py
+++ b/src/jasminewharf/decisions/ledgers.py
@@ -25,10 +25,12 @@
     __slots__ = (
         "adopted",
         "answer",
+        "asked_at",
         "expires_at",
         "outstanding",
         "running",
         "sequence",
+        "trim",
         "unspent",
     )
 
@@ -38,6 +40,8 @@
         self.adopted = 0
         self.unspent = 0
         self.running = 0
+        self.trim = 0
+        self.asked_at = -math.inf
         self.expires_at = math.inf
         self.answer: GrantAnswer | None = None
 
@@ -108,6 +112,11 @@
         bucket = TokenBucket(limits, level, now)
         return cls(bucket, bounds.floor, bounds.ceiling, bounds.ceiling, foreign_until)
 
+    @property
+    def is_inheriting(self) -> bool:
+        """Whether grants of a predecessor may still be valid."""
+        return self._foreign > 0
+
     @property
     def outside(self) -> int:
         """Tokens outside the level that may still be spent or returned."""
@@ -189,7 +198,7 @@
         others = sum(h.unspent for h in self.holdings.values()) - holding.unspent
         return others >= tokens > 0
 
-    def choose_trim(self, holding: Holding) -> int:
+    def choose_trim(self, holding: Holding, now: float) -> int:
         """Return by how much a holder should cut the refunds of its running calls.
 
         Without running calls the bucket would refill up to its burst; their charges
@@ -197,8 +206,13 @@
         """
         if holding.running <= 0:
             return 0
-        headroom = self.bucket.limits.rate * GRANT_TRIM_HEADROOM_S
-        excess = self.bucket.level + self.outside + headroom - self.bucket.limits.burst
+        # The holder's next request may come as late as this one did.
+        interval_s = min(now - holding.asked_at, GRANT_TRIM_HEADROOM_S)
+        # The trim shows in the request after the next.
+        headroom = self.bucket.limits.rate * 2 * interval_s
+        pending = sum(h.trim for h in self.holdings.values()) - holding.trim
+        full = self.bucket.limits.burst + pending
+        excess = self.bucket.level + self.outside + headroom - full
         if excess <= 0:
             return 0
         total = sum(h.running for h in self.holdings.values())
--- a/src/jasminewharf/decisions/purses.py
+++ b/src/jasminewharf/decisions/purses.py
@@ -6,6 +6,7 @@
 
 from ..defaults import (
     DEMAND_TIME_CONSTANT_S,
+    GRANT_ADVANCE_CALLS,
     GRANT_ASK_INTERVAL_S,
     GRANT_CHECK_INTERVAL_S,
     GRANT_HORIZON_S,
@@ -28,6 +29,7 @@
 
 _MS = 1000
 _RETRY_OWNER_MS = 1000
+_MEAN_COST_WEIGHT = 0.1
 
 
 class Charged(NamedTuple):
@@ -85,6 +87,7 @@
         self._lease_from = -math.inf
         self._calls: dict[str, _Call] = {}
         self._demand = DemandMeter(DEMAND_TIME_CONSTANT_S)
+        self._mean_cost = 0.0
         self._used_at = now
         self._pending: GrantRequest | None = None
         self._pending_since = -math.inf
@@ -106,6 +109,7 @@
         """Let a call wait; :meth:`settle` charges it at once if tokens suffice."""
         self._used_at = now
         self._demand.add(tokens, now)
+        self._mean_cost += (tokens - self._mean_cost) * _MEAN_COST_WEIGHT
         give_up_at = min(deadline, now + OWNER_WAIT_S)
         recall_until = now + GRANT_RECALL_WAIT_S
         self._calls[charge_id] = _Call(charge_id, tokens, give_up_at, recall_until)
@@ -176,7 +180,7 @@
         if now >= self._pending_since + GRANT_LEASE_S:
             self._drop_holdings()
             return
-        if answer.state == "granted":
+        if answer.state in ("granted", "handover"):
             self._lease_from = self._pending_since
             if not answer.renewed:
                 self._drop_holdings()
@@ -197,7 +201,8 @@
                 self._refuse_or_keep(call, answer, now)
 
     def _refuse_or_keep(self, call: _Call, answer: GrantAnswer, now: float) -> None:
-        if answer.recalled and now < call.recall_until:
+        is_limited = answer.state == "handover" and answer.retry_after_ms >= 0
+        if is_limited or (answer.recalled and now < call.recall_until):
             self._retry_at = now + GRANT_RECALL_INTERVAL_S
             call.asked = -1
             return
@@ -257,7 +262,8 @@
         """Return the tokens worth holding in advance."""
         if draining or now < self._scarce_until or now >= self._used_at + GRANT_IDLE_S:
             return 0.0
-        return self._demand.rate(now) * GRANT_HORIZON_S
+        target = self._demand.rate(now) * GRANT_HORIZON_S
+        return target if target >= GRANT_ADVANCE_CALLS * self._mean_cost else 0.0
 
     def _count_surplus(self, now: float, draining: bool) -> int:
         if self._calls:
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -39,7 +39,7 @@
 CLOCK_DRIFT_BOUND = 0.001
 GRANT_LEASE_S = 3.0
 GRANT_LEASE_MARGIN_S = 0.05
-GRANT_RENEW_SHARE = 1 / 3
+GRANT_RENEW_SHARE = 0.6
 # Refunds are trimmed ahead of the refill of one renewal interval and a delay.
 GRANT_TRIM_HEADROOM_S = 1.5
 # The owner stops granting this long after the start of its last quorum read.
@@ -52,11 +52,13 @@
 GRANT_RETRY_S = 0.05
 # One account of one entry asks at most 100 times a second.
 GRANT_ASK_INTERVAL_S = 0.01
-GRANT_RETURN_INTERVAL_S = 0.1
+GRANT_RETURN_INTERVAL_S = 0.25
 GRANT_IDLE_S = 1.0
 DEMAND_TIME_CONSTANT_S = 1.0
 GRANT_LOW_WATER_S = 0.1
 GRANT_HORIZON_S = 0.5
+# Grants in advance pay when they cover this many calls; fewer only tie up tokens.
+GRANT_ADVANCE_CALLS = 3
 # At most this share of the free level is granted in advance of need.
 GRANT_ADVANCE_SHARE = 0.25
 GRANT_SCARCE_S = 0.5
@@ -68,7 +70,7 @@
 GRANT_RECALL_INTERVAL_S = 0.05
 # A call waits for tokens of other holders for a check, a return and two messages.
 GRANT_RECALL_WAIT_S = 0.4
-CHECKPOINT_BLOCK_SHARE = 0.25
+CHECKPOINT_BLOCK_SHARE = 0.1
 CHECKPOINT_RAISE_INTERVAL_S = 1.0
 # A full account that nobody asked for during this time leaves memory and log.
 ACCOUNT_IDLE_S = 60.0
--- a/src/jasminewharf/messages/control.py
+++ b/src/jasminewharf/messages/control.py
@@ -153,7 +153,8 @@
 class GrantAnswer(NamedTuple):
     """Answers the request ``sequence``; the lease runs from when it was first sent.
 
-    ``state`` is granted, starting (the owner cannot grant yet; the request was not
+    ``state`` is granted, handover (granted, but grants of an earlier owner still
+    limit the account), starting (the owner cannot grant yet; the request was not
     taken) or unknown_account. ``renewed`` tells whether the lease covers what was
     held; if not, only ``granted`` remains. ``scarce`` asks for the return of all
     tokens that no call waits for. ``recalled`` tells that other holders have what
