--- a/src/jasminewharf/bench/histories.py
+++ b/src/jasminewharf/bench/histories.py
@@ -77,8 +77,9 @@
     """Return the states that may follow an operation on one claim.
 
     ``claim(digest, request_id)`` returns (state,) or ("done", answer);
-    ``record(request_id, answer)``, ``release(request_id)`` and ``end(request_id)``
-    return ().
+    ``record(request_id, answer)``, ``release(request_id, digest)`` and
+    ``end(request_id)`` return (). The answer ("released",) tells a call that it gave
+    its own claim back; it changes nothing.
     """
     if operation.name == "claim":
         return _apply_claim_call(state, operation)
@@ -88,6 +89,8 @@
 def _apply_claim_call(state: ClaimState, operation: Operation) -> list[ClaimState]:
     digest, request_id = operation.arguments
     following = state
+    if operation.result == ("released",):
+        return [state]
     if state.state == "absent" or (
         state.state == "released" and state.digest == digest
     ):
@@ -106,6 +109,8 @@
 
 def _apply_settlement(state: ClaimState, operation: Operation) -> ClaimState:
     request_id = operation.arguments[0]
+    if operation.name == "release" and state.state == "absent":
+        return ClaimState("released", operation.arguments[1], request_id, "")
     if state.request_id != request_id or state.state not in ("running", "unknown"):
         return state
     if operation.name == "record":
--- a/src/jasminewharf/decisions/purses.py
+++ b/src/jasminewharf/decisions/purses.py
@@ -18,7 +18,6 @@
     GRANT_RENEW_SHARE,
     GRANT_RESEND_S,
     GRANT_RETRY_S,
-    GRANT_RETURN_INTERVAL_S,
     GRANT_SCARCE_S,
     OWNER_WAIT_S,
 )
@@ -279,7 +278,7 @@
         if self._count_surplus(now, draining):
             is_scarce = now < self._scarce_until
             interval_s = (
-                GRANT_RECALL_INTERVAL_S if is_scarce else GRANT_RETURN_INTERVAL_S
+                GRANT_RECALL_INTERVAL_S if is_scarce else GRANT_CHECK_INTERVAL_S
             )
             times.append(self._asked_at + interval_s)
         if self._unspent:
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -52,7 +52,6 @@
 GRANT_RETRY_S = 0.05
 # One account of one entry asks at most 100 times a second.
 GRANT_ASK_INTERVAL_S = 0.01
-GRANT_RETURN_INTERVAL_S = 0.25
 GRANT_IDLE_S = 1.0
 DEMAND_TIME_CONSTANT_S = 1.0
 GRANT_LOW_WATER_S = 0.1
@@ -64,7 +63,8 @@
 GRANT_SCARCE_S = 0.5
 # A call waits this long for the owner to come back before it is refused.
 OWNER_WAIT_S = 2.5
-# A holder of unspent tokens asks at least this often whether they are scarce.
+# A holder of unspent tokens returns what it does not need, and asks whether tokens
+# are scarce, at least this often.
 GRANT_CHECK_INTERVAL_S = 0.25
 # When tokens are scarce, holders return theirs and those short of them ask again.
 GRANT_RECALL_INTERVAL_S = 0.05
--- a/tests/test_account_service.py
+++ b/tests/test_account_service.py
@@ -121,7 +121,7 @@
     async def scenario(fleet):
         await fleet.charge(0, 450)
         fleet.change_leader()
-        with pytest.raises(RateExceeded):
+        with pytest.raises(AccountOwnerUnavailable):
             await fleet.charge(1, 400)
         # The running call's refund counts until the predecessor's leases end.
         await asyncio.sleep(9)
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -120,7 +120,7 @@
 def test_claim_history_with_release_and_record_is_accepted():
     history = [
         claim(0, 1, "r1", ("claimed",)),
-        Operation("c", 1, 4, "release", ("r1",), ()),
+        Operation("c", 1, 4, "release", ("r1", "x"), ()),
         claim(2, 3, "r2", ("claimed",)),
         Operation("c", 4, 5, "record", ("r2", "answer"), ()),
         claim(6, 7, "r3", ("done", "answer")),
