--- a/src/jasminewharf/decisions/ledgers.py
+++ b/src/jasminewharf/decisions/ledgers.py
@@ -259,11 +259,11 @@
 
     def is_idle(self, now: float) -> bool:
         """Return whether the account is full and may leave the log."""
-        if self.holdings or self.bounds_pending:
-            return False
-        if now - self.touched_at < ACCOUNT_IDLE_S:
+        if self.bounds_pending or now - self.touched_at < ACCOUNT_IDLE_S:
             return False
         self.advance(now)
+        if self.holdings:
+            return False
         return self.outside == 0 and self.bucket.level >= self.bucket.limits.burst
 
     def propose_bounds(self, number: int, bounds: AccountBounds, now: float) -> None:
--- a/src/jasminewharf/services/claims.py
+++ b/src/jasminewharf/services/claims.py
@@ -170,6 +170,7 @@
         entry: This entry's node name.
         incarnation: This process's life.
         partitions: As on the control hosts.
+        clock: Returns monotonic seconds.
     """
 
     name = "claims"
@@ -181,8 +182,10 @@
         entry: str,
         incarnation: int,
         partitions: int = CLAIM_PARTITIONS,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__(kernel)
+        self._clock = clock
         self._requester = requester
         self._entry = entry
         self._incarnation = incarnation
@@ -241,7 +244,7 @@
         pause_s = CLAIM_POLL_FIRST_S
         state = ""
         while True:
-            left_s = deadline - time.monotonic()
+            left_s = deadline - self._clock()
             if left_s <= 0:
                 raise _make_timeout(state)
             answer = await self._request_claim(message, left_s)
@@ -331,9 +334,9 @@
         self, message: RecordOutcome | ReleaseClaim, failure: events.Event
     ) -> bool:
         group = _group_of(message, self._partitions)
-        give_up_at = time.monotonic() + CLAIM_RECORD_RETRY_S
+        give_up_at = self._clock() + CLAIM_RECORD_RETRY_S
         pause_s = CLAIM_POLL_FIRST_S
-        while time.monotonic() < give_up_at:
+        while self._clock() < give_up_at:
             try:
                 await self._requester.request(group, message, CLAIM_REQUEST_TIMEOUT_S)
             except JasminewharfError:
