--- a/src/jasminewharf/decisions/ledgers.py
+++ b/src/jasminewharf/decisions/ledgers.py
@@ -7,6 +7,7 @@
     ACCOUNT_IDLE_S,
     CHECKPOINT_BLOCK_SHARE,
     CHECKPOINT_RAISE_INTERVAL_S,
+    GRANT_TRIM_HEADROOM_S,
 )
 from ..messages.accounts import AccountBounds
 from ..messages.control import GrantAnswer
@@ -21,12 +22,26 @@
     ``outstanding`` tokens include ``adopted`` ones, which a predecessor granted.
     """
 
-    __slots__ = ("adopted", "answer", "expires_at", "outstanding", "sequence")
+    __slots__ = (
+        "adopted",
+        "answer",
+        "asked_at",
+        "expires_at",
+        "outstanding",
+        "running",
+        "sequence",
+        "trim",
+        "unspent",
+    )
 
     def __init__(self) -> None:
         self.sequence = -1
         self.outstanding = 0
         self.adopted = 0
+        self.unspent = 0
+        self.running = 0
+        self.trim = 0
+        self.asked_at = -math.inf
         self.expires_at = math.inf
         self.answer: GrantAnswer | None = None
 
@@ -97,6 +112,11 @@
         bucket = TokenBucket(limits, level, now)
         return cls(bucket, bounds.floor, bounds.ceiling, bounds.ceiling, foreign_until)
 
+    @property
+    def is_inheriting(self) -> bool:
+        """Whether grants of a predecessor may still be valid."""
+        return self._foreign > 0
+
     @property
     def outside(self) -> int:
         """Tokens outside the level that may still be spent or returned."""
@@ -173,6 +193,32 @@
         holding.outstanding = statement.held + tokens
         holding.adopted = statement.adopted
 
+    def could_recall(self, holding: Holding, tokens: float) -> bool:
+        """Return whether the others last had ``tokens`` that no call runs on."""
+        others = sum(h.unspent for h in self.holdings.values()) - holding.unspent
+        return others >= tokens > 0
+
+    def choose_trim(self, holding: Holding, now: float) -> int:
+        """Return by how much a holder should cut the refunds of its running calls.
+
+        Without running calls the bucket would refill up to its burst; their charges
+        are outstanding and would stop the refill instead.
+        """
+        if holding.running <= 0:
+            return 0
+        # The holder's next request may come as late as this one did.
+        interval_s = min(now - holding.asked_at, GRANT_TRIM_HEADROOM_S)
+        # The trim shows in the request after the next.
+        headroom = self.bucket.limits.rate * 2 * interval_s
+        pending = sum(h.trim for h in self.holdings.values()) - holding.trim
+        full = self.bucket.limits.burst + pending
+        excess = self.bucket.level + self.outside + headroom - full
+        if excess <= 0:
+            return 0
+        total = sum(h.running for h in self.holdings.values())
+        share = excess * holding.running / max(total, holding.running)
+        return min(holding.running, math.ceil(share))
+
     def permits(self, statement: Statement, tokens: int) -> bool:
         """Return whether the bounds that a successor may find allow a grant."""
         return tokens <= self._bounded_room(statement)
@@ -213,11 +259,11 @@
 
     def is_idle(self, now: float) -> bool:
         """Return whether the account is full and may leave the log."""
-        if self.holdings or self.bounds_pending:
-            return False
-        if now - self.touched_at < ACCOUNT_IDLE_S:
+        if self.bounds_pending or now - self.touched_at < ACCOUNT_IDLE_S:
             return False
         self.advance(now)
+        if self.holdings:
+            return False
         return self.outside == 0 and self.bucket.level >= self.bucket.limits.burst
 
     def propose_bounds(self, number: int, bounds: AccountBounds, now: float) -> None:
