Drop hostile internal messages without stopping a process

Cause, found by hypothesis against a running system: two agents that reported the same backend server stopped the control host with a KeyError in the planner's index; a report could name another role or incarnation than its link; any peer could send a digest; a batch between control hosts could hold any message type and an address that ZeroMQ refuses, either of which ended the log's task; peers that never return stayed in memory (each run of the tool left one).

--- a/src/jasminewharf/decisions/inventory.py
+++ b/src/jasminewharf/decisions/inventory.py
@@ -169,6 +169,8 @@
     def _put(self, report: NodeReport, backend: BackendReport) -> None:
         key = BackendKey(report.host, backend.backend)
         before = self.backends.get(key)
+        if before is not None and before.report.pool != backend.pool:
+            self.pools[before.report.pool].discard(key)
         self.backends[key] = BackendState(report, backend)
         self.pools.setdefault(backend.pool, set()).add(key)
         if before is not None and before.report.cached == backend.cached:
@@ -176,18 +178,24 @@
         if before is not None:
             self._forget_cached(key, before)
         for checkpoint, tier in backend.cached:
-            self.cached_at.setdefault(checkpoint, {})[key] = tier
+            if tier in TIERS:
+                self.cached_at.setdefault(checkpoint, {})[key] = tier
 
     def _forget_cached(self, key: BackendKey, state: BackendState) -> None:
         for checkpoint, _ in state.report.cached:
-            self.cached_at[checkpoint].pop(key, None)
+            self.cached_at.get(checkpoint, {}).pop(key, None)
 
     def _remove(self, node: str) -> None:
         report = self._reports.pop(node, None)
         for backend in report.backends if report is not None else ():
             key = BackendKey(report.host, backend.backend)
-            self._forget_cached(key, self.backends.pop(key))
-            self.pools[backend.pool].discard(key)
+            state = self.backends.get(key)
+            # An agent under another node name may have taken the host over.
+            if state is None or state.node != node:
+                continue
+            del self.backends[key]
+            self._forget_cached(key, state)
+            self.pools[state.report.pool].discard(key)
 
 
 def _same_layout(before: NodeReport, after: NodeReport) -> bool:
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -10,6 +10,8 @@
 LINK_RECONNECT_MS = 50
 LINK_RECONNECT_MAX_MS = 500
 LINK_CONNECT_POLL_S = 0.005
+# Ten times the nodes of the target size; the longest silent ones leave first.
+LINK_PEERS_LIMIT = 4_000
 LINK_MESSAGE_LIMIT_BYTES = 32 * 1024 * 1024
 
 # Replicated log and storage.
@@ -40,6 +42,8 @@
 LOG_SEGMENT_BYTES = 16 * 1024 * 1024
 LOG_FULL_DISK_RETRY_S = 0.2
 LOG_PEER_QUEUE_BATCHES = 1_000
+# Four times the largest number of control hosts.
+LOG_PEERS_LIMIT = 28
 LOG_RECONNECT_MS = 50
 LOG_RECONNECT_MAX_MS = 500
 
--- a/src/jasminewharf/services/gathering.py
+++ b/src/jasminewharf/services/gathering.py
@@ -59,12 +59,16 @@
         }
 
     def _take_report(self, peer: Peer, report: NodeReport) -> None:
-        if peer.node != report.node:
+        hello = peer.hello
+        own = hello is not None and (hello.node, hello.role, hello.incarnation)
+        if own != (report.node, report.role, report.incarnation):
             return
         self._accept(report, 0)
         self._changed_own.add(report.node)
 
     def _take_digest(self, peer: Peer, digest: ReportDigest) -> None:
+        if peer.hello is None or peer.hello.role != "control":
+            return
         for age_ms, report in digest.reports:
             self._accept(report, age_ms)
 
--- a/src/jasminewharf/services/link.py
+++ b/src/jasminewharf/services/link.py
@@ -125,6 +125,7 @@
         self.hello: Hello | None = None
         self.public_key = ""
         self.is_revoked = False
+        self.heard_at = 0.0
         self._frames: list[bytes] = []
 
     @property
@@ -296,7 +297,7 @@
             self._revoke(peer)
             peer = None
         if peer is None:
-            peer = self._peers[contents[0]] = Peer(self, contents[0])
+            peer = self._add_peer(contents[0])
         peer.public_key = public_key
         self._receive(contents)
 
@@ -304,12 +305,29 @@
         routing_id = frames[0]
         peer = self._peers.get(routing_id)
         if peer is None:
-            peer = self._peers[routing_id] = Peer(self, routing_id)
+            peer = self._add_peer(routing_id)
+        peer.heard_at = asyncio.get_running_loop().time()
         if len(frames) % 2 == 0:
             self._count_malformed(peer, "odd number of frames")
         for correlation, data in _pairs(frames[1:]):
             self._receive_one(peer, correlation, data)
 
+    def _add_peer(self, routing_id: bytes) -> Peer:
+        self._make_room()
+        peer = self._peers[routing_id] = Peer(self, routing_id)
+        return peer
+
+    def _make_room(self) -> None:
+        """Forget silent peers at the limit: ZeroMQ does not tell who has left."""
+        if len(self._peers) < defaults.LINK_PEERS_LIMIT:
+            return
+        ordered = sorted(
+            self._peers.values(),
+            key=lambda peer: (peer.hello is not None, peer.heard_at),
+        )
+        for peer in ordered[: defaults.LINK_PEERS_LIMIT // 4]:
+            self.forget(peer)
+
     def _count_malformed(self, peer: Peer, error: object) -> None:
         self.malformed_count += 1
         events.emit(_logger, events.MESSAGE_MALFORMED, peer=peer.node, error=error)
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -21,7 +21,22 @@
 from ..identifiers import new_token
 from ..kernel import Kernel, Service
 from ..messages import codec
-from ..messages.log import BatchHeader, DiskAnswer, DiskProbe, MemberRecord
+from ..messages.log import (
+    AppendAnswer,
+    AppendEntries,
+    BatchHeader,
+    DiskAnswer,
+    DiskProbe,
+    MemberRecord,
+    ReadIndex,
+    ReadIndexAnswer,
+    RequestVote,
+    SnapshotAnswer,
+    SnapshotChunk,
+    TimeoutNow,
+    VoteAnswer,
+)
+from ..settings import is_address
 from .disk import Disk, host_name
 from .files import DiskFiles, Files
 from .founding import Founding
@@ -35,6 +50,23 @@
 _TOKEN_BITS = 62
 
 
+_BATCH_TYPES = frozenset(
+    {
+        AppendAnswer,
+        AppendEntries,
+        DiskAnswer,
+        DiskProbe,
+        ReadIndex,
+        ReadIndexAnswer,
+        RequestVote,
+        SnapshotAnswer,
+        SnapshotChunk,
+        TimeoutNow,
+        VoteAnswer,
+    }
+)
+
+
 class LogService(Service):
     """Owns the files, timers and links of the log groups on one control host.
 
@@ -65,6 +97,7 @@
         self._machines: dict[str, Machine] = {}
         self._subscribers: dict[str, list[tuple[Any, Any]]] = {}
         self._outbox: dict[str, list[Any]] = {}
+        self.malformed_count = 0
 
     async def start(self) -> None:
         """Open the logs and links.
@@ -392,10 +425,10 @@
     def _take_batch(self, frames: list[bytes]) -> None:
         try:
             header, *messages = [codec.decode(frame) for frame in frames]
-            if not isinstance(header, BatchHeader):
-                raise MalformedMessage("batch without a header")
+            _check_batch(header, messages)
         except (MalformedMessage, ValueError) as error:
-            events.emit(_logger, events.MESSAGE_MALFORMED, error=error)
+            self.malformed_count += 1
+            events.emit(_logger, events.BATCH_MALFORMED, error=error)
             return
         if host_name(header.sender) == self._settings.name:
             events.emit(_logger, events.BATCH_REFUSED, sender=header.sender)
@@ -430,3 +463,18 @@
             cluster=header.cluster,
         )
         return False
+
+
+def _check_batch(header: Any, messages: list[Any]) -> None:
+    """Check that a batch holds what control hosts send to each other.
+
+    Raises:
+        MalformedMessage: If it does not.
+    """
+    if not isinstance(header, BatchHeader):
+        raise MalformedMessage("batch without a header")
+    if not is_address(header.address):
+        raise MalformedMessage("batch without the sender's address")
+    for message in messages:
+        if type(message) not in _BATCH_TYPES:
+            raise MalformedMessage(f"{type(message).__name__} in a batch")
--- a/src/jasminewharf/services/peers.py
+++ b/src/jasminewharf/services/peers.py
@@ -16,6 +16,7 @@
     LINK_HEARTBEAT_MS,
     LINK_MESSAGE_LIMIT_BYTES,
     LOG_PEER_QUEUE_BATCHES,
+    LOG_PEERS_LIMIT,
     LOG_RECONNECT_MAX_MS,
     LOG_RECONNECT_MS,
 )
@@ -240,6 +241,9 @@
             if known[0] == address:
                 return
             known[1].close()
+        elif len(self._senders) >= LOG_PEERS_LIMIT:
+            # Batches name their senders, so that strangers could add any number.
+            return
         sender = self._context.socket(zmq.DEALER)
         self._set_options(sender)
         # Nothing is queued for a host that is not connected: consensus repeats
@@ -247,7 +251,12 @@
         sender.immediate = True
         if self._security is not None:
             self._security.client_configurer("control", host)(sender)
-        sender.connect(f"tcp://{address}")
+        try:
+            sender.connect(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            sender.close()
+            events.emit(_logger, events.BATCH_MALFORMED, error=error)
+            return
         self._senders[host] = (address, sender)
 
     def send(self, host: str, frames: list[bytes]) -> bool:
