--- a/src/jasminewharf/services/control.py
+++ b/src/jasminewharf/services/control.py
@@ -46,6 +46,18 @@
         """Return the connected processes."""
         return self._server.peers() if self._server else []
 
+    def count_dropped(self) -> dict[str, int]:
+        """Return how many messages and peers were not accepted."""
+        server = self._server
+        if server is None:
+            return {}
+        return {
+            "malformed_messages": server.malformed_count,
+            "malformed_batches": self.kernel.find("log").malformed_count,
+            "unexpected_messages": server.unexpected_count,
+            "refused_peers": server.refused_count,
+        }
+
     async def start(self) -> None:
         """Listen where the settings say."""
         process = self.kernel.find("process")
--- a/src/jasminewharf/services/status.py
+++ b/src/jasminewharf/services/status.py
@@ -54,6 +54,7 @@
         "members": [member._asdict() for member in log.members(FLEET_GROUP)],
         # A host that has collected for less than a lease may not yet have heard
         # from a node whose lease still runs.
+        "dropped": kernel.find("control").count_dropped(),
         "complete": age_s > lease_bound_s(kernel.settings.timing),
     }
 
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -1,6 +1,7 @@
 """Settings of a process, read from one YAML file."""
 
 import ipaddress
+import re
 from pathlib import Path
 from typing import Annotated, Literal, NamedTuple
 
@@ -45,14 +46,19 @@
     is_address,
     "an IP address and a port, such as 127.0.0.1:7100",
 )
+_NODE_NAME = Matches(
+    re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}").fullmatch,
+    "1 to 100 letters, digits, dots, dashes or underscores",
+)
 Address = Annotated[str, _ADDRESS]
+NodeName = Annotated[str, _NODE_NAME]
 Seconds = Annotated[float, Range(0.001, 86_400)]
 
 
 class ControlHost(NamedTuple):
     """A control host: where nodes and where the other control hosts reach it."""
 
-    name: str
+    name: NodeName
     address: Address
     peer_address: Address
 
@@ -157,7 +163,7 @@
     agent; a control host listens where its line in ``control`` says.
     """
 
-    node: str
+    node: NodeName
     role: Literal["entry", "agent", "control"]
     zone: str
     control: list[ControlHost]
@@ -201,7 +207,7 @@
     trace_file: str = ""
     curve: CurveSettings | None = None
     timeout_s: Seconds = 10.0
-    node: str = "tool"
+    node: NodeName = "tool"
     role: Literal["tool"] = "tool"
     zone: str = ""
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -67,19 +67,23 @@
 
     def start(self):
         """Start everything and wait until the entries are ready."""
+        self.start_engines()
+        self.start_fake("desk-1", "plain", self.address("127.0.0.33:9000"), [])
+        for node in NODES:
+            self.start_daemon(node)
+        for number in (1, 2):
+            self.wait_ready(self.address(f"127.0.0.2{number}:8080"))
+
+    def start_engines(self):
         for number in (1, 2):
             listen = self.address(f"127.0.0.3{number}:9000")
             options = ["--model", "menu-vi-en:10500:disk"]
             options += ["--model", "allergen-notes:5000:disk"]
             options += ["--command-token", AGENT_TOKEN, "--name", f"engine-{number}"]
             self.start_fake(f"engine-{number}", "engine", listen, options)
-        self.start_fake("desk-1", "plain", self.address("127.0.0.33:9000"), [])
-        for node in NODES:
-            self.start_daemon(node)
-        for number in (1, 2):
-            self.wait_ready(self.address(f"127.0.0.2{number}:8080"))
 
     def _spawn(self, name, arguments):
+        assert name not in self.processes, f"{name} runs already"
         with open(self.folder / "logs" / name, "ab") as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, *arguments],
@@ -93,9 +97,9 @@
         arguments = ["-m", "jasminewharf.fakes", kind, "--listen", listen, *options]
         self._spawn(name, arguments)
 
-    def start_daemon(self, node):
+    def start_daemon(self, node, name=""):
         arguments = ["-c", _START.format("daemon"), "--settings", f"{node}.yaml"]
-        self._spawn(node, arguments)
+        self._spawn(name or node, arguments)
 
     def wait_ready(self, address, timeout_s=30):
         host, _, port = address.partition(":")
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -7,13 +7,16 @@
 import signal
 import socket
 import time
+from pathlib import Path
 
 import pytest
 
-from deployment import AGENT_TOKEN, HASH_SECRET, Deployment
+from deployment import AGENT_TOKEN, HASH_SECRET, NODES, Deployment
 from support import call, chat
 
 LEASE_S = 3
+DOCS = Path(__file__).parent.parent / "docs"
+OPERATIONS = (DOCS / "operations.md").read_text(encoding="utf-8")
 ENTRY = "127.0.0.21:8080"
 
 
@@ -130,11 +133,28 @@
         node = next(n for n in fleet.read("status")["nodes"] if n["node"] == "agent-3")
         assert node["lease_ended"]
         assert node["behind"] > 0
-        run = fleet.run_tool("drain", "desk-host-1", "--wait", "--wait-timeout", "0")
     finally:
         agent.send_signal(signal.SIGCONT)
-    assert run.returncode == 0
-    fleet.tool("drain", "desk-host-1", "--undo", "--wait")
+
+
+def test_drain_that_is_not_over_in_time_has_its_exit_code(fleet):
+    body = json.dumps(chat(stream=True, max_tokens=8000, ignore_eos=True)).encode()
+    host, _, port = fleet.address(ENTRY).partition(":")
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
+        f"authorization: Bearer {fleet.key}\r\ncontent-length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection((host, int(port)), 30) as link:
+        link.sendall(head.encode() + body)
+        assert b" 200 " in link.recv(4096)
+        busy = []
+        while not busy:
+            nodes = fleet.read("status")["nodes"]
+            busy = [n["host"] for n in nodes for b in n["backends"] if b["running"]]
+        run = fleet.run_tool("drain", busy[0], "--wait", "--wait-timeout", "2")
+    assert run.returncode == 8, run.stderr
+    assert "calls run or wait on" in run.stderr
+    fleet.tool("drain", busy[0], "--undo", "--wait")
 
 
 def test_address_in_use_ends_with_its_exit_code_and_names_the_address(fleet):
@@ -187,14 +207,54 @@
 
 
 def test_secret_file_open_to_others_stops_the_daemon_with_file_and_reason(fleet):
+    assert fleet.stop("entry-2") == 0
     secret = fleet.folder / "keys" / "hash-secret"
     secret.chmod(0o644)
     try:
         fleet.start_daemon("entry-2")
-        assert fleet.processes["entry-2"].wait(20) == 3
+        assert fleet.processes.pop("entry-2").wait(20) == 3
     finally:
         secret.chmod(0o600)
     assert "keys/hash-secret: has mode 0644; must be 0600" in fleet.logs()
+    fleet.start_daemon("entry-2")
+    fleet.wait_ready(fleet.address("127.0.0.22:8080"))
+
+
+def test_control_hosts_restart_one_by_one_and_their_copies_are_restored(fleet):
+    """Follows "Upgrade in place" and "Back up and restore" of docs/operations.md."""
+    hosts = ["control-1", "control-2", "control-3"]
+    for host in hosts:
+        assert fleet.stop(host) == 0
+        shutil.copytree(fleet.folder / "data" / host, fleet.folder / f"copy-{host}")
+        fleet.start_daemon(host)
+        while fleet.run_tool("member", "list").returncode:
+            pass
+        assert send(fleet, "GET", "/v1/models", fleet.key)[0] == 200
+    late = fleet.tool("key", "grant", "hanoi-kitchens").strip()
+    for name in reversed(NODES):
+        assert fleet.stop(name) == 0
+    for name in ("engine-1", "engine-2"):
+        fleet.stop(name)
+    fleet.start_engines()
+    for host in hosts:
+        shutil.rmtree(fleet.folder / "data" / host)
+        shutil.copytree(fleet.folder / f"copy-{host}", fleet.folder / "data" / host)
+    for name in NODES:
+        fleet.start_daemon(name)
+    for number in (1, 2):
+        fleet.wait_ready(fleet.address(f"127.0.0.2{number}:8080"))
+    assert send(fleet, "GET", "/v1/models", fleet.key)[0] == 200
+    assert send(fleet, "GET", "/v1/models", late)[0] == 401
+
+
+def test_status_fields_are_those_documented(fleet):
+    section = OPERATIONS.partition("## Fields of the status")[2].partition("\n## ")[0]
+    fleet_table, _, node_table = section.partition("| field of a node")
+    status = fleet.read("status")
+    for table, fields in ((fleet_table, status), (node_table, status["nodes"][0])):
+        rows = re.findall(r"^\| (`.*?) \|", table, re.MULTILINE)
+        documented = {name for row in rows for name in re.findall("`([a-z_]+)`", row)}
+        assert documented == set(fields)
 
 
 def test_planted_secrets_are_in_no_output(fleet):
@@ -214,9 +274,8 @@
     for method, target, sent_key, body, headers in places:
         send(fleet, method, target, sent_key, body, headers)
     _, _, metrics = send(fleet, "GET", "/metrics", "")
-    # An entry on an address in use ends with a crash message.
-    fleet.start_daemon("entry-1")
-    time.sleep(1)
+    fleet.start_daemon("entry-1", name="entry-1-twice")
+    assert fleet.processes.pop("entry-1-twice").wait(20) == 11
     outputs = [metrics.decode(), json.dumps(fleet.read("status")), fleet.logs()]
     outputs += [fleet.tool("key", "list"), fleet.tool("member", "list")]
     outputs += [path.read_text() for path in (fleet.folder / "data").glob("*.jsonl")]
