--- a/src/jasminewharf/services/batches.py
+++ b/src/jasminewharf/services/batches.py
@@ -12,6 +12,7 @@
 from ..exceptions import MalformedMessage
 from ..messages import codec
 from ..messages import log as messages
+from ..settings import is_address
 from .peers import PeerTransport
 
 __all__ = ["Batches", "decode_batch"]
@@ -43,6 +44,8 @@
     decoded = [codec.decode(frame) for frame in frames]
     if not decoded or not isinstance(decoded[0], messages.BatchHeader):
         raise MalformedMessage("batch without a header")
+    if not is_address(decoded[0].address):
+        raise MalformedMessage("batch without the sender's address")
     for message in decoded[1:]:
         _check(message)
     return decoded[0], decoded[1:]
@@ -77,6 +80,9 @@
         transport: Links to the other control hosts.
         make_header: Returns the header of a batch for a member identity.
         on_message: Called with the header and each message that arrives.
+
+    Attributes:
+        malformed_count: Batches dropped because they were no log messages.
     """
 
     def __init__(
@@ -89,6 +95,7 @@
         self._make_header = make_header
         self._on_message = on_message
         self._outbox: dict[str, list[Any]] = {}
+        self.malformed_count = 0
 
     def send(self, receiver: str, message: Any) -> None:
         """Add a message for a member to its next batch."""
@@ -113,7 +120,8 @@
         try:
             header, batch = decode_batch(frames)
         except MalformedMessage as error:
-            events.emit(_logger, events.MESSAGE_MALFORMED, error=error)
+            self.malformed_count += 1
+            events.emit(_logger, events.BATCH_MALFORMED, error=error)
             return
         if host_name(header.sender) == host_name(self._make_header("").sender):
             events.emit(_logger, events.BATCH_REFUSED, sender=header.sender)
--- a/src/jasminewharf/services/gathering.py
+++ b/src/jasminewharf/services/gathering.py
@@ -62,7 +62,9 @@
         self.spawn(self._share_forever(), essential=True)
 
     def _take_report(self, peer: Peer, report: NodeReport) -> None:
-        if peer.node != report.node:
+        hello = peer.hello
+        own = hello is not None and (hello.node, hello.role, hello.incarnation)
+        if own != (report.node, report.role, report.incarnation):
             return
         if self._accept(report, 0):
             self._changed_own.add(report.node)
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -113,6 +113,11 @@
                 return
             await asyncio.sleep(LOG_TICK_S)
 
+    @property
+    def malformed_count(self) -> int:
+        """Batches dropped because they were no log messages."""
+        return self._batches.malformed_count
+
     # Reading and writing.
 
     @property
