--- a/src/jasminewharf/interfaces/local.py
+++ b/src/jasminewharf/interfaces/local.py
@@ -54,10 +54,26 @@
     log_level: str = "warning"
 
 
-def _find_free_ports(count: int) -> list[int]:
+def _choose_inner_address() -> str:
+    """Return a loopback address for the internal links of this run.
+
+    A random one keeps two runs on a machine apart, since a port that was free when
+    it was chosen may be taken before it is used. Not every system has more than
+    one loopback address.
+    """
+    address = ".".join(["127", *(str(1 + secrets.randbelow(250)) for _ in range(3))])
+    with socket.socket() as item:
+        try:
+            item.bind((address, 0))
+        except OSError:
+            return _LOOPBACK
+    return address
+
+
+def _find_free_ports(address: str, count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     for item in sockets:
-        item.bind((_LOOPBACK, 0))
+        item.bind((address, 0))
     ports = [item.getsockname()[1] for item in sockets]
     for item in sockets:
         item.close()
@@ -84,12 +100,13 @@
         self._folder = folder
         self._fakes: list[FakeServer] = []
         self._kernels: list[Kernel] = []
-        client_port, peer_port = _find_free_ports(2)
+        inner = _choose_inner_address()
+        client_port, peer_port = _find_free_ports(inner, 2)
         self._control = [
             ControlHost(
                 "control-1",
-                f"{_LOOPBACK}:{client_port}",
-                f"{_LOOPBACK}:{peer_port}",
+                f"{inner}:{client_port}",
+                f"{inner}:{peer_port}",
             )
         ]
         self._secret_file = folder / "hash-secret"
--- a/src/jasminewharf/services/link.py
+++ b/src/jasminewharf/services/link.py
@@ -30,7 +30,15 @@
 from .failures import describe_failure, restore_failure
 from .security import LinkSecurity
 
-__all__ = ["Identity", "LinkClient", "LinkServer", "Peer"]
+__all__ = [
+    "Identity",
+    "LinkClient",
+    "LinkServer",
+    "Peer",
+    "pack",
+    "pack_header",
+    "unpack",
+]
 
 _logger = logging.getLogger(__name__)
 
@@ -154,7 +162,7 @@
         if not self._parts:
             self._server.schedule_flush(self)
         data = encode(message)
-        self._parts.append(_pack_header(correlation, data))
+        self._parts.append(pack_header(correlation, data))
         self._parts.append(data)
         self._size += len(data)
         if self._size >= _FLUSH_BYTES:
@@ -323,7 +331,7 @@
             peer = self._add_peer(routing_id)
         peer.heard_at = asyncio.get_running_loop().time()
         try:
-            for correlation, data in _unpack(frames[-1]):
+            for correlation, data in unpack(frames[-1]):
                 self._receive_one(peer, correlation, data)
         except MalformedMessage as error:
             self._count_malformed(peer, error)
@@ -531,7 +539,7 @@
         self._socket.connect(endpoint)
 
     def _say_hello(self) -> None:
-        self._channel.send([_pack(_ONE_WAY, self._identity.hello())])
+        self._channel.send([pack(_ONE_WAY, self._identity.hello())])
 
     def _lose_server(self) -> None:
         was_connected = self.welcome is not None
@@ -556,7 +564,7 @@
     def _send(self, correlation: bytes, message: Any) -> None:
         if self.welcome is None:
             raise PeerUnavailable(f"no link to {self.address}")
-        payload = _pack(correlation, message)
+        payload = pack(correlation, message)
         if not self._channel.send([payload]):
             raise PeerUnavailable(f"no link to {self.address}")
         self.bytes_sent += len(payload)
@@ -601,7 +609,7 @@
     def _receive(self, frames: list[bytes]) -> None:
         self.bytes_received += len(frames[-1])
         try:
-            for correlation, data in _unpack(frames[-1]):
+            for correlation, data in unpack(frames[-1]):
                 self._receive_one(correlation, decode(data))
         except MalformedMessage as error:
             self.malformed_count += 1
@@ -658,16 +666,18 @@
                 future.set_exception(LinkError("link closed"))
 
 
-def _pack_header(correlation: bytes, data: bytes) -> bytes:
+def pack_header(correlation: bytes, data: bytes) -> bytes:
+    """Return what precedes an encoded message in a payload."""
     return correlation + len(data).to_bytes(_LENGTH_BYTES, "big")
 
 
-def _pack(correlation: bytes, message: Any) -> bytes:
+def pack(correlation: bytes, message: Any) -> bytes:
+    """Return a payload with one message."""
     data = encode(message)
-    return _pack_header(correlation, data) + data
+    return pack_header(correlation, data) + data
 
 
-def _unpack(payload: bytes) -> Iterator[tuple[bytes, bytes]]:
+def unpack(payload: bytes) -> Iterator[tuple[bytes, bytes]]:
     """Yield pairs of correlation and encoded message.
 
     Raises:
--- a/tests/test_hostile_links.py
+++ b/tests/test_hostile_links.py
@@ -16,6 +16,7 @@
 from jasminewharf.messages.codec import MESSAGE_TYPES
 from jasminewharf.messages.link import Hello, Welcome
 from jasminewharf.messages.log import BatchHeader
+from jasminewharf.services.link import pack, pack_header, unpack
 from support import call, chat
 
 WORDS = st.sampled_from(["fleet", "accounts", "entry-1", "agent-1", "control-1", ""])
@@ -50,7 +51,7 @@
         link.rcvtimeo = 3000
         link.connect(f"tcp://{address}")
         if role:
-            link.send_multipart([bytes(8), encode(Hello(node, role, "z", incarnation))])
+            link.send(pack(bytes(8), Hello(node, role, "z", incarnation)))
         return link
 
     def address_of(self, name):
@@ -82,11 +83,17 @@
 
 
 def ask(link, message, number=7):
-    link.send_multipart([number.to_bytes(8, "big"), encode(message)])
+    correlation = number.to_bytes(8, "big")
+    link.send(pack(correlation, message))
     while True:
-        frames = link.recv_multipart()
-        if frames[0] == number.to_bytes(8, "big"):
-            return decode(frames[1])
+        for answered, data in unpack(link.recv()):
+            if answered == correlation:
+                return decode(data)
+
+
+def receive(link):
+    """Return the first message of the next payload."""
+    return decode(next(unpack(link.recv()))[1])
 
 
 @pytest.mark.parametrize(
@@ -96,7 +103,7 @@
     server = local.agent._server
     before = server.refused_count
     with local.connect(local.address_of(target), role) as link:
-        assert decode(link.recv_multipart()[1]).error == "Forbidden"
+        assert receive(link).error == "Forbidden"
     assert server.refused_count == before + 1
 
 
@@ -131,13 +138,13 @@
     from jasminewharf.messages.calls import ForwardCall
 
     with local.connect(local.address_of("agent"), "entry") as link:
-        welcome = decode(link.recv_multipart()[1])
+        welcome = receive(link)
         assert isinstance(welcome, Welcome)
         fields = {name: kind() for name, kind in empty_fields(ForwardCall).items()}
         fields["request_id"] = "r-1"
         fields["agent_incarnation"] = welcome.incarnation + 1
-        link.send_multipart([bytes(8), encode(ForwardCall(**fields))])
-        answer = decode(link.recv_multipart()[1])
+        link.send(pack(bytes(8), ForwardCall(**fields)))
+        answer = receive(link)
         assert type(answer).__name__ == "CallRefused"
         assert answer.not_run is True
 
@@ -182,7 +189,7 @@
     for name in ("control", "agent"):
         with local.connect(local.address_of(name), role) as link:
             for message in messages:
-                link.send_multipart([bytes(7) + b"\x01", encode(message)])
+                link.send(pack(bytes(7) + b"\x01", message))
             link.linger = 200
     local.check_alive()
 
@@ -207,7 +214,8 @@
     before = local.control._server.malformed_count
     with local.connect(local.address_of("control"), "entry") as link:
         link.recv_multipart()
-        link.send_multipart([bytes(8), b"\xff\xffjunk"])
+        junk = b"\xff\xffjunk"
+        link.send(pack_header(bytes(8), junk) + junk)
         link.linger = 200
     with local.connect(local.address_of("peer"), "") as link:
         link.send_multipart([b"junk"])
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -11,7 +11,7 @@
     Identity,
     LinkClient,
     LinkServer,
-    _pack_header,
+    pack_header,
 )
 
 CLIENT = Identity("entry-1", "entry", "zone-a", 11)
@@ -78,7 +78,7 @@
 
 def test_malformed_and_foreign_messages_are_counted_and_the_link_goes_on():
     async def scenario(server, client, context):
-        client._channel.send([_pack_header(bytes(8), b"\xff\xff") + b"\xff\xff"])
+        client._channel.send([pack_header(bytes(8), b"\xff\xff") + b"\xff\xff"])
         client._channel.send([b"odd"])
         client._channel.send([bytes(11) + b"\xff"])
         answer = await client.request(FetchStatus())
