--- a/src/jasminewharf/trials/__main__.py
+++ b/src/jasminewharf/trials/__main__.py
@@ -25,6 +25,10 @@
         list[str], cappa.Arg(long=True, help="A fault's name; may be repeated.")
     ] = field(default_factory=list)
     pairs: Annotated[bool, cappa.Arg(long=True, help="Two faults at once.")] = False
+    every: Annotated[
+        float,
+        cappa.Arg(long=True, help="Seconds between random faults until the end."),
+    ] = 0.0
     keep: Annotated[str, cappa.Arg(long=True, help="Folder to keep files in.")] = ""
 
     def __call__(self) -> None:
@@ -35,6 +39,7 @@
             callers=self.callers,
             faults=tuple(self.fault),
             pairs=self.pairs,
+            fault_every_s=self.every,
             spec=ClusterSpec(with_proxies=True),
         )
         if self.keep:
--- a/src/jasminewharf/trials/cluster.py
+++ b/src/jasminewharf/trials/cluster.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Iterable
 from io import StringIO
 from pathlib import Path
@@ -30,12 +31,14 @@
     ToolSettings,
 )
 
-__all__ = ["Cluster", "ClusterSpec", "dump_settings"]
+__all__ = ["Cluster", "ClusterSpec", "ProcessUsage", "dump_settings"]
 
 _ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 _READY_TIMEOUT_S = 30.0
 _EXIT_TIMEOUT_S = 30.0
 _POLL_S = 0.05
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_MB_BYTES = 1024 * 1024
 _RUN_DAEMON = "from jasminewharf.interfaces.daemon import main; main()"
 
 
@@ -57,6 +60,15 @@
     desk_pool: str = "order-desk"
 
 
+class ProcessUsage(NamedTuple):
+    """Resident memory and open files of a process at a time in seconds."""
+
+    at: float
+    pid: int
+    resident_mb: float
+    files: int
+
+
 def _to_plain(value: Any) -> Any:
     """Return NamedTuples as dicts, without fields that hold their default."""
     if hasattr(value, "_fields"):
@@ -245,6 +257,17 @@
         """Return the process number of a node."""
         return self._processes[node].pid
 
+    def read_usage(self, node: str) -> ProcessUsage | None:
+        """Return a node's use of memory and files; None if it is not running."""
+        pid = self.pid(node)
+        try:
+            pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+            files = len(os.listdir(f"/proc/{pid}/fd"))
+        except (OSError, IndexError):
+            return None
+        resident_mb = round(pages * _PAGE_BYTES / _MB_BYTES, 1)
+        return ProcessUsage(time.monotonic(), pid, resident_mb, files)
+
     def kill(self, node: str) -> None:
         """End a process at once."""
         self._processes[node].kill()
--- a/src/jasminewharf/trials/runner.py
+++ b/src/jasminewharf/trials/runner.py
@@ -16,13 +16,16 @@
 from ..registry import lookup
 from .callers import CallerKey, TrialCallers
 from .checks import Charge, Evidence, Fault, check_all
-from .cluster import Cluster, ClusterSpec
+from .cluster import Cluster, ClusterSpec, ProcessUsage
 from .faults import FAULTS
 
 __all__ = ["Trial", "TrialOptions", "run_trial"]
 
 _SAMPLE_S = 0.1
 _SETTLE_S = 1.0
+_USAGE_SAMPLE_S = 5.0
+# No fault begins this close to the end, so that what it broke is answered.
+_LAST_FAULT_S = 8.0
 _NS_PER_S = 1_000_000_000
 _US_PER_S = 1_000_000
 
@@ -70,6 +73,8 @@
         burst: Burst of each workspace in tokens.
         faults: Names of faults, done one after the other.
         pairs: Whether two faults are done at once.
+        fault_every_s: If positive, a random one of the faults is done at this
+            interval until the end, instead of each once.
         spec: The deployment.
     """
 
@@ -82,6 +87,7 @@
     burst: int = 60_000
     faults: tuple[str, ...] = ()
     pairs: bool = False
+    fault_every_s: float = 0.0
     spec: ClusterSpec = ClusterSpec()
 
 
@@ -107,6 +113,7 @@
         self.drains: dict[str, float] = {}
         self._samples: list[list[tuple[str, str, int]]] = []
         self._versions: dict[str, list[tuple[int, int, int]]] = {}
+        self.usage: dict[str, list[ProcessUsage]] = {}
         self._random = Random(options.seed)
 
     async def set_up(self) -> None:
@@ -137,13 +144,18 @@
     async def run(self) -> None:
         """Call and break things for the trial's duration."""
         watchers = [
+            asyncio.create_task(self._sample_processes()),
             asyncio.create_task(self._sample_engines()),
             asyncio.create_task(self._sample_versions()),
         ]
         loop = asyncio.get_running_loop()
         end = loop.time() + self.options.duration_s
         callers = [self._call_until(end, n) for n in range(self.options.callers)]
-        await asyncio.gather(self._break_things(), *callers)
+        if self.options.fault_every_s > 0:
+            faults = self._break_until(end)
+        else:
+            faults = self._break_things()
+        await asyncio.gather(faults, *callers)
         for watcher in watchers:
             watcher.cancel()
         await asyncio.gather(*watchers, return_exceptions=True)
@@ -182,6 +194,22 @@
             await asyncio.sleep(_SETTLE_S)
             await self._break(name)
 
+    async def _break_until(self, end: float) -> None:
+        loop = asyncio.get_running_loop()
+        names = self.options.faults or tuple(sorted(FAULTS))
+        while loop.time() < end - _LAST_FAULT_S:
+            await asyncio.sleep(self.options.fault_every_s)
+            await self._break(names[self._random.randrange(len(names))])
+
+    async def _sample_processes(self) -> None:
+        """Sample memory and open files of every process."""
+        while True:
+            for node in self.cluster.nodes:
+                usage = self.cluster.read_usage(node)
+                if usage is not None:
+                    self.usage.setdefault(node, []).append(usage)
+            await asyncio.sleep(_USAGE_SAMPLE_S)
+
     async def _break(self, name: str) -> None:
         self.faults += await lookup(FAULTS, name)(self.cluster, self._random)
 
@@ -274,7 +302,28 @@
         evidence = trial.collect()
     finally:
         await trial.cluster.stop()
-    return summarise(options, evidence)
+    return {**summarise(options, evidence), "usage": _summarise_usage(trial.usage)}
+
+
+def _summarise_usage(
+    usage: dict[str, list[ProcessUsage]],
+) -> dict[str, dict[str, float]]:
+    """Return the growth of each node's longest process life."""
+    growth = {}
+    for node, samples in usage.items():
+        pids = Counter(sample.pid for sample in samples)
+        longest = pids.most_common(1)[0][0]
+        life = [sample for sample in samples if sample.pid == longest]
+        first, last = life[len(life) // 4], life[-1]
+        growth[node] = {
+            "seconds": round(last.at - first.at, 1),
+            "resident_mb_first": first.resident_mb,
+            "resident_mb_last": last.resident_mb,
+            "resident_mb_highest": max(sample.resident_mb for sample in life),
+            "files_first": first.files,
+            "files_last": last.files,
+        }
+    return growth
 
 
 def summarise(options: TrialOptions, evidence: Evidence) -> dict[str, Any]:
