Index loaded replicas and offers incrementally; end calls of entries that are gone

Each document change rebuilt the index of all 6,440 adapters at every node, and each request walked all replicas. Both are now kept per service. An agent ends an idempotent call whose entry has not come back within two resume windows.

--- a/src/jasminewharf/decisions/fleet.py
+++ b/src/jasminewharf/decisions/fleet.py
@@ -101,7 +101,8 @@
         self.replicas: dict[int, Replica] = {}
         self._verdicts: OrderedDict[str, CommandResult] = OrderedDict()
         self._parsed: dict[str, Document] = {}
-        self._offers: dict[str, list[ModelOffer]] = {}
+        self._offers: dict[str, dict[str, ModelOffer]] = {}
+        self._loaded: dict[tuple[str, str], set[tuple[str, str]]] = {}
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply a committed command and return its encoded result."""
@@ -209,29 +210,36 @@
             del self.replicas[replica.number]
         else:
             self.replicas[replica.number] = replica._replace(phase=command.phase)
+        self._index_replica(replica, command.phase == "loaded")
         return CommandResult("", command.phase, replica.number)
 
+    def _index_replica(self, replica: Replica, is_loaded: bool) -> None:
+        places = self._loaded.setdefault((replica.service, replica.model), set())
+        place = (replica.host, replica.backend)
+        if is_loaded:
+            places.add(place)
+        else:
+            places.discard(place)
+        if not places:
+            del self._loaded[(replica.service, replica.model)]
+
     def _put_document(self, record: DocumentRecord) -> None:
         self.documents[record.service] = record
-        self._parsed[record.service] = decode_document(record.document)
-        self._index_offers()
-
-    def _index_offers(self) -> None:
-        self._offers = {}
-        for document in self._parsed.values():
-            for offer in _list_offers(document):
-                name = offer.adapter.name if offer.adapter else offer.model.name
-                self._offers.setdefault(name, []).append(offer)
+        self._index_document(decode_document(record.document))
+
+    def _index_document(self, document: Document) -> None:
+        """Replace one service's offers; the other services' stay as they are."""
+        service = document.service
+        known = self._parsed.get(service)
+        for offer in _list_offers(known) if known else ():
+            del self._offers[_name_of(offer)][service]
+        self._parsed[service] = document
+        for offer in _list_offers(document):
+            self._offers.setdefault(_name_of(offer), {})[service] = offer
 
     def loaded_backends(self, service: str, model: str) -> set[tuple[str, str]]:
         """Return pairs of host and backend server on which a model is loaded."""
-        return {
-            (replica.host, replica.backend)
-            for replica in self.replicas.values()
-            if replica.model == model
-            and replica.service == service
-            and replica.phase == "loaded"
-        }
+        return self._loaded.get((service, model), set())
 
     def document(self, service: str) -> Document | None:
         """Return the current document of ``service``."""
@@ -243,11 +251,11 @@
 
     def offers_named(self, name: str) -> list[ModelOffer]:
         """Return the models and adapters called ``name``, over all services."""
-        return self._offers.get(name, [])
+        return list(self._offers.get(name, {}).values())
 
     def find_offer(self, name: str, workspace: str) -> ModelOffer | None:
         """Return the offer called ``name`` that ``workspace`` may use."""
-        for offer in self._offers.get(name, []):
+        for offer in self._offers.get(name, {}).values():
             access = offer.document.find_access(workspace)
             if access is not None and may_use(access, offer):
                 return offer
@@ -256,7 +264,7 @@
     def offers_for(self, workspace: str) -> Iterator[ModelOffer]:
         """Yield all that ``workspace`` may use."""
         for offers in self._offers.values():
-            for offer in offers:
+            for offer in offers.values():
                 access = offer.document.find_access(workspace)
                 if access is not None and may_use(access, offer):
                     yield offer
@@ -283,11 +291,14 @@
         self.draining = snapshot.draining
         self.replicas = {replica.number: replica for replica in snapshot.replicas}
         self._verdicts = OrderedDict(snapshot.verdicts)
-        self._parsed = {
-            record.service: decode_document(record.document)
-            for record in snapshot.documents
-        }
-        self._index_offers()
+        self._parsed = {}
+        self._offers = {}
+        self._loaded = {}
+        for record in snapshot.documents:
+            self._index_document(decode_document(record.document))
+        for replica in snapshot.replicas:
+            if replica.phase == "loaded":
+                self._index_replica(replica, True)
 
 
 def may_use(access: Access, offer: ModelOffer) -> bool:
@@ -298,6 +309,10 @@
     return offer.adapter is not None and offer.adapter.name in allowed
 
 
+def _name_of(offer: ModelOffer) -> str:
+    return offer.adapter.name if offer.adapter else offer.model.name
+
+
 def _list_offers(document: Document) -> Iterator[ModelOffer]:
     for model in document.models:
         yield ModelOffer(document.service, document, model, None)
--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -111,6 +111,12 @@
         self.end: AnswerEnd | None = None
         self.queue_span = Span("queue", call.traceparent, backend=call.backend)
         self.spans: list[str] = []
+        self.was_unwanted = False
+
+    @property
+    def is_unwanted(self) -> bool:
+        """Whether nobody waits for the answer and it need not be recorded."""
+        return self.peer.is_forgotten and self.end is None and self.call.idempotent
 
 
 class Backends(Service):
@@ -157,6 +163,17 @@
         reports.address = self._server.bind(self.kernel.settings.listen)
         self.kernel.find("feed").listen(lambda applied: self._read_weights())
         self._metrics.watch("calls_in_flight", lambda: len(self._calls))
+        self.spawn(self._end_unwanted_forever(), essential=True)
+
+    async def _end_unwanted_forever(self) -> None:
+        """End idempotent calls whose entry has gone and has not come back."""
+        while True:
+            await asyncio.sleep(defaults.RESUME_WINDOW_S)
+            gone = [call for call in self._calls.values() if call.is_unwanted]
+            for call in gone:
+                if call.was_unwanted and call.task is not None:
+                    call.task.cancel()
+                call.was_unwanted = True
 
     async def drain(self) -> None:
         """Refuse new calls and wait for those in flight."""
@@ -463,6 +480,7 @@
             self._refuse(peer, message.request_id, refusal, None)
             return
         call.peer = peer
+        call.was_unwanted = False
         try:
             chunks = call.replay.read(message.offset)
         except Refusal as refusal:
--- a/src/jasminewharf/services/link.py
+++ b/src/jasminewharf/services/link.py
@@ -143,6 +143,7 @@
         self.hello: Hello | None = None
         self.public_key = ""
         self.is_revoked = False
+        self.is_forgotten = False
         self.heard_at = 0.0
         self._parts: list[bytes] = []
         self._size = 0
@@ -243,6 +244,7 @@
 
     def forget(self, peer: Peer) -> None:
         """Drop what is known of a peer; it has to say hello again."""
+        peer.is_forgotten = True
         self._peers.pop(peer.routing_id, None)
 
     def schedule_flush(self, peer: Peer) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -93,8 +93,17 @@
             resumed.apply_message(index, command)
         record = direct.documents.get("desk")
         versions.append(record.version if record else 0)
+        for model in ("m1", "m2"):
+            assert direct.loaded_backends("menu", model) == {
+                (r.host, r.backend)
+                for r in direct.replicas.values()
+                if r.model == model and r.phase == "loaded"
+            }
         placed = [(r.backend, r.model) for r in direct.replicas.values()]
         assert len(placed) == len(set(placed))
     if 0 < cut <= len(commands):
         assert resumed.snapshot() == direct.snapshot()
+        for model in ("m1", "m2"):
+            loaded = direct.loaded_backends("menu", model)
+            assert resumed.loaded_backends("menu", model) == loaded
     assert versions == sorted(versions)
