--- a/src/jasminewharf/bench/logprocesses.py
+++ b/src/jasminewharf/bench/logprocesses.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import time
+from concurrent.futures import Executor
 from typing import Any
 
 from ..exceptions import ConsensusError
@@ -23,9 +24,9 @@
 _POLL_S = 0.002
 
 
-async def run_member(settings: LogSettings) -> None:
+async def run_member(settings: LogSettings, executor: Executor | None) -> None:
     """Run one member until standard input ends."""
-    service = LogService(Kernel(settings), settings)
+    service = LogService(Kernel(settings), settings, executor=executor)
     digest = Digest()
     service.register_machine(GROUP, digest)
     await service.start()
@@ -116,9 +117,11 @@
     Args:
         folder: Where the data folders are created.
         addresses: Names and addresses of the members.
+        inline: Whether files are written in the event loops' threads.
     """
 
-    def __init__(self, folder: str, addresses: dict[str, str]) -> None:
+    def __init__(self, folder: str, addresses: dict[str, str], *, inline: bool) -> None:
+        self._inline = inline
         self._folder = folder
         self._addresses = addresses
         self._leads: asyncio.Queue[tuple[MemberProcess, float]] = asyncio.Queue()
@@ -130,6 +133,8 @@
         command = [sys.executable, "-m", "jasminewharf.bench.log"]
         command += ["--member", name, "--addresses", json.dumps(self._addresses)]
         command += ["--folder", os.path.join(self._folder, name)]
+        if self._inline:
+            command.append("--inline")
         pipe = asyncio.subprocess.PIPE
         process = await asyncio.create_subprocess_exec(
             *command, stdin=pipe, stdout=pipe
