Move the exploration of the log to bench, beside the other experiments

The explorer, its checkers and the faulty file system are tools with a command of their own: python -m jasminewharf.bench.log_exploration. Tests keep the cases and the injected violations.

--- a/tests/memory_files.py
+++ b/src/jasminewharf/bench/memory_files.py
@@ -2,7 +2,9 @@
 
 import random
 
-from jasminewharf.exceptions import StorageError, StorageFull
+from ..exceptions import StorageError, StorageFull
+
+__all__ = ["MemoryFile", "MemoryFiles", "SimulatedCrash"]
 
 
 class SimulatedCrash(Exception):
@@ -25,11 +27,14 @@
 
 
 class MemoryFile:
+    """A file of :class:`MemoryFiles`."""
+
     def __init__(self, files, inode):
         self._files = files
         self._inode = inode
 
-    def write(self, offset, data):
+    def write(self, offset: int, data: bytes) -> None:
+        """Write; on a full disk only a half of the data, and raise."""
         self._files.count_operation()
         if self._files.full:
             kept = data[: len(data) // 2]
@@ -41,19 +46,21 @@
         self._inode.unsynced.append((offset, data))
         _apply_write(self._inode.current, offset, data)
 
-    def truncate(self, size):
+    def truncate(self, size: int) -> None:
+        """Cut the file."""
         self._files.count_operation()
         self._write(size, None)
 
-    def sync(self):
+    def sync(self) -> None:
+        """Make the content survive a crash."""
         self._files.count_operation()
         if self._files.ignore_sync:
             return
         self._inode.durable = bytes(self._inode.current)
         self._inode.unsynced.clear()
 
-    def close(self):
-        pass
+    def close(self) -> None:
+        """Do nothing."""
 
 
 class MemoryFiles:
@@ -73,14 +80,15 @@
         self._durable_names = {}
         self._folders = set()
 
-    def count_operation(self):
+    def count_operation(self) -> None:
+        """Crash if it is time to."""
         if self.crash_after is not None:
             self.crash_after -= 1
             if self.crash_after <= 0:
                 self.crash_after = None
                 raise SimulatedCrash
 
-    def crash(self, source: random.Random):
+    def crash(self, source: random.Random) -> None:
         """Lose unsynced data: a random prefix of the writes survives, torn."""
         self.crash_after = None
         if source.random() < 0.5:
@@ -99,41 +107,50 @@
             inode.current, inode.durable = content, bytes(content)
             inode.unsynced.clear()
 
-    def flip_bit(self, path, position):
+    def flip_bit(self, path: str, position: int) -> None:
+        """Damage a file; ``position`` counts bits."""
         inode = self._names[path]
         inode.current[position // 8] ^= 1 << (position % 8)
         inode.durable = bytes(inode.current)
 
-    def make_folder(self, folder):
+    def make_folder(self, folder: str) -> None:
+        """Create a folder."""
         self._folders.add(folder)
 
-    def list_folder(self, folder):
+    def list_folder(self, folder: str) -> list[str]:
+        """Return the names of the files in a folder."""
         prefix = folder + "/"
         names = [n[len(prefix) :] for n in self._names if n.startswith(prefix)]
         return sorted(name for name in names if "/" not in name)
 
-    def open(self, path):
+    def open(self, path: str) -> MemoryFile:
+        """Open or create a file."""
         self.count_operation()
         return MemoryFile(self, self._names.setdefault(path, _Inode()))
 
-    def read(self, path, offset=0, length=-1):
+    def read(self, path: str, offset: int = 0, length: int = -1) -> bytes:
+        """Return bytes of a file."""
         if path not in self._names:
             raise StorageError(f"{path} does not exist")
         content = bytes(self._names[path].current)
         return content[offset:] if length < 0 else content[offset : offset + length]
 
-    def exists(self, path):
+    def exists(self, path: str) -> bool:
+        """Return whether there is a file or folder."""
         return path in self._names or path in self._folders
 
-    def rename(self, old, new):
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file."""
         self.count_operation()
         self._names[new] = self._names.pop(old)
 
-    def remove(self, path):
+    def remove(self, path: str) -> None:
+        """Remove a file."""
         self.count_operation()
         del self._names[path]
 
-    def sync_folder(self, folder):
+    def sync_folder(self, folder: str) -> None:
+        """Make the names in a folder survive a crash."""
         self.count_operation()
         prefix = folder + "/"
         for name in [n for n in self._durable_names if n.startswith(prefix)]:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from jasminewharf.bench.log_checks import Checks, InvariantViolation
+from jasminewharf.bench.log_exploration import Simulation, explore
+from jasminewharf.bench.log_host import TIMING
 from jasminewharf.decisions.consensus import Consensus
 from jasminewharf.decisions.records import (
     COMMAND,
@@ -30,8 +33,6 @@
     RequestVote,
     VoteAnswer,
 )
-from log_checks import Checks, InvariantViolation
-from log_simulation import TIMING, Simulation, explore
 
 VOTERS = tuple(MemberRecord(name, "", True) for name in ("a/1", "b/1", "c/1"))
 FIRST = Entry(1, 1, MEMBERS, encode_members(VOTERS))
@@ -180,12 +181,12 @@
     simulation = Simulation(seed, calm=True)
     run_until(simulation, lambda: len(simulation.checks.acknowledged) > 20)
     lost = simulation.hosts["h1"]
-    simulation._lose_disk(lost)
+    simulation.lose_disk(lost)
     run_until(
         simulation, lambda: lost.identity in {m.identity for m in voters(simulation)}
     )
     assert "h1/1" not in {member.identity for member in voters(simulation)}
-    simulation._lose_disk(simulation.hosts["h2"])
+    simulation.lose_disk(simulation.hosts["h2"])
     assert simulation.hosts["h2"].identity == "h2/2"
     simulation.settle()
 
@@ -199,7 +200,7 @@
     leader = simulation.leaders()[0]
     other = next(h for h in simulation.hosts.values() if h is not leader)
     leader.crash()
-    simulation._lose_disk(other)
+    simulation.lose_disk(other)
     assert other.identity.endswith("/2")
     simulation.settle()
 
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -9,6 +9,7 @@
 import pytest
 import zmq.auth
 
+from jasminewharf.bench.memory_files import MemoryFiles
 from jasminewharf.decisions.records import MEMBERS
 from jasminewharf.exceptions import (
     CorruptLog,
@@ -31,7 +32,6 @@
 from jasminewharf.services.batches import decode_batch
 from jasminewharf.services.log import CurveSettings, LogService, LogSettings
 from jasminewharf.services.peers import MemoryNetwork, MemoryPeers
-from memory_files import MemoryFiles
 
 GROUPS = ("fleet", "accounts")
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -7,13 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from jasminewharf.bench.memory_files import MemoryFiles, SimulatedCrash
 from jasminewharf.decisions.records import COMMAND, Entry, HardState, LogReset
 from jasminewharf.exceptions import CorruptLog, StorageError, StorageFull
 from jasminewharf.messages.log import MemberRecord
 from jasminewharf.services.disk import Disk
 from jasminewharf.services.files import DiskFiles
 from jasminewharf.services.storage import GroupStorage
-from memory_files import MemoryFiles, SimulatedCrash
 
 MEMBERS = (MemberRecord("a/1", "", True),)
 
