Bound the memory for account checkpoints of unknown outcome

A first try that kept only one merged bound livelocked in the model when newer proposals were always under way; eight are kept. Conclusion: kept; the model proposes one checkpoint at a time per owner, as the service does.

--- a/src/jasminewharf/decisions/ledgers.py
+++ b/src/jasminewharf/decisions/ledgers.py
@@ -15,6 +15,8 @@
 
 __all__ = ["Holding", "Ledger", "Statement"]
 
+_PENDING_LIMIT = 8
+
 
 class Holding:
     """What one life of a holder has of an account.
@@ -232,10 +234,12 @@
         return min(above_floor, self._effective_ceiling() - statement.outside)
 
     def _effective_floor(self) -> float:
-        return max([self._floor, *(b.floor for b in self.bounds_pending.values())])
+        pending = self.bounds_pending.values()
+        return max([self._floor, *(bounds.floor for bounds in pending)])
 
     def _effective_ceiling(self) -> int:
-        return min([self._ceiling, *(b.ceiling for b in self.bounds_pending.values())])
+        pending = self.bounds_pending.values()
+        return min([self._ceiling, *(bounds.ceiling for bounds in pending)])
 
     def choose_bounds(self, name: str, now: float) -> AccountBounds | None:
         """Return better bounds, or None if those in the log serve."""
@@ -267,18 +271,35 @@
         return self.outside == 0 and self.bucket.level >= self.bucket.limits.burst
 
     def propose_bounds(self, number: int, bounds: AccountBounds, now: float) -> None:
-        """Obey bounds that may be committed."""
+        """Obey bounds that may be committed, and those proposed before."""
         if bounds.floor == AccountBounds.UNTOUCHED:
             bounds = bounds._replace(floor=self.bucket.limits.burst)
         self.bounds_pending[number] = bounds
         self._bounds_set_at = now
+        if len(self.bounds_pending) > _PENDING_LIMIT:
+            self._merge_oldest_pending()
+
+    def _merge_oldest_pending(self) -> None:
+        """Bound the memory for proposals whose outcome stays unknown.
+
+        The older of two is settled no later than the newer one.
+        """
+        older, newer = sorted(self.bounds_pending)[:2]
+        bounds = self.bounds_pending.pop(older)
+        kept = self.bounds_pending[newer]
+        self.bounds_pending[newer] = kept._replace(
+            floor=max(kept.floor, bounds.floor),
+            ceiling=min(kept.ceiling, bounds.ceiling),
+        )
 
     def commit_bounds(self, number: int, bounds: AccountBounds) -> None:
-        """Replace the committed bounds; earlier proposals can no longer take hold."""
+        """Replace the committed bounds.
+
+        Proposals with a lower number can no longer take hold.
+        """
         untouched = bounds.floor == AccountBounds.UNTOUCHED
         self._floor = math.inf if untouched else bounds.floor
         self._ceiling = bounds.ceiling
         self.deferred = 0
-        self.bounds_pending = {
-            n: b for n, b in self.bounds_pending.items() if n > number
-        }
+        for settled in [n for n in self.bounds_pending if n <= number]:
+            del self.bounds_pending[settled]
