--- a/src/jasminewharf/decisions/ledgers.py
+++ b/src/jasminewharf/decisions/ledgers.py
@@ -210,8 +210,7 @@
             return 0
         # The holder's next request may come as late as this one did.
         interval_s = min(now - holding.asked_at, GRANT_TRIM_HEADROOM_S)
-        # The trim shows in the request after the next.
-        headroom = self.bucket.limits.rate * 2 * interval_s
+        headroom = self.bucket.limits.rate * interval_s
         pending = sum(h.trim for h in self.holdings.values()) - holding.trim
         full = self.bucket.limits.burst + pending
         excess = self.bucket.level + self.outside + headroom - full
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -40,8 +40,9 @@
 GRANT_LEASE_S = 3.0
 GRANT_LEASE_MARGIN_S = 0.05
 GRANT_RENEW_SHARE = 0.6
-# Refunds are trimmed ahead of the refill of one renewal interval and a delay.
-GRANT_TRIM_HEADROOM_S = 1.5
+# Refunds are trimmed ahead of the refill until the holder's next request, at most
+# of this time: a renewal interval.
+GRANT_TRIM_HEADROOM_S = 1.8
 # The owner stops granting this long after the start of its last quorum read.
 OWNER_LEASE_S = 1.0
 OWNER_RENEW_INTERVAL_S = 0.25
