--- a/src/jasminewharf/bench/rate_policies.py
+++ b/src/jasminewharf/bench/rate_policies.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-from ..decisions.buckets import RateLimits, TokenBucket
+from ..decisions.buckets import RateLimits
 from ..exceptions import LinkTimeout, RateExceeded
 from ..kernel import Kernel
 from ..registry import register
@@ -115,17 +115,15 @@
 
 @register(POLICIES, "static-shares")
 class StaticShares:
-    """Every entry has a bucket with an equal share of rate and burst."""
+    """Every entry has an ideal bucket with an equal share of rate and burst."""
 
     def __init__(
         self, source: random.Random, entries: int, limits: dict[str, RateLimits]
     ) -> None:
         self.messages = 0
         self._buckets = {
-            (entry, account): TokenBucket(
-                RateLimits(limit.rate / entries, limit.burst // entries),
-                limit.burst // entries,
-                0.0,
+            (entry, account): IdealBucket(
+                RateLimits(limit.rate / entries, limit.burst // entries), 0.0
             )
             for entry in range(entries)
             for account, limit in limits.items()
@@ -137,14 +135,15 @@
     async def charge(self, entry: int, account: str, tokens: int) -> int:
         """Charge the entry's own bucket."""
         bucket = self._buckets[(entry, account)]
-        bucket.accrue(asyncio.get_running_loop().time())
-        if bucket.level < tokens:
+        now = asyncio.get_running_loop().time()
+        if not bucket.holds(tokens, now):
             raise RateExceeded("the entry's share is spent")
-        bucket.take(tokens)
-        return tokens
+        return bucket.charge(tokens, now)
 
     def refund(self, entry: int, account: str, charge: int, spent: int) -> None:
-        """Return nothing: a late refund could exceed the bound on a window."""
+        """End the charge at the entry's own bucket."""
+        now = asyncio.get_running_loop().time()
+        self._buckets[(entry, account)].end(charge, spent, now)
 
     async def kill_owner(self) -> None:
         """There is no owner."""
