Move models in use off a leaving host before their next call

Cause: a replica of a leaving host was unloaded, and its model was loaded elsewhere only when the next call waited for it.

--- a/src/jasminewharf/decisions/planner.py
+++ b/src/jasminewharf/decisions/planner.py
@@ -62,6 +62,7 @@
         self._checked_at = float("-inf")
         self._surplus_since: dict[ModelKey, float] = {}
         self._enough_until: dict[ModelKey, float] = {}
+        self._moves: dict[ModelKey, float] = {}
 
     def plan(
         self,
@@ -88,9 +89,10 @@
             demand = merged.get(record.key)
             self._judge.note_cold_start(record.key, demand.requests if demand else 0)
         loads = self._find_wanted(merged, now)
+        loads += self._find_moves(loads, demands, now)
         self._placer.forget_unwanted({load.key for load in loads}, now)
         self._placer.place(loads, demands, now)
-        self._unload_leaving()
+        self._unload_leaving(now)
         self._check_idle(merged, demands, now)
         return state.actions
 
@@ -204,12 +206,32 @@
             queued += backend.report.queued_tokens / max(1, sharing)
         return queued
 
-    def _unload_leaving(self) -> None:
+    def _find_moves(
+        self, loads: list[WantedLoad], demands: DemandTable, now: float
+    ) -> list[WantedLoad]:
+        """Return loads for models that a leaving host served and that are in use.
+
+        Without them the next call would find the model cold.
+        """
+        wanted = {load.key for load in loads}
+        moves = []
+        for key, until in list(self._moves.items()):
+            ready, coming, _ = self.state.count(key, now)
+            if now >= until or ready + coming or key not in self.state.models:
+                del self._moves[key]
+            elif key not in wanted:
+                if self._judge.idle_s(key, demands, now) > defaults.MOVE_IDLE_MAX_S:
+                    continue
+                moves.append(WantedLoad(key, None, 0.0, 0))
+        return moves
+
+    def _unload_leaving(self, now: float) -> None:
         """Unload loaded replicas of leaving hosts; they receive no new work."""
         for host in self.state.leaving:
             for record in self.state.replicas.on_host(host):
                 if record.phase == "loaded" and not self.state.is_unloading(record):
                     self.state.advance(record, ("unloading",), "host leaving")
+                    self._moves[record.key] = now + defaults.ROOM_CLAIM_S
 
     def _check_idle(
         self,
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -304,6 +304,21 @@
     assert moved and moved[0].host != record.host
 
 
+def test_model_in_use_is_moved_without_waiting_for_its_next_call():
+    """A model that a leaving host served must not be cold for its next call."""
+    fleet = Fleet()
+    load_all(fleet, [0, 1])
+    records = list(fleet.records.values())
+    for record in records:
+        fleet.send(record.host, leaving=True)
+    fleet.ask("e0", want(0, requests=0, tokens=0))
+    actions = [action for _ in range(5) for action in fleet.step(0.3)]
+    moved = [a.model for a in actions if isinstance(a, DecideReplica)]
+    fleet.now += 60
+    moved += [a.model for a in fleet.step() if isinstance(a, DecideReplica)]
+    assert moved.count("m0") == 1
+
+
 def test_host_with_a_replica_unknown_to_the_log_gets_none():
     """Memory that a lost replica may still occupy must not be decided again."""
     fleet = Fleet(hosts=0)
