--- a/src/jasminewharf/bench/scenario.py
+++ b/src/jasminewharf/bench/scenario.py
@@ -1,11 +1,13 @@
 """Scenario files: sizes, traffic, cases and faults of a virtual-time run."""
 
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, get_args, get_origin, get_type_hints
 
 import msgspec
 from ruamel.yaml import YAML
 
+from ..exceptions import ScenarioError
+
 __all__ = [
     "Burst",
     "Case",
@@ -144,30 +146,29 @@
     idle_hour_weight: float
 
 
-def _as_arrays(value: Any, target: Any) -> Any:
-    """Return mappings as the arrays that NamedTuples are converted from."""
-    fields = getattr(target, "__annotations__", {})
-    if isinstance(value, dict) and hasattr(target, "_fields"):
-        unknown = set(value) - set(target._fields)
+def _fill(value: Any, target: Any) -> Any:
+    """Return plain data with every mapping for a NamedTuple as such a tuple.
+
+    ``target`` is the annotated type of the value.
+    """
+    if hasattr(target, "_fields") and isinstance(value, dict):
+        unknown = sorted(set(value) - set(target._fields))
         if unknown:
-            raise ValueError(f"{target.__name__}: unknown fields {sorted(unknown)}")
-        given = {
-            name: _as_arrays(value[name], fields[name])
-            for name in target._fields
-            if name in value
-        }
-        return msgspec.to_builtins(target(**given))
-    arguments = getattr(target, "__args__", ())
-    inner = [kind for kind in arguments if hasattr(kind, "_fields")]
-    if inner and isinstance(value, list):
-        return [_as_arrays(item, inner[0]) for item in value]
-    if inner and isinstance(value, dict) and arguments[0] is str:
-        return {key: _as_arrays(item, inner[0]) for key, item in value.items()}
-    if arguments and isinstance(value, dict):
-        last = arguments[-1]
-        if getattr(last, "__args__", None):
-            return {key: _as_arrays(item, last) for key, item in value.items()}
-        return _as_arrays(value, inner[0]) if inner else value
+            known = ", ".join(target._fields)
+            raise ScenarioError(f"{target.__name__}: {unknown} not among: {known}")
+        types = get_type_hints(target)
+        given = {name: _fill(value[name], types[name]) for name in value}
+        try:
+            return target(**given)
+        except TypeError as error:
+            raise ScenarioError(f"{target.__name__}: {error}") from error
+    inner = get_args(target)
+    if isinstance(value, list) and inner:
+        return [_fill(item, inner[0]) for item in value]
+    if isinstance(value, dict) and get_origin(target) is dict:
+        return {key: _fill(item, inner[1]) for key, item in value.items()}
+    if isinstance(value, dict) and inner:
+        return _fill(value, inner[0])
     return value
 
 
@@ -175,8 +176,10 @@
     """Read a scenario file.
 
     Raises:
-        ValueError: If a field is unknown.
-        msgspec.ValidationError: If a value has the wrong type.
+        ScenarioError: If a field is unknown, missing or has the wrong type.
     """
-    data = YAML(typ="safe").load(Path(path))
-    return msgspec.convert(_as_arrays(data, Scenario), Scenario)
+    filled = _fill(YAML(typ="safe").load(Path(path)), Scenario)
+    try:
+        return msgspec.convert(msgspec.to_builtins(filled), Scenario)
+    except msgspec.ValidationError as error:
+        raise ScenarioError(f"{path}: {error}") from error
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -42,6 +42,7 @@
     "QuorumLost",
     "RateExceeded",
     "Refusal",
+    "ScenarioError",
     "ServiceFailed",
     "SettingsError",
     "ShuttingDown",
@@ -121,6 +122,10 @@
     """A service document is not acceptable."""
 
 
+class ScenarioError(JasminewharfError):
+    """A scenario file of the bench tool is not acceptable."""
+
+
 class VersionConflict(JasminewharfError):
     """A document was submitted against a version that is no longer current."""
 
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -10,6 +10,7 @@
 from jasminewharf.bench.policies import create_settings
 from jasminewharf.bench.scenario import load_scenario
 from jasminewharf.bench.simulation import simulate
+from jasminewharf.exceptions import ScenarioError
 
 GUILD = "scenarios/guild.yaml"
 LIMITS = Limits({"h": 100}, 1, 100.0)
@@ -65,7 +66,7 @@
     text = Path(GUILD).read_text().replace("entries: 4", "entrys: 4")
     path = tmp_path / "bad.yaml"
     path.write_text(text)
-    with pytest.raises(ValueError, match="entrys"):
+    with pytest.raises(ScenarioError, match="entrys"):
         load_scenario(path)
 
 
