Estimate a cold model's load by its place in the queue and by its age

Cause: estimate_ready_s ignored the loads that wait for the store before a model and gave 0.5 s for every overdue load, so that requests were admitted and then held until their deadlines. The virtual entry also asks again once a second and refuses what can no longer be served.

--- a/src/jasminewharf/bench/entries.py
+++ b/src/jasminewharf/bench/entries.py
@@ -194,13 +194,19 @@
             self._measures.note_refusal(attempt.call, self.clock.now, "deadline", True)
 
     def _refuse(
-        self, attempt: Attempt, known: _Model, reason: str, retry_s: float
+        self,
+        attempt: Attempt,
+        known: _Model,
+        reason: str,
+        retry_s: float,
+        *,
+        urgent: bool = True,
     ) -> None:
         cold = reason == "cold"
         final = not attempt.retries
         self._measures.note_refusal(attempt.call, self.clock.now, reason, final)
         if cold:
-            urgent = not known.refused and not known.waiting
+            urgent = urgent and not known.refused and not known.waiting
             until = self.clock.now + retry_s + _REFUSED_KEPT_S
             known.refused.append((until, attempt))
             if urgent:
@@ -232,6 +238,7 @@
         """Send this entry's demands."""
         if not self.alive:
             return
+        self._refuse_hopeless()
         demands = [
             self._describe(key, known)
             for key, known in self._known.items()
@@ -257,6 +264,18 @@
         )
         self.clock.call_in(_REPORT_LAG_S, self._control.take_report, report)
 
+    def _refuse_hopeless(self) -> None:
+        """Refuse waiting calls that the present estimate no longer serves in time."""
+        now = self.clock.now
+        for key, known in self._known.items():
+            if not known.waiting:
+                continue
+            ready_s = self._control.estimate_ready_s(key)
+            hopeless = [a for a in known.waiting.values() if now + ready_s > a.deadline]
+            for attempt in hopeless:
+                del known.waiting[attempt.call.number]
+                self._refuse(attempt, known, "cold", ready_s, urgent=False)
+
     def _describe(self, key: ModelKey, known: _Model) -> Demand:
         now = self.clock.now
         known.refused = [(until, a) for until, a in known.refused if until > now]
--- a/src/jasminewharf/decisions/planner.py
+++ b/src/jasminewharf/decisions/planner.py
@@ -63,6 +63,7 @@
         self._surplus_since: dict[ModelKey, float] = {}
         self._enough_until: dict[ModelKey, float] = {}
         self._moves: dict[ModelKey, float] = {}
+        self._positions: dict[ModelKey, int] = {}
 
     def plan(
         self,
@@ -90,6 +91,7 @@
             self._judge.note_cold_start(record.key, demand.requests if demand else 0)
         loads = self._find_wanted(merged, now)
         loads += self._find_moves(loads, demands, now)
+        self._positions = {load.key: n for n, load in enumerate(loads)}
         self._placer.forget_unwanted({load.key for load in loads}, now)
         self._placer.place(loads, demands, now)
         self._unload_leaving(now)
@@ -116,22 +118,36 @@
         if ready:
             return 0.0
         spec = state.models[key]
-        estimates = [
-            state.ordered_at.get(record.replica, now)
-            + state.load_times.estimate(
-                spec.weights_mb, record.from_tier, state.budget.slowdown
-            )
-            - now
+        under_way = [
+            self._estimate_left(record, spec, now)
             for record in state.replicas.of_model(key)
             if record.phase == "ordered" and state.is_usable(record, now)
         ]
-        if estimates:
-            return max(min(estimates), 0.5)
+        if under_way:
+            return min(under_way)
         wait = 0.0
         tier = state.inventory.best_tier(spec.checkpoint)
+        load_s = self._load_s(spec)
         if tier == "remote":
+            ahead = self._positions.get(key, len(self._positions))
             wait = state.budget.estimate_wait("", now)
-        return wait + self._load_s(spec)
+            wait += ahead * load_s / self.settings.store_concurrent_loads
+        return wait + load_s
+
+    def _estimate_left(
+        self, record: ReplicaRecord, spec: ModelSpec, now: float
+    ) -> float:
+        """Return how long a load under way still takes.
+
+        One that is overdue is expected to take a part of its present age longer; a
+        constant would let requests wait for it until their deadlines.
+        """
+        state = self.state
+        elapsed = now - state.ordered_at.get(record.replica, now)
+        expected = state.load_times.estimate(
+            spec.weights_mb, record.from_tier, state.budget.slowdown
+        )
+        return max(expected - elapsed, defaults.OVERDUE_SHARE * elapsed)
 
     def _load_s(self, spec: ModelSpec) -> float:
         state = self.state
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -28,6 +28,8 @@
 LOAD_BASE_S = 1.0
 LOAD_S_PER_GB = {"memory": 0.05, "disk": 0.35, "remote": 1.0}
 UNLOAD_S = 1.0
+# An overdue load is expected to take this share of its age longer.
+OVERDUE_SHARE = 0.25
 # The shortest window over which a backlog is spread when replicas are counted.
 BACKLOG_WINDOW_MIN_S = 5.0
 # A demand report that is not renewed within this time is dropped (3 reports).
