--- a/src/jasminewharf/decisions/planner.py
+++ b/src/jasminewharf/decisions/planner.py
@@ -62,6 +62,8 @@
         self._checked_at = float("-inf")
         self._surplus_since: dict[ModelKey, float] = {}
         self._enough_until: dict[ModelKey, float] = {}
+        self._moves: dict[ModelKey, float] = {}
+        self._positions: dict[ModelKey, int] = {}
 
     def plan(
         self,
@@ -88,9 +90,11 @@
             demand = merged.get(record.key)
             self._judge.note_cold_start(record.key, demand.requests if demand else 0)
         loads = self._find_wanted(merged, now)
+        loads += self._find_moves(loads, demands, now)
+        self._positions = {load.key: n for n, load in enumerate(loads)}
         self._placer.forget_unwanted({load.key for load in loads}, now)
         self._placer.place(loads, demands, now)
-        self._unload_leaving()
+        self._unload_leaving(now)
         self._check_idle(merged, demands, now)
         return state.actions
 
@@ -114,22 +118,36 @@
         if ready:
             return 0.0
         spec = state.models[key]
-        estimates = [
-            state.ordered_at.get(record.replica, now)
-            + state.load_times.estimate(
-                spec.weights_mb, record.from_tier, state.budget.slowdown
-            )
-            - now
+        under_way = [
+            self._estimate_left(record, spec, now)
             for record in state.replicas.of_model(key)
             if record.phase == "ordered" and state.is_usable(record, now)
         ]
-        if estimates:
-            return max(min(estimates), 0.5)
+        if under_way:
+            return min(under_way)
         wait = 0.0
         tier = state.inventory.best_tier(spec.checkpoint)
+        load_s = self._load_s(spec)
         if tier == "remote":
+            ahead = self._positions.get(key, len(self._positions))
             wait = state.budget.estimate_wait("", now)
-        return wait + self._load_s(spec)
+            wait += ahead * load_s / self.settings.store_concurrent_loads
+        return wait + load_s
+
+    def _estimate_left(
+        self, record: ReplicaRecord, spec: ModelSpec, now: float
+    ) -> float:
+        """Return how long a load under way still takes.
+
+        One that is overdue is expected to take a part of its present age longer; a
+        constant would let requests wait for it until their deadlines.
+        """
+        state = self.state
+        elapsed = now - state.ordered_at.get(record.replica, now)
+        expected = state.load_times.estimate(
+            spec.weights_mb, record.from_tier, state.budget.slowdown
+        )
+        return max(expected - elapsed, defaults.OVERDUE_SHARE * elapsed)
 
     def _load_s(self, spec: ModelSpec) -> float:
         state = self.state
@@ -204,12 +222,32 @@
             queued += backend.report.queued_tokens / max(1, sharing)
         return queued
 
-    def _unload_leaving(self) -> None:
+    def _find_moves(
+        self, loads: list[WantedLoad], demands: DemandTable, now: float
+    ) -> list[WantedLoad]:
+        """Return loads for models that a leaving host served and that are in use.
+
+        Without them the next call would find the model cold.
+        """
+        wanted = {load.key for load in loads}
+        moves = []
+        for key, until in list(self._moves.items()):
+            ready, coming, _ = self.state.count(key, now)
+            if now >= until or ready + coming or key not in self.state.models:
+                del self._moves[key]
+            elif key not in wanted:
+                if self._judge.idle_s(key, demands, now) > defaults.MOVE_IDLE_MAX_S:
+                    continue
+                moves.append(WantedLoad(key, None, 0.0, 0))
+        return moves
+
+    def _unload_leaving(self, now: float) -> None:
         """Unload loaded replicas of leaving hosts; they receive no new work."""
         for host in self.state.leaving:
             for record in self.state.replicas.on_host(host):
                 if record.phase == "loaded" and not self.state.is_unloading(record):
                     self.state.advance(record, ("unloading",), "host leaving")
+                    self._moves[record.key] = now + defaults.ROOM_CLAIM_S
 
     def _check_idle(
         self,
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -157,6 +157,8 @@
 LOAD_BASE_S = 1.0
 LOAD_S_PER_GB = {"memory": 0.05, "disk": 0.35, "remote": 1.0}
 UNLOAD_S = 1.0
+# An overdue load is expected to take this share of its age longer.
+OVERDUE_SHARE = 0.25
 # The shortest window over which a backlog is spread when replicas are counted.
 BACKLOG_WINDOW_MIN_S = 5.0
 # A demand report that is not renewed within this time is dropped (3 reports).
@@ -173,6 +175,9 @@
 SURPLUS_HOLD_S = 60.0
 SURPLUS_UTILISATION = 0.6
 ROOM_CLAIM_S = 30.0
+# A replica of a leaving host is replaced at once if its model was called within
+# this time, otherwise at the next call.
+MOVE_IDLE_MAX_S = 30.0
 PLACEMENT_RETRY_S = 0.25
 PLACEMENTS_PER_PLAN = 8
 PLACEMENT_SHORTLIST = 16
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -50,6 +50,7 @@
     "RateExceeded",
     "Refusal",
     "RequestTimeout",
+    "ScenarioError",
     "ServiceFailed",
     "SettingsError",
     "ShuttingDown",
@@ -135,6 +136,10 @@
     """A service document is not acceptable."""
 
 
+class ScenarioError(JasminewharfError):
+    """A scenario file of the bench tool is not acceptable."""
+
+
 class VersionConflict(JasminewharfError):
     """A document was submitted against a version that is no longer current."""
 
