--- a/src/jasminewharf/decisions/admission.py
+++ b/src/jasminewharf/decisions/admission.py
@@ -332,7 +332,8 @@
     if call.deadline <= now:
         raise Overloaded("the deadline has passed")
     latest = call.deadline - defaults.ADMISSION_LEAST_SERVICE * estimate.service_s
-    if estimate.wait_s > 0 and now + estimate.wait_s > latest:
+    cautious_wait_s = defaults.ADMISSION_WAIT_MARGIN * estimate.wait_s
+    if estimate.wait_s > 0 and now + cautious_wait_s > latest:
         raise Overloaded(
             "the call cannot be served before its deadline",
             retry_after_ms=to_retry_ms(estimate.wait_s),
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -43,6 +43,9 @@
 ADMISSION_SECONDS_PER_TOKEN = 0.02
 # Weight of one observation in the moving averages of admission.
 ADMISSION_GAIN = 0.1
+# Factor on the estimated wait in admission. 1.1 halves the calls that wait and are
+# then refused, at the price of up to one in a hundred calls done.
+ADMISSION_WAIT_MARGIN = 1.1
 # Expected service times that must be left for a call to begin. At 1.0 three times
 # as many calls run and miss their deadline; at 1.5 more wait and are then refused.
 ADMISSION_LEAST_SERVICE = 1.15
