Answer bad requests in the stand-in engine and order held chunks by a heap

A restarted stand-in engine counts its cache events from 1, as a new process does. Chunks ahead of a gap were sorted for each chunk that arrived.

--- a/src/jasminewharf/decisions/streams.py
+++ b/src/jasminewharf/decisions/streams.py
@@ -5,6 +5,7 @@
 which ends either complete or broken and is never short without saying so.
 """
 
+import heapq
 from collections import deque
 from typing import NamedTuple
 
@@ -47,6 +48,7 @@
         self._limit_bytes = limit_bytes
         self._heard_at = now
         self._ahead: dict[int, bytes] = {}
+        self._ahead_offsets: list[int] = []
         self._ahead_bytes = 0
         self._length: int | None = None
         self._gap_since: float | None = None
@@ -151,13 +153,14 @@
         added = len(data) - len(known or b"")
         if self._ahead_bytes + added > self._limit_bytes:
             return
+        if known is None:
+            heapq.heappush(self._ahead_offsets, offset)
         self._ahead[offset] = data
         self._ahead_bytes += added
 
     def _release(self, ready: list[bytes]) -> None:
-        for offset in sorted(self._ahead):
-            if offset > self.delivered:
-                break
+        while self._ahead_offsets and self._ahead_offsets[0] <= self.delivered:
+            offset = heapq.heappop(self._ahead_offsets)
             data = self._ahead.pop(offset)
             self._ahead_bytes -= len(data)
             if offset + len(data) <= self.delivered:
@@ -183,6 +186,7 @@
         self.status = BROKEN
         self.error = reason
         self._ahead.clear()
+        self._ahead_offsets.clear()
         self._ahead_bytes = 0
 
 
--- a/src/jasminewharf/fakes/batching.py
+++ b/src/jasminewharf/fakes/batching.py
@@ -318,10 +318,11 @@
             self._log("evicted", evicted)
         return cached
 
-    def clear(self) -> None:
-        """Empty the cache."""
+    def restart(self) -> None:
+        """Empty the cache and count events from 1 again, as a new process does."""
         self._blocks.clear()
-        self._log("cleared", 0)
+        self._events.clear()
+        self._sequence = 0
 
     def read_events(self, after: int, limit: int) -> list[tuple[int, str, int]]:
         """Return published events with a sequence above ``after``."""
--- a/src/jasminewharf/fakes/engine.py
+++ b/src/jasminewharf/fakes/engine.py
@@ -127,7 +127,7 @@
             task.cancel()
         self.batch.clear()
         self.models.clear()
-        self.cache.clear()
+        self.cache.restart()
         self.jobs.clear()
         self._load_history.clear()
         await super().kill()
@@ -144,11 +144,15 @@
         body = request.json()
         if not self._is_authorised(request):
             return answer_json(401, {"error": "unknown agent"})
+        if not isinstance(body, dict):
+            return answer_json(400, {"error": "the body is not an object"})
         try:
             job = self._begin(request, body, kind)
         except OrderRefused as refusal:
             error = {"message": refusal.reason, "type": "not_found"}
             return answer_json(refusal.status, {"error": error})
+        except (AttributeError, TypeError, ValueError) as error:
+            return answer_json(400, {"error": f"bad request: {error}"})
         if body.get("stream"):
             stream = self._read_with_grace(job, 0)
             return Answer(200, b"", "text/event-stream", stream)
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -128,6 +128,15 @@
     with_engine(work)
 
 
+@pytest.mark.parametrize("fields", [{"max_tokens": "x"}, {"max_tokens": [1]}])
+def test_bad_request_is_answered_and_runs_nothing(fields):
+    async def work(engine):
+        assert (await complete(engine, "r-1", **fields))[0] == 400
+        assert not engine.runs
+
+    with_engine(work)
+
+
 def test_repeated_calls_are_found():
     async def work(engine):
         for request_id in ("r-1", "r-2", "r-2"):
