--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	@exec $(VENV)/bin/jasminewharf run --port $(PORT)
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest -n 4
+	$(VENV)/bin/python -m pytest -n 4 --dist loadfile
 
 check: $(STAMP)
 	$(VENV)/bin/ruff format --check .
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -22,10 +22,11 @@
 HASH_SECRET = "planted-hash-secret-93ae"
 _ADDRESS = re.compile(r"127\.0\.0\.(\d+):(\d+)")
 _SOURCE = str(Path(jasminewharf.__file__).parent.parent.absolute())
-_ENVIRONMENT = {
+ENVIRONMENT = {
     **os.environ,
     "PYTHONPATH": _SOURCE,
     "JASMINEWHARF_SETTINGS": "tool.yaml",
+    "COLUMNS": "88",
 }
 _START = "import sys; from jasminewharf.interfaces.{0} import main; main()"
 
@@ -90,7 +91,7 @@
                 stdout=log,
                 stderr=log,
                 cwd=self.folder,
-                env=_ENVIRONMENT,
+                env=ENVIRONMENT,
             )
 
     def start_fake(self, name, kind, listen, options):
@@ -127,7 +128,7 @@
             capture_output=True,
             text=True,
             cwd=self.folder,
-            env=_ENVIRONMENT,
+            env=ENVIRONMENT,
             timeout=100,
         )
 
@@ -135,10 +136,11 @@
         """Return the tool's answer in JSON."""
         return json.loads(self.tool(*arguments, "--output", "json"))
 
-    def set_up(self):
+    def set_up(self, author="an"):
         """Submit the example documents and return a key."""
         for name in ("translation", "orders"):
-            self.tool("config", "submit", f"{name}.yaml", "--wait")
+            options = ["--author", author, "--wait"]
+            self.tool("config", "submit", f"{name}.yaml", *options)
         return self.tool("key", "grant", "hanoi-kitchens").strip()
 
     def logs(self):
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from deployment import AGENT_TOKEN, HASH_SECRET, NODES, Deployment
+from deployment import AGENT_TOKEN, ENVIRONMENT, HASH_SECRET, NODES, Deployment
 from support import call, chat
 
 LEASE_S = 3
@@ -157,6 +157,15 @@
     fleet.tool("drain", busy[0], "--undo", "--wait")
 
 
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_shell_completion_is_generated_and_completes(fleet, shell, monkeypatch):
+    monkeypatch.setitem(ENVIRONMENT, "SHELL", f"/bin/{shell}")
+    assert "COMPLETION_LINE" in fleet.tool("--completion", "generate")
+    monkeypatch.setitem(ENVIRONMENT, "COMPLETION_LINE", "jasminewharf config s")
+    monkeypatch.setitem(ENVIRONMENT, "COMPLETION_LOCATION", "2")
+    assert "submit" in fleet.tool("--completion", "complete")
+
+
 def test_address_in_use_ends_with_its_exit_code_and_names_the_address(fleet):
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", 0))
