Test key rotation and TLS with running daemons

Cause: rotation of control hosts' keys was tested on a single link only, and TLS only on a server object.

--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from certificates import read_name, write_certificate
 from deployment import AGENT_TOKEN, ENVIRONMENT, HASH_SECRET, NODES, Deployment
 from support import call, chat
 
@@ -256,6 +257,64 @@
     assert send(fleet, "GET", "/v1/models", late)[0] == 401
 
 
+def test_link_keys_are_rotated_while_everything_runs(fleet, tmp_path):
+    """Follows "Rotate a link key" of docs/operations.md, for every role."""
+    keys = fleet.folder / "keys"
+    for number, name in enumerate(["control-1", "control-2", "agent-1", "entry-1"]):
+        role = name.partition("-")[0]
+        fleet.tool("key", "pair", role, name, "--folder", str(tmp_path))
+        stem = f"{role}-{name}"
+        shutil.copy(tmp_path / f"{stem}.key", keys / f"{stem}.next.key")
+        time.sleep(1)
+        shutil.copy(tmp_path / f"{stem}.key_secret", keys / f"{stem}.key_secret")
+        shutil.copy(tmp_path / f"{stem}.key", keys / f"{stem}.key")
+        (keys / f"{stem}.next.key").unlink()
+        time.sleep(1)
+        version = fleet.read("config", "history", "orders")[0]["version"]
+        fleet.tool(
+            *("config", "submit", "orders.yaml", "--wait"),
+            *("--expect-version", str(version)),
+        )
+        body = chat(max_tokens=number + 1)
+        status, _, _ = send(fleet, "POST", "/v1/chat/completions", fleet.key, body)
+        assert status == 200
+        assert all(node["live"] for node in fleet.read("status")["nodes"])
+    # Without the third host, the two with new keys must reach each other.
+    fleet.processes["control-3"].send_signal(signal.SIGSTOP)
+    try:
+        fleet.tool(
+            "config", "submit", "orders.yaml", "--expect-version", str(version + 1)
+        )
+    finally:
+        fleet.processes["control-3"].send_signal(signal.SIGCONT)
+
+
+def test_entry_serves_tls_and_takes_up_a_new_certificate(fleet):
+    assert fleet.stop("entry-2") == 0
+    write_certificate(fleet.folder, "first")
+    with open(fleet.folder / "entry-2.yaml", "a") as settings:
+        settings.write("tls: {certificate_file: tls.crt, key_file: tls.key}\n")
+    fleet.start_daemon("entry-2")
+    address = fleet.address("127.0.0.22:8080")
+    assert read_certificate(address, "CN=first") == "CN=first"
+    write_certificate(fleet.folder, "second")
+    assert read_certificate(address, "CN=second") == "CN=second"
+    assert fleet.stop("entry-2") == 0
+
+
+def read_certificate(address, wanted):
+    deadline = time.monotonic() + 15
+    while time.monotonic() < deadline:
+        try:
+            name = asyncio.run(read_name(address, "/healthz"))
+        except OSError:
+            name = ""
+        if name == wanted:
+            break
+        time.sleep(0.1)
+    return name
+
+
 def test_status_fields_are_those_documented(fleet):
     section = OPERATIONS.partition("## Fields of the status")[2].partition("\n## ")[0]
     fleet_table, _, node_table = section.partition("| field of a node")
--- a/tests/test_hostile_http.py
+++ b/tests/test_hostile_http.py
@@ -11,7 +11,9 @@
 from hypothesis import strategies as st
 
 from hostile import LoopThread, exchange, fuzz, read_status
+from jasminewharf.exceptions import WorkspaceBusy
 from jasminewharf.interfaces.http import HttpServer
+from jasminewharf.interfaces.limits import WorkspaceLimits
 from jasminewharf.interfaces.local import LocalOptions, open_local_system
 from jasminewharf.interfaces.refusals import render_refusal
 from jasminewharf.settings import LimitSettings
@@ -348,6 +350,19 @@
     assert not limits._running
 
 
+def test_workspace_beyond_its_connections_is_refused_until_one_ends():
+    limits = WorkspaceLimits(LIMITS._replace(workspace_connections=1))
+    with limits.admit("hanoi", "a"), limits.admit("hanoi", "a"):
+        pass
+    with limits.admit("hue", "b"):
+        pass
+    with pytest.raises(WorkspaceBusy), limits.admit("hanoi", "c"):
+        pass
+    limits.forget("a")
+    with limits.admit("hanoi", "c"):
+        pass
+
+
 json_values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
     lambda inner: (
