--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -13,7 +13,7 @@
 from jasminewharf.trials.cluster import ClusterSpec
 from jasminewharf.trials.runner import TrialOptions, run_trial
 
-pytestmark = [pytest.mark.xdist_group("trials"), pytest.mark.timeout(180)]
+pytestmark = [pytest.mark.timeout(180)]
 
 SPEC = ClusterSpec(with_proxies=True)
 
