Test what four injected faults showed to be untested

The four that survived: a waiting workspace that saves up a share when it is settled, a missing tail noticed only when idle, bytes no longer kept that are skipped in a resume, and overlapping held chunks delivered twice. Each has a test now that catches it.

--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -230,6 +230,18 @@
     assert abs(served["misstated"] - served["exact"]) <= 0.02 * sum(served.values())
 
 
+@pytest.mark.parametrize("priority", [INTERACTIVE, BATCH])
+def test_settling_a_waiting_workspace_keeps_its_tag_at_the_virtual_time(priority):
+    """It would otherwise be served alone until it has caught up."""
+    queue = FairQueue({})
+    for number in range(10, 40):
+        queue.push(make_call(number, "a", 100, priority))
+        queue.push(make_call(number + 100, "b", 100, priority))
+    queue.settle("a", 10_000)
+    first_ten = [queue.pop(0.0).workspace for _ in range(10)]
+    assert 4 <= first_ten.count("a") <= 6
+
+
 def test_settling_an_idle_workspace_keeps_its_tag_at_the_virtual_time():
     """It would otherwise save up a share by overstating its costs."""
     queue = FairQueue({})
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -102,6 +102,40 @@
     assert exchange.delivered == b"".join(chunks)
 
 
+@given(st.integers(0, 2**32), st.integers(0, 20))
+def test_overlapping_chunks_with_other_boundaries_give_the_same_bytes(seed, chunks):
+    """A resumed stream is cut differently from the first one."""
+    source = random.Random(seed)
+    answer = bytes(range(60))
+    entry = Reassembly(0.0)
+    cuts = [sorted(source.sample(range(61), 2)) for _ in range(chunks)]
+    delivered = b""
+    for first, last in [*cuts, (0, 30), (20, 60)]:
+        delivered += b"".join(entry.accept(first, answer[first:last], 0.0))
+        assert answer.startswith(delivered)
+    entry.end(len(answer), "", 0.0)
+    assert delivered == answer and entry.status == COMPLETE
+
+
+def test_missing_tail_is_asked_for_as_soon_as_a_gap_and_not_when_idle():
+    entry = Reassembly(0.0)
+    entry.accept(0, b"abc", 0.0)
+    entry.end(10, "", 0.0)
+    assert entry.check(defaults.STREAM_GAP_S).offset == 3
+
+
+def test_bytes_that_are_no_longer_kept_are_refused_and_not_skipped():
+    replay = ReplayBuffer(10)
+    for _ in range(5):
+        replay.append(b"x" * 6)
+    assert replay.start > 0
+    with pytest.raises(StreamInterrupted):
+        replay.read(0)
+    with pytest.raises(StreamInterrupted):
+        replay.read(31)
+    assert b"".join(data for _, data in replay.read(replay.start + 1)) == b"x" * 5
+
+
 class _IgnoresGaps(Reassembly):
     """The injected fault: delivers whatever arrives and trusts any end."""
 
