Recognise a restarted engine by its cache events

Cause: a restarted engine counts its events from 1, so that a reader that asks after an old number got nothing, and an entry dropped what it got, until the numbers had passed the old ones. The stand-in's feed now answers with 0 as the number to ask after; PrefixHints takes a number 100 or more behind the last one as a restart. Not measured; tests show both.

--- a/src/jasminewharf/decisions/prefixes.py
+++ b/src/jasminewharf/decisions/prefixes.py
@@ -81,10 +81,17 @@
             self._store(backend, block, now)
 
     def apply(self, backend: str, event: CacheEvent, now: float) -> None:
-        """Take a cache event; events that come again or too late are dropped."""
+        """Take a cache event; events that come again or too late are dropped.
+
+        A number far below the last one means that the backend server has
+        restarted, and its hints are dropped.
+        """
         last = self._sequences.get(backend)
         if last is not None and event.sequence <= last:
-            return
+            if last - event.sequence < defaults.PREFIX_REORDERED_EVENTS:
+                return
+            self.forget(backend)
+            last = None
         if last is not None and event.sequence > last + 1:
             self.gaps += 1
         self._sequences[backend] = event.sequence
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -69,6 +69,8 @@
 PREFIX_BLOCKS = 32
 PREFIX_HINT_LIMIT = 50_000
 PREFIX_HINT_AGE_S = 300.0
+# An event this far behind the last one comes from a restarted backend server.
+PREFIX_REORDERED_EVENTS = 100
 
 HEALTH_WINDOW_S = 10.0
 HEALTH_CONSECUTIVE_FAILURES = 5
--- a/src/jasminewharf/fakes/batching.py
+++ b/src/jasminewharf/fakes/batching.py
@@ -285,7 +285,8 @@
 class PrefixCache:
     """Prompt blocks in limited memory, least recently used evicted first.
 
-    Events are published ``lag_s`` late, and a share of them is lost.
+    Events are published ``lag_s`` late, and a share of them is lost; ``sequence``
+    is the number of the last one.
     """
 
     def __init__(
@@ -296,7 +297,7 @@
         self._lose = lose
         self._blocks: OrderedDict[int, None] = OrderedDict()
         self._events: deque[tuple[float, int, str, int]] = deque(maxlen=log_limit)
-        self._sequence = 0
+        self.sequence = 0
 
     def __len__(self) -> int:
         return len(self._blocks)
@@ -322,7 +323,7 @@
         """Empty the cache and count events from 1 again, as a new process does."""
         self._blocks.clear()
         self._events.clear()
-        self._sequence = 0
+        self.sequence = 0
 
     def read_events(self, after: int, limit: int) -> list[tuple[int, str, int]]:
         """Return published events with a sequence above ``after``."""
@@ -334,6 +335,6 @@
         ][:limit]
 
     def _log(self, kind: str, block: int) -> None:
-        self._sequence += 1
+        self.sequence += 1
         if not self._lose():
-            self._events.append((time.monotonic(), self._sequence, kind, block))
+            self._events.append((time.monotonic(), self.sequence, kind, block))
--- a/src/jasminewharf/fakes/engine.py
+++ b/src/jasminewharf/fakes/engine.py
@@ -332,7 +332,9 @@
     async def _serve_cache_events(self, request: Request) -> Answer:
         after = int(request.query.get("after", "0"))
         events = self.cache.read_events(after, 1000)
-        last = events[-1][0] if events else after
+        # A number beyond the last event is from before a restart: begin again.
+        last = after if after <= self.cache.sequence else 0
+        last = events[-1][0] if events else last
         return answer_json(200, {"events": events, "next": last})
 
     async def _serve_runs(self, request: Request) -> Answer:
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -237,6 +237,23 @@
     with_engine(work, CONFIG._replace(event_loss=0.3))
 
 
+def test_cache_feed_of_a_restarted_engine_tells_to_begin_again():
+    """Otherwise no event is read until the numbers pass the old ones."""
+
+    async def work(engine):
+        for number in range(3):
+            await complete(engine, f"r-{number}", prompt=f"{number}" * 600)
+        order = OPENAI.fetch_cache_events(0, "")
+        before = OPENAI.read_cache_events(*await call(engine, order))
+        await engine.kill()
+        await engine.start()
+        order = OPENAI.fetch_cache_events(before.after, "")
+        after = OPENAI.read_cache_events(*await call(engine, order))
+        assert before.after > 0 and (after.events, after.after) == ((), 0)
+
+    with_engine(work, CONFIG._replace(event_loss=0.0))
+
+
 @pytest.mark.parametrize("fault, runs", [("fail_next", 0), ("drop_next", 1)])
 def test_orders_run_or_not_as_the_fault_says_and_repeats_are_found(fault, runs):
     async def work(service):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -80,6 +80,16 @@
     assert hints.gaps == 1
 
 
+def test_restarted_server_loses_its_hints_and_its_events_count_again():
+    hints = PrefixHints()
+    hints.apply("b", CacheEvent(500, "stored", 1), 0.0)
+    hints.apply("other", CacheEvent(500, "stored", 1), 0.0)
+    hints.apply("b", CacheEvent(1, "stored", 2), 0.0)
+    assert hints.cached_share("b", [1], 0.0) == 0.0
+    assert hints.cached_share("b", [2], 0.0) == 1.0
+    assert hints.cached_share("other", [1], 0.0) == 1.0
+
+
 def test_hints_are_bounded_and_expire():
     hints = PrefixHints(limit=10, max_age_s=5.0)
     hints.note_route("b", range(100), 0.0)
