Learn service times, token intervals and true costs in the services

Estimates now carry the number of waiting entries, calls end with their true cost, the coalescing delay follows the engine's token interval, and hints of a restarted engine are dropped.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -235,6 +235,8 @@
 REPLAY_KEPT_S = 10.0
 ESTIMATE_INTERVAL_S = 0.1
 ESTIMATE_KEPT_S = 5.0
+# Weight of the newest interval between tokens in its running mean.
+TOKEN_INTERVAL_GAIN = 0.1
 CACHE_FEED_INTERVAL_S = 0.5
 FORWARD_RETRY_S = 0.02
 # An entry reports the age of a model's last call for this long.
--- a/src/jasminewharf/interfaces/plans.py
+++ b/src/jasminewharf/interfaces/plans.py
@@ -7,7 +7,7 @@
 
 from .. import defaults
 from ..decisions.fleet import FleetState
-from ..decisions.prefixes import hash_prefixes
+from ..decisions.prefixes import hash_prefixes, prefix_scope
 from ..dialects.openai import read_prompt
 from ..documents import Access, Adapter, Document, Route
 from ..exceptions import BadRequest, Forbidden, NotFound
@@ -193,7 +193,7 @@
 def _hash_prompt(
     body: dict[str, Any], model: str, adapter: Adapter | None
 ) -> tuple[int, ...]:
-    scope = f"{model}/{adapter.name if adapter else ''}"
+    scope = prefix_scope(model, adapter.name if adapter else "")
     return tuple(hash_prefixes(scope, read_prompt(body)))
 
 
--- a/src/jasminewharf/messages/calls.py
+++ b/src/jasminewharf/messages/calls.py
@@ -125,8 +125,10 @@
 class CacheEvents(NamedTuple):
     """Cache events of an engine, late and with gaps.
 
-    Each is a sequence number, a kind and a block's hash.
+    Each is a sequence number, a kind and a block's hash. ``incarnation`` is the
+    engine's; it counts its events anew after a restart.
     """
 
     backend: str
+    incarnation: int
     events: list[tuple[int, str, int]]
--- a/src/jasminewharf/messages/feed.py
+++ b/src/jasminewharf/messages/feed.py
@@ -129,11 +129,15 @@
 
 
 class LoadEstimate(NamedTuple):
-    """When a model is expected to serve, in milliseconds from the message."""
+    """When a model is expected to serve, in milliseconds from the message.
+
+    ``entries`` is the number of entries at which requests for it wait.
+    """
 
     service: str
     model: str
     ready_ms: int
+    entries: int = 1
 
 
 @message(66)
--- a/src/jasminewharf/services/answers.py
+++ b/src/jasminewharf/services/answers.py
@@ -47,6 +47,7 @@
         backend: The backend server's name.
         head: The answer's head, once it has arrived.
         tokens: The true cost in tokens; -1 until it is known.
+        started_at: When the call was forwarded, on the event loop's clock.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         self.tokens = -1
         self.failure: Refusal | None = None
         self._resume = resume
+        self.started_at = _now()
         self._reassembly = Reassembly(_now())
         self._ready: list[bytes] = []
         self._changed = asyncio.Event()
--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -6,7 +6,7 @@
 
 from .. import defaults, events
 from ..decisions.admission import Admission, AdmissionLimits, TokenRate
-from ..decisions.coalescing import Batch, Coalescer
+from ..decisions.coalescing import Batch, Coalescer, choose_delay
 from ..decisions.queueing import QUEUES, QueuedCall, QueueLimits
 from ..decisions.streams import ReplayBuffer
 from ..dialects import DIALECTS, Dialect, HttpCall
@@ -62,6 +62,8 @@
     Attributes:
         loaded: Models that are ready for calls, with their replica's number.
         reachable: Whether the engine's state has been read since it was last lost.
+        incarnation: The engine's life, as it was last read.
+        token_interval_s: Recent time between the tokens of one stream.
     """
 
     def __init__(self, settings: BackendSettings, queue_name: str) -> None:
@@ -76,6 +78,13 @@
         self.loaded: dict[str, int] = {}
         self.in_flight: dict[str, int] = {}
         self.reachable = False
+        self.incarnation = 0
+        self.token_interval_s = 0.0
+
+    def note_token_interval(self, seconds: float) -> None:
+        """Learn the time between the tokens of a stream at the engine."""
+        gain = defaults.TOKEN_INTERVAL_GAIN
+        self.token_interval_s += gain * (seconds - self.token_interval_s)
 
     def read_load(self, now: float) -> LoadState:
         """Return the load as it is at this moment."""
@@ -107,6 +116,8 @@
         self.task: asyncio.Task[None] | None = None
         self.replay = ReplayBuffer()
         self.tail = b""
+        self.tokens = -1
+        self.chunk_at = 0.0
         self.head: AnswerHead | None = None
         self.end: AnswerEnd | None = None
         self.queue_span = Span("queue", call.traceparent, backend=call.backend)
@@ -346,7 +357,9 @@
             self._forget(call)
             raise
         finally:
-            call.backend.admission.finish(request.request_id, _now(), complete=complete)
+            call.backend.admission.finish(
+                request.request_id, _now(), complete=complete, tokens=call.tokens
+            )
             call.backend.count_end(request.model)
             self._start_ready(call.backend)
 
@@ -399,12 +412,23 @@
         offset = call.replay.append(data)
         call.tail = (call.tail + data)[-_TAIL_BYTES:]
         if call.call.stream:
-            call.backend.rate.add(data.count(_EVENT_MARK), _now())
+            self._note_stream(call, data)
         chunk = AnswerChunk(call.call.request_id, offset, data)
         self._send(call, chunk, len(data), urgent=call.call.stream and is_first)
 
+    def _note_stream(self, call: _AgentCall, data: bytes) -> None:
+        now = _now()
+        tokens = data.count(_EVENT_MARK)
+        call.backend.rate.add(tokens, now)
+        if call.chunk_at and tokens:
+            call.backend.note_token_interval((now - call.chunk_at) / tokens)
+            intervals = (item.token_interval_s for item in self.backends.values())
+            self._coalescer.delay_s = choose_delay(max(intervals))
+        call.chunk_at = now
+
     def _end_answered(self, call: _AgentCall, span: Span, status: int) -> None:
         tokens = call.backend.dialect.read_tokens(call.tail)
+        call.tokens = tokens
         if not call.call.stream and tokens > 0:
             call.backend.rate.add(tokens, _now())
         call.spans.append(span.end(status=status, tokens=tokens).to_json())
--- a/src/jasminewharf/services/cachefeed.py
+++ b/src/jasminewharf/services/cachefeed.py
@@ -51,5 +51,7 @@
         if feed.events:
             events = [tuple(event) for event in feed.events]
             for peer in self._backends.entries():
-                peer.send(CacheEvents(backend.settings.name, events))
+                peer.send(
+                    CacheEvents(backend.settings.name, backend.incarnation, events)
+                )
         return feed.after
--- a/src/jasminewharf/services/loader.py
+++ b/src/jasminewharf/services/loader.py
@@ -83,6 +83,7 @@
             self._note_lost(engine, error)
             return False
         engine.state = state
+        engine.backend.incarnation = state.incarnation
         before = (engine.backend.reachable, engine.reports)
         busy = False
         if engine.backend.dialect.has_models:
--- a/src/jasminewharf/services/planner.py
+++ b/src/jasminewharf/services/planner.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+from collections import Counter
+from collections.abc import Iterable
 from typing import ClassVar
 
 from .. import defaults, events
@@ -109,8 +111,13 @@
             return
         self._estimated_at = now
         assert self._view is not None
+        waiting = _count_entries(self.kernel.find("gathering").live().values())
         estimates = [
-            LoadEstimate(*key, int(planner.estimate_ready_s(key, now) * 1000))
+            LoadEstimate(
+                *key,
+                int(planner.estimate_ready_s(key, now) * defaults.MS_PER_S),
+                max(waiting[key], 1),
+            )
             for key, demand in self._demands.collect(now).items()
             if demand.requests > 0 and key in self._view.models
         ]
@@ -158,6 +165,19 @@
         return not result.error
 
 
+def _count_entries(reports: Iterable[NodeReport]) -> Counter[ModelKey]:
+    """Return at how many entries requests for each model wait."""
+    counts: Counter[ModelKey] = Counter()
+    for report in reports:
+        waiting = {
+            ModelKey(demand.service, demand.model)
+            for demand in report.demands
+            if demand.requests > 0
+        }
+        counts.update(waiting)
+    return counts
+
+
 def _to_record(replica: Replica) -> ReplicaRecord:
     return ReplicaRecord(*replica)
 
--- a/src/jasminewharf/services/reports.py
+++ b/src/jasminewharf/services/reports.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import ClassVar
+from typing import ClassVar, NamedTuple
 
 from .. import defaults
 from ..decisions.membership import Membership, MembershipLimits
@@ -10,7 +10,17 @@
 from ..kernel import Kernel, Service
 from ..messages.feed import BackendReport, Demand, NodeReport, ReportDigest
 
-__all__ = ["Reporter"]
+__all__ = ["ReadyEstimate", "Reporter"]
+
+
+class ReadyEstimate(NamedTuple):
+    """When a model is expected to serve, on the event loop's clock.
+
+    ``entries`` is the number of entries at which requests for it wait.
+    """
+
+    at: float
+    entries: int
 
 
 class Reporter(Service):
@@ -36,7 +46,7 @@
             MembershipLimits(), asyncio.get_running_loop().time()
         )
         self._pools: dict[str, list[NodeReport]] = {}
-        self._estimates: dict[tuple[str, str], float] = {}
+        self._estimates: dict[tuple[str, str], ReadyEstimate] = {}
         self._wake = asyncio.Event()
 
     def listen(self, listener: Callable[[], None]) -> None:
@@ -47,8 +57,8 @@
         """Return the reports of agents with a backend server in ``pool``."""
         return self._pools.get(pool, [])
 
-    def find_estimate(self, service: str, model: str) -> float | None:
-        """Return when a model is expected to serve, on the event loop's clock."""
+    def find_estimate(self, service: str, model: str) -> ReadyEstimate | None:
+        """Return when a model is expected to serve; None if nobody has told."""
         return self._estimates.get((service, model))
 
     def report_now(self) -> None:
@@ -128,7 +138,9 @@
         now = asyncio.get_running_loop().time()
         for estimate in digest.estimates:
             ready_at = now + estimate.ready_ms / defaults.MS_PER_S
-            self._estimates[(estimate.service, estimate.model)] = ready_at
+            self._estimates[(estimate.service, estimate.model)] = ReadyEstimate(
+                ready_at, estimate.entries
+            )
         stale = now - defaults.ESTIMATE_KEPT_S
-        for key in [key for key, at in self._estimates.items() if at < stale]:
+        for key in [key for key, item in self._estimates.items() if item.at < stale]:
             del self._estimates[key]
--- a/src/jasminewharf/services/router.py
+++ b/src/jasminewharf/services/router.py
@@ -5,6 +5,7 @@
 
 from .. import defaults
 from ..decisions.admission import ColdLoad, admit_on_cold_model
+from ..decisions.estimates import ServiceTime
 from ..decisions.health import OutlierDetector
 from ..decisions.prefixes import CacheEvent, PrefixHints
 from ..decisions.retries import (
@@ -58,6 +59,8 @@
         self._waiters: list[_Waiter] = []
         self._last_call: dict[tuple[str, str, str], float] = {}
         self._calls: dict[str, CallInFlight] = {}
+        self._service: dict[str, ServiceTime] = {}
+        self._engine_lives: dict[str, int] = {}
         self._metrics = kernel.find("process").metrics
 
     async def start(self) -> None:
@@ -128,6 +131,9 @@
             self._agents.cancel(call, reason)
             return
         self._agents.finish(call)
+        if succeeded and call.tokens > 0:
+            seconds = _now() - call.started_at
+            self._service_time(call.plan.model).observe(seconds, call.tokens)
         self._health.record(call.backend, succeeded, _now())
 
     async def _wait_for_target(self, plan: CallPlan) -> _Target:
@@ -189,12 +195,22 @@
             and waiter.plan is not plan
         ]
         load = ColdLoad(
-            ready_in_s=max(estimate - _now(), 0.0),
+            ready_in_s=max(estimate.at - _now(), 0.0),
             replicas=1,
             waiting_tokens=sum(item.cost_tokens for item in waiting),
+            seconds_per_token=self._service_time(plan.model).seconds(1.0),
+            entry_share=1.0 / estimate.entries,
         )
         admit_on_cold_model(load, plan.cost_tokens, plan.deadline - _now())
 
+    def _service_time(self, model: str) -> ServiceTime:
+        known = self._service.get(model)
+        if known is None:
+            known = self._service[model] = ServiceTime(
+                defaults.ADMISSION_SECONDS_PER_TOKEN, defaults.ADMISSION_GAIN
+            )
+        return known
+
     def _review_waiters(self) -> None:
         """Refuse the waiting requests that a new estimate leaves no time for."""
         for waiter in self._waiters:
@@ -248,6 +264,10 @@
         )
 
     def _take_cache_events(self, message: CacheEvents) -> None:
+        if self._engine_lives.get(message.backend) != message.incarnation:
+            # A restarted engine has an empty cache and counts its events anew.
+            self._engine_lives[message.backend] = message.incarnation
+            self._hints.forget(message.backend)
         for sequence, kind, block in message.events:
             event = CacheEvent(sequence, kind, block)
             self._hints.apply(message.backend, event, _now())
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -278,7 +278,7 @@
         body = chat(max_tokens=number + 1)
         status, _, _ = send(fleet, "POST", "/v1/chat/completions", fleet.key, body)
         assert status == 200
-        assert all(node["live"] for node in fleet.read("status")["nodes"])
+        assert all(node["state"] == "live" for node in fleet.read("status")["nodes"])
     # Without the third host, the two with new keys must reach each other.
     fleet.processes["control-3"].send_signal(signal.SIGSTOP)
     try:
