--- a/src/jasminewharf/bench/speed.py
+++ b/src/jasminewharf/bench/speed.py
@@ -24,6 +24,7 @@
 from hdrh.histogram import HdrHistogram
 
 from ..exceptions import TrialError
+from ..fakes.engine import ModelSpec
 from ..interfaces.operator import OperatorClient
 from ..services.client import HttpClient
 from ..trials.cluster import Cluster, ClusterSpec
@@ -35,6 +36,18 @@
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _MB = 1024 * 1024
+_STREAM_TOKENS = 200
+_STREAMS = 32
+_STREAM_ROUNDS = 4
+_STREAM_DOCUMENT = """\
+service: stream
+kind: model
+pool: lingua-pool
+models:
+  - {name: stream-model, checkpoint: stream-model, memory_mb: 1000}
+workspaces:
+  - {workspace: speed, rate_tokens_per_s: 100000000, burst_tokens: 100000000}
+"""
 _DOCUMENT = """\
 service: desk
 kind: plain
@@ -82,8 +95,11 @@
                 break
         elif isinstance(event, h11.Request):
             head = event
+            body = b""
+        elif isinstance(event, h11.Data):
+            body += event.data
         elif isinstance(event, h11.EndOfMessage):
-            await _relay(connection, writer, client, head)
+            await _relay(connection, writer, client, head, body)
             if connection.our_state is not h11.DONE:
                 break
             connection.start_next_cycle()
@@ -93,7 +109,11 @@
 
 
 async def _relay(
-    connection: h11.Connection, writer: Any, client: HttpClient, head: h11.Request
+    connection: h11.Connection,
+    writer: Any,
+    client: HttpClient,
+    head: h11.Request,
+    body: bytes,
 ) -> None:
     headers = [
         (name.decode(), value.decode())
@@ -101,7 +121,7 @@
         if name != b"host"
     ]
     response = await client.open(
-        head.method.decode(), head.target.decode(), headers, b"", repeatable=True
+        head.method.decode(), head.target.decode(), headers, body, repeatable=True
     )
     encoded = [(k.encode(), v.encode()) for k, v in response.headers]
     writer.write(
@@ -200,9 +220,53 @@
     }
 
 
+async def _stream_once(address: str, key: str) -> int:
+    """Read one streamed answer; return the number of its tokens."""
+    body = json.dumps(
+        {
+            "model": "stream-model",
+            "stream": True,
+            "max_tokens": _STREAM_TOKENS,
+            "ignore_eos": True,
+            "messages": [{"role": "user", "content": "measure"}],
+        }
+    ).encode()
+    client = HttpClient(address)
+    headers = [("authorization", f"Bearer {key}")]
+    response = await client.open("POST", "/v1/chat/completions", headers, body)
+    content = await response.read()
+    client.close()
+    if response.status != 200 or not content.rstrip().endswith(b"[DONE]"):
+        raise TrialError(f"a stream failed: {response.status} {content[-200:]!r}")
+    return content.count(b'"content"')
+
+
+async def _measure_streams(address: str, key: str, pids: list[int]) -> dict[str, Any]:
+    await _stream_once(address, key)
+    before = [read_cpu_s(pid) for pid in pids]
+    started = time.perf_counter()
+    tokens = 0
+    for _ in range(_STREAM_ROUNDS):
+        streams = [_stream_once(address, key) for _ in range(_STREAMS)]
+        tokens += sum(await asyncio.gather(*streams))
+    seconds = time.perf_counter() - started
+    used = [read_cpu_s(pid) - cpu for pid, cpu in zip(pids, before, strict=True)]
+    return {
+        "tokens_per_s": round(tokens / seconds, 1),
+        "tokens_per_cpu_s": round(tokens / sum(used), 1),
+        "tokens_per_cpu_s_each": [round(tokens / max(cpu, 0.01), 1) for cpu in used],
+    }
+
+
 async def run_speed(callers: int, seconds: float, folder: Path) -> dict[str, Any]:
     """Measure the bare backend server, the pass-through and the system."""
-    spec = ClusterSpec(controls=1, entries=1, engine_hosts=1, desk_hosts=1)
+    spec = ClusterSpec(
+        controls=1,
+        entries=1,
+        engine_hosts=1,
+        desk_hosts=1,
+        models=(ModelSpec("stream-model", 1_000, "disk"),),
+    )
     cluster = Cluster(spec, folder)
     hops: list[subprocess.Popen[str]] = []
     try:
@@ -222,6 +286,16 @@
             outer_address, target, key, [h.pid for h in hops], callers, seconds
         )
         system = await _measure_path(entry, target, key, path, callers, seconds)
+        engine = f"127.0.0.1:{next(iter(cluster.engines.values())).port}"
+        stream_inner, stream_address = start_hop(engine)
+        hops.append(stream_inner)
+        stream_outer, stream_address = start_hop(stream_address)
+        hops.append(stream_outer)
+        path[1] = cluster.pid("agent-engine-host-1")
+        streamed = await _measure_streams(entry, key, path)
+        relayed = await _measure_streams(
+            stream_address, key, [stream_inner.pid, stream_outer.pid]
+        )
         used = {node: read_resident_mb(cluster.pid(node)) for node in cluster.nodes}
     finally:
         for hop in hops:
@@ -237,6 +311,13 @@
         "share_per_cpu_s": round(
             system["requests_per_cpu_s"] / through["requests_per_cpu_s"], 3
         ),
+        "streams": {
+            "pass_through": relayed,
+            "system": streamed,
+            "share_per_cpu_s": round(
+                streamed["tokens_per_cpu_s"] / relayed["tokens_per_cpu_s"], 3
+            ),
+        },
         "idle_mb": {node: round(value, 1) for node, value in idle.items()},
         "loaded_mb": {node: round(value, 1) for node, value in used.items()},
     }
@@ -247,6 +328,7 @@
         desk.work_s = 0.0
     async with OperatorClient(cluster.tool_settings) as operator:
         await operator.submit_document("desk", 0, _DOCUMENT, "bench")
+        await operator.submit_document("stream", 0, _STREAM_DOCUMENT, "bench")
         _, key = await operator.grant_key("speed", cluster.hash_secret)
     await asyncio.sleep(1.0)
     return key
