Tie account checkpoints to the fence of their own term

Cause: a checkpoint task that starts after another takeover could have used the new fencing number for old bounds (found by reading, not by a run); a slow commit of a takeover was cancelled after one second. Figures: 34 account and rate tests pass.

--- a/src/jasminewharf/services/accounts.py
+++ b/src/jasminewharf/services/accounts.py
@@ -113,14 +113,16 @@
         while True:
             if self._log.is_leader(ACCOUNTS_GROUP):
                 try:
-                    await asyncio.wait_for(self._renew_ownership(), OWNER_LEASE_S)
+                    await self._renew_ownership()
                 except (ConsensusError, LinkError, TimeoutError) as error:
                     events.emit(_logger, events.ACCOUNTS_LOST, error=repr(error))
             await asyncio.sleep(OWNER_RENEW_INTERVAL_S)
 
     async def _renew_ownership(self) -> None:
         confirmed_at = self._clock()
-        await self._log.read_barrier(ACCOUNTS_GROUP)
+        # A later confirmation would be too old to grant by.
+        barrier = self._log.read_barrier(ACCOUNTS_GROUP)
+        await asyncio.wait_for(barrier, OWNER_LEASE_S)
         if self._book is None or self._machine.fence != self._fence:
             self._book = None
             self._book = await self._take_accounts()
@@ -141,22 +143,27 @@
             bounds = book.wanted_bounds(self._clock())
             if not bounds:
                 return None
-            self._checkpoint = self.spawn(self._commit_bounds(book, bounds))
-            self._checkpoint.add_done_callback(_read_exception)
+            self._spawn_checkpoint(book, bounds)
         return self._checkpoint
 
+    def _spawn_checkpoint(self, book: GrantBook, bounds: list[AccountBounds]) -> None:
+        work = self._commit_bounds(book, self._fence, bounds)
+        self._checkpoint = self.spawn(work)
+        self._checkpoint.add_done_callback(_read_exception)
+
     async def _commit_bounds(
-        self, book: GrantBook, bounds: list[AccountBounds]
+        self, book: GrantBook, fence: int, bounds: list[AccountBounds]
     ) -> None:
         number = book.begin_checkpoint(bounds, self._clock())
-        command = encode(CheckpointAccounts(self._fence, number, bounds))
+        command = encode(CheckpointAccounts(fence, number, bounds))
         try:
             _, result = await self._log.propose(ACCOUNTS_GROUP, command)
         except JasminewharfError as error:
             events.emit(_logger, events.CHECKPOINT_FAILED, error=repr(error))
             raise
         if not decode(result).accepted:
-            self._book = None
+            if self._book is book:
+                self._book = None
             raise NotLeader(ACCOUNTS_GROUP, "")
         book.end_checkpoint(bounds, number)
 
@@ -170,8 +177,7 @@
             book.refresh_limits(self._limits, self._clock())
             removals = book.idle_bounds(self._clock())
             if removals:
-                self._checkpoint = self.spawn(self._commit_bounds(book, removals))
-                self._checkpoint.add_done_callback(_read_exception)
+                self._spawn_checkpoint(book, removals)
 
 
 class AccountHolder(Service):
