Check grants less often in calm accounts; start mean cost at a call

Cause: the mean cost of a call started at 0, so sparse holders asked for tokens in advance; found by test_cancelled_charge_gives_its_tokens_back when calm accounts were first checked every second.

--- a/src/jasminewharf/decisions/ledgers.py
+++ b/src/jasminewharf/decisions/ledgers.py
@@ -7,6 +7,7 @@
     ACCOUNT_IDLE_S,
     CHECKPOINT_BLOCK_SHARE,
     CHECKPOINT_RAISE_INTERVAL_S,
+    GRANT_PLENTY_SHARE,
     GRANT_TRIM_HEADROOM_S,
 )
 from ..messages.accounts import AccountBounds
@@ -195,6 +196,11 @@
         holding.outstanding = statement.held + tokens
         holding.adopted = statement.adopted
 
+    @property
+    def is_plentiful(self) -> bool:
+        """Whether holders may take their time with returns."""
+        return self.bucket.level > self.bucket.limits.burst * GRANT_PLENTY_SHARE
+
     def could_recall(self, holding: Holding, tokens: float) -> bool:
         """Return whether the others last had ``tokens`` that no call runs on."""
         others = sum(h.unspent for h in self.holdings.values()) - holding.unspent
--- a/src/jasminewharf/decisions/purses.py
+++ b/src/jasminewharf/decisions/purses.py
@@ -8,6 +8,7 @@
     DEMAND_TIME_CONSTANT_S,
     GRANT_ADVANCE_CALLS,
     GRANT_ASK_INTERVAL_S,
+    GRANT_CALM_CHECK_INTERVAL_S,
     GRANT_CHECK_INTERVAL_S,
     GRANT_HORIZON_S,
     GRANT_IDLE_S,
@@ -95,6 +96,7 @@
         self._advance_at = -math.inf
         self._scarce_until = -math.inf
         self._retry_at = -math.inf
+        self._check_s = GRANT_CHECK_INTERVAL_S
         self._refusals: list[Refused] = []
 
     @property
@@ -108,6 +110,8 @@
         """Let a call wait; :meth:`settle` charges it at once if tokens suffice."""
         self._used_at = now
         self._demand.add(tokens, now)
+        if self._mean_cost == 0.0:
+            self._mean_cost = float(tokens)
         self._mean_cost += (tokens - self._mean_cost) * _MEAN_COST_WEIGHT
         give_up_at = min(deadline, now + OWNER_WAIT_S)
         recall_until = now + GRANT_RECALL_WAIT_S
@@ -185,6 +189,9 @@
                 self._drop_holdings()
             self._unspent += answer.granted
             self._trim_charges(answer.trim)
+        self._check_s = (
+            GRANT_CALM_CHECK_INTERVAL_S if answer.plenty else GRANT_CHECK_INTERVAL_S
+        )
         if answer.scarce:
             self._scarce_until = now + GRANT_SCARCE_S
         self._advance_at = now + GRANT_LOW_WATER_S / 2
@@ -277,12 +284,10 @@
             times.append(max(self._retry_at, self._asked_at + GRANT_ASK_INTERVAL_S))
         if self._count_surplus(now, draining):
             is_scarce = now < self._scarce_until
-            interval_s = (
-                GRANT_RECALL_INTERVAL_S if is_scarce else GRANT_CHECK_INTERVAL_S
-            )
+            interval_s = GRANT_RECALL_INTERVAL_S if is_scarce else self._check_s
             times.append(self._asked_at + interval_s)
         if self._unspent:
-            times.append(self._asked_at + GRANT_CHECK_INTERVAL_S)
+            times.append(self._asked_at + self._check_s)
         if self.held:
             times.append(self._lease_from + GRANT_LEASE_S * GRANT_RENEW_SHARE)
         low = self._demand.rate(now) * GRANT_LOW_WATER_S
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -67,6 +67,9 @@
 # A holder of unspent tokens returns what it does not need, and asks whether tokens
 # are scarce, at least this often.
 GRANT_CHECK_INTERVAL_S = 0.25
+# The same while the account holds more than the share of its burst, to save messages.
+GRANT_CALM_CHECK_INTERVAL_S = 1.0
+GRANT_PLENTY_SHARE = 0.5
 # When tokens are scarce, holders return theirs and those short of them ask again.
 GRANT_RECALL_INTERVAL_S = 0.05
 # A call waits for tokens of other holders for a check, a return and two messages.
--- a/src/jasminewharf/messages/control.py
+++ b/src/jasminewharf/messages/control.py
@@ -158,7 +158,8 @@
     taken) or unknown_account. ``renewed`` tells whether the lease covers what was
     held; if not, only ``granted`` remains. ``scarce`` asks for the return of all
     tokens that no call waits for. ``recalled`` tells that other holders have what
-    is missing and will be asked to return it. ``trim`` is by how much the refunds of
+    is missing and will be asked to return it. ``plenty`` lets holders check and
+    return less often. ``trim`` is by how much the refunds of
     running calls are to be cut, since the bucket has refilled meanwhile.
     ``retry_after_ms`` tells when the account will hold ``least``; -1 if never.
     """
@@ -170,6 +171,7 @@
     renewed: bool
     scarce: bool
     recalled: bool
+    plenty: bool
     trim: int
     lease_ms: int
     retry_after_ms: int
