--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,5 +1,9 @@
-"""Order claims: at most one run per window and never a wrong answer to a resend."""
+"""Order claims: at most one run per window and never a wrong answer to a resend.
 
+JASMINEWHARF_CLAIM_STEPS sets the length of the schedules over many windows.
+"""
+
+import os
 import random
 
 import pytest
@@ -21,6 +25,7 @@
 )
 from jasminewharf.messages.codec import decode, encode
 
+STEPS = int(os.environ.get("JASMINEWHARF_CLAIM_STEPS", "3000"))
 START_MS = 10**12
 HOUR_MS = 3_600_000
 
@@ -64,7 +69,7 @@
 
 @pytest.mark.parametrize("seed", range(8))
 def test_schedule_over_many_windows_never_reopens_inside_one(seed):
-    model = run_claim_schedule(seed, 3000, long=True)
+    model = run_claim_schedule(seed, STEPS, long=True)
     # More runs than keys: windows did end and claims did reopen.
     assert len(model.executions) > 6
     assert find_repeated_run(model.executions) is None
