--- a/src/jasminewharf/bench/rate_model.py
+++ b/src/jasminewharf/bench/rate_model.py
@@ -7,15 +7,13 @@
 """
 
 import random
-from collections.abc import Callable
 from typing import Any
 
 from ..decisions.accounts import AccountLog
 from ..decisions.buckets import RateLimits
 from ..decisions.grants import GrantBook, outlast
-from ..decisions.holders import Ask, Charged, GrantHolder
+from ..decisions.holders import Ask, Charged
 from ..defaults import (
-    CLOCK_DRIFT_BOUND,
     GRANT_ASK_INTERVAL_S,
     GRANT_LEASE_S,
     OWNER_LEASE_S,
@@ -23,9 +21,10 @@
 from ..messages.accounts import CheckpointAccounts, TakeAccounts
 from ..messages.codec import decode, encode
 from ..messages.control import GrantRequest
+from .processes import Clock, Entry, Owner, Proposal
 from .rate_checks import LimitsTimeline, Overshoot, Spending, find_overshoot
 
-__all__ = ["RateModel", "run_schedule"]
+__all__ = ["RateModel"]
 
 _DEADLINE_S = 5.0
 _START_LIMITS = RateLimits(100.0, 500)
@@ -37,53 +36,6 @@
 _BURST_ROUNDS = 6
 
 
-class _Clock:
-    """A local clock with an offset and a rate within the drift bound."""
-
-    def __init__(self, model: "RateModel", source: random.Random) -> None:
-        self._model = model
-        self._offset = source.uniform(0, 1e5)
-        self._rate = 1 + source.choice((-1, 0, 1)) * CLOCK_DRIFT_BOUND
-
-    def now(self) -> float:
-        return self._offset + self._model.time * self._rate
-
-
-class _Entry:
-    """A holder process with its running calls."""
-
-    def __init__(self, name: str, incarnation: int, clock: _Clock) -> None:
-        self.name = name
-        self.incarnation = incarnation
-        self.clock = clock
-        self.holder = GrantHolder(name, incarnation)
-        self.waiting: dict[str, tuple[str, int]] = {}
-        self.running: dict[str, tuple[str, int, float]] = {}
-
-
-class _Owner:
-    """A control host: its book, and what it knows of its ownership."""
-
-    def __init__(self, name: str, clock: _Clock) -> None:
-        self.name = name
-        self.clock = clock
-        self.book: GrantBook | None = None
-        self.fence = 0
-        self.taking = False
-        self.barrier: tuple[float, int] | None = None
-        self.deferred: dict[tuple[int, int], GrantRequest] = {}
-        self.checkpoint: _Proposal | None = None
-
-
-class _Proposal:
-    def __init__(
-        self, proposer: _Owner, command: bytes, ended: Callable[[Any], None]
-    ) -> None:
-        self.proposer = proposer
-        self.command = command
-        self.ended = ended
-
-
 class RateModel:
     """The whole fleet; every public method named ``do_*`` is one step.
 
@@ -107,20 +59,20 @@
         self._lives = 0
         self._calls = 0
         self.entries = [self._make_entry(f"entry-{n}") for n in range(entries)]
-        self.owners = [_Owner(f"control-{n}", _Clock(self, source)) for n in range(3)]
+        self.owners = [Owner(f"control-{n}", Clock(self, source)) for n in range(3)]
         self._leader = self.owners[0]
         self._term = 1
         self._machine = AccountLog()
         self._log_index = 0
-        self._proposals: list[_Proposal] = []
-        self._messages: list[tuple[_Owner | int, Any]] = []
+        self._proposals: list[Proposal] = []
+        self._messages: list[tuple[Owner | int, Any]] = []
         self._limits_changed_at = 0.0
         self._cut: set[int] = set()
-        self._steered_to: _Owner | None = None
+        self._steered_to: Owner | None = None
 
-    def _make_entry(self, name: str) -> _Entry:
+    def _make_entry(self, name: str) -> Entry:
         self._lives += 1
-        return _Entry(name, self._lives, _Clock(self, self.random))
+        return Entry(name, self._lives, Clock(self, self.random))
 
     def do_wait(self, seconds: float) -> None:
         """Let true time pass while processes work, in a healthy fleet or not."""
@@ -148,7 +100,7 @@
         tokens = self.random.choice((1, 10, 50, 120))
         self.charge(entry, account, tokens)
 
-    def charge(self, entry: _Entry, account: str, tokens: int) -> str:
+    def charge(self, entry: Entry, account: str, tokens: int) -> str:
         """Charge a call at an entry and return its identifier."""
         self._calls += 1
         charge_id = str(self._calls)
@@ -221,7 +173,7 @@
         for charge_id in list(entry.running):
             self._finish(entry, charge_id, share)
 
-    def _finish(self, entry: _Entry, charge_id: str, share: int) -> None:
+    def _finish(self, entry: Entry, charge_id: str, share: int) -> None:
         account, tokens, began = entry.running.pop(charge_id)
         spent = tokens * share
         self._spent[account].append(Spending(began, spent))
@@ -238,7 +190,7 @@
         self.do_wait(8.0)
         self.health = health
 
-    def _act(self, entry: _Entry, actions: list[Any]) -> None:
+    def _act(self, entry: Entry, actions: list[Any]) -> None:
         for action in actions:
             if isinstance(action, Ask):
                 if entry.incarnation in self._cut:
@@ -250,14 +202,14 @@
                 self.admitted += 1
                 entry.running[action.charge_id] = (account, tokens, self.time)
 
-    def _choose_owner(self) -> _Owner:
+    def _choose_owner(self) -> Owner:
         if self._steered_to is not None:
             return self._steered_to
         if self.random.random() < 0.8:
             return self._leader
         return self.random.choice(self.owners)
 
-    def _send(self, target: _Owner | int, message: Any) -> None:
+    def _send(self, target: Owner | int, message: Any) -> None:
         self._messages.append((target, message))
         if len(self._messages) > _MESSAGE_LIMIT:
             del self._messages[self.random.randrange(len(self._messages))]
@@ -283,15 +235,15 @@
         if self._messages:
             self._receive(*self.random.choice(self._messages))
 
-    def _receive(self, target: _Owner | int, message: Any) -> None:
-        if isinstance(target, _Owner):
+    def _receive(self, target: Owner | int, message: Any) -> None:
+        if isinstance(target, Owner):
             self._answer(target, message)
             return
         for entry in self.entries:
             if entry.incarnation == target and target not in self._cut:
                 self._act(entry, entry.holder.answered(message, entry.clock.now()))
 
-    def _answer(self, owner: _Owner, request: GrantRequest) -> None:
+    def _answer(self, owner: Owner, request: GrantRequest) -> None:
         if owner.book is None:
             return
         limits = self.limits[request.account]
@@ -302,7 +254,7 @@
             self._send(request.incarnation, answer)
         self._checkpoint(owner)
 
-    def _checkpoint(self, owner: _Owner) -> None:
+    def _checkpoint(self, owner: Owner) -> None:
         if owner.checkpoint in self._proposals:
             return
         book, now = owner.book, owner.clock.now()
@@ -317,10 +269,10 @@
                 book.end_checkpoint(bounds, number)
             self._retry_deferred(owner)
 
-        owner.checkpoint = _Proposal(owner, command, end)
+        owner.checkpoint = Proposal(owner, command, end)
         self._proposals.append(owner.checkpoint)
 
-    def _retry_deferred(self, owner: _Owner) -> None:
+    def _retry_deferred(self, owner: Owner) -> None:
         deferred, owner.deferred = owner.deferred, {}
         for request in deferred.values():
             if owner.book is not None:
@@ -334,7 +286,7 @@
         if proposal.proposer is self._leader:
             self._apply(proposal, lost=self.random.random() < 0.1)
 
-    def _apply(self, proposal: _Proposal, *, lost: bool) -> None:
+    def _apply(self, proposal: Proposal, *, lost: bool) -> None:
         self._log_index += 1
         result = self._machine.apply(self._log_index, proposal.command)
         if not lost:
@@ -378,7 +330,7 @@
         owner.book = None
         self._take(owner, started)
 
-    def _take(self, owner: _Owner, confirmed_at: float) -> None:
+    def _take(self, owner: Owner, confirmed_at: float) -> None:
         def end(taken: Any) -> None:
             owner.fence = taken.fence
             owner.deferred.clear()
@@ -389,7 +341,7 @@
 
         self._proposals = [p for p in self._proposals if p.proposer is not owner]
         command = encode(TakeAccounts(owner.name, 0))
-        self._proposals.append(_Proposal(owner, command, end))
+        self._proposals.append(Proposal(owner, command, end))
 
     def do_crash_entry(self) -> None:
         """An entry dies; its running calls spend all they were charged."""
@@ -437,40 +389,3 @@
                 for charge_id in list(entry.running):
                     self._finish(entry, charge_id, 1)
             self.do_wait(0.5)
-
-
-_STEPS: dict[Callable[[RateModel], None], float] = {
-    RateModel.do_charge: 3,
-    RateModel.do_burst: 1,
-    RateModel.do_finish: 4,
-    RateModel.do_work: 2,
-    RateModel.do_deliver: 2,
-    RateModel.do_lose: 1,
-    RateModel.do_duplicate: 1,
-    RateModel.do_commit: 1,
-    RateModel.do_begin_barrier: 0.5,
-    RateModel.do_end_barrier: 0.5,
-    RateModel.do_cut: 0.4,
-    RateModel.do_rest: 0.2,
-    RateModel.do_strand: 0.2,
-    RateModel.do_usurp: 0.2,
-    RateModel.do_crash_entry: 0.05,
-    RateModel.do_elect: 0.2,
-    RateModel.do_restart_owner: 0.05,
-    RateModel.do_change_limits: 0.05,
-}
-_WAITS_S = (0.001, 0.01, 0.05, 0.2, 1.0, 2.5, 3.5)
-
-
-def run_schedule(seed: int, steps: int) -> RateModel:
-    """Run a random schedule and return the model for inspection."""
-    source = random.Random(seed)
-    model = RateModel(source)
-    model.health = source.choice((0.5, 0.9, 0.99))
-    choices, weights = list(_STEPS), list(_STEPS.values())
-    for _ in range(steps):
-        if source.random() < 0.2:
-            model.do_wait(source.choice(_WAITS_S))
-        else:
-            source.choices(choices, weights)[0](model)
-    return model
--- a/src/jasminewharf/services/claims.py
+++ b/src/jasminewharf/services/claims.py
@@ -5,10 +5,10 @@
 import logging
 import time
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from .. import events
-from ..decisions.claims import ClaimLog, choose_partition, measure_answer
+from ..decisions.claims import measure_answer
 from ..defaults import (
     CLAIM_ANSWER_LIMIT_BYTES,
     CLAIM_PARTITIONS,
@@ -26,16 +26,9 @@
     OutcomeUnknown,
 )
 from ..kernel import Kernel, Service
-from ..messages.claims import (
-    ClaimRecord,
-    EndEntry,
-    MakeClaim,
-    SettleClaim,
-    WithdrawClaim,
-)
-from ..messages.codec import decode, encode
 from ..messages.control import ClaimAnswer, ClaimOrder, RecordOutcome, ReleaseClaim
-from .groups import GroupLog, GroupRequester
+from .claimkeeper import ClaimKeeper, claims_group, group_of, wall_ms
+from .groups import GroupRequester
 
 __all__ = ["ClaimKeeper", "OrderClaims", "RecordedAnswer", "claims_group"]
 
@@ -45,114 +38,6 @@
 _logger = logging.getLogger(__name__)
 
 
-def claims_group(partition: int) -> str:
-    """Return the name of a partition's log group."""
-    return f"claims-{partition}"
-
-
-def _group_of(message: Any, partitions: int) -> str:
-    partition = choose_partition(message.workspace, message.idempotency_key, partitions)
-    return claims_group(partition)
-
-
-def _wall_ms() -> int:
-    return int(time.time() * _MS)
-
-
-class ClaimKeeper(Service):
-    """Answers claims on a control host for the partitions it leads.
-
-    Args:
-        kernel: The process's kernel.
-        log: The log groups of this host.
-        is_gone: Tells whether an entry's life is known to be over.
-        partitions: How many log groups hold claims; fixed for a fleet.
-    """
-
-    name = "claim-keeper"
-
-    def __init__(
-        self,
-        kernel: Kernel,
-        log: GroupLog,
-        is_gone: Callable[[int], bool],
-        partitions: int = CLAIM_PARTITIONS,
-    ) -> None:
-        super().__init__(kernel)
-        self._log = log
-        self._is_gone = is_gone
-        self._partitions = partitions
-        self._machines = {claims_group(n): ClaimLog() for n in range(partitions)}
-
-    async def start(self) -> None:
-        """Take part in the groups."""
-        for group, machine in self._machines.items():
-            self._log.register_machine(group, machine)
-
-    async def answer(
-        self, message: ClaimOrder | RecordOutcome | ReleaseClaim
-    ) -> ClaimAnswer:
-        """Carry out an entry's request durably.
-
-        Raises:
-            ConsensusError: If this host does not lead the group, or no quorum
-                answers; the command may still be committed later.
-        """
-        group = _group_of(message, self._partitions)
-        if not isinstance(message, ClaimOrder):
-            return await self._propose(group, message)
-        if await self._is_running_elsewhere(group, message):
-            return ClaimAnswer("running", 0, [], b"")
-        return await self._propose(group, message)
-
-    async def _is_running_elsewhere(self, group: str, message: ClaimOrder) -> bool:
-        """Return whether another call holds the claim; spares the log a command.
-
-        A claim of an entry that is gone is marked unknown first.
-        """
-        if self._find_other(group, message) is None:
-            return False
-        await self._log.read_barrier(group)
-        record = self._find_other(group, message)
-        if record is None:
-            return False
-        if self._is_gone(record.incarnation):
-            await self._log.propose(group, encode(EndEntry(record.incarnation)))
-            events.emit(_logger, events.CLAIMS_ENDED, incarnation=record.incarnation)
-            return False
-        return True
-
-    def _find_other(self, group: str, message: ClaimOrder) -> ClaimRecord | None:
-        """Return the running claim of another call with the same body."""
-        machine = self._machines[group]
-        record = machine.find(message.workspace, message.idempotency_key)
-        if record is None or record.state != "running":
-            return None
-        if record.request_id == message.request_id or record.digest != message.digest:
-            return None
-        return record
-
-    async def _propose(
-        self, group: str, message: ClaimOrder | RecordOutcome | ReleaseClaim
-    ) -> ClaimAnswer:
-        command = _make_command(message)
-        _, result = await self._log.propose(group, encode(command))
-        answer = decode(result)
-        if answer.state == "full":
-            events.emit(_logger, events.CLAIMS_FULL, group=group)
-        return answer
-
-
-def _make_command(
-    message: ClaimOrder | RecordOutcome | ReleaseClaim,
-) -> MakeClaim | SettleClaim | WithdrawClaim:
-    if isinstance(message, ClaimOrder):
-        return MakeClaim(*message, leader_ms=_wall_ms())
-    if isinstance(message, RecordOutcome):
-        return SettleClaim(*message, leader_ms=_wall_ms())
-    return WithdrawClaim(*message, leader_ms=_wall_ms())
-
-
 class RecordedAnswer(NamedTuple):
     """The answer that an earlier call under the same key got."""
 
@@ -225,7 +110,7 @@
             request_id=request_id,
             entry=self._entry,
             incarnation=self._incarnation,
-            entry_ms=_wall_ms(),
+            entry_ms=wall_ms(),
         )
         claimed = False
         self._in_doubt[request_id] = False
@@ -256,12 +141,12 @@
                     return _read_answer(answer)
             await asyncio.sleep(min(pause_s, left_s))
             pause_s = min(2 * pause_s, CLAIM_POLL_LIMIT_S)
-            message = message._replace(entry_ms=_wall_ms())
+            message = message._replace(entry_ms=wall_ms())
 
     async def _request_claim(
         self, message: ClaimOrder, left_s: float
     ) -> ClaimAnswer | None:
-        group = _group_of(message, self._partitions)
+        group = group_of(message, self._partitions)
         timeout_s = min(CLAIM_REQUEST_TIMEOUT_S, left_s)
         doubted = self._in_doubt[message.request_id]
         self._in_doubt[message.request_id] = True
@@ -297,7 +182,7 @@
             status=status,
             headers=headers,
             body=body,
-            entry_ms=_wall_ms(),
+            entry_ms=wall_ms(),
         )
         return await self._insist(message, events.CLAIM_NOT_RECORDED)
 
@@ -313,7 +198,7 @@
             status=0,
             headers=[],
             body=b"",
-            entry_ms=_wall_ms(),
+            entry_ms=wall_ms(),
         )
         return await self._insist(message, events.CLAIM_NOT_RECORDED)
 
@@ -326,14 +211,14 @@
             idempotency_key=idempotency_key,
             digest=digest,
             request_id=request_id,
-            entry_ms=_wall_ms(),
+            entry_ms=wall_ms(),
         )
         return await self._insist(message, events.CLAIM_NOT_RELEASED)
 
     async def _insist(
         self, message: RecordOutcome | ReleaseClaim, failure: events.Event
     ) -> bool:
-        group = _group_of(message, self._partitions)
+        group = group_of(message, self._partitions)
         give_up_at = self._clock() + CLAIM_RECORD_RETRY_S
         pause_s = CLAIM_POLL_FIRST_S
         while self._clock() < give_up_at:
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -14,7 +14,8 @@
 from jasminewharf.bench import rates
 from jasminewharf.bench.ideal import IdealBucket
 from jasminewharf.bench.rate_checks import LimitsTimeline, Spending, find_overshoot
-from jasminewharf.bench.rate_model import RateModel, run_schedule
+from jasminewharf.bench.rate_model import RateModel
+from jasminewharf.bench.rate_schedule import run_schedule
 from jasminewharf.decisions import grants, purses
 from jasminewharf.decisions.accounts import AccountLog
 from jasminewharf.decisions.buckets import RateLimits
