--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -349,3 +349,18 @@
     assert tiers["m1"] == ("h1", "disk")
     assert BackendKey("h1", "b-h1") in fleet.planner.state.inventory.backends
     assert fleet.planner.state.budget.held == 1
+
+
+def test_estimate_counts_the_loads_ahead_and_the_age_of_an_overdue_one():
+    """Optimistic estimates admit requests that are then held until they expire."""
+    fleet = Fleet(models=6, store_concurrent_loads=1)
+    fleet.ask("e0", *(want(i, deadline_ms=30_000 + i) for i in range(4)))
+    fleet.step()
+    estimates = [
+        fleet.planner.estimate_ready_s(ModelKey("s", f"m{i}"), fleet.now)
+        for i in range(4)
+    ]
+    assert estimates == sorted(set(estimates))
+    early = fleet.planner.estimate_ready_s(ModelKey("s", "m0"), fleet.now + 100)
+    late = fleet.planner.estimate_ready_s(ModelKey("s", "m0"), fleet.now + 400)
+    assert 10 < early < late
