--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -356,6 +356,7 @@
     fleet = Fleet(models=6, store_concurrent_loads=1)
     fleet.ask("e0", *(want(i, deadline_ms=30_000 + i) for i in range(4)))
     fleet.step()
+    fleet.step()
     estimates = [
         fleet.planner.estimate_ready_s(ModelKey("s", f"m{i}"), fleet.now)
         for i in range(4)
