Learn the load times of each tier

Cause: estimates came from constants. With other engines or another store they refuse what could be served, and a store that is always slower than the constants would be taken for slow and loaded at the lowest pace for ever.

Also unloads replicas of leaving hosts in the order of host names: the order of a set made runs with two leaving hosts differ, and a test failed in some of them.

--- a/src/jasminewharf/decisions/loads.py
+++ b/src/jasminewharf/decisions/loads.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from ..defaults import SLOW_LOAD_MIN_S
 from ..registry import register
 from .demand import ModelDemand
 from .inventory import ModelKey, ReplicaRecord
@@ -123,12 +124,27 @@
                 self._held[record.replica] = _Load(record.host, now, 1.0, False)
                 self._pacing.note_start(record.host, now)
 
-    def end(self, holder: object, failed: bool, now: float) -> None:
-        """Free a slot after the log ended its load."""
+    def end(
+        self, holder: object, failed: bool, now: float, usual_s: float | None = None
+    ) -> None:
+        """Free a slot after the log ended its load.
+
+        Args:
+            holder: The replica's number.
+            failed: Whether the load failed.
+            now: Current time in seconds.
+            usual_s: What the load usually takes; by default what was estimated when
+                it began.
+        """
         load = self._held.pop(holder, None)
         if load is None:
             return
-        slowdown = (now - load.started) / load.nominal_s if load.measured else 1.0
+        slowdown = 1.0
+        if load.measured:
+            usual_s = usual_s or load.nominal_s
+            elapsed = now - load.started
+            if elapsed - usual_s >= SLOW_LOAD_MIN_S:
+                slowdown = elapsed / usual_s
         self._pacing.note_end(load.host, slowdown, failed, now)
         if load.measured and not failed:
             self.slowdown += _SLOWDOWN_GAIN * (max(1.0, slowdown) - self.slowdown)
--- a/src/jasminewharf/decisions/placement.py
+++ b/src/jasminewharf/decisions/placement.py
@@ -27,16 +27,14 @@
     base_s: float = defaults.LOAD_BASE_S
     s_per_gb: Mapping[str, float] = defaults.LOAD_S_PER_GB
 
-    def estimate(self, weights_mb: int, tier: str, slowdown: float = 1.0) -> float:
+    def estimate(self, weights_mb: int, tier: str) -> float:
         """Return the load time in seconds.
 
         Args:
             weights_mb: Size of the checkpoint.
             tier: memory, disk or remote.
-            slowdown: How much longer the store takes than usual.
         """
-        seconds = self.base_s + self.s_per_gb[tier] * weights_mb / _MB_PER_GB
-        return seconds * slowdown if tier == "remote" else seconds
+        return self.base_s + self.s_per_gb[tier] * weights_mb / _MB_PER_GB
 
 
 class Candidate(NamedTuple):
--- a/src/jasminewharf/decisions/placer.py
+++ b/src/jasminewharf/decisions/placer.py
@@ -66,12 +66,11 @@
         spec = self._state.models[record.key]
         history = demands.histories.get(record.key)
         tier = self._state.inventory.best_tier(spec.checkpoint)
-        slowdown = self._state.budget.slowdown
         return IdleReplica(
             self.idle_s(record.key, demands, now),
             history.gaps if history is not None else (),
             demands.pooled_gaps,
-            self._state.load_times.estimate(spec.weights_mb, tier, slowdown),
+            self._state.estimate_load_s(spec, tier),
             spec.accelerators,
             self._callers.get(record.key, self._pooled_callers),
         )
@@ -198,7 +197,7 @@
         if best.tier == "remote" and state.budget.earliest(best.key.host, now) > now:
             return False
         self._claims.pop(spec.key, None)
-        nominal_s = state.load_times.estimate(spec.weights_mb, best.tier)
+        nominal_s = state.nominal_load_s(spec, best.tier)
         state.decide(spec, best.key, best.tier, nominal_s, now)
         return True
 
@@ -270,8 +269,7 @@
     def _score_wait(self, search: _Search) -> float:
         """Return the score of waiting for the store instead of making room."""
         state = self._state
-        weights_mb, slowdown = search.spec.weights_mb, state.budget.slowdown
-        load_s = state.load_times.estimate(weights_mb, "remote", slowdown)
+        load_s = state.estimate_load_s(search.spec, "remote")
         return load_s + state.budget.estimate_wait("", search.now)
 
     def _choose_victims(
@@ -315,8 +313,7 @@
         state = self._state
         backend = state.inventory.backends[key]
         tier = search.cached.get(key, "remote")
-        slowdown = state.budget.slowdown
-        load_s = state.load_times.estimate(search.spec.weights_mb, tier, slowdown)
+        load_s = state.estimate_load_s(search.spec, tier)
         wait_s = unload_s
         if tier == "remote":
             wait_s = max(wait_s, state.budget.estimate_wait(key.host, search.now))
--- a/src/jasminewharf/decisions/planner.py
+++ b/src/jasminewharf/decisions/planner.py
@@ -144,15 +144,13 @@
         """
         state = self.state
         elapsed = now - state.ordered_at.get(record.replica, now)
-        expected = state.load_times.estimate(
-            spec.weights_mb, record.from_tier, state.budget.slowdown
-        )
+        expected = state.estimate_load_s(spec, record.from_tier)
         return max(expected - elapsed, defaults.OVERDUE_SHARE * elapsed)
 
     def _load_s(self, spec: ModelSpec) -> float:
         state = self.state
         tier = state.inventory.best_tier(spec.checkpoint)
-        return state.load_times.estimate(spec.weights_mb, tier, state.budget.slowdown)
+        return state.estimate_load_s(spec, tier)
 
     def _find_wanted(
         self, merged: Mapping[ModelKey, ModelDemand], now: float
@@ -243,7 +241,7 @@
 
     def _unload_leaving(self, now: float) -> None:
         """Unload loaded replicas of leaving hosts; they receive no new work."""
-        for host in self.state.leaving:
+        for host in sorted(self.state.leaving):
             for record in self.state.replicas.on_host(host):
                 if record.phase == "loaded" and not self.state.is_unloading(record):
                     self.state.advance(record, ("unloading",), "host leaving")
--- a/src/jasminewharf/decisions/planstate.py
+++ b/src/jasminewharf/decisions/planstate.py
@@ -74,12 +74,12 @@
         self._blocked_hosts: set[str] = set()
         self._decided: list[_Decided] = []
         self._advanced: dict[int, str] = {}
+        self._timed: set[int] = set()
+        self._scales: dict[str, float] = {}
         self._failures: dict[tuple[ModelKey, BackendKey], _Failures] = {}
         self._missing: dict[BackendKey, float] = {}
         self._serial = 0
 
-    # Taking over the view and the reports.
-
     def refresh(
         self, view: PlannerView, reports: Mapping[str, NodeReport], now: float
     ) -> None:
@@ -119,7 +119,7 @@
 
     def _withdraw(self, command: DecideReplica) -> None:
         for decided in self._decided:
-            if decided.command is command or decided.command == command:
+            if decided.command == command:
                 self._decided.remove(decided)
                 self.memory.release(command.host, decided.holder)
                 self.budget.cancel(decided.holder)
@@ -140,8 +140,13 @@
         if change.after is None:
             self.memory.release(record.host, number)
         phase = change.after.phase if change.after is not None else "gone"
+        if phase == "loaded" and number in self._timed:
+            self._learn_load_time(record, now)
         if phase != "ordered":
-            self.budget.end(number, phase != "loaded", now)
+            self._timed.discard(number)
+            spec = self.models.get(record.key)
+            usual_s = self.nominal_load_s(spec, record.from_tier) if spec else None
+            self.budget.end(number, phase != "loaded", now, usual_s)
             self.ordered_at.pop(number, None)
         if phase == "loaded":
             self.loaded_at[number] = now
@@ -168,9 +173,39 @@
                 self._decided.remove(decided)
                 self.memory.release(record.host, decided.holder)
                 self.budget.adopt(decided.holder, record.replica)
+                self._timed.add(record.replica)
                 break
         self.budget.recover([record], now)
 
+    def _learn_load_time(self, record: ReplicaRecord, now: float) -> None:
+        """Scale the estimates of a tier to what its loads take.
+
+        The first load sets the scale. Afterwards it follows a faster load quickly
+        and a slower one slowly: a store that slows down for a while must still be
+        compared with its usual speed.
+        """
+        spec = self.models.get(record.key)
+        if spec is None:
+            return
+        tier = record.from_tier
+        nominal = self.load_times.estimate(spec.weights_mb, tier)
+        ratio = (now - self.ordered_at[record.replica]) / nominal
+        scale = self._scales.setdefault(tier, ratio)
+        gain = defaults.SLOWER_LOAD_GAIN
+        if ratio < scale:
+            gain = defaults.FASTER_LOAD_GAIN
+        self._scales[tier] = scale + gain * (ratio - scale)
+
+    def nominal_load_s(self, spec: ModelSpec, tier: str) -> float:
+        """Return the load time at the tier's usual speed, in seconds."""
+        scale = self._scales.get(tier, 1.0)
+        return scale * self.load_times.estimate(spec.weights_mb, tier)
+
+    def estimate_load_s(self, spec: ModelSpec, tier: str) -> float:
+        """Return the load time at the tier's present speed, in seconds."""
+        seconds = self.nominal_load_s(spec, tier)
+        return seconds * self.budget.slowdown if tier == "remote" else seconds
+
     def _settle_advance(self, number: int, phase: str) -> None:
         if phase == "gone" or self._advanced.get(number) == phase:
             self._advanced.pop(number, None)
@@ -209,8 +244,6 @@
         elif report.state == "failed" and record.phase == "loaded":
             self.advance(record, ("unloading",), report.reason)
 
-    # Proposing actions.
-
     def advance_to_gone(self, record: ReplicaRecord, reason: str) -> None:
         """Propose every step that is left to ``gone``."""
         self.advance(record, _PATHS_TO_GONE[record.phase], reason)
@@ -244,8 +277,6 @@
         self._decided.append(_Decided(holder, command))
         self.actions.append(command)
 
-    # Questions of the other parts.
-
     def is_unloading(self, record: ReplicaRecord) -> bool:
         """Return whether a replica is on its way out, in the log or proposed."""
         if record.phase not in ("ordered", "loaded"):
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -27,6 +27,11 @@
 # Loading estimates per GB of weights and tier, used until loads are measured.
 LOAD_BASE_S = 1.0
 LOAD_S_PER_GB = {"memory": 0.05, "disk": 0.35, "remote": 1.0}
+# Weight of the newest load in a tier's usual load time, by direction.
+FASTER_LOAD_GAIN = 0.1
+SLOWER_LOAD_GAIN = 0.02
+# Report lag makes short loads look slow; a difference below this is ignored.
+SLOW_LOAD_MIN_S = 1.0
 UNLOAD_S = 1.0
 # An overdue load is expected to take this share of its age longer.
 OVERDUE_SHARE = 0.25
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -365,3 +365,24 @@
     early = fleet.planner.estimate_ready_s(ModelKey("s", "m0"), fleet.now + 100)
     late = fleet.planner.estimate_ready_s(ModelKey("s", "m0"), fleet.now + 400)
     assert 10 < early < late
+
+
+@pytest.mark.parametrize("seconds", [1.0, 100.0])
+def test_load_times_are_learned_from_the_engines(seconds):
+    """A fixed estimate refuses what could be served, or takes any load for slow."""
+    fleet = Fleet(models=1, hosts=1)
+    fleet.ask("e0", want(0))
+    fleet.step()
+    fleet.step()
+    key = ModelKey("s", "m0")
+    assert fleet.planner.estimate_ready_s(key, fleet.now) == pytest.approx(10.77, 0.01)
+    fleet.now += seconds
+    (number,) = fleet.records
+    fleet.states[number] = "loaded"
+    fleet.send("h0")
+    fleet.step()
+    fleet.step()
+    state = fleet.planner.state
+    learned = state.nominal_load_s(fleet.models[key], "remote")
+    assert learned == pytest.approx(seconds, abs=0.5)
+    assert state.budget.slowdown == pytest.approx(1.0, abs=0.05)
