--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -1,5 +1,9 @@
 """Constants with their units."""
 
+# Services.
+
+CANCEL_AGAIN_S = 0.5
+
 # Links between processes.
 
 LINK_REQUEST_TIMEOUT_S = 2.0
--- a/src/jasminewharf/kernel.py
+++ b/src/jasminewharf/kernel.py
@@ -5,7 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any, ClassVar
 
-from . import events
+from . import defaults, events
 from .exceptions import DuplicateRegistration, MissingService, ServiceFailed
 
 __all__ = ["Kernel", "Service"]
@@ -35,11 +35,15 @@
         """Take no new work and return when the work in flight has ended."""
 
     async def stop(self) -> None:
-        """Cancel the service's tasks."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Cancel the service's tasks until all have ended.
+
+        A library may drop a cancellation that meets the end of what it waits for,
+        so that one is not enough.
+        """
+        while self._tasks:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.wait(list(self._tasks), timeout=defaults.CANCEL_AGAIN_S)
 
     def spawn(
         self, work: Coroutine[Any, Any, Any], *, essential: bool = False
--- a/src/jasminewharf/services/accounts.py
+++ b/src/jasminewharf/services/accounts.py
@@ -128,8 +128,9 @@
     async def _renew_ownership(self) -> None:
         confirmed_at = self._clock()
         # A later confirmation would be too old to grant by.
-        barrier = self._log.read_barrier(ACCOUNTS_GROUP)
-        await asyncio.wait_for(barrier, OWNER_LEASE_S)
+        # asyncio.wait_for would drop a cancellation that meets the barrier's end.
+        async with asyncio.timeout(OWNER_LEASE_S):
+            await self._log.read_barrier(ACCOUNTS_GROUP)
         if self._book is None or self._machine.fence != self._fence:
             self._book = None
             self._book = await self._take_accounts()
--- a/src/jasminewharf/services/adapterloads.py
+++ b/src/jasminewharf/services/adapterloads.py
@@ -19,7 +19,7 @@
     AdapterSlotRelease,
     AdapterSlotRequest,
 )
-from .backends import Backend
+from .backend import Backend
 from .control import FLEET_GROUP
 
 __all__ = ["AdapterLoads"]
--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -6,11 +6,9 @@
 from typing import Any, ClassVar
 
 from .. import defaults, events
-from ..decisions.admission import Admission, AdmissionLimits, TokenRate
 from ..decisions.coalescing import Batch, Coalescer, choose_delay
-from ..decisions.queueing import QUEUES, QueuedCall, QueueLimits
-from ..decisions.streams import ReplayBuffer
-from ..dialects import DIALECTS, Dialect, HttpCall
+from ..decisions.queueing import QueuedCall
+from ..dialects import HttpCall
 from ..exceptions import (
     BackendError,
     BackendUnreachable,
@@ -36,15 +34,12 @@
     ResumeCall,
 )
 from ..messages.feed import BackendReport
-from ..registry import lookup
-from ..settings import BackendSettings
 from ..tracing import Span
-from .client import HttpClient
+from .backend import AgentCall, Backend
 from .link import LinkServer, Peer
 
-__all__ = ["Backend", "Backends"]
+__all__ = ["Backends"]
 
-from .secretfiles import read_secret
 
 _logger = logging.getLogger(__name__)
 
@@ -57,81 +52,6 @@
 _EVENT_MARK = b"data:"
 
 
-class Backend:
-    """One backend server of this host and what the agent counts for it.
-
-    Attributes:
-        loaded: Models that are ready for calls, with their replica's number.
-        reachable: Whether the engine's state has been read since it was last lost.
-        incarnation: The engine's life, as it was last read.
-        token_interval_s: Recent time between the tokens of one stream.
-    """
-
-    def __init__(self, settings: BackendSettings, queue_name: str) -> None:
-        self.settings = settings
-        self.dialect: Dialect = lookup(DIALECTS, settings.dialect)
-        self.token = _read_token(settings)
-        self.client = HttpClient(settings.address)
-        self.weights: dict[str, float] = {}
-        queue = lookup(QUEUES, queue_name)(self.weights, QueueLimits())
-        self.admission = Admission(queue, AdmissionLimits(slots=settings.concurrency))
-        self.rate = TokenRate()
-        self.loaded: dict[str, int] = {}
-        self.in_flight: dict[str, int] = {}
-        self.reachable = False
-        self.incarnation = 0
-        self.token_interval_s = 0.0
-
-    def note_token_interval(self, seconds: float) -> None:
-        """Learn the time between the tokens of a stream at the engine."""
-        gain = defaults.TOKEN_INTERVAL_GAIN
-        self.token_interval_s += gain * (seconds - self.token_interval_s)
-
-    def read_load(self, now: float) -> LoadState:
-        """Return the load as it is at this moment."""
-        queue = self.admission.queue
-        return LoadState(
-            self.admission.running,
-            len(queue),
-            int(queue.tokens),
-            round(self.rate.read(now), 1),
-        )
-
-    def count_start(self, model: str) -> None:
-        """Note a call of ``model``, waiting or running."""
-        self.in_flight[model] = self.in_flight.get(model, 0) + 1
-
-    def count_end(self, model: str) -> None:
-        """Note the end of a call."""
-        self.in_flight[model] -= 1
-
-
-class _AgentCall:
-    def __init__(self, peer: Peer, call: ForwardCall, backend: Backend) -> None:
-        now = _now()
-        self.peer = peer
-        self.call = call
-        self.backend = backend
-        self.arrived_at = now
-        self.deadline = now + call.deadline_ms / _MS_PER_S
-        self.task: asyncio.Task[None] | None = None
-        self.replay = ReplayBuffer()
-        self.tail = b""
-        self.tokens = -1
-        self.chunk_at = 0.0
-        self.head: AnswerHead | None = None
-        self.end: AnswerEnd | None = None
-        self.span = Span("agent", call.traceparent, backend=call.backend)
-        self.queue_span = Span("queue", self.span.traceparent)
-        self.spans: list[str] = []
-        self.was_unwanted = False
-
-    @property
-    def is_unwanted(self) -> bool:
-        """Whether nobody waits for the answer and it need not be recorded."""
-        return self.peer.is_forgotten and self.end is None and self.call.idempotent
-
-
 class Backends(Service):
     """Takes calls from entries and passes them to this host's backend servers.
 
@@ -149,8 +69,8 @@
             item.name: Backend(item, settings.policy.queue)
             for item in settings.backends
         }
-        self._calls: dict[str, _AgentCall] = {}
-        self._ended: deque[tuple[float, _AgentCall]] = deque()
+        self._calls: dict[str, AgentCall] = {}
+        self._ended: deque[tuple[float, AgentCall]] = deque()
         self._coalescer: Coalescer[tuple[Peer, Any]] = Coalescer()
         self._flush_timer: asyncio.TimerHandle | None = None
         self._expiry_timers: dict[str, asyncio.TimerHandle] = {}
@@ -229,7 +149,7 @@
         try:
             self._check(call, backend)
             assert backend is not None
-            accepted = _AgentCall(peer, call, backend)
+            accepted = AgentCall(peer, call, backend)
             backend.admission.offer(
                 QueuedCall(
                     call.request_id,
@@ -334,7 +254,7 @@
             )
             self._refuse(call.peer, queued.request_id, refusal, backend)
 
-    async def _run(self, call: _AgentCall) -> None:
+    async def _run(self, call: AgentCall) -> None:
         request = call.call
         span = Span("backend", call.span.traceparent, backend=request.backend)
         complete = False
@@ -367,7 +287,7 @@
             call.backend.count_end(request.model)
             self._start_ready(call.backend)
 
-    async def _exchange_with_adapter(self, call: _AgentCall, span: Span) -> None:
+    async def _exchange_with_adapter(self, call: AgentCall, span: Span) -> None:
         request = call.call
         if not request.adapter:
             await self._exchange(call, span)
@@ -381,7 +301,7 @@
         finally:
             adapters.release(number, request.adapter)
 
-    async def _exchange(self, call: _AgentCall, span: Span) -> None:
+    async def _exchange(self, call: AgentCall, span: Span) -> None:
         request = call.call
         headers = [*request.headers, ("traceparent", span.traceparent)]
         headers += call.backend.dialect.call_headers(
@@ -411,7 +331,7 @@
             response.close()
         self._end_answered(call, span, response.status)
 
-    def _send_chunk(self, call: _AgentCall, data: bytes) -> None:
+    def _send_chunk(self, call: AgentCall, data: bytes) -> None:
         is_first = call.replay.length == 0
         offset = call.replay.append(data)
         call.tail = (call.tail + data)[-_TAIL_BYTES:]
@@ -420,7 +340,7 @@
         chunk = AnswerChunk(call.call.request_id, offset, data)
         self._send(call, chunk, len(data), urgent=call.call.stream and is_first)
 
-    def _note_stream(self, call: _AgentCall, data: bytes) -> None:
+    def _note_stream(self, call: AgentCall, data: bytes) -> None:
         now = _now()
         tokens = data.count(_EVENT_MARK)
         call.backend.rate.add(tokens, now)
@@ -430,7 +350,7 @@
             self._coalescer.delay_s = choose_delay(max(intervals))
         call.chunk_at = now
 
-    def _end_answered(self, call: _AgentCall, span: Span, status: int) -> None:
+    def _end_answered(self, call: AgentCall, span: Span, status: int) -> None:
         tokens = call.backend.dialect.read_tokens(call.tail)
         call.tokens = tokens
         if not call.call.stream and tokens > 0:
@@ -438,7 +358,7 @@
         call.spans.append(span.end(status=status, tokens=tokens).to_json())
         self._send_end(call, "", tokens)
 
-    def _end_refused(self, call: _AgentCall, span: Span, refusal: Refusal) -> None:
+    def _end_refused(self, call: AgentCall, span: Span, refusal: Refusal) -> None:
         call.spans.append(span.end(refusal.kind).to_json())
         if call.replay.length or not refusal.not_run:
             self._send_end_or_refusal(call, refusal)
@@ -446,7 +366,7 @@
         self._forget(call)
         self._refuse(call.peer, call.call.request_id, refusal, call.backend)
 
-    def _send_end_or_refusal(self, call: _AgentCall, refusal: Refusal) -> None:
+    def _send_end_or_refusal(self, call: AgentCall, refusal: Refusal) -> None:
         if call.replay.length:
             self._send_end(call, refusal.message, -1)
             return
@@ -454,7 +374,7 @@
         self._send_batches(self._coalescer.flush_all())
         self._refuse(call.peer, call.call.request_id, refusal, call.backend)
 
-    def _send_end(self, call: _AgentCall, error: str, tokens: int) -> None:
+    def _send_end(self, call: AgentCall, error: str, tokens: int) -> None:
         load = call.backend.read_load(_now())
         call.spans.append(call.span.end(error).to_json())
         end = AnswerEnd(
@@ -473,7 +393,7 @@
         ):
             self._forget(self._ended.popleft()[1])
 
-    def _send(self, call: _AgentCall, message: Any, size: int, *, urgent: bool) -> None:
+    def _send(self, call: AgentCall, message: Any, size: int, *, urgent: bool) -> None:
         peer = call.peer
         key = peer.routing_id.hex()
         batch = self._coalescer.add(key, (peer, message), size, _now(), urgent=urgent)
@@ -529,7 +449,7 @@
         if call.end is not None:
             peer.send(call.end)
 
-    def _cancel_at_engine(self, call: _AgentCall) -> None:
+    def _cancel_at_engine(self, call: AgentCall) -> None:
         backend = call.backend
         if backend.dialect.has_models:
             order = backend.dialect.cancel_call(call.call.request_id, backend.token)
@@ -559,7 +479,7 @@
             )
             self.kernel.find("reports").report_now()
 
-    def _forget(self, call: _AgentCall) -> None:
+    def _forget(self, call: AgentCall) -> None:
         self._calls.pop(call.call.request_id, None)
 
     def describe(self, backend: Backend, replicas: list, cached: list) -> BackendReport:
@@ -576,12 +496,6 @@
         )
 
 
-def _read_token(settings: BackendSettings) -> str:
-    if not settings.token_file:
-        return ""
-    return read_secret(settings.token_file).decode("ascii", "replace")
-
-
 def _broken_refusal(request: ForwardCall, error: BackendError) -> Refusal:
     if request.idempotent:
         return Overloaded(f"the backend server failed: {error}", not_run=False)
--- a/src/jasminewharf/services/cachefeed.py
+++ b/src/jasminewharf/services/cachefeed.py
@@ -7,7 +7,7 @@
 from ..exceptions import BackendError
 from ..kernel import Kernel, Service
 from ..messages.calls import CacheEvents
-from .backends import Backend
+from .backend import Backend
 
 __all__ = ["CacheFeedReader"]
 
--- a/src/jasminewharf/services/loader.py
+++ b/src/jasminewharf/services/loader.py
@@ -10,7 +10,8 @@
 from ..exceptions import BackendError, BackendUnreachable, FenceRejected
 from ..kernel import Kernel, Service
 from ..messages.feed import BackendReport, ReplicaReport
-from .backends import Backend, Backends
+from .backend import Backend
+from .backends import Backends
 
 __all__ = ["Loader"]
 
