--- a/src/jasminewharf/interfaces/tool_base.py
+++ b/src/jasminewharf/interfaces/tool_base.py
@@ -5,6 +5,7 @@
 import json
 import os
 import sys
+from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Annotated, Any, Literal
@@ -80,7 +81,7 @@
 
 
 @dataclass(kw_only=True)
-class ToolCommand:
+class ToolCommand(ABC):
     """Options of every subcommand, and how its result and errors are shown."""
 
     settings: Annotated[
@@ -122,9 +123,9 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await ticker
 
+    @abstractmethod
     async def run(self, progress: Progress) -> int | None:
         """Carry the subcommand out; return its exit code, or None for 0."""
-        raise NotImplementedError
 
     def load_settings(self) -> ToolSettings:
         """Return the tool's settings.
