Check that a request is charged to the workspace of its key

P4 had no check of its own. Callers now also send a header that names another workspace, and each charge must belong to the key's workspace.

--- a/src/jasminewharf/trials/callers.py
+++ b/src/jasminewharf/trials/callers.py
@@ -150,6 +150,8 @@
         head = [
             ("authorization", f"Bearer {key.key}"),
             ("x-request-deadline-ms", str(int(deadline_s * 1000))),
+            # The workspace must come from the key, whatever a header says.
+            ("x-workspace", "workspace-0"),
             *(headers or []),
         ]
         data = b"" if body is None else json.dumps(body).encode()
--- a/src/jasminewharf/trials/checks.py
+++ b/src/jasminewharf/trials/checks.py
@@ -36,6 +36,7 @@
     account: str
     at: float
     tokens: int
+    request_id: str = ""
 
 
 class Evidence(NamedTuple):
@@ -138,6 +139,19 @@
     return violations
 
 
+@register(CHECKS, "P4 workspace")
+def check_workspace(evidence: Evidence) -> list[str]:
+    """A request runs, and is paid for, by the workspace whose key came with it."""
+    workspaces = {r.request_id: r.workspace for r in evidence.records if r.request_id}
+    violations = []
+    for charge in evidence.charges:
+        payer = charge.account.rpartition("/")[2]
+        workspace = workspaces.get(charge.request_id, payer)
+        if payer != workspace:
+            violations.append(f"{charge.request_id} of {workspace} charged to {payer}")
+    return violations
+
+
 @register(CHECKS, "P5 keys hidden")
 def check_keys_hidden(evidence: Evidence) -> list[str]:
     """No backend server saw a key."""
--- a/src/jasminewharf/trials/runner.py
+++ b/src/jasminewharf/trials/runner.py
@@ -275,6 +275,8 @@
                 charge = _read_charge(span, costs)
                 if charge is not None:
                     charges.append(charge)
+        if costs and not charges:
+            raise TrialError("no charge was traced, so rates cannot be checked")
         return charges
 
 
@@ -283,7 +285,8 @@
     tokens = costs.get(fields.get("request_id", ""), 0)
     if "charged_at_ns" not in fields or not tokens:
         return None
-    return Charge(fields["account"], int(fields["charged_at_ns"]) / _NS_PER_S, tokens)
+    at = int(fields["charged_at_ns"]) / _NS_PER_S
+    return Charge(fields["account"], at, tokens, fields["request_id"])
 
 
 async def run_trial(
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -37,6 +37,7 @@
     ),
     "P2 memory": GOOD._replace(overcommits=1),
     "P3 answered in time": GOOD._replace(records=[record(status=0, error="no answer")]),
+    "P4 workspace": GOOD._replace(charges=[Charge("s/other", 0.0, 1, "r-1")]),
     "P5 keys hidden": GOOD._replace(seen={"host-1": [seen(body=b"x jw_ab_cd")]}),
     "P6 withdrawal": GOOD._replace(withdrawals={"k1": 8.0}),
     "P7 rates": GOOD._replace(charges=[Charge("a", 0.0, 100), Charge("a", 1.0, 20)]),
