--- a/src/jasminewharf/trials/runner.py
+++ b/src/jasminewharf/trials/runner.py
@@ -10,6 +10,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from .. import defaults
 from ..exceptions import JasminewharfError, TrialError
 from ..fakes.engine import ModelSpec
 from ..interfaces.operator import OperatorClient
@@ -305,6 +306,8 @@
     try:
         await trial.set_up()
         await (act(trial) if act else trial.run())
+        # The entries' last spans are written at intervals.
+        await asyncio.sleep(_SETTLE_S + 2 * defaults.SPAN_WRITE_INTERVAL_S)
         evidence = trial.collect()
     finally:
         await trial.cluster.stop()
