--- /dev/null
+++ b/src/jasminewharf/decisions/attempts.py
@@ -0,0 +1,71 @@
+"""The attempts of one request at backend servers."""
+
+from .. import defaults
+from .configurations import Route
+
+__all__ = ["Attempts", "silence_limit_s"]
+
+
+class Attempts:
+    """Counts what one request has met.
+
+    Attributes:
+        sent: Times that it was sent to a server.
+        runs: Times that a server may have run it.
+        rejections: Times that a server refused it without running it.
+        avoided: Servers that it is not sent to again for now.
+    """
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.runs = 0
+        self.rejections = 0
+        self.avoided: set[str] = set()
+        self._ran_at: set[str] = set()
+        self._is_open = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the request, the present one included."""
+        return self.runs > 0 or self._is_open
+
+    def note_sent(self, server: str) -> None:
+        """Count a send; until its outcome is known the request may have run."""
+        self.sent += 1
+        self._is_open = True
+
+    def note_rejected(self, server: str) -> None:
+        """Count a server that has not run the request."""
+        self._is_open = False
+        self.rejections += 1
+        self.avoided.add(server)
+
+    def note_run(self, server: str) -> None:
+        """Count a server that may have run the request."""
+        self._is_open = False
+        self.runs += 1
+        self.avoided.add(server)
+        self._ran_at.add(server)
+
+    def forget_rejections(self) -> None:
+        """Let servers be tried again that only had no place."""
+        self.avoided = set(self._ran_at)
+
+
+def silence_limit_s(route: Route, attempts: Attempts, left_s: float) -> float:
+    """Return how long a server may be silent before another one is tried.
+
+    Args:
+        route: The request's route.
+        attempts: What it has met so far.
+        left_s: Seconds until the deadline.
+
+    Returns:
+        Seconds; at least the time left where no other server may be tried.
+    """
+    if not route.is_idempotent or attempts.runs + 1 >= route.attempts:
+        return max(left_s, 0.0) + 1.0
+    if route.kind == "stream":
+        return defaults.STREAM_SILENCE_S
+    share = left_s * defaults.SILENCE_PART
+    return min(max(share, defaults.SILENCE_MIN_S), defaults.STREAM_SILENCE_S)
--- /dev/null
+++ b/src/jasminewharf/decisions/choice.py
@@ -0,0 +1,126 @@
+"""Which backend server a request goes to, and which engine loads a model for it."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import xxhash
+
+from .configurations import ModelSpec
+from .directory import Server
+
+__all__ = [
+    "LoadPlace",
+    "Preference",
+    "choose_engine",
+    "choose_load_place",
+    "choose_plain",
+    "rank_by_hash",
+]
+
+# Share of an engine's slots up to which requests for a model are kept together.
+_PACK_SHARE = 0.6
+# What an engine that would have to end running work first adds to its estimate.
+_NOTHING_IDLE_S = 2.0
+# One more model that waits there for an order: a load from disk.
+_WAITING_MODEL_S = 1.3
+
+
+class Preference(NamedTuple):
+    """What a request asks of an engine."""
+
+    model: str
+    adapter: str
+    zone: str
+
+
+def rank_by_hash(key: str, name: str) -> int:
+    """Return the rendezvous rank of ``name`` for ``key``; the lowest is the first."""
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
+
+
+def choose_engine(servers: Sequence[Server], wanted: Preference) -> Server:
+    """Return the engine for a request, of those that hold its model.
+
+    Requests for one model are kept together on the first engine of its rendezvous
+    order while that has room, since kept prompt parts are found there and the other
+    copies of the model can make room for rare ones. Adapters spread over the
+    engines in the same way, by their own order.
+    """
+    key = f"{wanted.model}/{wanted.adapter}" if wanted.adapter else wanted.model
+    with_room = [s for s in servers if s.load < _PACK_SHARE * s.listed.slots]
+    if not with_room:
+        return min(servers, key=lambda s: s.load / max(s.listed.slots, 1))
+    if wanted.adapter:
+        loaded = [s for s in with_room if s.holds_adapter(wanted.model, wanted.adapter)]
+        with_room = loaded or with_room
+    return min(with_room, key=lambda s: rank_by_hash(key, s.name))
+
+
+def choose_plain(servers: Sequence[Server], zone: str, random: float) -> Server:
+    """Return the least loaded server, of equal ones one in the own zone.
+
+    ``random`` in [0, 1) breaks the ties that are left.
+    """
+
+    def rank(item: tuple[int, Server]) -> tuple[float, bool, int]:
+        number, server = item
+        place = (number + int(random * len(servers))) % len(servers)
+        return _load_step(server), server.listed.zone != zone, place
+
+    return min(enumerate(servers), key=rank)[1]
+
+
+def _load_step(server: Server) -> float:
+    """Return the load in slots, where the first half of the slots is alike."""
+    slots = max(server.listed.slots, 1)
+    return max(server.load / slots, 0.5)
+
+
+class LoadPlace(NamedTuple):
+    """An engine that may load a model, and when the model would be ready there."""
+
+    server: Server
+    ready_s: float
+
+
+def choose_load_place(
+    servers: Sequence[Server], model: ModelSpec, now: float
+) -> LoadPlace | None:
+    """Return where a model is ready first; the same on all nodes as a rule.
+
+    Args:
+        servers: Engines of the service with a fresh report.
+        model: The model.
+        now: Seconds on the clock of the reports.
+    """
+    places = [LoadPlace(s, _estimate(s, model, now)) for s in servers if s.report]
+    if not places:
+        return None
+    return min(
+        places,
+        key=lambda p: (p.ready_s, rank_by_hash(model.name, p.server.name)),
+    )
+
+
+def _estimate(server: Server, model: ModelSpec, now: float) -> float:
+    report = server.report
+    assert report is not None
+    busy_s = max(report.ready_ms / 1_000.0 - (now - server.report_at), 0.0)
+    if report.changing == model.name and report.is_loading:
+        return min(busy_s, 0.001)
+    own_s = _load_time(report.in_memory, report.on_disk, model)
+    if model.name in report.wanted:
+        ahead = report.wanted.index(model.name)
+        return (busy_s + own_s + ahead * _WAITING_MODEL_S) * 0.5
+    idle_s = 0.0 if report.can_load else _NOTHING_IDLE_S
+    return busy_s + own_s + idle_s + len(report.wanted) * _WAITING_MODEL_S
+
+
+def _load_time(
+    in_memory: Sequence[str], on_disk: Sequence[str], model: ModelSpec
+) -> float:
+    if model.name in in_memory:
+        return model.memory_s
+    if model.name in on_disk:
+        return model.disk_s
+    return model.remote_s
--- /dev/null
+++ b/src/jasminewharf/decisions/configurations.py
@@ -0,0 +1,175 @@
+"""Whole configurations: routes, services, workspaces and limits in one version.
+
+A deployment may be run by service documents or by one whole configuration that
+replaces the former one. This module holds the checked form of the latter and the
+rules by which it is accepted.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..exceptions import ConfigurationRefused
+from ..registry import register
+
+__all__ = [
+    "ACCEPTANCE_RULES",
+    "CONFIGURATION_FORMATS",
+    "CallerLimits",
+    "Configuration",
+    "EngineSpec",
+    "ModelSpec",
+    "Route",
+    "ServiceSpec",
+    "ServiceWeight",
+    "WorkspaceSpec",
+    "check_configuration",
+]
+
+
+class ServiceWeight(NamedTuple):
+    """A service and its share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Requests of one host and path prefix.
+
+    ``kind`` is safe, unsafe or stream. ``priority`` 0 is the most urgent.
+    ``attempts`` is the largest number of backend servers that may run a request.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_s: float
+    target_s: float
+    priority: int
+    services: tuple[ServiceWeight, ...]
+    attempts: int
+    is_public: bool
+    is_resumable: bool
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind == "safe" or (self.kind == "stream" and self.is_resumable)
+
+
+class ModelSpec(NamedTuple):
+    """A model that an engine may hold; load times in seconds by source."""
+
+    name: str
+    weights_mb: float
+    remote_s: float
+    disk_s: float
+    memory_s: float
+    adapter_mb: float
+
+
+class EngineSpec(NamedTuple):
+    """What each engine of a service can hold and run at once."""
+
+    slots: int
+    weights_mb: float
+    adapter_slots: int
+    loads_per_s: float
+    models: tuple[ModelSpec, ...]
+
+
+class ServiceSpec(NamedTuple):
+    """A service; ``engine`` is None for a plain one."""
+
+    name: str
+    max_connections: int
+    engine: EngineSpec | None
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send, and how long it may take or stay idle."""
+
+    head_bytes: int
+    body_bytes: int
+    head_timeout_s: float
+    idle_timeout_s: float
+
+
+class WorkspaceSpec(NamedTuple):
+    """A workspace, its keys and its rate; a rate of 0 is no limit.
+
+    ``default_tokens`` is the cost of a request that does not tell its tokens; 0 if
+    the rate counts requests.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int
+    rate_per_s: float
+    burst: float
+    default_tokens: float
+
+
+class Configuration(NamedTuple):
+    """A checked configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[ServiceSpec, ...]
+    workspaces: tuple[WorkspaceSpec, ...]
+    limits: CallerLimits | None
+
+
+AcceptanceRule = Callable[[int, int], bool]
+ConfigurationReader = Callable[[bytes], Configuration]
+
+ACCEPTANCE_RULES: dict[str, AcceptanceRule] = {}
+CONFIGURATION_FORMATS: dict[str, ConfigurationReader] = {}
+
+
+@register(ACCEPTANCE_RULES, "highest")
+def accept_highest(current: int, submitted: int) -> bool:
+    """Return whether ``submitted`` replaces ``current``: the highest version wins."""
+    return submitted > current
+
+
+def check_configuration(configuration: Configuration) -> None:
+    """Check what the parts of a configuration ask of each other.
+
+    Raises:
+        ConfigurationRefused: Naming the first part that is not valid.
+    """
+    services = {service.name for service in configuration.services}
+    places: set[tuple[str, str]] = set()
+    for route in configuration.routes:
+        _check_route(route, services)
+        place = (route.host, route.prefix)
+        if place in places:
+            raise ConfigurationRefused(f"two routes at {route.host}{route.prefix}")
+        places.add(place)
+    _check_keys(configuration.workspaces)
+
+
+def _check_route(route: Route, services: set[str]) -> None:
+    for item in route.services:
+        if item.service not in services:
+            raise ConfigurationRefused(
+                f"route {route.name}: no service {item.service!r}"
+            )
+    if sum(item.weight for item in route.services) <= 0:
+        raise ConfigurationRefused(f"route {route.name}: weights add up to 0")
+    if any(item.weight < 0 for item in route.services):
+        raise ConfigurationRefused(f"route {route.name}: a weight is negative")
+    if route.timeout_s <= 0:
+        raise ConfigurationRefused(f"route {route.name}: the timeout must be above 0")
+
+
+def _check_keys(workspaces: tuple[WorkspaceSpec, ...]) -> None:
+    owners: dict[str, str] = {}
+    for workspace in workspaces:
+        for key in workspace.keys:
+            if owners.setdefault(key, workspace.name) != workspace.name:
+                raise ConfigurationRefused(
+                    f"workspaces {owners[key]} and {workspace.name} share a key"
+                )
--- a/src/jasminewharf/decisions/consensus.py
+++ b/src/jasminewharf/decisions/consensus.py
@@ -154,6 +154,11 @@
         """Return the member that a leader should hand over to, or an empty string."""
         return elections.choose_successor(self._state, now)
 
+    def silent_members(self, seconds: float, now: float) -> set[str]:
+        """Return members that have not answered this leader for ``seconds``."""
+        progress = self._state.progress
+        return {name for name, item in progress.items() if now - item.heard >= seconds}
+
     def is_transferring(self, now: float) -> bool:
         """Return whether a snapshot is being sent or installed."""
         return snapshots.is_transferring(self._state, now)
--- /dev/null
+++ b/src/jasminewharf/decisions/directory.py
@@ -0,0 +1,208 @@
+"""Backend servers found while running: what a node believes of each.
+
+Three sources are merged: the platform's list, which lags; the reports of the agents
+beside engines, which are fresh while the agent lives; and what the answers to the
+node's own requests show.
+"""
+
+from typing import NamedTuple
+
+from ..dialects.fleet import HeldModel, ListedServer
+from ..messages.servers import EngineReport
+
+__all__ = ["Directory", "ListChange", "Server"]
+
+
+class ListChange(NamedTuple):
+    """What a new list changed: servers that came, and that left or are leaving."""
+
+    found: list[ListedServer]
+    left: list[ListedServer]
+
+
+class Server:
+    """One life of a backend server.
+
+    Attributes:
+        listed: Its entry on the list.
+        own: Requests of this node in flight there.
+        own_by_model: The same, by model and by model and adapter.
+        running: Requests that it was last known to run.
+        waiting: Requests that it was last known to keep waiting.
+        load_at: When the two were told, in seconds.
+        report: The agent's last report; None without an agent.
+        report_at: When it came.
+        missing: Models that it refused as absent, with the time.
+    """
+
+    def __init__(self, listed: ListedServer) -> None:
+        self.listed = listed
+        self.own = 0
+        self.own_by_model: dict[str, int] = {}
+        self.running = 0
+        self.waiting = 0
+        self.load_at = float("-inf")
+        self.own_since_load = 0
+        self.report: EngineReport | None = None
+        self.report_at = float("-inf")
+        self.missing: dict[str, float] = {}
+
+    @property
+    def name(self) -> str:
+        """The server's identifier."""
+        return self.listed.server
+
+    @property
+    def load(self) -> int:
+        """Requests there, as far as known: told, and begun by this node since."""
+        return max(self.running + self.waiting + self.own_since_load, self.own)
+
+    def note_load(self, running: int, waiting: int, now: float) -> None:
+        """Take a load that the server or its agent told."""
+        self.running = running
+        self.waiting = waiting
+        self.load_at = now
+        self.own_since_load = 0
+
+    def begin(self, model: str, adapter: str) -> None:
+        """Count a request that is sent there."""
+        self.own += 1
+        self.own_since_load += 1
+        for name in _use_names(model, adapter):
+            self.own_by_model[name] = self.own_by_model.get(name, 0) + 1
+
+    def end(self, model: str, adapter: str) -> None:
+        """Count the end of a request."""
+        self.own -= 1
+        for name in _use_names(model, adapter):
+            left = self.own_by_model.get(name, 0) - 1
+            if left > 0:
+                self.own_by_model[name] = left
+            else:
+                self.own_by_model.pop(name, None)
+
+    def holds(self, model: str, now: float, fresh_s: float) -> bool:
+        """Return whether the server is believed to hold a model that it may use."""
+        refused_at = self.missing.get(model, float("-inf"))
+        if now - self.report_at <= fresh_s and self.report is not None:
+            if refused_at > self.report_at:
+                return False
+            if self.report.changing == model:
+                return False
+            return any(held.model == model for held in self.report.models)
+        if now - refused_at <= fresh_s:
+            return False
+        return any(held.model == model for held in self._known_models())
+
+    def holds_adapter(self, model: str, adapter: str) -> bool:
+        """Return whether an adapter is believed to be loaded on a model."""
+        return any(
+            held.model == model and adapter in held.adapters
+            for held in self._known_models()
+        )
+
+    def _known_models(self) -> tuple[HeldModel, ...] | list[HeldModel]:
+        return self.report.models if self.report is not None else self.listed.models
+
+
+def _use_names(model: str, adapter: str) -> tuple[str, ...]:
+    if not model:
+        return ()
+    return (model, f"{model}/{adapter}") if adapter else (model,)
+
+
+class Directory:
+    """All backend servers that a node knows."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, Server] = {}
+        self._by_service: dict[str, list[Server]] = {}
+        self._by_address: dict[str, Server] = {}
+        self._reports: dict[str, tuple[float, EngineReport]] = {}
+        self._births: dict[str, int] = {}
+        self.list_at = float("-inf")
+
+    def in_service(self, service: str) -> list[Server]:
+        """Return the servers of a service, leaving ones among them."""
+        return self._by_service.get(service, [])
+
+    def at_address(self, address: str) -> Server | None:
+        """Return the server at an address."""
+        return self._by_address.get(address)
+
+    def take_list(self, servers: list[ListedServer], read_at: float) -> ListChange:
+        """Replace the list; one read before the present one changes nothing."""
+        if read_at < self.list_at:
+            return ListChange([], [])
+        self.list_at = read_at
+        found: list[ListedServer] = []
+        left: list[ListedServer] = []
+        kept: dict[str, Server] = {}
+        for listed in servers:
+            server = self.servers.get(listed.server)
+            if server is None or server.listed.born_ms != listed.born_ms:
+                server = Server(listed)
+                found.append(listed)
+            elif listed.is_leaving and not server.listed.is_leaving:
+                left.append(listed)
+            server.listed = listed
+            kept[listed.server] = server
+        left.extend(
+            server.listed for name, server in self.servers.items() if name not in kept
+        )
+        self.servers = kept
+        self._index()
+        return ListChange(found, left)
+
+    def _index(self) -> None:
+        self._by_service = {}
+        self._by_address = {}
+        for server in self.servers.values():
+            listed = server.listed
+            self._by_service.setdefault(listed.service, []).append(server)
+            known = self._by_address.get(listed.address)
+            # An address is given out again: the younger life holds it.
+            if known is None or listed.born_ms >= known.listed.born_ms:
+                self._by_address[listed.address] = server
+        for address, (at, report) in self._reports.items():
+            self._attach(address, at, report)
+
+    def take_report(self, report: EngineReport, now: float) -> None:
+        """Take the report of an agent on its engine."""
+        self._reports[report.address] = (now, report)
+        self._attach(report.address, now, report)
+
+    def _attach(self, address: str, at: float, report: EngineReport) -> None:
+        server = self._by_address.get(address)
+        if server is None or at < server.report_at:
+            return
+        is_same_life = (
+            not server.listed.born_ms
+            or not report.born_ms
+            or (server.listed.born_ms == report.born_ms)
+        )
+        if not is_same_life:
+            return
+        if server.report_at != at:
+            server.note_load(report.running, report.queued, at)
+        server.report = report
+        server.report_at = at
+
+    def hear_agent(self, address: str, now: float) -> Server | None:
+        """Note that the agent beside ``address`` lives; its last report still holds."""
+        known = self._reports.get(address)
+        if known is None:
+            return None
+        self._reports[address] = (now, known[1])
+        server = self._by_address.get(address)
+        if server is not None and server.report is known[1]:
+            server.report_at = now
+        return server
+
+    def forget_agent(self, address: str) -> None:
+        """Drop an agent's report; the list's word counts again."""
+        self._reports.pop(address, None)
+        server = self._by_address.get(address)
+        if server is not None:
+            server.report = None
+            server.report_at = float("-inf")
--- /dev/null
+++ b/src/jasminewharf/decisions/eventstream.py
@@ -0,0 +1,47 @@
+"""Server-sent events: cutting a body into whole events and numbering them."""
+
+from typing import NamedTuple
+
+__all__ = ["EventSplitter", "StreamEvent"]
+
+_END = b"\n\n"
+_ID = b"id:"
+
+
+class StreamEvent(NamedTuple):
+    """A whole event as it came; ``number`` is -1 if it has none."""
+
+    number: int
+    data: bytes
+
+
+class EventSplitter:
+    """Cuts a stream of bytes into events.
+
+    Attributes:
+        rest: Bytes of an event that has not ended.
+    """
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Return the events that end in ``data``."""
+        buffer = self.rest + data
+        events = []
+        start = 0
+        while (end := buffer.find(_END, start)) >= 0:
+            end += len(_END)
+            piece = buffer[start:end]
+            events.append(StreamEvent(_read_number(piece), piece))
+            start = end
+        self.rest = buffer[start:]
+        return events
+
+
+def _read_number(event: bytes) -> int:
+    for line in event.split(b"\n"):
+        if line.startswith(_ID):
+            text = line[len(_ID) :].strip()
+            return int(text) if text.isdigit() else -1
+    return -1
--- a/src/jasminewharf/decisions/fleet.py
+++ b/src/jasminewharf/decisions/fleet.py
@@ -19,14 +19,23 @@
     CommandResult,
     DecideReplica,
     GrantKey,
+    ReplaceConfiguration,
     SetDraining,
     SubmitDocument,
     WithdrawKey,
 )
+from ..registry import lookup
 from .acceptance import DocumentRecord, Revision, judge_submission
+from .configurations import ACCEPTANCE_RULES
 from .keys import KeyRecord
 
-__all__ = ["FleetState", "ModelOffer", "Replica", "PHASE_SUCCESSORS"]
+__all__ = [
+    "FleetState",
+    "ModelOffer",
+    "PHASE_SUCCESSORS",
+    "Replica",
+    "StoredConfiguration",
+]
 
 PHASE_SUCCESSORS: dict[str, frozenset[str]] = {
     "ordered": frozenset({"loaded", "failed", "unloading"}),
@@ -59,6 +68,16 @@
     adapter: Adapter | None
 
 
+class StoredConfiguration(NamedTuple):
+    """The whole configuration in force; version 0 if there is none.
+
+    ``body`` is compressed.
+    """
+
+    version: int = 0
+    body: bytes = b""
+
+
 class _Snapshot(NamedTuple):
     version: int
     documents: list[DocumentRecord]
@@ -66,6 +85,7 @@
     draining: dict[str, tuple[str, ...]]
     replicas: list[Replica]
     verdicts: list[tuple[str, CommandResult]]
+    configuration: StoredConfiguration = StoredConfiguration()
 
 
 _Applier = Callable[["FleetState", int, Any], CommandResult]
@@ -91,6 +111,7 @@
         keys: Key records by key identifier.
         draining: Leaving hosts, with who says so: operator, platform or both.
         replicas: Replicas by number; those that are gone are left out.
+        configuration: The whole configuration, where a deployment is run by one.
     """
 
     def __init__(self) -> None:
@@ -99,6 +120,7 @@
         self.keys: dict[str, KeyRecord] = {}
         self.draining: dict[str, tuple[str, ...]] = {}
         self.replicas: dict[int, Replica] = {}
+        self.configuration = StoredConfiguration()
         self._verdicts: OrderedDict[str, CommandResult] = OrderedDict()
         self._parsed: dict[str, Document] = {}
         self._offers: dict[str, dict[str, ModelOffer]] = {}
@@ -213,6 +235,16 @@
         self._index_replica(replica, command.phase == "loaded")
         return CommandResult("", command.phase, replica.number)
 
+    @_applies(ReplaceConfiguration)
+    def _replace_configuration(
+        self, index: int, command: ReplaceConfiguration
+    ) -> CommandResult:
+        accepts = lookup(ACCEPTANCE_RULES, command.rule)
+        if not accepts(self.configuration.version, command.version):
+            return CommandResult("", "not newer", self.configuration.version)
+        self.configuration = StoredConfiguration(command.version, command.body)
+        return CommandResult("", "replaced", command.version)
+
     def _index_replica(self, replica: Replica, is_loaded: bool) -> None:
         places = self._loaded.setdefault((replica.service, replica.model), set())
         place = (replica.host, replica.backend)
@@ -279,6 +311,7 @@
                 dict(sorted(self.draining.items())),
                 list(self.replicas.values()),
                 list(self._verdicts.items()),
+                self.configuration,
             )
         )
 
@@ -291,6 +324,7 @@
         self.draining = snapshot.draining
         self.replicas = {replica.number: replica for replica in snapshot.replicas}
         self._verdicts = OrderedDict(snapshot.verdicts)
+        self.configuration = snapshot.configuration
         self._parsed = {}
         self._offers = {}
         self._loaded = {}
--- a/src/jasminewharf/decisions/hostlist.py
+++ b/src/jasminewharf/decisions/hostlist.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Iterable, Mapping
 
+from ..dialects.hostlists import ListedHost
 from ..messages.commands import SetDraining
-from ..platforms import ListedHost
 
 __all__ = ["compare_host_list"]
 
--- /dev/null
+++ b/src/jasminewharf/decisions/residency.py
@@ -0,0 +1,288 @@
+"""Which models and adapters an engine holds: what its agent orders next.
+
+Requests that wait for a model are served first. What has to make room is the model
+that nobody uses and that was used longest ago: a copy of it stays on the engine's
+disk. With nothing waiting, the engine fetches models of which the fleet has no copy.
+"""
+
+from typing import NamedTuple
+
+from ..dialects.fleet import EngineStatus
+from .choice import rank_by_hash
+from .configurations import EngineSpec, ModelSpec
+
+__all__ = ["FleetCopies", "Intent", "Residency"]
+
+# An entry repeats what it wants well within this time.
+_WANT_KEPT_S = 1.2
+# A model just loaded is kept until the requests that waited for it have come.
+_SETTLE_S = 0.8
+# A request may wait this long before running work has to end for it.
+_PATIENCE_S = 1.0
+# A model idle for this long makes room for one of which there is no copy.
+_IDLE_S = 2.0
+# Holders that a model placed on many engines keeps when others make room.
+_KEPT_HOLDERS = 2
+# Loads from the store at a time that nobody waits for.
+_WARMING_AT_ONCE = 2
+_WARMING_BEFORE_TRAFFIC = 4
+
+
+class Intent(NamedTuple):
+    """What to order next; ``adapter`` is empty for a model."""
+
+    loads: bool
+    model: str
+    adapter: str = ""
+
+
+class FleetCopies(NamedTuple):
+    """Where the other engines of the service stand.
+
+    ``holders`` counts the engines that hold a model, this one among them;
+    ``with_copy`` names models of which some engine has or loads a copy; ``engines``
+    are the engines whose agents live, ``own`` this one. ``warming`` counts loads
+    from the store in progress; ``is_used`` tells that requests run anywhere.
+    """
+
+    holders: dict[str, int]
+    with_copy: frozenset[str]
+    engines: tuple[str, ...]
+    own: str
+    warming: int
+    is_used: bool
+
+
+class _Want(NamedTuple):
+    requests: int
+    urgency: float
+    since: float
+    at: float
+
+
+class _Use(NamedTuple):
+    in_flight: int
+    at: float
+
+
+class Residency:
+    """The state that one agent's decisions need."""
+
+    def __init__(self) -> None:
+        self._spec: EngineSpec | None = None
+        self._models: dict[str, ModelSpec] = {}
+        self._wants: dict[str, dict[str, _Want]] = {}
+        self._uses: dict[str, dict[str, _Use]] = {}
+        self._used_at: dict[str, float] = {}
+        self._loaded_at: dict[str, float] = {}
+        self._adapters_wanted: dict[tuple[str, str], float] = {}
+        self._held: frozenset[str] = frozenset()
+
+    def set_engine(self, spec: EngineSpec) -> None:
+        """Take the engine's limits and the models of its service."""
+        self._spec = spec
+        self._models = {model.name: model for model in spec.models}
+
+    @property
+    def spec(self) -> EngineSpec | None:
+        """The engine's limits; None before a configuration named them."""
+        return self._spec
+
+    def model(self, name: str) -> ModelSpec | None:
+        """Return what the configuration says of a model."""
+        return self._models.get(name)
+
+    def note_want(
+        self, peer: str, model: str, requests: int, urgency: float, now: float
+    ) -> None:
+        """Note that an entry's requests wait for a model."""
+        if model not in self._models:
+            return
+        wants = self._wants.setdefault(model, {})
+        known = wants.get(peer)
+        since = now if known is None or now - known.at > _WANT_KEPT_S else known.since
+        wants[peer] = _Want(requests, urgency, since, now)
+
+    def note_use(self, peer: str, uses: list[tuple[str, int, int]], now: float) -> None:
+        """Replace what an entry has in flight, by model or model and adapter."""
+        current = self._uses.setdefault(peer, {})
+        current.clear()
+        for name, in_flight, begun in uses:
+            if in_flight > 0:
+                current[name] = _Use(in_flight, now)
+            if in_flight > 0 or begun > 0:
+                self._used_at[name] = now
+
+    def forget_peer(self, peer: str) -> None:
+        """Drop what a lost entry had in flight."""
+        self._uses.pop(peer, None)
+
+    def note_adapter(self, model: str, adapter: str, now: float) -> None:
+        """Note that a request waits for an adapter."""
+        self._adapters_wanted[(model, adapter)] = now
+        self._used_at[f"{model}/{adapter}"] = now
+
+    def wanted_models(self, now: float) -> list[str]:
+        """Return the models that requests wait for and that are not held."""
+        waiting: list[tuple[float, float, str]] = []
+        for model, wants in list(self._wants.items()):
+            for peer in [
+                p for p, want in wants.items() if now - want.at > _WANT_KEPT_S
+            ]:
+                del wants[peer]
+            if not wants:
+                del self._wants[model]
+            elif model not in self._held:
+                urgency = sum(want.urgency for want in wants.values())
+                since = min(want.since for want in wants.values())
+                waiting.append((-urgency * (0.5 + now - since), since, model))
+        return [model for _, _, model in sorted(waiting)]
+
+    def in_flight(self, name: str) -> int:
+        """Return the requests of all entries in flight for a model or adapter."""
+        return sum(uses[name].in_flight for uses in self._uses.values() if name in uses)
+
+    def choose(
+        self, status: EngineStatus, copies: FleetCopies, now: float
+    ) -> Intent | None:
+        """Return what to order next, or None."""
+        if self._spec is None:
+            return None
+        self._note_held(status, now)
+        intent = self._choose_adapter(status, now)
+        if intent is not None or status.is_busy or status.is_leaving:
+            return intent
+        wanted = self.wanted_models(now)
+        for model in wanted:
+            intent = self._make_way(model, status, now)
+            if intent is not None:
+                return intent
+        return None if wanted else self._warm(status, copies, now)
+
+    def can_load(self, status: EngineStatus, now: float) -> bool:
+        """Return whether a model would find room without ending requests."""
+        if self._spec is None:
+            return False
+        largest = max((m.weights_mb for m in self._models.values()), default=0.0)
+        if self._free_mb(status) >= largest:
+            return True
+        return any(self._is_idle(held.model, now) for held in status.models)
+
+    def _note_held(self, status: EngineStatus, now: float) -> None:
+        held = frozenset(item.model for item in status.models)
+        for model in held - self._held:
+            self._loaded_at[model] = now
+        self._held = held
+
+    def _free_mb(self, status: EngineStatus) -> float:
+        assert self._spec is not None
+        used = 0.0
+        for held in status.models:
+            spec = self._models.get(held.model)
+            # A model that the configuration no longer names still takes its room.
+            weights = spec.weights_mb if spec else self._largest_mb()
+            adapter = spec.adapter_mb if spec else 0.0
+            used += weights + adapter * len(held.adapters)
+        for model, _ in status.incoming:
+            spec = self._models.get(model)
+            used += spec.adapter_mb if spec else 0.0
+        return self._spec.weights_mb - used
+
+    def _largest_mb(self) -> float:
+        return max((model.weights_mb for model in self._models.values()), default=0.0)
+
+    def _make_way(self, model: str, status: EngineStatus, now: float) -> Intent | None:
+        if self._free_mb(status) >= self._models[model].weights_mb:
+            return Intent(True, model)
+        victim = self._choose_victim(model, status, now)
+        return Intent(False, victim) if victim else None
+
+    def _choose_victim(self, model: str, status: EngineStatus, now: float) -> str:
+        held = [item.model for item in status.models]
+        idle = [name for name in held if self._is_idle(name, now)]
+        if idle:
+            return min(idle, key=lambda name: self._used_at.get(name, -1.0))
+        since = min(want.since for want in self._wants[model].values())
+        settled = [n for n in held if now - self._loaded_at.get(n, now) > _SETTLE_S]
+        if now - since < _PATIENCE_S or not settled:
+            return ""
+        return min(settled, key=lambda name: (self.in_flight(name), name))
+
+    def _is_idle(self, model: str, now: float) -> bool:
+        if self.in_flight(model) or model in self._wants:
+            return False
+        loaded_at = self._loaded_at.get(model, now)
+        used_since = self._used_at.get(model, float("-inf")) > loaded_at
+        return used_since or now - loaded_at > _SETTLE_S
+
+    def _choose_adapter(self, status: EngineStatus, now: float) -> Intent | None:
+        assert self._spec is not None
+        loaded = {(h.model, name) for h in status.models for name in h.adapters}
+        present = loaded | set(status.incoming)
+        for wanted, at in list(self._adapters_wanted.items()):
+            if wanted in loaded or now - at > _WANT_KEPT_S:
+                del self._adapters_wanted[wanted]
+        for wanted in self._adapters_wanted:
+            if wanted in present or wanted[0] not in self._held:
+                continue
+            if len(present) < self._spec.adapter_slots and self._has_room(
+                wanted[0], status
+            ):
+                return Intent(True, *wanted)
+            return self._free_adapter_slot(loaded)
+        return None
+
+    def _has_room(self, model: str, status: EngineStatus) -> bool:
+        spec = self._models.get(model)
+        return spec is not None and self._free_mb(status) >= spec.adapter_mb
+
+    def _free_adapter_slot(self, loaded: set[tuple[str, str]]) -> Intent | None:
+        unused = [
+            pair
+            for pair in loaded
+            if not self.in_flight("/".join(pair)) and pair not in self._adapters_wanted
+        ]
+        if not unused:
+            return None
+        oldest = min(
+            unused, key=lambda pair: (self._used_at.get("/".join(pair), -1.0), pair)
+        )
+        return Intent(False, *oldest)
+
+    def _warm(
+        self, status: EngineStatus, copies: FleetCopies, now: float
+    ) -> Intent | None:
+        """Fetch a model of which no engine has a copy, one at a time on each engine."""
+        at_once = _WARMING_AT_ONCE if copies.is_used else _WARMING_BEFORE_TRAFFIC
+        if copies.warming >= at_once:
+            return None
+        missing = [name for name in self._models if name not in copies.with_copy]
+        mine = [name for name in missing if self._is_mine(name, copies)]
+        if not mine:
+            return None
+        model = min(mine, key=lambda name: rank_by_hash(copies.own, name))
+        if self._free_mb(status) >= self._models[model].weights_mb:
+            return Intent(True, model)
+        victim = self._choose_spare(status, copies, now)
+        return Intent(False, victim) if victim else None
+
+    def _is_mine(self, model: str, copies: FleetCopies) -> bool:
+        first = min(copies.engines, key=lambda name: rank_by_hash(model, name))
+        return first == copies.own
+
+    def _choose_spare(
+        self, status: EngineStatus, copies: FleetCopies, now: float
+    ) -> str:
+        """Return an idle model that other engines hold or that has a copy at hand."""
+        spare = []
+        for held in status.models:
+            name = held.model
+            last = max(self._used_at.get(name, -1.0), self._loaded_at.get(name, now))
+            holders = copies.holders.get(name, 1)
+            if not self._is_idle(name, now) or now - last < _IDLE_S:
+                continue
+            if holders > _KEPT_HOLDERS:
+                spare.append((-holders, name))
+            elif holders == 1 and name in (*status.in_memory, *status.on_disk):
+                spare.append((0, name))
+        return min(spare)[1] if spare else ""
--- /dev/null
+++ b/src/jasminewharf/decisions/routes.py
@@ -0,0 +1,87 @@
+"""Which route, service and workspace a request belongs to."""
+
+from typing import NamedTuple
+
+import xxhash
+
+from .configurations import Configuration, Route, ServiceSpec, WorkspaceSpec
+
+__all__ = ["RouteTable"]
+
+_HASH_RANGE = 1 << 64
+
+
+class RouteTable:
+    """A configuration, indexed for look-ups.
+
+    Args:
+        configuration: A checked configuration.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self.services: dict[str, ServiceSpec] = {
+            service.name: service for service in configuration.services
+        }
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.host.lower(), {})[route.prefix] = route
+        self._workspaces: dict[str, WorkspaceSpec] = {}
+        for workspace in configuration.workspaces:
+            for key in workspace.keys:
+                self._workspaces[key] = workspace
+
+    @property
+    def version(self) -> int:
+        """The configuration's version."""
+        return self.configuration.version
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether requests need a key."""
+        return bool(self.configuration.workspaces)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of ``host`` with the longest prefix that begins ``path``.
+
+        Prefixes begin and end with a slash, so that only a path's own prefixes up
+        to a slash are looked up.
+        """
+        routes = self._routes.get(host.partition(":")[0].lower())
+        if routes is None:
+            return None
+        end = len(path)
+        while (slash := path.rfind("/", 0, end)) >= 0:
+            route = routes.get(path[: slash + 1])
+            if route is not None:
+                return route
+            end = slash
+        return None
+
+    def find_workspace(self, key: str) -> WorkspaceSpec | None:
+        """Return the workspace that holds ``key``."""
+        return self._workspaces.get(key)
+
+    def split(self, route: Route, request_id: str) -> ServiceSpec:
+        """Return the service for a request; the same for each use of its identifier."""
+        chosen = _choose(route, request_id)
+        return self.services[chosen]
+
+
+class _Slice(NamedTuple):
+    service: str
+    end: float
+
+
+def _choose(route: Route, request_id: str) -> str:
+    if len(route.services) == 1:
+        return route.services[0].service
+    total = sum(item.weight for item in route.services)
+    point = xxhash.xxh64_intdigest(request_id.encode()) / _HASH_RANGE * total
+    slices: list[_Slice] = []
+    end = 0.0
+    for item in route.services:
+        if item.weight > 0:
+            end += item.weight
+            slices.append(_Slice(item.service, end))
+    return next((item.service for item in slices if point < item.end), slices[-1][0])
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -351,6 +351,9 @@
 HTTP_FETCH_TIMEOUT_S = 5.0
 HTTP_READ_BYTES = 64 * 1024
 HTTP_IDLE_CONNECTIONS = 32
+HTTP_UNREAD_BYTES = 256 * 1024
+# A server's time-out runs from an earlier moment than the client's clock sees.
+HTTP_KEEP_ALIVE_SHARE = 0.7
 DRAIN_POLL_S = 0.02
 
 # Traces.
@@ -376,3 +379,62 @@
 # ZeroMQ gives a connection up once its key was refused; it is made anew after
 # this time, since the key may have become trusted.
 CURVE_RETRY_S = 1.0
+
+# Fleets that find their control hosts and backend servers.
+CONFIGURATION_COMMIT_S = 2.5  # Below the acknowledgement that operators wait for.
+REPAIR_INTERVAL_S = 0.5
+REPAIR_LEADERLESS_S = 3.0  # Longer than an election.
+REPAIR_SILENT_S = 6.0  # Longer than a restart of a control host.
+BROADCAST_INTERVAL_S = 0.25
+SERVER_LIST_INTERVAL_S = 1.0  # A third of the time in which a leaving server counts.
+SERVER_LIST_STALE_S = 2.5  # Two reads and the way to a control host.
+SERVER_LIST_TIMEOUT_S = 1.0
+SERVER_LIST_PAGES_LIMIT = 100
+
+# Engines beside agents.
+AGENT_WATCH_S = 1.0
+AGENT_FRESH_S = 3.0  # Three heartbeats of an agent.
+ENGINE_HEARTBEAT_S = 1.0
+ENGINE_LOAD_INTERVAL_S = 0.25
+ENGINE_IDLE_POLL_S = 0.2
+ENGINE_BUSY_POLL_S = 0.03
+ENGINE_ADAPTER_POLL_S = 0.004
+ENGINE_REPORT_TIMEOUT_S = 0.5
+ENGINE_ORDER_TIMEOUT_S = 0.5
+ENGINE_ORDERS_IN_A_ROW = 4
+ENGINE_UNLOAD_S = 0.2  # Of a model that nobody uses.
+ENGINE_NOTICE_S = 0.01  # A few ways between hosts, so that entries know of an unload.
+ADAPTER_WAIT_S = 0.5
+ADAPTER_ATTEMPTS = 3
+
+# Requests to found backend servers.
+AGE_LIMIT_S = 1_000_000.0  # Beyond it nothing was ever told.
+CHANGE_WAIT_S = 0.1
+CONNECTIONS_TIDY_S = 2.0
+KEPT_IDLE_S = 2.0
+MODEL_RETRY_MS = 2_000
+WANT_REPEAT_S = 0.3
+USE_INTERVAL_S = 0.1
+SERVER_ABSENT_STATUS = 421
+SERVER_BUSY_RETRY_MS = 250
+SERVER_ERROR_STATUS = 500
+SERVER_FULL_PAUSE_S = 0.05
+SERVER_FULL_STATUS = (429, 503)
+STREAM_SILENCE_S = 1.2
+SILENCE_MIN_S = 0.15
+SILENCE_PART = 0.4
+RETRY_SLACK_PART = 0.5
+RETRY_SHARE_PART = 0.8
+
+# Shares of rates.
+BORROW_TIMEOUT_S = 0.4
+RATE_RETRY_MIN_MS = 200
+SHARE_ENTRIES_GUESS = 10
+SHARE_HOLDER_PART = 0.9  # The holder's lease ends before the owner's.
+SHARE_INTERVAL_S = 0.5
+SHARE_LEASE_S = 10.0
+SHARE_SLACK_PART = 0.4
+
+# Stopping.
+DRAIN_NOTICE_S = 2.5  # Two questions of a balancer that asks once a second.
+GRACE_PART = 0.85  # The rest is for closing sockets before the process is killed.
--- a/src/jasminewharf/dialects/__init__.py
+++ b/src/jasminewharf/dialects/__init__.py
@@ -1,7 +1,8 @@
-"""Engine dialects: how orders and answers look on a backend server's HTTP.
+"""Dialects: how backend servers and platforms speak HTTP.
 
-``DIALECTS`` holds one :class:`Dialect` per name. Another dialect is one more
-module in this folder that registers itself; all modules here are imported.
+``DIALECTS`` holds one :class:`Dialect` per kind of engine, ``HOST_LISTS`` and
+``WEIGHT_STORES`` one client per kind of platform. Another one is one more module in
+this folder that registers itself; all modules here are imported.
 """
 
 import importlib
@@ -19,18 +20,32 @@
     ModelState,
     OrderResult,
 )
+from .hostlists import (
+    HOST_LISTS,
+    WEIGHT_STORES,
+    HostListClient,
+    ListedHost,
+    StoreStatus,
+    WeightStoreClient,
+)
 
 __all__ = [
     "DIALECTS",
+    "HOST_LISTS",
+    "WEIGHT_STORES",
     "AdapterOrder",
     "CacheFeed",
     "Dialect",
     "EngineLoad",
     "EngineState",
+    "HostListClient",
     "HttpCall",
+    "ListedHost",
     "ModelOrder",
     "ModelState",
     "OrderResult",
+    "StoreStatus",
+    "WeightStoreClient",
 ]
 
 for _module in pkgutil.iter_modules(__path__):
--- a/src/jasminewharf/platforms/http.py
+++ b/src/jasminewharf/dialects/hostlisthttp.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from ..dialects.base import HttpCall
 from ..exceptions import BackendError
 from ..registry import register
-from .base import HOST_LISTS, WEIGHT_STORES, ListedHost, StoreStatus
+from .base import HttpCall
+from .hostlists import HOST_LISTS, WEIGHT_STORES, ListedHost, StoreStatus
 
 __all__ = ["HttpHostList", "HttpWeightStore"]
 
@@ -41,7 +41,7 @@
 
 
 class HttpHostList:
-    """See :class:`.base.HostListClient`."""
+    """See :class:`.hostlists.HostListClient`."""
 
     def fetch_hosts(self) -> HttpCall:
         """Return the call for the list."""
--- a/src/jasminewharf/platforms/base.py
+++ b/src/jasminewharf/dialects/hostlists.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple, Protocol
 
-from ..dialects.base import HttpCall
+from .base import HttpCall
 
 __all__ = [
     "HOST_LISTS",
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -7,7 +7,9 @@
 
 __all__ = [
     "AccountOwnerUnavailable",
+    "AnswerBroken",
     "BackendError",
+    "BackendFailed",
     "BackendUnreachable",
     "BadRequest",
     "BodyTooLarge",
@@ -15,6 +17,7 @@
     "ClaimStoreFull",
     "ClaimsUnavailable",
     "ConfigurationError",
+    "ConfigurationRefused",
     "ConsensusError",
     "CorruptLog",
     "DeadlineExceeded",
@@ -41,6 +44,7 @@
     "NotFound",
     "NotKnown",
     "NotLeader",
+    "NotRunThere",
     "OutcomeUnknown",
     "Overloaded",
     "PeerUnavailable",
@@ -62,6 +66,7 @@
     "TraceNotFound",
     "TrialError",
     "Unauthorized",
+    "Unconfirmed",
     "UnknownRegistration",
     "VersionConflict",
     "WaitTimeout",
@@ -136,6 +141,10 @@
     """A service document is not acceptable."""
 
 
+class ConfigurationRefused(JasminewharfError):
+    """A whole configuration cannot be read or its parts do not fit together."""
+
+
 class ScenarioError(JasminewharfError):
     """A scenario file of the bench tool is not acceptable."""
 
@@ -290,6 +299,34 @@
     """No connection to the backend server; the call did not begin."""
 
 
+class AnswerBroken(BackendError):
+    """An answer ended early or was not that of the request; the request may have run.
+
+    Attributes:
+        began: Whether bytes of the answer had arrived.
+    """
+
+    def __init__(self, reason: str, *, began: bool = False) -> None:
+        self.began = began
+        super().__init__(reason)
+
+
+class NotRunThere(BackendError):
+    """A backend server has not run a request and never will.
+
+    Attributes:
+        is_full: Whether it had no place for it.
+        is_absent: Whether it does not hold the model, or is not the server meant.
+    """
+
+    def __init__(
+        self, reason: str, *, is_full: bool = False, is_absent: bool = False
+    ) -> None:
+        self.is_full = is_full
+        self.is_absent = is_absent
+        super().__init__(reason)
+
+
 class FenceRejected(BackendError):
     """The engine refused an order because of its fencing number."""
 
@@ -467,6 +504,13 @@
     kind = "configuration_unconfirmed"
 
 
+class Unconfirmed(Refusal):
+    """This control host cannot confirm what a quorum holds."""
+
+    status = 503
+    kind = "unconfirmed"
+
+
 class ShuttingDown(Refusal):
     """This process takes no new work."""
 
@@ -474,6 +518,13 @@
     kind = "shutting_down"
 
 
+class BackendFailed(Refusal):
+    """A backend server may have run the request, and its answer is lost."""
+
+    status = 502
+    kind = "backend_failed"
+
+
 class DeadlineExceeded(Refusal):
     """The deadline passed."""
 
--- a/src/jasminewharf/interfaces/daemon.py
+++ b/src/jasminewharf/interfaces/daemon.py
@@ -54,7 +54,7 @@
     except SettingsError as error:
         print(f"error: {error}", file=sys.stderr)
         raise SystemExit(find_exit_code(error)) from error
-    configure_logging(settings.node, settings.logs.form, settings.logs.level)
+    configure_logging(settings.logs.label or settings.node, settings.logs)
     try:
         with contextlib.suppress(KeyboardInterrupt):
             asyncio.run(run_process(settings))
--- /dev/null
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -0,0 +1,257 @@
+"""Callers' requests under a whole configuration: route, key, rate, deadline."""
+
+import asyncio
+import logging
+from typing import ClassVar, NamedTuple
+
+from .. import defaults, events
+from ..decisions.attempts import Attempts
+from ..decisions.configurations import CallerLimits, Route, WorkspaceSpec
+from ..decisions.routes import RouteTable
+from ..dialects.fleet import CALLER_DIALECTS, CallHead
+from ..exceptions import (
+    DeadlineExceeded,
+    LeaseExpired,
+    ModelUnavailable,
+    NotFound,
+    Refusal,
+    Unauthorized,
+)
+from ..kernel import Kernel, Service
+from ..registry import lookup
+from ..services.forwarding import Job
+from ..services.upstream import Outgoing
+from ..settings import LimitSettings, split_address
+from .http import HttpServer, Request, Responder
+from .refusals import render_refusal
+
+__all__ = ["Gateway"]
+
+_logger = logging.getLogger(__name__)
+_UNCONFIRMED_RETRY_MS = 500
+
+
+class _Admitted(NamedTuple):
+    """A request that the configuration allows."""
+
+    route: Route
+    workspace: WorkspaceSpec | None
+
+
+class Gateway(Service):
+    """Serves callers over HTTP.
+
+    Attributes:
+        is_draining: Whether the process takes no new connections.
+    """
+
+    name: ClassVar[str] = "gateway"
+    requires: ClassVar[tuple[str, ...]] = (
+        "process",
+        "feed",
+        "view",
+        "shares",
+        "forwarder",
+    )
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._dialect = lookup(CALLER_DIALECTS, kernel.settings.fleet.dialect)
+        self._http = HttpServer(self._handle, self._render, kernel.settings.limits)
+        self._metrics = kernel.find("process").metrics
+        self.is_draining = False
+
+    async def start(self) -> None:
+        """Listen for callers."""
+        host, port = split_address(self.kernel.settings.listen)
+        await self._http.listen(host, port)
+        self.kernel.find("view").listen(self._take_configuration)
+        self._metrics.watch("open_connections", lambda: self._http.connection_count)
+
+    async def drain(self) -> None:
+        """Finish the requests in flight.
+
+        The balancer learns of it at its next questions; until then connections are
+        still taken, and closed after their answer.
+        """
+        bounds = self.kernel.settings.fleet.bounds
+        self.is_draining = True
+        self._http.draining = True
+        await asyncio.sleep(defaults.DRAIN_NOTICE_S)
+        left_s = bounds.grace_s * defaults.GRACE_PART - defaults.DRAIN_NOTICE_S
+        await self._http.drain(max(left_s, 0.0))
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        await super().stop()
+        await self._http.close()
+
+    def is_ready(self) -> bool:
+        """Return whether this entry can serve requests."""
+        has_parts = self.kernel.find("view").table is not None
+        has_servers = self.kernel.find("directory").has_list()
+        return has_parts and has_servers and not self.is_draining
+
+    def _take_configuration(self, table: RouteTable) -> None:
+        if table.configuration.limits is not None:
+            self._http.limits = _merge_limits(
+                self.kernel.settings.limits, table.configuration.limits
+            )
+
+    def _render(self, refusal: Refusal) -> tuple[list[tuple[str, str]], bytes]:
+        return render_refusal(refusal, is_fractional=True)
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        started = _now()
+        attempts = Attempts()
+        call: CallHead | None = None
+        refusal: Refusal | None = None
+        try:
+            call = self._dialect.read_call(
+                request.method, request.target, request.headers
+            )
+            await self._serve(request, call, responder, attempts, started)
+        except Refusal as error:
+            refusal = error
+            self._refuse(responder, error, call)
+        except asyncio.CancelledError:
+            self._record(call, attempts, "caller_left", started)
+            raise
+        self._record(call, attempts, refusal.kind if refusal else "answered", started)
+
+    def _record(
+        self, call: CallHead | None, attempts: Attempts, outcome: str, started: float
+    ) -> None:
+        elapsed_s = _now() - started
+        self._metrics.count("requests_total", outcome=outcome)
+        self._metrics.observe("request_seconds", elapsed_s, outcome=outcome)
+        table = self.kernel.find("view").table
+        events.emit(
+            _logger,
+            events.REQUEST_ENDED,
+            request_id=call.request_id if call else "",
+            outcome=outcome,
+            model=call.model if call else "",
+            sent=attempts.sent,
+            runs=attempts.runs,
+            elapsed_ms=int(elapsed_s * defaults.MS_PER_S),
+            configuration=table.version if table else 0,
+        )
+
+    def _refuse(
+        self, responder: Responder, refusal: Refusal, call: CallHead | None
+    ) -> None:
+        if responder.has_started:
+            # The missing end of the body tells the caller that the answer broke.
+            responder.cut()
+            return
+        headers, body = self._render(refusal)
+        if call is not None:
+            headers = [*headers, *self._dialect.refusal_headers(call.request_id)]
+        responder.respond(refusal.status, headers, body)
+
+    async def _serve(
+        self,
+        request: Request,
+        call: CallHead,
+        responder: Responder,
+        attempts: Attempts,
+        started: float,
+    ) -> None:
+        table = self.kernel.find("view").table
+        if table is None:
+            raise LeaseExpired(
+                "there is no configuration yet", retry_after_ms=_UNCONFIRMED_RETRY_MS
+            )
+        admitted = self._admit(table, call)
+        deadline = started + admitted.route.timeout_s
+        if call.time_left_s > 0:
+            deadline = min(deadline, started + call.time_left_s)
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self._run(request, call, admitted, responder, attempts, deadline)
+        except TimeoutError:
+            raise _conclude_timeout(attempts) from None
+
+    def _admit(self, table: RouteTable, call: CallHead) -> _Admitted:
+        """Return route and workspace of a request.
+
+        Raises:
+            NotFound: If there is no such route.
+            Unauthorized: If its key is not known.
+            LeaseExpired: If the configuration may have changed meanwhile.
+        """
+        route = table.find_route(call.host, call.path)
+        if route is None:
+            self._check_fresh()
+            raise NotFound("no such route")
+        if not table.has_workspaces or route.is_public:
+            return _Admitted(route, None)
+        workspace = table.find_workspace(call.key)
+        if workspace is None:
+            self._check_fresh()
+            raise Unauthorized("the key is not known")
+        return _Admitted(route, workspace)
+
+    def _check_fresh(self) -> None:
+        """Refuse as not run what a newer configuration might allow."""
+        if not self.kernel.find("feed").is_fresh():
+            raise LeaseExpired(
+                "the configuration cannot be confirmed",
+                retry_after_ms=_UNCONFIRMED_RETRY_MS,
+            )
+
+    async def _run(
+        self,
+        request: Request,
+        call: CallHead,
+        admitted: _Admitted,
+        responder: Responder,
+        attempts: Attempts,
+        deadline: float,
+    ) -> None:
+        table = self.kernel.find("view").table
+        route, workspace = admitted
+        shares = self.kernel.find("shares")
+        cost = 0.0
+        if workspace is not None:
+            cost = shares.cost(workspace, call.prompt_tokens + call.output_tokens)
+            await shares.charge(workspace, cost, deadline)
+        outgoing = Outgoing(
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            call,
+            route.is_idempotent,
+        )
+        service = table.split(route, call.request_id)
+        job = Job(call, route, service, workspace, outgoing, deadline)
+        try:
+            await self.kernel.find("forwarder").run(job, responder, attempts)
+        except BaseException:
+            if workspace is not None and not attempts.may_have_run:
+                shares.give_back(workspace, cost)
+            raise
+
+
+def _conclude_timeout(attempts: Attempts) -> Refusal:
+    if attempts.may_have_run:
+        return DeadlineExceeded("no whole answer in time", not_run=False)
+    return ModelUnavailable(
+        "no backend server was ready in time",
+        retry_after_ms=defaults.MODEL_RETRY_MS,
+    )
+
+
+def _merge_limits(settings: LimitSettings, limits: CallerLimits) -> LimitSettings:
+    return settings._replace(
+        head_bytes=limits.head_bytes,
+        body_bytes=limits.body_bytes,
+        head_timeout_s=limits.head_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+    )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/jasminewharf/interfaces/probes.py
@@ -0,0 +1,65 @@
+"""What the platform asks of a process besides its work: readiness and metrics."""
+
+from typing import Any, ClassVar
+
+from ..kernel import Kernel, Service
+from ..settings import split_address
+from .http import HttpServer, Request, Responder
+from .refusals import render_refusal
+
+__all__ = ["MetricsHttp", "Readiness"]
+
+
+class Readiness(Service):
+    """Tells the balancer whether this entry takes new connections."""
+
+    name: ClassVar[str] = "readiness"
+    requires: ClassVar[tuple[str, ...]] = ("gateway",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._http = HttpServer(self._handle, render_refusal, kernel.settings.limits)
+
+    async def start(self) -> None:
+        """Listen for the balancer."""
+        host, port = split_address(self.kernel.settings.fleet.ready_listen)
+        await self._http.listen(host, port)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        await super().stop()
+        await self._http.close()
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        is_ready = self.kernel.find("gateway").is_ready()
+        text = [("content-type", "text/plain")]
+        if is_ready:
+            responder.respond(200, text, b"ready\n")
+        else:
+            responder.respond(503, text, b"not ready\n")
+
+
+class MetricsHttp(Service):
+    """Serves a process' metrics."""
+
+    name: ClassVar[str] = "metrics-http"
+    requires: ClassVar[tuple[str, ...]] = ("process",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._http = HttpServer(self._handle, render_refusal, kernel.settings.limits)
+
+    async def start(self) -> None:
+        """Listen for scrapes."""
+        host, port = split_address(self.kernel.settings.fleet.metrics_listen)
+        await self._http.listen(host, port)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        await super().stop()
+        await self._http.close()
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        metrics: Any = self.kernel.find("process").metrics
+        text = [("content-type", "text/plain; version=0.0.4")]
+        responder.respond(200, text, metrics.render().encode())
--- a/src/jasminewharf/interfaces/refusals.py
+++ b/src/jasminewharf/interfaces/refusals.py
@@ -23,15 +23,24 @@
 
 
 def render_refusal(
-    refusal: Refusal, request_id: str = ""
+    refusal: Refusal, request_id: str = "", *, is_fractional: bool = False
 ) -> tuple[list[tuple[str, str]], bytes]:
-    """Return headers and body of a refusal."""
+    """Return headers and body of a refusal.
+
+    Args:
+        refusal: The refusal.
+        request_id: The request's identifier; left out if empty.
+        is_fractional: Whether callers read fractions of a second in ``Retry-After``.
+    """
     headers = [("content-type", "application/json")]
     if request_id:
         headers.append(("x-request-id", request_id))
     if refusal.retry_after_ms is not None:
-        seconds = math.ceil(refusal.retry_after_ms / defaults.MS_PER_S)
-        headers.append(("retry-after", str(max(seconds, 1))))
+        seconds = refusal.retry_after_ms / defaults.MS_PER_S
+        if is_fractional:
+            headers.append(("retry-after", f"{seconds:.3f}"))
+        else:
+            headers.append(("retry-after", str(max(math.ceil(seconds), 1))))
     if refusal.status == 401:
         headers.append(("www-authenticate", "Bearer"))
     body = json.dumps(describe_refusal(refusal, request_id)).encode()
--- a/src/jasminewharf/interfaces/roles.py
+++ b/src/jasminewharf/interfaces/roles.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from .. import platform  # noqa: F401  Registers its dialects.
 from ..kernel import Kernel, Service
 from ..registry import lookup, register
 from ..services.accounts import ACCOUNTS_GROUP, AccountHolder
@@ -9,12 +10,18 @@
 from ..services.adapterslots import AdapterSlotOwner
 from ..services.agents import Agents
 from ..services.backends import Backends
+from ..services.broadcast import Broadcast
 from ..services.cachefeed import CacheFeedReader
 from ..services.claims import OrderClaims, claims_group
+from ..services.configurations import ConfigurationService
 from ..services.control import FLEET_GROUP, ControlServer
 from ..services.controllers import Controllers
+from ..services.demand import DemandService
+from ..services.directory import DirectoryService
+from ..services.engine import EngineKeeper
 from ..services.feed import Feed
 from ..services.fleet import Fleet
+from ..services.forwarding import Forwarder
 from ..services.gathering import Gathering
 from ..services.hostlist import HostList
 from ..services.loader import Loader
@@ -23,6 +30,7 @@
 from ..services.planner import PlannerService
 from ..services.process import Process
 from ..services.publisher import Publisher
+from ..services.repair import Repair
 from ..services.reports import Reporter
 from ..services.requests import (
     Requests,
@@ -30,21 +38,31 @@
     build_claim_keeper,
 )
 from ..services.router import Router
+from ..services.serverlist import ServerListReader
+from ..services.shares import ShareHolder, ShareKeeper
 from ..services.traces import Traces
+from ..services.upstream import Upstream
+from ..services.view import ConfigurationView, ControlConfigurationView
 from ..settings import Settings
 from .callers import Callers
+from .gateway import Gateway
+from .operatorhttp import OperatorHttp
+from .probes import MetricsHttp, Readiness
 
-__all__ = ["ROLES", "build_kernel"]
+__all__ = ["FLEET_ROLES", "ROLES", "build_kernel"]
 
 ServiceBuilder = Callable[[Kernel], Service]
 RoleBuilder = Callable[[Kernel], None]
 ROLES: dict[str, RoleBuilder] = {}
+# Roles of a fleet whose control hosts and backend servers are found while it runs.
+FLEET_ROLES: dict[str, RoleBuilder] = {}
 
 
 def build_kernel(settings: Settings) -> Kernel:
     """Return a kernel with the services of the settings' role."""
     kernel = Kernel(settings)
-    lookup(ROLES, settings.role)(kernel)
+    roles = ROLES if settings.fleet is None else FLEET_ROLES
+    lookup(roles, settings.role)(kernel)
     return kernel
 
 
@@ -79,6 +97,30 @@
     )
 
 
+def build_fleet_log(kernel: Kernel) -> LogService:
+    """Return the log service of a control host that finds the others by seeds."""
+    settings = kernel.settings
+    fleet = settings.fleet
+    seeds = fleet.seed_ips
+    return LogService(
+        kernel,
+        LogSettings(
+            name=settings.node,
+            folder=settings.data_folder,
+            address=settings.own_control_host.peer_address,
+            peers={
+                ip: fleet.control_host(ip).peer_address
+                for ip in seeds
+                if ip != settings.node
+            },
+            groups=(FLEET_GROUP,),
+            election_s=settings.timing.election_timeout_s,
+            heartbeat_s=settings.timing.heartbeat_s,
+            may_found=fleet.first_start and settings.node in seeds,
+        ),
+    )
+
+
 def build_account_holder(kernel: Kernel) -> AccountHolder:
     """Return the entry's part of rate accounts."""
     identity = kernel.find("process").identity
@@ -160,3 +202,69 @@
             Members,
         ),
     )
+
+
+@register(FLEET_ROLES, "entry")
+def build_fleet_entry(kernel: Kernel) -> None:
+    """Register the services of an entry that finds its backend servers."""
+    _register_all(
+        kernel,
+        (
+            Process,
+            MetricsHttp,
+            Controllers,
+            Feed,
+            Reporter,
+            ConfigurationView,
+            DirectoryService,
+            ShareHolder,
+            Upstream,
+            DemandService,
+            Forwarder,
+            Gateway,
+            Readiness,
+        ),
+    )
+
+
+@register(FLEET_ROLES, "agent")
+def build_fleet_agent(kernel: Kernel) -> None:
+    """Register the services of an agent beside one engine."""
+    _register_all(
+        kernel,
+        (
+            Process,
+            MetricsHttp,
+            Controllers,
+            Feed,
+            Reporter,
+            ConfigurationView,
+            DirectoryService,
+            EngineKeeper,
+        ),
+    )
+
+
+@register(FLEET_ROLES, "control")
+def build_fleet_control(kernel: Kernel) -> None:
+    """Register the services of a control host that finds the others."""
+    _register_all(
+        kernel,
+        (
+            Process,
+            MetricsHttp,
+            build_fleet_log,
+            Controllers,
+            Fleet,
+            ControlServer,
+            Publisher,
+            Broadcast,
+            Gathering,
+            ControlConfigurationView,
+            ServerListReader,
+            ShareKeeper,
+            ConfigurationService,
+            Repair,
+            OperatorHttp,
+        ),
+    )
--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -9,6 +9,7 @@
 
 from ..exceptions import JasminewharfError
 from ..logs import configure_logging
+from ..settings import LogFormat
 from .exits import find_exit_code
 from .tool_config import ConfigCommand
 from .tool_keys import KeyCommand
@@ -42,7 +43,7 @@
         # The services of all roles double the tool's start-up time of half a second.
         from .local import LocalOptions, run_local
 
-        configure_logging("local", "text", self.log_level)
+        configure_logging("local", LogFormat("text", self.log_level))
         options = LocalOptions(self.port, self.data, self.log_level)
         try:
             asyncio.run(run_local(options, lambda line: print(line, flush=True)))
--- a/src/jasminewharf/messages/commands.py
+++ b/src/jasminewharf/messages/commands.py
@@ -9,6 +9,7 @@
     "CommandResult",
     "DecideReplica",
     "GrantKey",
+    "ReplaceConfiguration",
     "SetDraining",
     "SubmitDocument",
     "WithdrawKey",
@@ -101,3 +102,16 @@
     text: str
     version: int
     winner: str = ""
+
+
+@message(47)
+class ReplaceConfiguration(NamedTuple):
+    """Replaces the whole configuration if the acceptance rule allows it.
+
+    ``body`` is the operator's text, compressed; the control host that proposes the
+    command has checked it.
+    """
+
+    version: int
+    rule: str
+    body: bytes
--- /dev/null
+++ b/src/jasminewharf/messages/servers.py
@@ -0,0 +1,178 @@
+"""Messages about backend servers found while running. Codes 180 to 199."""
+
+from typing import NamedTuple
+
+from ..dialects.fleet import HeldModel, ListedServer
+from .codec import message
+
+__all__ = [
+    "AdapterEnsured",
+    "BorrowTokens",
+    "ControlHosts",
+    "EngineLoad",
+    "EngineReport",
+    "EnsureAdapter",
+    "MembershipAnswer",
+    "ModelUse",
+    "RateShares",
+    "RequestMembership",
+    "ServerListAge",
+    "Servers",
+    "ShareUsage",
+    "SubmitConfiguration",
+    "TokensLent",
+    "WantModel",
+]
+
+
+@message(180)
+class SubmitConfiguration(NamedTuple):
+    """A checked configuration for the fleet's leader; ``body`` is compressed."""
+
+    version: int
+    body: bytes
+
+
+@message(181)
+class RequestMembership(NamedTuple):
+    """A control host asks to become a member under its disk's identity."""
+
+    host: str
+    identity: str
+    address: str
+
+
+@message(182)
+class MembershipAnswer(NamedTuple):
+    """Answers :class:`RequestMembership`: whether the identity votes already."""
+
+    is_member: bool
+
+
+@message(183)
+class ControlHosts(NamedTuple):
+    """IP addresses of the control hosts that are members."""
+
+    ips: list[str]
+
+
+@message(184)
+class Servers(NamedTuple):
+    """The platform's list, read ``age_ms`` before the message was sent."""
+
+    age_ms: int
+    servers: list[ListedServer]
+
+
+@message(185)
+class ServerListAge(NamedTuple):
+    """The list sent last was read again, unchanged, ``age_ms`` ago."""
+
+    age_ms: int
+
+
+@message(186)
+class EngineReport(NamedTuple):
+    """What an agent knows of its engine; sent when it changes.
+
+    ``changing`` is the model that an order is loading or unloading, with
+    ``is_loading``; ``ready_ms`` is the estimate until the engine takes the next
+    order. ``wanted`` lists models that wait for an order. ``can_load`` tells that a
+    model would find room without ending requests.
+    """
+
+    address: str
+    born_ms: int
+    models: list[HeldModel]
+    changing: str
+    is_loading: bool
+    ready_ms: int
+    wanted: list[str]
+    can_load: bool
+    in_memory: list[str]
+    on_disk: list[str]
+    running: int
+    queued: int
+    used_tokens: int
+    total_tokens: int
+
+
+@message(187)
+class EngineLoad(NamedTuple):
+    """The load of an agent's engine; sent between changes of its models."""
+
+    address: str
+    running: int
+    queued: int
+    used_tokens: int
+
+
+@message(188)
+class WantModel(NamedTuple):
+    """An entry has ``requests`` that wait for a model, worth ``urgency`` in all.
+
+    It is repeated while they wait.
+    """
+
+    model: str
+    requests: int
+    urgency: float
+
+
+@message(189)
+class ModelUse(NamedTuple):
+    """An entry's use of an engine: model, requests in flight, begun since the last."""
+
+    uses: list[tuple[str, int, int]]
+
+
+@message(190)
+class EnsureAdapter(NamedTuple):
+    """Asks an agent to have an adapter loaded on a model that its engine holds."""
+
+    model: str
+    adapter: str
+
+
+@message(191)
+class AdapterEnsured(NamedTuple):
+    """Answers :class:`EnsureAdapter`; ``is_loaded`` is false if it could not be."""
+
+    is_loaded: bool
+
+
+@message(192)
+class ShareUsage(NamedTuple):
+    """An entry's demand in tokens a second and its present share per workspace."""
+
+    node: str
+    incarnation: int
+    demand: list[tuple[str, float, float]]
+
+
+@message(193)
+class RateShares(NamedTuple):
+    """Shares of the workspaces' rates for one entry, valid for ``lease_ms``.
+
+    ``entries`` is the number of entries that live.
+    """
+
+    lease_ms: int
+    entries: int
+    shares: list[tuple[str, float]]
+
+
+@message(194)
+class BorrowTokens(NamedTuple):
+    """An entry whose share is spent asks for a request's tokens from the reserve."""
+
+    workspace: str
+    tokens: float
+
+
+@message(195)
+class TokensLent(NamedTuple):
+    """Answers :class:`BorrowTokens`; ``wait_ms`` is when to ask again if not lent."""
+
+    is_lent: bool
+    wait_ms: int
--- /dev/null
+++ b/src/jasminewharf/platform/callers.py
@@ -0,0 +1,148 @@
+"""Heads of callers' requests and of backend servers' answers."""
+
+from ..dialects.fleet import (
+    CALLER_DIALECTS,
+    AnswerHead,
+    CallHead,
+    ForwardedHead,
+    PromptPart,
+)
+from ..exceptions import BadRequest
+from ..registry import register
+
+__all__ = ["PlatformCallers"]
+
+_ID = "x-attempt-id"
+_DEADLINE = "x-deadline-ms"
+_KEY = "api-key"
+_WORKSPACE = "x-tenant"
+_LAST_EVENT = "last-event-id"
+_MS_PER_S = 1_000.0
+_NOT_RUN_STATUS = 421
+_SUCCESS = range(200, 300)
+
+# Headers that concern one connection, and those that are the system's own to set.
+_NOT_FORWARDED = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "kv-fetch",
+        "kv-from",
+        "x-expect-instance",
+        "x-expect-version",
+        "x-hold",
+        "x-kv-backup",
+        "x-pin-ms",
+        "x-request-priority",
+        _DEADLINE,
+        _KEY,
+        _LAST_EVENT,
+        _WORKSPACE,
+    }
+)
+
+
+class PlatformCallers:
+    """See :class:`..dialects.fleet.CallerDialect`."""
+
+    def read_call(
+        self, method: str, target: str, headers: list[tuple[str, str]]
+    ) -> CallHead:
+        """Read a request's head.
+
+        Raises:
+            BadRequest: If a number cannot be read.
+        """
+        fields = dict(headers)
+        model, _, adapter = fields.get("x-model", "").partition("/")
+        # Prompt tokens and the largest number of output tokens.
+        prompt, _, output = fields.get("x-token-counts", "").partition(",")
+        try:
+            return CallHead(
+                fields.get(_ID, ""),
+                fields.get("host", ""),
+                target.partition("?")[0],
+                fields.get(_KEY, ""),
+                float(fields.get(_DEADLINE, "") or 0) / _MS_PER_S,
+                model,
+                adapter,
+                int(prompt or 0),
+                int(output or 0),
+                _read_parts(fields.get("x-prompt-prefix", "")),
+                int(fields.get(_LAST_EVENT, "") or -1),
+            )
+        except ValueError as error:
+            raise BadRequest(f"a header holds no number: {error}") from error
+
+    def forward_headers(
+        self, headers: list[tuple[str, str]], forwarded: ForwardedHead
+    ) -> list[tuple[str, str]]:
+        """Return the head for a backend server."""
+        named = {
+            name.strip().lower()
+            for key, value in headers
+            if key == "connection"
+            for name in value.split(",")
+        }
+        head = [
+            (name, value)
+            for name, value in headers
+            if name not in _NOT_FORWARDED and name not in named
+        ]
+        left_ms = max(int(forwarded.time_left_s * _MS_PER_S), 1)
+        head.append((_DEADLINE, str(left_ms)))
+        head.append(("x-expect-instance", forwarded.server))
+        if forwarded.workspace:
+            head.append((_WORKSPACE, forwarded.workspace))
+        if forwarded.priority >= 0:
+            head.append(("x-request-priority", str(forwarded.priority)))
+        if forwarded.last_event >= 0:
+            head.append((_LAST_EVENT, str(forwarded.last_event)))
+        return head
+
+    def read_answer(self, status: int, headers: list[tuple[str, str]]) -> AnswerHead:
+        """Read the head of an answer."""
+        fields = dict(headers)
+        load = fields.get("x-server-load", "").split(",")
+        running, waiting, slots = _read_load(load)
+        return AnswerHead(
+            fields.get(_ID, ""),
+            "x-response-signature" in fields,
+            "x-not-executed" in fields or status == _NOT_RUN_STATUS,
+            running,
+            waiting,
+            slots,
+            "content-encoding" in fields,
+        )
+
+    def refusal_headers(self, request_id: str) -> list[tuple[str, str]]:
+        """Return headers that an answer of the fleet's own carries."""
+        return [(_ID, request_id)] if request_id else []
+
+
+def _read_parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in filter(None, text.split(",")):
+        part, _, tokens = item.strip().partition(":")
+        parts.append(PromptPart(part, int(tokens)))
+    return tuple(parts)
+
+
+def _read_load(parts: list[str]) -> tuple[int, int, int]:
+    try:
+        running, waiting, slots = (int(part) for part in parts)
+    except ValueError:
+        return -1, -1, -1
+    return running, waiting, slots
+
+
+register(CALLER_DIALECTS, "platform")(PlatformCallers())
--- /dev/null
+++ b/src/jasminewharf/platform/configurations.py
@@ -0,0 +1,185 @@
+"""The operators' configuration, as it stands on the wire."""
+
+import msgspec
+
+from ..decisions.configurations import (
+    CONFIGURATION_FORMATS,
+    CallerLimits,
+    Configuration,
+    EngineSpec,
+    ModelSpec,
+    Route,
+    ServiceSpec,
+    ServiceWeight,
+    WorkspaceSpec,
+    check_configuration,
+)
+from ..exceptions import ConfigurationRefused
+from ..registry import register
+
+__all__ = ["read_configuration"]
+
+_MS_PER_S = 1_000.0
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    # safe, unsafe or stream: what may be repeated.
+    route_type: str
+    timeout_ms: float
+    # A route has either one service or a split.
+    service: str = ""
+    traffic_split: list[_Split] = []
+    target_latency_ms: float = 0.0
+    priority: int = 5
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct, rename="camel"):
+    name: str
+    weights_mb: float
+    load_s: float
+    adapter_mb: float = 0.0
+    # Load times from the engine's own memory and disk; the store's if left out.
+    warm_s: float | None = None
+    disk_s: float | None = None
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int = 1
+    # The accelerator memory for weights and adapters of one replica.
+    weights_mb: float = 0.0
+    adapter_slots: int = 0
+    loads_per_s: float = 1.0
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int = 5
+    # "tokens", or requests if left out.
+    unit: str = ""
+    plain_tokens: float = 0.0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Body(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits | None = None
+    tenants: list[_Tenant] = []
+
+
+_decoder = msgspec.json.Decoder(_Body)
+
+
+@register(CONFIGURATION_FORMATS, "platform")
+def read_configuration(body: bytes) -> Configuration:
+    """Return the checked configuration in an operator's body.
+
+    Raises:
+        ConfigurationRefused: If it cannot be read in full or is not valid.
+    """
+    try:
+        read = _decoder.decode(body)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise ConfigurationRefused(f"cannot be read: {error}") from error
+    configuration = Configuration(
+        read.version,
+        tuple(map(_translate_route, read.routes)),
+        tuple(map(_translate_service, read.services)),
+        tuple(map(_translate_tenant, read.tenants)),
+        _translate_limits(read.limits),
+    )
+    check_configuration(configuration)
+    return configuration
+
+
+def _translate_route(route: _Route) -> Route:
+    split = [ServiceWeight(item.service, item.weight) for item in route.traffic_split]
+    return Route(
+        route.name,
+        route.host,
+        route.path_prefix,
+        route.route_type,
+        route.timeout_ms / _MS_PER_S,
+        route.target_latency_ms / _MS_PER_S,
+        route.priority,
+        tuple(split or [ServiceWeight(route.service, 1.0)]),
+        max(route.max_attempts, 1),
+        route.public,
+        route.resumable,
+    )
+
+
+def _translate_service(service: _Service) -> ServiceSpec:
+    engine = service.engine
+    if engine is None:
+        return ServiceSpec(service.name, service.max_conns, None)
+    models = tuple(map(_translate_model, engine.models))
+    spec = EngineSpec(
+        engine.slots,
+        engine.weights_mb,
+        engine.adapter_slots,
+        engine.loads_per_s,
+        models,
+    )
+    return ServiceSpec(service.name, service.max_conns, spec)
+
+
+def _translate_model(model: _Model) -> ModelSpec:
+    return ModelSpec(
+        model.name,
+        model.weights_mb,
+        model.load_s,
+        model.load_s if model.disk_s is None else model.disk_s,
+        model.load_s if model.warm_s is None else model.warm_s,
+        model.adapter_mb,
+    )
+
+
+def _translate_tenant(tenant: _Tenant) -> WorkspaceSpec:
+    return WorkspaceSpec(
+        tenant.name,
+        tuple(tenant.api_keys),
+        tenant.priority,
+        tenant.rate_per_s,
+        tenant.burst,
+        tenant.plain_tokens if tenant.unit == "tokens" else 0.0,
+    )
+
+
+def _translate_limits(limits: _Limits | None) -> CallerLimits | None:
+    if limits is None:
+        return None
+    return CallerLimits(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        limits.header_timeout_ms / _MS_PER_S,
+        limits.idle_timeout_ms / _MS_PER_S,
+    )
--- /dev/null
+++ b/src/jasminewharf/platform/engines.py
@@ -0,0 +1,118 @@
+"""Engines' reports and the orders given to them."""
+
+import msgspec
+
+from ..dialects.base import HttpCall
+from ..dialects.fleet import (
+    ENGINE_ORDERS,
+    EngineOrder,
+    EngineStatus,
+    OrderAnswer,
+)
+from ..exceptions import BackendError
+from ..registry import register
+from .servers import Model, translate_models
+
+__all__ = ["PlatformEngines"]
+
+_OUTCOMES = {
+    200: "done",
+    202: "accepted",
+    409: "conflict",
+    412: "fenced",
+}
+
+
+class _AtHand(msgspec.Struct, rename="camel"):
+    in_memory: list[str] = []
+    on_disk: list[str] = []
+
+
+class _Report(msgspec.Struct, rename="camel"):
+    # An order is being carried out.
+    busy: bool
+    # The number of orders accepted since the start.
+    seq: int
+    models: list[Model]
+    queued: int = 0
+    running: int = 0
+    # Tokens in memory that cannot yield, and the memory for tokens in all.
+    kv_used: int = 0
+    kv_total: int = 0
+    # Unix milliseconds of the start.
+    born: int = 0
+    state: str = "ready"
+    at_hand: _AtHand | None = None
+    # Adapters on their way, MODEL/NAME@VERSION.
+    incoming: list[str] = []
+
+
+_decoder = msgspec.json.Decoder(_Report)
+
+
+class _Order(msgspec.Struct, omit_defaults=True):
+    op: str
+    model: str
+    expected: int
+    holder: str
+    fence: int
+    adapter: str = ""
+
+
+class PlatformEngines:
+    """See :class:`..dialects.fleet.EngineOrders`."""
+
+    def fetch_status(self) -> HttpCall:
+        """Return the call for the report."""
+        return HttpCall("GET", "/report")
+
+    def read_status(self, status: int, body: bytes) -> EngineStatus:
+        """Read a report."""
+        if status != 200:
+            raise BackendError(f"status {status}")
+        try:
+            report = _decoder.decode(body)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise BackendError(f"report does not fit: {error}") from error
+        copies = report.at_hand or _AtHand()
+        return EngineStatus(
+            report.born,
+            report.busy,
+            report.seq,
+            translate_models(report.models),
+            tuple(map(_read_incoming, report.incoming)),
+            report.running,
+            report.queued,
+            report.kv_used,
+            report.kv_total,
+            tuple(copies.in_memory),
+            tuple(copies.on_disk),
+            report.state == "draining",
+        )
+
+    def give_order(self, order: EngineOrder, server: str) -> HttpCall:
+        """Return the call that gives an order."""
+        body = _Order(
+            "load" if order.loads else "unload",
+            order.model,
+            order.expected,
+            order.holder,
+            order.fence,
+            order.adapter,
+        )
+        headers = [("content-type", "application/json")]
+        if server:
+            headers.append(("x-expect-instance", server))
+        return HttpCall("POST", "/order", msgspec.json.encode(body), tuple(headers))
+
+    def read_order(self, status: int, body: bytes) -> OrderAnswer:
+        """Read the answer to an order."""
+        return OrderAnswer(_OUTCOMES.get(status, "refused"))
+
+
+def _read_incoming(text: str) -> tuple[str, str]:
+    model, _, adapter = text.partition("@")[0].partition("/")
+    return model, adapter
+
+
+register(ENGINE_ORDERS, "platform")(PlatformEngines())
--- /dev/null
+++ b/src/jasminewharf/platform/servers.py
@@ -0,0 +1,103 @@
+"""The platform's list of backend servers."""
+
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from ..dialects.base import HttpCall
+from ..dialects.fleet import SERVER_LISTS, HeldModel, ListedServer, ListPage
+from ..exceptions import BackendError
+from ..registry import register
+from ..settings import is_address
+
+__all__ = ["Model", "PlatformServers", "translate_models"]
+
+_STATES = frozenset({"ready", "draining"})
+
+
+class Model(msgspec.Struct):
+    """A model in an engine's accelerator memory, as reports and the list tell it."""
+
+    name: str
+    version: int = 0
+    adapters: list[str] = []
+
+
+class _Instance(msgspec.Struct, rename="camel"):
+    id: str
+    service: str
+    address: str
+    # ready or draining; a server that is about to stop shows draining first.
+    state: str
+    zone: str = ""
+    # The version of its software, not of its weights.
+    version: str = ""
+    slots: int = 1
+    # How long it still is there, if it was given short notice.
+    remaining_ms: float | None = None
+    # Unix milliseconds of its start.
+    born: int = 0
+    models: list[Model] = []
+
+
+class _Page(msgspec.Struct, rename="camel"):
+    instances: list[msgspec.Raw]
+    # The following page; null on the last one.
+    next_token: str | None = None
+
+
+_page_decoder = msgspec.json.Decoder(_Page)
+_instance_decoder = msgspec.json.Decoder(_Instance)
+
+
+def translate_models(models: list[Model]) -> tuple[HeldModel, ...]:
+    """Return the models in the product's type."""
+    return tuple(
+        HeldModel(model.name, model.version, tuple(model.adapters)) for model in models
+    )
+
+
+class PlatformServers:
+    """See :class:`..dialects.fleet.ServerList`."""
+
+    def fetch_page(self, page: str) -> HttpCall:
+        """Return the call for a page."""
+        query = f"?pageToken={quote(page)}" if page else ""
+        return HttpCall("GET", f"/instances{query}")
+
+    def read_page(self, status: int, body: bytes) -> ListPage:
+        """Read a page; entries of another writer are skipped and counted."""
+        if status != 200:
+            raise BackendError(f"status {status}")
+        try:
+            page = _page_decoder.decode(body)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise BackendError(f"answer does not fit: {error}") from error
+        read = [_read_instance(raw) for raw in page.instances]
+        servers = tuple(server for server in read if server is not None)
+        return ListPage(servers, page.next_token or "", len(read) - len(servers))
+
+
+def _read_instance(raw: Any) -> ListedServer | None:
+    try:
+        entry = _instance_decoder.decode(raw)
+    except (msgspec.MsgspecError, ValueError):
+        return None
+    if entry.state not in _STATES or not entry.id or not is_address(entry.address):
+        return None
+    return ListedServer(
+        entry.id,
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.version,
+        entry.slots,
+        entry.state == "draining",
+        -1 if entry.remaining_ms is None else int(entry.remaining_ms),
+        entry.born,
+        translate_models(entry.models),
+    )
+
+
+register(SERVER_LISTS, "platform")(PlatformServers())
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -14,21 +14,85 @@
 __all__ = ["ClientResponse", "HttpClient"]
 
 
-class _Wire:
-    def __init__(self, reader: Any, writer: Any) -> None:
-        self.reader = reader
-        self.writer = writer
+class _Wire(asyncio.Protocol):
+    """One connection; bytes that arrive between two requests belong to none."""
+
+    def __init__(self) -> None:
         self.h11 = h11.Connection(h11.CLIENT)
+        self.idle_since: float | None = None
+        self.keep_alive_s = float("inf")
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._is_lost = False
+        self._error: Exception | None = None
+        self._unread_bytes = 0
+        self._is_paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        if self.idle_since is not None:
+            self.close()
+            return
+        self.h11.receive_data(data)
+        self._unread_bytes += len(data)
+        if self._unread_bytes > defaults.HTTP_UNREAD_BYTES and not self._is_paused:
+            self._transport.pause_reading()
+            self._is_paused = True
+        self._wake()
+
+    def eof_received(self) -> bool:
+        if self.idle_since is None:
+            self.h11.receive_data(b"")
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._is_lost = True
+        self._error = error
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
     async def next_event(self) -> Any:
         while True:
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.h11.receive_data(await self.reader.read(defaults.HTTP_READ_BYTES))
+            if self._is_lost:
+                raise self._error or ConnectionResetError("the connection was lost")
+            await self._wait()
+
+    async def _wait(self) -> None:
+        self._unread_bytes = 0
+        if self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
+        self._waiter = asyncio.get_running_loop().create_future()
+        await self._waiter
+
+    def write(self, data: bytes) -> None:
+        if self._is_lost or self._transport.is_closing():
+            raise ConnectionResetError("the connection was lost")
+        self._transport.write(data)
+
+    @property
+    def is_open(self) -> bool:
+        return not self._is_lost and not self._transport.is_closing()
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether all was sent and nothing follows the answer."""
+        has_unsent = self._transport.get_write_buffer_size() > 0
+        return self.is_open and not has_unsent and not self.h11.trailing_data[0]
 
     def close(self) -> None:
-        self.writer.close()
+        """Close at once, so that the server sees that nobody waits."""
+        if self._transport is not None:
+            self._transport.abort()
 
 
 class ClientResponse:
@@ -100,6 +164,7 @@
         self.address = address
         self._connect_timeout_s = connect_timeout_s
         self._idle: collections.deque[_Wire] = collections.deque()
+        self.connections_opened = 0
 
     async def open(
         self,
@@ -109,22 +174,26 @@
         body: bytes,
         *,
         repeatable: bool = False,
+        kept_idle_s: float = 0.0,
     ) -> ClientResponse:
         """Send a request and return the response once its head has arrived.
 
         A kept connection may have been closed by the server just before the
         request is written, and then nobody knows whether the request was read.
-        Only a repeatable request therefore uses a kept connection.
+        A request that may not be repeated therefore uses only a kept connection
+        that has been idle for at most ``kept_idle_s`` seconds.
 
         Raises:
             BackendUnreachable: If no connection was made; the call did not begin.
             BackendError: If a connection broke; the call may have begun.
         """
-        wire = self._take_idle() if repeatable else None
+        wire = self._take_idle(float("inf") if repeatable else kept_idle_s)
         if wire is not None:
             try:
                 return await self._exchange(wire, method, target, headers, body)
             except BackendError as error:
+                if not repeatable:
+                    raise
                 return await self._repeat(error, method, target, headers, body)
         wire = await self._connect()
         return await self._exchange(wire, method, target, headers, body)
@@ -167,22 +236,30 @@
         except TimeoutError:
             raise BackendError(f"no answer within {timeout_s:g} s") from None
 
-    def _take_idle(self) -> _Wire | None:
+    def _take_idle(self, idle_s: float) -> _Wire | None:
+        now = asyncio.get_running_loop().time()
         while self._idle:
-            wire = self._idle.pop()
-            if not wire.reader.at_eof() and not wire.writer.is_closing():
+            wire = self._idle[-1]
+            idle_for_s = now - (wire.idle_since or now)
+            if wire.is_open and idle_for_s < wire.keep_alive_s:
+                if idle_for_s > idle_s:
+                    return None
+                self._idle.pop()
+                wire.idle_since = None
                 return wire
-            wire.close()
+            self._idle.pop().close()
         return None
 
     async def _connect(self) -> _Wire:
         host, port = split_address(self.address)
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                reader, writer = await asyncio.open_connection(host, port)
+                loop = asyncio.get_running_loop()
+                _, wire = await loop.create_connection(_Wire, host, port)
         except (OSError, TimeoutError) as error:
             raise BackendUnreachable(f"{self.address}: {error}") from error
-        return _Wire(reader, writer)
+        self.connections_opened += 1
+        return wire
 
     async def _exchange(
         self,
@@ -192,7 +269,9 @@
         headers: list[tuple[str, str]],
         body: bytes,
     ) -> ClientResponse:
-        head = [("host", self.address), *headers]
+        head = list(headers)
+        if all(name != "host" for name, _ in headers):
+            head.insert(0, ("host", self.address))
         if body or method in ("POST", "PUT", "PATCH"):
             head.append(("content-length", str(len(body))))
         try:
@@ -201,8 +280,7 @@
             if body:
                 data += wire.h11.send(h11.Data(data=body))
             data += wire.h11.send(h11.EndOfMessage())
-            wire.writer.write(data)
-            await wire.writer.drain()
+            wire.write(data)
             event = await wire.next_event()
             while isinstance(event, h11.InformationalResponse):
                 event = await wire.next_event()
@@ -215,15 +293,20 @@
         if not isinstance(event, h11.Response):
             wire.close()
             raise BackendError(f"{self.address} closed the connection")
+        _note_keep_alive(wire, event)
         return ClientResponse(self, wire, event)
 
     def give_back(self, wire: _Wire) -> None:
         """Keep a connection for the next request, if it can be kept."""
+        if not wire.is_clean:
+            wire.close()
+            return
         try:
             wire.h11.start_next_cycle()
         except h11.ProtocolError:
             wire.close()
             return
+        wire.idle_since = asyncio.get_running_loop().time()
         self._idle.append(wire)
         while len(self._idle) > defaults.HTTP_IDLE_CONNECTIONS:
             self._idle.popleft().close()
@@ -232,3 +315,14 @@
         """Close the kept connections."""
         while self._idle:
             self._idle.pop().close()
+
+
+def _note_keep_alive(wire: _Wire, head: h11.Response) -> None:
+    """Stop using a kept connection before the server's own time-out ends it."""
+    for name, value in head.headers:
+        if name != b"keep-alive":
+            continue
+        for item in value.decode("latin-1").split(","):
+            key, _, seconds = item.strip().partition("=")
+            if key.lower() == "timeout" and seconds.isascii() and seconds.isdigit():
+                wire.keep_alive_s = int(seconds) * defaults.HTTP_KEEP_ALIVE_SHARE
--- a/src/jasminewharf/services/controllers.py
+++ b/src/jasminewharf/services/controllers.py
@@ -13,6 +13,7 @@
     QuorumLost,
 )
 from ..kernel import Kernel, Service
+from ..settings import ControlHost
 from .link import LinkClient
 
 __all__ = ["Controllers"]
@@ -40,16 +41,32 @@
 
     async def start(self) -> None:
         """Connect to every control host."""
-        process = self.kernel.find("process")
         for host in self.kernel.settings.control:
-            if host.name == self.kernel.settings.node:
-                continue
-            self.links[host.name] = process.connect(
-                "control",
-                host.name,
-                host.address,
-                _HostHandlers(host.name, self._handlers),
-            )
+            self._connect(host)
+
+    def _connect(self, host: ControlHost) -> None:
+        if host.name == self.kernel.settings.node or host.name in self.links:
+            return
+        self.links[host.name] = self.kernel.find("process").connect(
+            "control",
+            host.name,
+            host.address,
+            _HostHandlers(host.name, self._handlers),
+        )
+
+    def set_hosts(self, ips: list[str]) -> None:
+        """Follow a change of the control hosts of a fleet that finds them.
+
+        Hosts that are no longer named are kept while connected: they may only be
+        missing from an old list, and one link costs little.
+        """
+        fleet = self.kernel.settings.fleet
+        for ip in ips:
+            self._connect(fleet.control_host(ip))
+        known = {host.name for host in self.kernel.settings.control} | set(ips)
+        for name in [name for name in self.links if name not in known]:
+            if not self.links[name].is_connected:
+                self.links.pop(name).close()
 
     async def stop(self) -> None:
         """Close the links."""
--- /dev/null
+++ b/src/jasminewharf/services/engine.py
@@ -0,0 +1,370 @@
+"""The agent beside an engine: the only one that gives it orders."""
+
+import asyncio
+import logging
+from typing import Any, ClassVar
+
+from .. import defaults, events
+from ..decisions.residency import FleetCopies, Intent, Residency
+from ..decisions.routes import RouteTable
+from ..dialects.fleet import ENGINE_ORDERS, EngineOrder, EngineStatus
+from ..exceptions import BackendError
+from ..kernel import Kernel, Service
+from ..messages.feed import BackendReport
+from ..messages.servers import (
+    AdapterEnsured,
+    EngineLoad,
+    EngineReport,
+    EnsureAdapter,
+    ModelUse,
+    WantModel,
+)
+from ..registry import lookup
+from .client import HttpClient
+from .link import LinkServer, Peer
+
+__all__ = ["EngineKeeper"]
+
+_logger = logging.getLogger(__name__)
+
+
+class EngineKeeper(Service):
+    """Reads the engine's report, orders what is needed and tells the entries."""
+
+    name: ClassVar[str] = "engine"
+    requires: ClassVar[tuple[str, ...]] = ("process", "reports", "view", "directory")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        fleet = kernel.settings.fleet
+        self._address = fleet.own_server
+        self._client = HttpClient(self._address)
+        self._orders = lookup(ENGINE_ORDERS, fleet.dialect)
+        self._residency = Residency()
+        self._status: EngineStatus | None = None
+        self._change: Intent | None = None
+        self._change_ends = 0.0
+        self._report: EngineReport | None = None
+        self._load_sent = (0, 0, 0)
+        self._load_sent_at = 0.0
+        self._adapter_waiters: dict[tuple[str, str], list[asyncio.Future[bool]]] = {}
+        self._wake = asyncio.Event()
+        self._is_fenced = False
+        self._metrics = kernel.find("process").metrics
+        self._server: LinkServer | None = None
+
+    async def start(self) -> None:
+        """Listen for entries and begin to read the engine's report."""
+        process = self.kernel.find("process")
+        handlers: dict[type, Any] = {
+            WantModel: self._take_want,
+            ModelUse: self._take_use,
+            EnsureAdapter: self._ensure_adapter,
+        }
+        self._server = LinkServer(
+            process.identity, process.context, handlers, process.security
+        )
+        self._server.on_peer = self._greet
+        address = self._server.bind(self.kernel.settings.fleet.agent_listen)
+        reports = self.kernel.find("reports")
+        reports.address = address
+        reports.read_backends = self._describe_backend
+        self.kernel.find("view").listen(self._take_configuration)
+        self.spawn(self._run(), essential=True)
+
+    async def stop(self) -> None:
+        """Close the sockets."""
+        await super().stop()
+        if self._server is not None:
+            self._server.close()
+        self._client.close()
+
+    def _describe_backend(self) -> list[BackendReport]:
+        fleet = self.kernel.settings.fleet
+        reachable = self._status is not None
+        return [
+            BackendReport(
+                self._address, "", fleet.dialect, reachable, 0, 0, 0, 0.0, [], []
+            )
+        ]
+
+    # Messages of entries.
+
+    def _greet(self, peer: Peer) -> None:
+        if self._report is not None:
+            peer.send(self._report)
+
+    def _take_want(self, peer: Peer, want: WantModel) -> None:
+        self._residency.note_want(
+            peer.node, want.model, want.requests, want.urgency, _now()
+        )
+        self._wake.set()
+
+    def _take_use(self, peer: Peer, use: ModelUse) -> None:
+        self._residency.note_use(peer.node, use.uses, _now())
+
+    async def _ensure_adapter(self, peer: Peer, wanted: EnsureAdapter) -> Any:
+        pair = (wanted.model, wanted.adapter)
+        if self._has_adapter(pair):
+            self._residency.note_adapter(*pair, _now())
+            return AdapterEnsured(True)
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._adapter_waiters.setdefault(pair, []).append(future)
+        self._residency.note_adapter(*pair, _now())
+        self._wake.set()
+        try:
+            async with asyncio.timeout(defaults.ADAPTER_WAIT_S):
+                return AdapterEnsured(await future)
+        except TimeoutError:
+            self._metrics.count("adapters_not_loaded_total")
+            return AdapterEnsured(False)
+
+    def _has_adapter(self, pair: tuple[str, str]) -> bool:
+        models = self._status.models if self._status else ()
+        return any(h.model == pair[0] and pair[1] in h.adapters for h in models)
+
+    # The configuration.
+
+    def _take_configuration(self, table: RouteTable) -> None:
+        spec = self._find_spec(table)
+        if spec is not None:
+            self._residency.set_engine(spec)
+        self._wake.set()
+
+    def _find_spec(self, table: RouteTable) -> Any:
+        server = self.kernel.find("directory").directory.at_address(self._address)
+        if server is not None:
+            service = table.services.get(server.listed.service)
+            return service.engine if service else None
+        engines = [s.engine for s in table.services.values() if s.engine is not None]
+        return engines[0] if len(engines) == 1 else None
+
+    # The engine.
+
+    async def _run(self) -> None:
+        while True:
+            self._wake.clear()
+            await self._look()
+            if self._status is not None:
+                await self._act()
+            self._tell()
+            try:
+                async with asyncio.timeout(self._pause_s()):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+
+    def _pause_s(self) -> float:
+        if self._adapter_waiters:
+            return defaults.ENGINE_ADAPTER_POLL_S
+        if self._change is not None or self._residency.wanted_models(_now()):
+            return defaults.ENGINE_BUSY_POLL_S
+        return defaults.ENGINE_IDLE_POLL_S
+
+    async def _look(self) -> None:
+        call = self._orders.fetch_status()
+        try:
+            status, body = await self._client.fetch(
+                call.method, call.target, timeout_s=defaults.ENGINE_REPORT_TIMEOUT_S
+            )
+            fresh = self._orders.read_status(status, body)
+        except BackendError as error:
+            if self._status is not None:
+                events.emit(_logger, events.ENGINE_LOST, error=error)
+            self._status = None
+            return
+        self._note_status(fresh)
+
+    def _note_status(self, fresh: EngineStatus) -> None:
+        known = self._status
+        if known is None or known.born_ms != fresh.born_ms:
+            events.emit(
+                _logger,
+                events.ENGINE_FOUND,
+                born_ms=fresh.born_ms,
+                models=[held.model for held in fresh.models],
+            )
+            self._change = None
+        elif [h.model for h in known.models] != [h.model for h in fresh.models]:
+            events.emit(
+                _logger,
+                events.ENGINE_CHANGED,
+                models=[held.model for held in fresh.models],
+                orders=fresh.orders,
+            )
+        self._status = fresh
+        if self._change is not None and not fresh.is_busy:
+            self._change = None
+        for pair in [p for p in self._adapter_waiters if self._has_adapter(p)]:
+            for future in self._adapter_waiters.pop(pair):
+                if not future.done():
+                    future.set_result(True)
+
+    async def _act(self) -> None:
+        """Give orders until there is none to give now."""
+        for _ in range(defaults.ENGINE_ORDERS_IN_A_ROW):
+            status = self._status
+            if status is None or self._is_fenced:
+                return
+            if self._residency.spec is None:
+                table = self.kernel.find("view").table
+                if table is not None:
+                    self._take_configuration(table)
+            intent = self._residency.choose(status, self._find_copies(), _now())
+            if intent is None:
+                return
+            if not intent.adapter:
+                await self._order_model(intent, status)
+                return
+            if not await self._give(intent, status):
+                return
+            await self._look()
+
+    async def _order_model(self, intent: Intent, status: EngineStatus) -> None:
+        """Tell the entries first, so that no request crosses an unload."""
+        self._change = intent
+        spec = self._residency.model(intent.model)
+        load_s = defaults.ENGINE_UNLOAD_S
+        if intent.loads and spec is not None:
+            load_s = spec.remote_s
+            if intent.model in status.in_memory:
+                load_s = spec.memory_s
+            elif intent.model in status.on_disk:
+                load_s = spec.disk_s
+        self._change_ends = _now() + load_s
+        self._tell()
+        if not intent.loads:
+            await asyncio.sleep(defaults.ENGINE_NOTICE_S)
+        if not await self._give(intent, status):
+            self._change = None
+
+    async def _give(self, intent: Intent, status: EngineStatus) -> bool:
+        """Give an order; return whether the engine took it."""
+        server = self.kernel.find("directory").directory.at_address(self._address)
+        order = EngineOrder(
+            intent.loads,
+            intent.model,
+            intent.adapter,
+            status.orders,
+            self.kernel.settings.node,
+            self.kernel.find("feed").state.version,
+        )
+        call = self._orders.give_order(order, server.name if server else "")
+        outcome = "unknown"
+        error = ""
+        try:
+            code, body = await self._client.fetch(
+                call.method,
+                call.target,
+                call.body,
+                defaults.ENGINE_ORDER_TIMEOUT_S,
+                list(call.headers),
+            )
+            outcome = self._orders.read_order(code, body).outcome
+        except BackendError as failure:
+            # It may yet be carried out; the count of orders then shows it.
+            error = str(failure)
+        taken = outcome in ("done", "accepted")
+        self._metrics.count("engine_orders_total", outcome=outcome)
+        events.emit(
+            _logger,
+            events.ENGINE_ORDERED if taken else events.ENGINE_ORDER_FAILED,
+            loads=intent.loads,
+            model=intent.model,
+            adapter=intent.adapter,
+            expected=order.expected,
+            fence=order.fence,
+            outcome=outcome,
+            error=error,
+        )
+        self._is_fenced = outcome == "fenced"
+        return taken
+
+    def _find_copies(self) -> FleetCopies:
+        """Return what the other agents' reports say, and this engine's own."""
+        directory = self.kernel.find("directory").directory
+        now = _now()
+        reports = [
+            server.report
+            for server in directory.servers.values()
+            if server.report is not None
+            and now - server.report_at <= defaults.AGENT_FRESH_S
+            and server.listed.address != self._address
+        ]
+        own = self._build_report()
+        holders: dict[str, int] = {}
+        copies: set[str] = set()
+        for report in [*reports, own]:
+            for held in report.models:
+                holders[held.model] = holders.get(held.model, 0) + 1
+                copies.add(held.model)
+            copies.update(report.in_memory, report.on_disk)
+            if report.is_loading:
+                copies.add(report.changing)
+        warming = sum(
+            1
+            for report in reports
+            if report.is_loading and report.changing not in report.on_disk
+        )
+        return FleetCopies(
+            holders,
+            frozenset(copies),
+            tuple(sorted([*(report.address for report in reports), self._address])),
+            self._address,
+            warming,
+            any(report.running for report in [*reports, own]),
+        )
+
+    # What entries are told.
+
+    def _tell(self) -> None:
+        if self._server is None or self._status is None:
+            return
+        report = self._build_report()
+        if self._report is None or _strip_load(report) != _strip_load(self._report):
+            self._report = report
+            self._send(report)
+            return
+        self._report = report
+        load = (report.running, report.queued, report.used_tokens)
+        age_s = _now() - self._load_sent_at
+        is_due = age_s >= defaults.ENGINE_LOAD_INTERVAL_S and load != self._load_sent
+        if is_due or age_s >= defaults.ENGINE_HEARTBEAT_S:
+            self._send(EngineLoad(self._address, *load))
+
+    def _send(self, message: Any) -> None:
+        self._load_sent_at = _now()
+        self._load_sent = (message.running, message.queued, message.used_tokens)
+        for peer in self._server.peers():
+            peer.send(message)
+
+    def _build_report(self) -> EngineReport:
+        status = self._status
+        assert status is not None
+        change = self._change
+        ready_s = max(self._change_ends - _now(), 0.0) if change else 0.0
+        return EngineReport(
+            self._address,
+            status.born_ms,
+            list(status.models),
+            change.model if change else "",
+            change.loads if change else False,
+            int(ready_s * defaults.MS_PER_S),
+            self._residency.wanted_models(_now()),
+            self._residency.can_load(status, _now()),
+            list(status.in_memory),
+            list(status.on_disk),
+            status.running,
+            status.queued,
+            status.used_tokens,
+            status.total_tokens,
+        )
+
+
+def _strip_load(report: EngineReport) -> EngineReport:
+    """Return a report without what changes with every request."""
+    return report._replace(ready_ms=0, running=0, queued=0, used_tokens=0)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/jasminewharf/services/forwarding.py
@@ -0,0 +1,450 @@
+"""Requests to backend servers found while running: waiting, choosing, trying again."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import AsyncIterator, Iterator
+from typing import Any, ClassVar, NamedTuple, Protocol
+
+from .. import defaults, events
+from ..decisions.attempts import Attempts, silence_limit_s
+from ..decisions.choice import Preference, choose_engine, choose_plain
+from ..decisions.configurations import Route, ServiceSpec, WorkspaceSpec
+from ..decisions.directory import Server
+from ..decisions.eventstream import StreamEvent
+from ..decisions.health import OutlierDetector
+from ..decisions.retries import RetryBudget
+from ..dialects.fleet import CallHead, ForwardedHead
+from ..exceptions import (
+    AnswerBroken,
+    BackendError,
+    BackendFailed,
+    JasminewharfError,
+    ModelUnavailable,
+    NotRunThere,
+    StreamInterrupted,
+)
+from ..kernel import Kernel, Service
+from ..messages.servers import EnsureAdapter
+from .upstream import Outgoing, UpstreamAnswer
+
+__all__ = ["Forwarder", "Job", "Sink"]
+
+_logger = logging.getLogger(__name__)
+
+
+class Job(NamedTuple):
+    """A request on its way; ``deadline`` is on the event loop's clock."""
+
+    call: CallHead
+    route: Route
+    service: ServiceSpec
+    workspace: WorkspaceSpec | None
+    outgoing: Outgoing
+    deadline: float
+
+    @property
+    def priority(self) -> int:
+        """The request's rank; 0 is the most urgent."""
+        if self.workspace is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+
+class Sink(Protocol):
+    """Where an answer goes."""
+
+    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Send the head."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the body."""
+
+    def finish(self) -> None:
+        """End the body."""
+
+    def respond(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        """Send a whole answer."""
+
+
+class Forwarder(Service):
+    """Finds a backend server for a request and tries again where that is safe."""
+
+    name: ClassVar[str] = "forwarder"
+    requires: ClassVar[tuple[str, ...]] = (
+        "process",
+        "view",
+        "directory",
+        "upstream",
+        "shares",
+        "demand",
+    )
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._upstream = kernel.find("upstream")
+        self._directory = kernel.find("directory").directory
+        self._demand = kernel.find("demand")
+        self._health = OutlierDetector()
+        self._budgets: dict[str, RetryBudget] = {}
+        self._metrics = kernel.find("process").metrics
+        self._random = kernel.find("process").random
+
+    async def run(self, job: Job, sink: Sink, attempts: Attempts) -> None:
+        """Have a request answered.
+
+        Raises:
+            Refusal: Saying whether a backend server can have run the request.
+        """
+        self._budget(job.service.name).deposit()
+        if job.route.kind == "stream":
+            await self._run_stream(job, sink, attempts)
+        else:
+            await self._run_plain(job, sink, attempts)
+
+    # Whole answers.
+
+    async def _run_plain(self, job: Job, sink: Sink, attempts: Attempts) -> None:
+        while True:
+            server = await self._pick(job, attempts)
+            try:
+                with self._in_flight(server, job):
+                    answer, body = await self._attempt_plain(server, job, attempts)
+            except (NotRunThere, AnswerBroken) as error:
+                self._note_failure(server, job, error, attempts)
+                self._check_next(job, attempts, error)
+                continue
+            is_failure = answer.status >= defaults.SERVER_ERROR_STATUS
+            self._note_result(server, not is_failure)
+            if is_failure and self._may_repeat(job, attempts):
+                attempts.note_run(server.name)
+                continue
+            sink.respond(answer.status, answer.headers, body)
+            return
+
+    async def _attempt_plain(
+        self, server: Server, job: Job, attempts: Attempts
+    ) -> tuple[UpstreamAnswer, bytes]:
+        limit_s = silence_limit_s(job.route, attempts, job.deadline - _now())
+        try:
+            async with asyncio.timeout(limit_s):
+                answer = await self._open(server, job, attempts, job.call.last_event)
+                return answer, await answer.read()
+        except TimeoutError:
+            raise AnswerBroken(f"silent for {limit_s:.2f} s") from None
+
+    async def _open(
+        self, server: Server, job: Job, attempts: Attempts, last_event: int
+    ) -> UpstreamAnswer:
+        attempts.note_sent(server.name)
+        forwarded = ForwardedHead(
+            server.name,
+            job.workspace.name if job.workspace else "",
+            job.deadline - _now(),
+            job.priority if job.service.engine else -1,
+            last_event,
+        )
+        return await self._upstream.open(server, job.outgoing, forwarded)
+
+    # Streams.
+
+    async def _run_stream(self, job: Job, sink: Sink, attempts: Attempts) -> None:
+        relay = _Relay(sink, job.call.last_event)
+        while True:
+            server = await self._pick(job, attempts)
+            try:
+                with self._in_flight(server, job):
+                    if await self._attempt_stream(server, job, relay, attempts):
+                        self._note_result(server, True)
+                        return
+                self._note_result(server, False)
+                attempts.note_run(server.name)
+            except (NotRunThere, AnswerBroken) as error:
+                self._note_failure(server, job, error, attempts)
+                if relay.has_started:
+                    self._check_resume(job, attempts, error)
+                else:
+                    self._check_next(job, attempts, error)
+
+    async def _attempt_stream(
+        self, server: Server, job: Job, relay: "_Relay", attempts: Attempts
+    ) -> bool:
+        """Relay one server's stream; return False if it is to be tried elsewhere."""
+        limit_s = silence_limit_s(job.route, attempts, job.deadline - _now())
+        try:
+            async with asyncio.timeout(limit_s):
+                answer = await self._open(server, job, attempts, relay.last_event)
+        except TimeoutError:
+            raise AnswerBroken(f"silent for {limit_s:.2f} s") from None
+        try:
+            if not answer.is_success:
+                return await self._take_failure(answer, job, relay, attempts)
+            if relay.has_started:
+                events.emit(
+                    _logger,
+                    events.STREAM_RESUMED,
+                    request_id=job.call.request_id,
+                    server=server.name,
+                    after=relay.last_event,
+                )
+            async for batch in self._watch(answer, server, job, attempts):
+                await relay.forward(answer, batch)
+            relay.finish(answer)
+            return True
+        finally:
+            answer.close()
+
+    async def _take_failure(
+        self,
+        answer: UpstreamAnswer,
+        job: Job,
+        relay: "_Relay",
+        attempts: Attempts,
+    ) -> bool:
+        body = await answer.read()
+        if relay.has_started:
+            raise AnswerBroken(f"status {answer.status} instead of the stream's rest")
+        if answer.status >= defaults.SERVER_ERROR_STATUS and self._may_repeat(
+            job, attempts
+        ):
+            return False
+        relay.respond(answer, body)
+        return True
+
+    async def _watch(
+        self, answer: UpstreamAnswer, server: Server, job: Job, attempts: Attempts
+    ) -> AsyncIterator[list[StreamEvent]]:
+        """Yield events; end an idempotent stream whose server has fallen silent."""
+        batches = answer.events()
+        while True:
+            limit_s = silence_limit_s(job.route, attempts, job.deadline - _now())
+            try:
+                async with asyncio.timeout(limit_s):
+                    batch = await anext(batches, None)
+            except TimeoutError:
+                raise AnswerBroken(f"silent for {limit_s:.2f} s", began=True) from None
+            if batch is None:
+                return
+            yield batch
+
+    # What follows a failed attempt.
+
+    def _note_failure(
+        self, server: Server, job: Job, error: BackendError, attempts: Attempts
+    ) -> None:
+        kind = "not_run" if isinstance(error, NotRunThere) else "broken"
+        self._metrics.count("failed_attempts_total", kind=kind)
+        events.emit(
+            _logger,
+            events.ATTEMPT_FAILED,
+            request_id=job.call.request_id,
+            server=server.name,
+            error=error,
+            attempt=attempts.sent,
+            report_age_ms=_age_ms(server.report_at),
+            load=server.load,
+        )
+        if isinstance(error, NotRunThere):
+            if error.is_absent and job.call.model:
+                server.missing[job.call.model] = _now()
+                self._demand.review()
+            elif not error.is_full:
+                self._note_result(server, False)
+            attempts.note_rejected(server.name)
+        else:
+            self._note_result(server, False)
+            attempts.note_run(server.name)
+
+    def _note_result(self, server: Server, succeeded: bool) -> None:
+        if self._health.record(server.name, succeeded, _now()):
+            self._metrics.count("servers_ejected_total")
+            events.emit(_logger, events.SERVER_EJECTED, server=server.name)
+
+    def _check_next(self, job: Job, attempts: Attempts, error: BackendError) -> None:
+        """Raise the final refusal unless the request may be tried again."""
+        if attempts.may_have_run and not self._may_go_on(job, attempts):
+            raise BackendFailed(
+                f"a backend server failed: {error}", not_run=False
+            ) from error
+        if not attempts.may_have_run and not self._take_budget(job):
+            raise ModelUnavailable(
+                f"no backend server took the request: {error}",
+                retry_after_ms=defaults.SERVER_BUSY_RETRY_MS,
+            ) from error
+
+    def _check_resume(self, job: Job, attempts: Attempts, error: BackendError) -> None:
+        if not self._may_go_on(job, attempts):
+            raise StreamInterrupted(f"the stream broke: {error}", not_run=False)
+
+    def _may_go_on(self, job: Job, attempts: Attempts) -> bool:
+        if not job.route.is_idempotent or attempts.runs >= job.route.attempts:
+            return False
+        return self._take_budget(job)
+
+    def _may_repeat(self, job: Job, attempts: Attempts) -> bool:
+        """Return whether a server's own failure is tried at another server."""
+        if not job.route.is_idempotent or attempts.runs + 1 >= job.route.attempts:
+            return False
+        others = [s for s in self._usable(job) if s.name not in attempts.avoided]
+        return len(others) > 1 and self._take_budget(job)
+
+    def _take_budget(self, job: Job) -> bool:
+        if self._budget(job.service.name).withdraw():
+            return True
+        self._metrics.count("retry_budget_spent_total", service=job.service.name)
+        return False
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self.kernel.settings.fleet.bounds
+            entries = max(self.kernel.find("shares").entries, 1)
+            floor = bounds.retry_slack * defaults.RETRY_SLACK_PART / entries
+            share = bounds.retry_share * defaults.RETRY_SHARE_PART
+            budget = RetryBudget(share, floor, max(floor, 1.0) * 2)
+            self._budgets[service] = budget
+        return budget
+
+    # Choosing a server.
+
+    @contextlib.contextmanager
+    def _in_flight(self, server: Server, job: Job) -> Iterator[None]:
+        server.begin(job.call.model, job.call.adapter)
+        self._demand.note_begun(server, job.call.model, job.call.adapter)
+        try:
+            yield
+        finally:
+            server.end(job.call.model, job.call.adapter)
+            self._demand.note_ended(server)
+
+    def _usable(self, job: Job) -> list[Server]:
+        servers = [
+            server
+            for server in self._directory.in_service(job.service.name)
+            if not server.listed.is_leaving
+        ]
+        kept = set(self._health.usable([s.name for s in servers], _now()))
+        return [server for server in servers if server.name in kept]
+
+    async def _pick(self, job: Job, attempts: Attempts) -> Server:
+        if job.service.engine is not None and job.call.model:
+            return await self._pick_engine(job, attempts)
+        return await self._pick_plain(job, attempts)
+
+    async def _pick_plain(self, job: Job, attempts: Attempts) -> Server:
+        while True:
+            usable = self._usable(job)
+            fresh = [s for s in usable if s.name not in attempts.avoided]
+            if fresh:
+                zone = self.kernel.settings.zone
+                return choose_plain(fresh, zone, self._random.random())
+            if usable and attempts.avoided:
+                # All have refused it: a place may be free a moment later.
+                attempts.forget_rejections()
+                await asyncio.sleep(defaults.SERVER_FULL_PAUSE_S)
+                if not attempts.may_have_run or job.route.is_idempotent:
+                    continue
+            await self._demand.wait_change(job.deadline)
+
+    async def _pick_engine(self, job: Job, attempts: Attempts) -> Server:
+        wanted = Preference(job.call.model, job.call.adapter, self.kernel.settings.zone)
+        while True:
+            holders = self._find_holders(job, attempts)
+            if not holders and attempts.avoided:
+                attempts.forget_rejections()
+                holders = self._find_holders(job, attempts)
+                if holders:
+                    await asyncio.sleep(defaults.SERVER_FULL_PAUSE_S)
+            if not holders:
+                await self._demand.wait_model(job)
+                continue
+            server = choose_engine(holders, wanted)
+            if not job.call.adapter or await self._ensure_adapter(server, job):
+                return server
+            attempts.note_rejected(server.name)
+            if attempts.rejections > defaults.ADAPTER_ATTEMPTS:
+                raise ModelUnavailable(
+                    "the adapter could not be loaded",
+                    retry_after_ms=defaults.SERVER_BUSY_RETRY_MS,
+                )
+
+    def _find_holders(self, job: Job, attempts: Attempts) -> list[Server]:
+        now = _now()
+        return [
+            server
+            for server in self._usable(job)
+            if server.name not in attempts.avoided
+            and server.holds(job.call.model, now, defaults.AGENT_FRESH_S)
+        ]
+
+    async def _ensure_adapter(self, server: Server, job: Job) -> bool:
+        call = job.call
+        if server.holds_adapter(call.model, call.adapter):
+            return True
+        link = self.kernel.find("directory").agents.get(server.listed.address)
+        if link is None:
+            return False
+        try:
+            answer: Any = await link.request(
+                EnsureAdapter(call.model, call.adapter), defaults.ADAPTER_WAIT_S
+            )
+        except JasminewharfError as error:
+            self._metrics.count("adapter_requests_failed_total")
+            events.emit(
+                _logger,
+                events.ATTEMPT_FAILED,
+                request_id=call.request_id,
+                server=server.name,
+                error=error,
+                attempt=0,
+            )
+            return False
+        return answer.is_loaded
+
+
+class _Relay:
+    """Passes the events of one answer on, whichever servers they come from."""
+
+    def __init__(self, sink: Sink, last_event: int) -> None:
+        self._sink = sink
+        self.last_event = last_event
+        self.has_started = False
+
+    async def forward(self, answer: UpstreamAnswer, batch: list[StreamEvent]) -> None:
+        """Send events that the caller does not have yet."""
+        data = b"".join(event.data for event in batch if self._is_new(event))
+        self._start(answer)
+        if data:
+            await self._sink.write(data)
+
+    def _is_new(self, event: StreamEvent) -> bool:
+        if event.number < 0:
+            return True
+        if event.number <= self.last_event:
+            return False
+        self.last_event = event.number
+        return True
+
+    def _start(self, answer: UpstreamAnswer) -> None:
+        if not self.has_started:
+            self.has_started = True
+            self._sink.start(answer.status, answer.headers)
+
+    def finish(self, answer: UpstreamAnswer) -> None:
+        """End the stream as complete."""
+        self._start(answer)
+        self._sink.finish()
+
+    def respond(self, answer: UpstreamAnswer, body: bytes) -> None:
+        """Send a whole answer instead of a stream."""
+        self.has_started = True
+        self._sink.respond(answer.status, answer.headers, body)
+
+
+def _age_ms(at: float) -> int:
+    age_s = _now() - at
+    return int(age_s * defaults.MS_PER_S) if age_s < defaults.AGE_LIMIT_S else -1
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/jasminewharf/services/gathering.py
+++ b/src/jasminewharf/services/gathering.py
@@ -33,6 +33,9 @@
         self.membership = Membership(
             MembershipLimits(timing.suspicion_s, timing.host_lost_s), _now()
         )
+        # Agents that find each other compare what their engines hold.
+        is_fleet = kernel.settings.fleet is not None
+        self._followers = {"entry", "agent"} if is_fleet else {"entry"}
         self._changed_own: set[str] = set()
         self._changed_agents: set[str] = set()
         self._estimates: list[LoadEstimate] = []
@@ -69,7 +72,7 @@
             return
         if self._accept(report, 0):
             self._changed_own.add(report.node)
-        if report.role == "entry" and peer.routing_id not in self._told:
+        if report.role in self._followers and peer.routing_id not in self._told:
             self._told.add(peer.routing_id)
             self._tell_everything(peer)
 
@@ -149,7 +152,7 @@
     def _send_to_entries(self, digest: ReportDigest) -> None:
         live = set()
         for peer in self.kernel.find("control").peers():
-            if peer.hello is not None and peer.hello.role == "entry":
+            if peer.hello is not None and peer.hello.role in self._followers:
                 live.add(peer.routing_id)
                 peer.send(digest)
         self._told &= live
--- a/src/jasminewharf/services/hostlist.py
+++ b/src/jasminewharf/services/hostlist.py
@@ -6,11 +6,11 @@
 
 from .. import defaults, events
 from ..decisions.hostlist import compare_host_list
+from ..dialects import HOST_LISTS
 from ..exceptions import BackendError, ConsensusError
 from ..identifiers import new_token
 from ..kernel import Kernel, Service
 from ..messages import encode
-from ..platforms import HOST_LISTS
 from ..registry import lookup
 from .client import HttpClient
 from .control import FLEET_GROUP
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -217,6 +217,11 @@
 
     # Members.
 
+    def silent_members(self, group: str, seconds: float) -> set[str]:
+        """Return members that have not answered this leader for ``seconds``."""
+        now = asyncio.get_running_loop().time()
+        return self._runner(group).consensus.silent_members(seconds, now)
+
     def members(self, group: str) -> tuple[MemberRecord, ...]:
         """Return the group's members in the newest configuration known here."""
         return self._runner(group).consensus.members
@@ -280,7 +285,9 @@
 
     def _try_founding(self) -> None:
         now = asyncio.get_running_loop().time()
-        if self._disk.cluster or not self._founding.may_found(now):
+        if self._disk.cluster or not self._settings.may_found:
+            return
+        if not self._founding.may_found(now):
             return
         own = MemberRecord(self.identity, self._settings.address, True)
         self._disk.found(new_token(), (own, *self._founding.members()))
--- a/src/jasminewharf/services/logsettings.py
+++ b/src/jasminewharf/services/logsettings.py
@@ -37,6 +37,8 @@
         heartbeat_s: Time between heartbeats, in seconds.
         snapshot_entries: Number of applied entries after which a snapshot is taken.
         curve: Keys of the links, or None for links without authentication.
+        may_found: Whether this host may found the cluster with its peers; else it
+            waits until it is added.
     """
 
     name: str
@@ -48,3 +50,4 @@
     heartbeat_s: float = LOG_HEARTBEAT_S
     snapshot_entries: int = LOG_SNAPSHOT_THRESHOLD_ENTRIES
     curve: CurveSettings | None = None
+    may_found: bool = True
--- a/src/jasminewharf/services/publisher.py
+++ b/src/jasminewharf/services/publisher.py
@@ -1,6 +1,7 @@
 """A control host's feed of committed changes to its subscribers."""
 
 import asyncio
+from collections.abc import Callable
 from typing import ClassVar
 
 from .. import defaults
@@ -31,6 +32,12 @@
         self._scheduled = False
         self._round: asyncio.Task[int | ConsensusError] | None = None
         self._next_round: asyncio.Task[int | ConsensusError] | None = None
+        self.on_subscribe: Callable[[], None] = lambda: None
+
+    def subscribers(self) -> list[Peer]:
+        """Return the peers that follow this host."""
+        live = {peer.routing_id for peer in self.kernel.find("control").peers()}
+        return [peer for key, (peer, _) in self._sent.items() if key in live]
 
     async def start(self) -> None:
         """Answer subscriptions and pings."""
@@ -42,6 +49,7 @@
     def _subscribe(self, peer: Peer, message: Subscribe) -> None:
         self._sent[peer.routing_id] = (peer, message.version)
         self._schedule()
+        self.on_subscribe()
 
     def _note_commit(self, index: int, command: bytes) -> None:
         self._schedule()
@@ -65,8 +73,10 @@
         state = self.kernel.find("fleet").state
         if version >= state.version:
             return version
+        # A new node has no use for the commands that led to the present state.
+        is_new = version == 0
         entries = self.kernel.find("log").entries_after(FLEET_GROUP, version)
-        if entries is None or len(entries) > defaults.FEED_CHANGES_LIMIT:
+        if is_new or entries is None or len(entries) > defaults.FEED_CHANGES_LIMIT:
             peer.send(FeedSnapshot(state.version, state.snapshot()))
             return state.version
         commands = [entry for entry in entries if entry[0] <= state.version]
--- /dev/null
+++ b/src/jasminewharf/services/repair.py
@@ -0,0 +1,140 @@
+"""Members of the control hosts' log that come and go without an operator.
+
+A control host whose disk is empty asks the leader to become a member; the leader
+adds one at a time and then removes members that have been silent, but never below
+the number that the promised losses need.
+"""
+
+import asyncio
+import logging
+from typing import ClassVar
+
+from .. import defaults, events
+from ..decisions.records import host_name
+from ..decisions.repairs import choose_departed
+from ..exceptions import (
+    ConsensusError,
+    Forbidden,
+    LinkError,
+    NotLeader,
+)
+from ..kernel import Kernel, Service
+from ..messages.servers import ControlHosts, MembershipAnswer, RequestMembership
+from .control import FLEET_GROUP
+from .link import Peer
+
+__all__ = ["Repair"]
+
+_logger = logging.getLogger(__name__)
+
+
+class Repair(Service):
+    """Adds newcomers, removes lost members and tells all nodes who is left."""
+
+    name: ClassVar[str] = "repair"
+    requires: ClassVar[tuple[str, ...]] = (
+        "log",
+        "control",
+        "controllers",
+        "broadcast",
+    )
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._log = kernel.find("log")
+        self._newcomers: dict[str, RequestMembership] = {}
+        self._without_leader_since: float | None = None
+
+    async def start(self) -> None:
+        """Answer newcomers, and ask to become a member where this host is none."""
+        self.kernel.find("control").handle(RequestMembership, self._take_request)
+        self.spawn(self._ask_forever(), essential=True)
+        self.spawn(self._repair_forever(), essential=True)
+        self.spawn(self._announce_forever(), essential=True)
+
+    async def _ask_forever(self) -> None:
+        while True:
+            await asyncio.sleep(defaults.REPAIR_INTERVAL_S)
+            if self._is_settled():
+                continue
+            settings = self.kernel.settings
+            request = RequestMembership(
+                settings.node,
+                self._log.identity,
+                settings.own_control_host.peer_address,
+            )
+            try:
+                await self.kernel.find("controllers").request(
+                    FLEET_GROUP, request, defaults.CONTROL_ATTEMPT_S
+                )
+            except (ConsensusError, LinkError) as error:
+                events.emit(_logger, events.MEMBERSHIP_PENDING, error=error)
+
+    def _is_settled(self) -> bool:
+        """Return whether this host votes and knows a leader, or lately knew one."""
+        now = asyncio.get_running_loop().time()
+        try:
+            members = self._log.members(FLEET_GROUP)
+        except NotLeader:
+            return False
+        is_voter = any(m.voter and m.identity == self._log.identity for m in members)
+        if self._log.leader(FLEET_GROUP):
+            self._without_leader_since = None
+            return is_voter
+        if self._without_leader_since is None:
+            self._without_leader_since = now
+        return now - self._without_leader_since < defaults.REPAIR_LEADERLESS_S
+
+    def _take_request(self, peer: Peer, request: RequestMembership) -> MembershipAnswer:
+        if peer.hello is None or peer.hello.role != "control":
+            raise Forbidden("only a control host may become a member")
+        if not self._log.is_leader(FLEET_GROUP):
+            raise NotLeader(FLEET_GROUP, self._log.leader(FLEET_GROUP))
+        for member in self._log.members(FLEET_GROUP):
+            if member.voter and member.identity == request.identity:
+                return MembershipAnswer(True)
+        self._newcomers[request.host] = request
+        return MembershipAnswer(False)
+
+    async def _repair_forever(self) -> None:
+        while True:
+            await asyncio.sleep(defaults.REPAIR_INTERVAL_S)
+            if not self._log.is_leader(FLEET_GROUP):
+                self._newcomers.clear()
+                continue
+            try:
+                await self._add_newcomer()
+                await self._remove_departed()
+            except (ConsensusError, LinkError) as error:
+                events.emit(_logger, events.MEMBER_CHANGE_FAILED, error=error)
+
+    async def _add_newcomer(self) -> None:
+        if not self._newcomers:
+            return
+        host, request = self._newcomers.popitem()
+        events.emit(_logger, events.MEMBER_JOINING, host=host)
+        identity = await self._log.add_member(FLEET_GROUP, host, request.address)
+        events.emit(_logger, events.MEMBER_ADDED, identity=identity)
+
+    async def _remove_departed(self) -> None:
+        fleet = self.kernel.settings.fleet
+        departed = choose_departed(
+            self._log.members(FLEET_GROUP),
+            self._log.silent_members(FLEET_GROUP, defaults.REPAIR_SILENT_S),
+            2 * fleet.tolerated_losses + 1,
+        )
+        if departed:
+            await self._log.remove_member(FLEET_GROUP, departed)
+            events.emit(_logger, events.MEMBER_REMOVED, identity=departed)
+
+    async def _announce_forever(self) -> None:
+        """Tell nodes and control hosts where the members are."""
+        while True:
+            await asyncio.sleep(defaults.REPAIR_INTERVAL_S)
+            try:
+                members = self._log.members(FLEET_GROUP)
+            except NotLeader:
+                continue
+            ips = sorted({host_name(member.identity) for member in members})
+            self.kernel.find("broadcast").publish(ControlHosts(ips))
+            self.kernel.find("controllers").set_hosts(ips)
--- /dev/null
+++ b/src/jasminewharf/services/upstream.py
@@ -0,0 +1,186 @@
+"""One attempt to have a backend server answer a request."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import ClassVar, NamedTuple
+
+from .. import defaults
+from ..decisions.directory import Server
+from ..decisions.eventstream import EventSplitter, StreamEvent
+from ..dialects.fleet import CALLER_DIALECTS, AnswerHead, CallHead, ForwardedHead
+from ..exceptions import AnswerBroken, BackendError, BackendUnreachable, NotRunThere
+from ..kernel import Kernel, Service
+from ..registry import lookup
+from .client import ClientResponse, HttpClient
+
+__all__ = ["Outgoing", "Upstream", "UpstreamAnswer"]
+
+_SUCCESS = range(200, 300)
+_NOT_KEPT = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "transfer-encoding",
+        "upgrade",
+        "trailer",
+    }
+)
+
+
+class Outgoing(NamedTuple):
+    """A request as it is sent to one server.
+
+    ``is_idempotent`` tells whether it may run more than once.
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    call: CallHead
+    is_idempotent: bool
+
+
+class UpstreamAnswer:
+    """A server's answer whose head was checked.
+
+    Attributes:
+        status: The HTTP status.
+        headers: The headers for the caller.
+    """
+
+    def __init__(self, response: ClientResponse) -> None:
+        self._response = response
+        self.status = response.status
+        self.headers = [(k, v) for k, v in response.headers if k not in _NOT_KEPT]
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the server says that it served the request."""
+        return self.status in _SUCCESS
+
+    async def read(self) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            AnswerBroken: If it ended early.
+        """
+        try:
+            return await self._response.read()
+        except BackendError as error:
+            raise AnswerBroken(str(error), began=True) from error
+
+    async def events(self) -> AsyncIterator[list[StreamEvent]]:
+        """Yield the stream's events as they come, then the rest as an event.
+
+        Raises:
+            AnswerBroken: If the stream ended early.
+        """
+        splitter = EventSplitter()
+        try:
+            async for chunk in self._response.chunks():
+                events = splitter.feed(chunk)
+                if events:
+                    yield events
+        except BackendError as error:
+            raise AnswerBroken(str(error), began=True) from error
+        if splitter.rest:
+            yield [StreamEvent(-1, splitter.rest)]
+
+    def close(self) -> None:
+        """End the answer; the server sees that nobody waits."""
+        self._response.close()
+
+
+class Upstream(Service):
+    """Keeps connections to the backend servers and checks their answers."""
+
+    name: ClassVar[str] = "upstream"
+    requires: ClassVar[tuple[str, ...]] = ("process", "directory")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._dialect = lookup(CALLER_DIALECTS, kernel.settings.fleet.dialect)
+        self._clients: dict[str, HttpClient] = {}
+        self._metrics = kernel.find("process").metrics
+
+    async def start(self) -> None:
+        """Drop connections to servers that are gone."""
+        self.spawn(self._tidy_forever(), essential=True)
+
+    async def stop(self) -> None:
+        """Close all kept connections."""
+        await super().stop()
+        for client in self._clients.values():
+            client.close()
+
+    async def open(
+        self, server: Server, outgoing: Outgoing, forwarded: ForwardedHead
+    ) -> UpstreamAnswer:
+        """Send a request and return the answer once its head has been checked.
+
+        Raises:
+            NotRunThere: If the server cannot have run the request.
+            AnswerBroken: If it may have run, and its answer is lost.
+        """
+        client = self._find_client(server)
+        headers = self._dialect.forward_headers(outgoing.headers, forwarded)
+        try:
+            response = await client.open(
+                outgoing.method,
+                outgoing.target,
+                headers,
+                outgoing.body,
+                repeatable=outgoing.is_idempotent,
+                kept_idle_s=defaults.KEPT_IDLE_S,
+            )
+        except BackendUnreachable as error:
+            raise NotRunThere(str(error), is_full=False) from error
+        except BackendError as error:
+            raise AnswerBroken(str(error)) from error
+        try:
+            await self._check(server, response, outgoing)
+        except BaseException:
+            response.close()
+            raise
+        return UpstreamAnswer(response)
+
+    async def _check(
+        self, server: Server, response: ClientResponse, outgoing: Outgoing
+    ) -> None:
+        head = self._dialect.read_answer(response.status, response.headers)
+        if head.request_id != outgoing.call.request_id:
+            self._metrics.count("foreign_answers_total")
+            raise AnswerBroken("the answer is not that of the request")
+        self._note_load(server, head)
+        if head.has_not_run:
+            # Read to its end, so that the connection is kept.
+            await response.read()
+            raise NotRunThere(
+                f"status {response.status}",
+                is_full=response.status in defaults.SERVER_FULL_STATUS,
+                is_absent=response.status == defaults.SERVER_ABSENT_STATUS,
+            )
+        if head.is_encoded or not head.is_genuine:
+            raise AnswerBroken(f"status {response.status} is not the server's own")
+
+    def _note_load(self, server: Server, head: AnswerHead) -> None:
+        if head.running >= 0:
+            now = asyncio.get_running_loop().time()
+            server.note_load(head.running, head.waiting, now)
+
+    def _find_client(self, server: Server) -> HttpClient:
+        client = self._clients.get(server.name)
+        if client is None or client.address != server.listed.address:
+            client = self._clients[server.name] = HttpClient(server.listed.address)
+        return client
+
+    async def _tidy_forever(self) -> None:
+        while True:
+            await asyncio.sleep(defaults.CONNECTIONS_TIDY_S)
+            servers = self.kernel.find("directory").directory.servers
+            for name in [name for name in self._clients if name not in servers]:
+                self._clients.pop(name).close()
+            opened = sum(c.connections_opened for c in self._clients.values())
+            self._metrics.watch("server_connections_opened", lambda n=opened: n)
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -11,8 +11,10 @@
 
 __all__ = [
     "BackendSettings",
+    "BoundSettings",
     "ControlHost",
     "CurveSettings",
+    "FleetSettings",
     "LimitSettings",
     "LogFormat",
     "PolicySettings",
@@ -30,6 +32,10 @@
 
 _PORT_DIGITS = 5
 _PORT_MAX = 65_535
+# Offsets from the first internal port of a host.
+_LINK_PORT = 0
+_PEER_PORT = 1
+_METRICS_PORT = 2
 
 
 def is_address(text: str) -> bool:
@@ -152,10 +158,88 @@
 
 
 class LogFormat(NamedTuple):
-    """How log lines are written."""
+    """How log lines are written.
+
+    ``label`` names the process in each line; its node name if empty.
+    ``lines_per_s`` bounds the lines of one event number; 0 is no bound.
+    """
 
     form: Literal["json", "text"] = "json"
     level: Literal["debug", "info", "warning", "error"] = "info"
+    stream: Literal["stdout", "stderr"] = "stderr"
+    label: str = ""
+    lines_per_s: Annotated[int, Range(0, 1_000_000)] = 0
+
+
+class BoundSettings(NamedTuple):
+    """Times and shares that the deployment asks of the fleet as a whole.
+
+    A backend server that leaves gets no request after ``drain_ms``; a configuration
+    is in force everywhere ``configuration_ms`` after its acceptance. Requests sent
+    once more stay within ``retry_share`` of the requests of ``retry_window_s`` plus
+    ``retry_slack``; the tokens of a workspace within its rate over
+    ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``.
+    """
+
+    contact_ms: Annotated[float, Range(1, 3_600_000)] = 3_000
+    configuration_ms: Annotated[float, Range(1, 3_600_000)] = 2_000
+    drain_ms: Annotated[float, Range(1, 3_600_000)] = 3_000
+    grace_s: Seconds = 8.0
+    catch_up_s: Seconds = 4.0
+    lease_ms: Annotated[float, Range(1, 3_600_000)] = 3_000
+    reuse_s: Seconds = 2.0
+    retry_share: Annotated[float, Range(0, 1)] = 0.2
+    retry_window_s: Seconds = 10.0
+    retry_slack: Annotated[float, Range(0, 1_000_000)] = 50
+    rate_window_s: Seconds = 8.0
+    rate_overrun: Annotated[float, Range(0, 10)] = 0.1
+    rate_slack_tokens: Annotated[float, Range(0, 1_000_000_000)] = 0
+
+
+class FleetSettings(NamedTuple):
+    """A fleet whose backend servers and control hosts are found while it runs.
+
+    ``dialect`` names the registered formats of the platform. ``seeds`` are addresses
+    of some control hosts; internal ports count from ``first_port`` on all hosts.
+    ``first_start`` is true only when the whole fleet starts with empty disks.
+    ``own_server`` is the backend server beside an agent.
+    """
+
+    dialect: str
+    address: str
+    seeds: list[Address]
+    first_port: Annotated[int, Range(1, _PORT_MAX)]
+    list_address: Address
+    first_start: bool = False
+    tolerated_losses: Annotated[int, Range(0, 3)] = 1
+    operator_listen: str = ""
+    ready_listen: str = ""
+    own_server: str = ""
+    memory_limit_mb: Annotated[float, Range(0, 1_000_000_000)] = 0
+    bounds: BoundSettings = BoundSettings()
+
+    def control_host(self, ip: str) -> ControlHost:
+        """Return the control host at an IP address."""
+        return ControlHost(
+            ip,
+            f"{ip}:{self.first_port + _LINK_PORT}",
+            f"{ip}:{self.first_port + _PEER_PORT}",
+        )
+
+    @property
+    def agent_listen(self) -> str:
+        """Where an agent listens for other nodes."""
+        return f"{self.address}:{self.first_port + _LINK_PORT}"
+
+    @property
+    def metrics_listen(self) -> str:
+        """Where a process serves its metrics."""
+        return f"{self.address}:{self.first_port + _METRICS_PORT}"
+
+    @property
+    def seed_ips(self) -> list[str]:
+        """The seeds' IP addresses."""
+        return sorted({split_address(seed)[0] for seed in self.seeds})
 
 
 class Settings(NamedTuple):
@@ -187,6 +271,7 @@
     logs: LogFormat = LogFormat()
     tls: TlsSettings | None = None
     curve: CurveSettings | None = None
+    fleet: FleetSettings | None = None
 
     @property
     def host_name(self) -> str:
@@ -228,10 +313,14 @@
         SettingsError: Naming file, line, path and the allowed values.
     """
     settings = load_yaml(text, Settings, file, SettingsError)
+    if settings.fleet is not None:
+        settings = _find_control(settings, settings.fleet)
     if not settings.control:
         raise SettingsError(file, 0, "control", "at least one control host is needed")
     if settings.role == "control":
         _check_control(settings, file)
+    if settings.fleet is not None:
+        return settings
     if settings.role == "agent" and not settings.backends:
         raise SettingsError(file, 0, "backends", "an agent needs a backend server")
     if settings.role == "entry" and not settings.hash_secret_file:
@@ -239,6 +328,15 @@
     return settings
 
 
+def _find_control(settings: Settings, fleet: FleetSettings) -> Settings:
+    """Add the control hosts at the seeds, and this host if it is one."""
+    ips = set(fleet.seed_ips)
+    if settings.role == "control":
+        ips.add(fleet.address)
+    hosts = [fleet.control_host(ip) for ip in sorted(ips)]
+    return settings._replace(control=hosts)
+
+
 def _check_control(settings: Settings, file: str) -> None:
     if settings.node not in [host.name for host in settings.control]:
         raise SettingsError(file, 0, "control", f"does not list {settings.node!r}")
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -6,7 +6,13 @@
 import h11
 import pytest
 
-from jasminewharf.dialects import DIALECTS, AdapterOrder, ModelOrder
+from jasminewharf.dialects import (
+    DIALECTS,
+    HOST_LISTS,
+    WEIGHT_STORES,
+    AdapterOrder,
+    ModelOrder,
+)
 from jasminewharf.exceptions import BackendError, FenceRejected
 from jasminewharf.fakes import (
     EngineConfig,
@@ -19,7 +25,6 @@
     fetch,
 )
 from jasminewharf.fakes.batching import BatchConfig, expected_tokens
-from jasminewharf.platforms import HOST_LISTS, WEIGHT_STORES
 
 OPENAI = DIALECTS["openai"]
 FAST = BatchConfig(slots=2, step_s=0.002, step_per_call_s=0.0)
