--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -52,7 +52,9 @@
         return min(servers, key=lambda s: s.load / max(s.listed.slots, 1))
     if wanted.adapter:
         loaded = [s for s in with_room if s.holds_adapter(wanted.model, wanted.adapter)]
-        with_room = loaded or with_room
+        # An engine whose models change takes no order for an adapter meanwhile.
+        calm = [s for s in with_room if s.report is None or not s.report.changing]
+        with_room = loaded or calm or with_room
     return min(with_room, key=lambda s: rank_by_hash(key, s.name))
 
 
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -149,8 +149,11 @@
         if self._spec is None:
             return None
         self._note_held(status, now)
+        # The engine takes no order for an adapter either while a model changes.
+        if status.is_busy or status.is_leaving:
+            return None
         intent = self._choose_adapter(status, now)
-        if intent is not None or status.is_busy or status.is_leaving:
+        if intent is not None:
             return intent
         wanted = self.wanted_models(now)
         for model in wanted:
--- a/src/jasminewharf/decisions/shares.py
+++ b/src/jasminewharf/decisions/shares.py
@@ -52,13 +52,16 @@
             self._level += spec.burst * added
         self._level = min(self._level, self._burst)
 
-    def take(self, tokens: float, now: float) -> bool:
-        """Spend ``tokens`` if they are there."""
+    def take(self, tokens: float, now: float) -> float:
+        """Spend up to ``tokens`` and return how many are missing.
+
+        A share may be smaller than one request: what there is counts towards it, and
+        only the rest has to be borrowed.
+        """
         self._refill(now)
-        if self._level + _TINY < tokens:
-            return False
-        self._level -= tokens
-        return True
+        spent = min(tokens, max(self._level, 0.0))
+        self._level -= spent
+        return tokens - spent if tokens - spent > _TINY else 0.0
 
     def give_back(self, tokens: float) -> None:
         """Return what a request that did not run had taken."""
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -404,7 +404,7 @@
 ENGINE_ORDERS_IN_A_ROW = 4
 ENGINE_UNLOAD_S = 0.2  # Of a model that nobody uses.
 ENGINE_NOTICE_S = 0.01  # A few ways between hosts, so that entries know of an unload.
-ADAPTER_WAIT_S = 0.5
+ADAPTER_WAIT_S = 2.0  # Longer than a load from disk.
 ADAPTER_ATTEMPTS = 3
 
 # Requests to found backend servers.
@@ -438,3 +438,4 @@
 # Stopping.
 DRAIN_NOTICE_S = 2.5  # Two questions of a balancer that asks once a second.
 GRACE_PART = 0.85  # The rest is for closing sockets before the process is killed.
+SETTINGS_REFRESH_S = 2.0
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -49,6 +49,7 @@
 TASK_FAILED = _define(102, logging.ERROR, "task failed")
 PROCESS_READY = _define(103, logging.INFO, "process ready")
 PROCESS_STOPPING = _define(104, logging.INFO, "process stopping")
+PROCESS_STARTING = _define(105, logging.INFO, "process starting")
 
 # Links: 200 to 299.
 MESSAGE_MALFORMED = _define(200, logging.WARNING, "malformed message dropped")
--- a/src/jasminewharf/interfaces/daemon.py
+++ b/src/jasminewharf/interfaces/daemon.py
@@ -32,12 +32,17 @@
     ]
 
 
-async def run_process(settings: Settings) -> None:
+async def run_process(settings: Settings, settings_file: str = "") -> None:
     """Run until SIGTERM or SIGINT, then finish the work in flight and stop."""
-    kernel = build_kernel(settings)
+    kernel = build_kernel(settings, settings_file)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _stop, kernel)
+    if kernel.has("reload"):
+        loop.add_signal_handler(signal.SIGHUP, kernel.find("reload").reload)
+    events.emit(
+        _logger, events.PROCESS_STARTING, role=settings.role, zone=settings.zone
+    )
     await kernel.run()
 
 
@@ -57,7 +62,7 @@
     configure_logging(settings.logs.label or settings.node, settings.logs)
     try:
         with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(run_process(settings))
+            asyncio.run(run_process(settings, command.settings))
     except JasminewharfError as error:
         print(f"error: {error}", file=sys.stderr)
         raise SystemExit(find_exit_code(error)) from error
--- a/src/jasminewharf/interfaces/roles.py
+++ b/src/jasminewharf/interfaces/roles.py
@@ -30,6 +30,7 @@
 from ..services.planner import PlannerService
 from ..services.process import Process
 from ..services.publisher import Publisher
+from ..services.reload import SettingsReload
 from ..services.repair import Repair
 from ..services.reports import Reporter
 from ..services.requests import (
@@ -58,9 +59,9 @@
 FLEET_ROLES: dict[str, RoleBuilder] = {}
 
 
-def build_kernel(settings: Settings) -> Kernel:
+def build_kernel(settings: Settings, settings_file: str = "") -> Kernel:
     """Return a kernel with the services of the settings' role."""
-    kernel = Kernel(settings)
+    kernel = Kernel(settings, settings_file)
     roles = ROLES if settings.fleet is None else FLEET_ROLES
     lookup(roles, settings.role)(kernel)
     return kernel
@@ -213,6 +214,7 @@
             Process,
             MetricsHttp,
             Controllers,
+            SettingsReload,
             Feed,
             Reporter,
             ConfigurationView,
@@ -236,6 +238,7 @@
             Process,
             MetricsHttp,
             Controllers,
+            SettingsReload,
             Feed,
             Reporter,
             ConfigurationView,
@@ -255,6 +258,7 @@
             MetricsHttp,
             build_fleet_log,
             Controllers,
+            SettingsReload,
             Fleet,
             ControlServer,
             Publisher,
--- a/src/jasminewharf/kernel.py
+++ b/src/jasminewharf/kernel.py
@@ -79,10 +79,12 @@
 
     Args:
         settings: The settings object, passed whole to every service.
+        settings_file: The file that the settings came from; empty if there is none.
     """
 
-    def __init__(self, settings: Any) -> None:
+    def __init__(self, settings: Any, settings_file: str = "") -> None:
         self.settings = settings
+        self.settings_file = settings_file
         self._services: dict[str, Service] = {}
         self._started: list[Service] = []
         self._ended = asyncio.Event()
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -220,8 +220,9 @@
         body: bytes = b"",
         timeout_s: float = defaults.HTTP_FETCH_TIMEOUT_S,
         headers: list[tuple[str, str]] | None = None,
+        kept_idle_s: float = 0.0,
     ) -> tuple[int, bytes]:
-        """Send a request and return status and whole body.
+        """Send a request and return status and whole body; see :meth:`open`.
 
         Raises:
             BackendUnreachable: If the call did not begin.
@@ -230,7 +231,12 @@
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self.open(
-                    method, target, headers or [], body, repeatable=method == "GET"
+                    method,
+                    target,
+                    headers or [],
+                    body,
+                    repeatable=method == "GET",
+                    kept_idle_s=kept_idle_s,
                 )
                 return response.status, await response.read()
         except TimeoutError:
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -259,6 +259,7 @@
                 call.body,
                 defaults.ENGINE_ORDER_TIMEOUT_S,
                 list(call.headers),
+                defaults.KEPT_IDLE_S,
             )
             outcome = self._orders.read_order(code, body).outcome
         except BackendError as failure:
--- a/src/jasminewharf/services/shares.py
+++ b/src/jasminewharf/services/shares.py
@@ -154,10 +154,12 @@
             return
         self._meter(spec.name).add(cost)
         bucket = self._buckets.get(spec.name)
-        if bucket is not None and bucket.take(cost, _now()):
+        missing = cost if bucket is None else bucket.take(cost, _now())
+        if not missing:
             return
-        lent = await self._borrow(spec, cost, deadline)
+        lent = await self._borrow(spec, missing, deadline)
         if not lent.is_lent:
+            self.give_back(spec, cost - missing)
             self._metrics.count("rate_refusals_total", workspace=spec.name)
             raise RateExceeded(
                 "the workspace has spent its rate",
