Place models by what making room costs; serve first what is still in time

An agent now weighs the request-seconds that an eviction costs against those that wait; entries weigh waiting requests by whether they can still meet their target.

--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -19,8 +19,6 @@
 
 # Share of an engine's slots up to which requests for a model are kept together.
 _PACK_SHARE = 0.6
-# What an engine that would have to end running work first adds to its estimate.
-_NOTHING_IDLE_S = 2.0
 # One more model that waits there for an order: a load from disk.
 _WAITING_MODEL_S = 1.3
 
@@ -79,29 +77,41 @@
 
 
 class LoadPlace(NamedTuple):
-    """An engine that may load a model, and when the model would be ready there."""
+    """An engine that may load a model, and when the model would be ready there.
+
+    ``cost`` is in request-seconds: the waiting of the requests for the model, and
+    that of the requests whose models make room.
+    """
 
     server: Server
     ready_s: float
+    cost: float
 
 
 def choose_load_place(
-    servers: Sequence[Server], model: ModelSpec, now: float
+    servers: Sequence[Server], model: ModelSpec, waiting: int, now: float
 ) -> LoadPlace | None:
-    """Return where a model is ready first; the same on all nodes as a rule.
+    """Return where loading a model costs least; the same on all nodes as a rule.
 
     Args:
         servers: Engines of the service with a fresh report.
         model: The model.
+        waiting: Requests that wait for it.
         now: Seconds on the clock of the reports.
     """
-    places = [LoadPlace(s, _estimate(s, model, now)) for s in servers if s.report]
+    places = [_appraise(s, model, waiting, now) for s in servers if s.report]
     if not places:
         return None
-    return min(
-        places,
-        key=lambda p: (p.ready_s, rank_by_hash(model.name, p.server.name)),
-    )
+    return min(places, key=lambda p: (p.cost, rank_by_hash(model.name, p.server.name)))
+
+
+def _appraise(server: Server, model: ModelSpec, waiting: int, now: float) -> LoadPlace:
+    ready_s = _estimate(server, model, now)
+    report = server.report
+    assert report is not None
+    is_under_way = report.changing == model.name and report.is_loading
+    room_cost = 0.0 if is_under_way else report.room_cost
+    return LoadPlace(server, ready_s, max(waiting, 1) * ready_s + room_cost)
 
 
 def _estimate(server: Server, model: ModelSpec, now: float) -> float:
@@ -114,8 +124,7 @@
     if model.name in report.wanted:
         ahead = report.wanted.index(model.name)
         return (busy_s + own_s + ahead * _WAITING_MODEL_S) * 0.5
-    idle_s = 0.0 if report.can_load else _NOTHING_IDLE_S
-    return busy_s + own_s + idle_s + len(report.wanted) * _WAITING_MODEL_S
+    return busy_s + own_s + len(report.wanted) * _WAITING_MODEL_S
 
 
 def _load_time(
--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from ..dialects.fleet import HeldModel, ListedServer
-from ..messages.servers import EngineReport
+from ..messages.servers import EngineLoad, EngineReport
 
 __all__ = ["Directory", "ListChange", "Server"]
 
@@ -188,16 +188,19 @@
         server.report = report
         server.report_at = at
 
-    def hear_agent(self, address: str, now: float) -> Server | None:
-        """Note that the agent beside ``address`` lives; its last report still holds."""
-        known = self._reports.get(address)
+    def take_load(self, load: EngineLoad, now: float) -> None:
+        """Take the load of an engine; the rest of its agent's report still holds."""
+        known = self._reports.get(load.address)
         if known is None:
-            return None
-        self._reports[address] = (now, known[1])
-        server = self._by_address.get(address)
-        if server is not None and server.report is known[1]:
-            server.report_at = now
-        return server
+            return
+        report = known[1]._replace(
+            running=load.running,
+            queued=load.queued,
+            used_tokens=load.used_tokens,
+            room_cost=load.room_cost,
+            ready_ms=max(known[1].ready_ms - int((now - known[0]) * 1_000), 0),
+        )
+        self.take_report(report, now)
 
     def forget_agent(self, address: str) -> None:
         """Drop an agent's report; the list's word counts again."""
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -5,6 +5,7 @@
 disk. With nothing waiting, the engine fetches models of which the fleet has no copy.
 """
 
+import math
 from typing import NamedTuple
 
 from ..dialects.fleet import EngineStatus
@@ -17,8 +18,12 @@
 _WANT_KEPT_S = 1.2
 # A model just loaded is kept until the requests that waited for it have come.
 _SETTLE_S = 0.8
-# A request may wait this long before running work has to end for it.
-_PATIENCE_S = 1.0
+# How fast the measured use of a model follows the real one.
+_USE_WINDOW_S = 2.0
+# A load from disk with the unload before it: how long a model that made room lacks.
+_RETURN_S = 1.4
+# How long running requests keep an unload waiting, on average.
+_RUN_S = 1.0
 # A model idle for this long makes room for one of which there is no copy.
 _IDLE_S = 2.0
 # Holders that a model placed on many engines keeps when others make room.
@@ -65,6 +70,23 @@
     at: float
 
 
+class _Rate:
+    """Events a second, with an exponential window."""
+
+    __slots__ = ("_at", "_rate")
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._at = 0.0
+
+    def add(self, count: int, now: float) -> None:
+        self._rate = self.read(now) + count / _USE_WINDOW_S
+        self._at = now
+
+    def read(self, now: float) -> float:
+        return self._rate * math.exp(-(now - self._at) / _USE_WINDOW_S)
+
+
 class Residency:
     """The state that one agent's decisions need."""
 
@@ -77,6 +99,8 @@
         self._loaded_at: dict[str, float] = {}
         self._adapters_wanted: dict[tuple[str, str], float] = {}
         self._held: frozenset[str] = frozenset()
+        self._rates: dict[str, _Rate] = {}
+        self._adapter_misses = _Rate()
 
     def set_engine(self, spec: EngineSpec) -> None:
         """Take the engine's limits and the models of its service."""
@@ -112,6 +136,8 @@
                 current[name] = _Use(in_flight, now)
             if in_flight > 0 or begun > 0:
                 self._used_at[name] = now
+            if begun > 0:
+                self._rates.setdefault(name, _Rate()).add(begun, now)
 
     def forget_peer(self, peer: str) -> None:
         """Drop what a lost entry had in flight."""
@@ -119,11 +145,16 @@
 
     def note_adapter(self, model: str, adapter: str, now: float) -> None:
         """Note that a request waits for an adapter."""
+        if (model, adapter) not in self._adapters_wanted:
+            self._adapter_misses.add(1, now)
         self._adapters_wanted[(model, adapter)] = now
         self._used_at[f"{model}/{adapter}"] = now
 
     def wanted_models(self, now: float) -> list[str]:
-        """Return the models that requests wait for and that are not held."""
+        """Return the models that requests wait for and that are not held.
+
+        The most urgent one is the first.
+        """
         waiting: list[tuple[float, float, str]] = []
         for model, wants in list(self._wants.items()):
             for peer in [
@@ -135,7 +166,7 @@
             elif model not in self._held:
                 urgency = sum(want.urgency for want in wants.values())
                 since = min(want.since for want in wants.values())
-                waiting.append((-urgency * (0.5 + now - since), since, model))
+                waiting.append((-urgency, since, model))
         return [model for _, _, model in sorted(waiting)]
 
     def in_flight(self, name: str) -> int:
@@ -162,14 +193,35 @@
                 return intent
         return None if wanted else self._warm(status, copies, now)
 
-    def can_load(self, status: EngineStatus, now: float) -> bool:
-        """Return whether a model would find room without ending requests."""
+    def room_cost(self, status: EngineStatus, now: float) -> float:
+        """Return what making room for a model costs others, in request-seconds."""
         if self._spec is None:
-            return False
-        largest = max((m.weights_mb for m in self._models.values()), default=0.0)
-        if self._free_mb(status) >= largest:
-            return True
-        return any(self._is_idle(held.model, now) for held in status.models)
+            return 0.0
+        blocked = self._adapter_misses.read(now) * _RETURN_S
+        if self._free_mb(status) >= self._largest_mb():
+            return blocked
+        costs = [
+            self._eviction_cost(held.model, now)
+            + (_SETTLE_S if self._is_settling(held.model, now) else 0.0)
+            for held in status.models
+        ]
+        return blocked + min(costs, default=0.0)
+
+    def _eviction_cost(self, model: str, now: float) -> float:
+        """Return the request-seconds that ending a model's residency costs.
+
+        Those are the requests that come while it is away, and the wait of the next
+        model until the running ones have ended.
+        """
+        rate = self._rates.get(model)
+        missed = rate.read(now) * _RETURN_S if rate else 0.0
+        return missed * _RETURN_S + min(self.in_flight(model), 1) * _RUN_S
+
+    def _is_settling(self, model: str, now: float) -> bool:
+        """Return whether the requests that a model was loaded for may still come."""
+        return model in self._wants and now - self._loaded_at.get(model, now) < (
+            _SETTLE_S
+        )
 
     def _note_held(self, status: EngineStatus, now: float) -> None:
         held = frozenset(item.model for item in status.models)
@@ -201,15 +253,27 @@
         return Intent(False, victim) if victim else None
 
     def _choose_victim(self, model: str, status: EngineStatus, now: float) -> str:
-        held = [item.model for item in status.models]
-        idle = [name for name in held if self._is_idle(name, now)]
-        if idle:
-            return min(idle, key=lambda name: self._used_at.get(name, -1.0))
-        since = min(want.since for want in self._wants[model].values())
-        settled = [n for n in held if now - self._loaded_at.get(n, now) > _SETTLE_S]
-        if now - since < _PATIENCE_S or not settled:
+        """Return the model whose end costs least, if the waiting one is worth it."""
+        held = [
+            item.model
+            for item in status.models
+            if not self._is_settling(item.model, now)
+        ]
+        if not held:
             return ""
-        return min(settled, key=lambda name: (self.in_flight(name), name))
+        victim = min(
+            held,
+            key=lambda name: (
+                self._eviction_cost(name, now),
+                self._used_at.get(name, -1.0),
+            ),
+        )
+        gain = sum(
+            want.urgency * (_RETURN_S + now - want.since)
+            for want in self._wants[model].values()
+        )
+        is_worth_it = gain > self._eviction_cost(victim, now)
+        return victim if is_worth_it else ""
 
     def _is_idle(self, model: str, now: float) -> bool:
         if self.in_flight(model) or model in self._wants:
--- a/src/jasminewharf/decisions/shares.py
+++ b/src/jasminewharf/decisions/shares.py
@@ -100,15 +100,20 @@
         self._spec = spec
         self._level = min(self._level, self._size)
 
-    def lend(self, tokens: float, now: float) -> float:
-        """Spend ``tokens`` and return 0, or return the seconds until they are there."""
+    def lend(self, tokens: float, patience_s: float, now: float) -> tuple[bool, float]:
+        """Lend ``tokens`` if they are there within ``patience_s``.
+
+        Returns:
+            Whether they are lent, and the seconds until they are there.
+        """
         rate = self._spec.rate_per_s * (1 - SHARED_PART)
         self._level = min(self._level + (now - self._at) * rate, self._size)
         self._at = now
-        if self._level >= tokens:
-            self._level -= tokens
-            return 0.0
-        return (tokens - self._level) / max(rate, _TINY)
+        wait_s = max(tokens - self._level, 0.0) / max(rate, _TINY)
+        if wait_s > patience_s:
+            return False, wait_s
+        self._level -= tokens
+        return True, wait_s
 
 
 class DemandMeter:
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -428,6 +428,7 @@
 
 # Shares of rates.
 BORROW_TIMEOUT_S = 0.4
+RATE_PATIENCE_PART = 0.12  # Of the target: a wait that callers hardly see.
 RATE_RETRY_MIN_MS = 200
 SHARE_ENTRIES_GUESS = 10
 SHARE_HOLDER_PART = 0.9  # The holder's lease ends before the owner's.
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -143,7 +143,7 @@
 REQUEST_WAITS = _define(853, logging.INFO, "request waits for its model")
 SERVER_EJECTED = _define(854, logging.WARNING, "backend server ejected")
 RATE_REFUSED = _define(855, logging.INFO, "request over the workspace's rate")
-SHARES_CHANGED = _define(856, logging.INFO, "rate shares changed")
+RATE_OWNER_SILENT = _define(856, logging.WARNING, "owner of the rates is silent")
 SHARES_EXPIRED = _define(857, logging.WARNING, "rate shares expired")
 
 # Engines beside an agent: 900 to 949.
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -169,7 +169,9 @@
             deadline = min(deadline, started + call.time_left_s)
         try:
             async with asyncio.timeout_at(deadline):
-                await self._run(request, call, admitted, responder, attempts, deadline)
+                await self._run(
+                    request, call, admitted, responder, attempts, started, deadline
+                )
         except TimeoutError:
             raise _conclude_timeout(attempts) from None
 
@@ -208,6 +210,7 @@
         admitted: _Admitted,
         responder: Responder,
         attempts: Attempts,
+        started: float,
         deadline: float,
     ) -> None:
         table = self.kernel.find("view").table
@@ -216,7 +219,8 @@
         cost = 0.0
         if workspace is not None:
             cost = shares.cost(workspace, call.prompt_tokens + call.output_tokens)
-            await shares.charge(workspace, cost, deadline)
+            patience_s = route.target_s * defaults.RATE_PATIENCE_PART
+            await shares.charge(workspace, cost, call.request_id, patience_s)
         outgoing = Outgoing(
             request.method,
             request.target,
@@ -226,7 +230,7 @@
             route.is_idempotent,
         )
         service = table.split(route, call.request_id)
-        job = Job(call, route, service, workspace, outgoing, deadline)
+        job = Job(call, route, service, workspace, outgoing, started, deadline)
         try:
             await self.kernel.find("forwarder").run(job, responder, attempts)
         except BaseException:
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -77,8 +77,8 @@
 
     ``changing`` is the model that an order is loading or unloading, with
     ``is_loading``; ``ready_ms`` is the estimate until the engine takes the next
-    order. ``wanted`` lists models that wait for an order. ``can_load`` tells that a
-    model would find room without ending requests.
+    order. ``wanted`` lists models that wait for an order. ``room_cost`` is what making
+    room for one more model would cost other requests, in request-seconds.
     """
 
     address: str
@@ -88,7 +88,7 @@
     is_loading: bool
     ready_ms: int
     wanted: list[str]
-    can_load: bool
+    room_cost: float
     in_memory: list[str]
     on_disk: list[str]
     running: int
@@ -105,6 +105,7 @@
     running: int
     queued: int
     used_tokens: int
+    room_cost: float
 
 
 @message(188)
@@ -164,15 +165,22 @@
 
 @message(194)
 class BorrowTokens(NamedTuple):
-    """An entry whose share is spent asks for a request's tokens from the reserve."""
+    """An entry whose share is spent asks for a request's tokens from the reserve.
+
+    ``patience_ms`` is how long the request may wait for them.
+    """
 
     workspace: str
     tokens: float
+    patience_ms: int
 
 
 @message(195)
 class TokensLent(NamedTuple):
-    """Answers :class:`BorrowTokens`; ``wait_ms`` is when to ask again if not lent."""
+    """Answers :class:`BorrowTokens`.
+
+    ``wait_ms`` is when lent tokens may be spent, or when to ask again.
+    """
 
     is_lent: bool
     wait_ms: int
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -8,6 +8,7 @@
 from ..decisions.choice import choose_load_place
 from ..decisions.configurations import ModelSpec, ServiceSpec
 from ..decisions.directory import Server
+from ..decisions.urgency import Wait, weigh_waits
 from ..exceptions import ModelUnavailable
 from ..kernel import Kernel, Service
 from ..messages.servers import ModelUse, WantModel
@@ -20,9 +21,7 @@
 class _Waiter(NamedTuple):
     service: ServiceSpec
     model: str
-    urgency: float
-    since: float
-    deadline: float
+    wait: Wait
     ready: asyncio.Future[None]
 
 
@@ -72,9 +71,7 @@
         waiter = _Waiter(
             job.service,
             job.call.model,
-            1.0 / (1.0 + job.priority),
-            _now(),
-            job.deadline,
+            Wait(job.started, job.route.target_s, job.deadline),
             future,
         )
         self._check(waiter, job.call.request_id)
@@ -95,7 +92,7 @@
             )
         place = self._choose_place(waiter.service, spec)
         ready_s = place.ready_s if place else 0.0
-        left_s = waiter.deadline - _now()
+        left_s = waiter.wait.deadline - _now()
         events.emit(
             _logger,
             events.REQUEST_WAITS,
@@ -114,6 +111,7 @@
 
     def _choose_place(self, service: ServiceSpec, spec: ModelSpec) -> Any:
         now = _now()
+        waiting = sum(1 for waiter in self._waiters if waiter.model == spec.name)
         servers = [
             server
             for server in self._directory.in_service(service.name)
@@ -121,7 +119,7 @@
             and server.report is not None
             and now - server.report_at <= defaults.AGENT_FRESH_S
         ]
-        return choose_load_place(servers, spec, now)
+        return choose_load_place(servers, spec, waiting, now)
 
     def review(self) -> None:
         """Let requests go on whose model is held, and ask again for the others."""
@@ -154,8 +152,9 @@
         asked_at, asked = self._asked.get(model, (float("-inf"), ""))
         if asked == place.server.name and _now() - asked_at < defaults.WANT_REPEAT_S:
             return
-        waiting = [w for w in self._waiters if w.model == model]
-        want = WantModel(model, len(waiting), sum(w.urgency for w in waiting))
+        waits = [w.wait for w in self._waiters if w.model == model]
+        urgency = weigh_waits(waits, place.ready_s, _now())
+        want = WantModel(model, len(waits), urgency)
         if self.kernel.find("directory").send_to_agent(place.server, want):
             self._asked[model] = (_now(), place.server.name)
 
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -130,9 +130,7 @@
         self._notify()
 
     def _take_load(self, load: EngineLoad) -> None:
-        server = self.directory.hear_agent(load.address, _now())
-        if server is not None:
-            server.note_load(load.running, load.queued, _now())
+        self.directory.take_load(load, _now())
 
     async def _watch_agents(self) -> None:
         """Close links to agents whose reports are long gone."""
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -331,7 +331,7 @@
         age_s = _now() - self._load_sent_at
         is_due = age_s >= defaults.ENGINE_LOAD_INTERVAL_S and load != self._load_sent
         if is_due or age_s >= defaults.ENGINE_HEARTBEAT_S:
-            self._send(EngineLoad(self._address, *load))
+            self._send(EngineLoad(self._address, *load, report.room_cost))
 
     def _send(self, message: Any) -> None:
         self._load_sent_at = _now()
@@ -352,7 +352,7 @@
             change.loads if change else False,
             int(ready_s * defaults.MS_PER_S),
             self._residency.wanted_models(_now()),
-            self._residency.can_load(status, _now()),
+            self._residency.room_cost(status, _now()),
             list(status.in_memory),
             list(status.on_disk),
             status.running,
@@ -364,7 +364,9 @@
 
 def _strip_load(report: EngineReport) -> EngineReport:
     """Return a report without what changes with every request."""
-    return report._replace(ready_ms=0, running=0, queued=0, used_tokens=0)
+    return report._replace(
+        ready_ms=0, running=0, queued=0, used_tokens=0, room_cost=0.0
+    )
 
 
 def _now() -> float:
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -34,13 +34,14 @@
 
 
 class Job(NamedTuple):
-    """A request on its way; ``deadline`` is on the event loop's clock."""
+    """A request on its way; times are on the event loop's clock."""
 
     call: CallHead
     route: Route
     service: ServiceSpec
     workspace: WorkspaceSpec | None
     outgoing: Outgoing
+    started: float
     deadline: float
 
     @property
--- a/src/jasminewharf/services/shares.py
+++ b/src/jasminewharf/services/shares.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from typing import ClassVar
 
 from .. import defaults, events
@@ -89,8 +90,9 @@
             slack = self._slack(spec)
             reserve = ReserveBucket(spec, slack, _now(), is_full=self._is_founding)
             self._reserves[wish.workspace] = reserve
-        wait_s = reserve.lend(wish.tokens, _now())
-        return TokensLent(wait_s == 0.0, int(wait_s * defaults.MS_PER_S))
+        patience_s = wish.patience_ms / defaults.MS_PER_S
+        is_lent, wait_s = reserve.lend(wish.tokens, patience_s, _now())
+        return TokensLent(is_lent, math.ceil(wait_s * defaults.MS_PER_S))
 
     def _slack(self, spec: WorkspaceSpec) -> float:
         """Return the part of the allowed overrun that requests may use."""
@@ -144,9 +146,13 @@
             return 1.0
         return float(tokens) if tokens > 0 else spec.default_tokens
 
-    async def charge(self, spec: WorkspaceSpec, cost: float, deadline: float) -> None:
+    async def charge(
+        self, spec: WorkspaceSpec, cost: float, request_id: str, patience_s: float
+    ) -> None:
         """Spend a request's cost from the share or, if that is spent, the reserve.
 
+        Waits at most ``patience_s`` for tokens of the reserve.
+
         Raises:
             RateExceeded: If the workspace's rate does not allow the request now.
         """
@@ -157,9 +163,23 @@
         missing = cost if bucket is None else bucket.take(cost, _now())
         if not missing:
             return
-        lent = await self._borrow(spec, missing, deadline)
+        lent = await self._borrow(spec, missing, patience_s)
+        if lent.is_lent and lent.wait_ms:
+            await asyncio.sleep(lent.wait_ms / defaults.MS_PER_S)
         if not lent.is_lent:
             self.give_back(spec, cost - missing)
+            events.emit(
+                _logger,
+                events.RATE_REFUSED,
+                request_id=request_id,
+                workspace=spec.name,
+                cost=round(cost),
+                missing=round(missing),
+                share=round(self._shares.get(spec.name, 0.0), 4),
+                rate=round(spec.rate_per_s),
+                wait_ms=lent.wait_ms,
+                lease_left_ms=int((self._lease_ends - _now()) * defaults.MS_PER_S),
+            )
             self._metrics.count("rate_refusals_total", workspace=spec.name)
             raise RateExceeded(
                 "the workspace has spent its rate",
@@ -173,12 +193,12 @@
             bucket.give_back(cost)
 
     async def _borrow(
-        self, spec: WorkspaceSpec, cost: float, deadline: float
+        self, spec: WorkspaceSpec, cost: float, patience_s: float
     ) -> TokensLent:
-        wait_s = min(defaults.BORROW_TIMEOUT_S, max(deadline - _now(), 0.0))
+        wish = BorrowTokens(spec.name, cost, int(patience_s * defaults.MS_PER_S))
         try:
             return await self.kernel.find("controllers").request(
-                FLEET_GROUP, BorrowTokens(spec.name, cost), wait_s
+                FLEET_GROUP, wish, defaults.BORROW_TIMEOUT_S
             )
         except (ConsensusError, LinkError) as error:
             self._metrics.count("rate_owner_unreachable_total")
