Answer every request before an entry stops

Requests that no server was sent are now refused as not run after 0.45 of the grace, running ones get their final answer at 0.92.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -438,5 +438,7 @@
 
 # Stopping.
 DRAIN_NOTICE_S = 2.5  # Two questions of a balancer that asks once a second.
-GRACE_PART = 0.85  # The rest is for closing sockets before the process is killed.
+DRAIN_WAITING_PART = 0.45  # Of the grace: time to be served elsewhere after it.
+DRAIN_RUNNING_PART = 0.92
+GRACE_PART = 0.95  # The rest is for closing sockets before the process is killed.
 SETTINGS_REFRESH_S = 2.0
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -10,11 +10,13 @@
 from ..decisions.routes import RouteTable
 from ..dialects.fleet import CALLER_DIALECTS, CallHead
 from ..exceptions import (
+    BackendFailed,
     DeadlineExceeded,
     LeaseExpired,
     ModelUnavailable,
     NotFound,
     Refusal,
+    ShuttingDown,
     Unauthorized,
 )
 from ..kernel import Kernel, Service
@@ -31,6 +33,21 @@
 _UNCONFIRMED_RETRY_MS = 500
 
 
+class _Exchange:
+    """A request that this entry has read and not answered yet."""
+
+    def __init__(self, attempts: Attempts) -> None:
+        self.attempts = attempts
+        self.refusal: Refusal | None = None
+        self._task = asyncio.current_task()
+
+    def end(self, refusal: Refusal) -> None:
+        """Answer with a refusal at once."""
+        if self.refusal is None and self._task is not None:
+            self.refusal = refusal
+            self._task.cancel()
+
+
 class _Admitted(NamedTuple):
     """A request that the configuration allows."""
 
@@ -60,6 +77,7 @@
         self._http = HttpServer(self._handle, self._render, kernel.settings.limits)
         self._metrics = kernel.find("process").metrics
         self.is_draining = False
+        self._exchanges: set[_Exchange] = set()
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -69,18 +87,37 @@
         self._metrics.watch("open_connections", lambda: self._http.connection_count)
 
     async def drain(self) -> None:
-        """Finish the requests in flight.
+        """Finish the requests in flight, and answer all before the process ends.
 
         The balancer learns of it at its next questions; until then connections are
         still taken, and closed after their answer.
         """
-        bounds = self.kernel.settings.fleet.bounds
+        grace_s = self.kernel.settings.fleet.bounds.grace_s
+        loop = asyncio.get_running_loop()
         self.is_draining = True
         self._http.draining = True
+        self._metrics.count("drains_total")
+        loop.call_later(grace_s * defaults.DRAIN_WAITING_PART, self._refuse_waiting)
+        loop.call_later(grace_s * defaults.DRAIN_RUNNING_PART, self._end_running)
         await asyncio.sleep(defaults.DRAIN_NOTICE_S)
-        left_s = bounds.grace_s * defaults.GRACE_PART - defaults.DRAIN_NOTICE_S
+        left_s = grace_s * defaults.GRACE_PART - defaults.DRAIN_NOTICE_S
         await self._http.drain(max(left_s, 0.0))
 
+    def _refuse_waiting(self) -> None:
+        """Send callers elsewhere whose requests no server has been sent."""
+        for exchange in list(self._exchanges):
+            if not exchange.attempts.may_have_run:
+                exchange.end(
+                    ShuttingDown(
+                        "the entry stops", retry_after_ms=defaults.SERVER_BUSY_RETRY_MS
+                    )
+                )
+
+    def _end_running(self) -> None:
+        self._refuse_waiting()
+        for exchange in list(self._exchanges):
+            exchange.end(BackendFailed("the entry stops", not_run=False))
+
     async def stop(self) -> None:
         """Close all connections."""
         await super().stop()
@@ -106,6 +143,8 @@
         attempts = Attempts()
         call: CallHead | None = None
         refusal: Refusal | None = None
+        exchange = _Exchange(attempts)
+        self._exchanges.add(exchange)
         try:
             call = self._dialect.read_call(
                 request.method, request.target, request.headers
@@ -115,8 +154,13 @@
             refusal = error
             self._refuse(responder, error, call)
         except asyncio.CancelledError:
-            self._record(call, attempts, "caller_left", started)
-            raise
+            if exchange.refusal is None:
+                self._record(call, attempts, "caller_left", started)
+                raise
+            refusal = exchange.refusal
+            self._refuse(responder, refusal, call)
+        finally:
+            self._exchanges.discard(exchange)
         self._record(call, attempts, refusal.kind if refusal else "answered", started)
 
     def _record(
