Ask another control host when one is silent; shorten share leases; wait for engines just found

Cause: entries kept asking a frozen leader for three seconds, and after a loss of power shares stayed at zero for ten.

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -25,6 +25,7 @@
 
     Attributes:
         listed: Its entry on the list.
+        found_at: When this node first read of it.
         own: Requests of this node in flight there.
         own_by_model: The same, by model and by model and adapter.
         running: Requests that it was last known to run.
@@ -35,8 +36,9 @@
         missing: Models that it refused as absent, with the time.
     """
 
-    def __init__(self, listed: ListedServer) -> None:
+    def __init__(self, listed: ListedServer, found_at: float) -> None:
         self.listed = listed
+        self.found_at = found_at
         self.own = 0
         self.own_by_model: dict[str, int] = {}
         self.running = 0
@@ -141,7 +143,7 @@
         for listed in servers:
             server = self.servers.get(listed.server)
             if server is None or server.listed.born_ms != listed.born_ms:
-                server = Server(listed)
+                server = Server(listed, read_at)
                 found.append(listed)
             elif listed.is_leaving and not server.listed.is_leaving:
                 left.append(listed)
@@ -167,6 +169,16 @@
         for address, (at, report) in self._reports.items():
             self._attach(address, at, report)
 
+    def unheard(self, service: str, now: float, fresh_s: float) -> list[Server]:
+        """Return servers of a service found lately whose agent is not heard yet."""
+        return [
+            server
+            for server in self.in_service(service)
+            if not server.listed.is_leaving
+            and now - server.report_at > fresh_s
+            and now - server.found_at <= fresh_s
+        ]
+
     def take_report(self, report: EngineReport, now: float) -> None:
         """Take the report of an agent on its engine."""
         self._reports[report.address] = (now, report)
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -23,7 +23,7 @@
 # A load from disk with the unload before it: how long a model that made room lacks.
 _RETURN_S = 1.4
 # How long running requests keep an unload waiting, on average.
-_RUN_S = 1.0
+_RUN_S = 1.5
 # A model idle for this long makes room for one of which there is no copy.
 _IDLE_S = 2.0
 # Holders that a model placed on many engines keeps when others make room.
@@ -44,12 +44,14 @@
 class FleetCopies(NamedTuple):
     """Where the other engines of the service stand.
 
-    ``holders`` counts the engines that hold a model, this one among them;
-    ``with_copy`` names models of which some engine has or loads a copy; ``engines``
-    are the engines whose agents live, ``own`` this one. ``warming`` counts loads
-    from the store in progress; ``is_used`` tells that requests run anywhere.
+    ``is_complete`` tells that all their agents were heard. ``holders`` counts the
+    engines that hold a model, this one among them; ``with_copy`` names models of
+    which some engine has or loads a copy; ``engines`` are the engines whose agents
+    live, ``own`` this one. ``warming`` counts loads from the store in progress;
+    ``is_used`` tells that requests run anywhere.
     """
 
+    is_complete: bool
     holders: dict[str, int]
     with_copy: frozenset[str]
     engines: tuple[str, ...]
@@ -321,7 +323,7 @@
     ) -> Intent | None:
         """Fetch a model of which no engine has a copy, one at a time on each engine."""
         at_once = _WARMING_AT_ONCE if copies.is_used else _WARMING_BEFORE_TRAFFIC
-        if copies.warming >= at_once:
+        if copies.warming >= at_once or not copies.is_complete:
             return None
         missing = [name for name in self._models if name not in copies.with_copy]
         mine = [name for name in missing if self._is_mine(name, copies)]
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -155,6 +155,8 @@
 # Entries hear of an agent whose load alone has changed this often.
 DIGEST_LOAD_INTERVAL_S = 30.0
 CONTROL_ATTEMPT_S = 1.0
+CONTROL_SILENT_S = 1.0  # How long a host that gave no answer is asked last.
+CONTROL_QUICK_ATTEMPT_S = 0.3  # Of a request that may be repeated and is urgent.
 OPERATOR_ATTEMPT_S = 3.0
 
 # Placement, loads, pacing, memory and eviction.
@@ -402,7 +404,8 @@
 ENGINE_REPORT_TIMEOUT_S = 0.5
 ENGINE_ORDER_TIMEOUT_S = 0.5
 ENGINE_ORDERS_IN_A_ROW = 4
-ENGINE_UNLOAD_S = 0.2  # Of a model that nobody uses.
+ENGINE_UNLOAD_S = 0.1  # Of a model that nobody uses.
+ENGINE_BUSY_UNLOAD_S = 1.5  # Of a model with running requests.
 ENGINE_NOTICE_S = 0.01  # A few ways between hosts, so that entries know of an unload.
 ADAPTER_WAIT_S = 2.0  # Longer than a load from disk.
 ADAPTER_ATTEMPTS = 3
@@ -427,13 +430,13 @@
 RETRY_SHARE_PART = 0.8
 
 # Shares of rates.
-BORROW_TIMEOUT_S = 0.4
+BORROW_TIMEOUT_S = 0.5
 RATE_PATIENCE_PART = 0.12  # Of the target: a wait that callers hardly see.
 RATE_RETRY_MIN_MS = 200
 SHARE_ENTRIES_GUESS = 10
 SHARE_HOLDER_PART = 0.9  # The holder's lease ends before the owner's.
 SHARE_INTERVAL_S = 0.5
-SHARE_LEASE_S = 10.0
+SHARE_LEASE_S = 4.0
 SHARE_SLACK_PART = 0.4
 
 # Stopping.
--- a/src/jasminewharf/services/configurations.py
+++ b/src/jasminewharf/services/configurations.py
@@ -87,7 +87,7 @@
                 if self.kernel.find("log").is_leader(FLEET_GROUP):
                     return await self._propose(submission)
                 return await self.kernel.find("controllers").request(
-                    FLEET_GROUP, submission, defaults.CONTROL_ATTEMPT_S
+                    FLEET_GROUP, submission, defaults.CONTROL_QUICK_ATTEMPT_S
                 )
             except (ConsensusError, LinkError) as error:
                 if loop.time() > deadline or isinstance(error, StorageFull):
--- a/src/jasminewharf/services/controllers.py
+++ b/src/jasminewharf/services/controllers.py
@@ -33,6 +33,7 @@
         super().__init__(kernel)
         self.links: dict[str, LinkClient] = {}
         self._leaders: dict[str, str] = {}
+        self._silent_until: dict[str, float] = {}
         self._handlers: dict[type, Any] = {}
 
     def handle(self, kind: type, handler: Any) -> None:
@@ -100,6 +101,11 @@
                 self._note_leader(group, error.leader, name)
             except PeerUnavailable:
                 self._note_leader(group, "", name)
+            except LinkTimeout:
+                # A frozen host keeps its connection: others are asked first.
+                self._note_leader(group, "", name)
+                self._silent_until[name] = loop.time() + defaults.CONTROL_SILENT_S
+                raise
             await asyncio.sleep(defaults.CONTROL_RETRY_S)
         raise QuorumLost(f"no leader of {group} answered within {timeout_s:g} s")
 
@@ -130,6 +136,9 @@
         if name is not None and self.links[name].is_connected:
             return name
         connected = [name for name, link in self.links.items() if link.is_connected]
+        now = asyncio.get_running_loop().time()
+        heard = [n for n in connected if self._silent_until.get(n, now) <= now]
+        connected = heard or connected
         return self.kernel.find("process").random.choice(connected or list(self.links))
 
     def _note_leader(self, group: str, leader: str, asked: str) -> None:
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -119,7 +119,14 @@
             and server.report is not None
             and now - server.report_at <= defaults.AGENT_FRESH_S
         ]
-        return choose_load_place(servers, spec, waiting, now)
+        place = choose_load_place(servers, spec, waiting, now)
+        is_remote = place is not None and place.ready_s >= spec.remote_s
+        # An engine whose agent is just starting may have a copy at hand.
+        if is_remote and self._directory.unheard(
+            service.name, now, defaults.AGENT_FRESH_S
+        ):
+            return None
+        return place
 
     def review(self) -> None:
         """Let requests go on whose model is held, and ask again for the others."""
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -40,6 +40,7 @@
         self.agents: dict[str, LinkClient] = {}
         self._listeners: list[Callable[[], None]] = []
         self._is_scheduled = False
+        self._started = _now()
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after changes that can let a request go on."""
@@ -64,6 +65,10 @@
         """Return whether the list was read at all."""
         return self.directory.list_at > float("-inf")
 
+    def is_settled(self) -> bool:
+        """Return whether this node has had time to hear of all agents."""
+        return _now() - self._started > defaults.AGENT_FRESH_S
+
     def send_to_agent(self, server: Server, message: Any) -> bool:
         """Send a message to the agent beside a server; return whether it left."""
         link = self.agents.get(server.listed.address)
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -225,6 +225,8 @@
         self._change = intent
         spec = self._residency.model(intent.model)
         load_s = defaults.ENGINE_UNLOAD_S
+        if self._residency.in_flight(intent.model):
+            load_s = defaults.ENGINE_BUSY_UNLOAD_S
         if intent.loads and spec is not None:
             load_s = spec.remote_s
             if intent.model in status.in_memory:
@@ -307,7 +309,14 @@
             for report in reports
             if report.is_loading and report.changing not in report.on_disk
         )
+        directory_service = self.kernel.find("directory")
+        own_server = directory.at_address(self._address)
+        is_complete = own_server is not None and not directory.unheard(
+            own_server.listed.service, now, defaults.AGENT_FRESH_S
+        )
+        is_complete = is_complete and directory_service.is_settled()
         return FleetCopies(
+            is_complete,
             holders,
             frozenset(copies),
             tuple(sorted([*(report.address for report in reports), self._address])),
@@ -343,7 +352,9 @@
         status = self._status
         assert status is not None
         change = self._change
-        ready_s = max(self._change_ends - _now(), 0.0) if change else 0.0
+        ready_s = 0.0
+        if change is not None:
+            ready_s = max(self._change_ends - _now(), defaults.ENGINE_NOTICE_S)
         return EngineReport(
             self._address,
             status.born_ms,
--- a/src/jasminewharf/services/shares.py
+++ b/src/jasminewharf/services/shares.py
@@ -197,8 +197,11 @@
     ) -> TokensLent:
         wish = BorrowTokens(spec.name, cost, int(patience_s * defaults.MS_PER_S))
         try:
-            return await self.kernel.find("controllers").request(
-                FLEET_GROUP, wish, defaults.BORROW_TIMEOUT_S
+            return await self.kernel.find("controllers").request_repeatable(
+                FLEET_GROUP,
+                wish,
+                defaults.BORROW_TIMEOUT_S,
+                defaults.CONTROL_QUICK_ATTEMPT_S,
             )
         except (ConsensusError, LinkError) as error:
             self._metrics.count("rate_owner_unreachable_total")
@@ -227,8 +230,11 @@
         ]
         usage = ShareUsage(identity.node, identity.incarnation, demand)
         try:
-            answer = await self.kernel.find("controllers").request(
-                FLEET_GROUP, usage, defaults.CONTROL_ATTEMPT_S
+            answer = await self.kernel.find("controllers").request_repeatable(
+                FLEET_GROUP,
+                usage,
+                defaults.CONTROL_ATTEMPT_S,
+                defaults.CONTROL_QUICK_ATTEMPT_S,
             )
         except JasminewharfError as error:
             self._metrics.count("rate_share_failures_total")
