Refuse a stream whose model cannot be ready before its caller leaves

They are now refused as not run, with the time at which the model is expected; their return counts as demand.

--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -99,7 +99,11 @@
         waiting: Requests that wait for it.
         now: Seconds on the clock of the reports.
     """
-    places = [_appraise(s, model, waiting, now) for s in servers if s.report]
+    places = [
+        _appraise(server, model, waiting, now)
+        for server in servers
+        if server.report is not None and server.report.is_reachable
+    ]
     if not places:
         return None
     return min(places, key=lambda p: (p.cost, rank_by_hash(model.name, p.server.name)))
--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -26,6 +26,12 @@
 ]
 
 
+# A caller leaves a stream after the longest of these: seconds, targets, pauses.
+_PATIENCE_S = 2.0
+_PATIENCE_TARGETS = 4.0
+_PATIENCE_PAUSES = 8.0
+
+
 class ServiceWeight(NamedTuple):
     """A service and its share of a route's requests."""
 
@@ -38,6 +44,8 @@
 
     ``kind`` is safe, unsafe or stream. ``priority`` 0 is the most urgent.
     ``attempts`` is the largest number of backend servers that may run a request.
+    ``pause_s`` is the longest pause between the pieces of a stream that counts as in
+    time.
     """
 
     name: str
@@ -51,6 +59,16 @@
     attempts: int
     is_public: bool
     is_resumable: bool
+    pause_s: float = 0.0
+
+    @property
+    def patience_s(self) -> float:
+        """How long a caller waits for a piece of a stream before it leaves."""
+        return max(
+            _PATIENCE_S,
+            _PATIENCE_TARGETS * self.target_s,
+            _PATIENCE_PAUSES * self.pause_s,
+        )
 
     @property
     def is_idempotent(self) -> bool:
--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -195,7 +195,7 @@
         )
         if not is_same_life:
             return
-        if server.report_at != at:
+        if server.report_at != at and report.is_reachable:
             server.note_load(report.running, report.queued, at)
         server.report = report
         server.report_at = at
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -39,6 +39,7 @@
     loads: bool
     model: str
     adapter: str = ""
+    reason: str = "wanted"
 
 
 class FleetCopies(NamedTuple):
@@ -331,9 +332,9 @@
             return None
         model = min(mine, key=lambda name: rank_by_hash(copies.own, name))
         if self._free_mb(status) >= self._models[model].weights_mb:
-            return Intent(True, model)
+            return Intent(True, model, reason="copy")
         victim = self._choose_spare(status, copies, now)
-        return Intent(False, victim) if victim else None
+        return Intent(False, victim, reason="copy") if victim else None
 
     def _is_mine(self, model: str, copies: FleetCopies) -> bool:
         first = min(copies.engines, key=lambda name: rank_by_hash(model, name))
--- a/src/jasminewharf/decisions/urgency.py
+++ b/src/jasminewharf/decisions/urgency.py
@@ -7,17 +7,17 @@
 
 # A late answer is worth about a fifth of one in time to its caller.
 _LATE_WEIGHT = 0.2
-# Part of the deadline after which a late request counts in full again, so that a
-# stream of newer requests does not keep it waiting until its caller leaves.
-_OVERDUE_PART = 0.3
+# Part of a caller's patience after which a late request counts in full again, so that
+# newer requests do not keep it waiting until its caller leaves.
+_OVERDUE_PART = 0.6
 
 
 class Wait(NamedTuple):
-    """A waiting request: when it began, its target in seconds, its deadline."""
+    """A waiting request: when it began, its target, when its caller leaves."""
 
     since: float
     target_s: float
-    deadline: float
+    leaves_at: float
 
 
 def weigh_waits(waits: Iterable[Wait], ready_s: float, now: float) -> float:
@@ -35,5 +35,5 @@
     age_s = now - wait.since
     if age_s + ready_s <= wait.target_s:
         return 1.0
-    whole_s = wait.deadline - wait.since
-    return 1.0 if age_s > whole_s * _OVERDUE_PART else _LATE_WEIGHT
+    patience_s = wait.leaves_at - wait.since
+    return 1.0 if age_s > patience_s * _OVERDUE_PART else _LATE_WEIGHT
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -166,16 +166,19 @@
     def _record(
         self, call: CallHead | None, attempts: Attempts, outcome: str, started: float
     ) -> None:
+        table = self.kernel.find("view").table
+        workspace = table.find_workspace(call.key) if table and call else None
         elapsed_s = _now() - started
         self._metrics.count("requests_total", outcome=outcome)
         self._metrics.observe("request_seconds", elapsed_s, outcome=outcome)
-        table = self.kernel.find("view").table
         events.emit(
             _logger,
             events.REQUEST_ENDED,
             request_id=call.request_id if call else "",
             outcome=outcome,
             model=call.model if call else "",
+            workspace=workspace.name if workspace else "",
+            tokens=call.prompt_tokens + call.output_tokens if call else 0,
             sent=attempts.sent,
             runs=attempts.runs,
             elapsed_ms=int(elapsed_s * defaults.MS_PER_S),
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -75,6 +75,8 @@
 class EngineReport(NamedTuple):
     """What an agent knows of its engine; sent when it changes.
 
+    ``is_reachable`` is false while the engine does not answer its agent.
+
     ``changing`` is the model that an order is loading or unloading, with
     ``is_loading``; ``ready_ms`` is the estimate until the engine takes the next
     order. ``wanted`` lists models that wait for an order. ``room_cost`` is what making
@@ -82,6 +84,7 @@
     """
 
     address: str
+    is_reachable: bool
     born_ms: int
     models: list[HeldModel]
     changing: str
--- a/src/jasminewharf/platform/configurations.py
+++ b/src/jasminewharf/platform/configurations.py
@@ -42,6 +42,8 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    # The longest pause between events that counts as in time.
+    gap_target_ms: float = 0.0
 
 
 class _Model(msgspec.Struct, rename="camel"):
@@ -134,6 +136,7 @@
         max(route.max_attempts, 1),
         route.public,
         route.resumable,
+        route.gap_target_ms / _MS_PER_S,
     )
 
 
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -25,6 +25,13 @@
     ready: asyncio.Future[None]
 
 
+class _Returning(NamedTuple):
+    """A caller that was told to come back, and until when it counts."""
+
+    service: ServiceSpec
+    until: float
+
+
 class DemandService(Service):
     """Keeps requests that wait for a model, and tells agents of demand and use."""
 
@@ -36,6 +43,7 @@
         self._directory = kernel.find("directory").directory
         self._waiters: list[_Waiter] = []
         self._changes: list[asyncio.Future[None]] = []
+        self._returning: dict[str, list[_Returning]] = {}
         self._asked: dict[str, tuple[float, str]] = {}
         self._begun: dict[str, dict[str, int]] = {}
         self._used: set[str] = set()
@@ -65,34 +73,38 @@
         """Wait until an engine holds the job's model.
 
         Raises:
-            ModelUnavailable: If it cannot be loaded before the deadline.
+            ModelUnavailable: If it cannot be loaded before the caller leaves.
         """
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(
-            job.service,
-            job.call.model,
-            Wait(job.started, job.route.target_s, job.deadline),
-            future,
-        )
+        waiter = self._build_waiter(job)
         self._check(waiter, job.call.request_id)
         self._waiters.append(waiter)
         self._ask(waiter.service, waiter.model)
         try:
-            await future
+            async with asyncio.timeout_at(waiter.wait.leaves_at):
+                await waiter.ready
+        except TimeoutError:
+            raise self._refuse(waiter, self._estimate(waiter)) from None
         finally:
             self._waiters.remove(waiter)
 
+    def _build_waiter(self, job: Any) -> _Waiter:
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        leaves_at = job.deadline
+        if job.route.kind == "stream":
+            patience_s = job.route.patience_s * defaults.PATIENCE_PART
+            leaves_at = min(leaves_at, job.started + patience_s)
+        wait = Wait(job.started, job.route.target_s, leaves_at)
+        return _Waiter(job.service, job.call.model, wait, future)
+
     def _check(self, waiter: _Waiter, request_id: str) -> None:
         """Refuse at once what no load can serve in time."""
-        spec = _find_model(waiter.service, waiter.model)
-        if spec is None:
+        if _find_model(waiter.service, waiter.model) is None:
             raise ModelUnavailable(
                 f"the service has no model {waiter.model!r}",
                 retry_after_ms=defaults.MODEL_RETRY_MS,
             )
-        place = self._choose_place(waiter.service, spec)
-        ready_s = place.ready_s if place else 0.0
-        left_s = waiter.wait.deadline - _now()
+        ready_s = self._estimate(waiter)
+        left_s = waiter.wait.leaves_at - _now()
         events.emit(
             _logger,
             events.REQUEST_WAITS,
@@ -100,14 +112,38 @@
             model=waiter.model,
             ready_ms=int(ready_s * defaults.MS_PER_S),
             left_ms=int(left_s * defaults.MS_PER_S),
-            server=place.server.name if place else "",
+            waiting=len(self._waiters),
             list_age_ms=int((_now() - self._directory.list_at) * defaults.MS_PER_S),
         )
         if ready_s > left_s:
-            raise ModelUnavailable(
-                "the model cannot be loaded in time",
-                retry_after_ms=int(ready_s * defaults.MS_PER_S),
-            )
+            raise self._refuse(waiter, ready_s)
+
+    def _estimate(self, waiter: _Waiter) -> float:
+        """Return the seconds until the model is ready; 0 if nothing is known."""
+        spec = _find_model(waiter.service, waiter.model)
+        place = self._choose_place(waiter.service, spec) if spec else None
+        return place.ready_s if place else 0.0
+
+    def _refuse(self, waiter: _Waiter, ready_s: float) -> ModelUnavailable:
+        """Return a refusal; the load goes on, for when the caller comes back."""
+        back_s = ready_s + defaults.RETURN_MARGIN_S
+        returning = self._returning.setdefault(waiter.model, [])
+        returning.append(_Returning(waiter.service, _now() + back_s))
+        self._ask(waiter.service, waiter.model)
+        return ModelUnavailable(
+            "the model is not ready before the caller leaves",
+            retry_after_ms=int(back_s * defaults.MS_PER_S),
+        )
+
+    def _expected_back(self, model: str) -> int:
+        """Return how many refused callers of a model may still come back."""
+        now = _now()
+        kept = [item for item in self._returning.get(model, ()) if item.until > now]
+        if kept:
+            self._returning[model] = kept
+        else:
+            self._returning.pop(model, None)
+        return len(kept)
 
     def _choose_place(self, service: ServiceSpec, spec: ModelSpec) -> Any:
         now = _now()
@@ -134,41 +170,46 @@
         for change in changes:
             if not change.done():
                 change.set_result(None)
-        now = _now()
         wanted: dict[str, ServiceSpec] = {}
         for waiter in self._waiters:
-            servers = self._directory.in_service(waiter.service.name)
-            is_held = any(
-                not s.listed.is_leaving
-                and s.holds(waiter.model, now, defaults.AGENT_FRESH_S)
-                for s in servers
-            )
-            if not is_held:
+            if not self._is_held(waiter.service, waiter.model):
                 wanted[waiter.model] = waiter.service
             elif not waiter.ready.done():
                 waiter.ready.set_result(None)
+        for model, items in self._returning.items():
+            wanted.setdefault(model, items[0].service)
         for model, service in wanted.items():
             self._ask(service, model)
 
+    def _is_held(self, service: ServiceSpec, model: str) -> bool:
+        now = _now()
+        return any(
+            not server.listed.is_leaving
+            and server.holds(model, now, defaults.AGENT_FRESH_S)
+            for server in self._directory.in_service(service.name)
+        )
+
     def _ask(self, service: ServiceSpec, model: str) -> None:
         """Ask the agent where the model is ready first to load it."""
         spec = _find_model(service, model)
+        waits = [w.wait for w in self._waiters if w.model == model]
+        returning = self._expected_back(model)
+        is_held = not waits and self._is_held(service, model)
         place = self._choose_place(service, spec) if spec else None
-        if place is None:
+        if place is None or is_held or (not waits and not returning):
             return
         asked_at, asked = self._asked.get(model, (float("-inf"), ""))
         if asked == place.server.name and _now() - asked_at < defaults.WANT_REPEAT_S:
             return
-        waits = [w.wait for w in self._waiters if w.model == model]
-        urgency = weigh_waits(waits, place.ready_s, _now())
-        want = WantModel(model, len(waits), urgency)
+        urgency = weigh_waits(waits, place.ready_s, _now()) + returning
+        want = WantModel(model, len(waits) + returning, urgency)
         if self.kernel.find("directory").send_to_agent(place.server, want):
             self._asked[model] = (_now(), place.server.name)
 
     async def _repeat_forever(self) -> None:
         while True:
             await asyncio.sleep(defaults.WANT_REPEAT_S)
-            if self._waiters:
+            if self._waiters or self._returning:
                 self.review()
 
     # Use of the engines.
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -171,10 +171,20 @@
         except BackendError as error:
             if self._status is not None:
                 events.emit(_logger, events.ENGINE_LOST, error=error)
+                self._tell_lost()
             self._status = None
             return
         self._note_status(fresh)
 
+    def _tell_lost(self) -> None:
+        """Tell at once that the engine holds nothing that a request could use."""
+        if self._report is None:
+            return
+        self._report = self._report._replace(
+            is_reachable=False, models=[], changing="", wanted=[], ready_ms=0
+        )
+        self._send(self._report)
+
     def _note_status(self, fresh: EngineStatus) -> None:
         known = self._status
         if known is None or known.born_ms != fresh.born_ms:
@@ -275,6 +285,7 @@
             loads=intent.loads,
             model=intent.model,
             adapter=intent.adapter,
+            reason=intent.reason,
             expected=order.expected,
             fence=order.fence,
             outcome=outcome,
@@ -291,6 +302,7 @@
             server.report
             for server in directory.servers.values()
             if server.report is not None
+            and server.report.is_reachable
             and now - server.report_at <= defaults.AGENT_FRESH_S
             and server.listed.address != self._address
         ]
@@ -328,7 +340,12 @@
     # What entries are told.
 
     def _tell(self) -> None:
-        if self._server is None or self._status is None:
+        if self._server is None:
+            return
+        if self._status is None:
+            age_s = _now() - self._load_sent_at
+            if self._report is not None and age_s >= defaults.ENGINE_HEARTBEAT_S:
+                self._send(self._report)
             return
         report = self._build_report()
         if self._report is None or _strip_load(report) != _strip_load(self._report):
@@ -357,6 +374,7 @@
             ready_s = max(self._change_ends - _now(), defaults.ENGINE_NOTICE_S)
         return EngineReport(
             self._address,
+            True,
             status.born_ms,
             list(status.models),
             change.model if change else "",
