Lend rates per request from one owner instead of dividing them into shares

The owner now debits one bucket per workspace for each request, lends ahead while the bucket is well filled, and entries fall back to a small bucket of their own while the owner is silent.

--- /dev/null
+++ b/src/jasminewharf/decisions/lending.py
@@ -0,0 +1,179 @@
+"""Rates of workspaces over the whole fleet: one owner lends tokens per request.
+
+The owner keeps one bucket for each workspace and debits it before it answers, so that
+all entries together stay within rate and burst. An entry that gets no answer spends
+from an emergency bucket of its own, whose rate is so small that all of them together
+stay within the overrun that the deployment allows.
+"""
+
+import math
+from typing import NamedTuple
+
+from .configurations import WorkspaceSpec
+
+__all__ = ["Advance", "EmergencyBucket", "Loan", "OverrunLimits", "TokenLender"]
+
+# Part of the allowed overrun that the owner adds to the burst.
+_SLACK_PART = 0.4
+# Part of the burst with which an owner begins that takes over from another.
+_TAKEOVER_PART = 0.25
+# Part of a rate that all emergency buckets have together.
+_EMERGENCY_PART = 0.6
+# Seconds of its rate that an emergency bucket holds at most.
+_EMERGENCY_BURST_S = 2.0
+# Above this part of its size, a bucket lends more than is asked for.
+_PLENTY_PART = 0.5
+# How much more, in multiples of the request, and for how long.
+_ADVANCE_REQUESTS = 4.0
+_ADVANCE_S = 1.0
+# An entry counts as living for this long after it asked for tokens.
+_ENTRY_KEPT_S = 4.0
+_TINY = 1e-9
+
+
+class OverrunLimits(NamedTuple):
+    """What the deployment allows beyond rate and burst in each window."""
+
+    window_s: float
+    share: float
+    tokens: float
+
+    def slack(self, spec: WorkspaceSpec) -> float:
+        """Return the tokens beyond rate and burst that one window may see."""
+        return (spec.rate_per_s * self.window_s + spec.burst) * self.share + self.tokens
+
+
+class Loan(NamedTuple):
+    """The owner's answer.
+
+    ``wait_s`` is when lent tokens may be spent, or when to ask again. ``advance`` are
+    tokens beyond those asked for.
+    """
+
+    is_lent: bool
+    wait_s: float
+    advance: float
+
+
+class _Bucket:
+    def __init__(
+        self, spec: WorkspaceSpec, slack: float, now: float, *, is_full: bool
+    ) -> None:
+        self.spec = spec
+        self.slack = slack
+        self.level = self.size if is_full else spec.burst * _TAKEOVER_PART
+        self._at = now
+
+    @property
+    def size(self) -> float:
+        return self.spec.burst + self.slack
+
+    def refill(self, now: float) -> None:
+        earned = max(now - self._at, 0.0) * self.spec.rate_per_s
+        self.level = min(self.level + earned, self.size)
+        self._at = now
+
+
+class TokenLender:
+    """The owner's buckets.
+
+    Args:
+        limits: What the deployment allows beyond rate and burst.
+        now: When this owner began to lend.
+        is_first: Whether the fleet starts for the first time: buckets start full.
+            An owner that takes over does not know what the last one lent, and its
+            buckets start with a part of the burst.
+    """
+
+    def __init__(self, limits: OverrunLimits, now: float, *, is_first: bool) -> None:
+        self._limits = limits
+        self._began = now
+        self._is_first = is_first
+        self._buckets: dict[str, _Bucket] = {}
+        self._entries: dict[str, float] = {}
+
+    def count_entries(self, node: str, now: float) -> int:
+        """Note that an entry lives, and return how many do."""
+        self._entries[node] = now
+        old = now - _ENTRY_KEPT_S
+        for name in [name for name, at in self._entries.items() if at < old]:
+            del self._entries[name]
+        return len(self._entries)
+
+    def lend(
+        self, spec: WorkspaceSpec, tokens: float, patience_s: float, now: float
+    ) -> Loan:
+        """Lend ``tokens`` if the bucket has them within ``patience_s``."""
+        bucket = self._find_bucket(spec, now)
+        bucket.refill(now)
+        wait_s = max(tokens - bucket.level, 0.0) / max(spec.rate_per_s, _TINY)
+        if wait_s > patience_s:
+            return Loan(False, wait_s, 0.0)
+        bucket.level -= tokens
+        plenty = bucket.level - _PLENTY_PART * bucket.size
+        advance = max(min(tokens * _ADVANCE_REQUESTS, plenty / 2), 0.0)
+        bucket.level -= advance
+        return Loan(True, wait_s, advance)
+
+    def _find_bucket(self, spec: WorkspaceSpec, now: float) -> _Bucket:
+        slack = self._limits.slack(spec) * _SLACK_PART
+        bucket = self._buckets.get(spec.name)
+        if bucket is None:
+            bucket = _Bucket(spec, slack, self._began, is_full=self._is_first)
+            self._buckets[spec.name] = bucket
+        elif bucket.spec != spec:
+            bucket.refill(now)
+            bucket.spec = spec
+            bucket.slack = slack
+            bucket.level = min(bucket.level, bucket.size)
+        return bucket
+
+
+class Advance:
+    """Tokens that an entry was lent beyond a request; they expire."""
+
+    def __init__(self) -> None:
+        self._tokens = 0.0
+        self._until = -math.inf
+
+    def add(self, tokens: float, now: float) -> None:
+        """Take tokens; what an earlier loan left may be used as long."""
+        if now >= self._until:
+            self._tokens = 0.0
+        self._tokens += tokens
+        self._until = now + _ADVANCE_S
+
+    def take(self, tokens: float, now: float) -> bool:
+        """Spend ``tokens`` if they are there and have not expired."""
+        if now >= self._until or self._tokens < tokens:
+            return False
+        self._tokens -= tokens
+        return True
+
+
+class EmergencyBucket:
+    """What an entry may spend of a workspace's rate while the owner is silent."""
+
+    def __init__(self) -> None:
+        self._level = 0.0
+        self._at: float | None = None
+
+    def take(
+        self, spec: WorkspaceSpec, entries: int, tokens: float, now: float
+    ) -> float:
+        """Spend ``tokens`` and return 0, or return the seconds until they are there.
+
+        The level may fall below zero by one request: a small share of a small rate
+        would otherwise never hold a whole one.
+        """
+        rate = spec.rate_per_s * _EMERGENCY_PART / max(entries, 1)
+        if self._at is None:
+            self._level = rate * _EMERGENCY_BURST_S
+        else:
+            earned = max(now - self._at, 0.0) * rate
+            self._level = min(self._level + earned, rate * _EMERGENCY_BURST_S)
+        self._at = now
+        if self._level <= 0:
+            return -self._level / max(rate, _TINY) + _TINY
+        self._level -= tokens
+        return 0.0
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -431,15 +431,13 @@
 RETRY_SLACK_PART = 0.5
 RETRY_SHARE_PART = 0.8
 
-# Shares of rates.
+# Rates lent by the owner.
 BORROW_TIMEOUT_S = 0.5
+ENTRIES_GUESS = 10  # Before the owner has told the number.
+FOUNDING_S = 8.0  # How long after the first start nobody can have spent a rate.
+OWNER_SILENT_S = 0.3  # How long the owner is not asked after it gave no answer.
 RATE_PATIENCE_PART = 0.12  # Of the target: a wait that callers hardly see.
 RATE_RETRY_MIN_MS = 200
-SHARE_ENTRIES_GUESS = 10
-SHARE_HOLDER_PART = 0.9  # The holder's lease ends before the owner's.
-SHARE_INTERVAL_S = 0.5
-SHARE_LEASE_S = 4.0
-SHARE_SLACK_PART = 0.4
 
 # Stopping.
 DRAIN_NOTICE_S = 2.5  # Two questions of a balancer that asks once a second.
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -144,7 +144,6 @@
 SERVER_EJECTED = _define(854, logging.WARNING, "backend server ejected")
 RATE_REFUSED = _define(855, logging.INFO, "request over the workspace's rate")
 RATE_OWNER_SILENT = _define(856, logging.WARNING, "owner of the rates is silent")
-SHARES_EXPIRED = _define(857, logging.WARNING, "rate shares expired")
 
 # Engines beside an agent: 900 to 949.
 ENGINE_LOST = _define(900, logging.WARNING, "engine does not answer")
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -67,7 +67,7 @@
         "process",
         "feed",
         "view",
-        "shares",
+        "rates",
         "forwarder",
     )
 
@@ -262,12 +262,12 @@
     ) -> None:
         table = self.kernel.find("view").table
         route, workspace = admitted
-        shares = self.kernel.find("shares")
+        rates = self.kernel.find("rates")
         cost = 0.0
         if workspace is not None:
-            cost = shares.cost(workspace, call.prompt_tokens + call.output_tokens)
+            cost = rates.cost(workspace, call.prompt_tokens + call.output_tokens)
             patience_s = route.target_s * defaults.RATE_PATIENCE_PART
-            await shares.charge(workspace, cost, call.request_id, patience_s)
+            await rates.charge(workspace, cost, call.request_id, patience_s)
         outgoing = Outgoing(
             request.method,
             request.target,
@@ -282,7 +282,7 @@
             await self.kernel.find("forwarder").run(job, responder, attempts)
         except BaseException:
             if workspace is not None and not attempts.may_have_run:
-                shares.give_back(workspace, cost)
+                rates.give_back(workspace, cost)
             raise
 
 
--- a/src/jasminewharf/interfaces/roles.py
+++ b/src/jasminewharf/interfaces/roles.py
@@ -24,6 +24,7 @@
 from ..services.forwarding import Forwarder
 from ..services.gathering import Gathering
 from ..services.hostlist import HostList
+from ..services.lending import RateBorrower, RateLender
 from ..services.loader import Loader
 from ..services.log import CurveSettings, LogService, LogSettings
 from ..services.members import Members
@@ -40,7 +41,6 @@
 )
 from ..services.router import Router
 from ..services.serverlist import ServerListReader
-from ..services.shares import ShareHolder, ShareKeeper
 from ..services.traces import Traces
 from ..services.upstream import Upstream
 from ..services.view import ConfigurationView, ControlConfigurationView
@@ -219,7 +219,7 @@
             Reporter,
             ConfigurationView,
             DirectoryService,
-            ShareHolder,
+            RateBorrower,
             Upstream,
             DemandService,
             Forwarder,
@@ -266,7 +266,7 @@
             Gathering,
             ControlConfigurationView,
             ServerListReader,
-            ShareKeeper,
+            RateLender,
             ConfigurationService,
             Repair,
             OperatorHttp,
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -14,11 +14,9 @@
     "EnsureAdapter",
     "MembershipAnswer",
     "ModelUse",
-    "RateShares",
     "RequestMembership",
     "ServerListAge",
     "Servers",
-    "ShareUsage",
     "SubmitConfiguration",
     "TokensLent",
     "WantModel",
@@ -146,29 +144,8 @@
 
 
 @message(192)
-class ShareUsage(NamedTuple):
-    """An entry's demand in tokens a second and its present share per workspace."""
-
-    node: str
-    incarnation: int
-    demand: list[tuple[str, float, float]]
-
-
-@message(193)
-class RateShares(NamedTuple):
-    """Shares of the workspaces' rates for one entry, valid for ``lease_ms``.
-
-    ``entries`` is the number of entries that live.
-    """
-
-    lease_ms: int
-    entries: int
-    shares: list[tuple[str, float]]
-
-
-@message(194)
 class BorrowTokens(NamedTuple):
-    """An entry whose share is spent asks for a request's tokens from the reserve.
+    """An entry asks the owner of the rates for a request's tokens.
 
     ``patience_ms`` is how long the request may wait for them.
     """
@@ -178,12 +155,15 @@
     patience_ms: int
 
 
-@message(195)
+@message(193)
 class TokensLent(NamedTuple):
     """Answers :class:`BorrowTokens`.
 
-    ``wait_ms`` is when lent tokens may be spent, or when to ask again.
+    ``wait_ms`` is when lent tokens may be spent, or when to ask again; ``advance`` are
+    tokens beyond those asked for, ``entries`` the number of entries that live.
     """
 
     is_lent: bool
     wait_ms: int
+    advance: float
+    entries: int
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -77,7 +77,7 @@
         "view",
         "directory",
         "upstream",
-        "shares",
+        "rates",
         "demand",
     )
 
@@ -299,7 +299,7 @@
         budget = self._budgets.get(service)
         if budget is None:
             bounds = self.kernel.settings.fleet.bounds
-            entries = max(self.kernel.find("shares").entries, 1)
+            entries = max(self.kernel.find("rates").entries, 1)
             floor = bounds.retry_slack * defaults.RETRY_SLACK_PART / entries
             share = bounds.retry_share * defaults.RETRY_SHARE_PART
             budget = RetryBudget(share, floor, max(floor, 1.0) * 2)
