--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -34,6 +34,8 @@
         report: The agent's last report; None without an agent.
         report_at: When it came.
         missing: Models that it refused as absent, with the time.
+        heard_at: When the last bytes of an answer came from it.
+        avoided_until: Until when it gets no request because it fell silent.
     """
 
     def __init__(self, listed: ListedServer, found_at: float) -> None:
@@ -48,6 +50,9 @@
         self.report: EngineReport | None = None
         self.report_at = float("-inf")
         self.missing: dict[str, float] = {}
+        self.heard_at = float("-inf")
+        self.avoided_until = float("-inf")
+        self._busy_since = float("-inf")
 
     @property
     def name(self) -> str:
@@ -66,8 +71,16 @@
         self.load_at = now
         self.own_since_load = 0
 
-    def begin(self, model: str, adapter: str) -> None:
+    def silent_s(self, now: float) -> float:
+        """Return for how long requests in flight have brought no byte."""
+        if self.own == 0:
+            return 0.0
+        return now - max(self.heard_at, self._busy_since)
+
+    def begin(self, model: str, adapter: str, now: float) -> None:
         """Count a request that is sent there."""
+        if self.own == 0:
+            self._busy_since = now
         self.own += 1
         self.own_since_load += 1
         for name in _use_names(model, adapter):
@@ -84,7 +97,9 @@
                 self.own_by_model.pop(name, None)
 
     def holds(self, model: str, now: float, fresh_s: float) -> bool:
-        """Return whether the server is believed to hold a model that it may use."""
+        """Return whether the server is believed to hold a model, ready for requests."""
+        if now < self.avoided_until:
+            return False
         refused_at = self.missing.get(model, float("-inf"))
         if now - self.report_at <= fresh_s and self.report is not None:
             if refused_at > self.report_at:
--- a/src/jasminewharf/decisions/health.py
+++ b/src/jasminewharf/decisions/health.py
@@ -74,6 +74,13 @@
         self._eject(record, now)
         return True
 
+    def eject(self, backend: str, now: float) -> bool:
+        """Eject a server at once; return False if it is ejected already."""
+        if self.is_ejected(backend, now):
+            return False
+        self._eject(self._records.setdefault(backend, _Record()), now)
+        return True
+
     def is_ejected(self, backend: str, now: float) -> bool:
         """Return whether the server's ejection lasts, whatever the floor says."""
         record = self._records.get(backend)
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import socket
+import struct
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -14,6 +16,10 @@
 __all__ = ["ClientResponse", "HttpClient"]
 
 
+# Linger of zero seconds: the socket is reset when it is closed.
+_RESET = struct.pack("ii", 1, 0)
+
+
 class _Wire(asyncio.Protocol):
     """One connection; bytes that arrive between two requests belong to none."""
 
@@ -90,9 +96,17 @@
         return self.is_open and not has_unsent and not self.h11.trailing_data[0]
 
     def close(self) -> None:
-        """Close at once, so that the server sees that nobody waits."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Close at once, so that the server sees that nobody waits.
+
+        The reset also takes back what has not reached a server that is frozen or cut
+        off: it would run a request that nobody waits for.
+        """
+        if self._transport is None or self._is_lost:
+            return
+        connection = self._transport.get_extra_info("socket")
+        if connection is not None and self.idle_since is None:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self._transport.abort()
 
 
 class ClientResponse:
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -152,6 +152,7 @@
             server
             for server in self._directory.in_service(service.name)
             if not server.listed.is_leaving
+            and now >= server.avoided_until
             and server.report is not None
             and now - server.report_at <= defaults.AGENT_FRESH_S
         ]
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -91,6 +91,32 @@
         self._metrics = kernel.find("process").metrics
         self._random = kernel.find("process").random
 
+    async def start(self) -> None:
+        """Watch for servers that have fallen silent."""
+        self.spawn(self._watch_silence(), essential=True)
+
+    async def _watch_silence(self) -> None:
+        while True:
+            await asyncio.sleep(defaults.SILENCE_WATCH_S)
+            now = _now()
+            for server in self._directory.servers.values():
+                silent_s = server.silent_s(now)
+                # One request may simply take long; several at once do not.
+                limit_s = defaults.SERVER_SILENT_S * (1 if server.own > 1 else 2)
+                if silent_s <= limit_s:
+                    continue
+                server.avoided_until = now + defaults.SERVER_AVOIDED_S
+                if self._health.eject(server.name, now):
+                    self._metrics.count("servers_ejected_total")
+                    events.emit(
+                        _logger,
+                        events.SERVER_EJECTED,
+                        server=server.name,
+                        silent_ms=int(silent_s * defaults.MS_PER_S),
+                        in_flight=server.own,
+                    )
+                    self._demand.review()
+
     async def run(self, job: Job, sink: Sink, attempts: Attempts) -> None:
         """Have a request answered.
 
@@ -226,6 +252,7 @@
                 raise AnswerBroken(f"silent for {limit_s:.2f} s", began=True) from None
             if batch is None:
                 return
+            server.heard_at = _now()
             yield batch
 
     # What follows a failed attempt.
@@ -259,7 +286,13 @@
     def _note_result(self, server: Server, succeeded: bool) -> None:
         if self._health.record(server.name, succeeded, _now()):
             self._metrics.count("servers_ejected_total")
-            events.emit(_logger, events.SERVER_EJECTED, server=server.name)
+            events.emit(
+                _logger,
+                events.SERVER_EJECTED,
+                server=server.name,
+                silent_ms=0,
+                in_flight=server.own,
+            )
 
     def _check_next(self, job: Job, attempts: Attempts, error: BackendError) -> None:
         """Raise the final refusal unless the request may be tried again."""
@@ -310,7 +343,7 @@
 
     @contextlib.contextmanager
     def _in_flight(self, server: Server, job: Job) -> Iterator[None]:
-        server.begin(job.call.model, job.call.adapter)
+        server.begin(job.call.model, job.call.adapter, _now())
         self._demand.note_begun(server, job.call.model, job.call.adapter)
         try:
             yield
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -149,6 +149,7 @@
     async def _check(
         self, server: Server, response: ClientResponse, outgoing: Outgoing
     ) -> None:
+        server.heard_at = asyncio.get_running_loop().time()
         head = self._dialect.read_answer(response.status, response.headers)
         if head.request_id != outgoing.call.request_id:
             self._metrics.count("foreign_answers_total")
@@ -173,7 +174,8 @@
     def _find_client(self, server: Server) -> HttpClient:
         client = self._clients.get(server.name)
         if client is None or client.address != server.listed.address:
-            client = self._clients[server.name] = HttpClient(server.listed.address)
+            client = HttpClient(server.listed.address, defaults.SERVER_CONNECT_S)
+            self._clients[server.name] = client
         return client
 
     async def _tidy_forever(self) -> None:
