--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -32,6 +32,7 @@
     "KeyFileError",
     "KeyWithdrawn",
     "LeaseExpired",
+    "LinesNotFound",
     "LinkError",
     "LinkTimeout",
     "ListenFailed",
@@ -194,6 +195,10 @@
     """No span of the request is in the trace files."""
 
 
+class LinesNotFound(JasminewharfError):
+    """No log line of the request is in the files, or a file cannot be read."""
+
+
 class KeyFileError(JasminewharfError):
     """A file that holds a secret cannot be used.
 
--- a/src/jasminewharf/interfaces/exits.py
+++ b/src/jasminewharf/interfaces/exits.py
@@ -1,6 +1,6 @@
 """Exit codes of the command line programs, for scripts.
 
-docs/operations.md lists them; a test compares the two.
+docs/OPERATIONS.md lists them; a test compares the two.
 """
 
 from ..exceptions import (
@@ -8,6 +8,7 @@
     ConsensusError,
     JasminewharfError,
     KeyFileError,
+    LinesNotFound,
     LinkError,
     ListenFailed,
     MemberChangeRefused,
@@ -61,6 +62,7 @@
     (WaitTimeout, EXIT_TIMEOUT),
     (NotKnown, EXIT_NOT_FOUND),
     (TraceNotFound, EXIT_NOT_FOUND),
+    (LinesNotFound, EXIT_NOT_FOUND),
     (ListenFailed, EXIT_CANNOT_LISTEN),
     (ProposalRejected, EXIT_REJECTED),
     (MemberChangeRefused, EXIT_REJECTED),
--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -12,6 +12,7 @@
 from ..settings import LogFormat
 from .exits import find_exit_code
 from .tool_config import ConfigCommand
+from .tool_explain import ExplainCommand
 from .tool_keys import KeyCommand
 from .tool_members import MemberCommand
 from .tool_status import DrainCommand, StatusCommand
@@ -58,7 +59,7 @@
     description=(
         "Every subcommand explains itself with --help. Shell completion: "
         'eval "$(jasminewharf --completion generate)". '
-        "Exit codes are listed in docs/operations.md."
+        "Exit codes are listed in docs/OPERATIONS.md."
     ),
 )
 @dataclass
@@ -71,6 +72,7 @@
         | StatusCommand
         | DrainCommand
         | TraceCommand
+        | ExplainCommand
         | MemberCommand
         | RunCommand
     ]
--- a/src/jasminewharf/messages/control.py
+++ b/src/jasminewharf/messages/control.py
@@ -91,7 +91,7 @@
 
 @message(85)
 class StatusAnswer(NamedTuple):
-    """A JSON object; its fields are described in ``docs/operations.md``."""
+    """A JSON object; its fields are described in ``docs/OPERATIONS.md``."""
 
     body: bytes
 
--- a/src/jasminewharf/services/controllers.py
+++ b/src/jasminewharf/services/controllers.py
@@ -95,6 +95,9 @@
         deadline = loop.time() + timeout_s
         while (remaining := deadline - loop.time()) > 0:
             name = self._choose(group)
+            if not name:
+                # The only control host is this one, and it does not lead.
+                break
             try:
                 return await self.links[name].request(message, remaining)
             except NotLeader as error:
@@ -132,6 +135,7 @@
         raise QuorumLost(f"no leader of {group} answered within {timeout_s:g} s")
 
     def _choose(self, group: str) -> str:
+        """Return the control host to ask; an empty name if there is no other."""
         name = self._leaders.get(group)
         if name is not None and self.links[name].is_connected:
             return name
@@ -139,6 +143,8 @@
         now = asyncio.get_running_loop().time()
         heard = [n for n in connected if self._silent_until.get(n, now) <= now]
         connected = heard or connected
+        if not self.links:
+            return ""
         return self.kernel.find("process").random.choice(connected or list(self.links))
 
     def _note_leader(self, group: str, leader: str, asked: str) -> None:
--- a/src/jasminewharf/services/status.py
+++ b/src/jasminewharf/services/status.py
@@ -14,7 +14,7 @@
 
 
 def describe_fleet(kernel: Kernel, started: float) -> dict[str, Any]:
-    """Return the fields of ``jasminewharf status``; see docs/operations.md.
+    """Return the fields of ``jasminewharf status``; see docs/OPERATIONS.md.
 
     Args:
         kernel: A control host's kernel.
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -202,7 +202,8 @@
     ``dialect`` names the registered formats of the platform. ``seeds`` are addresses
     of some control hosts; internal ports count from ``first_port`` on all hosts.
     ``first_start`` is true only when the whole fleet starts with empty disks.
-    ``own_server`` is the backend server beside an agent.
+    ``own_server`` is the backend server beside an agent. ``metrics_port`` replaces the
+    internal port of the metrics.
     """
 
     dialect: str
@@ -215,6 +216,7 @@
     operator_listen: str = ""
     ready_listen: str = ""
     own_server: str = ""
+    metrics_port: Annotated[int, Range(0, _PORT_MAX)] = 0
     memory_limit_mb: Annotated[float, Range(0, 1_000_000_000)] = 0
     bounds: BoundSettings = BoundSettings()
 
@@ -234,7 +236,8 @@
     @property
     def metrics_listen(self) -> str:
         """Where a process serves its metrics."""
-        return f"{self.address}:{self.first_port + _METRICS_PORT}"
+        port = self.metrics_port or self.first_port + _METRICS_PORT
+        return f"{self.address}:{port}"
 
     @property
     def seed_ips(self) -> list[str]:
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,99 @@
+"""Where requests go, and where models are loaded for them."""
+
+from fleetparts import build_model, build_server
+from jasminewharf.decisions.choice import (
+    Preference,
+    choose_engine,
+    choose_load_place,
+    choose_plain,
+)
+from jasminewharf.dialects.fleet import HeldModel
+
+NOW = 10.0
+
+
+def servers_with(models, count=3, **report):
+    return [build_server(f"i-{n}", models, NOW, **report) for n in range(1, count + 1)]
+
+
+def test_requests_for_one_model_are_packed():
+    """Pattern: a hot model on many engines. The other copies make room."""
+    servers = servers_with(["m0"])
+    wanted = Preference("m0", "", "zone-a")
+    chosen = {choose_engine(servers, wanted).name for _ in range(10)}
+    assert len(chosen) == 1
+
+
+def test_packing_ends_where_the_slots_do():
+    """Pattern: one model takes more than one engine can run."""
+    servers = servers_with(["m0"])
+    wanted = Preference("m0", "", "zone-a")
+    first = choose_engine(servers, wanted)
+    first.note_load(40, 0, NOW)
+    assert choose_engine(servers, wanted) is not first
+
+
+def test_overload_goes_to_the_least_loaded():
+    servers = servers_with(["m0"])
+    for load, server in zip((48, 45, 60), servers, strict=True):
+        server.note_load(load, 0, NOW)
+    assert choose_engine(servers, Preference("m0", "", "")).load == 45
+
+
+def test_loaded_adapter_is_preferred():
+    held = HeldModel("m0", 1, ("a1",))
+    servers = [*servers_with(["m0"]), build_server("i-9", [held], NOW)]
+    assert choose_engine(servers, Preference("m0", "a1", "")).name == "i-9"
+
+
+def test_adapter_avoids_an_engine_whose_models_change():
+    """An engine takes no order for an adapter while a model loads: seconds of wait."""
+    changing = build_server("i-1", ["m0"], NOW, changing="m7", is_loading=True)
+    calm = build_server("i-2", ["m0"], NOW)
+    for adapter in ("a1", "a2", "a3", "a4", "a5", "a6"):
+        chosen = choose_engine([changing, calm], Preference("m0", adapter, ""))
+        assert chosen is calm
+
+
+def test_plain_request_stays_in_its_zone_while_that_has_room():
+    far, near = servers_with([], count=2)
+    far.listed = far.listed._replace(zone="zone-b", slots=6)
+    near.listed = near.listed._replace(zone="zone-a", slots=6)
+    near.note_load(2, 0, NOW)
+    assert choose_plain([far, near], "zone-a", 0.0) is near
+    near.note_load(6, 0, NOW)
+    assert choose_plain([far, near], "zone-a", 0.0) is far
+
+
+def test_copy_at_hand_decides_where_a_rare_model_is_loaded():
+    """Pattern: a rare model of which one engine has a copy on its disk."""
+    servers = servers_with([], count=3)
+    servers[1].report = servers[1].report._replace(on_disk=["m5"])
+    place = choose_load_place(servers, build_model("m5"), 1, NOW)
+    assert place.server is servers[1]
+    assert place.ready_s == 1.2
+
+
+def test_load_under_way_is_waited_for():
+    """Two entries that want one model must not have it loaded twice."""
+    servers = servers_with([], count=2)
+    servers[0].report = servers[0].report._replace(
+        changing="m5", is_loading=True, ready_ms=4_000
+    )
+    servers[1].report = servers[1].report._replace(on_disk=["m5"], room_cost=50.0)
+    place = choose_load_place(servers, build_model("m5"), 1, NOW)
+    assert place.server is servers[0]
+
+
+def test_engine_of_a_hot_model_is_spared():
+    """Pattern: rare requests beside a hot model, whose eviction costs more."""
+    hot, busy = servers_with([], count=2)
+    hot.report = hot.report._replace(on_disk=["m5"], room_cost=14.0)
+    busy.report = busy.report._replace(on_disk=["m5"], ready_ms=1_500, room_cost=0.1)
+    assert choose_load_place([hot, busy], build_model("m5"), 1, NOW).server is busy
+
+
+def test_unreachable_engine_loads_nothing():
+    dead, live = servers_with([], count=2)
+    dead.report = dead.report._replace(is_reachable=False, on_disk=["m5"])
+    assert choose_load_place([dead, live], build_model("m5"), 1, NOW).server is live
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -49,3 +49,128 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+def open_server(handle):
+    return asyncio.start_server(handle, "127.0.0.1", 0)
+
+
+def address_of(server):
+    return "{}:{}".format(*server.sockets[0].getsockname())
+
+
+def test_bytes_after_a_whole_answer_end_the_connection():
+    """They belong to no request; the next one would take them for its answer."""
+    heads = []
+
+    async def handle(reader, writer):
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            heads.append((head, writer))
+            answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+            writer.write(answer + (answer if len(heads) == 1 else b""))
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        for _ in range(2):
+            status, body = await client.fetch("GET", "/")
+            assert (status, body) == (200, b"ok")
+        assert heads[0][1] is not heads[1][1]
+        assert client.connections_opened == 2
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_late_bytes_on_a_kept_connection_end_it():
+    """An extra answer may come while the connection is idle."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        writer.write(answer)
+        await asyncio.sleep(0.02)
+        writer.write(answer)
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        await client.fetch("GET", "/")
+        await asyncio.sleep(0.06)
+        await client.fetch("GET", "/")
+        assert client.connections_opened == 2
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_request_that_may_not_repeat_avoids_an_old_connection():
+    """The server may have closed it; nobody would know whether the request ran."""
+
+    async def handle(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        await client.fetch("POST", "/", kept_idle_s=5.0)
+        await client.fetch("POST", "/", kept_idle_s=5.0)
+        assert client.connections_opened == 1
+        await asyncio.sleep(0.05)
+        await client.fetch("POST", "/", kept_idle_s=0.01)
+        assert client.connections_opened == 2
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_answer_without_a_length_that_is_reset_is_not_whole():
+    """A clean end completes it, a reset does not."""
+
+    async def handle(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if b"/reset" in head:
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        assert await client.fetch("GET", "/whole") == (200, b"half")
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_call_that_nobody_waits_for_is_reset():
+    """A frozen server would run what it finds in its buffers when it wakes."""
+    ended = []
+
+    async def handle(reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(1)
+            await reader.read(10)
+            ended.append("closed")
+        except ConnectionResetError:
+            ended.append("reset")
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        call = asyncio.create_task(client.open("POST", "/", [], b"x"))
+        await asyncio.sleep(0.05)
+        call.cancel()
+        await asyncio.sleep(0.05)
+        assert ended == ["reset"]
+        server.close()
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_configurations.py
@@ -0,0 +1,82 @@
+"""Whole configurations: what is valid, and which version is in force."""
+
+import pytest
+
+from fleetparts import (
+    build_configuration,
+    build_route,
+    build_workspace,
+)
+from jasminewharf.decisions.configurations import (
+    ServiceWeight,
+    check_configuration,
+)
+from jasminewharf.decisions.fleet import FleetState
+from jasminewharf.exceptions import ConfigurationRefused
+from jasminewharf.messages.commands import ReplaceConfiguration
+
+
+def put(state, index, version, body=b"x"):
+    return state.apply_message(index, ReplaceConfiguration(version, "highest", body))
+
+
+def test_valid_configuration_is_accepted():
+    check_configuration(build_configuration())
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        (
+            {"routes": (build_route(services=(ServiceWeight("gone", 1.0),)),)},
+            "no service",
+        ),
+        ({"routes": (build_route(), build_route())}, "two routes"),
+        (
+            {"routes": (build_route(services=(ServiceWeight("llm", 0.0),)),)},
+            "add up to 0",
+        ),
+        ({"routes": (build_route(timeout_s=0.0),)}, "timeout"),
+        (
+            {"workspaces": (build_workspace("a"), build_workspace("b"))},
+            "share a key",
+        ),
+    ],
+)
+def test_invalid_configuration_is_refused(changes, reason):
+    """An invalid configuration in force would lose its requests."""
+    with pytest.raises(ConfigurationRefused, match=reason):
+        check_configuration(build_configuration(**changes))
+
+
+def test_highest_version_wins_in_any_order():
+    """An older change that arrives late must not bring the old routes back."""
+    state = FleetState()
+    put(state, 1, 7, b"seven")
+    result = put(state, 2, 5, b"five")
+    assert result.error == ""
+    assert (state.configuration.version, state.configuration.body) == (7, b"seven")
+
+
+def test_equal_version_changes_nothing():
+    """A race under one version number has one content, on every host."""
+    state = FleetState()
+    put(state, 1, 7, b"first")
+    assert put(state, 2, 7, b"second").error == ""
+    assert state.configuration.body == b"first"
+
+
+def test_snapshot_keeps_the_configuration():
+    state = FleetState()
+    put(state, 1, 7, b"seven")
+    restored = FleetState()
+    restored.restore(state.snapshot())
+    assert restored.configuration == state.configuration
+    assert put(restored, 2, 6).text == "not newer"
+
+
+def test_patience_is_the_longest_of_three():
+    """Callers leave a stream after 2 s, four targets or eight pauses."""
+    assert build_route(target_s=0.5, pause_s=0.15).patience_s == 2.0
+    assert build_route(target_s=3.0, pause_s=0.15).patience_s == 12.0
+    assert build_route(target_s=0.5, pause_s=0.5).patience_s == 4.0
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -17,7 +17,7 @@
 
 LEASE_S = 3
 DOCS = Path(__file__).parent.parent / "docs"
-OPERATIONS = (DOCS / "operations.md").read_text(encoding="utf-8")
+OPERATIONS = (DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
 ENTRY = "127.0.0.21:8080"
 
 
@@ -232,7 +232,7 @@
 
 
 def test_control_hosts_restart_one_by_one_and_their_copies_are_restored(fleet):
-    """Follows "Upgrade in place" and "Back up and restore" of docs/operations.md."""
+    """Follows "Upgrade in place" and "Back up and restore" of docs/OPERATIONS.md."""
     hosts = ["control-1", "control-2", "control-3"]
     for host in hosts:
         assert fleet.stop(host) == 0, (host, fleet.logs()[-3000:])
@@ -259,7 +259,7 @@
 
 
 def test_link_keys_are_rotated_while_everything_runs(fleet, tmp_path):
-    """Follows "Rotate a link key" of docs/operations.md, for every role."""
+    """Follows "Rotate a link key" of docs/OPERATIONS.md, for every role."""
     keys = fleet.folder / "keys"
     for number, name in enumerate(["control-1", "control-2", "agent-1", "entry-1"]):
         role = name.partition("-")[0]
--- /dev/null
+++ b/tests/test_eventstream.py
@@ -0,0 +1,33 @@
+"""Cutting streams into whole events."""
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jasminewharf.decisions.eventstream import EventSplitter
+
+BODY = b"id: 1\ndata: a\n\nx-weights: 3\nid: 2\ndata: b\n\nid: 3\ndata: c"
+
+
+@given(st.lists(st.integers(1, len(BODY) - 1), max_size=8))
+def test_any_chunking_gives_the_same_events(cuts):
+    """A server may flush in the middle of an event, or several at once."""
+    splitter = EventSplitter()
+    edges = [0, *sorted(set(cuts)), len(BODY)]
+    events = []
+    for start, end in itertools.pairwise(edges):
+        events += splitter.feed(BODY[start:end])
+    assert [event.number for event in events] == [1, 2]
+    assert b"".join(event.data for event in events) + splitter.rest == BODY
+
+
+def test_partial_event_is_kept_back():
+    """A stream resumed elsewhere must not begin with half an event of the first."""
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\nda") == []
+    assert splitter.rest == b"id: 1\nda"
+
+
+def test_event_without_number_is_marked():
+    assert EventSplitter().feed(b"data: x\n\n")[0].number == -1
--- /dev/null
+++ b/tests/test_fleet_path.py
@@ -0,0 +1,481 @@
+"""The whole path of a fleet that finds its parts, over sockets on loopback.
+
+One control host, two entries and an agent beside each engine run in this process;
+list, replicas and operator are stand-ins that speak the platform's forms.
+"""
+
+import asyncio
+import itertools
+import json
+import os
+from contextlib import asynccontextmanager
+
+import pytest
+
+from jasminewharf.exceptions import BackendError
+from jasminewharf.interfaces.roles import build_kernel
+from jasminewharf.settings import parse_settings
+from platformfakes import FakeList, FakeReplica, send, stream_body
+from support import wait_until
+
+_PORTS = itertools.count(0)
+_FIRST_PORT = 21_000
+_PORTS_PER_FLEET = 10
+_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+
+KEY = ("api-key", "key-1")
+HOST = ("host", "a.example")
+
+
+def build_body(version=1, **changes):
+    models = [
+        {"name": f"m{n}", "weightsMb": 70_000, "loadS": 0.2, "diskS": 0.1, "warmS": 0.1}
+        for n in range(4)
+    ]
+    body = {
+        "version": version,
+        "routes": [
+            _route("chat", "stream", "llm", resumable=True, maxAttempts=2),
+            _route("plan", "stream", "llm", resumable=False),
+            _route("orders", "unsafe", "desk"),
+            _route("status", "safe", "desk", maxAttempts=2),
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "engine": {
+                    "slots": 8,
+                    "weightsMb": 150_000,
+                    "adapterSlots": 2,
+                    "loadsPerS": 4,
+                    "models": models,
+                },
+            },
+            {"name": "desk"},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 65_536,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [
+            {
+                "name": "guild",
+                "apiKeys": ["key-1"],
+                "priority": 1,
+                "unit": "tokens",
+                "plainTokens": 10,
+                "ratePerS": 100_000,
+                "burst": 100_000,
+            }
+        ],
+    }
+    return json.dumps({**body, **changes}).encode()
+
+
+def _route(name, kind, service, **changes):
+    route = {
+        "name": name,
+        "host": "a.example",
+        "pathPrefix": f"/{name}/",
+        "routeType": kind,
+        "timeoutMs": 5_000,
+        "targetLatencyMs": 500,
+        "gapTargetMs": 150,
+        "service": service,
+        "maxAttempts": 1,
+    }
+    return {**route, **changes}
+
+
+class Fleet:
+    """Addresses and stand-ins of a running fleet."""
+
+    def __init__(self, base, folder):
+        self.base = base
+        self.folder = folder
+        self.list = FakeList("127.0.0.1")
+        self.engines = [
+            FakeReplica("127.0.0.1", "i-e1", "llm", ["m0", "m1"]),
+            FakeReplica("127.0.0.1", "i-e2", "llm", ["m0"]),
+        ]
+        self.desks = [FakeReplica("127.0.0.1", f"i-d{n}", "desk") for n in (1, 2)]
+        self.kernels = []
+        self.operator = f"127.0.0.2:{base + 8}"
+        self.entries = [f"127.0.0.{n}:{base + 9}" for n in (3, 4)]
+        self.ready = f"127.0.0.3:{base + 7}"
+
+    def settings(self, ip, role, **fleet):
+        lines = [
+            f'node: "{ip}"',
+            f"role: {role}",
+            "zone: zone-a",
+            "control: []",
+            f'listen: "{ip}:{self.base + 9}"',
+            f'data_folder: "{self.folder}"' if role == "control" else "",
+            "timing: {election_timeout_s: 0.3}",
+            "fleet:",
+            "  dialect: platform",
+            f'  address: "{ip}"',
+            f'  seeds: ["127.0.0.2:{self.base + 8}"]',
+            f"  first_port: {self.base}",
+            "  first_start: true",
+            "  tolerated_losses: 0",
+            f'  list_address: "{self.list.address}"',
+            "  bounds: {grace_s: 3.0}",
+            *(f'  {name}: "{value}"' for name, value in fleet.items()),
+        ]
+        return parse_settings("\n".join(lines), "test.yaml")
+
+    async def start(self):
+        for fake in (self.list, *self.engines, *self.desks):
+            await fake.start()
+        self.list.replicas = [*self.engines, *self.desks]
+        await self.add("127.0.0.2", "control", operator_listen=self.operator)
+        await self.add("127.0.0.3", "entry", ready_listen=self.ready)
+        await self.add("127.0.0.4", "entry", ready_listen=f"127.0.0.4:{self.base + 7}")
+        for number, engine in enumerate(self.engines):
+            ip = f"127.0.0.{5 + number}"
+            await self.add(ip, "agent", own_server=engine.address)
+        await self.submit(build_body())
+        for kernel in self.kernels[1:3]:
+            await wait_until(kernel.find("gateway").is_ready)
+            directory = kernel.find("directory").directory
+            await wait_until(
+                lambda d=directory: (
+                    sum(s.report is not None for s in d.servers.values())
+                    == len(self.engines)
+                )
+            )
+
+    async def add(self, ip, role, **fleet):
+        kernel = build_kernel(self.settings(ip, role, **fleet))
+        await kernel.start()
+        self.kernels.append(kernel)
+
+    async def submit(self, body):
+        """Send a configuration until it is accepted or refused."""
+        while True:
+            status, _, answer = await send(
+                self.operator, "POST", "/Config.Put", [HOST], body
+            )
+            if status != 503:
+                return status, answer
+            await asyncio.sleep(0.05)
+
+    async def stop(self):
+        for kernel in reversed(self.kernels):
+            await asyncio.wait_for(kernel.stop(), 20)
+        for fake in (self.list, *self.engines, *self.desks):
+            await fake.stop()
+
+    async def call(self, target, *headers, entry=0, request_id="id-1", body=b"{}"):
+        method = "GET" if target.startswith("/status") else "POST"
+        head = [HOST, ("x-attempt-id", request_id), ("x-deadline-ms", "4000"), *headers]
+        if all(name != "api-key" for name, _ in headers):
+            head.append(KEY)
+        content = b"" if method == "GET" else body
+        return await send(self.entries[entry], method, target, head, content)
+
+    def runs(self, request_id):
+        replicas = [*self.engines, *self.desks]
+        return sum(replica.runs.count(request_id) for replica in replicas)
+
+
+@asynccontextmanager
+async def open_fleet(folder):
+    base = _FIRST_PORT + _WORKER * 1_000 + next(_PORTS) * _PORTS_PER_FLEET
+    fleet = Fleet(base, folder)
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+def run_with_fleet(scenario, tmp_path):
+    async def main():
+        async with open_fleet(tmp_path / "data") as fleet:
+            await scenario(fleet)
+
+    asyncio.run(main())
+
+
+MODEL = (("x-model", "m0"), ("x-token-counts", "100,20"))
+
+
+def test_requests_of_every_kind_are_served(tmp_path):
+    async def scenario(fleet):
+        status, headers, body = await fleet.call("/chat/x", *MODEL)
+        assert (status, body) == (200, stream_body())
+        assert headers["x-response-signature"].endswith(".id-1")
+        status, _, body = await fleet.call("/orders/1", request_id="id-2")
+        assert status == 200
+        assert body.endswith(b":id-2")
+        status, _, _ = await fleet.call("/status/1", request_id="id-3", entry=1)
+        assert status == 200
+        heads = [head for fake in fleet.engines for head in fake.heads]
+        assert heads[0]["x-tenant"] == "guild"
+        assert "api-key" not in heads[0]
+        assert int(heads[0]["x-deadline-ms"]) <= 4_000
+        status, _, _ = await send(fleet.ready, "GET", "/readiness", [])
+        assert status == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_absent_model_is_loaded_for_its_first_request(tmp_path):
+    async def scenario(fleet):
+        calls = [
+            fleet.call("/plan/x", ("x-model", "m3"), entry=n % 2, request_id=f"r{n}")
+            for n in range(4)
+        ]
+        answers = await asyncio.gather(*calls)
+        assert [status for status, _, _ in answers] == [200] * 4
+        loads = [
+            order
+            for engine in fleet.engines
+            for order in engine.orders
+            if order["model"] == "m3"
+        ]
+        assert len(loads) == 1
+        assert not any(engine.is_overfull for engine in fleet.engines)
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_adapter_is_loaded_before_its_request_is_sent(tmp_path):
+    async def scenario(fleet):
+        status, _, _ = await fleet.call("/chat/x", ("x-model", "m1/a1"))
+        assert status == 200
+        adapters = [o.get("adapter") for e in fleet.engines for o in e.orders]
+        assert "a1" in adapters
+        status, _, _ = await fleet.call("/chat/x", ("x-model", "m1/a2"))
+        status, _, _ = await fleet.call("/chat/x", ("x-model", "m1/a3"))
+        assert status == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_broken_stream_goes_on_at_another_engine(tmp_path):
+    """The caller gets each event once, under the headers of the first engine."""
+
+    async def scenario(fleet):
+        faults = ["break"]
+        for engine in fleet.engines:
+            engine.fails_next = faults
+        status, _, body = await fleet.call("/chat/x", *MODEL)
+        assert (status, body) == (200, stream_body())
+        assert fleet.runs("id-1") == 2
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_stream_that_may_not_resume_is_cut(tmp_path):
+    """Its end must not look complete, and no second engine may run it."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.fails_next = ["break"]
+        with pytest.raises(BackendError):
+            await fleet.call("/plan/x", *MODEL)
+        assert fleet.runs("id-1") == 1
+
+    run_with_fleet(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("fault", ["foreign", "short"])
+def test_order_whose_answer_is_lost_is_not_repeated(tmp_path, fault):
+    """It may have run: the caller is told so, with no promise."""
+
+    async def scenario(fleet):
+        for desk in fleet.desks:
+            desk.fails_next = [fault]
+        status, headers, _ = await fleet.call("/orders/1")
+        assert status == 502
+        assert "x-response-signature" not in headers
+        assert fleet.runs("id-1") == 1
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_order_refused_by_a_full_server_goes_to_another(tmp_path):
+    async def scenario(fleet):
+        for desk in fleet.desks:
+            desk.fails_next = ["full"]
+        status, _, _ = await fleet.call("/orders/1")
+        assert status == 200
+        assert fleet.runs("id-1") == 1
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_failed_lookup_is_tried_at_another_server(tmp_path):
+    async def scenario(fleet):
+        for desk in fleet.desks:
+            desk.fails_next = ["error"]
+        status, _, _ = await fleet.call("/status/1")
+        assert status in (200, 500)
+        assert fleet.runs("id-1") == 2
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_caller_that_leaves_ends_the_run(tmp_path):
+    """The replica must not work on for nobody, nor another one begin."""
+
+    async def scenario(fleet):
+        for desk in fleet.desks:
+            desk.fails_next = ["mute"]
+        call = asyncio.create_task(fleet.call("/status/1"))
+        await wait_until(lambda: fleet.runs("id-1") == 1)
+        call.cancel()
+        entry = fleet.kernels[1]
+        await wait_until(
+            lambda: (
+                not any(
+                    server.own
+                    for server in entry.find("directory").directory.servers.values()
+                )
+            )
+        )
+        await asyncio.sleep(0.3)
+        assert fleet.runs("id-1") == 1
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_routes_and_keys_decide_who_is_served(tmp_path):
+    async def scenario(fleet):
+        status, _, _ = await fleet.call("/none/x")
+        assert status == 404
+        status, _, _ = await fleet.call("/orders/1", ("api-key", "forged"))
+        assert status == 401
+        assert fleet.runs("id-1") == 0
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_configuration_is_in_force_at_every_entry_and_never_reverts(tmp_path):
+    async def scenario(fleet):
+        routes = [_route("new", "safe", "desk")]
+        status, _ = await fleet.submit(build_body(5, routes=routes))
+        assert status == 200
+        for entry in (0, 1):
+            kernel = fleet.kernels[1 + entry]
+            await wait_until(lambda k=kernel: k.find("view").table.version == 5)
+            status, _, _ = await fleet.call("/orders/1", entry=entry)
+            assert status == 404
+        assert (await fleet.submit(build_body(3)))[0] == 200
+        status, _, body = await send(fleet.operator, "GET", "/Config.Get", [HOST])
+        assert status == 200
+        assert json.loads(body)["version"] == 5
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_invalid_configuration_changes_nothing(tmp_path):
+    async def scenario(fleet):
+        for body in (b"{", build_body(9)[:-3], build_body(9, services=[])):
+            status, _ = await fleet.submit(body)
+            assert status == 400
+        _, _, body = await send(fleet.operator, "GET", "/Config.Get", [HOST])
+        assert json.loads(body)["version"] == 1
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_leaving_server_gets_no_new_request(tmp_path):
+    async def scenario(fleet):
+        leaving, staying = fleet.desks
+        leaving.state = "draining"
+        directories = [k.find("directory").directory for k in fleet.kernels[1:3]]
+        await wait_until(
+            lambda: all(d.servers["i-d1"].listed.is_leaving for d in directories)
+        )
+        before = len(leaving.runs)
+        for number in range(10):
+            await fleet.call("/orders/1", request_id=f"n{number}", entry=number % 2)
+        assert len(leaving.runs) == before
+        assert len(staying.runs) >= 10
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_rate_holds_over_all_entries(tmp_path):
+    """Two entries together must not admit twice the rate."""
+
+    async def scenario(fleet):
+        tenant = {
+            "name": "guild",
+            "apiKeys": ["key-1"],
+            "unit": "tokens",
+            "plainTokens": 100,
+            "ratePerS": 10,
+            "burst": 1_000,
+        }
+        await fleet.submit(build_body(2, tenants=[tenant]))
+        for kernel in fleet.kernels[1:3]:
+            await wait_until(lambda k=kernel: k.find("view").table.version == 2)
+        await asyncio.sleep(1.1)
+        answers = [
+            await fleet.call("/orders/1", request_id=f"n{n}", entry=n % 2)
+            for n in range(40)
+        ]
+        served = [status for status, _, _ in answers].count(200)
+        refused = [headers for status, headers, _ in answers if status == 429]
+        assert served <= 14
+        assert len(refused) == 40 - served
+        assert float(refused[0]["retry-after"]) > 0
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_entry_that_stops_answers_what_it_has_read(tmp_path):
+    """A request that waits for its model is refused as not run, never dropped."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.load_s = 30.0
+        waiting = asyncio.create_task(fleet.call("/plan/x", ("x-model", "m3")))
+        running = asyncio.create_task(fleet.call("/chat/x", *MODEL, request_id="id-2"))
+        entry = fleet.kernels[1]
+        demand = entry.find("demand")
+        await wait_until(lambda: demand._waiters)
+        fleet.kernels.remove(entry)
+        await asyncio.wait_for(entry.stop(), 10)
+        status, headers, _ = await waiting
+        assert status == 503
+        assert "retry-after" in headers
+        assert fleet.runs("id-1") == 0
+        assert (await running)[0] == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_stray_entries_of_the_list_are_passed_over(tmp_path):
+    async def scenario(fleet):
+        fleet.list.extra = [{"id": 5}, "odd", {"id": "i-x", "state": "ready"}]
+        reads = fleet.list.reads
+        await wait_until(lambda: fleet.list.reads > reads + 1)
+        status, _, _ = await fleet.call("/orders/1")
+        assert status == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_keys_are_in_no_log_line(tmp_path, caplog):
+    """Lines and metrics are read by people who must not see a caller's key."""
+
+    async def scenario(fleet):
+        await fleet.call("/chat/x", *MODEL)
+        await fleet.call("/orders/1", ("api-key", "planted-secret"))
+        metrics = fleet.kernels[1].find("process").metrics.render()
+        fields = [str(getattr(record, "fields", "")) for record in caplog.records]
+        for text in (metrics, *fields):
+            assert "key-1" not in text
+            assert "planted-secret" not in text
+
+    caplog.set_level("DEBUG", logger="jasminewharf")
+    run_with_fleet(scenario, tmp_path)
--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,119 @@
+"""Rates over the whole fleet."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fleetparts import build_workspace
+from jasminewharf.decisions.lending import (
+    Advance,
+    EmergencyBucket,
+    OverrunLimits,
+    TokenLender,
+)
+
+LIMITS = OverrunLimits(8.0, 0.1, 7_500.0)
+
+
+def allowed(spec, window_s=8.0):
+    owed = spec.rate_per_s * window_s + spec.burst
+    return owed * 1.1 + 7_500.0
+
+
+def spend(lender, spec, wishes):
+    """Return pairs of time and tokens that were lent, advances included."""
+    lent = []
+    now = 0.0
+    for pause, tokens in wishes:
+        now += pause
+        loan = lender.lend(spec, tokens, 0.0, now)
+        if loan.is_lent:
+            lent.append((now, tokens + loan.advance))
+    return lent
+
+
+def worst_window(lent, window_s=8.0):
+    return max(
+        (
+            sum(t for at, t in lent if start <= at < start + window_s)
+            for start, _ in lent
+        ),
+        default=0.0,
+    )
+
+
+@given(
+    st.lists(st.tuples(st.floats(0.0, 0.5), st.floats(100, 3_000)), max_size=120),
+    st.sampled_from([1_900.0, 10_000.0, 35_000.0]),
+)
+def test_no_window_exceeds_what_is_allowed(wishes, rate):
+    """Pattern: one workspace sends many times its rate at every entry."""
+    spec = build_workspace(rate=rate, burst=rate)
+    lender = TokenLender(LIMITS, 0.0, is_first=True)
+    assert worst_window(spend(lender, spec, wishes)) <= allowed(spec)
+
+
+def test_takeover_in_the_middle_of_an_overload_stays_within_the_window():
+    """Pattern: the owner is lost while a hot workspace spends all it may."""
+    spec = build_workspace(rate=20_000.0, burst=20_000.0)
+    wishes = [(0.01, 1_000.0)] * 400
+    lent = spend(TokenLender(LIMITS, 0.0, is_first=True), spec, wishes)
+    second = TokenLender(LIMITS, 4.0, is_first=False)
+    now = 4.0
+    for pause, tokens in wishes:
+        now += pause
+        loan = second.lend(spec, tokens, 0.0, now)
+        if loan.is_lent:
+            lent.append((now, tokens + loan.advance))
+    assert worst_window(lent) <= allowed(spec)
+
+
+def test_lowered_rate_binds_the_next_loan():
+    lender = TokenLender(LIMITS, 0.0, is_first=True)
+    spec = build_workspace(rate=50_000.0, burst=50_000.0)
+    assert lender.lend(spec, 1_000.0, 0.0, 0.0).is_lent
+    low = spec._replace(rate_per_s=100.0, burst=100.0)
+    total = sum(
+        1_000.0 for n in range(100) if lender.lend(low, 1_000.0, 0.0, n * 0.08).is_lent
+    )
+    assert total <= allowed(low)
+
+
+def test_calm_workspace_is_not_refused():
+    """Wrongful refusals weigh most: half of a rate must always pass."""
+    spec = build_workspace(rate=10_000.0, burst=10_000.0)
+    lender = TokenLender(LIMITS, 0.0, is_first=False)
+    wishes = [(0.2, 1_000.0)] * 100
+    assert len(spend(lender, spec, wishes)) == 100
+
+
+def test_short_wait_is_lent_ahead_and_a_long_one_refused():
+    spec = build_workspace(rate=1_000.0, burst=1_000.0)
+    lender = TokenLender(OverrunLimits(8.0, 0.0, 0.0), 0.0, is_first=True)
+    assert lender.lend(spec, 1_000.0, 0.0, 0.0) == (True, 0.0, 0.0)
+    loan = lender.lend(spec, 50.0, 0.06, 0.0)
+    assert loan.is_lent
+    assert loan.wait_s == 0.05
+    refused = lender.lend(spec, 500.0, 0.06, 0.0)
+    assert not refused.is_lent
+    assert refused.wait_s > 0.5
+
+
+def test_advance_expires():
+    """Tokens that an entry keeps for ever would add up to a second burst."""
+    advance = Advance()
+    advance.add(500.0, 0.0)
+    assert advance.take(200.0, 0.5)
+    assert not advance.take(200.0, 1.5)
+
+
+def test_emergency_buckets_together_stay_under_the_rate():
+    """Pattern: the owner is unreachable for all entries at once."""
+    spec = build_workspace(rate=10_000.0, burst=10_000.0)
+    entries = [EmergencyBucket() for _ in range(6)]
+    lent = []
+    for step in range(1_600):
+        now = step * 0.01
+        for bucket in entries:
+            if not bucket.take(spec, len(entries), 1_000.0, now):
+                lent.append((now, 1_000.0))
+    assert worst_window(lent) <= allowed(spec)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,280 @@
+"""The adapter: what stands on the platform's wire, in the product's types."""
+
+import json
+
+import pytest
+
+from jasminewharf.dialects.fleet import EngineOrder, ForwardedHead, PromptPart
+from jasminewharf.exceptions import BackendError, BadRequest, ConfigurationRefused
+from jasminewharf.platform import (
+    PlatformCallers,
+    PlatformEngines,
+    PlatformOperators,
+    PlatformServers,
+    read_configuration,
+)
+
+CALLERS = PlatformCallers()
+ENGINES = PlatformEngines()
+SERVERS = PlatformServers()
+
+
+def build_body(**changes):
+    body = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r-1",
+                "host": "a.example",
+                "pathPrefix": "/a/",
+                "routeType": "stream",
+                "timeoutMs": 12000,
+                "targetLatencyMs": 500,
+                "priority": 2,
+                "trafficSplit": [
+                    {"service": "llm", "weight": 90},
+                    {"service": "desk", "weight": 10},
+                ],
+                "maxAttempts": 2,
+                "public": False,
+                "sticky": True,
+                "resumable": True,
+                "gapTargetMs": 150,
+            }
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "healthCheck": "/health",
+                "maxConns": 300,
+                "engine": {
+                    "slots": 48,
+                    "weightsMb": 160000.0,
+                    "adapterSlots": 8,
+                    "loadsPerS": 3.2,
+                    "models": [
+                        {
+                            "name": "m0",
+                            "weightsMb": 65099.9,
+                            "loadS": 6.0,
+                            "adapters": 24,
+                            "adapterMb": 12.0,
+                            "warmS": 0.57,
+                            "diskS": 1.2,
+                        }
+                    ],
+                },
+            },
+            {"name": "desk", "healthCheck": "/health", "maxConns": 100},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [
+            {
+                "name": "guild",
+                "apiKeys": ["k1", "k2"],
+                "priority": 1,
+                "unit": "tokens",
+                "plainTokens": 200,
+                "ratePerS": 35386,
+                "burst": 35386,
+            }
+        ],
+        "somethingNew": {"ignored": True},
+    }
+    return json.dumps({**body, **changes}).encode()
+
+
+def test_configuration_is_translated():
+    configuration = read_configuration(build_body())
+    route = configuration.routes[0]
+    assert (route.timeout_s, route.target_s, route.pause_s) == (12.0, 0.5, 0.15)
+    assert route.is_idempotent
+    engine = configuration.services[0].engine
+    assert engine.models[0].memory_s == 0.57
+    assert engine.models[0].remote_s == 6.0
+    assert configuration.services[1].engine is None
+    assert configuration.workspaces[0].default_tokens == 200
+    assert configuration.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        build_body()[:-40],
+        build_body(version="7"),
+        build_body(routes=None),
+        build_body(services=[]),
+    ],
+)
+def test_unreadable_configuration_is_refused(body):
+    """Half a configuration must change nothing."""
+    with pytest.raises(ConfigurationRefused):
+        read_configuration(body)
+
+
+def test_operators_calls_are_named():
+    operators = PlatformOperators()
+    assert operators.read_call("POST", "/Config.Put") == "replace"
+    assert operators.read_call("GET", "/Config.Get?x=1") == "read"
+    assert operators.read_call("GET", "/Config.Put") == ""
+
+
+def test_call_head_is_read():
+    call = CALLERS.read_call(
+        "POST",
+        "/a/x?y=1",
+        [
+            ("host", "a.example"),
+            ("x-attempt-id", "id-1"),
+            ("x-model", "m0/a3"),
+            ("x-token-counts", "1460,80"),
+            ("x-prompt-prefix", "5c1e:800,91bd:410"),
+            ("x-deadline-ms", "12000"),
+            ("last-event-id", "0"),
+            ("api-key", "k1"),
+        ],
+    )
+    assert (call.model, call.adapter, call.path) == ("m0", "a3", "/a/x")
+    assert (call.prompt_tokens, call.output_tokens) == (1460, 80)
+    assert call.parts == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
+    assert (call.time_left_s, call.last_event, call.key) == (12.0, 0, "k1")
+
+
+def test_call_without_headers_has_defaults():
+    call = CALLERS.read_call("GET", "/a/", [("host", "a.example")])
+    assert (call.model, call.time_left_s, call.last_event) == ("", 0.0, -1)
+
+
+def test_header_that_is_no_number_is_a_bad_request():
+    with pytest.raises(BadRequest):
+        CALLERS.read_call("GET", "/", [("x-deadline-ms", "soon")])
+
+
+def test_key_and_system_headers_are_not_passed_on():
+    """A backend server must never see a key, nor a workspace that a caller claims."""
+    headers = [
+        ("host", "a.example"),
+        ("api-key", "k1"),
+        ("x-tenant", "forged"),
+        ("x-hold", "h"),
+        ("x-kv-backup", "1.2.3.4:1"),
+        ("kv-from", "1.2.3.4:1/x"),
+        ("kv-fetch", "1.2.3.4:1"),
+        ("x-pin-ms", "9"),
+        ("x-expect-instance", "i-9"),
+        ("x-request-priority", "0"),
+        ("connection", "keep-alive, x-secret"),
+        ("x-secret", "hop"),
+        ("x-attempt-id", "id-1"),
+        ("x-custom", "kept"),
+        ("x-deadline-ms", "9000"),
+    ]
+    head = CALLERS.forward_headers(headers, ForwardedHead("i-1", "guild", 1.5, 2, 4))
+    assert sorted(head) == sorted(
+        [
+            ("host", "a.example"),
+            ("x-attempt-id", "id-1"),
+            ("x-custom", "kept"),
+            ("x-deadline-ms", "1500"),
+            ("x-expect-instance", "i-1"),
+            ("x-tenant", "guild"),
+            ("x-request-priority", "2"),
+            ("last-event-id", "4"),
+        ]
+    )
+
+
+def test_answer_head_tells_what_the_server_promises():
+    full = CALLERS.read_answer(503, [("x-not-executed", "1"), ("x-attempt-id", "a")])
+    assert full.has_not_run
+    assert CALLERS.read_answer(421, []).has_not_run
+    assert not CALLERS.read_answer(503, []).has_not_run
+    answer = CALLERS.read_answer(
+        200, [("x-response-signature", "s"), ("x-server-load", "3,1,8")]
+    )
+    assert answer.is_genuine
+    assert (answer.running, answer.waiting, answer.slots) == (3, 1, 8)
+    assert CALLERS.read_answer(200, [("x-server-load", "many")]).running == -1
+    assert CALLERS.read_answer(200, [("content-encoding", "gzip")]).is_encoded
+
+
+def test_entries_of_another_writer_are_skipped_and_counted():
+    """They name no server, and must not hide the others."""
+    good = {
+        "id": "i-1",
+        "service": "llm",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "state": "draining",
+        "remainingMs": 1500,
+        "born": 12,
+        "models": [{"name": "m0", "version": 1, "adapters": ["a1"]}],
+    }
+    bad = [
+        {**good, "state": "odd"},
+        {**good, "address": "nowhere"},
+        {**good, "id": 5},
+        {"id": "i-2"},
+        "text",
+        None,
+    ]
+    body = json.dumps({"instances": [*bad, good], "nextToken": "p-2"}).encode()
+    page = SERVERS.read_page(200, body)
+    assert [server.server for server in page.servers] == ["i-1"]
+    assert (page.skipped, page.following) == (6, "p-2")
+    assert page.servers[0].is_leaving
+    assert page.servers[0].remaining_ms == 1500
+    with pytest.raises(BackendError):
+        SERVERS.read_page(429, b"")
+    assert SERVERS.fetch_page("p 2").target == "/instances?pageToken=p%202"
+
+
+def test_engine_report_is_read():
+    body = json.dumps(
+        {
+            "stage": "both",
+            "models": [{"name": "m0", "version": 1, "adapters": ["a1"]}],
+            "busy": True,
+            "seq": 5,
+            "queued": 1,
+            "running": 12,
+            "kvUsed": 41000,
+            "kvTotal": 90000,
+            "handles": 0,
+            "born": 77,
+            "atHand": {"inMemory": ["m0"], "onDisk": ["m1"]},
+            "incoming": ["m0/a2@1"],
+        }
+    ).encode()
+    status = ENGINES.read_status(200, body)
+    assert (status.is_busy, status.orders, status.born_ms) == (True, 5, 77)
+    assert status.incoming == (("m0", "a2"),)
+    assert (status.in_memory, status.on_disk) == (("m0",), ("m1",))
+    with pytest.raises(BackendError):
+        ENGINES.read_status(200, b"{}")
+
+
+def test_order_carries_count_holder_and_fence():
+    """An order that arrives late must find that another came before it."""
+    order = EngineOrder(True, "m0", "a3", 2, "10.0.0.9", 41)
+    call = ENGINES.give_order(order, "i-1")
+    assert json.loads(call.body) == {
+        "op": "load",
+        "model": "m0",
+        "adapter": "a3",
+        "expected": 2,
+        "holder": "10.0.0.9",
+        "fence": 41,
+    }
+    assert ("x-expect-instance", "i-1") in call.headers
+    assert ENGINES.read_order(202, b"").outcome == "accepted"
+    assert ENGINES.read_order(412, b"").outcome == "fenced"
+    assert ENGINES.read_order(500, b"").outcome == "refused"
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -12,7 +12,7 @@
 from jasminewharf.settings import load_settings, load_tool_settings
 
 ROOT = Path(__file__).parent.parent
-OPERATIONS = (ROOT / "docs" / "operations.md").read_text(encoding="utf-8")
+OPERATIONS = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
 
 
 @pytest.mark.parametrize("page", sorted(PAGES))
--- /dev/null
+++ b/tests/test_residency.py
@@ -0,0 +1,196 @@
+"""What an agent orders of its engine, for the loads that it meets."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fleetparts import WEIGHTS_MB, build_engine, build_status
+from jasminewharf.decisions.residency import FleetCopies, Residency
+from jasminewharf.dialects.fleet import HeldModel
+
+COMPLETE = FleetCopies(
+    True, {}, frozenset({"m0", "m1", "m2", "m3"}), ("own",), "own", 0, True
+)
+
+
+def build_residency(**engine):
+    residency = Residency()
+    residency.set_engine(build_engine(**engine))
+    return residency
+
+
+def use(residency, name, rate, start, seconds):
+    """Tell ``rate`` requests a second that each run for a moment."""
+    for step in range(int(seconds * 10)):
+        now = start + step * 0.1
+        residency.note_use("entry", [(name, 0, max(int(rate / 10), 1))], now)
+    return start + seconds
+
+
+def test_waiting_model_is_loaded_into_free_room():
+    residency = build_residency()
+    residency.note_want("entry", "m1", 1, 1.0, 5.0)
+    intent = residency.choose(build_status(["m0"]), COMPLETE, 5.0)
+    assert (intent.loads, intent.model) == (True, "m1")
+
+
+def test_nothing_is_ordered_while_an_order_is_carried_out():
+    """The engine would refuse it, and count it."""
+    residency = build_residency()
+    residency.note_want("entry", "m1", 1, 1.0, 5.0)
+    residency.note_adapter("m0", "a1", 5.0)
+    status = build_status(["m0"], is_busy=True)
+    assert residency.choose(status, COMPLETE, 5.0) is None
+
+
+def test_idle_model_makes_room_before_a_used_one():
+    residency = build_residency()
+    residency.choose(build_status(["m0", "m1"]), COMPLETE, 0.0)
+    now = use(residency, "m0", 10, 1.0, 3.0)
+    residency.note_want("entry", "m2", 1, 1.0, now)
+    intent = residency.choose(build_status(["m0", "m1"]), COMPLETE, now)
+    assert (intent.loads, intent.model) == (False, "m1")
+
+
+def test_hot_model_is_not_evicted_for_one_rare_request():
+    """Pattern: a hot model and many rare ones on one engine."""
+    residency = build_residency(places=1)
+    residency.choose(build_status(["m0"]), COMPLETE, 0.0)
+    now = use(residency, "m0", 17, 1.0, 5.0)
+    residency.note_want("entry", "m1", 1, 1.0, now)
+    assert residency.choose(build_status(["m0"]), COMPLETE, now + 0.1) is None
+    assert residency.room_cost(build_status(["m0"]), now) > 5.0
+
+
+def test_hot_model_that_fell_silent_makes_room():
+    """Pattern: the demand moves on to other models."""
+    residency = build_residency(places=1)
+    residency.choose(build_status(["m0"]), COMPLETE, 0.0)
+    now = use(residency, "m0", 17, 1.0, 5.0) + 8.0
+    residency.note_want("entry", "m1", 1, 1.0, now)
+    intent = residency.choose(build_status(["m0"]), COMPLETE, now)
+    assert intent.model == "m0"
+
+
+def test_two_waiting_models_do_not_replace_each_other_unserved():
+    """Pattern: more models wait than there are places.
+
+    A model that was just loaded stays until the requests that waited for it had time
+    to come.
+    """
+    residency = build_residency(places=1)
+    residency.choose(build_status([]), COMPLETE, 0.0)
+    residency.note_want("entry", "m0", 5, 5.0, 0.9)
+    residency.note_want("entry", "m1", 9, 9.0, 0.9)
+    assert residency.choose(build_status(["m0"]), COMPLETE, 1.0) is None
+    residency.note_use("entry", [("m0", 1, 1)], 1.1)
+    assert residency.choose(build_status(["m0"]), COMPLETE, 1.2) is None
+
+
+def test_more_urgent_model_is_loaded_first():
+    residency = build_residency()
+    residency.note_want("entry-1", "m1", 1, 0.2, 1.0)
+    residency.note_want("entry-1", "m2", 1, 1.0, 1.1)
+    residency.note_want("entry-2", "m2", 1, 1.0, 1.1)
+    assert residency.choose(build_status([]), COMPLETE, 1.2).model == "m2"
+
+
+def test_want_that_is_not_repeated_is_forgotten():
+    """Its callers have left: a load would serve nobody."""
+    residency = build_residency()
+    residency.note_want("entry", "m1", 1, 1.0, 1.0)
+    assert residency.wanted_models(3.0) == []
+
+
+def test_least_recently_used_adapter_makes_room():
+    residency = build_residency()
+    held = HeldModel("m0", 1, ("a1", "a2"))
+    residency.choose(build_status([held]), COMPLETE, 0.0)
+    residency.note_use("entry", [("m0/a1", 0, 1)], 3.0)
+    residency.note_adapter("m0", "a3", 4.0)
+    intent = residency.choose(build_status([held]), COMPLETE, 4.0)
+    assert (intent.loads, intent.adapter) == (False, "a2")
+
+
+def test_adapter_in_use_is_not_unloaded():
+    residency = build_residency()
+    held = HeldModel("m0", 1, ("a1", "a2"))
+    residency.choose(build_status([held]), COMPLETE, 0.0)
+    residency.note_use("entry", [("m0/a1", 1, 1), ("m0/a2", 1, 1)], 3.0)
+    residency.note_adapter("m0", "a3", 4.0)
+    assert residency.choose(build_status([held]), COMPLETE, 4.0) is None
+
+
+def test_adapters_on_their_way_count_towards_the_slots():
+    """An engine that is ordered more adapters than it has slots crashes."""
+    residency = build_residency()
+    held = HeldModel("m0", 1, ("a1",))
+    status = build_status([held], incoming=(("m0", "a2"),))
+    residency.choose(status, COMPLETE, 0.0)
+    residency.note_adapter("m0", "a3", 1.0)
+    intent = residency.choose(status, COMPLETE, 1.0)
+    assert intent is None or not intent.loads
+
+
+def test_missing_copy_is_fetched_only_when_all_engines_were_heard():
+    """Pattern: the fleet restarts.
+
+    What other engines have on disk is not known yet, and a load from the store blocks
+    the engine for seconds.
+    """
+    residency = build_residency()
+    unknown = COMPLETE._replace(with_copy=frozenset(), is_complete=False)
+    status = build_status([])
+    assert residency.choose(status, unknown, 0.0) is None
+    known = unknown._replace(is_complete=True)
+    assert residency.choose(status, known, 0.0).reason == "copy"
+
+
+def test_copies_are_not_fetched_while_requests_wait():
+    residency = build_residency(places=1)
+    copies = COMPLETE._replace(with_copy=frozenset({"m0"}))
+    residency.choose(build_status(["m0"]), copies, 0.0)
+    now = use(residency, "m0", 17, 1.0, 5.0)
+    residency.note_want("entry", "m1", 1, 1.0, now)
+    assert residency.choose(build_status(["m0"]), copies, now) is None
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["want", "use", "adapter", "step"]),
+            st.integers(0, 3),
+            st.integers(0, 3),
+        ),
+        max_size=80,
+    )
+)
+def test_orders_never_exceed_the_engine(actions):
+    """An engine that is ordered to hold more than fits crashes."""
+    residency = build_residency()
+    models: dict[str, set] = {}
+    now = 0.0
+    for kind, model, adapter in actions:
+        now += 0.4
+        name = f"m{model}"
+        if kind == "want":
+            residency.note_want("entry", name, 1, 1.0, now)
+        elif kind == "use":
+            residency.note_use("entry", [(name, adapter % 2, 1)], now)
+        elif kind == "adapter":
+            residency.note_adapter(name, f"a{adapter}", now)
+        status = build_status(
+            [HeldModel(m, 1, tuple(sorted(a))) for m, a in models.items()]
+        )
+        intent = residency.choose(status, COMPLETE, now)
+        if intent is None:
+            continue
+        if intent.adapter:
+            adapters = models[intent.model]
+            (adapters.add if intent.loads else adapters.discard)(intent.adapter)
+        elif intent.loads:
+            models[intent.model] = set()
+        else:
+            del models[intent.model]
+        used = sum(WEIGHTS_MB + 60.0 * len(held) for held in models.values())
+        assert used <= residency.spec.weights_mb
+        assert sum(map(len, models.values())) <= residency.spec.adapter_slots
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,56 @@
+"""Route look-up and splits."""
+
+from collections import Counter
+
+from fleetparts import build_configuration, build_route
+from jasminewharf.decisions.configurations import ServiceWeight
+from jasminewharf.decisions.routes import RouteTable
+
+
+def build_table(*routes):
+    return RouteTable(build_configuration(routes=routes))
+
+
+def test_longest_prefix_wins():
+    table = build_table(
+        build_route("short", prefix="/a/"), build_route("long", prefix="/a/b/")
+    )
+    assert table.find_route("a.example", "/a/b/c").name == "long"
+    assert table.find_route("a.example", "/a/bc").name == "short"
+    assert table.find_route("a.example", "/b/") is None
+
+
+def test_prefix_matches_whole_segments_only():
+    """A prefix ends with a slash: /ab is not under /a/."""
+    table = build_table(build_route(prefix="/a/"))
+    assert table.find_route("a.example", "/ab/c") is None
+    assert table.find_route("a.example", "/a") is None
+
+
+def test_host_decides_and_its_port_does_not():
+    table = build_table(build_route(prefix="/a/"))
+    assert table.find_route("A.example:8080", "/a/x") is not None
+    assert table.find_route("b.example", "/a/x") is None
+
+
+def test_split_follows_the_weights_and_is_stable():
+    """A request that is looked up again goes to the same service."""
+    services = (ServiceWeight("llm", 90), ServiceWeight("desk", 10))
+    table = build_table(build_route(services=services))
+    route = table.find_route("a.example", "/chat/x")
+    chosen = Counter(table.split(route, f"id-{n}").name for n in range(2_000))
+    assert 0.06 < chosen["desk"] / 2_000 < 0.14
+    assert table.split(route, "id-1") == table.split(route, "id-1")
+
+
+def test_service_of_weight_zero_gets_nothing():
+    services = (ServiceWeight("llm", 0), ServiceWeight("desk", 1))
+    table = build_table(build_route(services=services))
+    route = table.find_route("a.example", "/chat/x")
+    assert {table.split(route, f"id-{n}").name for n in range(200)} == {"desk"}
+
+
+def test_key_names_its_workspace():
+    table = RouteTable(build_configuration())
+    assert table.find_workspace("key-1").name == "guild"
+    assert table.find_workspace("") is None
