Let models in use make room only for long waits; count only more urgent loads ahead

Cause: an unload of a model in use waits for its runs (up to 4 s) and blocks the engine's other orders, adapters among them; and a model to which demand moves was refused for a queue of late requests that it would pass. Ruled out: too few copies at hand (3 of 70 loads came from the store).

--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -11,6 +11,7 @@
 __all__ = [
     "LoadPlace",
     "Preference",
+    "Waiting",
     "choose_engine",
     "choose_load_place",
     "choose_plain",
@@ -19,6 +20,7 @@
 
 # Share of an engine's slots up to which requests for a model are kept together.
 _PACK_SHARE = 0.6
+_STAY_PART = 0.7
 # One more model that waits there for an order: a load from disk.
 _WAITING_MODEL_S = 1.3
 
@@ -88,15 +90,22 @@
     cost: float
 
 
+class Waiting(NamedTuple):
+    """Requests that wait for a model: their number, and what they are worth."""
+
+    requests: int
+    urgency: float
+
+
 def choose_load_place(
-    servers: Sequence[Server], model: ModelSpec, waiting: int, now: float
+    servers: Sequence[Server], model: ModelSpec, waiting: Waiting, now: float
 ) -> LoadPlace | None:
     """Return where loading a model costs least; the same on all nodes as a rule.
 
     Args:
         servers: Engines of the service with a fresh report.
         model: The model.
-        waiting: Requests that wait for it.
+        waiting: The requests that wait for it.
         now: Seconds on the clock of the reports.
     """
     places = [
@@ -109,26 +118,30 @@
     return min(places, key=lambda p: (p.cost, rank_by_hash(model.name, p.server.name)))
 
 
-def _appraise(server: Server, model: ModelSpec, waiting: int, now: float) -> LoadPlace:
-    ready_s = _estimate(server, model, now)
+def _appraise(
+    server: Server, model: ModelSpec, waiting: Waiting, now: float
+) -> LoadPlace:
+    ready_s = _estimate(server, model, waiting.urgency, now)
     report = server.report
     assert report is not None
     is_under_way = report.changing == model.name and report.is_loading
     room_cost = 0.0 if is_under_way else report.room_cost
-    return LoadPlace(server, ready_s, max(waiting, 1) * ready_s + room_cost)
+    return LoadPlace(server, ready_s, max(waiting.requests, 1) * ready_s + room_cost)
 
 
-def _estimate(server: Server, model: ModelSpec, now: float) -> float:
+def _estimate(server: Server, model: ModelSpec, urgency: float, now: float) -> float:
     report = server.report
     assert report is not None
     busy_s = max(report.ready_ms / 1_000.0 - (now - server.report_at), 0.0)
     if report.changing == model.name and report.is_loading:
         return min(busy_s, 0.001)
     own_s = _load_time(report.in_memory, report.on_disk, model)
-    if model.name in report.wanted:
-        ahead = report.wanted.index(model.name)
-        return (busy_s + own_s + ahead * _WAITING_MODEL_S) * 0.5
-    return busy_s + own_s + len(report.wanted) * _WAITING_MODEL_S
+    others = [weight for name, weight in report.wanted if name != model.name]
+    is_wanted_there = len(others) < len(report.wanted)
+    ahead = sum(1 for weight in others if weight >= urgency)
+    ready_s = busy_s + own_s + ahead * _WAITING_MODEL_S
+    # A model that waits at one agent is not moved to another for a small gain.
+    return ready_s * _STAY_PART if is_wanted_there else ready_s
 
 
 def _load_time(
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -23,7 +23,9 @@
 # A load from disk with the unload before it: how long a model that made room lacks.
 _RETURN_S = 1.4
 # How long running requests keep an unload waiting, on average.
-_RUN_S = 1.5
+_RUN_S = 1.0
+# How long a request waits for a model to fall idle before one in use makes room.
+_PATIENCE_S = 3.0
 # A model idle for this long makes room for one of which there is no copy.
 _IDLE_S = 2.0
 # Holders that a model placed on many engines keeps when others make room.
@@ -153,10 +155,10 @@
         self._adapters_wanted[(model, adapter)] = now
         self._used_at[f"{model}/{adapter}"] = now
 
-    def wanted_models(self, now: float) -> list[str]:
+    def wanted_models(self, now: float) -> list[tuple[str, float]]:
         """Return the models that requests wait for and that are not held.
 
-        The most urgent one is the first.
+        Each comes with its urgency, the most urgent one first.
         """
         waiting: list[tuple[float, float, str]] = []
         for model, wants in list(self._wants.items()):
@@ -170,7 +172,7 @@
                 urgency = sum(want.urgency for want in wants.values())
                 since = min(want.since for want in wants.values())
                 waiting.append((-urgency, since, model))
-        return [model for _, _, model in sorted(waiting)]
+        return [(model, -urgency) for urgency, _, model in sorted(waiting)]
 
     def in_flight(self, name: str) -> int:
         """Return the requests of all entries in flight for a model or adapter."""
@@ -190,7 +192,7 @@
         if intent is not None:
             return intent
         wanted = self.wanted_models(now)
-        for model in wanted:
+        for model, _ in wanted:
             intent = self._make_way(model, status, now)
             if intent is not None:
                 return intent
@@ -257,10 +259,15 @@
 
     def _choose_victim(self, model: str, status: EngineStatus, now: float) -> str:
         """Return the model whose end costs least, if the waiting one is worth it."""
+        since = min(want.since for want in self._wants[model].values())
+        # An unload waits for the running requests and blocks all other orders: what
+        # is in use makes room only when nothing has fallen idle for long.
+        is_pressing = now - since > _PATIENCE_S
         held = [
             item.model
             for item in status.models
             if not self._is_settling(item.model, now)
+            and (is_pressing or not self.in_flight(item.model))
         ]
         if not held:
             return ""
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -77,8 +77,9 @@
 
     ``changing`` is the model that an order is loading or unloading, with
     ``is_loading``; ``ready_ms`` is the estimate until the engine takes the next
-    order. ``wanted`` lists models that wait for an order. ``room_cost`` is what making
-    room for one more model would cost other requests, in request-seconds.
+    order. ``wanted`` lists models that wait for an order, each with its urgency.
+    ``room_cost`` is what making room for one more model would cost other requests, in
+    request-seconds.
     """
 
     address: str
@@ -88,7 +89,7 @@
     changing: str
     is_loading: bool
     ready_ms: int
-    wanted: list[str]
+    wanted: list[tuple[str, float]]
     room_cost: float
     in_memory: list[str]
     on_disk: list[str]
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -5,7 +5,7 @@
 from typing import Any, ClassVar, NamedTuple
 
 from .. import defaults, events
-from ..decisions.choice import choose_load_place
+from ..decisions.choice import Waiting, choose_load_place
 from ..decisions.configurations import ModelSpec, ServiceSpec
 from ..decisions.directory import Server
 from ..decisions.urgency import Wait, weigh_waits
@@ -147,7 +147,11 @@
 
     def _choose_place(self, service: ServiceSpec, spec: ModelSpec) -> Any:
         now = _now()
-        waiting = sum(1 for waiter in self._waiters if waiter.model == spec.name)
+        waits = [w.wait for w in self._waiters if w.model == spec.name]
+        returning = self._expected_back(spec.name)
+        # The load itself has not begun: what it could serve in time at best.
+        urgency = weigh_waits(waits, spec.memory_s, now) + returning
+        waiting = Waiting(len(waits) + returning, max(urgency, 1.0))
         servers = [
             server
             for server in self._directory.in_service(service.name)
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -193,6 +193,8 @@
                 events.ENGINE_FOUND,
                 born_ms=fresh.born_ms,
                 models=[held.model for held in fresh.models],
+                in_memory=list(fresh.in_memory),
+                on_disk=list(fresh.on_disk),
             )
             self._change = None
         elif [h.model for h in known.models] != [h.model for h in fresh.models]:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,6 +3,7 @@
 from fleetparts import build_model, build_server
 from jasminewharf.decisions.choice import (
     Preference,
+    Waiting,
     choose_engine,
     choose_load_place,
     choose_plain,
@@ -10,6 +11,7 @@
 from jasminewharf.dialects.fleet import HeldModel
 
 NOW = 10.0
+ONE = Waiting(1, 1.0)
 
 
 def servers_with(models, count=3, **report):
@@ -69,7 +71,7 @@
     """Pattern: a rare model of which one engine has a copy on its disk."""
     servers = servers_with([], count=3)
     servers[1].report = servers[1].report._replace(on_disk=["m5"])
-    place = choose_load_place(servers, build_model("m5"), 1, NOW)
+    place = choose_load_place(servers, build_model("m5"), ONE, NOW)
     assert place.server is servers[1]
     assert place.ready_s == 1.2
 
@@ -81,7 +83,7 @@
         changing="m5", is_loading=True, ready_ms=4_000
     )
     servers[1].report = servers[1].report._replace(on_disk=["m5"], room_cost=50.0)
-    place = choose_load_place(servers, build_model("m5"), 1, NOW)
+    place = choose_load_place(servers, build_model("m5"), ONE, NOW)
     assert place.server is servers[0]
 
 
@@ -90,10 +92,23 @@
     hot, busy = servers_with([], count=2)
     hot.report = hot.report._replace(on_disk=["m5"], room_cost=14.0)
     busy.report = busy.report._replace(on_disk=["m5"], ready_ms=1_500, room_cost=0.1)
-    assert choose_load_place([hot, busy], build_model("m5"), 1, NOW).server is busy
+    assert choose_load_place([hot, busy], build_model("m5"), ONE, NOW).server is busy
 
 
 def test_unreachable_engine_loads_nothing():
     dead, live = servers_with([], count=2)
     dead.report = dead.report._replace(is_reachable=False, on_disk=["m5"])
-    assert choose_load_place([dead, live], build_model("m5"), 1, NOW).server is live
+    assert choose_load_place([dead, live], build_model("m5"), ONE, NOW).server is live
+
+
+def test_urgent_model_passes_those_that_are_late_already():
+    """Pattern: demand moves to a model that nobody holds.
+
+    Its many requests would be refused at once if the queue of late ones counted.
+    """
+    queue = [("m6", 0.2), ("m7", 0.4)]
+    server = build_server("i-1", [], NOW, on_disk=["m5"], wanted=queue)
+    place = choose_load_place([server], build_model("m5"), Waiting(9, 9.0), NOW)
+    assert place.ready_s == 1.2
+    place = choose_load_place([server], build_model("m5"), Waiting(1, 0.2), NOW)
+    assert place.ready_s > 3.0
