--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -15,11 +15,14 @@
     "choose_engine",
     "choose_load_place",
     "choose_plain",
+    "count_excess",
     "rank_by_hash",
 ]
 
 # Share of an engine's slots up to which requests for a model are kept together.
 _PACK_SHARE = 0.6
+# Share of the slots beyond which first events come late and memory runs out.
+_FULL_SHARE = 0.75
 _STAY_PART = 0.7
 # One more model that waits there for an order: a load from disk.
 _WAITING_MODEL_S = 1.3
@@ -58,6 +61,19 @@
     return min(with_room, key=lambda s: rank_by_hash(key, s.name))
 
 
+def count_excess(servers: Sequence[Server]) -> int:
+    """Return how many requests at a model's engines another copy could take over.
+
+    Args:
+        servers: The engines that hold the model.
+
+    Returns:
+        0 while the least loaded of them has room.
+    """
+    least = min(servers, key=lambda s: s.load / max(s.listed.slots, 1))
+    return max(least.load - int(_FULL_SHARE * least.listed.slots), 0)
+
+
 def choose_plain(servers: Sequence[Server], zone: str, random: float) -> Server:
     """Return the least loaded server, of equal ones one in the own zone.
 
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -44,6 +44,7 @@
         self._waiters: list[_Waiter] = []
         self._changes: list[asyncio.Future[None]] = []
         self._returning: dict[str, list[_Returning]] = {}
+        self._copies_asked: dict[str, tuple[float, str]] = {}
         self._asked: dict[str, tuple[float, str]] = {}
         self._begun: dict[str, dict[str, int]] = {}
         self._used: set[str] = set()
@@ -152,14 +153,7 @@
         # The load itself has not begun: what it could serve in time at best.
         urgency = weigh_waits(waits, spec.memory_s, now) + returning
         waiting = Waiting(len(waits) + returning, max(urgency, 1.0))
-        servers = [
-            server
-            for server in self._directory.in_service(service.name)
-            if not server.listed.is_leaving
-            and now >= server.avoided_until
-            and server.report is not None
-            and now - server.report_at <= defaults.AGENT_FRESH_S
-        ]
+        servers = self._loading_places(service)
         place = choose_load_place(servers, spec, waiting, now)
         is_remote = place is not None and place.ready_s >= spec.remote_s
         # An engine whose agent is just starting may have a copy at hand.
@@ -169,6 +163,18 @@
             return None
         return place
 
+    def _loading_places(self, service: ServiceSpec) -> list[Server]:
+        """Return the engines of a service whose agents can be asked to load."""
+        now = _now()
+        return [
+            server
+            for server in self._directory.in_service(service.name)
+            if not server.listed.is_leaving
+            and now >= server.avoided_until
+            and server.report is not None
+            and now - server.report_at <= defaults.AGENT_FRESH_S
+        ]
+
     def review(self) -> None:
         """Let requests go on whose model is held, and ask again for the others."""
         changes, self._changes = self._changes, []
@@ -186,6 +192,27 @@
         for model, service in wanted.items():
             self._ask(service, model)
 
+    def ask_copy(self, service: ServiceSpec, model: str, excess: int) -> None:
+        """Ask for one more copy of a model whose engines are full."""
+        spec = _find_model(service, model)
+        asked_at, _ = self._copies_asked.get(model, (float("-inf"), ""))
+        if spec is None or _now() - asked_at < defaults.WANT_REPEAT_S:
+            return
+        now = _now()
+        servers = [
+            server
+            for server in self._loading_places(service)
+            if not server.holds(model, now, defaults.AGENT_FRESH_S)
+        ]
+        place = choose_load_place(servers, spec, Waiting(excess, float(excess)), now)
+        # What a copy from the store brings comes too late for most bursts.
+        if place is None or place.ready_s >= spec.remote_s:
+            return
+        self._copies_asked[model] = (now, place.server.name)
+        want = WantModel(model, excess, float(excess))
+        self.kernel.find("directory").send_to_agent(place.server, want)
+        self._metrics.count("model_copies_asked_total")
+
     def _is_held(self, service: ServiceSpec, model: str) -> bool:
         now = _now()
         return any(
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -8,7 +8,12 @@
 
 from .. import defaults, events
 from ..decisions.attempts import Attempts, silence_limit_s
-from ..decisions.choice import Preference, choose_engine, choose_plain
+from ..decisions.choice import (
+    Preference,
+    choose_engine,
+    choose_plain,
+    count_excess,
+)
 from ..decisions.configurations import Route, ServiceSpec, WorkspaceSpec
 from ..decisions.directory import Server
 from ..decisions.eventstream import StreamEvent
@@ -392,6 +397,9 @@
             if not holders:
                 await self._demand.wait_model(job)
                 continue
+            excess = count_excess(holders)
+            if excess:
+                self._demand.ask_copy(job.service, job.call.model, excess)
             server = choose_engine(holders, wanted)
             if not job.call.adapter or await self._ensure_adapter(server, job):
                 return server
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,6 +7,7 @@
     choose_engine,
     choose_load_place,
     choose_plain,
+    count_excess,
 )
 from jasminewharf.dialects.fleet import HeldModel
 
@@ -112,3 +113,14 @@
     assert place.ready_s == 1.2
     place = choose_load_place([server], build_model("m5"), Waiting(1, 0.2), NOW)
     assert place.ready_s > 3.0
+
+
+def test_full_engines_ask_for_another_copy():
+    """Pattern: a burst on a hot model that one engine holds."""
+    server = build_server("i-1", ["m0"], NOW)
+    server.note_load(20, 0, NOW)
+    assert count_excess([server]) == 0
+    server.note_load(48, 12, NOW)
+    assert count_excess([server]) == 24
+    second = build_server("i-2", ["m0"], NOW)
+    assert count_excess([server, second]) == 0
