Count the unload in the cost of room; drop settings that nothing reads

Cause: an idle model and free room cost the same, so that a load was asked of an engine that had to unload first and, once it told so, of another with room as well: two loads of one model (found by the test of the whole path).

--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -22,6 +22,8 @@
 _USE_WINDOW_S = 2.0
 # A load from disk with the unload before it: how long a model that made room lacks.
 _RETURN_S = 1.4
+# An unload of a model that nobody uses.
+_UNLOAD_S = 0.1
 # How long running requests keep an unload waiting, on average.
 _RUN_S = 1.0
 # How long a request waits for a model to fall idle before one in use makes room.
@@ -210,7 +212,7 @@
             + (_SETTLE_S if self._is_settling(held.model, now) else 0.0)
             for held in status.models
         ]
-        return blocked + min(costs, default=0.0)
+        return blocked + _UNLOAD_S + min(costs, default=0.0)
 
     def _eviction_cost(self, model: str, now: float) -> float:
         """Return the request-seconds that ending a model's residency costs.
--- a/src/jasminewharf/dialects/fleet.py
+++ b/src/jasminewharf/dialects/fleet.py
@@ -24,7 +24,6 @@
     "ListedServer",
     "OperatorDialect",
     "OrderAnswer",
-    "PromptPart",
     "ServerList",
 ]
 
@@ -78,13 +77,6 @@
         """Read its answer; raises ``BackendError`` if it does not fit."""
 
 
-class PromptPart(NamedTuple):
-    """A part of a prompt that requests may share; ``tokens`` is its length."""
-
-    part: str
-    tokens: int
-
-
 class CallHead(NamedTuple):
     """What a request's head says.
 
@@ -101,7 +93,6 @@
     adapter: str
     prompt_tokens: int
     output_tokens: int
-    parts: tuple[PromptPart, ...]
     last_event: int
 
 
--- a/src/jasminewharf/platform/callers.py
+++ b/src/jasminewharf/platform/callers.py
@@ -5,7 +5,6 @@
     AnswerHead,
     CallHead,
     ForwardedHead,
-    PromptPart,
 )
 from ..exceptions import BadRequest
 from ..registry import register
@@ -77,7 +76,6 @@
                 adapter,
                 int(prompt or 0),
                 int(output or 0),
-                _read_parts(fields.get("x-prompt-prefix", "")),
                 int(fields.get(_LAST_EVENT, "") or -1),
             )
         except ValueError as error:
@@ -129,14 +127,6 @@
         return [(_ID, request_id)] if request_id else []
 
 
-def _read_parts(text: str) -> tuple[PromptPart, ...]:
-    parts = []
-    for item in filter(None, text.split(",")):
-        part, _, tokens = item.strip().partition(":")
-        parts.append(PromptPart(part, int(tokens)))
-    return tuple(parts)
-
-
 def _read_load(parts: list[str]) -> tuple[int, int, int]:
     try:
         running, waiting, slots = (int(part) for part in parts)
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -99,6 +99,7 @@
                 server=listed.server,
                 address=listed.address,
                 is_leaving=listed.is_leaving,
+                remaining_ms=listed.remaining_ms,
                 age_ms=message.age_ms,
             )
         self._notify()
--- a/src/jasminewharf/services/feed.py
+++ b/src/jasminewharf/services/feed.py
@@ -93,6 +93,13 @@
         is_valid = self.is_fresh()
         if self._was_valid and not is_valid:
             events.emit(_logger, events.VIEW_STALE, version=self.state.version)
+        elif is_valid and not self._was_valid:
+            events.emit(
+                _logger,
+                events.VIEW_FRESH,
+                version=self.state.version,
+                source=self.source,
+            )
         self._was_valid = is_valid
 
     async def _ping(self) -> bool:
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -174,22 +174,14 @@
 class BoundSettings(NamedTuple):
     """Times and shares that the deployment asks of the fleet as a whole.
 
-    A backend server that leaves gets no request after ``drain_ms``; a configuration
-    is in force everywhere ``configuration_ms`` after its acceptance. Requests sent
-    once more stay within ``retry_share`` of the requests of ``retry_window_s`` plus
-    ``retry_slack``; the tokens of a workspace within its rate over
-    ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``.
+    A process that is stopped has ``grace_s`` until it is killed. Requests sent once
+    more stay within ``retry_share`` of all requests plus ``retry_slack``; the tokens of
+    a workspace within its rate over ``rate_window_s``, ``rate_overrun`` as a share and
+    ``rate_slack_tokens``.
     """
 
-    contact_ms: Annotated[float, Range(1, 3_600_000)] = 3_000
-    configuration_ms: Annotated[float, Range(1, 3_600_000)] = 2_000
-    drain_ms: Annotated[float, Range(1, 3_600_000)] = 3_000
     grace_s: Seconds = 8.0
-    catch_up_s: Seconds = 4.0
-    lease_ms: Annotated[float, Range(1, 3_600_000)] = 3_000
-    reuse_s: Seconds = 2.0
     retry_share: Annotated[float, Range(0, 1)] = 0.2
-    retry_window_s: Seconds = 10.0
     retry_slack: Annotated[float, Range(0, 1_000_000)] = 50
     rate_window_s: Seconds = 8.0
     rate_overrun: Annotated[float, Range(0, 10)] = 0.1
@@ -217,7 +209,6 @@
     ready_listen: str = ""
     own_server: str = ""
     metrics_port: Annotated[int, Range(0, _PORT_MAX)] = 0
-    memory_limit_mb: Annotated[float, Range(0, 1_000_000_000)] = 0
     bounds: BoundSettings = BoundSettings()
 
     def control_host(self, ip: str) -> ControlHost:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jasminewharf.dialects.fleet import EngineOrder, ForwardedHead, PromptPart
+from jasminewharf.dialects.fleet import EngineOrder, ForwardedHead
 from jasminewharf.exceptions import BackendError, BadRequest, ConfigurationRefused
 from jasminewharf.platform import (
     PlatformCallers,
@@ -144,7 +144,6 @@
     )
     assert (call.model, call.adapter, call.path) == ("m0", "a3", "/a/x")
     assert (call.prompt_tokens, call.output_tokens) == (1460, 80)
-    assert call.parts == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
     assert (call.time_left_s, call.last_event, call.key) == (12.0, 0, "k1")
 
 
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -194,3 +194,25 @@
         used = sum(WEIGHTS_MB + 60.0 * len(held) for held in models.values())
         assert used <= residency.spec.weights_mb
         assert sum(map(len, models.values())) <= residency.spec.adapter_slots
+
+
+def test_model_in_use_does_not_make_room_for_a_new_request():
+    """Pattern: every place is in use. The unload would block the engine's orders."""
+    residency = build_residency(places=1)
+    residency.choose(build_status(["m0"]), COMPLETE, 0.0)
+    residency.note_use("entry", [("m0", 1, 1)], 2.0)
+    residency.note_want("entry", "m1", 9, 9.0, 2.0)
+    assert residency.choose(build_status(["m0"]), COMPLETE, 2.1) is None
+    now = 2.0
+    while now < 10.0:
+        now += 0.5
+        residency.note_want("entry", "m1", 9, 9.0, now)
+    assert residency.choose(build_status(["m0"]), COMPLETE, now).model == "m0"
+
+
+def test_room_that_is_free_costs_less_than_an_idle_model():
+    """Else a load is moved to an engine with room once the first one unloads."""
+    residency = build_residency()
+    residency.choose(build_status(["m0", "m1"]), COMPLETE, 0.0)
+    assert residency.room_cost(build_status(["m0"]), 5.0) == 0.0
+    assert residency.room_cost(build_status(["m0", "m1"]), 5.0) > 0.0
