Forget the use of engines by entries that are lost

Cause: an agent kept what a lost entry had in flight, so that a model it had used made room only for long waits from then on (found in reading). Entries now repeat their use each second while requests run, and an agent forgets it after three.

--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -33,7 +33,6 @@
 
     model: str
     adapter: str
-    zone: str
 
 
 def rank_by_hash(key: str, name: str) -> int:
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -16,6 +16,8 @@
 
 # An entry repeats what it wants well within this time.
 _WANT_KEPT_S = 1.2
+# An entry repeats what it has in flight well within this time.
+_USE_KEPT_S = 3.0
 # A model just loaded is kept until the requests that waited for it have come.
 _SETTLE_S = 0.8
 # How fast the measured use of a model follows the real one.
@@ -72,11 +74,6 @@
     at: float
 
 
-class _Use(NamedTuple):
-    in_flight: int
-    at: float
-
-
 class _Rate:
     """Events a second, with an exponential window."""
 
@@ -101,7 +98,8 @@
         self._spec: EngineSpec | None = None
         self._models: dict[str, ModelSpec] = {}
         self._wants: dict[str, dict[str, _Want]] = {}
-        self._uses: dict[str, dict[str, _Use]] = {}
+        self._uses: dict[str, dict[str, int]] = {}
+        self._told_at: dict[str, float] = {}
         self._used_at: dict[str, float] = {}
         self._loaded_at: dict[str, float] = {}
         self._adapters_wanted: dict[tuple[str, str], float] = {}
@@ -136,20 +134,18 @@
 
     def note_use(self, peer: str, uses: list[tuple[str, int, int]], now: float) -> None:
         """Replace what an entry has in flight, by model or model and adapter."""
-        current = self._uses.setdefault(peer, {})
-        current.clear()
+        for lost in [p for p, at in self._told_at.items() if now - at > _USE_KEPT_S]:
+            del self._told_at[lost], self._uses[lost]
+        current = self._uses[peer] = {}
+        self._told_at[peer] = now
         for name, in_flight, begun in uses:
             if in_flight > 0:
-                current[name] = _Use(in_flight, now)
+                current[name] = in_flight
             if in_flight > 0 or begun > 0:
                 self._used_at[name] = now
             if begun > 0:
                 self._rates.setdefault(name, _Rate()).add(begun, now)
 
-    def forget_peer(self, peer: str) -> None:
-        """Drop what a lost entry had in flight."""
-        self._uses.pop(peer, None)
-
     def note_adapter(self, model: str, adapter: str, now: float) -> None:
         """Note that a request waits for an adapter."""
         if (model, adapter) not in self._adapters_wanted:
@@ -176,9 +172,16 @@
                 waiting.append((-urgency, since, model))
         return [(model, -urgency) for urgency, _, model in sorted(waiting)]
 
-    def in_flight(self, name: str) -> int:
-        """Return the requests of all entries in flight for a model or adapter."""
-        return sum(uses[name].in_flight for uses in self._uses.values() if name in uses)
+    def in_flight(self, name: str, now: float) -> int:
+        """Return the requests of all entries in flight for a model or adapter.
+
+        An entry that has not told of its use for long is lost, and its requests too.
+        """
+        return sum(
+            uses.get(name, 0)
+            for peer, uses in self._uses.items()
+            if now - self._told_at[peer] <= _USE_KEPT_S
+        )
 
     def choose(
         self, status: EngineStatus, copies: FleetCopies, now: float
@@ -222,7 +225,7 @@
         """
         rate = self._rates.get(model)
         missed = rate.read(now) * _RETURN_S if rate else 0.0
-        return missed * _RETURN_S + min(self.in_flight(model), 1) * _RUN_S
+        return missed * _RETURN_S + min(self.in_flight(model, now), 1) * _RUN_S
 
     def _is_settling(self, model: str, now: float) -> bool:
         """Return whether the requests that a model was loaded for may still come."""
@@ -269,7 +272,7 @@
             item.model
             for item in status.models
             if not self._is_settling(item.model, now)
-            and (is_pressing or not self.in_flight(item.model))
+            and (is_pressing or not self.in_flight(item.model, now))
         ]
         if not held:
             return ""
@@ -288,7 +291,7 @@
         return victim if is_worth_it else ""
 
     def _is_idle(self, model: str, now: float) -> bool:
-        if self.in_flight(model) or model in self._wants:
+        if self.in_flight(model, now) or model in self._wants:
             return False
         loaded_at = self._loaded_at.get(model, now)
         used_since = self._used_at.get(model, float("-inf")) > loaded_at
@@ -308,18 +311,21 @@
                 wanted[0], status
             ):
                 return Intent(True, *wanted)
-            return self._free_adapter_slot(loaded)
+            return self._free_adapter_slot(loaded, now)
         return None
 
     def _has_room(self, model: str, status: EngineStatus) -> bool:
         spec = self._models.get(model)
         return spec is not None and self._free_mb(status) >= spec.adapter_mb
 
-    def _free_adapter_slot(self, loaded: set[tuple[str, str]]) -> Intent | None:
+    def _free_adapter_slot(
+        self, loaded: set[tuple[str, str]], now: float
+    ) -> Intent | None:
         unused = [
             pair
             for pair in loaded
-            if not self.in_flight("/".join(pair)) and pair not in self._adapters_wanted
+            if not self.in_flight("/".join(pair), now)
+            and pair not in self._adapters_wanted
         ]
         if not unused:
             return None
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -351,7 +351,6 @@
 HTTP_REFUSED_CONNECTIONS = 64
 HTTP_CONNECT_TIMEOUT_S = 1.0
 HTTP_FETCH_TIMEOUT_S = 5.0
-HTTP_READ_BYTES = 64 * 1024
 HTTP_IDLE_CONNECTIONS = 32
 HTTP_UNREAD_BYTES = 256 * 1024
 # A server's time-out runs from an earlier moment than the client's clock sees.
@@ -420,6 +419,7 @@
 RETURN_MARGIN_S = 0.3  # Beyond the estimate of a load, so that callers return once.
 WANT_REPEAT_S = 0.3
 USE_INTERVAL_S = 0.1
+USE_REPEAT_S = 1.0
 SERVER_ABSENT_STATUS = 421
 SERVER_BUSY_RETRY_MS = 250
 SERVER_ERROR_STATUS = 500
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -48,6 +48,7 @@
         self._asked: dict[str, tuple[float, str]] = {}
         self._begun: dict[str, dict[str, int]] = {}
         self._used: set[str] = set()
+        self._repeat_use_at = 0.0
         self._metrics = kernel.find("process").metrics
 
     async def start(self) -> None:
@@ -263,6 +264,11 @@
     async def _tell_use_forever(self) -> None:
         while True:
             await asyncio.sleep(defaults.USE_INTERVAL_S)
+            if _now() >= self._repeat_use_at:
+                # An agent forgets the use of an entry that it does not hear of.
+                self._repeat_use_at = _now() + defaults.USE_REPEAT_S
+                servers = self._directory.servers.values()
+                self._used.update(server.name for server in servers if server.own)
             names, self._used = self._used, set()
             for name in names:
                 server = self._directory.servers.get(name)
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -237,7 +237,7 @@
         self._change = intent
         spec = self._residency.model(intent.model)
         load_s = defaults.ENGINE_UNLOAD_S
-        if self._residency.in_flight(intent.model):
+        if self._residency.in_flight(intent.model, _now()):
             load_s = defaults.ENGINE_BUSY_UNLOAD_S
         if intent.loads and spec is not None:
             load_s = spec.remote_s
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -386,7 +386,7 @@
             await self._demand.wait_change(job.deadline)
 
     async def _pick_engine(self, job: Job, attempts: Attempts) -> Server:
-        wanted = Preference(job.call.model, job.call.adapter, self.kernel.settings.zone)
+        wanted = Preference(job.call.model, job.call.adapter)
         while True:
             holders = self._find_holders(job, attempts)
             if not holders and attempts.avoided:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -22,7 +22,7 @@
 def test_requests_for_one_model_are_packed():
     """Pattern: a hot model on many engines. The other copies make room."""
     servers = servers_with(["m0"])
-    wanted = Preference("m0", "", "zone-a")
+    wanted = Preference("m0", "")
     chosen = {choose_engine(servers, wanted).name for _ in range(10)}
     assert len(chosen) == 1
 
@@ -30,7 +30,7 @@
 def test_packing_ends_where_the_slots_do():
     """Pattern: one model takes more than one engine can run."""
     servers = servers_with(["m0"])
-    wanted = Preference("m0", "", "zone-a")
+    wanted = Preference("m0", "")
     first = choose_engine(servers, wanted)
     first.note_load(40, 0, NOW)
     assert choose_engine(servers, wanted) is not first
@@ -40,13 +40,13 @@
     servers = servers_with(["m0"])
     for load, server in zip((48, 45, 60), servers, strict=True):
         server.note_load(load, 0, NOW)
-    assert choose_engine(servers, Preference("m0", "", "")).load == 45
+    assert choose_engine(servers, Preference("m0", "")).load == 45
 
 
 def test_loaded_adapter_is_preferred():
     held = HeldModel("m0", 1, ("a1",))
     servers = [*servers_with(["m0"]), build_server("i-9", [held], NOW)]
-    assert choose_engine(servers, Preference("m0", "a1", "")).name == "i-9"
+    assert choose_engine(servers, Preference("m0", "a1")).name == "i-9"
 
 
 def test_adapter_avoids_an_engine_whose_models_change():
@@ -54,7 +54,7 @@
     changing = build_server("i-1", ["m0"], NOW, changing="m7", is_loading=True)
     calm = build_server("i-2", ["m0"], NOW)
     for adapter in ("a1", "a2", "a3", "a4", "a5", "a6"):
-        chosen = choose_engine([changing, calm], Preference("m0", adapter, ""))
+        chosen = choose_engine([changing, calm], Preference("m0", adapter))
         assert chosen is calm
 
 
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -216,3 +216,15 @@
     residency.choose(build_status(["m0", "m1"]), COMPLETE, 0.0)
     assert residency.room_cost(build_status(["m0"]), 5.0) == 0.0
     assert residency.room_cost(build_status(["m0", "m1"]), 5.0) > 0.0
+
+
+def test_requests_of_a_lost_entry_do_not_hold_a_model_for_ever():
+    """An entry that is gone for good never tells that its requests have ended."""
+    residency = build_residency(places=1)
+    residency.choose(build_status(["m0"]), COMPLETE, 0.0)
+    residency.note_use("lost", [("m0", 3, 3)], 1.0)
+    assert residency.in_flight("m0", 2.0) == 3
+    residency.note_use("entry", [("m1", 1, 1)], 9.0)
+    assert residency.in_flight("m0", 9.0) == 0
+    residency.note_want("entry", "m1", 1, 1.0, 9.0)
+    assert residency.choose(build_status(["m0"]), COMPLETE, 9.0).model == "m0"
