Shrink the emergency buckets and the owner's slack to stay within the quota

Its owner was frozen for 8 s: the first owner had lent burst and slack, all entries then spent emergency bursts of 1.2 s of the rate in sum, and the next owner began with a quarter of the burst. A test of that load fails with 175,907 before and passes after: emergency bursts of 0.3 s in sum, slack 0.25 of the overrun.

--- a/src/jasminewharf/decisions/lending.py
+++ b/src/jasminewharf/decisions/lending.py
@@ -14,13 +14,13 @@
 __all__ = ["Advance", "EmergencyBucket", "Loan", "OverrunLimits", "TokenLender"]
 
 # Part of the allowed overrun that the owner adds to the burst.
-_SLACK_PART = 0.4
+_SLACK_PART = 0.25
 # Part of the burst with which an owner begins that takes over from another.
 _TAKEOVER_PART = 0.25
 # Part of a rate that all emergency buckets have together.
 _EMERGENCY_PART = 0.6
 # Seconds of its rate that an emergency bucket holds at most.
-_EMERGENCY_BURST_S = 2.0
+_EMERGENCY_BURST_S = 0.5
 # Above this part of its size, a bucket lends more than is asked for.
 _PLENTY_PART = 0.5
 # How much more, in multiples of the request, and for how long.
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -117,3 +117,28 @@
             if not bucket.take(spec, len(entries), 1_000.0, now):
                 lent.append((now, 1_000.0))
     assert worst_window(lent) <= allowed(spec)
+
+
+@given(st.sampled_from([4_000.0, 16_329.0, 35_000.0]), st.sampled_from([4, 6]))
+def test_lost_owner_and_its_successor_stay_within_the_window(rate, count):
+    """Pattern: the owner freezes while one workspace sends many times its rate.
+
+    The first owner has lent all it may, every entry spends its emergency bucket, and
+    the second owner begins with its part of the burst.
+    """
+    spec = build_workspace(rate=rate, burst=rate)
+    first = TokenLender(LIMITS, 0.0, is_first=True)
+    second = TokenLender(LIMITS, 3.4, is_first=False)
+    entries = [EmergencyBucket() for _ in range(count)]
+    lent = []
+    for step in range(1_200):
+        now = step * 0.01
+        if 2.5 <= now < 3.4:
+            taken = [not e.take(spec, count, 1_250.0, now) for e in entries]
+            lent += [(now, 1_250.0)] * sum(taken)
+            continue
+        lender = first if now < 2.5 else second
+        loan = lender.lend(spec, 1_250.0, 0.06, now)
+        if loan.is_lent:
+            lent.append((now, 1_250.0 + loan.advance))
+    assert worst_window(lent) <= allowed(spec)
