Elect a leader sooner after all members restart

A member that has heard no leader since its start waits a quarter of the timeout. A trial raises no term, and members that hear a leader ignore it.

--- a/src/jasminewharf/decisions/group.py
+++ b/src/jasminewharf/decisions/group.py
@@ -32,6 +32,11 @@
 CANDIDATE = "candidate"
 LEADER = "leader"
 
+# Part of the election timeout that a member waits which has heard no leader since its
+# start: all members may have restarted together, and where a leader lives, the others
+# ignore the trial.
+_START_PART = 0.25
+
 
 class GroupState:
     """The data of one member in one group.
@@ -82,6 +87,7 @@
         self.incoming_offset = 0
         self.installing = False
         self.leader_contact = now - timing.election_s
+        self.has_met_leader = False
         self.election_deadline = now
         self.heartbeat_due = now
         # Followers learn the commit index with the next entries. If none follow,
@@ -257,6 +263,8 @@
     def reset_election_timer(self, now: float) -> None:
         """Choose the time at which an election starts if no leader is heard."""
         timeout = self.timing.election_s
+        if not self.has_met_leader:
+            timeout *= _START_PART
         self.election_deadline = now + self.random.uniform(timeout, 2 * timeout)
 
     def become_follower(self, term: int, leader: str, now: float) -> None:
@@ -276,6 +284,7 @@
 
     def follow(self, term: int, leader: str, now: float) -> None:
         """Note a message from the leader of ``term``."""
+        self.has_met_leader = True
         self.become_follower(term, leader, now)
         self.leader_contact = now
 
--- a/src/jasminewharf/decisions/replication.py
+++ b/src/jasminewharf/decisions/replication.py
@@ -29,6 +29,7 @@
 def start_leading(state: GroupState, now: float) -> None:
     """Become the leader and append an entry of the new term."""
     state.role = LEADER
+    state.has_met_leader = True
     state.leader = state.identity
     state.votes = set()
     next_index = state.log.last_index + 1
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -140,6 +140,25 @@
     assert member.term == 2
 
 
+def test_members_that_restart_together_elect_before_a_whole_timeout():
+    """Pattern: all processes of the fleet are killed at once.
+
+    Until a leader is there nobody confirms the configuration, and no request runs.
+    """
+    member = make_member("a/1")
+    effects = member.step(Tick(), TIMING.election_s / 2)
+    assert [m.trial for _, m in effects.messages] == [True, True]
+
+
+def test_member_that_lost_its_leader_waits_a_whole_timeout():
+    """One late heartbeat must not cause an election, after a restart neither."""
+    member = make_member("a/1")
+    heartbeat = AppendEntries("g", 1, 1, 1, 0, 1, [])
+    member.step(Received("b/1", heartbeat), 0.1)
+    effects = member.step(Tick(), 0.1 + TIMING.election_s * 0.9)
+    assert effects.messages == []
+
+
 def test_member_that_an_uncommitted_change_removes_still_campaigns():
     """Guards against the loss of quorum that seed 21074 of the exploration found."""
     member = make_member("c/1")
