Choose loads by what they hold up, keep two copies, refuse hopeless waits at once

Changes: the cost of a load counts what it holds up (half of it for requests that come, all for models behind) and the last copy that it displaces; calm engines fetch a second copy of models where no scarce copy yields; an agent that just started lets no model make room for 0.7 s of known use; estimates are true; adapter waits end with the caller's patience; a queue counts double in the estimate that decides on a refusal; callers told to come back weigh as late ones.

--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -1,11 +1,12 @@
 """Which backend server a request goes to, and which engine loads a model for it."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 import xxhash
 
-from .configurations import ModelSpec
+from .configurations import EngineSpec, ModelSpec
+from .copies import count_copies, find_displaced
 from .directory import Server
 
 __all__ = [
@@ -96,12 +97,14 @@
 class LoadPlace(NamedTuple):
     """An engine that may load a model, and when the model would be ready there.
 
-    ``cost`` is in request-seconds: the waiting of the requests for the model, and
-    that of the requests whose models make room.
+    ``load_s`` is the part of ``ready_s`` that the load itself takes. ``cost`` is in
+    request-seconds: the waiting of the requests for the model, and that of the
+    requests whose models make room.
     """
 
     server: Server
     ready_s: float
+    load_s: float
     cost: float
 
 
@@ -113,50 +116,58 @@
 
 
 def choose_load_place(
-    servers: Sequence[Server], model: ModelSpec, waiting: Waiting, now: float
+    servers: Sequence[Server],
+    engine: EngineSpec,
+    model: ModelSpec,
+    waiting: Waiting,
+    now: float,
 ) -> LoadPlace | None:
     """Return where loading a model costs least; the same on all nodes as a rule.
 
     Args:
         servers: Engines of the service with a fresh report.
+        engine: What each of them can hold.
         model: The model.
         waiting: The requests that wait for it.
         now: Seconds on the clock of the reports.
     """
-    places = [
-        _appraise(server, model, waiting, now)
-        for server in servers
-        if server.report is not None and server.report.is_reachable
-    ]
-    if not places:
+    reachable = [s for s in servers if s.report is not None and s.report.is_reachable]
+    if not reachable:
         return None
+    copies = count_copies(s.report.on_disk for s in reachable if s.report)
+    places = [_appraise(s, engine, model, waiting, copies, now) for s in reachable]
     return min(places, key=lambda p: (p.cost, rank_by_hash(model.name, p.server.name)))
 
 
 def _appraise(
-    server: Server, model: ModelSpec, waiting: Waiting, now: float
+    server: Server,
+    engine: EngineSpec,
+    model: ModelSpec,
+    waiting: Waiting,
+    copies: Mapping[str, int],
+    now: float,
 ) -> LoadPlace:
-    ready_s = _estimate(server, model, waiting.urgency, now)
     report = server.report
     assert report is not None
-    is_under_way = report.changing == model.name and report.is_loading
-    room_cost = 0.0 if is_under_way else report.room_cost
-    return LoadPlace(server, ready_s, max(waiting.requests, 1) * ready_s + room_cost)
-
-
-def _estimate(server: Server, model: ModelSpec, urgency: float, now: float) -> float:
-    report = server.report
-    assert report is not None
-    busy_s = max(report.ready_ms / 1_000.0 - (now - server.report_at), 0.0)
+    requests = max(waiting.requests, 1)
+    busy_s = server.busy_s(now)
     if report.changing == model.name and report.is_loading:
-        return min(busy_s, 0.001)
+        return LoadPlace(server, busy_s, busy_s, requests * busy_s * _STAY_PART)
     own_s = _load_time(report.in_memory, report.on_disk, model)
     others = [weight for name, weight in report.wanted if name != model.name]
     is_wanted_there = len(others) < len(report.wanted)
-    ahead = sum(1 for weight in others if weight >= urgency)
+    ahead = sum(1 for weight in others if weight >= waiting.urgency)
     ready_s = busy_s + own_s + ahead * _WAITING_MODEL_S
     # A model that waits at one agent is not moved to another for a small gain.
-    return ready_s * _STAY_PART if is_wanted_there else ready_s
+    stay_part = _STAY_PART if is_wanted_there else 1.0
+    # While it loads, the engine takes no other order: half of the load on average for
+    # requests that come meanwhile, all of it for the models that wait behind.
+    held_up = report.blocked_rate * own_s * own_s / 2 + (len(others) - ahead) * own_s
+    cost = requests * ready_s * stay_part + report.room_cost + held_up
+    if own_s >= model.remote_s:
+        displaced = find_displaced(engine, report.on_disk, model.weights_mb)
+        cost += model.remote_s * sum(1 for name in displaced if copies[name] <= 1)
+    return LoadPlace(server, ready_s, own_s, cost)
 
 
 def _load_time(
--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -88,13 +88,17 @@
 
 
 class EngineSpec(NamedTuple):
-    """What each engine of a service can hold and run at once."""
+    """What each engine of a service can hold and run at once.
+
+    ``disk_mb`` is the room for copies of models on its disk, 0 if it is not known.
+    """
 
     slots: int
     weights_mb: float
     adapter_slots: int
     loads_per_s: float
     models: tuple[ModelSpec, ...]
+    disk_mb: float = 0.0
 
 
 class ServiceSpec(NamedTuple):
--- /dev/null
+++ b/src/jasminewharf/decisions/copies.py
@@ -0,0 +1,99 @@
+"""Copies of models on the engines' disks: how many there are, which one yields next."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from ..messages.servers import EngineReport
+from .configurations import EngineSpec
+
+__all__ = ["FleetCopies", "count_copies", "find_displaced", "gather_copies"]
+
+
+class FleetCopies(NamedTuple):
+    """Where the other engines of the service stand.
+
+    ``is_complete`` tells that all their agents were heard. ``holders`` counts the
+    engines that hold a model, this one among them; ``places`` names for each model
+    the engines that have or load a copy; ``calm`` are the engines with nothing to
+    load, ``own`` this one. ``warming`` counts loads from the store in progress;
+    ``is_used`` tells that requests run anywhere.
+    """
+
+    is_complete: bool
+    holders: dict[str, int]
+    places: dict[str, frozenset[str]]
+    calm: frozenset[str]
+    own: str
+    warming: int
+    is_used: bool
+
+    def count(self, model: str) -> int:
+        """Return how many engines have or load a copy of a model."""
+        return len(self.places.get(model, ()))
+
+
+def gather_copies(
+    reports: Sequence[EngineReport], own: str, is_complete: bool
+) -> FleetCopies:
+    """Return what the agents' reports say of the copies.
+
+    Args:
+        reports: The fresh reports, that of the engine at ``own`` among them.
+        own: The address of the engine that the copies are gathered for.
+        is_complete: Whether every agent of the service was heard.
+    """
+    holders = Counter(held.model for report in reports for held in report.models)
+    places: dict[str, set[str]] = {}
+    for report in reports:
+        held = [item.model for item in report.models]
+        loading = [report.changing] if report.is_loading else []
+        for name in (*held, *loading, *report.in_memory, *report.on_disk):
+            places.setdefault(name, set()).add(report.address)
+    warming = sum(
+        report.is_loading and report.changing not in report.on_disk
+        for report in reports
+        if report.address != own
+    )
+    is_calm = [not report.changing and not report.wanted for report in reports]
+    return FleetCopies(
+        is_complete,
+        dict(holders),
+        {name: frozenset(engines) for name, engines in places.items()},
+        frozenset(r.address for r, calm in zip(reports, is_calm, strict=True) if calm),
+        own,
+        warming,
+        any(report.running for report in reports),
+    )
+
+
+def count_copies(engines: Iterable[Iterable[str]]) -> Counter[str]:
+    """Return the number of engines with a copy of each model.
+
+    Args:
+        engines: For each engine, the models that it has a copy of, in any order.
+    """
+    return Counter(name for names in engines for name in set(names))
+
+
+def find_displaced(
+    spec: EngineSpec, on_disk: Sequence[str], weights_mb: float
+) -> list[str]:
+    """Return the models whose copies a load from the store displaces.
+
+    Args:
+        spec: The engine's limits.
+        on_disk: The copies on its disk, the least recently loaded first.
+        weights_mb: The size of the model that is loaded.
+    """
+    if not spec.disk_mb:
+        return []
+    sizes = {model.name: model.weights_mb for model in spec.models}
+    free_mb = spec.disk_mb - sum(sizes.get(name, 0.0) for name in on_disk)
+    displaced = []
+    for name in on_disk:
+        if free_mb >= weights_mb:
+            break
+        free_mb += sizes.get(name, 0.0)
+        displaced.append(name)
+    return displaced
--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from .. import defaults
 from ..dialects.fleet import HeldModel, ListedServer
 from ..messages.servers import EngineLoad, EngineReport
 
@@ -96,6 +97,13 @@
             else:
                 self.own_by_model.pop(name, None)
 
+    def busy_s(self, now: float) -> float:
+        """Return the seconds until the engine takes its next order."""
+        if self.report is None:
+            return 0.0
+        told_s = self.report.ready_ms / defaults.MS_PER_S
+        return max(told_s - (now - self.report_at), 0.0)
+
     def holds(self, model: str, now: float, fresh_s: float) -> bool:
         """Return whether the server is believed to hold a model, ready for requests."""
         if now < self.avoided_until:
@@ -225,6 +233,7 @@
             queued=load.queued,
             used_tokens=load.used_tokens,
             room_cost=load.room_cost,
+            blocked_rate=load.blocked_rate,
             ready_ms=max(known[1].ready_ms - int((now - known[0]) * 1_000), 0),
         )
         self.take_report(report, now)
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -11,8 +11,9 @@
 from ..dialects.fleet import EngineStatus
 from .choice import rank_by_hash
 from .configurations import EngineSpec, ModelSpec
+from .copies import FleetCopies, find_displaced
 
-__all__ = ["FleetCopies", "Intent", "Residency"]
+__all__ = ["Intent", "Residency"]
 
 # An entry repeats what it wants well within this time.
 _WANT_KEPT_S = 1.2
@@ -22,6 +23,11 @@
 _SETTLE_S = 0.8
 # How fast the measured use of a model follows the real one.
 _USE_WINDOW_S = 2.0
+# The same for models that are wanted; each is wanted seldom.
+_WANT_WINDOW_S = 10.0
+# How long an agent that has just started hears of use before a model makes room: some
+# requests of each model in steady use.
+_LEARN_S = 0.7
 # A load from disk with the unload before it: how long a model that made room lacks.
 _RETURN_S = 1.4
 # An unload of a model that nobody uses.
@@ -37,6 +43,12 @@
 # Loads from the store at a time that nobody waits for.
 _WARMING_AT_ONCE = 2
 _WARMING_BEFORE_TRAFFIC = 4
+# Copies of each model that the fleet keeps: one is lost with its engine, and the
+# other loads of a busy engine keep it waiting.
+_COPIES_KEPT = 2
+# Models wanted a second above which an engine has no time for a load from the store
+# that nobody waits for.
+_CALM_RATE = 0.2
 
 
 class Intent(NamedTuple):
@@ -48,25 +60,6 @@
     reason: str = "wanted"
 
 
-class FleetCopies(NamedTuple):
-    """Where the other engines of the service stand.
-
-    ``is_complete`` tells that all their agents were heard. ``holders`` counts the
-    engines that hold a model, this one among them; ``with_copy`` names models of
-    which some engine has or loads a copy; ``engines`` are the engines whose agents
-    live, ``own`` this one. ``warming`` counts loads from the store in progress;
-    ``is_used`` tells that requests run anywhere.
-    """
-
-    is_complete: bool
-    holders: dict[str, int]
-    with_copy: frozenset[str]
-    engines: tuple[str, ...]
-    own: str
-    warming: int
-    is_used: bool
-
-
 class _Want(NamedTuple):
     requests: int
     urgency: float
@@ -77,18 +70,19 @@
 class _Rate:
     """Events a second, with an exponential window."""
 
-    __slots__ = ("_at", "_rate")
+    __slots__ = ("_at", "_rate", "_window_s")
 
-    def __init__(self) -> None:
+    def __init__(self, window_s: float = _USE_WINDOW_S) -> None:
+        self._window_s = window_s
         self._rate = 0.0
         self._at = 0.0
 
     def add(self, count: int, now: float) -> None:
-        self._rate = self.read(now) + count / _USE_WINDOW_S
+        self._rate = self.read(now) + count / self._window_s
         self._at = now
 
     def read(self, now: float) -> float:
-        return self._rate * math.exp(-(now - self._at) / _USE_WINDOW_S)
+        return self._rate * math.exp(-(now - self._at) / self._window_s)
 
 
 class Residency:
@@ -106,6 +100,8 @@
         self._held: frozenset[str] = frozenset()
         self._rates: dict[str, _Rate] = {}
         self._adapter_misses = _Rate()
+        self._want_rate = _Rate(_WANT_WINDOW_S)
+        self._use_known_from = float("inf")
 
     def set_engine(self, spec: EngineSpec) -> None:
         """Take the engine's limits and the models of its service."""
@@ -129,13 +125,17 @@
             return
         wants = self._wants.setdefault(model, {})
         known = wants.get(peer)
-        since = now if known is None or now - known.at > _WANT_KEPT_S else known.since
+        is_new = known is None or now - known.at > _WANT_KEPT_S
+        if is_new and model not in self._held:
+            self._want_rate.add(1, now)
+        since = now if known is None or is_new else known.since
         wants[peer] = _Want(requests, urgency, since, now)
 
     def note_use(self, peer: str, uses: list[tuple[str, int, int]], now: float) -> None:
         """Replace what an entry has in flight, by model or model and adapter."""
         for lost in [p for p, at in self._told_at.items() if now - at > _USE_KEPT_S]:
             del self._told_at[lost], self._uses[lost]
+        self._use_known_from = min(self._use_known_from, now + _LEARN_S)
         current = self._uses[peer] = {}
         self._told_at[peer] = now
         for name, in_flight, begun in uses:
@@ -205,17 +205,21 @@
 
     def room_cost(self, status: EngineStatus, now: float) -> float:
         """Return what making room for a model costs others, in request-seconds."""
-        if self._spec is None:
+        if self._spec is None or self._free_mb(status) >= self._largest_mb():
             return 0.0
-        blocked = self._adapter_misses.read(now) * _RETURN_S
-        if self._free_mb(status) >= self._largest_mb():
-            return blocked
         costs = [
             self._eviction_cost(held.model, now)
             + (_SETTLE_S if self._is_settling(held.model, now) else 0.0)
             for held in status.models
         ]
-        return blocked + _UNLOAD_S + min(costs, default=0.0)
+        return _UNLOAD_S + min(costs, default=0.0)
+
+    def blocked_rate(self, now: float) -> float:
+        """Return the requests a second that wait while the engine is busy.
+
+        Those are the ones for adapters and models that it does not hold.
+        """
+        return self._adapter_misses.read(now) + self._want_rate.read(now)
 
     def _eviction_cost(self, model: str, now: float) -> float:
         """Return the request-seconds that ending a model's residency costs.
@@ -268,6 +272,8 @@
         # An unload waits for the running requests and blocks all other orders: what
         # is in use makes room only when nothing has fallen idle for long.
         is_pressing = now - since > _PATIENCE_S
+        if now < self._use_known_from and not is_pressing:
+            return ""
         held = [
             item.model
             for item in status.models
@@ -337,22 +343,50 @@
     def _warm(
         self, status: EngineStatus, copies: FleetCopies, now: float
     ) -> Intent | None:
-        """Fetch a model of which no engine has a copy, one at a time on each engine."""
+        """Fetch a model of which the fleet has too few copies, one at a time."""
         at_once = _WARMING_AT_ONCE if copies.is_used else _WARMING_BEFORE_TRAFFIC
         if copies.warming >= at_once or not copies.is_complete:
             return None
-        missing = [name for name in self._models if name not in copies.with_copy]
-        mine = [name for name in missing if self._is_mine(name, copies)]
-        if not mine:
+        if self._want_rate.read(now) > _CALM_RATE:
             return None
-        model = min(mine, key=lambda name: rank_by_hash(copies.own, name))
+        scarce = self._find_scarce(status, copies)
+        if not scarce:
+            return None
+        model = min(
+            scarce,
+            key=lambda name: (copies.count(name), rank_by_hash(copies.own, name)),
+        )
         if self._free_mb(status) >= self._models[model].weights_mb:
             return Intent(True, model, reason="copy")
         victim = self._choose_spare(status, copies, now)
         return Intent(False, victim, reason="copy") if victim else None
 
+    def _find_scarce(self, status: EngineStatus, copies: FleetCopies) -> list[str]:
+        """Return the models with too few copies that this engine is to fetch."""
+        assert self._spec is not None
+        # Of the copies that a load displaces, one more than the loaded model then has
+        # must be left, so that copies are not only moved about.
+        left = {
+            size: min(
+                (
+                    copies.count(name) - 1
+                    for name in find_displaced(self._spec, status.on_disk, size)
+                ),
+                default=_COPIES_KEPT,
+            )
+            for size in {model.weights_mb for model in self._models.values()}
+        }
+        return [
+            name
+            for name, model in self._models.items()
+            if copies.count(name) < min(_COPIES_KEPT, left[model.weights_mb])
+            and self._is_mine(name, copies)
+        ]
+
     def _is_mine(self, model: str, copies: FleetCopies) -> bool:
-        first = min(copies.engines, key=lambda name: rank_by_hash(model, name))
+        """Return whether this engine is the first that may fetch a model."""
+        free = copies.calm - copies.places.get(model, frozenset())
+        first = min(free, key=lambda name: rank_by_hash(model, name), default="")
         return first == copies.own
 
     def _choose_spare(
--- a/src/jasminewharf/decisions/urgency.py
+++ b/src/jasminewharf/decisions/urgency.py
@@ -3,13 +3,16 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-__all__ = ["Wait", "weigh_waits"]
+__all__ = ["Wait", "is_hopeless", "weigh_returns", "weigh_waits"]
 
 # A late answer is worth about a fifth of one in time to its caller.
 _LATE_WEIGHT = 0.2
 # Part of a caller's patience after which a late request counts in full again, so that
 # newer requests do not keep it waiting until its caller leaves.
 _OVERDUE_PART = 0.6
+# How much longer a queue of several models lasts than estimated: more urgent models
+# pass, and models in use make room late.
+_QUEUE_STRETCH = 2.0
 
 
 class Wait(NamedTuple):
@@ -31,6 +34,24 @@
     return sum(_weigh(wait, ready_s, now) for wait in waits)
 
 
+def weigh_returns(callers: int) -> float:
+    """Return the weight of callers who were told to come back: they are late."""
+    return callers * _LATE_WEIGHT
+
+
+def is_hopeless(wait: Wait, ready_s: float, load_s: float, now: float) -> bool:
+    """Return whether a caller leaves before its model can be expected.
+
+    Args:
+        wait: The request.
+        ready_s: The estimate for its model.
+        load_s: The part of it that the load itself takes.
+        now: Monotonic seconds.
+    """
+    queue_s = max(ready_s - load_s, 0.0)
+    return now + load_s + queue_s * _QUEUE_STRETCH > wait.leaves_at
+
+
 def _weigh(wait: Wait, ready_s: float, now: float) -> float:
     age_s = now - wait.since
     if age_s + ready_s <= wait.target_s:
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -79,7 +79,8 @@
     ``is_loading``; ``ready_ms`` is the estimate until the engine takes the next
     order. ``wanted`` lists models that wait for an order, each with its urgency.
     ``room_cost`` is what making room for one more model would cost other requests, in
-    request-seconds.
+    request-seconds. ``blocked_rate`` is how many requests a second come that have to
+    wait while the engine carries out an order.
     """
 
     address: str
@@ -91,6 +92,7 @@
     ready_ms: int
     wanted: list[tuple[str, float]]
     room_cost: float
+    blocked_rate: float
     in_memory: list[str]
     on_disk: list[str]
     running: int
@@ -108,6 +110,7 @@
     queued: int
     used_tokens: int
     room_cost: float
+    blocked_rate: float
 
 
 @message(188)
--- a/src/jasminewharf/platform/configurations.py
+++ b/src/jasminewharf/platform/configurations.py
@@ -63,6 +63,8 @@
     adapter_slots: int = 0
     loads_per_s: float = 1.0
     models: list[_Model] = []
+    # Room for copies of weights on one replica's disk.
+    disk_mb: float = 0.0
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -151,6 +153,7 @@
         engine.adapter_slots,
         engine.loads_per_s,
         models,
+        engine.disk_mb,
     )
     return ServiceSpec(service.name, service.max_conns, spec)
 
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -8,7 +8,7 @@
 from ..decisions.choice import Waiting, choose_load_place
 from ..decisions.configurations import ModelSpec, ServiceSpec
 from ..decisions.directory import Server
-from ..decisions.urgency import Wait, weigh_waits
+from ..decisions.urgency import Wait, is_hopeless, weigh_returns, weigh_waits
 from ..exceptions import ModelUnavailable
 from ..kernel import Kernel, Service
 from ..messages.servers import ModelUse, WantModel
@@ -91,21 +91,19 @@
 
     def _build_waiter(self, job: Any) -> _Waiter:
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        leaves_at = job.deadline
-        if job.route.kind == "stream":
-            patience_s = job.route.patience_s * defaults.PATIENCE_PART
-            leaves_at = min(leaves_at, job.started + patience_s)
-        wait = Wait(job.started, job.route.target_s, leaves_at)
+        wait = Wait(job.started, job.route.target_s, job.leaves_at)
         return _Waiter(job.service, job.call.model, wait, future)
 
     def _check(self, waiter: _Waiter, request_id: str) -> None:
         """Refuse at once what no load can serve in time."""
-        if _find_model(waiter.service, waiter.model) is None:
+        spec = _find_model(waiter.service, waiter.model)
+        if spec is None:
             raise ModelUnavailable(
                 f"the service has no model {waiter.model!r}",
                 retry_after_ms=defaults.MODEL_RETRY_MS,
             )
-        ready_s = self._estimate(waiter)
+        place = self._choose_place(waiter.service, spec)
+        ready_s = place.ready_s if place else 0.0
         left_s = waiter.wait.leaves_at - _now()
         events.emit(
             _logger,
@@ -117,7 +115,7 @@
             waiting=len(self._waiters),
             list_age_ms=int((_now() - self._directory.list_at) * defaults.MS_PER_S),
         )
-        if ready_s > left_s:
+        if place and is_hopeless(waiter.wait, ready_s, place.load_s, _now()):
             raise self._refuse(waiter, ready_s)
 
     def _estimate(self, waiter: _Waiter) -> float:
@@ -152,10 +150,10 @@
         waits = [w.wait for w in self._waiters if w.model == spec.name]
         returning = self._expected_back(spec.name)
         # The load itself has not begun: what it could serve in time at best.
-        urgency = weigh_waits(waits, spec.memory_s, now) + returning
+        urgency = weigh_waits(waits, spec.memory_s, now) + weigh_returns(returning)
         waiting = Waiting(len(waits) + returning, max(urgency, 1.0))
         servers = self._loading_places(service)
-        place = choose_load_place(servers, spec, waiting, now)
+        place = choose_load_place(servers, service.engine, spec, waiting, now)
         is_remote = place is not None and place.ready_s >= spec.remote_s
         # An engine whose agent is just starting may have a copy at hand.
         if is_remote and self._directory.unheard(
@@ -205,7 +203,8 @@
             for server in self._loading_places(service)
             if not server.holds(model, now, defaults.AGENT_FRESH_S)
         ]
-        place = choose_load_place(servers, spec, Waiting(excess, float(excess)), now)
+        waiting = Waiting(excess, float(excess))
+        place = choose_load_place(servers, service.engine, spec, waiting, now)
         # What a copy from the store brings comes too late for most bursts.
         if place is None or place.ready_s >= spec.remote_s:
             return
@@ -234,7 +233,7 @@
         asked_at, asked = self._asked.get(model, (float("-inf"), ""))
         if asked == place.server.name and _now() - asked_at < defaults.WANT_REPEAT_S:
             return
-        urgency = weigh_waits(waits, place.ready_s, _now()) + returning
+        urgency = weigh_waits(waits, place.ready_s, _now()) + weigh_returns(returning)
         want = WantModel(model, len(waits) + returning, urgency)
         if self.kernel.find("directory").send_to_agent(place.server, want):
             self._asked[model] = (_now(), place.server.name)
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -5,7 +5,8 @@
 from typing import Any, ClassVar
 
 from .. import defaults, events
-from ..decisions.residency import FleetCopies, Intent, Residency
+from ..decisions.copies import FleetCopies, gather_copies
+from ..decisions.residency import Intent, Residency
 from ..decisions.routes import RouteTable
 from ..dialects.fleet import ENGINE_ORDERS, EngineOrder, EngineStatus
 from ..exceptions import BackendError
@@ -298,9 +299,10 @@
 
     def _find_copies(self) -> FleetCopies:
         """Return what the other agents' reports say, and this engine's own."""
-        directory = self.kernel.find("directory").directory
+        service = self.kernel.find("directory")
+        directory = service.directory
         now = _now()
-        reports = [
+        others = [
             server.report
             for server in directory.servers.values()
             if server.report is not None
@@ -308,35 +310,14 @@
             and now - server.report_at <= defaults.AGENT_FRESH_S
             and server.listed.address != self._address
         ]
-        own = self._build_report()
-        holders: dict[str, int] = {}
-        copies: set[str] = set()
-        for report in [*reports, own]:
-            for held in report.models:
-                holders[held.model] = holders.get(held.model, 0) + 1
-                copies.add(held.model)
-            copies.update(report.in_memory, report.on_disk)
-            if report.is_loading:
-                copies.add(report.changing)
-        warming = sum(
-            1
-            for report in reports
-            if report.is_loading and report.changing not in report.on_disk
-        )
-        directory_service = self.kernel.find("directory")
         own_server = directory.at_address(self._address)
         is_complete = own_server is not None and not directory.unheard(
             own_server.listed.service, now, defaults.AGENT_FRESH_S
         )
-        is_complete = is_complete and directory_service.is_settled()
-        return FleetCopies(
-            is_complete,
-            holders,
-            frozenset(copies),
-            tuple(sorted([*(report.address for report in reports), self._address])),
+        return gather_copies(
+            [*others, self._build_report()],
             self._address,
-            warming,
-            any(report.running for report in [*reports, own]),
+            is_complete and service.is_settled(),
         )
 
     # What entries are told.
@@ -359,7 +340,8 @@
         age_s = _now() - self._load_sent_at
         is_due = age_s >= defaults.ENGINE_LOAD_INTERVAL_S and load != self._load_sent
         if is_due or age_s >= defaults.ENGINE_HEARTBEAT_S:
-            self._send(EngineLoad(self._address, *load, report.room_cost))
+            costs = report.room_cost, report.blocked_rate
+            self._send(EngineLoad(self._address, *load, *costs))
 
     def _send(self, message: Any) -> None:
         self._load_sent_at = _now()
@@ -384,6 +366,7 @@
             int(ready_s * defaults.MS_PER_S),
             self._residency.wanted_models(_now()),
             self._residency.room_cost(status, _now()),
+            self._residency.blocked_rate(_now()),
             list(status.in_memory),
             list(status.on_disk),
             status.running,
@@ -396,7 +379,7 @@
 def _strip_load(report: EngineReport) -> EngineReport:
     """Return a report without what changes with every request."""
     return report._replace(
-        ready_ms=0, running=0, queued=0, used_tokens=0, room_cost=0.0
+        ready_ms=0, running=0, queued=0, used_tokens=0, room_cost=0.0, blocked_rate=0.0
     )
 
 
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -4,7 +4,7 @@
 import contextlib
 import logging
 from collections.abc import AsyncIterator, Iterator
-from typing import Any, ClassVar, NamedTuple, Protocol
+from typing import Any, ClassVar, NamedTuple, NoReturn, Protocol
 
 from .. import defaults, events
 from ..decisions.attempts import Attempts, silence_limit_s
@@ -49,6 +49,14 @@
     started: float
     deadline: float
 
+    @property
+    def leaves_at(self) -> float:
+        """When the caller leaves if no part of an answer has come by then."""
+        if self.route.kind != "stream":
+            return self.deadline
+        patience_s = self.route.patience_s * defaults.PATIENCE_PART
+        return min(self.deadline, self.started + patience_s)
+
     @property
     def priority(self) -> int:
         """The request's rank; 0 is the most urgent."""
@@ -426,9 +434,13 @@
         link = self.kernel.find("directory").agents.get(server.listed.address)
         if link is None:
             return False
+        wait_s = job.leaves_at - _now()
+        if server.busy_s(_now()) >= wait_s:
+            self._refuse_adapter(server)
         try:
             answer: Any = await link.request(
-                EnsureAdapter(call.model, call.adapter), defaults.ADAPTER_WAIT_S
+                EnsureAdapter(call.model, call.adapter),
+                min(wait_s, defaults.ADAPTER_WAIT_S),
             )
         except JasminewharfError as error:
             self._metrics.count("adapter_requests_failed_total")
@@ -443,6 +455,14 @@
             return False
         return answer.is_loaded
 
+    def _refuse_adapter(self, server: Server) -> NoReturn:
+        """Refuse a request whose caller would leave before its adapter is loaded."""
+        back_s = server.busy_s(_now()) + defaults.RETURN_MARGIN_S
+        raise ModelUnavailable(
+            "the adapter is not loaded before the caller leaves",
+            retry_after_ms=int(back_s * defaults.MS_PER_S),
+        )
+
 
 class _Relay:
     """Passes the events of one answer on, whichever servers they come from."""
--- a/tests/fleetparts.py
+++ b/tests/fleetparts.py
@@ -21,13 +21,16 @@
     return model._replace(**changes)
 
 
-def build_engine(models=("m0", "m1", "m2", "m3"), places=2, adapter_slots=2):
+def build_engine(
+    models=("m0", "m1", "m2", "m3"), places=2, adapter_slots=2, disk_mb=0.0
+):
     return EngineSpec(
         48,
         places * WEIGHTS_MB + 5_000,
         adapter_slots,
         3.0,
         tuple(map(build_model, models)),
+        disk_mb,
     )
 
 
@@ -85,6 +88,7 @@
         0,
         [],
         0.0,
+        0.0,
         [],
         [],
         0,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,6 +1,6 @@
 """Where requests go, and where models are loaded for them."""
 
-from fleetparts import build_model, build_server
+from fleetparts import build_engine, build_model, build_server
 from jasminewharf.decisions.choice import (
     Preference,
     Waiting,
@@ -13,6 +13,8 @@
 
 NOW = 10.0
 ONE = Waiting(1, 1.0)
+# Two copies fit on each engine's disk.
+ENGINE = build_engine(("m5", "m6", "m7", "m8"), disk_mb=150_000.0)
 
 
 def servers_with(models, count=3, **report):
@@ -72,7 +74,7 @@
     """Pattern: a rare model of which one engine has a copy on its disk."""
     servers = servers_with([], count=3)
     servers[1].report = servers[1].report._replace(on_disk=["m5"])
-    place = choose_load_place(servers, build_model("m5"), ONE, NOW)
+    place = choose_load_place(servers, ENGINE, build_model("m5"), ONE, NOW)
     assert place.server is servers[1]
     assert place.ready_s == 1.2
 
@@ -84,7 +86,7 @@
         changing="m5", is_loading=True, ready_ms=4_000
     )
     servers[1].report = servers[1].report._replace(on_disk=["m5"], room_cost=50.0)
-    place = choose_load_place(servers, build_model("m5"), ONE, NOW)
+    place = choose_load_place(servers, ENGINE, build_model("m5"), ONE, NOW)
     assert place.server is servers[0]
 
 
@@ -93,13 +95,19 @@
     hot, busy = servers_with([], count=2)
     hot.report = hot.report._replace(on_disk=["m5"], room_cost=14.0)
     busy.report = busy.report._replace(on_disk=["m5"], ready_ms=1_500, room_cost=0.1)
-    assert choose_load_place([hot, busy], build_model("m5"), ONE, NOW).server is busy
+    assert (
+        choose_load_place([hot, busy], ENGINE, build_model("m5"), ONE, NOW).server
+        is busy
+    )
 
 
 def test_unreachable_engine_loads_nothing():
     dead, live = servers_with([], count=2)
     dead.report = dead.report._replace(is_reachable=False, on_disk=["m5"])
-    assert choose_load_place([dead, live], build_model("m5"), ONE, NOW).server is live
+    assert (
+        choose_load_place([dead, live], ENGINE, build_model("m5"), ONE, NOW).server
+        is live
+    )
 
 
 def test_urgent_model_passes_those_that_are_late_already():
@@ -109,12 +117,50 @@
     """
     queue = [("m6", 0.2), ("m7", 0.4)]
     server = build_server("i-1", [], NOW, on_disk=["m5"], wanted=queue)
-    place = choose_load_place([server], build_model("m5"), Waiting(9, 9.0), NOW)
+    place = choose_load_place([server], ENGINE, build_model("m5"), Waiting(9, 9.0), NOW)
     assert place.ready_s == 1.2
-    place = choose_load_place([server], build_model("m5"), Waiting(1, 0.2), NOW)
+    place = choose_load_place([server], ENGINE, build_model("m5"), Waiting(1, 0.2), NOW)
     assert place.ready_s > 3.0
 
 
+def test_load_under_way_is_not_told_ready_before_it_is():
+    """Pattern: a hot model comes from the store after its last holder crashed.
+
+    Callers who leave before it is there are refused at once, not kept until then.
+    """
+    server = build_server(
+        "i-1", [], NOW, changing="m5", is_loading=True, ready_ms=5_000
+    )
+    place = choose_load_place([server], ENGINE, build_model("m5"), ONE, NOW + 1.0)
+    assert place.ready_s == 4.0
+
+
+def test_load_from_the_store_avoids_the_engine_whose_orders_others_need():
+    """Pattern: rare models without a copy, beside swaps of other rare models.
+
+    For seconds the engine takes no other order.
+    """
+    calm, needed = servers_with([], count=2)
+    needed.report = needed.report._replace(blocked_rate=0.5)
+    calm.report = calm.report._replace(room_cost=3.0)
+    place = choose_load_place([calm, needed], ENGINE, build_model("m5"), ONE, NOW)
+    assert place.server is calm
+
+
+def test_load_from_the_store_does_not_displace_the_last_copy_of_another_model():
+    """Pattern: more models than copies. Each lost copy is another load from the store.
+
+    The copy loaded longest ago yields.
+    """
+    last, spare, other = servers_with([], count=3)
+    last.report = last.report._replace(on_disk=["m6", "m8"])
+    spare.report = spare.report._replace(on_disk=["m7", "m8"], room_cost=2.0)
+    other.report = other.report._replace(on_disk=["m7", "m8"], room_cost=20.0)
+    servers = [last, spare, other]
+    place = choose_load_place(servers, ENGINE, build_model("m5"), ONE, NOW)
+    assert place.server is spare
+
+
 def test_full_engines_ask_for_another_copy():
     """Pattern: a burst on a hot model that one engine holds."""
     server = build_server("i-1", ["m0"], NOW)
--- /dev/null
+++ b/tests/test_copies.py
@@ -0,0 +1,36 @@
+"""Copies of models on the engines' disks."""
+
+from fleetparts import build_engine, build_report
+from jasminewharf.decisions.copies import count_copies, find_displaced, gather_copies
+
+SIZE_MB = 70_000.0
+
+
+def test_least_recently_loaded_copy_yields():
+    engine = build_engine(disk_mb=2 * SIZE_MB + 1_000)
+    assert find_displaced(engine, ["m0", "m1"], SIZE_MB) == ["m0"]
+    assert find_displaced(engine, ["m0"], SIZE_MB) == []
+
+
+def test_nothing_is_said_of_a_disk_of_unknown_size():
+    assert find_displaced(build_engine(), ["m0", "m1"], SIZE_MB) == []
+
+
+def test_copies_are_counted_once_an_engine():
+    assert count_copies([["m0", "m0"], ["m0", "m1"]]) == {"m0": 2, "m1": 1}
+
+
+def test_held_and_loading_models_count_as_copies():
+    """Else two engines fetch the same model at once."""
+    reports = [
+        build_report("a:1", ["m0"], on_disk=["m0", "m1"]),
+        build_report("b:1", [], changing="m2", is_loading=True),
+    ]
+    copies = gather_copies(reports, "a:1", True)
+    assert {name: copies.count(name) for name in ("m0", "m1", "m2", "m3")} == {
+        "m0": 1,
+        "m1": 1,
+        "m2": 1,
+        "m3": 0,
+    }
+    assert (copies.warming, copies.calm) == (1, {"a:1"})
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -95,10 +95,14 @@
 def test_heartbeat_keeps_a_report_fresh():
     directory = build_directory(build_listed())
     directory.take_report(build_report(models=["m0"], ready_ms=500), 1.0)
-    directory.take_load(EngineLoad("10.0.0.1:80", 7, 2, 10, 1.5), 3.0)
+    directory.take_load(EngineLoad("10.0.0.1:80", 7, 2, 10, 1.5, 0.5), 3.0)
     server = directory.servers["i-1"]
     assert server.holds("m0", 5.0, FRESH_S)
-    assert (server.load, server.report.room_cost) == (9, 1.5)
+    assert (server.load, server.report.room_cost, server.report.blocked_rate) == (
+        9,
+        1.5,
+        0.5,
+    )
     assert server.report.ready_ms == 0
 
 
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -4,11 +4,14 @@
 from hypothesis import strategies as st
 
 from fleetparts import WEIGHTS_MB, build_engine, build_status
-from jasminewharf.decisions.residency import FleetCopies, Residency
+from jasminewharf.decisions.copies import FleetCopies
+from jasminewharf.decisions.residency import Residency
 from jasminewharf.dialects.fleet import HeldModel
 
+MODELS = ("m0", "m1", "m2", "m3")
+OTHERS = frozenset({"b", "c"})
 COMPLETE = FleetCopies(
-    True, {}, frozenset({"m0", "m1", "m2", "m3"}), ("own",), "own", 0, True
+    True, {}, dict.fromkeys(MODELS, OTHERS), frozenset({"own"}), "own", 0, True
 )
 
 
@@ -138,7 +141,7 @@
     the engine for seconds.
     """
     residency = build_residency()
-    unknown = COMPLETE._replace(with_copy=frozenset(), is_complete=False)
+    unknown = COMPLETE._replace(places={}, is_complete=False)
     status = build_status([])
     assert residency.choose(status, unknown, 0.0) is None
     known = unknown._replace(is_complete=True)
@@ -147,13 +150,57 @@
 
 def test_copies_are_not_fetched_while_requests_wait():
     residency = build_residency(places=1)
-    copies = COMPLETE._replace(with_copy=frozenset({"m0"}))
+    copies = COMPLETE._replace(places={"m0": OTHERS})
     residency.choose(build_status(["m0"]), copies, 0.0)
     now = use(residency, "m0", 17, 1.0, 5.0)
     residency.note_want("entry", "m1", 1, 1.0, now)
     assert residency.choose(build_status(["m0"]), copies, now) is None
 
 
+def test_model_with_one_copy_is_copied_by_a_calm_engine():
+    """Pattern: the only engine with a copy of a model crashes, or is always busy."""
+    residency = build_residency()
+    copies = COMPLETE._replace(places={**COMPLETE.places, "m2": frozenset({"b"})})
+    intent = residency.choose(build_status([]), copies, 0.0)
+    assert (intent.model, intent.reason) == ("m2", "copy")
+    elsewhere = copies._replace(calm=frozenset())
+    assert residency.choose(build_status([]), elsewhere, 0.0) is None
+
+
+def test_copies_are_not_moved_about():
+    """A copy that displaces one of two is not worth the load."""
+    residency = build_residency(disk_mb=150_000.0)
+    places = {**COMPLETE.places, "m2": frozenset({"b"}), "m0": frozenset({"own", "b"})}
+    copies = COMPLETE._replace(places=places)
+    status = build_status([], on_disk=("m0", "m1"))
+    assert residency.choose(status, copies, 0.0) is None
+    places["m0"] = frozenset({"own", "b", "c"})
+    assert residency.choose(status, copies, 0.0).model == "m2"
+
+
+def test_engine_that_swaps_models_fetches_no_copies():
+    """Pattern: rare models come and go. A load from the store blocks the next swap."""
+    residency = build_residency()
+    copies = COMPLETE._replace(places={**COMPLETE.places, "m2": frozenset({"b"})})
+    for number in range(4):
+        residency.note_want("entry", f"m{number}", 1, 1.0, 1.0)
+    assert residency.choose(build_status([]), copies, 4.0) is None
+    assert residency.choose(build_status([]), copies, 60.0).model == "m2"
+
+
+def test_agent_that_just_started_learns_what_is_used_first():
+    """Pattern: all processes restart while a hot model serves.
+
+    Its use is not known yet, and the first rare request would end its residency.
+    """
+    residency = build_residency(places=1)
+    residency.note_want("entry", "m1", 1, 1.0, 0.0)
+    assert residency.choose(build_status(["m0"]), COMPLETE, 0.0) is None
+    now = use(residency, "m0", 17, 0.1, 1.0)
+    residency.note_want("entry", "m1", 1, 1.0, now)
+    assert residency.choose(build_status(["m0"]), COMPLETE, now) is None
+
+
 @given(
     st.lists(
         st.tuples(
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -1,6 +1,11 @@
 """Which waiting requests count most."""
 
-from jasminewharf.decisions.urgency import Wait, weigh_waits
+from jasminewharf.decisions.urgency import (
+    Wait,
+    is_hopeless,
+    weigh_returns,
+    weigh_waits,
+)
 
 
 def test_request_in_time_outweighs_late_ones():
@@ -14,3 +19,24 @@
     """A stream of newer requests must not starve an old one until its caller leaves."""
     overdue = [Wait(0.0, 3.0, 11.0)]
     assert weigh_waits(overdue, 1.3, 8.0) == 1.0
+
+
+def test_request_behind_a_long_queue_is_hopeless():
+    """Pattern: a burst on rare models, more than the engines can load in time.
+
+    Whoever waits there is overtaken by newer requests, and left without an answer.
+    """
+    wait = Wait(10.0, 3.0, 20.8)
+    assert not is_hopeless(wait, 4.0, 1.2, 10.0)
+    assert is_hopeless(wait, 8.0, 1.2, 10.0)
+
+
+def test_long_load_without_a_queue_is_waited_for():
+    """Pattern: the store has the only copy, and the caller has the patience."""
+    assert not is_hopeless(Wait(10.0, 3.0, 20.8), 6.0, 6.0, 10.0)
+    assert is_hopeless(Wait(10.0, 0.5, 11.8), 6.0, 6.0, 10.0)
+
+
+def test_callers_told_to_come_back_do_not_pass_those_in_time():
+    fresh = [Wait(10.0, 3.0, 21.0)]
+    assert weigh_returns(4) < weigh_waits(fresh, 1.3, 10.5)
