Count refused callers of a hot model as demand

All its callers were told waits beyond their patience and refused at once, so none waited, and its load came after rare ones at 30.3 s; 144 requests refused. Ruled out: the copy (on the disk of the engine that loaded it in the end), the agent's order (accepted at once).

Several callers told to come back to one model now weigh as many that the next seconds bring.

--- a/src/jasminewharf/decisions/urgency.py
+++ b/src/jasminewharf/decisions/urgency.py
@@ -35,8 +35,12 @@
 
 
 def weigh_returns(callers: int) -> float:
-    """Return the weight of callers who were told to come back: they are late."""
-    return callers * _LATE_WEIGHT
+    """Return the weight of callers who were told to come back to one model.
+
+    A single one is late when it comes back. Several within that time show a model in
+    steady demand: as many others would be served in time.
+    """
+    return max(callers - 1, 0) + _LATE_WEIGHT * min(callers, 1)
 
 
 def is_hopeless(wait: Wait, ready_s: float, load_s: float, now: float) -> bool:
