Connect again when the first packet to a host is lost

The one that started last reached the others, whose links to it waited for the kernel to repeat an opening packet after a second. Ruled out: the election timeout (0.2 to 0.4 s after a start).

Links give up a connection attempt after 0.3 s.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -11,6 +11,9 @@
 LINK_HEARTBEAT_MS = 1_000
 LINK_HEARTBEAT_TIMEOUT_MS = 3_000
 LINK_LINGER_MS = 500
+# Far longer than a round trip between regions, shorter than the second after which the
+# kernel repeats an opening packet that met a host without power.
+LINK_CONNECT_TIMEOUT_MS = 300
 LINK_RECONNECT_MS = 50
 LINK_RECONNECT_MAX_MS = 500
 LINK_CONNECT_POLL_S = 0.005
--- a/src/jasminewharf/services/linkclient.py
+++ b/src/jasminewharf/services/linkclient.py
@@ -68,6 +68,7 @@
         # Without this option a message waits for a server that may never come,
         # and an unsent request could not be told from a sent one.
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
+        self._socket.setsockopt(zmq.CONNECT_TIMEOUT, defaults.LINK_CONNECT_TIMEOUT_MS)
         self._socket.setsockopt(zmq.RECONNECT_IVL, defaults.LINK_RECONNECT_MS)
         self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, defaults.LINK_RECONNECT_MAX_MS)
         bound_queues(self._socket)
--- a/src/jasminewharf/services/peers.py
+++ b/src/jasminewharf/services/peers.py
@@ -14,6 +14,7 @@
 from ..defaults import (
     CURVE_RETRY_S,
     LINK_CONNECT_POLL_S,
+    LINK_CONNECT_TIMEOUT_MS,
     LINK_HEARTBEAT_MS,
     LINK_MESSAGE_LIMIT_BYTES,
     LOG_PEER_QUEUE_BATCHES,
@@ -164,6 +165,7 @@
         socket.set_hwm(LOG_PEER_QUEUE_BATCHES)
         socket.maxmsgsize = LINK_MESSAGE_LIMIT_BYTES
         socket.setsockopt(zmq.HEARTBEAT_IVL, LINK_HEARTBEAT_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, LINK_CONNECT_TIMEOUT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, LOG_RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, LOG_RECONNECT_MAX_MS)
 
--- /dev/null
+++ b/tests/test_connecting.py
@@ -0,0 +1,78 @@
+"""Links to a host that does not answer the opening packet at first.
+
+Pattern: a site regains power. Each host starts while the others are still down; the
+kernel repeats a lost opening packet only after a second, then after three.
+"""
+
+import asyncio
+import contextlib
+import socket
+import time
+
+import pytest
+import zmq
+
+from jasminewharf.services.link import Identity, LinkClient
+from jasminewharf.services.peers import ZmqPeers
+
+# Less than the kernel waits before it repeats the packet.
+REPEATED_S = 1.0
+
+
+@contextlib.contextmanager
+def deaf_listener():
+    """Yield a listener that drops opening packets, its queue being full."""
+    with socket.socket() as listener, contextlib.ExitStack() as stack:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for _ in range(4):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(listener.getsockname())
+        yield listener
+
+
+async def accept_from(listener, own):
+    """Return the seconds until a connection other than the filling ones arrives."""
+    listener.setblocking(False)
+    loop = asyncio.get_running_loop()
+    began = time.monotonic()
+    while True:
+        link, _ = await asyncio.wait_for(loop.sock_accept(listener), 5)
+        with link:
+            link.settimeout(0.0)
+            await asyncio.sleep(0.02)
+            with contextlib.suppress(BlockingIOError, ConnectionError):
+                if link.recv(1) == own:
+                    return time.monotonic() - began
+
+
+# What every ZeroMQ connection begins with.
+GREETING = b"\xff"
+
+
+@pytest.mark.parametrize("kind", ["link", "peers"])
+def test_lost_opening_packet_is_sent_again_within_a_second(kind):
+    async def main():
+        context = zmq.Context()
+        with deaf_listener() as listener:
+            host, port = listener.getsockname()
+            address = f"{host}:{port}"
+            if kind == "link":
+                link = LinkClient(Identity("a", "entry", "z", "1"), context, address)
+                close = link.close
+            else:
+                peers = ZmqPeers("127.0.0.1:0")
+                await peers.start(lambda frames: None)
+                peers.connect("b", address)
+                close = peers.stop
+            await asyncio.sleep(0.05)
+            took_s = await accept_from(listener, GREETING)
+            ended = close()
+            if ended is not None:
+                await ended
+        context.term()
+        return took_s
+
+    assert asyncio.run(main()) < REPEATED_S - 0.2
