End a link's events before their reader

A closing link closed the reader first; an event in between blocked the library's thread, and ending the events waited for its lock. Any process that stops can meet it. Ruled out: services' drains and tasks (the loop itself stood), the address in use.

tests/test_closing.py hung before.

--- a/src/jasminewharf/services/linkclient.py
+++ b/src/jasminewharf/services/linkclient.py
@@ -245,8 +245,10 @@
         """Close the link; requests in flight fail."""
         if self._retry is not None:
             self._retry.cancel()
-        self._monitor.close()
+        # Events end before their reader goes: ZeroMQ waits for it under a lock that
+        # ending them needs too.
         self._socket.disable_monitor()
+        self._monitor.close()
         self._channel.close()
         for future in self._pending.values():
             if not future.done():
