Give up answers that do not end, and digits and nesting without end

Cause: a backend server in trouble may send bytes until its caller closes. A whole answer, and an event of a stream, were gathered in memory without a limit; a Keep-Alive time-out or an event number of 5,000 digits, and JSON nested 100,000 deep, raised errors that no caller of these readers expected. In an agent or a control host such an error ends an essential task and with it the process.

Ruled out: heads, header lines and chunk sizes without end; h11 bounds them, which the tests now hold. Answers above 16 MiB and events above 1 MiB are given up and the connection is reset.

--- a/src/jasminewharf/decisions/eventstream.py
+++ b/src/jasminewharf/decisions/eventstream.py
@@ -2,10 +2,15 @@
 
 from typing import NamedTuple
 
+from .. import defaults
+from ..exceptions import BackendError
+
 __all__ = ["EventSplitter", "StreamEvent"]
 
 _END = b"\n\n"
 _ID = b"id:"
+# Of the largest event number; thousands of digits cannot be converted.
+_DIGITS = 18
 
 
 class StreamEvent(NamedTuple):
@@ -26,7 +31,11 @@
         self.rest = b""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events that end in ``data``."""
+        """Return the events that end in ``data``.
+
+        Raises:
+            BackendError: If an event does not end within the limit.
+        """
         buffer = self.rest + data
         events = []
         start = 0
@@ -36,6 +45,8 @@
             events.append(StreamEvent(_read_number(piece), piece))
             start = end
         self.rest = buffer[start:]
+        if len(self.rest) > defaults.STREAM_EVENT_LIMIT_BYTES:
+            raise BackendError("an event of the stream does not end")
         return events
 
 
@@ -43,5 +54,6 @@
     for line in event.split(b"\n"):
         if line.startswith(_ID):
             text = line[len(_ID) :].strip()
-            return int(text) if text.isdigit() else -1
+            is_number = text.isdigit() and len(text) <= _DIGITS
+            return int(text) if is_number else -1
     return -1
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -141,8 +141,6 @@
 # A node pings this many times per lease, so that two lost pings are borne.
 FRESHNESS_PING_SHARE = 0.25
 FEED_FAILURES_BEFORE_MOVE = 2
-# Largest relative error assumed between the clocks of two hosts.
-CLOCK_DRIFT_BOUND = 0.001
 HOST_LIST_INTERVAL_S = 0.5
 CONTROL_RETRY_S = 0.05
 REPORT_INTERVAL_S = 1.0
@@ -355,6 +353,10 @@
 HTTP_CONNECT_TIMEOUT_S = 1.0
 HTTP_FETCH_TIMEOUT_S = 5.0
 HTTP_IDLE_CONNECTIONS = 32
+# A hundred such answers at a time fit an entry's memory of 200 MB only in part, so that
+# answers are far smaller as a rule; what is larger is not an answer.
+HTTP_ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+STREAM_EVENT_LIMIT_BYTES = 1024 * 1024  # A thousand times a usual event.
 HTTP_UNREAD_BYTES = 256 * 1024
 # A server's time-out runs from an earlier moment than the client's clock sees.
 HTTP_KEEP_ALIVE_SHARE = 0.7
@@ -399,10 +401,28 @@
 AGENT_WATCH_S = 1.0
 AGENT_FRESH_S = 3.0  # Three heartbeats of an agent.
 ENGINE_HEARTBEAT_S = 1.0
+# Reports of engines over the control hosts. Entries that deal with an engine hear of
+# its models directly; for the others the age of a report is well below a load's time.
+RELAY_INTERVAL_S = 0.1  # Between control hosts.
+RELAY_SPREAD_S = 0.2  # To the nodes that follow one.
+RELAY_LOAD_INTERVAL_S = 0.5  # Answers bring the load of engines in use.
+RELAY_FOLLOW_S = 3.5  # Three renewals of a follower.
+RELAY_FORGET_S = 30.0  # Longer than an agent is away for a restart.
+RELAY_LATE_S = 1.6  # More than a heartbeat and the way; then agents are asked directly.
+AGENT_LINK_IDLE_S = 3.0  # Most requests for a model follow each other sooner.
+FOLLOW_POLL_S = 0.5  # How soon a node asks the control host that it moved to.
+AGENT_CONNECT_S = 0.5  # A few ways between hosts; a lost opening packet takes 0.3 s.
+AGENT_LINK_QUEUE = 32  # Messages kept until a new link is connected.
+FEED_NEAR_RETRY_S = 10.0  # How long a near control host that failed is left alone.
 ENGINE_LOAD_INTERVAL_S = 0.25
+COPIES_KEPT_S = 0.5  # Copies change with loads, which take longer.
+ROOM_COST_STEP_S = 0.3  # Request-seconds: a change that moves a load elsewhere.
+BLOCKED_STEP = 0.5  # Requests a second, likewise.
 ENGINE_IDLE_POLL_S = 0.2
-ENGINE_BUSY_POLL_S = 0.03
-ENGINE_ADAPTER_POLL_S = 0.004
+ENGINE_ORDER_POLL_S = 0.03  # Near the end of an order.
+ENGINE_WANTED_POLL_S = 0.1  # While a model waits for room.
+ENGINE_ADAPTER_POLL_S = 0.005  # An adapter from the engine's own copies takes as long.
+ENGINE_ADAPTER_S = 0.05  # An adapter from the store, with the lag of reports.
 ENGINE_REPORT_TIMEOUT_S = 0.5
 ENGINE_ORDER_TIMEOUT_S = 0.5
 ENGINE_ORDERS_IN_A_ROW = 4
@@ -421,7 +441,10 @@
 PATIENCE_PART = 0.9  # Of a caller's patience: the way to it and back.
 RETURN_MARGIN_S = 0.3  # Beyond the estimate of a load, so that callers return once.
 WANT_REPEAT_S = 0.3
-USE_INTERVAL_S = 0.1
+# How long a model is asked for after a caller was refused; others ask for it later.
+MISSED_KEPT_S = 15.0
+MISSED_WEIGHT = 0.1  # Less than a late request: nobody waits.
+USE_INTERVAL_S = 0.2
 USE_REPEAT_S = 1.0
 SERVER_ABSENT_STATUS = 421
 SERVER_BUSY_RETRY_MS = 250
@@ -431,7 +454,7 @@
 SERVER_CONNECT_S = 0.5
 SERVER_SILENT_S = 0.8  # With requests in flight: many pauses between events.
 SERVER_AVOIDED_S = 2.0
-SILENCE_WATCH_S = 0.1
+SILENCE_WATCH_S = 0.2
 STREAM_SILENCE_S = 1.0
 SILENCE_MIN_S = 0.15
 SILENCE_PART = 0.4
@@ -444,6 +467,7 @@
 FOUNDING_S = 8.0  # How long after the first start nobody can have spent a rate.
 OWNER_SILENT_S = 0.3  # How long the owner is not asked after it gave no answer.
 RATE_PATIENCE_PART = 0.12  # Of the target: a wait that callers hardly see.
+RATE_RETURN_S = 0.5  # How often tokens that expired go back to the owner.
 RATE_RETRY_MIN_MS = 200
 
 # Stopping.
--- a/src/jasminewharf/platform/engines.py
+++ b/src/jasminewharf/platform/engines.py
@@ -72,7 +72,7 @@
             raise BackendError(f"status {status}")
         try:
             report = _decoder.decode(body)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise BackendError(f"report does not fit: {error}") from error
         copies = report.at_hand or _AtHand()
         return EngineStatus(
--- a/src/jasminewharf/platform/servers.py
+++ b/src/jasminewharf/platform/servers.py
@@ -72,7 +72,7 @@
             raise BackendError(f"status {status}")
         try:
             page = _page_decoder.decode(body)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise BackendError(f"answer does not fit: {error}") from error
         read = [_read_instance(raw) for raw in page.instances]
         servers = tuple(server for server in read if server is not None)
@@ -82,7 +82,7 @@
 def _read_instance(raw: Any) -> ListedServer | None:
     try:
         entry = _instance_decoder.decode(raw)
-    except (msgspec.MsgspecError, ValueError):
+    except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
     if entry.state not in _STATES or not entry.id or not is_address(entry.address):
         return None
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -16,6 +16,8 @@
 __all__ = ["ClientResponse", "HttpClient"]
 
 
+# Of the longest time-out of a kept connection that is believed: eleven days.
+_DIGITS = 6
 # Linger of zero seconds: the socket is reset when it is closed.
 _RESET = struct.pack("ii", 1, 0)
 
@@ -149,9 +151,20 @@
         finally:
             self.close()
 
-    async def read(self) -> bytes:
-        """Return the whole body."""
-        return b"".join([chunk async for chunk in self.chunks()])
+    async def read(self, limit_bytes: int = defaults.HTTP_ANSWER_LIMIT_BYTES) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            BackendError: If the body ends early or does not end within the limit; the
+                connection is closed then.
+        """
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > limit_bytes:
+                self.close()
+                raise BackendError(f"the answer is larger than {limit_bytes} bytes")
+        return bytes(body)
 
     def close(self) -> None:
         """Give the connection back if the body was read, else close it."""
@@ -344,5 +357,7 @@
             continue
         for item in value.decode("latin-1").split(","):
             key, _, seconds = item.strip().partition("=")
-            if key.lower() == "timeout" and seconds.isascii() and seconds.isdigit():
+            # The conversion of thousands of digits is refused with another error.
+            is_number = seconds.isascii() and seconds.isdigit()
+            if key.lower() == "timeout" and is_number and len(seconds) <= _DIGITS:
                 wire.keep_alive_s = int(seconds) * defaults.HTTP_KEEP_ALIVE_SHARE
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,11 +1,14 @@
 """The HTTP client must never call a request "not begun" that may have begun."""
 
 import asyncio
+import contextlib
 
 import pytest
 
+from jasminewharf import defaults
 from jasminewharf.exceptions import BackendError, BackendUnreachable
 from jasminewharf.services.client import HttpClient
+from support import wait_until
 
 
 async def serve_once(reader, writer):
@@ -174,3 +177,78 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+async def _send_without_end(writer, head, piece):
+    """Send until the caller closes; return the bytes that it took."""
+    sent = 0
+    writer.write(head)
+    with contextlib.suppress(ConnectionError):
+        while not writer.is_closing():
+            writer.write(piece)
+            await writer.drain()
+            sent += len(piece)
+    return sent
+
+
+ENDLESS = {
+    "head": (b"HTTP/1.1 200 OK\r\nx-pad: ", b"a" * 65_536),
+    "head of many lines": (b"HTTP/1.1 200 OK\r\n", b"x-pad: a\r\n" * 6_000),
+    "no answer at all": (b"", b"\x00\xff" * 32_768),
+    "body without a length": (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 65_536),
+    "chunks": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"a" * 65_536 + b"\r\n",
+    ),
+    "chunk size": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"0" * 65_536,
+    ),
+    "promised length": (
+        b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n",
+        b"a" * 65_536,
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_answer_without_end_is_given_up(kind):
+    """A server in trouble sends until the caller closes; memory must stay flat."""
+    taken = []
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        taken.append(await _send_without_end(writer, *ENDLESS[kind]))
+        writer.close()
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        with pytest.raises(BackendError):
+            async with asyncio.timeout(20):
+                response = await client.open("GET", "/", [], b"")
+                await response.read()
+        await wait_until(lambda: taken)
+        server.close()
+        # What the sockets and buffers between the two hold comes on top.
+        assert taken[0] <= defaults.HTTP_ANSWER_LIMIT_BYTES + 8 * 1024 * 1024
+
+    asyncio.run(scenario())
+
+
+def test_time_out_of_thousands_of_digits_is_passed_over():
+    """It could not be converted, and the error ended the agent that read a report."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nkeep-alive: timeout="
+        writer.write(head + b"9" * 5_000 + b"\r\n\r\nok")
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        assert await client.fetch("GET", "/") == (200, b"ok")
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -2,10 +2,12 @@
 
 import itertools
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from jasminewharf.decisions.eventstream import EventSplitter
+from jasminewharf.exceptions import BackendError
 
 BODY = b"id: 1\ndata: a\n\nx-weights: 3\nid: 2\ndata: b\n\nid: 3\ndata: c"
 
@@ -31,3 +33,18 @@
 
 def test_event_without_number_is_marked():
     assert EventSplitter().feed(b"data: x\n\n")[0].number == -1
+
+
+def test_event_without_end_is_given_up():
+    """A server in trouble sends bytes until its caller closes."""
+    splitter = EventSplitter()
+    with pytest.raises(BackendError):
+        for _ in range(100):
+            splitter.feed(b"a" * 65_536)
+    assert len(splitter.rest) < 2 * 1024 * 1024
+
+
+def test_number_of_thousands_of_digits_is_none():
+    """It cannot be converted, and the error would end the request."""
+    events = EventSplitter().feed(b"id: " + b"9" * 5_000 + b"\n\n")
+    assert [event.number for event in events] == [-1]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -277,3 +277,11 @@
     assert ENGINES.read_order(202, b"").outcome == "accepted"
     assert ENGINES.read_order(412, b"").outcome == "fenced"
     assert ENGINES.read_order(500, b"").outcome == "refused"
+
+
+@pytest.mark.parametrize("read", [SERVERS.read_page, ENGINES.read_status])
+def test_answer_nested_without_end_is_a_typed_error(read):
+    """Its reader's error is of another kind, and ended the process that polled."""
+    body = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    with pytest.raises(BackendError):
+        read(200, body)
