Return tokens that no request has spent to the owner of the rates

An entry kept the tokens of a request that did not run, and the advance that came with a loan, for its next request; with 68 entries and 19 workspaces that seldom comes within the second in which they count.

Tokens that expire now go back. The owner counts only what its bucket would not have run over with, by the highest levels since the loan; emergency tokens and other owners' loans do not count. A property test holds every window within rate and burst.

--- a/src/jasminewharf/decisions/lending.py
+++ b/src/jasminewharf/decisions/lending.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections import deque
 from typing import NamedTuple
 
 from .configurations import WorkspaceSpec
@@ -28,6 +29,9 @@
 _ADVANCE_S = 1.0
 # An entry counts as living for this long after it asked for tokens.
 _ENTRY_KEPT_S = 4.0
+# How long after a loan its tokens may come back. Later ones are few.
+_RETURN_KEPT_S = 4.0
+_PEAK_SPAN_S = 0.1
 _TINY = 1e-9
 
 
@@ -63,6 +67,8 @@
         self.slack = slack
         self.level = self.size if is_full else spec.burst * _TAKEOVER_PART
         self._at = now
+        # The highest level of each short span, the newest last.
+        self._peaks: deque[tuple[float, float]] = deque()
 
     @property
     def size(self) -> float:
@@ -72,6 +78,36 @@
         earned = max(now - self._at, 0.0) * self.spec.rate_per_s
         self.level = min(self.level + earned, self.size)
         self._at = now
+        self._note_peak(now)
+
+    def _note_peak(self, now: float) -> None:
+        span = now // _PEAK_SPAN_S
+        if self._peaks and self._peaks[-1][0] == span:
+            _, peak = self._peaks.pop()
+            self._peaks.append((span, max(peak, self.level)))
+        else:
+            self._peaks.append((span, self.level))
+        while self._peaks[0][0] < span - _RETURN_KEPT_S / _PEAK_SPAN_S:
+            self._peaks.popleft()
+
+    def put_back(self, tokens: float, lent_at: float, now: float) -> float:
+        """Add tokens that were lent and not spent; return how many count.
+
+        Had they stayed, the bucket would have run over where it was nearly full: what
+        it would have lost then does not count.
+        """
+        self.refill(now)
+        if now - lent_at > _RETURN_KEPT_S:
+            return 0.0
+        first = lent_at // _PEAK_SPAN_S
+        peak = max(level for span, level in self._peaks if span >= first)
+        counted = max(min(tokens, self.size - peak), 0.0)
+        self.level += counted
+        self._peaks = deque(
+            (span, level + counted if span >= first else level)
+            for span, level in self._peaks
+        )
+        return counted
 
 
 class TokenLender:
@@ -115,6 +151,12 @@
         bucket.level -= advance
         return Loan(True, wait_s, advance)
 
+    def take_back(
+        self, spec: WorkspaceSpec, tokens: float, lent_at: float, now: float
+    ) -> float:
+        """Take tokens back that no request has spent; return how many count."""
+        return self._find_bucket(spec, now).put_back(tokens, lent_at, now)
+
     def _find_bucket(self, spec: WorkspaceSpec, now: float) -> _Bucket:
         slack = self._limits.slack(spec) * _SLACK_PART
         bucket = self._buckets.get(spec.name)
@@ -130,17 +172,25 @@
 
 
 class Advance:
-    """Tokens that an entry was lent beyond a request; they expire."""
+    """Tokens that an entry holds beyond its requests, all lent by one owner."""
 
     def __init__(self) -> None:
         self._tokens = 0.0
         self._until = -math.inf
+        self._lent_at = math.inf
+        self.owner = 0
+
+    def add(self, tokens: float, owner: int, lent_at: float, now: float) -> None:
+        """Take tokens; they and what is held already count for a while.
 
-    def add(self, tokens: float, now: float) -> None:
-        """Take tokens; what an earlier loan left may be used as long."""
-        if now >= self._until:
+        What another owner lent is dropped: the present one knows nothing of it.
+        """
+        if owner != self.owner:
             self._tokens = 0.0
+            self._lent_at = math.inf
+            self.owner = owner
         self._tokens += tokens
+        self._lent_at = min(self._lent_at, lent_at)
         self._until = now + _ADVANCE_S
 
     def take(self, tokens: float, now: float) -> bool:
@@ -150,6 +200,14 @@
         self._tokens -= tokens
         return True
 
+    def expire(self, now: float) -> tuple[float, float]:
+        """Return the tokens that expired and when the oldest of them was lent."""
+        if now < self._until or not self._tokens:
+            return 0.0, now
+        tokens, self._tokens = self._tokens, 0.0
+        lent_at, self._lent_at = self._lent_at, math.inf
+        return tokens, lent_at
+
 
 class EmergencyBucket:
     """What an entry may spend of a workspace's rate while the owner is silent."""
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -263,11 +263,13 @@
         table = self.kernel.find("view").table
         route, workspace = admitted
         rates = self.kernel.find("rates")
-        cost = 0.0
+        cost = charged_at = 0.0
+        owner = 0
         if workspace is not None:
             cost = rates.cost(workspace, call.prompt_tokens + call.output_tokens)
             patience_s = route.target_s * defaults.RATE_PATIENCE_PART
-            await rates.charge(workspace, cost, call.request_id, patience_s)
+            charged_at = asyncio.get_running_loop().time()
+            owner = await rates.charge(workspace, cost, call.request_id, patience_s)
         outgoing = Outgoing(
             request.method,
             request.target,
@@ -282,7 +284,7 @@
             await self.kernel.find("forwarder").run(job, responder, attempts)
         except BaseException:
             if workspace is not None and not attempts.may_have_run:
-                rates.give_back(workspace, cost)
+                rates.give_back(workspace, cost, owner, charged_at)
             raise
 
 
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -9,17 +9,23 @@
     "AdapterEnsured",
     "BorrowTokens",
     "ControlHosts",
+    "EngineDigest",
     "EngineLoad",
     "EngineReport",
     "EnsureAdapter",
+    "FetchServers",
+    "FollowEngines",
     "MembershipAnswer",
     "ModelUse",
     "RequestMembership",
+    "ReturnTokens",
+    "ServerChanges",
     "ServerListAge",
     "Servers",
     "SubmitConfiguration",
     "TokensLent",
     "WantModel",
+    "WantReports",
 ]
 
 
@@ -56,17 +62,22 @@
 
 @message(184)
 class Servers(NamedTuple):
-    """The platform's list, read ``age_ms`` before the message was sent."""
+    """The platform's list, read ``age_ms`` before the message was sent.
+
+    ``number`` counts the changes that its sender has seen.
+    """
 
     age_ms: int
     servers: list[ListedServer]
+    number: int = 0
 
 
 @message(185)
 class ServerListAge(NamedTuple):
-    """The list sent last was read again, unchanged, ``age_ms`` ago."""
+    """The list ``number`` was read again, unchanged, ``age_ms`` ago."""
 
     age_ms: int
+    number: int = 0
 
 
 @message(186)
@@ -81,6 +92,9 @@
     ``room_cost`` is what making room for one more model would cost other requests, in
     request-seconds. ``blocked_rate`` is how many requests a second come that have to
     wait while the engine carries out an order.
+
+    ``life_ms`` is the wall clock at the agent's start and ``number`` rises with each
+    report of that life; ``load_number`` is that of the last load before it.
     """
 
     address: str
@@ -99,11 +113,17 @@
     queued: int
     used_tokens: int
     total_tokens: int
+    life_ms: int = 0
+    number: int = 0
+    load_number: int = 0
 
 
 @message(187)
 class EngineLoad(NamedTuple):
-    """The load of an agent's engine; sent between changes of its models."""
+    """The load of an agent's engine; sent between changes of its models.
+
+    ``report_number`` is that of the report which it adds to.
+    """
 
     address: str
     running: int
@@ -111,18 +131,23 @@
     used_tokens: int
     room_cost: float
     blocked_rate: float
+    life_ms: int = 0
+    report_number: int = 0
+    number: int = 0
 
 
 @message(188)
 class WantModel(NamedTuple):
     """An entry has ``requests`` that wait for a model, worth ``urgency`` in all.
 
-    It is repeated while they wait.
+    It is repeated while they wait. ``age_ms`` is how long the model has been asked for
+    in vain, by these requests or by ones that were refused.
     """
 
     model: str
     requests: int
     urgency: float
+    age_ms: int = 0
 
 
 @message(189)
@@ -165,9 +190,63 @@
 
     ``wait_ms`` is when lent tokens may be spent, or when to ask again; ``advance`` are
     tokens beyond those asked for, ``entries`` the number of entries that live.
+    ``owner`` names the time of leading in which they were lent.
     """
 
     is_lent: bool
     wait_ms: int
     advance: float
     entries: int
+    owner: int = 0
+
+
+@message(194)
+class EngineDigest(NamedTuple):
+    """What changed at engines, each with its age in milliseconds."""
+
+    reports: list[tuple[int, EngineReport]]
+    loads: list[tuple[int, EngineLoad]]
+
+
+@message(195)
+class FollowEngines(NamedTuple):
+    """A node asks a control host for digests; it repeats this while it follows."""
+
+
+@message(196)
+class WantReports(NamedTuple):
+    """Asks for the whole reports of engines that only loads were heard of."""
+
+    addresses: list[str]
+
+
+@message(197)
+class ServerChanges(NamedTuple):
+    """What leads from the sender's list ``base`` to its list ``number``.
+
+    ``gone`` names servers that are no longer listed.
+    """
+
+    age_ms: int
+    base: int
+    number: int
+    changed: list[ListedServer]
+    gone: list[str]
+
+
+@message(198)
+class FetchServers(NamedTuple):
+    """A node that missed a change asks for the whole list."""
+
+
+@message(199)
+class ReturnTokens(NamedTuple):
+    """An entry gives back what it was lent and no request has spent.
+
+    ``age_ms`` is how long ago the oldest of the tokens were lent.
+    """
+
+    workspace: str
+    tokens: float
+    owner: int
+    age_ms: int
--- a/src/jasminewharf/services/controllers.py
+++ b/src/jasminewharf/services/controllers.py
@@ -69,6 +69,10 @@
             if not self.links[name].is_connected:
                 self.links.pop(name).close()
 
+    def find_leader(self, group: str) -> LinkClient | None:
+        """Return the link to the host that led ``group`` when it was last asked."""
+        return self.links.get(self._leaders.get(group, ""))
+
     async def stop(self) -> None:
         """Close the links."""
         await super().stop()
--- a/src/jasminewharf/services/lending.py
+++ b/src/jasminewharf/services/lending.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from typing import ClassVar
 
 from .. import defaults, events
@@ -13,9 +14,16 @@
     OverrunLimits,
     TokenLender,
 )
-from ..exceptions import ConsensusError, LinkError, NotLeader, RateExceeded
+from ..exceptions import (
+    ConsensusError,
+    LinkError,
+    NotLeader,
+    PeerUnavailable,
+    RateExceeded,
+)
+from ..identifiers import new_incarnation
 from ..kernel import Kernel, Service
-from ..messages.servers import BorrowTokens, TokensLent
+from ..messages.servers import BorrowTokens, ReturnTokens, TokensLent
 from .control import FLEET_GROUP
 from .link import Peer
 
@@ -33,11 +41,13 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._lender: TokenLender | None = None
+        self._owner = 0
         self._started = _now()
 
     async def start(self) -> None:
         """Answer entries."""
         self.kernel.find("control").handle(BorrowTokens, self._lend)
+        self.kernel.find("control").handle(ReturnTokens, self._take_back)
         self.spawn(self._take_over_forever(), essential=True)
 
     async def _take_over_forever(self) -> None:
@@ -66,6 +76,7 @@
             age_s = _now() - self._started
             is_first = fleet.first_start and age_s < defaults.FOUNDING_S
             self._lender = TokenLender(limits, _now(), is_first=is_first)
+            self._owner = new_incarnation()
         return self._lender
 
     def _lend(self, peer: Peer, wish: BorrowTokens) -> TokensLent:
@@ -73,11 +84,22 @@
         entries = lender.count_entries(peer.node, _now())
         spec = self._find_workspace(wish.workspace)
         if spec is None:
-            return TokensLent(False, 0, 0.0, entries)
+            return TokensLent(False, 0, 0.0, entries, self._owner)
         patience_s = wish.patience_ms / defaults.MS_PER_S
         loan = lender.lend(spec, wish.tokens, patience_s, _now())
         wait_ms = int(loan.wait_s * defaults.MS_PER_S)
-        return TokensLent(loan.is_lent, wait_ms, loan.advance, entries)
+        return TokensLent(loan.is_lent, wait_ms, loan.advance, entries, self._owner)
+
+    def _take_back(self, peer: Peer, returned: ReturnTokens) -> None:
+        """Take back what this owner lent; of others' loans it knows nothing."""
+        if self._lender is None or returned.owner != self._owner:
+            return
+        if not self.kernel.find("log").is_leader(FLEET_GROUP):
+            return
+        spec = self._find_workspace(returned.workspace)
+        if spec is not None and returned.tokens > 0:
+            lent_at = _now() - returned.age_ms / defaults.MS_PER_S
+            self._lender.take_back(spec, returned.tokens, lent_at, _now())
 
     def _find_workspace(self, name: str) -> WorkspaceSpec | None:
         table = self.kernel.find("view-on-control").table
@@ -105,6 +127,31 @@
         self._silent_until = 0.0
         self._metrics = kernel.find("process").metrics
 
+    async def start(self) -> None:
+        """Give back what is not spent."""
+        self.spawn(self._return_forever(), essential=True)
+
+    async def _return_forever(self) -> None:
+        while True:
+            await asyncio.sleep(defaults.RATE_RETURN_S)
+            for workspace, advance in self._advances.items():
+                tokens, lent_at = advance.expire(_now())
+                # What an emergency bucket gave was never the owner's.
+                if tokens > 0 and advance.owner:
+                    age_ms = math.ceil((_now() - lent_at) * defaults.MS_PER_S)
+                    message = ReturnTokens(workspace, tokens, advance.owner, age_ms)
+                    self._return(message)
+
+    def _return(self, message: ReturnTokens) -> None:
+        """Send tokens to the owner; what does not arrive is not spent either."""
+        link = self.kernel.find("controllers").find_leader(FLEET_GROUP)
+        if link is None:
+            return
+        try:
+            link.send(message)
+        except PeerUnavailable:
+            self._metrics.count("rate_returns_lost_total")
+
     def cost(self, spec: WorkspaceSpec, tokens: int) -> float:
         """Return what a request counts against its workspace's rate."""
         if spec.default_tokens <= 0:
@@ -113,22 +160,27 @@
 
     async def charge(
         self, spec: WorkspaceSpec, cost: float, request_id: str, patience_s: float
-    ) -> None:
+    ) -> int:
         """Spend a request's cost; waits at most ``patience_s`` for its tokens.
 
+        Returns:
+            Who lent the tokens, 0 if it was no owner.
+
         Raises:
             RateExceeded: If the workspace's rate does not allow the request now.
         """
         if spec.rate_per_s <= 0:
-            return
+            return 0
         advance = self._advances.setdefault(spec.name, Advance())
         if advance.take(cost, _now()):
-            return
+            return advance.owner
+        asked_at = _now()
         lent = await self._borrow(spec, cost, patience_s)
         if lent.is_lent:
-            advance.add(lent.advance, _now())
+            if lent.advance > 0:
+                advance.add(lent.advance, lent.owner, asked_at, _now())
             await asyncio.sleep(lent.wait_ms / defaults.MS_PER_S)
-            return
+            return lent.owner
         self._metrics.count("rate_refusals_total", workspace=spec.name)
         events.emit(
             _logger,
@@ -145,10 +197,16 @@
             retry_after_ms=max(lent.wait_ms, defaults.RATE_RETRY_MIN_MS),
         )
 
-    def give_back(self, spec: WorkspaceSpec, cost: float) -> None:
-        """Keep the cost of a request that did not run for the next one here."""
+    def give_back(
+        self, spec: WorkspaceSpec, cost: float, owner: int, lent_at: float
+    ) -> None:
+        """Keep the cost of a request that did not run for the next one here.
+
+        If none comes it goes back to the owner.
+        """
         if spec.rate_per_s > 0:
-            self._advances.setdefault(spec.name, Advance()).add(cost, _now())
+            advance = self._advances.setdefault(spec.name, Advance())
+            advance.add(cost, owner, lent_at, _now())
 
     async def _borrow(
         self, spec: WorkspaceSpec, cost: float, patience_s: float
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -101,7 +101,7 @@
 def test_advance_expires():
     """Tokens that an entry keeps for ever would add up to a second burst."""
     advance = Advance()
-    advance.add(500.0, 0.0)
+    advance.add(500.0, 1, 0.0, 0.0)
     assert advance.take(200.0, 0.5)
     assert not advance.take(200.0, 1.5)
 
@@ -142,3 +142,62 @@
         if loan.is_lent:
             lent.append((now, 1_250.0 + loan.advance))
     assert worst_window(lent) <= allowed(spec)
+
+
+def test_tokens_of_requests_that_did_not_run_come_back():
+    """Pattern: many entries, long requests for rare models, most of them refused.
+
+    Each entry kept what a refused request had been lent until it expired, and the
+    workspace was refused although it had spent little.
+    """
+    spec = build_workspace(rate=1_000.0, burst=10_000.0)
+    lender = TokenLender(OverrunLimits(8.0, 0.0, 0.0), 0.0, is_first=True)
+    for step in range(100):
+        now = step * 0.1
+        assert lender.lend(spec, 1_000.0, 0.0, now).is_lent, f"refused at {now}"
+        advance = Advance()
+        advance.add(1_000.0, 1, now, now)
+        assert advance.expire(now + 0.5) == (0.0, now + 0.5)
+        tokens, lent_at = advance.expire(now + 1.0)
+        lender.take_back(spec, tokens, lent_at, now + 0.05)
+
+
+def test_tokens_that_the_bucket_would_have_lost_do_not_come_back():
+    """Loans that are returned at a full bucket must not add to rate and burst."""
+    spec = build_workspace(rate=1_000.0, burst=1_000.0)
+    lender = TokenLender(OverrunLimits(8.0, 0.0, 0.0), 0.0, is_first=True)
+    assert lender.lend(spec, 1_000.0, 0.0, 0.0).is_lent
+    assert lender.take_back(spec, 1_000.0, 0.0, 1.5) == 0.0
+    assert lender.lend(spec, 1_000.0, 0.0, 1.5).is_lent
+    assert not lender.lend(spec, 1_000.0, 0.0, 1.6).is_lent
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0.0, 0.5), st.floats(50.0, 3_000.0), st.floats(0.0, 5.0)),
+        max_size=120,
+    ),
+    st.integers(0, 3),
+)
+def test_returns_keep_every_window_within_the_rate(wishes, spent_of_four):
+    """Whatever is lent, spent or given back after a while."""
+    spec = build_workspace(rate=1_000.0, burst=4_000.0)
+    limits = OverrunLimits(8.0, 0.0, 0.0)
+    lender = TokenLender(limits, 0.0, is_first=True)
+    now, spent, pending = 0.0, [], []
+    for number, (pause_s, tokens, kept_s) in enumerate(wishes):
+        now += pause_s
+        for due in sorted(item for item in pending if item[0] <= now):
+            pending.remove(due)
+            lender.take_back(spec, due[2], due[1], due[0])
+        loan = lender.lend(spec, tokens, 0.0, now)
+        if not loan.is_lent:
+            continue
+        if number % 4 < spent_of_four:
+            spent.append((now, tokens))
+        else:
+            pending.append((now + kept_s, now, tokens))
+        pending.append((now + 1.0, now, loan.advance))
+    for start, _ in spent:
+        window = sum(t for at, t in spent if start <= at < start + 8.0)
+        assert window <= 1_000.0 * 8.0 + 4_000.0 + 1e-6
