Serve every model that is asked for: age, a bound on store loads, their true cost

Ruled out: the order by urgency itself, which stays below the age. Tests name the patterns; each failed first.

--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -6,10 +6,11 @@
 import xxhash
 
 from .configurations import EngineSpec, ModelSpec
-from .copies import count_copies, find_displaced
+from .copies import count_copies, find_displaced, is_fetching
 from .directory import Server
 
 __all__ = [
+    "FETCHING_AT_ONCE",
     "LoadPlace",
     "Preference",
     "Waiting",
@@ -25,6 +26,8 @@
 # Share of the slots beyond which first events come late and memory runs out.
 _FULL_SHARE = 0.75
 _STAY_PART = 0.7
+# Loads from the store that run at full speed beside each other.
+FETCHING_AT_ONCE = 3
 # One more model that waits there for an order: a load from disk.
 _WAITING_MODEL_S = 1.3
 
@@ -135,7 +138,11 @@
     if not reachable:
         return None
     copies = count_copies(s.report.on_disk for s in reachable if s.report)
-    places = [_appraise(s, engine, model, waiting, copies, now) for s in reachable]
+    fetching = sum(is_fetching(s.report) for s in reachable if s.report)
+    # More loads from the store than it serves at full speed take longer, each.
+    stretch = max((fetching + 1) / FETCHING_AT_ONCE, 1.0)
+    slowed = model._replace(remote_s=model.remote_s * stretch)
+    places = [_appraise(s, engine, slowed, waiting, copies, now) for s in reachable]
     return min(places, key=lambda p: (p.cost, rank_by_hash(model.name, p.server.name)))
 
 
--- a/src/jasminewharf/decisions/copies.py
+++ b/src/jasminewharf/decisions/copies.py
@@ -7,7 +7,13 @@
 from ..messages.servers import EngineReport
 from .configurations import EngineSpec
 
-__all__ = ["FleetCopies", "count_copies", "find_displaced", "gather_copies"]
+__all__ = [
+    "FleetCopies",
+    "count_copies",
+    "find_displaced",
+    "gather_copies",
+    "is_fetching",
+]
 
 
 class FleetCopies(NamedTuple):
@@ -17,7 +23,8 @@
     engines that hold a model, this one among them; ``places`` names for each model
     the engines that have or load a copy; ``calm`` are the engines with nothing to
     load, ``own`` this one. ``warming`` counts loads from the store in progress;
-    ``is_used`` tells that requests run anywhere.
+    ``is_used`` tells that requests run anywhere. ``fetched`` are the models that other
+    engines load from the store.
     """
 
     is_complete: bool
@@ -27,6 +34,7 @@
     own: str
     warming: int
     is_used: bool
+    fetched: frozenset[str] = frozenset()
 
     def count(self, model: str) -> int:
         """Return how many engines have or load a copy of a model."""
@@ -50,11 +58,11 @@
         loading = [report.changing] if report.is_loading else []
         for name in (*held, *loading, *report.in_memory, *report.on_disk):
             places.setdefault(name, set()).add(report.address)
-    warming = sum(
-        report.is_loading and report.changing not in report.on_disk
+    fetched = [
+        report.changing
         for report in reports
-        if report.address != own
-    )
+        if report.address != own and is_fetching(report)
+    ]
     is_calm = [not report.changing and not report.wanted for report in reports]
     return FleetCopies(
         is_complete,
@@ -62,11 +70,18 @@
         {name: frozenset(engines) for name, engines in places.items()},
         frozenset(r.address for r, calm in zip(reports, is_calm, strict=True) if calm),
         own,
-        warming,
+        len(fetched),
         any(report.running for report in reports),
+        frozenset(fetched),
     )
 
 
+def is_fetching(report: EngineReport) -> bool:
+    """Return whether an engine loads a model from the store."""
+    at_hand = (*report.in_memory, *report.on_disk)
+    return report.is_loading and report.changing not in at_hand
+
+
 def count_copies(engines: Iterable[Iterable[str]]) -> Counter[str]:
     """Return the number of engines with a copy of each model.
 
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ..dialects.fleet import EngineStatus
-from .choice import rank_by_hash
+from .choice import FETCHING_AT_ONCE, rank_by_hash
 from .configurations import EngineSpec, ModelSpec
 from .copies import FleetCopies, find_displaced
 
@@ -36,6 +36,9 @@
 _RUN_S = 1.0
 # How long a request waits for a model to fall idle before one in use makes room.
 _PATIENCE_S = 3.0
+# How long a model may be asked for in vain before it goes first: about the longest
+# patience of callers, and half a minute's rest of other work at worst.
+_STARVED_S = 6.0
 # A model idle for this long makes room for one of which there is no copy.
 _IDLE_S = 2.0
 # Holders that a model placed on many engines keeps when others make room.
@@ -82,7 +85,15 @@
         self._at = now
 
     def read(self, now: float) -> float:
-        return self._rate * math.exp(-(now - self._at) / self._window_s)
+        silent_s = now - self._at
+        rate = self._rate * math.exp(-silent_s / self._window_s)
+        # Silence tells more than the mean where many events would have come.
+        return min(rate, 1 / silent_s) if silent_s > self._window_s else rate
+
+
+def _may_fetch(model: str, copies: FleetCopies) -> bool:
+    """Return whether a load from the store may begin beside those of other engines."""
+    return copies.warming < FETCHING_AT_ONCE and model not in copies.fetched
 
 
 class Residency:
@@ -118,18 +129,40 @@
         return self._models.get(name)
 
     def note_want(
-        self, peer: str, model: str, requests: int, urgency: float, now: float
-    ) -> None:
-        """Note that an entry's requests wait for a model."""
+        self,
+        peer: str,
+        model: str,
+        requests: int,
+        urgency: float,
+        now: float,
+        age_s: float = 0.0,
+    ) -> bool:
+        """Note that requests of an entry wait for a model.
+
+        Args:
+            peer: The entry.
+            model: What they wait for.
+            requests: How many they are.
+            urgency: What they are worth.
+            now: Monotonic seconds.
+            age_s: How long the model has been asked for in vain.
+
+        Returns:
+            Whether the entry has not asked for it before.
+        """
         if model not in self._models:
-            return
+            return False
+        # An engine that nobody uses hears of no use, however long it waits.
+        self._use_known_from = min(self._use_known_from, now + _LEARN_S)
         wants = self._wants.setdefault(model, {})
         known = wants.get(peer)
         is_new = known is None or now - known.at > _WANT_KEPT_S
         if is_new and model not in self._held:
             self._want_rate.add(1, now)
         since = now if known is None or is_new else known.since
+        since = min(since, now - age_s)
         wants[peer] = _Want(requests, urgency, since, now)
+        return is_new
 
     def note_use(self, peer: str, uses: list[tuple[str, int, int]], now: float) -> None:
         """Replace what an entry has in flight, by model or model and adapter."""
@@ -156,9 +189,10 @@
     def wanted_models(self, now: float) -> list[tuple[str, float]]:
         """Return the models that requests wait for and that are not held.
 
-        Each comes with its urgency, the most urgent one first.
+        Each comes with its urgency, the most urgent one first. One that was asked for
+        in vain for long comes before all others, so that none is never served.
         """
-        waiting: list[tuple[float, float, str]] = []
+        waiting: list[tuple[bool, float, float, str]] = []
         for model, wants in list(self._wants.items()):
             for peer in [
                 p for p, want in wants.items() if now - want.at > _WANT_KEPT_S
@@ -169,8 +203,9 @@
             elif model not in self._held:
                 urgency = sum(want.urgency for want in wants.values())
                 since = min(want.since for want in wants.values())
-                waiting.append((-urgency, since, model))
-        return [(model, -urgency) for urgency, _, model in sorted(waiting)]
+                is_starved = now - since > _STARVED_S
+                waiting.append((not is_starved, -urgency, since, model))
+        return [(model, -urgency) for _, urgency, _, model in sorted(waiting)]
 
     def in_flight(self, name: str, now: float) -> int:
         """Return the requests of all entries in flight for a model or adapter.
@@ -198,17 +233,22 @@
             return intent
         wanted = self.wanted_models(now)
         for model, _ in wanted:
+            if self._is_remote(model, status) and not _may_fetch(model, copies):
+                continue
             intent = self._make_way(model, status, now)
             if intent is not None:
                 return intent
         return None if wanted else self._warm(status, copies, now)
 
+    def _is_remote(self, model: str, status: EngineStatus) -> bool:
+        return model not in status.in_memory and model not in status.on_disk
+
     def room_cost(self, status: EngineStatus, now: float) -> float:
         """Return what making room for a model costs others, in request-seconds."""
         if self._spec is None or self._free_mb(status) >= self._largest_mb():
             return 0.0
         costs = [
-            self._eviction_cost(held.model, now)
+            self._eviction_cost(held.model, now, 0.0)
             + (_SETTLE_S if self._is_settling(held.model, now) else 0.0)
             for held in status.models
         ]
@@ -221,14 +261,16 @@
         """
         return self._adapter_misses.read(now) + self._want_rate.read(now)
 
-    def _eviction_cost(self, model: str, now: float) -> float:
+    def _eviction_cost(self, model: str, now: float, held_up_s: float) -> float:
         """Return the request-seconds that ending a model's residency costs.
 
         Those are the requests that come while it is away, and the wait of the next
-        model until the running ones have ended.
+        model until the running ones have ended. It cannot return for ``held_up_s``
+        beyond the usual, while the engine loads from the store.
         """
         rate = self._rates.get(model)
-        missed = rate.read(now) * _RETURN_S if rate else 0.0
+        away_s = _RETURN_S + held_up_s
+        missed = rate.read(now) * away_s if rate else 0.0
         return missed * _RETURN_S + min(self.in_flight(model, now), 1) * _RUN_S
 
     def _is_settling(self, model: str, now: float) -> bool:
@@ -282,10 +324,13 @@
         ]
         if not held:
             return ""
+        held_up_s = 0.0
+        if self._is_remote(model, status):
+            held_up_s = self._models[model].remote_s
         victim = min(
             held,
             key=lambda name: (
-                self._eviction_cost(name, now),
+                self._eviction_cost(name, now, held_up_s),
                 self._used_at.get(name, -1.0),
             ),
         )
@@ -293,7 +338,7 @@
             want.urgency * (_RETURN_S + now - want.since)
             for want in self._wants[model].values()
         )
-        is_worth_it = gain > self._eviction_cost(victim, now)
+        is_worth_it = gain > self._eviction_cost(victim, now, held_up_s)
         return victim if is_worth_it else ""
 
     def _is_idle(self, model: str, now: float) -> bool:
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -32,6 +32,14 @@
     until: float
 
 
+class _Missed(NamedTuple):
+    """A model that callers were refused for, since when and until when it counts."""
+
+    service: ServiceSpec
+    since: float
+    until: float
+
+
 class DemandService(Service):
     """Keeps requests that wait for a model, and tells agents of demand and use."""
 
@@ -44,11 +52,16 @@
         self._waiters: list[_Waiter] = []
         self._changes: list[asyncio.Future[None]] = []
         self._returning: dict[str, list[_Returning]] = {}
+        self._missed: dict[str, _Missed] = {}
         self._copies_asked: dict[str, tuple[float, str]] = {}
         self._asked: dict[str, tuple[float, str]] = {}
         self._begun: dict[str, dict[str, int]] = {}
         self._used: set[str] = set()
         self._repeat_use_at = 0.0
+        self._running = 0
+        # Set while there is something to tell, so that an idle entry does not wake.
+        self._has_use = asyncio.Event()
+        self._has_demand = asyncio.Event()
         self._metrics = kernel.find("process").metrics
 
     async def start(self) -> None:
@@ -80,6 +93,7 @@
         waiter = self._build_waiter(job)
         self._check(waiter, job.call.request_id)
         self._waiters.append(waiter)
+        self._has_demand.set()
         self._ask(waiter.service, waiter.model)
         try:
             async with asyncio.timeout_at(waiter.wait.leaves_at):
@@ -129,6 +143,13 @@
         back_s = ready_s + defaults.RETURN_MARGIN_S
         returning = self._returning.setdefault(waiter.model, [])
         returning.append(_Returning(waiter.service, _now() + back_s))
+        known = self._missed.get(waiter.model)
+        self._missed[waiter.model] = _Missed(
+            waiter.service,
+            known.since if known is not None else waiter.wait.since,
+            _now() + max(back_s, defaults.MISSED_KEPT_S),
+        )
+        self._has_demand.set()
         self._ask(waiter.service, waiter.model)
         return ModelUnavailable(
             "the model is not ready before the caller leaves",
@@ -188,6 +209,11 @@
                 waiter.ready.set_result(None)
         for model, items in self._returning.items():
             wanted.setdefault(model, items[0].service)
+        for model, missed in list(self._missed.items()):
+            if missed.until <= _now() or self._is_held(missed.service, model):
+                del self._missed[model]
+            else:
+                wanted.setdefault(model, missed.service)
         for model, service in wanted.items():
             self._ask(service, model)
 
@@ -228,26 +254,38 @@
         returning = self._expected_back(model)
         is_held = not waits and self._is_held(service, model)
         place = self._choose_place(service, spec) if spec else None
-        if place is None or is_held or (not waits and not returning):
+        missed = self._missed.get(model)
+        if place is None or is_held or not (waits or returning or missed):
             return
         asked_at, asked = self._asked.get(model, (float("-inf"), ""))
         if asked == place.server.name and _now() - asked_at < defaults.WANT_REPEAT_S:
             return
         urgency = weigh_waits(waits, place.ready_s, _now()) + weigh_returns(returning)
-        want = WantModel(model, len(waits) + returning, urgency)
+        if not waits and not returning:
+            urgency = defaults.MISSED_WEIGHT
+        since = min([w.since for w in waits], default=_now())
+        if missed is not None:
+            since = min(since, missed.since)
+        age_ms = int((_now() - since) * defaults.MS_PER_S)
+        want = WantModel(model, max(len(waits) + returning, 1), urgency, age_ms)
         if self.kernel.find("directory").send_to_agent(place.server, want):
             self._asked[model] = (_now(), place.server.name)
 
     async def _repeat_forever(self) -> None:
         while True:
+            await self._has_demand.wait()
             await asyncio.sleep(defaults.WANT_REPEAT_S)
-            if self._waiters or self._returning:
+            if self._waiters or self._returning or self._missed:
                 self.review()
+            else:
+                self._has_demand.clear()
 
     # Use of the engines.
 
     def note_begun(self, server: Server, model: str, adapter: str) -> None:
-        """Count a request that begins at an engine."""
+        """Count a request that begins at a server."""
+        self._running += 1
+        self._has_use.set()
         if not model:
             return
         begun = self._begun.setdefault(server.name, {})
@@ -258,11 +296,16 @@
 
     def note_ended(self, server: Server) -> None:
         """Note that a request has ended at a server."""
+        self._running -= 1
+        self._has_use.set()
         self._used.add(server.name)
 
     async def _tell_use_forever(self) -> None:
         while True:
+            await self._has_use.wait()
             await asyncio.sleep(defaults.USE_INTERVAL_S)
+            if not self._running:
+                self._has_use.clear()
             if _now() >= self._repeat_use_at:
                 # An agent forgets the use of an entry that it does not hear of.
                 self._repeat_use_at = _now() + defaults.USE_REPEAT_S
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -201,6 +201,19 @@
     assert residency.choose(build_status(["m0"]), COMPLETE, now) is None
 
 
+def test_engine_that_nobody_uses_makes_room_soon():
+    """Pattern: rare models are asked for at engines that serve nobody yet.
+
+    No entry ever tells such an agent of use; it kept the first request waiting until
+    its patience ended.
+    """
+    residency = build_residency(places=1)
+    residency.note_want("entry", "m1", 1, 1.0, 0.0)
+    residency.note_want("entry", "m1", 1, 1.0, 0.9)
+    intent = residency.choose(build_status(["m0"]), COMPLETE, 1.0)
+    assert intent is not None and (intent.loads, intent.model) == (False, "m0")
+
+
 @given(
     st.lists(
         st.tuples(
@@ -275,3 +288,44 @@
     assert residency.in_flight("m0", 9.0) == 0
     residency.note_want("entry", "m1", 1, 1.0, 9.0)
     assert residency.choose(build_status(["m0"]), COMPLETE, 9.0).model == "m0"
+
+
+def test_busiest_model_does_not_make_room_for_a_load_from_the_store():
+    """Pattern: many rare models, of which the fleet has no copies.
+
+    The engine carries out nothing else while it fetches one, so that the model which
+    makes room is away for as long.
+    """
+    residency = build_residency(places=1)
+    residency.choose(build_status(["m0"]), COMPLETE, 0.0)
+    now = use(residency, "m0", 10, 1.0, 3.0)
+    residency.note_want("entry", "m2", 12, 12.0, now, age_s=1.0)
+    assert residency.choose(build_status(["m0"]), COMPLETE, now) is None
+    at_hand = build_status(["m0"], on_disk=("m2",))
+    assert residency.choose(at_hand, COMPLETE, now).model == "m0"
+
+
+def test_model_asked_for_in_vain_goes_first():
+    """Pattern: a rare model beside hot ones whose requests always weigh more."""
+    residency = build_residency(places=1)
+    residency.note_want("entry", "m1", 5, 5.0, 10.0)
+    residency.note_want("entry", "m2", 1, 0.1, 10.0, age_s=7.0)
+    assert [model for model, _ in residency.wanted_models(10.0)] == ["m2", "m1"]
+
+
+def test_store_is_not_asked_by_more_engines_than_it_serves():
+    """Pattern: rare models all over; beyond a few, every load takes longer."""
+    residency = build_residency()
+    residency.note_want("entry", "m1", 1, 1.0, 5.0)
+    full = COMPLETE._replace(warming=3)
+    assert residency.choose(build_status(["m0"]), full, 5.0) is None
+    at_hand = build_status(["m0"], on_disk=("m1",))
+    assert residency.choose(at_hand, full, 5.0).model == "m1"
+
+
+def test_model_that_another_engine_fetches_is_not_fetched_again():
+    """Several entries ask several engines for the same cold model."""
+    residency = build_residency()
+    residency.note_want("entry", "m1", 1, 1.0, 5.0)
+    fetched = COMPLETE._replace(warming=1, fetched=frozenset({"m1"}))
+    assert residency.choose(build_status(["m0"]), fetched, 5.0) is None
