Relay engines' reports over the control hosts, the server list as differences

Cause: every agent told every entry and agent of each change and four times a second of its load, and the leader sent every node the whole server list each second, since its entries hold the models that change with each load.

An agent now tells the control host that feeds it; control hosts tell each other and, every 0.2 s in one message, the nodes that follow them, near ones first. Entries that deal with an engine hear of its models directly over links that are opened when needed. Nodes ask for what they miss, and follow a few agents directly while the relay is silent. Loops of an entry that has nothing to tell sleep.

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -5,11 +5,13 @@
 node's own requests show.
 """
 
+from collections import deque
 from typing import NamedTuple
 
 from .. import defaults
 from ..dialects.fleet import HeldModel, ListedServer
 from ..messages.servers import EngineLoad, EngineReport
+from .engineboard import TAKEN, EngineBoard
 
 __all__ = ["Directory", "ListChange", "Server"]
 
@@ -47,7 +49,7 @@
         self.running = 0
         self.waiting = 0
         self.load_at = float("-inf")
-        self.own_since_load = 0
+        self._begun_since_load: deque[float] = deque()
         self.report: EngineReport | None = None
         self.report_at = float("-inf")
         self.missing: dict[str, float] = {}
@@ -63,14 +65,21 @@
     @property
     def load(self) -> int:
         """Requests there, as far as known: told, and begun by this node since."""
-        return max(self.running + self.waiting + self.own_since_load, self.own)
+        begun = len(self._begun_since_load)
+        return max(self.running + self.waiting + begun, self.own)
 
-    def note_load(self, running: int, waiting: int, now: float) -> None:
-        """Take a load that the server or its agent told."""
+    def note_load(self, running: int, waiting: int, at: float) -> None:
+        """Take a load that the server or its agent told, true ``at``.
+
+        One told over a relay may be older than what an answer has shown since.
+        """
+        if at < self.load_at:
+            return
         self.running = running
         self.waiting = waiting
-        self.load_at = now
-        self.own_since_load = 0
+        self.load_at = at
+        while self._begun_since_load and self._begun_since_load[0] <= at:
+            self._begun_since_load.popleft()
 
     def silent_s(self, now: float) -> float:
         """Return for how long requests in flight have brought no byte."""
@@ -83,7 +92,7 @@
         if self.own == 0:
             self._busy_since = now
         self.own += 1
-        self.own_since_load += 1
+        self._begun_since_load.append(now)
         for name in _use_names(model, adapter):
             self.own_by_model[name] = self.own_by_model.get(name, 0) + 1
 
@@ -143,7 +152,7 @@
         self.servers: dict[str, Server] = {}
         self._by_service: dict[str, list[Server]] = {}
         self._by_address: dict[str, Server] = {}
-        self._reports: dict[str, tuple[float, EngineReport]] = {}
+        self.board = EngineBoard()
         self._births: dict[str, int] = {}
         self.list_at = float("-inf")
 
@@ -189,8 +198,8 @@
             # An address is given out again: the younger life holds it.
             if known is None or listed.born_ms >= known.listed.born_ms:
                 self._by_address[listed.address] = server
-        for address, (at, report) in self._reports.items():
-            self._attach(address, at, report)
+        for address, posted in self.board.items():
+            self._attach(address, posted.at, posted.report)
 
     def unheard(self, service: str, now: float, fresh_s: float) -> list[Server]:
         """Return servers of a service found lately whose agent is not heard yet."""
@@ -202,10 +211,19 @@
             and now - server.found_at <= fresh_s
         ]
 
-    def take_report(self, report: EngineReport, now: float) -> None:
-        """Take the report of an agent on its engine."""
-        self._reports[report.address] = (now, report)
-        self._attach(report.address, now, report)
+    def take_report(self, report: EngineReport, at: float) -> str:
+        """Take the report of an agent on its engine, true ``at``."""
+        return self._note(report.address, self.board.post(report, at))
+
+    def take_load(self, load: EngineLoad, at: float) -> str:
+        """Take the load of an engine; the rest of its agent's report still holds."""
+        return self._note(load.address, self.board.post_load(load, at))
+
+    def _note(self, address: str, outcome: str) -> str:
+        posted = self.board.find(address)
+        if outcome == TAKEN and posted is not None:
+            self._attach(address, posted.at, posted.report)
+        return outcome
 
     def _attach(self, address: str, at: float, report: EngineReport) -> None:
         server = self._by_address.get(address)
@@ -223,24 +241,9 @@
         server.report = report
         server.report_at = at
 
-    def take_load(self, load: EngineLoad, now: float) -> None:
-        """Take the load of an engine; the rest of its agent's report still holds."""
-        known = self._reports.get(load.address)
-        if known is None:
-            return
-        report = known[1]._replace(
-            running=load.running,
-            queued=load.queued,
-            used_tokens=load.used_tokens,
-            room_cost=load.room_cost,
-            blocked_rate=load.blocked_rate,
-            ready_ms=max(known[1].ready_ms - int((now - known[0]) * 1_000), 0),
-        )
-        self.take_report(report, now)
-
     def forget_agent(self, address: str) -> None:
         """Drop an agent's report; the list's word counts again."""
-        self._reports.pop(address, None)
+        self.board.remove(address)
         server = self._by_address.get(address)
         if server is not None:
             server.report = None
--- /dev/null
+++ b/src/jasminewharf/decisions/engineboard.py
@@ -0,0 +1,119 @@
+"""The newest report of each engine, whichever way it came.
+
+A report reaches a node directly from the agent and through relays, in any order and
+with any delay. Within one life of an agent its numbers decide. Between lives the later
+start does, by the wall clock of the agent's host; since that clock may be set back, an
+older life is believed once the younger one has been silent for a while.
+"""
+
+from typing import NamedTuple
+
+from .. import defaults
+from ..messages.servers import EngineLoad, EngineReport
+
+__all__ = ["STALE", "TAKEN", "UNKNOWN", "EngineBoard", "Posted", "strip_load"]
+
+TAKEN = "taken"
+STALE = "stale"
+UNKNOWN = "unknown"  # The load adds to a report that has not come.
+
+
+class Posted(NamedTuple):
+    """A report with the load told last, and when that load was true.
+
+    ``at`` is in seconds on this node's clock.
+    """
+
+    report: EngineReport
+    at: float
+
+
+class EngineBoard:
+    """Reports by the address of the engine."""
+
+    def __init__(self) -> None:
+        self._posted: dict[str, Posted] = {}
+        self.version = 0
+
+    def find(self, address: str) -> Posted | None:
+        """Return the newest report of an engine."""
+        return self._posted.get(address)
+
+    def items(self) -> list[tuple[str, Posted]]:
+        """Return all reports by address."""
+        return list(self._posted.items())
+
+    def post(self, report: EngineReport, at: float) -> str:
+        """Take a whole report that was true ``at``; return whether it is news."""
+        known = self._posted.get(report.address)
+        if known is not None and _is_older(report, known, at):
+            return STALE
+        if known is not None and known.report.life_ms == report.life_ms:
+            at = max(at, known.at)
+        self._posted[report.address] = Posted(report, at)
+        self.version += 1
+        return TAKEN
+
+    def post_load(self, load: EngineLoad, at: float) -> str:
+        """Take a load that was true ``at``."""
+        known = self._posted.get(load.address)
+        if known is None:
+            return UNKNOWN
+        report = known.report
+        if load.life_ms != report.life_ms:
+            is_late = load.life_ms < report.life_ms and not _is_silent(known, at)
+            return STALE if is_late else UNKNOWN
+        if load.report_number > report.number:
+            return UNKNOWN
+        if load.number and load.number <= report.load_number:
+            return STALE
+        passed_ms = round((at - known.at) * defaults.MS_PER_S)
+        fresh = report._replace(
+            running=load.running,
+            queued=load.queued,
+            used_tokens=load.used_tokens,
+            room_cost=load.room_cost,
+            blocked_rate=load.blocked_rate,
+            ready_ms=max(report.ready_ms - max(passed_ms, 0), 0),
+            load_number=load.number,
+        )
+        self._posted[load.address] = Posted(fresh, max(at, known.at))
+        return TAKEN
+
+    def remove(self, address: str) -> None:
+        """Forget an engine."""
+        if self._posted.pop(address, None) is not None:
+            self.version += 1
+
+    def forget_silent(self, before: float) -> None:
+        """Forget the engines of which nothing was true since ``before``."""
+        for address, posted in self.items():
+            if posted.at < before:
+                self.remove(address)
+
+
+def strip_load(report: EngineReport) -> EngineLoad:
+    """Return the part of a report that changes with every request."""
+    return EngineLoad(
+        report.address,
+        report.running,
+        report.queued,
+        report.used_tokens,
+        report.room_cost,
+        report.blocked_rate,
+        report.life_ms,
+        report.number,
+        report.load_number,
+    )
+
+
+def _is_older(report: EngineReport, known: Posted, at: float) -> bool:
+    if report.life_ms != known.report.life_ms:
+        return report.life_ms < known.report.life_ms and not _is_silent(known, at)
+    if report.number != known.report.number:
+        return report.number < known.report.number
+    return report.load_number <= known.report.load_number and bool(report.number)
+
+
+def _is_silent(known: Posted, now: float) -> bool:
+    return now - known.at > defaults.AGENT_FRESH_S
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -409,6 +409,9 @@
 RELAY_FOLLOW_S = 3.5  # Three renewals of a follower.
 RELAY_FORGET_S = 30.0  # Longer than an agent is away for a restart.
 RELAY_LATE_S = 1.6  # More than a heartbeat and the way; then agents are asked directly.
+# Agents that a node follows directly while the relay is silent. All of them would cost
+# most where hosts are short of processor time already.
+DIRECT_FOLLOW_LIMIT = 8
 AGENT_LINK_IDLE_S = 3.0  # Most requests for a model follow each other sooner.
 FOLLOW_POLL_S = 0.5  # How soon a node asks the control host that it moved to.
 AGENT_CONNECT_S = 0.5  # A few ways between hosts; a lost opening packet takes 0.3 s.
--- a/src/jasminewharf/interfaces/roles.py
+++ b/src/jasminewharf/interfaces/roles.py
@@ -31,6 +31,7 @@
 from ..services.planner import PlannerService
 from ..services.process import Process
 from ..services.publisher import Publisher
+from ..services.relay import EngineRelay
 from ..services.reload import SettingsReload
 from ..services.repair import Repair
 from ..services.reports import Reporter
@@ -264,6 +265,7 @@
             Publisher,
             Broadcast,
             Gathering,
+            EngineRelay,
             ControlConfigurationView,
             ServerListReader,
             RateLender,
--- a/src/jasminewharf/messages/link.py
+++ b/src/jasminewharf/messages/link.py
@@ -24,6 +24,7 @@
     node: str
     role: str
     incarnation: int
+    zone: str = ""
 
 
 @message(3)
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -1,4 +1,4 @@
-"""A node's directory of backend servers, and its links to the agents beside them."""
+"""A node's directory of backend servers, and its ways to the agents beside them."""
 
 import asyncio
 import logging
@@ -7,15 +7,24 @@
 
 from .. import defaults, events
 from ..decisions.directory import Directory, Server
+from ..decisions.engineboard import TAKEN, UNKNOWN
+from ..decisions.listchanges import apply_changes
+from ..dialects.fleet import ListedServer
 from ..exceptions import PeerUnavailable
 from ..kernel import Kernel, Service
 from ..messages.servers import (
     ControlHosts,
+    EngineDigest,
     EngineLoad,
     EngineReport,
+    FetchServers,
+    FollowEngines,
+    ServerChanges,
     ServerListAge,
     Servers,
+    WantReports,
 )
+from .agentlinks import AgentLinks, AgentPlace
 from .link import LinkClient
 
 __all__ = ["DirectoryService"]
@@ -26,18 +35,26 @@
 class DirectoryService(Service):
     """Keeps the directory current and finds the agents.
 
+    Reports of engines come from the control host that feeds this node, and directly
+    from the agents that this node deals with. Where the control host brings nothing,
+    the agents are linked for their reports.
+
     Attributes:
         directory: What this node knows of backend servers.
         agents: Links to agents by the address of the server beside each.
     """
 
     name: ClassVar[str] = "directory"
-    requires: ClassVar[tuple[str, ...]] = ("process", "controllers", "reports")
+    requires: ClassVar[tuple[str, ...]] = ("process", "controllers", "feed", "reports")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self.directory = Directory()
-        self.agents: dict[str, LinkClient] = {}
+        self.agents = AgentLinks(self._connect_agent)
+        # The control host whose list this is, and the list's number there.
+        self._list_base = ("", 0)
+        self._digest_at = float("-inf")
+        self._metrics = kernel.find("process").metrics
         self._listeners: list[Callable[[], None]] = []
         self._is_scheduled = False
         self._started = _now()
@@ -50,16 +67,19 @@
         """Follow the control hosts."""
         controllers = self.kernel.find("controllers")
         controllers.handle(Servers, self._take_list)
+        controllers.handle(ServerChanges, self._take_changes)
         controllers.handle(ServerListAge, self._take_age)
         controllers.handle(ControlHosts, self._take_hosts)
-        self.kernel.find("reports").listen(self._connect_agents)
+        controllers.handle(EngineDigest, self._take_digest)
+        self.kernel.find("reports").listen(self._find_agents)
+        self.spawn(self._follow_forever(), essential=True)
         self.spawn(self._watch_agents(), essential=True)
+        self._metrics.watch("agent_links", lambda: len(self.agents))
 
     async def stop(self) -> None:
         """Close the links to agents."""
         await super().stop()
-        for link in self.agents.values():
-            link.close()
+        self.agents.close()
 
     def has_list(self) -> bool:
         """Return whether the list was read at all."""
@@ -69,20 +89,55 @@
         """Return whether this node has had time to hear of all agents."""
         return _now() - self._started > defaults.AGENT_FRESH_S
 
+    def hears_relay(self) -> bool:
+        """Return whether a control host brings the reports of engines."""
+        return _now() - self._digest_at <= defaults.RELAY_LATE_S
+
     def send_to_agent(self, server: Server, message: Any) -> bool:
-        """Send a message to the agent beside a server; return whether it left."""
-        link = self.agents.get(server.listed.address)
-        if link is None:
-            return False
-        try:
-            link.send(message)
-        except PeerUnavailable:
-            return False
-        return True
+        """Send a message to the agent beside a server; return whether it is known."""
+        return self.agents.send(server.listed.address, message)
 
     def _take_list(self, host: str, message: Servers) -> None:
-        read_at = _now() - message.age_ms / defaults.MS_PER_S
-        change = self.directory.take_list(message.servers, read_at)
+        if self._is_source(host):
+            self._replace_list(host, message.servers, message.number, message.age_ms)
+
+    def _take_changes(self, host: str, message: ServerChanges) -> None:
+        if self._has_list(host, message.base):
+            known = [server.listed for server in self.directory.servers.values()]
+            servers = apply_changes(known, message.changed, message.gone)
+            self._replace_list(host, servers, message.number, message.age_ms)
+
+    def _take_age(self, host: str, message: ServerListAge) -> None:
+        if self._has_list(host, message.number):
+            read_at = _now() - message.age_ms / defaults.MS_PER_S
+            self.directory.list_at = max(self.directory.list_at, read_at)
+
+    def _is_source(self, host: str) -> bool:
+        return self.kernel.find("feed").source in ("", host)
+
+    def _has_list(self, host: str, number: int) -> bool:
+        """Return whether this node has a control host's list; ask for it if not.
+
+        Other control hosts may go on sending after this node has moved. Their lists
+        are numbered in their own way.
+        """
+        if not self._is_source(host):
+            return False
+        if self._list_base == (host, number):
+            return True
+        self._send_to_relay(FetchServers())
+        return False
+
+    def _replace_list(
+        self, host: str, servers: list[ListedServer], number: int, age_ms: int
+    ) -> None:
+        read_at = _now() - age_ms / defaults.MS_PER_S
+        if read_at < self.directory.list_at:
+            # It lacks what this node has already read of.
+            self._list_base = ("", 0)
+            return
+        self._list_base = (host, number)
+        change = self.directory.take_list(servers, read_at)
         for listed in change.found:
             events.emit(
                 _logger,
@@ -90,7 +145,7 @@
                 server=listed.server,
                 service=listed.service,
                 address=listed.address,
-                age_ms=message.age_ms,
+                age_ms=age_ms,
             )
         for listed in change.left:
             events.emit(
@@ -100,53 +155,97 @@
                 address=listed.address,
                 is_leaving=listed.is_leaving,
                 remaining_ms=listed.remaining_ms,
-                age_ms=message.age_ms,
+                age_ms=age_ms,
             )
         self._notify()
 
-    def _take_age(self, host: str, message: ServerListAge) -> None:
-        read_at = _now() - message.age_ms / defaults.MS_PER_S
-        self.directory.list_at = max(self.directory.list_at, read_at)
-
     def _take_hosts(self, host: str, message: ControlHosts) -> None:
         self.kernel.find("controllers").set_hosts(message.ips)
 
-    def _connect_agents(self) -> None:
-        """Follow the agents that the reports name."""
-        process = self.kernel.find("process")
+    def _find_agents(self) -> None:
+        """Take from the nodes' reports where the agents listen."""
         own = self.kernel.settings.node
-        for report in self.kernel.find("reports").digest.values():
-            if report.role != "agent" or report.node == own or not report.backends:
-                continue
-            address = report.backends[0].backend
-            known = self.agents.get(address)
-            if known is not None and known.address == report.address:
-                continue
-            if known is not None:
-                known.close()
-            self.agents[address] = process.connect(
-                "agent",
-                report.node,
-                report.address,
-                {EngineReport: self._take_report, EngineLoad: self._take_load},
-            )
+        self.agents.set_places(
+            {
+                report.backends[0].backend: AgentPlace(report.node, report.address)
+                for report in self.kernel.find("reports").digest.values()
+                if report.role == "agent" and report.node != own and report.backends
+            }
+        )
+
+    def _connect_agent(self, place: AgentPlace) -> LinkClient:
+        return self.kernel.find("process").connect(
+            "agent",
+            place.node,
+            place.address,
+            {EngineReport: self._take_report, EngineLoad: self._take_load},
+        )
 
     def _take_report(self, report: EngineReport) -> None:
-        self.directory.take_report(report, _now())
-        self._notify()
+        if self.directory.take_report(report, _now()) == TAKEN:
+            self._notify()
 
     def _take_load(self, load: EngineLoad) -> None:
         self.directory.take_load(load, _now())
 
+    def _take_digest(self, host: str, digest: EngineDigest) -> None:
+        now = self._digest_at = _now()
+        is_news = False
+        for age_ms, report in digest.reports:
+            at = now - age_ms / defaults.MS_PER_S
+            is_news |= self.directory.take_report(report, at) == TAKEN
+        unknown = [
+            load.address
+            for age_ms, load in digest.loads
+            if self.directory.take_load(load, now - age_ms / defaults.MS_PER_S)
+            == UNKNOWN
+        ]
+        if unknown:
+            self._send_to_relay(WantReports(unknown))
+        if is_news:
+            self._notify()
+
+    def _send_to_relay(self, message: Any) -> None:
+        link = self.kernel.find("controllers").links.get(
+            self.kernel.find("feed").source
+        )
+        if link is None:
+            return
+        try:
+            link.send(message)
+        except PeerUnavailable:
+            # The feed moves to another control host, and this goes there next.
+            self._metrics.count("relay_sends_failed_total")
+
+    async def _follow_forever(self) -> None:
+        """Ask the control host that feeds this node for the reports of engines."""
+        source = ""
+        asked_at = float("-inf")
+        while True:
+            feed = self.kernel.find("feed")
+            if feed.source and (
+                feed.source != source or _now() - asked_at >= defaults.AGENT_WATCH_S
+            ):
+                source = feed.source
+                asked_at = _now()
+                self._send_to_relay(FollowEngines())
+            await asyncio.sleep(defaults.FOLLOW_POLL_S)
+
     async def _watch_agents(self) -> None:
-        """Close links to agents whose reports are long gone."""
+        """Link the agents that no report came of; close links that nobody needs."""
         while True:
             await asyncio.sleep(defaults.AGENT_WATCH_S)
-            digest = self.kernel.find("reports").digest.values()
-            live = {r.backends[0].backend for r in digest if r.backends}
-            for address in [a for a in self.agents if a not in live]:
-                self.agents.pop(address).close()
-                self.directory.forget_agent(address)
+            for address in self._find_late()[: defaults.DIRECT_FOLLOW_LIMIT]:
+                self.agents.send(address, FollowEngines())
+            self.agents.close_idle()
+            self.directory.board.forget_silent(_now() - defaults.RELAY_FORGET_S)
+
+    def _find_late(self) -> list[str]:
+        """Return the engines of which no report came lately, linked ones first."""
+        late = _now() - defaults.RELAY_LATE_S
+        heard = {a: self.directory.board.find(a) for a in self.agents.places}
+        found = [a for a, posted in heard.items() if not posted or posted.at < late]
+        return sorted(found, key=lambda address: not self.agents.is_linked(address))
 
     def _notify(self) -> None:
         """Tell the listeners once for all messages of an event-loop turn."""
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -2,23 +2,27 @@
 
 import asyncio
 import logging
+import math
+import time
 from typing import Any, ClassVar
 
 from .. import defaults, events
 from ..decisions.copies import FleetCopies, gather_copies
+from ..decisions.engineboard import strip_load
 from ..decisions.residency import Intent, Residency
 from ..decisions.routes import RouteTable
 from ..dialects.fleet import ENGINE_ORDERS, EngineOrder, EngineStatus
-from ..exceptions import BackendError
+from ..exceptions import BackendError, PeerUnavailable
 from ..kernel import Kernel, Service
 from ..messages.feed import BackendReport
 from ..messages.servers import (
     AdapterEnsured,
-    EngineLoad,
     EngineReport,
     EnsureAdapter,
+    FollowEngines,
     ModelUse,
     WantModel,
+    WantReports,
 )
 from ..registry import lookup
 from .client import HttpClient
@@ -46,9 +50,21 @@
         self._change: Intent | None = None
         self._change_ends = 0.0
         self._report: EngineReport | None = None
-        self._load_sent = (0, 0, 0)
         self._load_sent_at = 0.0
+        self._copies: FleetCopies | None = None
+        self._copies_key: tuple = ()
+        self._copies_until = 0.0
+        self._must_report = False
+        self._followers: dict[bytes, float] = {}
+        self._told: EngineReport | None = None
+        self._relay = ""
+        self._relayed_at = 0.0
+        self._is_relayed = True
+        self._life_ms = int(time.time() * defaults.MS_PER_S)
+        self._number = 0
+        self._load_number = 0
         self._adapter_waiters: dict[tuple[str, str], list[asyncio.Future[bool]]] = {}
+        self._adapter_ordered_at = float("-inf")
         self._wake = asyncio.Event()
         self._is_fenced = False
         self._metrics = kernel.find("process").metrics
@@ -61,6 +77,7 @@
             WantModel: self._take_want,
             ModelUse: self._take_use,
             EnsureAdapter: self._ensure_adapter,
+            FollowEngines: self._follow,
         }
         self._server = LinkServer(
             process.identity, process.context, handlers, process.security
@@ -71,6 +88,7 @@
         reports.address = address
         reports.read_backends = self._describe_backend
         self.kernel.find("view").listen(self._take_configuration)
+        self.kernel.find("controllers").handle(WantReports, self._send_again)
         self.spawn(self._run(), essential=True)
 
     async def stop(self) -> None:
@@ -95,11 +113,22 @@
         if self._report is not None:
             peer.send(self._report)
 
+    def _follow(self, peer: Peer, message: FollowEngines) -> None:
+        """Tell a node everything that no control host tells it."""
+        self._followers[peer.routing_id] = _now()
+        self._greet(peer)
+
     def _take_want(self, peer: Peer, want: WantModel) -> None:
-        self._residency.note_want(
-            peer.node, want.model, want.requests, want.urgency, _now()
+        is_new = self._residency.note_want(
+            peer.node,
+            want.model,
+            want.requests,
+            want.urgency,
+            _now(),
+            want.age_ms / defaults.MS_PER_S,
         )
-        self._wake.set()
+        if is_new and self._change is None:
+            self._wake.set()
 
     def _take_use(self, peer: Peer, use: ModelUse) -> None:
         self._residency.note_use(peer.node, use.uses, _now())
@@ -129,6 +158,8 @@
     def _take_configuration(self, table: RouteTable) -> None:
         spec = self._find_spec(table)
         if spec is not None:
+            # What room costs is known only now; a report without it draws loads here.
+            self._must_report |= self._residency.spec is None
             self._residency.set_engine(spec)
         self._wake.set()
 
@@ -156,12 +187,25 @@
                 pass
 
     def _pause_s(self) -> float:
-        if self._adapter_waiters:
+        if self._adapter_waiters and self._has_adapter_coming():
             return defaults.ENGINE_ADAPTER_POLL_S
-        if self._change is not None or self._residency.wanted_models(_now()):
-            return defaults.ENGINE_BUSY_POLL_S
+        if self._change is not None:
+            left_s = self._change_ends - _now() - defaults.ENGINE_ORDER_POLL_S
+            # Nothing can be ordered before the change ends, but it may end early.
+            return min(
+                max(left_s, defaults.ENGINE_ORDER_POLL_S), defaults.ENGINE_IDLE_POLL_S
+            )
+        if self._adapter_waiters or self._residency.wanted_models(_now()):
+            return defaults.ENGINE_WANTED_POLL_S
         return defaults.ENGINE_IDLE_POLL_S
 
+    def _has_adapter_coming(self) -> bool:
+        """Return whether an adapter that was ordered is not there yet."""
+        ordered_s = _now() - self._adapter_ordered_at
+        return ordered_s <= defaults.ENGINE_ADAPTER_S or (
+            self._status is not None and bool(self._status.incoming)
+        )
+
     async def _look(self) -> None:
         call = self._orders.fetch_status()
         try:
@@ -181,10 +225,11 @@
         """Tell at once that the engine holds nothing that a request could use."""
         if self._report is None:
             return
-        self._report = self._report._replace(
-            is_reachable=False, models=[], changing="", wanted=[], ready_ms=0
+        self._send_report(
+            self._report._replace(
+                is_reachable=False, models=[], changing="", wanted=[], ready_ms=0
+            )
         )
-        self._send(self._report)
 
     def _note_status(self, fresh: EngineStatus) -> None:
         known = self._status
@@ -231,6 +276,7 @@
                 return
             if not await self._give(intent, status):
                 return
+            self._adapter_ordered_at = _now()
             await self._look()
 
     async def _order_model(self, intent: Intent, status: EngineStatus) -> None:
@@ -298,7 +344,20 @@
         return taken
 
     def _find_copies(self) -> FleetCopies:
-        """Return what the other agents' reports say, and this engine's own."""
+        """Return what the other agents' reports say, and this engine's own.
+
+        Gathering them costs a millisecond with forty engines, so that it is done
+        again only when this engine changes or after a while.
+        """
+        status = self._status
+        key = (status.models, status.in_memory, status.on_disk, self._change)
+        if key != self._copies_key or _now() >= self._copies_until:
+            self._copies_key = key
+            self._copies_until = _now() + defaults.COPIES_KEPT_S
+            self._copies = self._gather_copies()
+        return self._copies
+
+    def _gather_copies(self) -> FleetCopies:
         service = self.kernel.find("directory")
         directory = service.directory
         now = _now()
@@ -314,40 +373,106 @@
         is_complete = own_server is not None and not directory.unheard(
             own_server.listed.service, now, defaults.AGENT_FRESH_S
         )
+        # What a silent relay does not tell must not look like a lack of copies.
+        is_complete = is_complete and service.is_settled() and service.hears_relay()
         return gather_copies(
-            [*others, self._build_report()],
-            self._address,
-            is_complete and service.is_settled(),
+            [*others, self._build_report()], self._address, is_complete
         )
 
-    # What entries are told.
+    # What the others are told. Entries that deal with this engine are told directly
+    # when its models change, all else goes to the control host that feeds this agent.
 
     def _tell(self) -> None:
         if self._server is None:
             return
+        age_s = _now() - self._load_sent_at
         if self._status is None:
-            age_s = _now() - self._load_sent_at
             if self._report is not None and age_s >= defaults.ENGINE_HEARTBEAT_S:
-                self._send(self._report)
+                self._send_report(self._report)
             return
         report = self._build_report()
-        if self._report is None or _strip_load(report) != _strip_load(self._report):
-            self._report = report
-            self._send(report)
+        known = self._report
+        if self._must_report or known is None or _differs(report, known):
+            self._must_report = False
+            self._send_report(report)
             return
-        self._report = report
-        load = (report.running, report.queued, report.used_tokens)
-        age_s = _now() - self._load_sent_at
-        is_due = age_s >= defaults.ENGINE_LOAD_INTERVAL_S and load != self._load_sent
-        if is_due or age_s >= defaults.ENGINE_HEARTBEAT_S:
-            costs = report.room_cost, report.blocked_rate
-            self._send(EngineLoad(self._address, *load, *costs))
+        has_changed = self._has_changed(report)
+        if (
+            has_changed and age_s >= defaults.ENGINE_LOAD_INTERVAL_S
+        ) or age_s >= defaults.ENGINE_HEARTBEAT_S:
+            self._send_load(report)
+        if self._relay != self.kernel.find("feed").source:
+            self._relay_report()
+        elif not self._is_relayed:
+            self._relay_load()
+
+    def _has_changed(self, report: EngineReport) -> bool:
+        """Return whether load or costs differ from what was sent last."""
+        sent = self._report
+        if sent is None or strip_load(sent)[1:4] != strip_load(report)[1:4]:
+            return True
+        return (
+            abs(sent.room_cost - report.room_cost) > defaults.ROOM_COST_STEP_S
+            or abs(sent.blocked_rate - report.blocked_rate) > defaults.BLOCKED_STEP
+        )
+
+    def _send_report(self, report: EngineReport) -> None:
+        self._number += 1
+        self._report = report._replace(
+            life_ms=self._life_ms, number=self._number, load_number=self._load_number
+        )
+        self._load_sent_at = _now()
+        told = self._told
+        is_news = told is None or _strip_wants(report) != _strip_wants(told)
+        self._told = report if is_news else told
+        for peer in self._server.peers():
+            if is_news or self._is_follower(peer):
+                peer.send(self._report)
+        self._relay_report()
+
+    def _is_follower(self, peer: Peer) -> bool:
+        followed_at = self._followers.get(peer.routing_id, float("-inf"))
+        return _now() - followed_at <= defaults.RELAY_FOLLOW_S
+
+    def _relay_report(self) -> None:
+        """Send the whole report to the control host that feeds this agent now."""
+        self._relay = self.kernel.find("feed").source
+        self._send_to_relay(self._report)
 
-    def _send(self, message: Any) -> None:
+    def _send_again(self, host: str, wanted: WantReports) -> None:
+        if self._report is not None:
+            self._relay_report()
+
+    def _send_load(self, report: EngineReport) -> None:
+        self._load_number += 1
+        self._report = report._replace(
+            life_ms=self._life_ms, number=self._number, load_number=self._load_number
+        )
+        load = strip_load(self._report)
         self._load_sent_at = _now()
-        self._load_sent = (message.running, message.queued, message.used_tokens)
         for peer in self._server.peers():
-            peer.send(message)
+            if self._is_follower(peer):
+                peer.send(load)
+        self._is_relayed = False
+        self._relay_load()
+
+    def _relay_load(self) -> None:
+        if _now() - self._relayed_at >= defaults.RELAY_LOAD_INTERVAL_S:
+            self._send_to_relay(strip_load(self._report))
+
+    def _send_to_relay(self, message: Any) -> None:
+        link = self.kernel.find("controllers").links.get(self._relay)
+        if link is None:
+            return
+        try:
+            link.send(message)
+        except PeerUnavailable:
+            # The feed moves to another control host, which gets the whole report.
+            self._metrics.count("relay_sends_failed_total")
+            self._relay = ""
+            return
+        self._relayed_at = _now()
+        self._is_relayed = True
 
     def _build_report(self) -> EngineReport:
         status = self._status
@@ -376,10 +501,30 @@
         )
 
 
-def _strip_load(report: EngineReport) -> EngineReport:
-    """Return a report without what changes with every request."""
+def _differs(report: EngineReport, known: EngineReport) -> bool:
+    """Return whether reports differ in more than what changes with every request."""
+    return _strip(report) != _strip(known)
+
+
+def _strip_wants(report: EngineReport) -> EngineReport:
+    """Return what of a report decides whether a request can be sent there."""
+    return _strip(report)._replace(wanted=[], in_memory=[], on_disk=[])
+
+
+def _strip(report: EngineReport) -> EngineReport:
+    # A weight is of interest where it doubles; it changes with each message.
+    wanted = [(name, float(math.frexp(weight)[1])) for name, weight in report.wanted]
     return report._replace(
-        ready_ms=0, running=0, queued=0, used_tokens=0, room_cost=0.0, blocked_rate=0.0
+        wanted=sorted(wanted),
+        ready_ms=0,
+        running=0,
+        queued=0,
+        used_tokens=0,
+        room_cost=0.0,
+        blocked_rate=0.0,
+        life_ms=0,
+        number=0,
+        load_number=0,
     )
 
 
--- a/src/jasminewharf/services/feed.py
+++ b/src/jasminewharf/services/feed.py
@@ -48,6 +48,7 @@
         self._interval_s = timing.freshness_lease_s * defaults.FRESHNESS_PING_SHARE
         self._listeners: list[Listener] = []
         self._was_valid = False
+        self._far_until = float("-inf")
 
     def listen(self, listener: Listener) -> None:
         """Call ``listener`` with each batch of applied commands.
@@ -123,8 +124,13 @@
     def _find_link(self) -> Any:
         links = self.kernel.find("controllers").links
         link = links.get(self.source)
+        now = asyncio.get_running_loop().time()
         if link is not None and link.is_connected:
-            return link
+            if self._is_near(self.source) or now < self._far_until:
+                return link
+            near = [n for n in links if links[n].is_connected and self._is_near(n)]
+            if not near:
+                return link
         self.source = ""
         for name in self._rank_hosts(list(links)):
             if links[name].is_connected:
@@ -133,17 +139,28 @@
                 return links[name]
         return None
 
+    def _is_near(self, name: str) -> bool:
+        """Return whether a control host is known to be in this node's zone."""
+        welcome = self.kernel.find("controllers").links[name].welcome
+        return welcome is not None and welcome.zone == self.kernel.settings.zone
+
     def _rank_hosts(self, names: list[str]) -> list[str]:
-        """Order the control hosts by a hash, so that nodes spread over them."""
+        """Order the control hosts: near ones first, then by a hash to spread nodes."""
         node = self.kernel.settings.node
         return sorted(
-            names, key=lambda name: xxhash.xxh64_intdigest(f"{node}/{name}".encode())
+            names,
+            key=lambda name: (
+                not self._is_near(name),
+                xxhash.xxh64_intdigest(f"{node}/{name}".encode()),
+            ),
         )
 
     def _move_source(self, failures: int) -> None:
         if not self.source or failures < defaults.FEED_FAILURES_BEFORE_MOVE:
             return
         links = self.kernel.find("controllers").links
+        loop = asyncio.get_running_loop()
+        self._far_until = loop.time() + defaults.FEED_NEAR_RETRY_S
         ranked = self._rank_hosts(list(links))
         position = ranked.index(self.source)
         for step in range(1, len(ranked)):
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -431,14 +431,13 @@
         call = job.call
         if server.holds_adapter(call.model, call.adapter):
             return True
-        link = self.kernel.find("directory").agents.get(server.listed.address)
-        if link is None:
-            return False
+        agents = self.kernel.find("directory").agents
         wait_s = job.leaves_at - _now()
         if server.busy_s(_now()) >= wait_s:
             self._refuse_adapter(server)
         try:
-            answer: Any = await link.request(
+            answer: Any = await agents.request(
+                server.listed.address,
                 EnsureAdapter(call.model, call.adapter),
                 min(wait_s, defaults.ADAPTER_WAIT_S),
             )
--- a/src/jasminewharf/services/link.py
+++ b/src/jasminewharf/services/link.py
@@ -2,7 +2,7 @@
 
 from .channel import Identity, pack, pack_header, unpack
 from .linkclient import LinkClient
-from .linkserver import Handler, LinkServer, Peer
+from .linkserver import Handler, LinkServer, Peer, Preencoded
 
 __all__ = [
     "Handler",
@@ -10,6 +10,7 @@
     "LinkClient",
     "LinkServer",
     "Peer",
+    "Preencoded",
     "pack",
     "pack_header",
     "unpack",
--- a/src/jasminewharf/services/linkserver.py
+++ b/src/jasminewharf/services/linkserver.py
@@ -20,7 +20,7 @@
 from .failures import describe_failure
 from .security import LinkSecurity
 
-__all__ = ["Handler", "LinkServer", "Peer"]
+__all__ = ["Handler", "LinkServer", "Peer", "Preencoded"]
 
 _logger = logging.getLogger(__name__)
 
@@ -29,6 +29,13 @@
 Handler = Callable[["Peer", Any], Any]
 
 
+class Preencoded:
+    """A message for several peers that is encoded once."""
+
+    def __init__(self, message: Any) -> None:
+        self.data = encode(message)
+
+
 class Peer:
     """A client of a link server, known by its :class:`Hello`."""
 
@@ -57,7 +64,8 @@
             return
         if not self._parts:
             self._server.schedule_flush(self)
-        data = encode(message)
+        is_encoded = isinstance(message, Preencoded)
+        data = message.data if is_encoded else encode(message)
         self._parts.append(pack_header(correlation, data))
         self._parts.append(data)
         self._size += len(data)
@@ -285,7 +293,7 @@
         is_new = peer.hello != hello
         peer.hello = hello
         me = self._identity
-        peer.send(Welcome(me.node, me.role, me.incarnation), correlation)
+        peer.send(Welcome(me.node, me.role, me.incarnation, me.zone), correlation)
         if is_new:
             events.emit(_logger, events.PEER_CONNECTED, peer=hello.node)
             if self.on_peer is not None:
--- a/src/jasminewharf/services/serverlist.py
+++ b/src/jasminewharf/services/serverlist.py
@@ -10,10 +10,16 @@
 from typing import Any, ClassVar
 
 from .. import defaults, events
+from ..decisions.listchanges import compare_lists
 from ..dialects.fleet import SERVER_LISTS, ListedServer
 from ..exceptions import BackendError, PeerUnavailable
 from ..kernel import Kernel, Service
-from ..messages.servers import ServerListAge, Servers
+from ..messages.servers import (
+    FetchServers,
+    ServerChanges,
+    ServerListAge,
+    Servers,
+)
 from ..registry import lookup
 from .client import HttpClient
 from .control import FLEET_GROUP
@@ -34,6 +40,7 @@
         "control",
         "controllers",
         "broadcast",
+        "relay",
     )
 
     def __init__(self, kernel: Kernel) -> None:
@@ -41,7 +48,9 @@
         fleet = kernel.settings.fleet
         self._client = HttpClient(fleet.list_address)
         self._list = lookup(SERVER_LISTS, fleet.dialect)
-        self._servers: list[ListedServer] | None = None
+        self._servers: list[ListedServer] = []
+        self._published: list[ListedServer] | None = None
+        self._number = 0
         self._read_at = float("-inf")
         self._failures = 0
 
@@ -49,6 +58,7 @@
         """Take lists that other control hosts read, and read at intervals."""
         control = self.kernel.find("control")
         control.handle(Servers, self._take)
+        control.handle(FetchServers, self._send_all)
         self.spawn(self._read_forever(), essential=True)
 
     async def stop(self) -> None:
@@ -110,17 +120,43 @@
         if read_at < self._read_at:
             return
         self._read_at = read_at
+        self._servers = servers
         broadcast = self.kernel.find("broadcast")
-        if servers == self._servers:
-            broadcast.notify(ServerListAge(_age_ms(read_at)))
+        thin = [self._strip_models(listed) for listed in servers]
+        if thin == self._published:
+            broadcast.notify(ServerListAge(_age_ms(read_at), self._number))
             return
-        self._servers = servers
-        events.emit(_logger, events.SERVER_LIST_CHANGED, servers=len(servers))
-        broadcast.publish(Servers(_age_ms(read_at), servers))
+        changed, gone = compare_lists(self._published or [], thin)
+        self._published = thin
+        self._number += 1
+        events.emit(
+            _logger,
+            events.SERVER_LIST_CHANGED,
+            servers=len(servers),
+            changed=len(changed),
+            gone=len(gone),
+        )
+        change = ServerChanges(
+            _age_ms(read_at), self._number - 1, self._number, changed, gone
+        )
+        broadcast.publish(Servers(_age_ms(read_at), thin, self._number), change)
+
+    def _strip_models(self, listed: ListedServer) -> ListedServer:
+        """Return an entry without models where nodes have them from an agent.
+
+        They change with every load, and what agents tell of them is fresher.
+        """
+        if not listed.models or not self.kernel.find("relay").hears(listed.address):
+            return listed
+        return listed._replace(models=())
+
+    def _send_all(self, peer: Peer, message: FetchServers) -> None:
+        if self._published is not None:
+            peer.send(Servers(_age_ms(self._read_at), self._published, self._number))
 
     def _relay(self) -> None:
         """Pass the list on to the other control hosts."""
-        message: Any = Servers(_age_ms(self._read_at), self._servers or [])
+        message: Any = Servers(_age_ms(self._read_at), self._servers)
         for link in self.kernel.find("controllers").links.values():
             try:
                 link.send(message)
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -191,6 +191,11 @@
                 await responder.write(b"id: 4\nda")
                 responder.cut()
                 return
+            if fault == "drip" and number == 4:
+                # Bytes of an event that never ends.
+                for _ in range(100):
+                    await responder.write(b"x")
+                    await asyncio.sleep(0.2)
             await responder.write(f"id: {number}\ndata: x{number}\n\n".encode())
             await asyncio.sleep(self.event_pause_s)
         responder.finish()
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from jasminewharf.decisions.engineboard import EngineBoard
 from jasminewharf.exceptions import BackendError
 from jasminewharf.interfaces.roles import build_kernel
 from jasminewharf.settings import parse_settings
@@ -272,6 +273,34 @@
     run_with_fleet(scenario, tmp_path)
 
 
+def test_stream_that_only_drips_goes_on_at_another_engine(tmp_path):
+    """A byte now and then is no event; the caller would leave before the next one."""
+
+    async def scenario(fleet):
+        faults = ["drip"]
+        for engine in fleet.engines:
+            engine.fails_next = faults
+        async with asyncio.timeout(3.5):
+            status, _, body = await fleet.call("/chat/x", *MODEL)
+        assert (status, body) == (200, stream_body())
+        assert fleet.runs("id-1") == 2
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_slow_but_sound_stream_is_not_cut(tmp_path):
+    """Its pauses are long, but every event comes; nobody may run it again."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.event_pause_s = 0.4
+        status, _, body = await fleet.call("/chat/x", *MODEL)
+        assert (status, body) == (200, stream_body())
+        assert fleet.runs("id-1") == 1
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_stream_that_may_not_resume_is_cut(tmp_path):
     """Its end must not look complete, and no second engine may run it."""
 
@@ -479,3 +508,69 @@
 
     caplog.set_level("DEBUG", logger="jasminewharf")
     run_with_fleet(scenario, tmp_path)
+
+
+def test_reports_reach_entries_without_a_link_to_each_agent(tmp_path):
+    """Links and messages between all entries and all agents grow with both numbers."""
+
+    async def scenario(fleet):
+        directories = [kernel.find("directory") for kernel in fleet.kernels[1:3]]
+        await wait_until(lambda: all(d.hears_relay() for d in directories))
+        for directory in directories:
+            directory.agents.close()
+        before = [d.directory.board.find(fleet.engines[0].address) for d in directories]
+        await wait_until(
+            lambda: all(
+                d.directory.board.find(fleet.engines[0].address).at > known.at
+                for d, known in zip(directories, before, strict=True)
+            )
+        )
+        assert [len(d.agents) for d in directories] == [0, 0]
+        status, _, _ = await fleet.call("/chat/x", *MODEL)
+        assert status == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_agents_are_linked_when_the_relay_falls_silent(tmp_path):
+    """A control host may be frozen or cut off while engines and entries go on."""
+
+    async def scenario(fleet):
+        directory = fleet.kernels[1].find("directory")
+        relay = fleet.kernels[0].find("relay")
+        await wait_until(directory.hears_relay)
+        # What it takes in stays unsent, as on a host that is frozen.
+        relay._spread = lambda: None
+        await wait_until(lambda: not directory.hears_relay(), timeout_s=5)
+        await wait_until(lambda: len(directory.agents) == 2, timeout_s=5)
+        known = directory.directory.board.find(fleet.engines[0].address)
+        await wait_until(
+            lambda: (
+                directory.directory.board.find(fleet.engines[0].address).at > known.at
+            )
+        )
+        status, _, _ = await fleet.call("/chat/x", *MODEL)
+        assert status == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_relay_that_restarts_is_told_everything_again(tmp_path):
+    """It has no disk copy of reports, and agents send whole ones only on change."""
+
+    async def scenario(fleet):
+        directory = fleet.kernels[1].find("directory")
+        relay = fleet.kernels[0].find("relay")
+        await wait_until(directory.hears_relay)
+        relay._board = EngineBoard()
+        relay._followers.clear()
+        directory.directory.board.remove(fleet.engines[0].address)
+        directory.agents.close()
+        await wait_until(
+            lambda: (
+                directory.directory.board.find(fleet.engines[0].address) is not None
+            ),
+            timeout_s=3,
+        )
+
+    run_with_fleet(scenario, tmp_path)
