Appraise engines less often and in a third of the time

Choosing where to load a model appraises each engine, built the sizes of 288 models anew for each of 42 engines, and was done for each waiting model at each change of the directory.

Agents list the largest model once a configuration.

--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from .configurations import EngineSpec, ModelSpec
-from .copies import count_copies, find_displaced, is_fetching
+from .copies import count_copies, find_displaced, is_fetching, list_sizes
 from .directory import Server
 
 __all__ = [
@@ -142,17 +142,21 @@
     # More loads from the store than it serves at full speed take longer, each.
     stretch = max((fetching + 1) / FETCHING_AT_ONCE, 1.0)
     slowed = model._replace(remote_s=model.remote_s * stretch)
-    places = [_appraise(s, engine, slowed, waiting, copies, now) for s in reachable]
+    fleet = _Fleet(engine, list_sizes(engine), copies)
+    places = [_appraise(s, fleet, slowed, waiting, now) for s in reachable]
     return min(places, key=lambda p: (p.cost, rank_by_hash(model.name, p.server.name)))
 
 
+class _Fleet(NamedTuple):
+    """What all engines of a service have in common."""
+
+    engine: EngineSpec
+    sizes: Mapping[str, float]
+    copies: Mapping[str, int]
+
+
 def _appraise(
-    server: Server,
-    engine: EngineSpec,
-    model: ModelSpec,
-    waiting: Waiting,
-    copies: Mapping[str, int],
-    now: float,
+    server: Server, fleet: _Fleet, model: ModelSpec, waiting: Waiting, now: float
 ) -> LoadPlace:
     report = server.report
     assert report is not None
@@ -172,8 +176,11 @@
     held_up = report.blocked_rate * own_s * own_s / 2 + (len(others) - ahead) * own_s
     cost = requests * ready_s * stay_part + report.room_cost + held_up
     if own_s >= model.remote_s:
-        displaced = find_displaced(engine, report.on_disk, model.weights_mb)
-        cost += model.remote_s * sum(1 for name in displaced if copies[name] <= 1)
+        displaced = find_displaced(
+            fleet.engine, report.on_disk, model.weights_mb, fleet.sizes
+        )
+        last = sum(1 for name in displaced if fleet.copies[name] <= 1)
+        cost += model.remote_s * last
     return LoadPlace(server, ready_s, own_s, cost)
 
 
--- a/src/jasminewharf/decisions/copies.py
+++ b/src/jasminewharf/decisions/copies.py
@@ -1,7 +1,7 @@
 """Copies of models on the engines' disks: how many there are, which one yields next."""
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from ..messages.servers import EngineReport
@@ -91,8 +91,16 @@
     return Counter(name for names in engines for name in set(names))
 
 
+def list_sizes(spec: EngineSpec) -> dict[str, float]:
+    """Return the size of each model of a service, in MB."""
+    return {model.name: model.weights_mb for model in spec.models}
+
+
 def find_displaced(
-    spec: EngineSpec, on_disk: Sequence[str], weights_mb: float
+    spec: EngineSpec,
+    on_disk: Sequence[str],
+    weights_mb: float,
+    sizes: Mapping[str, float],
 ) -> list[str]:
     """Return the models whose copies a load from the store displaces.
 
@@ -100,10 +108,10 @@
         spec: The engine's limits.
         on_disk: The copies on its disk, the least recently loaded first.
         weights_mb: The size of the model that is loaded.
+        sizes: The sizes of all models; see :func:`list_sizes`.
     """
     if not spec.disk_mb:
         return []
-    sizes = {model.name: model.weights_mb for model in spec.models}
     free_mb = spec.disk_mb - sum(sizes.get(name, 0.0) for name in on_disk)
     displaced = []
     for name in on_disk:
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -11,7 +11,7 @@
 from ..dialects.fleet import EngineStatus
 from .choice import FETCHING_AT_ONCE, rank_by_hash
 from .configurations import EngineSpec, ModelSpec
-from .copies import FleetCopies, find_displaced
+from .copies import FleetCopies, find_displaced, list_sizes
 
 __all__ = ["Intent", "Residency"]
 
@@ -102,6 +102,8 @@
     def __init__(self) -> None:
         self._spec: EngineSpec | None = None
         self._models: dict[str, ModelSpec] = {}
+        self._sizes: dict[str, float] = {}
+        self._largest_mb = 0.0
         self._wants: dict[str, dict[str, _Want]] = {}
         self._uses: dict[str, dict[str, int]] = {}
         self._told_at: dict[str, float] = {}
@@ -118,6 +120,8 @@
         """Take the engine's limits and the models of its service."""
         self._spec = spec
         self._models = {model.name: model for model in spec.models}
+        self._sizes = list_sizes(spec)
+        self._largest_mb = max(self._sizes.values(), default=0.0)
 
     @property
     def spec(self) -> EngineSpec | None:
@@ -245,7 +249,7 @@
 
     def room_cost(self, status: EngineStatus, now: float) -> float:
         """Return what making room for a model costs others, in request-seconds."""
-        if self._spec is None or self._free_mb(status) >= self._largest_mb():
+        if self._spec is None or self._free_mb(status) >= self._largest_mb:
             return 0.0
         costs = [
             self._eviction_cost(held.model, now, 0.0)
@@ -291,7 +295,7 @@
         for held in status.models:
             spec = self._models.get(held.model)
             # A model that the configuration no longer names still takes its room.
-            weights = spec.weights_mb if spec else self._largest_mb()
+            weights = spec.weights_mb if spec else self._largest_mb
             adapter = spec.adapter_mb if spec else 0.0
             used += weights + adapter * len(held.adapters)
         for model, _ in status.incoming:
@@ -299,9 +303,6 @@
             used += spec.adapter_mb if spec else 0.0
         return self._spec.weights_mb - used
 
-    def _largest_mb(self) -> float:
-        return max((model.weights_mb for model in self._models.values()), default=0.0)
-
     def _make_way(self, model: str, status: EngineStatus, now: float) -> Intent | None:
         if self._free_mb(status) >= self._models[model].weights_mb:
             return Intent(True, model)
@@ -415,7 +416,9 @@
             size: min(
                 (
                     copies.count(name) - 1
-                    for name in find_displaced(self._spec, status.on_disk, size)
+                    for name in find_displaced(
+                        self._spec, status.on_disk, size, self._sizes
+                    )
                 ),
                 default=_COPIES_KEPT,
             )
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -444,6 +444,7 @@
 PATIENCE_PART = 0.9  # Of a caller's patience: the way to it and back.
 RETURN_MARGIN_S = 0.3  # Beyond the estimate of a load, so that callers return once.
 WANT_REPEAT_S = 0.3
+REPEAT_EARLY_PART = 0.9  # A repeat that comes a little early is one.
 # How long a model is asked for after a caller was refused; others ask for it later.
 MISSED_KEPT_S = 15.0
 MISSED_WEIGHT = 0.1  # Less than a late request: nobody waits.
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -54,7 +54,7 @@
         self._returning: dict[str, list[_Returning]] = {}
         self._missed: dict[str, _Missed] = {}
         self._copies_asked: dict[str, tuple[float, str]] = {}
-        self._asked: dict[str, tuple[float, str]] = {}
+        self._asked: dict[str, float] = {}
         self._begun: dict[str, dict[str, int]] = {}
         self._used: set[str] = set()
         self._repeat_use_at = 0.0
@@ -248,7 +248,14 @@
         )
 
     def _ask(self, service: ServiceSpec, model: str) -> None:
-        """Ask the agent where the model is ready first to load it."""
+        """Ask the agent where the model is ready first to load it.
+
+        Appraising all engines is the dearest thing that an entry does for a request, so
+        that it is done once in a while and not at each change of the directory.
+        """
+        asked_at = self._asked.get(model, float("-inf"))
+        if _now() - asked_at < defaults.WANT_REPEAT_S * defaults.REPEAT_EARLY_PART:
+            return
         spec = _find_model(service, model)
         waits = [w.wait for w in self._waiters if w.model == model]
         returning = self._expected_back(model)
@@ -257,9 +264,6 @@
         missed = self._missed.get(model)
         if place is None or is_held or not (waits or returning or missed):
             return
-        asked_at, asked = self._asked.get(model, (float("-inf"), ""))
-        if asked == place.server.name and _now() - asked_at < defaults.WANT_REPEAT_S:
-            return
         urgency = weigh_waits(waits, place.ready_s, _now()) + weigh_returns(returning)
         if not waits and not returning:
             urgency = defaults.MISSED_WEIGHT
@@ -269,7 +273,7 @@
         age_ms = int((_now() - since) * defaults.MS_PER_S)
         want = WantModel(model, max(len(waits) + returning, 1), urgency, age_ms)
         if self.kernel.find("directory").send_to_agent(place.server, want):
-            self._asked[model] = (_now(), place.server.name)
+            self._asked[model] = _now()
 
     async def _repeat_forever(self) -> None:
         while True:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -1,19 +1,25 @@
 """Copies of models on the engines' disks."""
 
 from fleetparts import build_engine, build_report
-from jasminewharf.decisions.copies import count_copies, find_displaced, gather_copies
+from jasminewharf.decisions.copies import (
+    count_copies,
+    find_displaced,
+    gather_copies,
+    list_sizes,
+)
 
 SIZE_MB = 70_000.0
 
 
 def test_least_recently_loaded_copy_yields():
     engine = build_engine(disk_mb=2 * SIZE_MB + 1_000)
-    assert find_displaced(engine, ["m0", "m1"], SIZE_MB) == ["m0"]
-    assert find_displaced(engine, ["m0"], SIZE_MB) == []
+    sizes = list_sizes(engine)
+    assert find_displaced(engine, ["m0", "m1"], SIZE_MB, sizes) == ["m0"]
+    assert find_displaced(engine, ["m0"], SIZE_MB, sizes) == []
 
 
 def test_nothing_is_said_of_a_disk_of_unknown_size():
-    assert find_displaced(build_engine(), ["m0", "m1"], SIZE_MB) == []
+    assert find_displaced(build_engine(), ["m0", "m1"], SIZE_MB, {}) == []
 
 
 def test_copies_are_counted_once_an_engine():
