Follow all agents directly in small fleets; fetch unwaited models one at a time

What differs there is the age of reports and loads (0.2 to 0.5 s over the relay where it was 0.25 s at most), polls up to 0.2 s apart during unloads whose end cannot be estimated, and loads from the store for models nobody waits for, which take an engine from five swaps each.

At most 8 agents are followed directly, whatever the relay brings; unloads are polled every 30 ms again and waiting models every 50 ms; a model that only refused callers asked for is fetched when no other engine fetches anything.

--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -91,11 +91,6 @@
         return min(rate, 1 / silent_s) if silent_s > self._window_s else rate
 
 
-def _may_fetch(model: str, copies: FleetCopies) -> bool:
-    """Return whether a load from the store may begin beside those of other engines."""
-    return copies.warming < FETCHING_AT_ONCE and model not in copies.fetched
-
-
 class Residency:
     """The state that one agent's decisions need."""
 
@@ -237,13 +232,22 @@
             return intent
         wanted = self.wanted_models(now)
         for model, _ in wanted:
-            if self._is_remote(model, status) and not _may_fetch(model, copies):
+            is_remote = self._is_remote(model, status)
+            if is_remote and not self._may_fetch(model, copies):
                 continue
             intent = self._make_way(model, status, now)
             if intent is not None:
                 return intent
         return None if wanted else self._warm(status, copies, now)
 
+    def _may_fetch(self, model: str, copies: FleetCopies) -> bool:
+        """Return whether a load from the store may begin beside those of others."""
+        if model in copies.fetched:
+            return False
+        has_callers = any(want.requests for want in self._wants[model].values())
+        # Where nobody waits, one at a time is enough to serve every model some day.
+        return copies.warming < (FETCHING_AT_ONCE if has_callers else 1)
+
     def _is_remote(self, model: str, status: EngineStatus) -> bool:
         return model not in status.in_memory and model not in status.on_disk
 
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -409,8 +409,8 @@
 RELAY_FOLLOW_S = 3.5  # Three renewals of a follower.
 RELAY_FORGET_S = 30.0  # Longer than an agent is away for a restart.
 RELAY_LATE_S = 1.6  # More than a heartbeat and the way; then agents are asked directly.
-# Agents that a node follows directly while the relay is silent. All of them would cost
-# most where hosts are short of processor time already.
+# Agents that a node follows directly at most: all of a small fleet, or some of a large
+# one while the relay is silent, where all would cost most just then.
 DIRECT_FOLLOW_LIMIT = 8
 AGENT_LINK_IDLE_S = 3.0  # Most requests for a model follow each other sooner.
 FOLLOW_POLL_S = 0.5  # How soon a node asks the control host that it moved to.
@@ -423,7 +423,7 @@
 BLOCKED_STEP = 0.5  # Requests a second, likewise.
 ENGINE_IDLE_POLL_S = 0.2
 ENGINE_ORDER_POLL_S = 0.03  # Near the end of an order.
-ENGINE_WANTED_POLL_S = 0.1  # While a model waits for room.
+ENGINE_WANTED_POLL_S = 0.05  # While a model waits for room.
 ENGINE_ADAPTER_POLL_S = 0.005  # An adapter from the engine's own copies takes as long.
 ENGINE_ADAPTER_S = 0.05  # An adapter from the store, with the lag of reports.
 ENGINE_REPORT_TIMEOUT_S = 0.5
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -140,8 +140,9 @@
 class WantModel(NamedTuple):
     """An entry has ``requests`` that wait for a model, worth ``urgency`` in all.
 
-    It is repeated while they wait. ``age_ms`` is how long the model has been asked for
-    in vain, by these requests or by ones that were refused.
+    It is repeated while they wait; with none it tells that callers were refused.
+    ``age_ms`` is how long the model has been asked for in vain, by these requests or by
+    ones that were refused.
     """
 
     model: str
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -271,7 +271,7 @@
         if missed is not None:
             since = min(since, missed.since)
         age_ms = int((_now() - since) * defaults.MS_PER_S)
-        want = WantModel(model, max(len(waits) + returning, 1), urgency, age_ms)
+        want = WantModel(model, len(waits) + returning, urgency, age_ms)
         if self.kernel.find("directory").send_to_agent(place.server, want):
             self._asked[model] = _now()
 
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -36,8 +36,8 @@
     """Keeps the directory current and finds the agents.
 
     Reports of engines come from the control host that feeds this node, and directly
-    from the agents that this node deals with. Where the control host brings nothing,
-    the agents are linked for their reports.
+    from the agents that this node follows: all of them where they are few, else those
+    of which the control host brings nothing.
 
     Attributes:
         directory: What this node knows of backend servers.
@@ -235,11 +235,21 @@
         """Link the agents that no report came of; close links that nobody needs."""
         while True:
             await asyncio.sleep(defaults.AGENT_WATCH_S)
-            for address in self._find_late()[: defaults.DIRECT_FOLLOW_LIMIT]:
+            for address in self._choose_followed():
                 self.agents.send(address, FollowEngines())
             self.agents.close_idle()
             self.directory.board.forget_silent(_now() - defaults.RELAY_FORGET_S)
 
+    def _choose_followed(self) -> list[str]:
+        """Return the engines whose agents are followed directly.
+
+        In a small fleet those are all: a relay would only add its delay there.
+        """
+        limit = defaults.DIRECT_FOLLOW_LIMIT
+        if len(self.agents.places) <= limit:
+            return list(self.agents.places)
+        return self._find_late()[:limit]
+
     def _find_late(self) -> list[str]:
         """Return the engines of which no report came lately, linked ones first."""
         late = _now() - defaults.RELAY_LATE_S
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -189,6 +189,9 @@
     def _pause_s(self) -> float:
         if self._adapter_waiters and self._has_adapter_coming():
             return defaults.ENGINE_ADAPTER_POLL_S
+        if self._change is not None and not self._change.loads:
+            # Running requests decide when an unload ends; no estimate is good.
+            return defaults.ENGINE_ORDER_POLL_S
         if self._change is not None:
             left_s = self._change_ends - _now() - defaults.ENGINE_ORDER_POLL_S
             # Nothing can be ordered before the change ends, but it may end early.
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from jasminewharf import defaults
 from jasminewharf.decisions.engineboard import EngineBoard
 from jasminewharf.exceptions import BackendError
 from jasminewharf.interfaces.roles import build_kernel
@@ -510,14 +511,14 @@
     run_with_fleet(scenario, tmp_path)
 
 
-def test_reports_reach_entries_without_a_link_to_each_agent(tmp_path):
+def test_reports_reach_entries_without_a_link_to_each_agent(tmp_path, monkeypatch):
     """Links and messages between all entries and all agents grow with both numbers."""
+    monkeypatch.setattr(defaults, "DIRECT_FOLLOW_LIMIT", 1)
 
     async def scenario(fleet):
         directories = [kernel.find("directory") for kernel in fleet.kernels[1:3]]
         await wait_until(lambda: all(d.hears_relay() for d in directories))
-        for directory in directories:
-            directory.agents.close()
+        await wait_until(lambda: not any(len(d.agents) for d in directories))
         before = [d.directory.board.find(fleet.engines[0].address) for d in directories]
         await wait_until(
             lambda: all(
@@ -532,6 +533,18 @@
     run_with_fleet(scenario, tmp_path)
 
 
+def test_agents_of_a_small_fleet_are_followed_directly(tmp_path):
+    """A relay would only add its delay to what routing knows of loads."""
+
+    async def scenario(fleet):
+        directory = fleet.kernels[1].find("directory")
+        agent = fleet.kernels[3].find("engine")
+        await wait_until(lambda: len(directory.agents) == 2)
+        await wait_until(lambda: len(agent._followers) >= 2)
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_agents_are_linked_when_the_relay_falls_silent(tmp_path):
     """A control host may be frozen or cut off while engines and entries go on."""
 
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -329,3 +329,15 @@
     residency.note_want("entry", "m1", 1, 1.0, 5.0)
     fetched = COMPLETE._replace(warming=1, fetched=frozenset({"m1"}))
     assert residency.choose(build_status(["m0"]), fetched, 5.0) is None
+
+
+def test_models_that_nobody_waits_for_now_are_fetched_one_at_a_time():
+    """Pattern: many rare models whose callers were all refused.
+
+    Fetching them all would take the engines from those who wait.
+    """
+    residency = build_residency()
+    residency.note_want("entry", "m1", 0, 0.1, 5.0, age_s=8.0)
+    busy = COMPLETE._replace(warming=1)
+    assert residency.choose(build_status(["m0"]), busy, 5.0) is None
+    assert residency.choose(build_status(["m0"]), COMPLETE, 5.0).model == "m1"
