--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -2,17 +2,14 @@
 
 import asyncio
 import logging
-import math
-import time
 from typing import Any, ClassVar
 
 from .. import defaults, events
 from ..decisions.copies import FleetCopies, gather_copies
-from ..decisions.engineboard import strip_load
 from ..decisions.residency import Intent, Residency
 from ..decisions.routes import RouteTable
 from ..dialects.fleet import ENGINE_ORDERS, EngineOrder, EngineStatus
-from ..exceptions import BackendError, PeerUnavailable
+from ..exceptions import BackendError
 from ..kernel import Kernel, Service
 from ..messages.feed import BackendReport
 from ..messages.servers import (
@@ -26,6 +23,7 @@
 )
 from ..registry import lookup
 from .client import HttpClient
+from .enginenews import EngineNews
 from .link import LinkServer, Peer
 
 __all__ = ["EngineKeeper"]
@@ -49,20 +47,10 @@
         self._status: EngineStatus | None = None
         self._change: Intent | None = None
         self._change_ends = 0.0
-        self._report: EngineReport | None = None
-        self._load_sent_at = 0.0
         self._copies: FleetCopies | None = None
         self._copies_key: tuple = ()
         self._copies_until = 0.0
-        self._must_report = False
-        self._followers: dict[bytes, float] = {}
-        self._told: EngineReport | None = None
-        self._relay = ""
-        self._relayed_at = 0.0
-        self._is_relayed = True
-        self._life_ms = int(time.time() * defaults.MS_PER_S)
-        self._number = 0
-        self._load_number = 0
+        self._news = EngineNews(kernel)
         self._adapter_waiters: dict[tuple[str, str], list[asyncio.Future[bool]]] = {}
         self._adapter_ordered_at = float("-inf")
         self._wake = asyncio.Event()
@@ -77,18 +65,19 @@
             WantModel: self._take_want,
             ModelUse: self._take_use,
             EnsureAdapter: self._ensure_adapter,
-            FollowEngines: self._follow,
+            FollowEngines: self._news.follow,
         }
         self._server = LinkServer(
             process.identity, process.context, handlers, process.security
         )
-        self._server.on_peer = self._greet
+        self._server.on_peer = self._news.greet
+        self._news.peers = self._server.peers
         address = self._server.bind(self.kernel.settings.fleet.agent_listen)
         reports = self.kernel.find("reports")
         reports.address = address
         reports.read_backends = self._describe_backend
         self.kernel.find("view").listen(self._take_configuration)
-        self.kernel.find("controllers").handle(WantReports, self._send_again)
+        self.kernel.find("controllers").handle(WantReports, self._news.send_again)
         self.spawn(self._run(), essential=True)
 
     async def stop(self) -> None:
@@ -109,15 +98,6 @@
 
     # Messages of entries.
 
-    def _greet(self, peer: Peer) -> None:
-        if self._report is not None:
-            peer.send(self._report)
-
-    def _follow(self, peer: Peer, message: FollowEngines) -> None:
-        """Tell a node everything that no control host tells it."""
-        self._followers[peer.routing_id] = _now()
-        self._greet(peer)
-
     def _take_want(self, peer: Peer, want: WantModel) -> None:
         is_new = self._residency.note_want(
             peer.node,
@@ -159,7 +139,8 @@
         spec = self._find_spec(table)
         if spec is not None:
             # What room costs is known only now; a report without it draws loads here.
-            self._must_report |= self._residency.spec is None
+            if self._residency.spec is None:
+                self._news.must_report = True
             self._residency.set_engine(spec)
         self._wake.set()
 
@@ -219,21 +200,11 @@
         except BackendError as error:
             if self._status is not None:
                 events.emit(_logger, events.ENGINE_LOST, error=error)
-                self._tell_lost()
+                self._news.tell_lost()
             self._status = None
             return
         self._note_status(fresh)
 
-    def _tell_lost(self) -> None:
-        """Tell at once that the engine holds nothing that a request could use."""
-        if self._report is None:
-            return
-        self._send_report(
-            self._report._replace(
-                is_reachable=False, models=[], changing="", wanted=[], ready_ms=0
-            )
-        )
-
     def _note_status(self, fresh: EngineStatus) -> None:
         known = self._status
         if known is None or known.born_ms != fresh.born_ms:
@@ -382,100 +353,8 @@
             [*others, self._build_report()], self._address, is_complete
         )
 
-    # What the others are told. Entries that deal with this engine are told directly
-    # when its models change, all else goes to the control host that feeds this agent.
-
     def _tell(self) -> None:
-        if self._server is None:
-            return
-        age_s = _now() - self._load_sent_at
-        if self._status is None:
-            if self._report is not None and age_s >= defaults.ENGINE_HEARTBEAT_S:
-                self._send_report(self._report)
-            return
-        report = self._build_report()
-        known = self._report
-        if self._must_report or known is None or _differs(report, known):
-            self._must_report = False
-            self._send_report(report)
-            return
-        has_changed = self._has_changed(report)
-        if (
-            has_changed and age_s >= defaults.ENGINE_LOAD_INTERVAL_S
-        ) or age_s >= defaults.ENGINE_HEARTBEAT_S:
-            self._send_load(report)
-        if self._relay != self.kernel.find("feed").source:
-            self._relay_report()
-        elif not self._is_relayed:
-            self._relay_load()
-
-    def _has_changed(self, report: EngineReport) -> bool:
-        """Return whether load or costs differ from what was sent last."""
-        sent = self._report
-        if sent is None or strip_load(sent)[1:4] != strip_load(report)[1:4]:
-            return True
-        return (
-            abs(sent.room_cost - report.room_cost) > defaults.ROOM_COST_STEP_S
-            or abs(sent.blocked_rate - report.blocked_rate) > defaults.BLOCKED_STEP
-        )
-
-    def _send_report(self, report: EngineReport) -> None:
-        self._number += 1
-        self._report = report._replace(
-            life_ms=self._life_ms, number=self._number, load_number=self._load_number
-        )
-        self._load_sent_at = _now()
-        told = self._told
-        is_news = told is None or _strip_wants(report) != _strip_wants(told)
-        self._told = report if is_news else told
-        for peer in self._server.peers():
-            if is_news or self._is_follower(peer):
-                peer.send(self._report)
-        self._relay_report()
-
-    def _is_follower(self, peer: Peer) -> bool:
-        followed_at = self._followers.get(peer.routing_id, float("-inf"))
-        return _now() - followed_at <= defaults.RELAY_FOLLOW_S
-
-    def _relay_report(self) -> None:
-        """Send the whole report to the control host that feeds this agent now."""
-        self._relay = self.kernel.find("feed").source
-        self._send_to_relay(self._report)
-
-    def _send_again(self, host: str, wanted: WantReports) -> None:
-        if self._report is not None:
-            self._relay_report()
-
-    def _send_load(self, report: EngineReport) -> None:
-        self._load_number += 1
-        self._report = report._replace(
-            life_ms=self._life_ms, number=self._number, load_number=self._load_number
-        )
-        load = strip_load(self._report)
-        self._load_sent_at = _now()
-        for peer in self._server.peers():
-            if self._is_follower(peer):
-                peer.send(load)
-        self._is_relayed = False
-        self._relay_load()
-
-    def _relay_load(self) -> None:
-        if _now() - self._relayed_at >= defaults.RELAY_LOAD_INTERVAL_S:
-            self._send_to_relay(strip_load(self._report))
-
-    def _send_to_relay(self, message: Any) -> None:
-        link = self.kernel.find("controllers").links.get(self._relay)
-        if link is None:
-            return
-        try:
-            link.send(message)
-        except PeerUnavailable:
-            # The feed moves to another control host, which gets the whole report.
-            self._metrics.count("relay_sends_failed_total")
-            self._relay = ""
-            return
-        self._relayed_at = _now()
-        self._is_relayed = True
+        self._news.tell(self._build_report() if self._status is not None else None)
 
     def _build_report(self) -> EngineReport:
         status = self._status
@@ -504,32 +383,5 @@
         )
 
 
-def _differs(report: EngineReport, known: EngineReport) -> bool:
-    """Return whether reports differ in more than what changes with every request."""
-    return _strip(report) != _strip(known)
-
-
-def _strip_wants(report: EngineReport) -> EngineReport:
-    """Return what of a report decides whether a request can be sent there."""
-    return _strip(report)._replace(wanted=[], in_memory=[], on_disk=[])
-
-
-def _strip(report: EngineReport) -> EngineReport:
-    # A weight is of interest where it doubles; it changes with each message.
-    wanted = [(name, float(math.frexp(weight)[1])) for name, weight in report.wanted]
-    return report._replace(
-        wanted=sorted(wanted),
-        ready_ms=0,
-        running=0,
-        queued=0,
-        used_tokens=0,
-        room_cost=0.0,
-        blocked_rate=0.0,
-        life_ms=0,
-        number=0,
-        load_number=0,
-    )
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -540,7 +540,7 @@
         directory = fleet.kernels[1].find("directory")
         agent = fleet.kernels[3].find("engine")
         await wait_until(lambda: len(directory.agents) == 2)
-        await wait_until(lambda: len(agent._followers) >= 2)
+        await wait_until(lambda: len(agent._news._followers) >= 2)
 
     run_with_fleet(scenario, tmp_path)
 
