Starved models only where nobody was served; log a silent relay

A model now counts as starved 10 s after its first caller was refused with nobody served since, not by the age of those who wait. It goes first and may cost a few requests of a model in light use.

--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -36,9 +36,9 @@
 _RUN_S = 1.0
 # How long a request waits for a model to fall idle before one in use makes room.
 _PATIENCE_S = 3.0
-# How long a model may be asked for in vain before it goes first: about the longest
-# patience of callers, and half a minute's rest of other work at worst.
-_STARVED_S = 6.0
+# How long callers of a model may be refused before it goes first: longer than the
+# longest patience of one caller, since late requests are no sign of it.
+_STARVED_S = 10.0
 # A model idle for this long makes room for one of which there is no copy.
 _IDLE_S = 2.0
 # Holders that a model placed on many engines keeps when others make room.
@@ -68,6 +68,12 @@
     urgency: float
     since: float
     at: float
+    age_s: float
+
+    @property
+    def is_starved(self) -> bool:
+        """Whether callers have been refused for long and nobody was served."""
+        return self.age_s > _STARVED_S
 
 
 class _Rate:
@@ -144,7 +150,7 @@
             requests: How many they are.
             urgency: What they are worth.
             now: Monotonic seconds.
-            age_s: How long the model has been asked for in vain.
+            age_s: How long ago its first caller was refused, if none was served since.
 
         Returns:
             Whether the entry has not asked for it before.
@@ -159,8 +165,7 @@
         if is_new and model not in self._held:
             self._want_rate.add(1, now)
         since = now if known is None or is_new else known.since
-        since = min(since, now - age_s)
-        wants[peer] = _Want(requests, urgency, since, now)
+        wants[peer] = _Want(requests, urgency, since, now, age_s)
         return is_new
 
     def note_use(self, peer: str, uses: list[tuple[str, int, int]], now: float) -> None:
@@ -202,7 +207,7 @@
             elif model not in self._held:
                 urgency = sum(want.urgency for want in wants.values())
                 since = min(want.since for want in wants.values())
-                is_starved = now - since > _STARVED_S
+                is_starved = any(want.is_starved for want in wants.values())
                 waiting.append((not is_starved, -urgency, since, model))
         return [(model, -urgency) for _, urgency, _, model in sorted(waiting)]
 
@@ -343,6 +348,8 @@
             want.urgency * (_RETURN_S + now - want.since)
             for want in self._wants[model].values()
         )
+        ages = [w.age_s for w in self._wants[model].values() if w.is_starved]
+        gain = max([gain, *ages])
         is_worth_it = gain > self._eviction_cost(victim, now, held_up_s)
         return victim if is_worth_it else ""
 
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -141,8 +141,8 @@
     """An entry has ``requests`` that wait for a model, worth ``urgency`` in all.
 
     It is repeated while they wait; with none it tells that callers were refused.
-    ``age_ms`` is how long the model has been asked for in vain, by these requests or by
-    ones that were refused.
+    ``age_ms`` is how long ago the first caller was refused of those since whom nobody
+    was served there.
     """
 
     model: str
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -267,10 +267,8 @@
         urgency = weigh_waits(waits, place.ready_s, _now()) + weigh_returns(returning)
         if not waits and not returning:
             urgency = defaults.MISSED_WEIGHT
-        since = min([w.since for w in waits], default=_now())
-        if missed is not None:
-            since = min(since, missed.since)
-        age_ms = int((_now() - since) * defaults.MS_PER_S)
+        age_s = _now() - missed.since if missed is not None else 0.0
+        age_ms = int(age_s * defaults.MS_PER_S)
         want = WantModel(model, len(waits) + returning, urgency, age_ms)
         if self.kernel.find("directory").send_to_agent(place.server, want):
             self._asked[model] = _now()
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -54,6 +54,7 @@
         # The control host whose list this is, and the list's number there.
         self._list_base = ("", 0)
         self._digest_at = float("-inf")
+        self._heard_relay = False
         self._metrics = kernel.find("process").metrics
         self._listeners: list[Callable[[], None]] = []
         self._is_scheduled = False
@@ -235,11 +236,26 @@
         """Link the agents that no report came of; close links that nobody needs."""
         while True:
             await asyncio.sleep(defaults.AGENT_WATCH_S)
+            self._log_relay()
             for address in self._choose_followed():
                 self.agents.send(address, FollowEngines())
             self.agents.close_idle()
             self.directory.board.forget_silent(_now() - defaults.RELAY_FORGET_S)
 
+    def _log_relay(self) -> None:
+        """Log that the relay was lost or heard again."""
+        is_heard = self.hears_relay()
+        if is_heard == self._heard_relay:
+            return
+        self._heard_relay = is_heard
+        events.emit(
+            _logger,
+            events.RELAY_HEARD if is_heard else events.RELAY_SILENT,
+            source=self.kernel.find("feed").source,
+            late_engines=len(self._find_late()),
+            known_engines=len(self.agents.places),
+        )
+
     def _choose_followed(self) -> list[str]:
         """Return the engines whose agents are followed directly.
 
