Ask for models of refused callers only when nobody was served for long

Those loads took engines from callers who waited.

An entry now asks on their behalf only 10 s after the first refusal with nobody served since. tests/test_demand.py names both patterns; its first test failed before.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -445,8 +445,11 @@
 RETURN_MARGIN_S = 0.3  # Beyond the estimate of a load, so that callers return once.
 WANT_REPEAT_S = 0.3
 REPEAT_EARLY_PART = 0.9  # A repeat that comes a little early is one.
-# How long a model is asked for after a caller was refused; others ask for it later.
+# How long a refused caller counts, and from when on a model is asked for on behalf of
+# such callers alone: an engine's time belongs to those who wait until none was served
+# for longer than callers have patience.
 MISSED_KEPT_S = 15.0
+MISSED_ASK_S = 10.0
 MISSED_WEIGHT = 0.1  # Less than a late request: nobody waits.
 USE_INTERVAL_S = 0.2
 USE_REPEAT_S = 1.0
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -212,7 +212,7 @@
         for model, missed in list(self._missed.items()):
             if missed.until <= _now() or self._is_held(missed.service, model):
                 del self._missed[model]
-            else:
+            elif _now() - missed.since >= defaults.MISSED_ASK_S:
                 wanted.setdefault(model, missed.service)
         for model, service in wanted.items():
             self._ask(service, model)
@@ -262,7 +262,10 @@
         is_held = not waits and self._is_held(service, model)
         place = self._choose_place(service, spec) if spec else None
         missed = self._missed.get(model)
-        if place is None or is_held or not (waits or returning or missed):
+        is_starved = (
+            missed is not None and _now() - missed.since >= defaults.MISSED_ASK_S
+        )
+        if place is None or is_held or not (waits or returning or is_starved):
             return
         urgency = weigh_waits(waits, place.ready_s, _now()) + weigh_returns(returning)
         if not waits and not returning:
--- /dev/null
+++ b/tests/test_demand.py
@@ -0,0 +1,63 @@
+"""What an entry asks agents to load, and for whom."""
+
+import asyncio
+from types import SimpleNamespace
+
+from fleetparts import build_engine, build_listed, build_report
+from jasminewharf import defaults
+from jasminewharf.decisions.configurations import ServiceSpec
+from jasminewharf.decisions.directory import Directory
+from jasminewharf.messages.servers import WantModel
+from jasminewharf.metrics import Metrics
+from jasminewharf.services.demand import DemandService, _Missed
+
+SERVICE = ServiceSpec("llm", 300, build_engine())
+
+
+class _Kernel:
+    def __init__(self, directory, sent):
+        self.services = {
+            "directory": SimpleNamespace(
+                directory=directory,
+                send_to_agent=lambda server, message: sent.append(message) or True,
+            ),
+            "process": SimpleNamespace(metrics=Metrics()),
+        }
+
+    def find(self, name):
+        return self.services[name]
+
+
+def ask_for_missed(refused_s_ago):
+    """Return what a review sends for a model whose only caller was refused."""
+
+    async def main():
+        now = asyncio.get_running_loop().time()
+        directory = Directory()
+        directory.take_list([build_listed()], now)
+        directory.take_report(build_report(models=["m0"], on_disk=["m2"]), now)
+        sent = []
+        demand = DemandService(_Kernel(directory, sent))
+        missed = _Missed(SERVICE, now - refused_s_ago, now + defaults.MISSED_KEPT_S)
+        demand._missed["m2"] = missed
+        demand.review()
+        demand.review()
+        return sent
+
+    return asyncio.run(main())
+
+
+def test_engines_are_not_asked_for_callers_who_have_left():
+    """Pattern: a burst on rare models, most of whose callers are refused.
+
+    Loads for them took the engines from those who still waited.
+    """
+    assert ask_for_missed(refused_s_ago=3.0) == []
+
+
+def test_model_that_nobody_was_served_of_is_asked_for_once():
+    """Pattern: a rare model whose every caller is refused would never be loaded."""
+    sent = ask_for_missed(refused_s_ago=12.0)
+    assert [type(message) for message in sent] == [WantModel]
+    assert sent[0].requests == 0
+    assert sent[0].age_ms >= 12_000
