Leave servers alone that say they are leaving or ask for a pause

Cause: only the server list told that a server leaves, up to seconds late, and a 503 with Retry-After was taken for a full server that is asked again 50 ms later. Answers now tell both: Server-Leaving, and Retry-After with 503. The adapter decodes them (whole and fractional seconds, dates, and rubbish, which is logged and grants nothing), decisions/backpressure.py keeps them for each life of a server, and the directory applies them to requests, repeats, loads, orders and reads of an engine's report.

Ruled out: keeping the mark on the directory's server object, which is made anew when the list loses an entry for a while; telling other hosts, since a server asks each host for itself.

--- a/src/jasminewharf/decisions/attempts.py
+++ b/src/jasminewharf/decisions/attempts.py
@@ -14,6 +14,8 @@
         runs: Times that a server may have run it.
         rejections: Times that a server refused it without running it.
         avoided: Servers that it is not sent to again for now.
+        route: The route's name; empty before it was found.
+        waited_s: For how long it has waited for its model, in seconds.
     """
 
     def __init__(self) -> None:
@@ -21,6 +23,8 @@
         self.runs = 0
         self.rejections = 0
         self.avoided: set[str] = set()
+        self.route = ""
+        self.waited_s = 0.0
         self._ran_at: set[str] = set()
         self._is_open = False
 
--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -11,6 +11,7 @@
 from .. import defaults
 from ..dialects.fleet import HeldModel, ListedServer
 from ..messages.servers import EngineLoad, EngineReport
+from .backpressure import Backpressure, Restraint, ServerLife
 from .engineboard import TAKEN, EngineBoard
 
 __all__ = ["Directory", "ListChange", "Server"]
@@ -39,11 +40,18 @@
         missing: Models that it refused as absent, with the time.
         heard_at: When the last bytes of an answer came from it.
         avoided_until: Until when it gets no request because it fell silent.
+        restraint: What its answers have asked of this node.
     """
 
-    def __init__(self, listed: ListedServer, found_at: float) -> None:
+    def __init__(
+        self,
+        listed: ListedServer,
+        found_at: float,
+        restraint: Restraint | None = None,
+    ) -> None:
         self.listed = listed
         self.found_at = found_at
+        self.restraint = restraint or Restraint()
         self.own = 0
         self.own_by_model: dict[str, int] = {}
         self.running = 0
@@ -62,6 +70,15 @@
         """The server's identifier."""
         return self.listed.server
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the list or the server itself says that it is about to stop."""
+        return self.listed.is_leaving or self.restraint.is_leaving
+
+    def is_open(self, now: float) -> bool:
+        """Return whether the server takes requests of this node."""
+        return not self.listed.is_leaving and self.restraint.allows(now)
+
     @property
     def load(self) -> int:
         """Requests there, as far as known: told, and begun by this node since."""
@@ -115,8 +132,12 @@
 
     def holds(self, model: str, now: float, fresh_s: float) -> bool:
         """Return whether the server is believed to hold a model, ready for requests."""
-        if now < self.avoided_until:
+        if now < self.avoided_until or not self.restraint.allows(now):
             return False
+        return self.has_model(model, now, fresh_s)
+
+    def has_model(self, model: str, now: float, fresh_s: float) -> bool:
+        """Return whether a model is believed to be in the server's memory."""
         refused_at = self.missing.get(model, float("-inf"))
         if now - self.report_at <= fresh_s and self.report is not None:
             if refused_at > self.report_at:
@@ -155,6 +176,7 @@
         self.board = EngineBoard()
         self._births: dict[str, int] = {}
         self.list_at = float("-inf")
+        self._backpressure = Backpressure()
 
     def in_service(self, service: str) -> list[Server]:
         """Return the servers of a service, leaving ones among them."""
@@ -175,7 +197,8 @@
         for listed in servers:
             server = self.servers.get(listed.server)
             if server is None or server.listed.born_ms != listed.born_ms:
-                server = Server(listed, read_at)
+                life = ServerLife(listed.server, listed.born_ms)
+                server = Server(listed, read_at, self._backpressure.find(life))
                 found.append(listed)
             elif listed.is_leaving and not server.listed.is_leaving:
                 left.append(listed)
@@ -185,6 +208,9 @@
             server.listed for name, server in self.servers.items() if name not in kept
         )
         self.servers = kept
+        self._backpressure.forget_unlisted(
+            {ServerLife(name, s.listed.born_ms) for name, s in kept.items()}, read_at
+        )
         self._index()
         return ListChange(found, left)
 
@@ -206,7 +232,7 @@
         return [
             server
             for server in self.in_service(service)
-            if not server.listed.is_leaving
+            if not server.is_leaving
             and now - server.report_at > fresh_s
             and now - server.found_at <= fresh_s
         ]
--- a/src/jasminewharf/dialects/fleet.py
+++ b/src/jasminewharf/dialects/fleet.py
@@ -116,7 +116,9 @@
     ``is_genuine`` tells that the server itself signed it. ``has_not_run`` is the
     server's own word; without it the request may have run. ``running``, ``waiting``
     and ``slots`` are its load, -1 if not told. ``is_encoded`` marks a body that is
-    not the server's own bytes.
+    not the server's own bytes. ``is_leaving`` tells that the server is about to stop.
+    ``pause_s`` is for how long it wants no request from this host, 0 if it does not
+    say so and not a number if that cannot be read.
     """
 
     request_id: str
@@ -126,6 +128,8 @@
     waiting: int
     slots: int
     is_encoded: bool
+    is_leaving: bool
+    pause_s: float
 
 
 class CallerDialect(Protocol):
@@ -211,6 +215,9 @@
     def read_order(self, status: int, body: bytes) -> OrderAnswer:
         """Read its answer."""
 
+    def read_pause_s(self, status: int, headers: list[tuple[str, str]]) -> float:
+        """Return for how long the engine wants no call; see :class:`AnswerHead`."""
+
 
 CALLER_DIALECTS: dict[str, CallerDialect] = {}
 ENGINE_ORDERS: dict[str, EngineOrders] = {}
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -146,6 +146,8 @@
 REQUEST_WAITS = _define(853, logging.INFO, "request waits for its model")
 SERVER_EJECTED = _define(854, logging.WARNING, "backend server ejected")
 RATE_REFUSED = _define(855, logging.INFO, "request over the workspace's rate")
+SERVER_SAYS_LEAVING = _define(857, logging.INFO, "backend server says it is leaving")
+SERVER_PAUSED = _define(858, logging.INFO, "backend server asks for a pause")
 RATE_OWNER_SILENT = _define(856, logging.WARNING, "owner of the rates is silent")
 
 # Engines beside an agent: 900 to 949.
--- /dev/null
+++ b/src/jasminewharf/platform/answers.py
@@ -0,0 +1,52 @@
+"""What heads of backend servers' answers ask of the host that reads them."""
+
+import math
+import re
+import time
+from collections.abc import Mapping
+from datetime import UTC, datetime
+from email.utils import parsedate_to_datetime
+
+__all__ = ["read_pause_s", "says_leaving"]
+
+_OVERLOADED_STATUS = 503
+# Longer numbers are no times; Python refuses to convert thousands of digits.
+_SECONDS = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+
+
+def says_leaving(fields: Mapping[str, str]) -> bool:
+    """Return whether the server says that it is about to stop."""
+    return fields.get("server-leaving", "").strip() == "1"
+
+
+def read_pause_s(status: int, fields: Mapping[str, str]) -> float:
+    """Return for how many seconds an overloaded server wants no request.
+
+    Args:
+        status: The HTTP status.
+        fields: The headers, names in lower case.
+
+    Returns:
+        0 if it does not ask for it, not a number if what it says cannot be read.
+    """
+    text = fields.get("retry-after", "").strip()
+    if status != _OVERLOADED_STATUS or not text:
+        return 0.0
+    if _SECONDS.fullmatch(text):
+        return float(text)
+    until = _read_date(text)
+    if until is None:
+        return math.nan
+    # The server's own clock tells what its date means.
+    sent = _read_date(fields.get("date", "")) or datetime.fromtimestamp(
+        time.time(), UTC
+    )
+    return max((until - sent).total_seconds(), 0.0)
+
+
+def _read_date(text: str) -> datetime | None:
+    try:
+        date = parsedate_to_datetime(text)
+    except (ValueError, TypeError, OverflowError, IndexError):
+        return None
+    return date if date.tzinfo is not None else date.replace(tzinfo=UTC)
--- a/src/jasminewharf/platform/callers.py
+++ b/src/jasminewharf/platform/callers.py
@@ -8,6 +8,7 @@
 )
 from ..exceptions import BadRequest
 from ..registry import register
+from .answers import read_pause_s, says_leaving
 
 __all__ = ["PlatformCallers"]
 
@@ -120,6 +121,8 @@
             waiting,
             slots,
             "content-encoding" in fields,
+            says_leaving(fields),
+            read_pause_s(status, fields),
         )
 
     def refusal_headers(self, request_id: str) -> list[tuple[str, str]]:
--- a/src/jasminewharf/platform/engines.py
+++ b/src/jasminewharf/platform/engines.py
@@ -11,6 +11,7 @@
 )
 from ..exceptions import BackendError
 from ..registry import register
+from .answers import read_pause_s
 from .servers import Model, translate_models
 
 __all__ = ["PlatformEngines"]
@@ -109,6 +110,10 @@
         """Read the answer to an order."""
         return OrderAnswer(_OUTCOMES.get(status, "refused"))
 
+    def read_pause_s(self, status: int, headers: list[tuple[str, str]]) -> float:
+        """Return for how long the engine wants no call from this host."""
+        return read_pause_s(status, dict(headers))
+
 
 def _read_incoming(text: str) -> tuple[str, str]:
     model, _, adapter = text.partition("@")[0].partition("/")
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator
-from typing import Any
+from typing import Any, NamedTuple
 
 import h11
 
@@ -13,7 +13,7 @@
 from ..exceptions import BackendError, BackendUnreachable
 from ..settings import split_address
 
-__all__ = ["ClientResponse", "HttpClient"]
+__all__ = ["ClientResponse", "FetchedAnswer", "HttpClient"]
 
 
 # Of the longest time-out of a kept connection that is believed: eleven days.
@@ -111,6 +111,14 @@
         self._transport.abort()
 
 
+class FetchedAnswer(NamedTuple):
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
 class ClientResponse:
     """A response whose body is read as it arrives.
 
@@ -249,7 +257,22 @@
         headers: list[tuple[str, str]] | None = None,
         kept_idle_s: float = 0.0,
     ) -> tuple[int, bytes]:
-        """Send a request and return status and whole body; see :meth:`open`.
+        """Send a request and return status and whole body; see :meth:`fetch_answer`."""
+        answer = await self.fetch_answer(
+            method, target, body, timeout_s, headers, kept_idle_s
+        )
+        return answer.status, answer.body
+
+    async def fetch_answer(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout_s: float = defaults.HTTP_FETCH_TIMEOUT_S,
+        headers: list[tuple[str, str]] | None = None,
+        kept_idle_s: float = 0.0,
+    ) -> FetchedAnswer:
+        """Send a request and return the whole answer; see :meth:`open`.
 
         Raises:
             BackendUnreachable: If the call did not begin.
@@ -265,7 +288,8 @@
                     repeatable=method == "GET",
                     kept_idle_s=kept_idle_s,
                 )
-                return response.status, await response.read()
+                content = await response.read()
+                return FetchedAnswer(response.status, response.headers, content)
         except TimeoutError:
             raise BackendError(f"no answer within {timeout_s:g} s") from None
 
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -5,7 +5,7 @@
 from typing import Any, ClassVar, NamedTuple
 
 from .. import defaults, events
-from ..decisions.choice import Waiting, choose_load_place
+from ..decisions.choice import LoadPlace, Waiting, choose_load_place
 from ..decisions.configurations import ModelSpec, ServiceSpec
 from ..decisions.directory import Server
 from ..decisions.urgency import Wait, is_hopeless, weigh_returns, weigh_waits
@@ -166,7 +166,7 @@
             self._returning.pop(model, None)
         return len(kept)
 
-    def _choose_place(self, service: ServiceSpec, spec: ModelSpec) -> Any:
+    def _choose_place(self, service: ServiceSpec, spec: ModelSpec) -> LoadPlace | None:
         now = _now()
         waits = [w.wait for w in self._waiters if w.model == spec.name]
         returning = self._expected_back(spec.name)
@@ -175,6 +175,9 @@
         waiting = Waiting(len(waits) + returning, max(urgency, 1.0))
         servers = self._loading_places(service)
         place = choose_load_place(servers, service.engine, spec, waiting, now)
+        paused = self._find_paused(service, spec.name)
+        if paused and (place is None or paused.ready_s <= place.ready_s):
+            return paused
         is_remote = place is not None and place.ready_s >= spec.remote_s
         # An engine whose agent is just starting may have a copy at hand.
         if is_remote and self._directory.unheard(
@@ -183,13 +186,25 @@
             return None
         return place
 
+    def _find_paused(self, service: ServiceSpec, model: str) -> LoadPlace | None:
+        """Return the engine that has the model and takes requests first again."""
+        now = _now()
+        paused = [
+            _build_pause(server, server.restraint.pause_s(now))
+            for server in self._directory.in_service(service.name)
+            if not server.is_leaving
+            and not server.restraint.allows(now)
+            and server.has_model(model, now, defaults.AGENT_FRESH_S)
+        ]
+        return min(paused, key=lambda place: place.ready_s, default=None)
+
     def _loading_places(self, service: ServiceSpec) -> list[Server]:
         """Return the engines of a service whose agents can be asked to load."""
         now = _now()
         return [
             server
             for server in self._directory.in_service(service.name)
-            if not server.listed.is_leaving
+            if server.is_open(now)
             and now >= server.avoided_until
             and server.report is not None
             and now - server.report_at <= defaults.AGENT_FRESH_S
@@ -242,8 +257,7 @@
     def _is_held(self, service: ServiceSpec, model: str) -> bool:
         now = _now()
         return any(
-            not server.listed.is_leaving
-            and server.holds(model, now, defaults.AGENT_FRESH_S)
+            not server.is_leaving and server.holds(model, now, defaults.AGENT_FRESH_S)
             for server in self._directory.in_service(service.name)
         )
 
@@ -328,6 +342,11 @@
                 self.kernel.find("directory").send_to_agent(server, ModelUse(uses))
 
 
+def _build_pause(server: Server, pause_s: float) -> LoadPlace:
+    # No queue stands before the end of a pause, so that all of it is the load's part.
+    return LoadPlace(server, pause_s, pause_s, 0.0)
+
+
 def _find_model(service: ServiceSpec, model: str) -> ModelSpec | None:
     if service.engine is None:
         return None
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -5,6 +5,7 @@
 from typing import Any, ClassVar
 
 from .. import defaults, events
+from ..decisions.backpressure import Restraint
 from ..decisions.copies import FleetCopies, gather_copies
 from ..decisions.residency import Intent, Residency
 from ..decisions.routes import RouteTable
@@ -22,7 +23,7 @@
     WantReports,
 )
 from ..registry import lookup
-from .client import HttpClient
+from .client import FetchedAnswer, HttpClient
 from .enginenews import EngineNews
 from .link import LinkServer, Peer
 
@@ -55,6 +56,8 @@
         self._adapter_ordered_at = float("-inf")
         self._wake = asyncio.Event()
         self._is_fenced = False
+        # Counts while the list does not name the engine.
+        self._unlisted_restraint = Restraint()
         self._metrics = kernel.find("process").metrics
         self._server: LinkServer | None = None
 
@@ -190,13 +193,43 @@
             self._status is not None and bool(self._status.incoming)
         )
 
+    @property
+    def _restraint(self) -> Restraint:
+        """What the engine has asked of this host."""
+        server = self.kernel.find("directory").directory.at_address(self._address)
+        return server.restraint if server else self._unlisted_restraint
+
+    def _is_paused(self) -> bool:
+        return self._restraint.pause_s(_now()) > 0
+
+    def _note_pause(self, answer: FetchedAnswer) -> None:
+        """Take the engine's wish to be left alone for a while."""
+        asked_s = self._orders.read_pause_s(answer.status, answer.headers)
+        if asked_s == 0:
+            return
+        self._metrics.count("engine_pauses_total")
+        events.emit(
+            _logger,
+            events.SERVER_PAUSED,
+            request_id="",
+            server=self._address,
+            asked_s=asked_s,
+            granted_s=self._restraint.note_pause(asked_s, _now()),
+        )
+
     async def _look(self) -> None:
+        if self._is_paused():
+            # What was last reported holds on; entries see for themselves what fails.
+            return
         call = self._orders.fetch_status()
         try:
-            status, body = await self._client.fetch(
+            answer = await self._client.fetch_answer(
                 call.method, call.target, timeout_s=defaults.ENGINE_REPORT_TIMEOUT_S
             )
-            fresh = self._orders.read_status(status, body)
+            self._note_pause(answer)
+            if self._is_paused() and self._status is not None:
+                return
+            fresh = self._orders.read_status(answer.status, answer.body)
         except BackendError as error:
             if self._status is not None:
                 events.emit(_logger, events.ENGINE_LOST, error=error)
@@ -236,7 +269,7 @@
         """Give orders until there is none to give now."""
         for _ in range(defaults.ENGINE_ORDERS_IN_A_ROW):
             status = self._status
-            if status is None or self._is_fenced:
+            if status is None or self._is_fenced or self._is_paused():
                 return
             if self._residency.spec is None:
                 table = self.kernel.find("view").table
@@ -288,7 +321,7 @@
         outcome = "unknown"
         error = ""
         try:
-            code, body = await self._client.fetch(
+            answer = await self._client.fetch_answer(
                 call.method,
                 call.target,
                 call.body,
@@ -296,7 +329,8 @@
                 list(call.headers),
                 defaults.KEPT_IDLE_S,
             )
-            outcome = self._orders.read_order(code, body).outcome
+            self._note_pause(answer)
+            outcome = self._orders.read_order(answer.status, answer.body).outcome
         except BackendError as failure:
             # It may yet be carried out; the count of orders then shows it.
             error = str(failure)
@@ -309,6 +343,8 @@
             model=intent.model,
             adapter=intent.adapter,
             reason=intent.reason,
+            tier=_find_tier(intent, status),
+            demand=self._residency.demand(intent.model, _now()),
             expected=order.expected,
             fence=order.fence,
             outcome=outcome,
@@ -383,5 +419,14 @@
         )
 
 
+def _find_tier(intent: Intent, status: EngineStatus) -> str:
+    """Return where a load takes the model from."""
+    if not intent.loads or intent.adapter:
+        return ""
+    if intent.model in status.in_memory:
+        return "memory"
+    return "disk" if intent.model in status.on_disk else "store"
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -27,6 +27,7 @@
     JasminewharfError,
     ModelUnavailable,
     NotRunThere,
+    Overloaded,
     StreamInterrupted,
 )
 from ..kernel import Kernel, Service
@@ -365,12 +366,13 @@
             self._demand.note_ended(server)
 
     def _usable(self, job: Job) -> list[Server]:
+        now = _now()
         servers = [
             server
             for server in self._directory.in_service(job.service.name)
-            if not server.listed.is_leaving
+            if server.is_open(now)
         ]
-        kept = set(self._health.usable([s.name for s in servers], _now()))
+        kept = set(self._health.usable([s.name for s in servers], now))
         return [server for server in servers if server.name in kept]
 
     async def _pick(self, job: Job, attempts: Attempts) -> Server:
@@ -391,8 +393,28 @@
                 await asyncio.sleep(defaults.SERVER_FULL_PAUSE_S)
                 if not attempts.may_have_run or job.route.is_idempotent:
                     continue
+            if not usable:
+                self._check_pauses(job)
             await self._demand.wait_change(job.deadline)
 
+    def _check_pauses(self, job: Job) -> None:
+        """Refuse a request whose caller leaves before a server takes requests again.
+
+        Raises:
+            Overloaded: With the time when the first server does.
+        """
+        now = _now()
+        pauses = [
+            server.restraint.pause_s(now)
+            for server in self._directory.in_service(job.service.name)
+            if not server.is_leaving and not server.restraint.allows(now)
+        ]
+        if pauses and now + min(pauses) > job.leaves_at:
+            raise Overloaded(
+                "all backend servers have asked for a pause",
+                retry_after_ms=int(min(pauses) * defaults.MS_PER_S),
+            )
+
     async def _pick_engine(self, job: Job, attempts: Attempts) -> Server:
         wanted = Preference(job.call.model, job.call.adapter)
         while True:
@@ -403,14 +425,22 @@
                 if holders:
                     await asyncio.sleep(defaults.SERVER_FULL_PAUSE_S)
             if not holders:
-                await self._demand.wait_model(job)
+                began_at = _now()
+                try:
+                    await self._demand.wait_model(job)
+                finally:
+                    attempts.waited_s += _now() - began_at
                 continue
             excess = count_excess(holders)
             if excess:
                 self._demand.ask_copy(job.service, job.call.model, excess)
             server = choose_engine(holders, wanted)
-            if not job.call.adapter or await self._ensure_adapter(server, job):
+            if not job.call.adapter:
                 return server
+            if await self._ensure_adapter(server, job):
+                if server.is_open(_now()):
+                    return server
+                continue
             attempts.note_rejected(server.name)
             if attempts.rejections > defaults.ADAPTER_ATTEMPTS:
                 raise ModelUnavailable(
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -1,10 +1,11 @@
 """One attempt to have a backend server answer a request."""
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator
 from typing import ClassVar, NamedTuple
 
-from .. import defaults
+from .. import defaults, events
 from ..decisions.directory import Server
 from ..decisions.eventstream import EventSplitter, StreamEvent
 from ..dialects.fleet import CALLER_DIALECTS, AnswerHead, CallHead, ForwardedHead
@@ -15,6 +16,8 @@
 
 __all__ = ["Outgoing", "Upstream", "UpstreamAnswer"]
 
+_logger = logging.getLogger(__name__)
+
 _SUCCESS = range(200, 300)
 _NOT_KEPT = frozenset(
     {
@@ -155,6 +158,7 @@
             self._metrics.count("foreign_answers_total")
             raise AnswerBroken("the answer is not that of the request")
         self._note_load(server, head)
+        self._note_restraint(server, head)
         if head.has_not_run:
             # Read to its end, so that the connection is kept.
             await response.read()
@@ -171,6 +175,31 @@
             now = asyncio.get_running_loop().time()
             server.note_load(head.running, head.waiting, now)
 
+    def _note_restraint(self, server: Server, head: AnswerHead) -> None:
+        """Take what the server asks of this host."""
+        now = asyncio.get_running_loop().time()
+        if head.is_leaving and server.restraint.note_leaving(now):
+            self._metrics.count("servers_saying_leaving_total")
+            events.emit(
+                _logger,
+                events.SERVER_SAYS_LEAVING,
+                request_id=head.request_id,
+                server=server.name,
+                is_listed_leaving=server.listed.is_leaving,
+            )
+        if head.pause_s == 0:
+            return
+        granted_s = server.restraint.note_pause(head.pause_s, now)
+        self._metrics.count("servers_paused_total")
+        events.emit(
+            _logger,
+            events.SERVER_PAUSED,
+            request_id=head.request_id,
+            server=server.name,
+            asked_s=head.pause_s,
+            granted_s=granted_s,
+        )
+
     def _find_client(self, server: Server) -> HttpClient:
         client = self._clients.get(server.name)
         if client is None or client.address != server.listed.address:
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -61,6 +61,9 @@
         heads: Headers of every request that it was sent.
         fails_next: Faults for the next requests: full, mute, foreign, short, break
             or error.
+        pause: What a full server's Retry-After says; none if empty.
+        says_leaving: Whether its answers say that it is about to stop.
+        reports: How often its report was read.
         orders: Orders that it accepted.
     """
 
@@ -81,6 +84,11 @@
         self.load_s = 0.05
         self.busy = False
         self.event_pause_s = 0.005
+        self.pause = ""
+        self.says_leaving = False
+        self.reports = 0
+        self.refuses_orders = False
+        self.orders_refused = 0
 
     def describe(self):
         entry = {
@@ -112,6 +120,7 @@
             await self._serve(request, responder)
 
     def _report(self, responder):
+        self.reports += 1
         report = {
             "stage": "both",
             "models": self._list_models(),
@@ -128,6 +137,10 @@
         responder.respond(200, JSON, json.dumps(report).encode())
 
     def _take_order(self, order, responder):
+        if self.refuses_orders:
+            self.orders_refused += 1
+            responder.respond(503, [*JSON, ("retry-after", self.pause)], b"{}")
+            return
         if self.busy or order["expected"] != len(self.orders):
             responder.respond(409, JSON, b"{}")
             return
@@ -156,6 +169,8 @@
         fault = self.fails_next.pop(0) if self.fails_next else ""
         request_id = fields.get("x-attempt-id", "")
         head = [("x-attempt-id", request_id), ("x-server-load", "1,0,8")]
+        if self.says_leaving:
+            head.append(("server-leaving", "1"))
         model, _, adapter = fields.get("x-model", "").partition("/")
         is_absent = self.models is not None and (
             model not in self.models or (adapter and adapter not in self.models[model])
@@ -164,7 +179,8 @@
             responder.respond(421, head, b"")
             return
         if fault == "full":
-            responder.respond(503, [*head, ("x-not-executed", "1")], b"")
+            pause = [("retry-after", self.pause)] if self.pause else []
+            responder.respond(503, [*head, ("x-not-executed", "1"), *pause], b"")
             return
         self.runs.append(request_id)
         signed = [*head, ("x-response-signature", f"{self.name}.{request_id}")]
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -433,6 +433,100 @@
     run_with_fleet(scenario, tmp_path)
 
 
+@pytest.mark.parametrize("fault", ["", "full"])
+def test_server_that_says_it_is_leaving_gets_no_new_request(tmp_path, fault):
+    """The list lags: what a server says in an answer or a refusal counts at once."""
+
+    async def scenario(fleet):
+        leaving, staying = fleet.desks
+        leaving.says_leaving = True
+        leaving.fails_next = [fault]
+        for number in range(20):
+            await fleet.call("/orders/1", request_id=f"n{number}")
+        assert len(leaving.heads) == 1
+        assert len(staying.runs) >= 19
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_stream_that_says_its_engine_is_leaving_ends_there(tmp_path):
+    """Running requests end where they run; the next goes to another engine."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.says_leaving = True
+        status, _, body = await fleet.call("/chat/1", *MODEL)
+        assert (status, body) == (200, stream_body())
+        first = next(engine for engine in fleet.engines if engine.runs)
+        status, _, body = await fleet.call("/chat/1", *MODEL, request_id="id-2")
+        assert (status, body) == (200, stream_body())
+        assert first.runs == ["id-1"]
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_server_that_asks_for_a_pause_is_left_alone_for_it(tmp_path):
+    """Retries, other requests and new connections must respect it alike."""
+
+    async def scenario(fleet):
+        for desk in fleet.desks:
+            desk.fails_next = ["full"] * 50
+            desk.pause = "1.2"
+        answers = [
+            fleet.call("/orders/1", request_id=f"n{number}") for number in range(10)
+        ]
+        task = asyncio.gather(*answers)
+        await asyncio.sleep(0.4)
+        before = [len(desk.heads) for desk in fleet.desks]
+        await asyncio.sleep(0.5)
+        assert [len(desk.heads) for desk in fleet.desks] == before
+        for desk in fleet.desks:
+            desk.fails_next = []
+        assert {status for status, _, _ in await task} == {200}
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_request_that_no_pause_lets_through_in_time_is_refused_at_once(tmp_path):
+    async def scenario(fleet):
+        for desk in fleet.desks:
+            desk.fails_next = ["full"]
+            desk.pause = "60"
+        begun = asyncio.get_running_loop().time()
+        status, headers, body = await fleet.call("/orders/1")
+        assert status == 503
+        assert json.loads(body)["error"]["not_run"]
+        assert 50 < float(headers["retry-after"]) <= 60
+        assert asyncio.get_running_loop().time() - begun < 1
+        assert fleet.runs("id-1") == 0
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_engine_that_asks_its_agent_for_a_pause_gets_no_orders(tmp_path):
+    """Orders and reads of the report come from a host as requests do."""
+
+    async def scenario(fleet):
+        engine = fleet.engines[0]
+        for stand_in in fleet.engines:
+            stand_in.refuses_orders = True
+            stand_in.pause = "1.0"
+        absent = (("x-model", "m3"), ("x-token-counts", "100,20"))
+        task = asyncio.create_task(fleet.call("/chat/1", *absent))
+        await wait_until(lambda: any(e.orders_refused for e in fleet.engines))
+        engine = next(e for e in fleet.engines if e.orders_refused)
+        await asyncio.sleep(0.1)
+        before = (engine.orders_refused, engine.reports)
+        await asyncio.sleep(0.6)
+        assert (engine.orders_refused, engine.reports) == before
+        for stand_in in fleet.engines:
+            stand_in.refuses_orders = False
+        status, _, _ = await task
+        assert status == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_rate_holds_over_all_entries(tmp_path):
     """Two entries together must not admit twice the rate."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """The adapter: what stands on the platform's wire, in the product's types."""
 
 import json
+import math
 
 import pytest
 
@@ -205,6 +206,44 @@
     assert CALLERS.read_answer(200, [("content-encoding", "gzip")]).is_encoded
 
 
+def test_answer_head_tells_that_the_server_is_leaving():
+    assert CALLERS.read_answer(200, [("server-leaving", "1")]).is_leaving
+    assert CALLERS.read_answer(503, [("server-leaving", " 1 ")]).is_leaving
+    for value in ("0", "", "yes", "11"):
+        assert not CALLERS.read_answer(200, [("server-leaving", value)]).is_leaving
+    assert not CALLERS.read_answer(200, []).is_leaving
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("2", 2.0),
+        ("0.75", 0.75),
+        ("0", 0.0),
+        ("", 0.0),
+        ("Fri, 04 Dec 2026 10:00:05 GMT", 5.0),
+        ("Fri, 04 Dec 2026 09:00:00 GMT", 0.0),
+    ],
+)
+def test_overloaded_server_says_for_how_long_it_wants_nothing(text, seconds):
+    date = ("date", "Fri, 04 Dec 2026 10:00:00 GMT")
+    head = CALLERS.read_answer(503, [("retry-after", text), date])
+    assert head.pause_s == seconds
+
+
+@pytest.mark.parametrize(
+    "text", ["soon", "-3", "nan", "inf", "1e9", "9" * 5_000, "1.", "\u0661", "1,5"]
+)
+def test_rubbish_in_place_of_a_time_is_told_apart_from_none(text):
+    """It must neither raise an error nor block the server."""
+    assert math.isnan(CALLERS.read_answer(503, [("retry-after", text)]).pause_s)
+
+
+def test_only_an_overloaded_server_asks_for_a_pause():
+    for status in (200, 429, 500):
+        assert CALLERS.read_answer(status, [("retry-after", "5")]).pause_s == 0.0
+
+
 def test_entries_of_another_writer_are_skipped_and_counted():
     """They name no server, and must not hide the others."""
     good = {
