Load the code of a process's own role only

Each process imported the services of all roles, and the daemon's option parser with its renderer of help texts. By the kernel's count the imports come to 44.5 MB; 33.6 MB without parser and other roles.

Change: a module for each role, imported by its name when a process starts; the start from a checkout takes the settings file as its only argument and loads no option parser. The installed daemon keeps its command line.

Ruled out: another YAML reader (1.6 MB); freeing modules after the start.

--- /dev/null
+++ b/src/jasminewharf/interfaces/fleetagent.py
@@ -0,0 +1,35 @@
+"""The services of an agent beside one engine that it finds."""
+
+from ..kernel import Kernel
+from ..registry import register
+from ..services.controllers import Controllers
+from ..services.directory import DirectoryService
+from ..services.engine import EngineKeeper
+from ..services.feed import Feed
+from ..services.process import Process
+from ..services.reload import SettingsReload
+from ..services.reports import Reporter
+from ..services.view import ConfigurationView
+from .probes import MetricsHttp
+from .roles import FLEET_ROLES, register_all
+
+__all__ = ["build_fleet_agent"]
+
+
+@register(FLEET_ROLES, "agent")
+def build_fleet_agent(kernel: Kernel) -> None:
+    """Register the services of an agent beside one engine."""
+    register_all(
+        kernel,
+        (
+            Process,
+            MetricsHttp,
+            Controllers,
+            SettingsReload,
+            Feed,
+            Reporter,
+            ConfigurationView,
+            DirectoryService,
+            EngineKeeper,
+        ),
+    )
--- /dev/null
+++ b/src/jasminewharf/interfaces/running.py
@@ -0,0 +1,58 @@
+"""One process of one role, from its settings to its end."""
+
+import asyncio
+import contextlib
+import logging
+import signal
+import sys
+
+from .. import events
+from ..exceptions import JasminewharfError, SettingsError
+from ..kernel import Kernel
+from ..logs import configure_logging
+from ..settings import Settings, load_settings
+from .exits import find_exit_code
+from .roles import build_kernel
+
+__all__ = ["run_daemon", "run_process"]
+
+_logger = logging.getLogger(__name__)
+
+
+async def run_process(settings: Settings, settings_file: str = "") -> None:
+    """Run until SIGTERM or SIGINT, then finish the work in flight and stop."""
+    kernel = build_kernel(settings, settings_file)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, _stop, kernel)
+    if kernel.has("reload"):
+        loop.add_signal_handler(signal.SIGHUP, kernel.find("reload").reload)
+    events.emit(
+        _logger, events.PROCESS_STARTING, role=settings.role, zone=settings.zone
+    )
+    await kernel.run()
+
+
+def _stop(kernel: Kernel) -> None:
+    events.emit(_logger, events.PROCESS_STOPPING)
+    kernel.request_stop()
+
+
+def run_daemon(settings_file: str) -> None:
+    """Run the process that a settings file describes.
+
+    Raises:
+        SystemExit: With the exit code, if the settings or the process failed.
+    """
+    try:
+        settings = load_settings(settings_file)
+    except SettingsError as error:
+        print(f"error: {error}", file=sys.stderr)
+        raise SystemExit(find_exit_code(error)) from error
+    configure_logging(settings.logs.label or settings.node, settings.logs)
+    try:
+        with contextlib.suppress(KeyboardInterrupt):
+            asyncio.run(run_process(settings, settings_file))
+    except JasminewharfError as error:
+        print(f"error: {error}", file=sys.stderr)
+        raise SystemExit(find_exit_code(error)) from error
