Load models by the number of callers who ask, refused ones among them

Change: no resident model makes room for a copy unless enough other engines hold it; copies of models that engines hold come before those of others; refused callers count for 10 s at least; a starved model counts for more instead of going first.

--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -41,6 +41,8 @@
 _STARVED_S = 10.0
 # A model idle for this long makes room for one of which there is no copy.
 _IDLE_S = 2.0
+# What such a model counts for beyond its callers: as much as some late requests.
+_STARVED_WEIGHT = 0.5
 # Holders that a model placed on many engines keeps when others make room.
 _KEPT_HOLDERS = 2
 # Loads from the store at a time that nobody waits for.
@@ -194,9 +196,9 @@
         """Return the models that requests wait for and that are not held.
 
         Each comes with its urgency, the most urgent one first. One that was asked for
-        in vain for long comes before all others, so that none is never served.
+        in vain for long counts for more, so that none is never served.
         """
-        waiting: list[tuple[bool, float, float, str]] = []
+        waiting: list[tuple[float, float, str]] = []
         for model, wants in list(self._wants.items()):
             for peer in [
                 p for p, want in wants.items() if now - want.at > _WANT_KEPT_S
@@ -208,8 +210,9 @@
                 urgency = sum(want.urgency for want in wants.values())
                 since = min(want.since for want in wants.values())
                 is_starved = any(want.is_starved for want in wants.values())
-                waiting.append((not is_starved, -urgency, since, model))
-        return [(model, -urgency) for _, urgency, _, model in sorted(waiting)]
+                urgency += _STARVED_WEIGHT if is_starved else 0.0
+                waiting.append((-urgency, since, model))
+        return [(model, -urgency) for urgency, _, model in sorted(waiting)]
 
     def demand(self, model: str, now: float) -> float:
         """Return the requests for a model: those begun a second and those waiting."""
@@ -415,9 +418,15 @@
         scarce = self._find_scarce(status, copies)
         if not scarce:
             return None
+        # What engines hold is asked for more than what they do not, as a rule.
         model = min(
             scarce,
-            key=lambda name: (copies.count(name), rank_by_hash(copies.own, name)),
+            key=lambda name: (
+                copies.count(name) > 0,
+                name not in copies.holders,
+                copies.count(name),
+                rank_by_hash(copies.own, name),
+            ),
         )
         if self._free_mb(status) >= self._models[model].weights_mb:
             return Intent(True, model, reason="copy")
@@ -457,7 +466,7 @@
     def _choose_spare(
         self, status: EngineStatus, copies: FleetCopies, now: float
     ) -> str:
-        """Return an idle model that other engines hold or that has a copy at hand."""
+        """Return an idle model that enough other engines hold."""
         spare = []
         for held in status.models:
             name = held.model
@@ -467,6 +476,4 @@
                 continue
             if holders > _KEPT_HOLDERS:
                 spare.append((-holders, name))
-            elif holders == 1 and name in (*status.in_memory, *status.on_disk):
-                spare.append((0, name))
         return min(spare)[1] if spare else ""
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -448,6 +448,7 @@
 # How long a refused caller counts, and from when on a model is asked for on behalf of
 # such callers alone: an engine's time belongs to those who wait until none was served
 # for longer than callers have patience.
+REFUSED_COUNT_S = 10.0  # As long as callers of a model ask again and others come.
 MISSED_KEPT_S = 15.0
 MISSED_ASK_S = 10.0
 MISSED_WEIGHT = 0.1  # Less than a late request: nobody waits.
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -142,7 +142,8 @@
         """Return a refusal; the load goes on, for when the caller comes back."""
         back_s = ready_s + defaults.RETURN_MARGIN_S
         returning = self._returning.setdefault(waiter.model, [])
-        returning.append(_Returning(waiter.service, _now() + back_s))
+        counts_s = max(back_s, defaults.REFUSED_COUNT_S)
+        returning.append(_Returning(waiter.service, _now() + counts_s))
         known = self._missed.get(waiter.model)
         self._missed[waiter.model] = _Missed(
             waiter.service,
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -7,9 +7,10 @@
 from jasminewharf import defaults
 from jasminewharf.decisions.configurations import ServiceSpec
 from jasminewharf.decisions.directory import Directory
+from jasminewharf.decisions.urgency import Wait
 from jasminewharf.messages.servers import WantModel
 from jasminewharf.metrics import Metrics
-from jasminewharf.services.demand import DemandService, _Missed
+from jasminewharf.services.demand import DemandService, _Missed, _Waiter
 
 SERVICE = ServiceSpec("llm", 300, build_engine())
 
@@ -47,6 +48,31 @@
     return asyncio.run(main())
 
 
+def test_refused_callers_count_while_others_come():
+    """Pattern: a hundred callers of a lost model, each refused at once.
+
+    Their model is loaded by the number of those who ask, however short a time each was
+    told to wait.
+    """
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        directory = Directory()
+        directory.take_list([build_listed()], loop.time())
+        directory.take_report(build_report(models=["m0"], on_disk=["m2"]), loop.time())
+        sent = []
+        demand = DemandService(_Kernel(directory, sent))
+        wait = Wait(loop.time(), 0.5, loop.time() + 2.0)
+        for _ in range(20):
+            demand._refuse(_Waiter(SERVICE, "m2", wait, loop.create_future()), 0.0)
+        await asyncio.sleep(0.4)
+        sent.clear()
+        demand.review()
+        return sent
+
+    assert [want.requests for want in asyncio.run(main())] == [20]
+
+
 def test_engines_are_not_asked_for_callers_who_have_left():
     """Pattern: a burst on rare models, most of whose callers are refused.
 
