Order loads by what an engine's second brings; spare busy models

Change: an engine loads first what brings most for the time of the load, and an entry's estimate counts what stands before its model by the same order and by the real load times (the fixed 1.3 s for any model is gone). A load from the store waits 0.4 s for what is at hand. A starved model goes first only while no engine fetches. What a waiting model gains no longer grows with its age. Wants and rates are modules of their own.

--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from ..messages.servers import EngineReport
 from .configurations import EngineSpec, ModelSpec
 from .copies import count_copies, find_displaced, is_fetching, list_sizes
 from .directory import Server
@@ -28,8 +29,8 @@
 _STAY_PART = 0.7
 # Loads from the store that run at full speed beside each other.
 FETCHING_AT_ONCE = 3
-# One more model that waits there for an order: a load from disk.
-_WAITING_MODEL_S = 1.3
+# Beside a load: the unload of another model, whose requests end first.
+_MAKE_ROOM_S = 0.4
 
 
 class Preference(NamedTuple):
@@ -142,7 +143,8 @@
     # More loads from the store than it serves at full speed take longer, each.
     stretch = max((fetching + 1) / FETCHING_AT_ONCE, 1.0)
     slowed = model._replace(remote_s=model.remote_s * stretch)
-    fleet = _Fleet(engine, list_sizes(engine), copies)
+    models = {spec.name: spec for spec in engine.models}
+    fleet = _Fleet(engine, models, list_sizes(engine), copies)
     places = [_appraise(s, fleet, slowed, waiting, now) for s in reachable]
     return min(places, key=lambda p: (p.cost, rank_by_hash(model.name, p.server.name)))
 
@@ -151,6 +153,7 @@
     """What all engines of a service have in common."""
 
     engine: EngineSpec
+    models: Mapping[str, ModelSpec]
     sizes: Mapping[str, float]
     copies: Mapping[str, int]
 
@@ -164,16 +167,17 @@
     busy_s = server.busy_s(now)
     if report.changing == model.name and report.is_loading:
         return LoadPlace(server, busy_s, busy_s, requests * busy_s * _STAY_PART)
-    own_s = _load_time(report.in_memory, report.on_disk, model)
-    others = [weight for name, weight in report.wanted if name != model.name]
+    own_s = model.load_s(report.in_memory, report.on_disk)
+    others = [item for item in report.wanted if item[0] != model.name]
     is_wanted_there = len(others) < len(report.wanted)
-    ahead = sum(1 for weight in others if weight >= waiting.urgency)
-    ready_s = busy_s + own_s + ahead * _WAITING_MODEL_S
+    ahead = _list_ahead(others, waiting.urgency / own_s, report, fleet)
+    ready_s = busy_s + own_s + sum(ahead)
     # A model that waits at one agent is not moved to another for a small gain.
     stay_part = _STAY_PART if is_wanted_there else 1.0
     # While it loads, the engine takes no other order: half of the load on average for
     # requests that come meanwhile, all of it for the models that wait behind.
-    held_up = report.blocked_rate * own_s * own_s / 2 + (len(others) - ahead) * own_s
+    behind = len(others) - len(ahead)
+    held_up = report.blocked_rate * own_s * own_s / 2 + behind * own_s
     cost = requests * ready_s * stay_part + report.room_cost + held_up
     if own_s >= model.remote_s:
         displaced = find_displaced(
@@ -184,11 +188,22 @@
     return LoadPlace(server, ready_s, own_s, cost)
 
 
-def _load_time(
-    in_memory: Sequence[str], on_disk: Sequence[str], model: ModelSpec
-) -> float:
-    if model.name in in_memory:
-        return model.memory_s
-    if model.name in on_disk:
-        return model.disk_s
-    return model.remote_s
+def _list_ahead(
+    others: Sequence[tuple[str, float]],
+    worth_per_s: float,
+    report: EngineReport,
+    fleet: _Fleet,
+) -> list[float]:
+    """Return the load times of the models that an engine loads first, in seconds.
+
+    Those are the ones of which a second of its time brings more.
+    """
+    ahead = []
+    for name, weight in others:
+        spec = fleet.models.get(name)
+        if spec is None:
+            continue
+        load_s = spec.load_s(report.in_memory, report.on_disk)
+        if weight / load_s >= worth_per_s:
+            ahead.append(load_s + _MAKE_ROOM_S)
+    return ahead
--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -5,7 +5,7 @@
 rules by which it is accepted.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from ..exceptions import ConfigurationRefused
@@ -86,6 +86,12 @@
     memory_s: float
     adapter_mb: float
 
+    def load_s(self, in_memory: Collection[str], on_disk: Collection[str]) -> float:
+        """Return how long an engine with these copies takes to load the model."""
+        if self.name in in_memory:
+            return self.memory_s
+        return self.disk_s if self.name in on_disk else self.remote_s
+
 
 class EngineSpec(NamedTuple):
     """What each engine of a service can hold and run at once.
--- /dev/null
+++ b/src/jasminewharf/decisions/eventrate.py
@@ -0,0 +1,32 @@
+"""How often something happens, with an exponential window."""
+
+import math
+
+__all__ = ["EventRate"]
+
+
+class EventRate:
+    """Events a second.
+
+    Args:
+        window_s: How fast the measured rate follows the real one, in seconds.
+    """
+
+    __slots__ = ("_at", "_rate", "_window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._rate = 0.0
+        self._at = 0.0
+
+    def add(self, count: int, now: float) -> None:
+        """Count events."""
+        self._rate = self.read(now) + count / self._window_s
+        self._at = now
+
+    def read(self, now: float) -> float:
+        """Return the rate, in events a second."""
+        silent_s = now - self._at
+        rate = self._rate * math.exp(-silent_s / self._window_s)
+        # Silence tells more than the mean where many events would have come.
+        return min(rate, 1 / silent_s) if silent_s > self._window_s else rate
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -5,18 +5,19 @@
 disk. With nothing waiting, the engine fetches models of which the fleet has no copy.
 """
 
-import math
 from typing import NamedTuple
 
 from ..dialects.fleet import EngineStatus
 from .choice import FETCHING_AT_ONCE, rank_by_hash
 from .configurations import EngineSpec, ModelSpec
 from .copies import FleetCopies, find_displaced, list_sizes
+from .eventrate import EventRate
+from .wants import Wants
 
 __all__ = ["Intent", "Residency"]
 
-# An entry repeats what it wants well within this time.
-_WANT_KEPT_S = 1.2
+# An entry repeats that it waits for an adapter well within this time.
+_ADAPTER_KEPT_S = 1.2
 # An entry repeats what it has in flight well within this time.
 _USE_KEPT_S = 3.0
 # A model just loaded is kept until the requests that waited for it have come.
@@ -36,15 +37,14 @@
 _RUN_S = 1.0
 # How long a request waits for a model to fall idle before one in use makes room.
 _PATIENCE_S = 3.0
-# How long callers of a model may be refused before it goes first: longer than the
-# longest patience of one caller, since late requests are no sign of it.
-_STARVED_S = 10.0
 # A model idle for this long makes room for one of which there is no copy.
 _IDLE_S = 2.0
-# What such a model counts for beyond its callers: as much as some late requests.
-_STARVED_WEIGHT = 0.5
 # Holders that a model placed on many engines keeps when others make room.
 _KEPT_HOLDERS = 2
+# How long an engine waits after an order, and a model after it was first asked for,
+# before it is fetched from the store: entries ask within this time for what the engine
+# has at hand.
+_FETCH_PAUSE_S = 0.4
 # Loads from the store at a time that nobody waits for.
 _WARMING_AT_ONCE = 2
 _WARMING_BEFORE_TRAFFIC = 4
@@ -65,40 +65,6 @@
     reason: str = "wanted"
 
 
-class _Want(NamedTuple):
-    requests: int
-    urgency: float
-    since: float
-    at: float
-    age_s: float
-
-    @property
-    def is_starved(self) -> bool:
-        """Whether callers have been refused for long and nobody was served."""
-        return self.age_s > _STARVED_S
-
-
-class _Rate:
-    """Events a second, with an exponential window."""
-
-    __slots__ = ("_at", "_rate", "_window_s")
-
-    def __init__(self, window_s: float = _USE_WINDOW_S) -> None:
-        self._window_s = window_s
-        self._rate = 0.0
-        self._at = 0.0
-
-    def add(self, count: int, now: float) -> None:
-        self._rate = self.read(now) + count / self._window_s
-        self._at = now
-
-    def read(self, now: float) -> float:
-        silent_s = now - self._at
-        rate = self._rate * math.exp(-silent_s / self._window_s)
-        # Silence tells more than the mean where many events would have come.
-        return min(rate, 1 / silent_s) if silent_s > self._window_s else rate
-
-
 class Residency:
     """The state that one agent's decisions need."""
 
@@ -107,16 +73,17 @@
         self._models: dict[str, ModelSpec] = {}
         self._sizes: dict[str, float] = {}
         self._largest_mb = 0.0
-        self._wants: dict[str, dict[str, _Want]] = {}
+        self._wants = Wants()
         self._uses: dict[str, dict[str, int]] = {}
         self._told_at: dict[str, float] = {}
         self._used_at: dict[str, float] = {}
         self._loaded_at: dict[str, float] = {}
         self._adapters_wanted: dict[tuple[str, str], float] = {}
         self._held: frozenset[str] = frozenset()
-        self._rates: dict[str, _Rate] = {}
-        self._adapter_misses = _Rate()
-        self._want_rate = _Rate(_WANT_WINDOW_S)
+        self._free_since = float("-inf")
+        self._rates: dict[str, EventRate] = {}
+        self._adapter_misses = EventRate(_USE_WINDOW_S)
+        self._want_rate = EventRate(_WANT_WINDOW_S)
         self._use_known_from = float("inf")
 
     def set_engine(self, spec: EngineSpec) -> None:
@@ -161,13 +128,9 @@
             return False
         # An engine that nobody uses hears of no use, however long it waits.
         self._use_known_from = min(self._use_known_from, now + _LEARN_S)
-        wants = self._wants.setdefault(model, {})
-        known = wants.get(peer)
-        is_new = known is None or now - known.at > _WANT_KEPT_S
+        is_new = self._wants.note(peer, model, requests, urgency, age_s, now)
         if is_new and model not in self._held:
             self._want_rate.add(1, now)
-        since = now if known is None or is_new else known.since
-        wants[peer] = _Want(requests, urgency, since, now, age_s)
         return is_new
 
     def note_use(self, peer: str, uses: list[tuple[str, int, int]], now: float) -> None:
@@ -183,7 +146,7 @@
             if in_flight > 0 or begun > 0:
                 self._used_at[name] = now
             if begun > 0:
-                self._rates.setdefault(name, _Rate()).add(begun, now)
+                self._rates.setdefault(name, EventRate(_USE_WINDOW_S)).add(begun, now)
 
     def note_adapter(self, model: str, adapter: str, now: float) -> None:
         """Note that a request waits for an adapter."""
@@ -198,26 +161,16 @@
         Each comes with its urgency, the most urgent one first. One that was asked for
         in vain for long counts for more, so that none is never served.
         """
-        waiting: list[tuple[float, float, str]] = []
-        for model, wants in list(self._wants.items()):
-            for peer in [
-                p for p, want in wants.items() if now - want.at > _WANT_KEPT_S
-            ]:
-                del wants[peer]
-            if not wants:
-                del self._wants[model]
-            elif model not in self._held:
-                urgency = sum(want.urgency for want in wants.values())
-                since = min(want.since for want in wants.values())
-                is_starved = any(want.is_starved for want in wants.values())
-                urgency += _STARVED_WEIGHT if is_starved else 0.0
-                waiting.append((-urgency, since, model))
-        return [(model, -urgency) for urgency, _, model in sorted(waiting)]
+        missing = self._wants.list_missing(self._held, now)
+        weighed = sorted(
+            (-wants.weight, wants.since, model) for model, wants in missing.items()
+        )
+        return [(model, -weight) for weight, _, model in weighed]
 
     def demand(self, model: str, now: float) -> float:
         """Return the requests for a model: those begun a second and those waiting."""
         rate = self._rates.get(model)
-        waiting = sum(want.requests for want in self._wants.get(model, {}).values())
+        waiting = self._wants.count_requests(model)
         return round((rate.read(now) if rate else 0.0) + waiting, 2)
 
     def in_flight(self, name: str, now: float) -> int:
@@ -238,29 +191,53 @@
         if self._spec is None:
             return None
         self._note_held(status, now)
+        if status.is_busy:
+            self._free_since = now
         # The engine takes no order for an adapter either while a model changes.
         if status.is_busy or status.is_leaving:
             return None
         intent = self._choose_adapter(status, now)
         if intent is not None:
             return intent
-        wanted = self.wanted_models(now)
-        for model, _ in wanted:
+        wanted = self._rank(self.wanted_models(now), status, copies, now)
+        for model in wanted:
             is_remote = self._is_remote(model, status)
-            if is_remote and not self._may_fetch(model, copies):
+            if is_remote and not self._may_fetch(model, copies, now):
                 continue
             intent = self._make_way(model, status, now)
             if intent is not None:
                 return intent
         return None if wanted else self._warm(status, copies, now)
 
-    def _may_fetch(self, model: str, copies: FleetCopies) -> bool:
+    def _rank(
+        self,
+        wanted: list[tuple[str, float]],
+        status: EngineStatus,
+        copies: FleetCopies,
+        now: float,
+    ) -> list[str]:
+        """Return the wanted models by what an engine's second brings, the most first.
+
+        A model asked for in vain goes first while no engine fetches any: so each gets
+        its turn, and the fleet spends one engine on it at most.
+        """
+
+        def rank(item: tuple[str, float]) -> tuple[bool, float]:
+            model, urgency = item
+            is_due = not copies.warming and self._wants.find(model).is_starved
+            load_s = self._models[model].load_s(status.in_memory, status.on_disk)
+            return not is_due, -urgency / (load_s + _UNLOAD_S)
+
+        return [model for model, _ in sorted(wanted, key=rank)]
+
+    def _may_fetch(self, model: str, copies: FleetCopies, now: float) -> bool:
         """Return whether a load from the store may begin beside those of others."""
-        if model in copies.fetched:
+        wants = self._wants.find(model)
+        is_early = now - max(wants.since, self._free_since) < _FETCH_PAUSE_S
+        if model in copies.fetched or is_early:
             return False
-        has_callers = any(want.requests for want in self._wants[model].values())
         # Where nobody waits, one at a time is enough to serve every model some day.
-        return copies.warming < (FETCHING_AT_ONCE if has_callers else 1)
+        return copies.warming < (FETCHING_AT_ONCE if wants.requests else 1)
 
     def _is_remote(self, model: str, status: EngineStatus) -> bool:
         return model not in status.in_memory and model not in status.on_disk
@@ -329,10 +306,10 @@
 
     def _choose_victim(self, model: str, status: EngineStatus, now: float) -> str:
         """Return the model whose end costs least, if the waiting one is worth it."""
-        since = min(want.since for want in self._wants[model].values())
+        wants = self._wants.find(model)
         # An unload waits for the running requests and blocks all other orders: what
         # is in use makes room only when nothing has fallen idle for long.
-        is_pressing = now - since > _PATIENCE_S
+        is_pressing = now - wants.since > _PATIENCE_S
         if now < self._use_known_from and not is_pressing:
             return ""
         held = [
@@ -353,12 +330,11 @@
                 self._used_at.get(name, -1.0),
             ),
         )
-        gain = sum(
-            want.urgency * (_RETURN_S + now - want.since)
-            for want in self._wants[model].values()
-        )
-        ages = [w.age_s for w in self._wants[model].values() if w.is_starved]
-        gain = max([gain, *ages])
+        # In the unit of the cost, however long they wait: who waits longest must not
+        # take the place of many who would have to wait next.
+        gain = _RETURN_S * wants.urgency
+        if wants.is_starved:
+            gain = max(gain, wants.age_s)
         is_worth_it = gain > self._eviction_cost(victim, now, held_up_s)
         return victim if is_worth_it else ""
 
@@ -374,7 +350,7 @@
         loaded = {(h.model, name) for h in status.models for name in h.adapters}
         present = loaded | set(status.incoming)
         for wanted, at in list(self._adapters_wanted.items()):
-            if wanted in loaded or now - at > _WANT_KEPT_S:
+            if wanted in loaded or now - at > _ADAPTER_KEPT_S:
                 del self._adapters_wanted[wanted]
         for wanted in self._adapters_wanted:
             if wanted in present or wanted[0] not in self._held:
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -294,11 +294,7 @@
         if self._residency.in_flight(intent.model, _now()):
             load_s = defaults.ENGINE_BUSY_UNLOAD_S
         if intent.loads and spec is not None:
-            load_s = spec.remote_s
-            if intent.model in status.in_memory:
-                load_s = spec.memory_s
-            elif intent.model in status.on_disk:
-                load_s = spec.disk_s
+            load_s = spec.load_s(status.in_memory, status.on_disk)
         self._change_ends = _now() + load_s
         self._tell()
         if not intent.loads:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -116,13 +116,28 @@
     Its many requests would be refused at once if the queue of late ones counted.
     """
     queue = [("m6", 0.2), ("m7", 0.4)]
-    server = build_server("i-1", [], NOW, on_disk=["m5"], wanted=queue)
+    copies = ["m5", "m6", "m7"]
+    server = build_server("i-1", [], NOW, on_disk=copies, wanted=queue)
     place = choose_load_place([server], ENGINE, build_model("m5"), Waiting(9, 9.0), NOW)
     assert place.ready_s == 1.2
     place = choose_load_place([server], ENGINE, build_model("m5"), Waiting(1, 0.2), NOW)
     assert place.ready_s > 3.0
 
 
+def test_copy_at_hand_passes_models_that_come_from_the_store():
+    """Pattern: rare models without a copy wait at the engine that restarted first.
+
+    An engine loads first what brings most for its time; an estimate that counts the
+    others sends callers away who are served within a second.
+    """
+    queue = [("m6", 1.0), ("m7", 1.0)]
+    server = build_server("i-1", [], NOW, on_disk=["m5"], wanted=queue)
+    place = choose_load_place([server], ENGINE, build_model("m5"), ONE, NOW)
+    assert place.ready_s == 1.2
+    place = choose_load_place([server], ENGINE, build_model("m4"), ONE, NOW)
+    assert place.ready_s > 12.0
+
+
 def test_load_under_way_is_not_told_ready_before_it_is():
     """Pattern: a hot model comes from the store after its last holder crashed.
 
