End a model's wants when it is there; count refused callers of all entries

A busy model that was lost stood behind loads from the store for single callers: each of five entries had one or two refused callers of it, and one refused caller counts for little.

Change: wants end when their model is held, and those that arrive while it is are passed over; no engine loads what another is loading; entries tell how many callers they refused lately, the agent weighs them together, and an entry's choice of a place goes by what all entries have asked for.

Tests: test_model_that_made_room_is_not_brought_back_by_old_wants, test_model_that_another_engine_loads_is_not_loaded_again, test_refused_callers_of_all_entries_count_together, test_callers_at_all_entries_decide_where_a_model_is_loaded.

--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -20,6 +20,7 @@
     "choose_plain",
     "count_excess",
     "rank_by_hash",
+    "sum_wanted",
 ]
 
 # Share of an engine's slots up to which requests for a model are kept together.
@@ -149,6 +150,17 @@
     return min(places, key=lambda p: (p.cost, rank_by_hash(model.name, p.server.name)))
 
 
+def sum_wanted(servers: Sequence[Server], model: str) -> float:
+    """Return what the requests for a model at all entries are worth together."""
+    return sum(
+        weight
+        for server in servers
+        if server.report is not None
+        for name, weight in server.report.wanted
+        if name == model
+    )
+
+
 class _Fleet(NamedTuple):
     """What all engines of a service have in common."""
 
--- a/src/jasminewharf/decisions/copies.py
+++ b/src/jasminewharf/decisions/copies.py
@@ -13,6 +13,7 @@
     "find_displaced",
     "gather_copies",
     "is_fetching",
+    "list_loading",
 ]
 
 
@@ -24,7 +25,7 @@
     the engines that have or load a copy; ``calm`` are the engines with nothing to
     load, ``own`` this one. ``warming`` counts loads from the store in progress;
     ``is_used`` tells that requests run anywhere. ``fetched`` are the models that other
-    engines load from the store.
+    engines load from the store, ``loading`` those that they load from anywhere.
     """
 
     is_complete: bool
@@ -35,6 +36,7 @@
     warming: int
     is_used: bool
     fetched: frozenset[str] = frozenset()
+    loading: frozenset[str] = frozenset()
 
     def count(self, model: str) -> int:
         """Return how many engines have or load a copy of a model."""
@@ -76,6 +78,15 @@
     )
 
 
+def list_loading(reports: Iterable[EngineReport], own: str) -> frozenset[str]:
+    """Return the models that engines other than the one at ``own`` are loading."""
+    return frozenset(
+        report.changing
+        for report in reports
+        if report.is_loading and report.address != own
+    )
+
+
 def is_fetching(report: EngineReport) -> bool:
     """Return whether an engine loads a model from the store."""
     at_hand = (*report.in_memory, *report.on_disk)
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -12,7 +12,7 @@
 from .configurations import EngineSpec, ModelSpec
 from .copies import FleetCopies, find_displaced, list_sizes
 from .eventrate import EventRate
-from .wants import Wants
+from .wants import Callers, Wants
 
 __all__ = ["Intent", "Residency"]
 
@@ -78,6 +78,7 @@
         self._told_at: dict[str, float] = {}
         self._used_at: dict[str, float] = {}
         self._loaded_at: dict[str, float] = {}
+        self._settles_at: dict[str, float] = {}
         self._adapters_wanted: dict[tuple[str, str], float] = {}
         self._held: frozenset[str] = frozenset()
         self._free_since = float("-inf")
@@ -110,6 +111,7 @@
         urgency: float,
         now: float,
         age_s: float = 0.0,
+        returning: int = 0,
     ) -> bool:
         """Note that requests of an entry wait for a model.
 
@@ -120,16 +122,21 @@
             urgency: What they are worth.
             now: Monotonic seconds.
             age_s: How long ago its first caller was refused, if none was served since.
+            returning: How many callers were refused lately.
 
         Returns:
             Whether the entry has not asked for it before.
         """
-        if model not in self._models:
+        # An entry that has not heard that the model is there will at once; its want
+        # would bring the model back right after it has made room.
+        if model not in self._models or model in self._held:
             return False
         # An engine that nobody uses hears of no use, however long it waits.
         self._use_known_from = min(self._use_known_from, now + _LEARN_S)
-        is_new = self._wants.note(peer, model, requests, urgency, age_s, now)
-        if is_new and model not in self._held:
+        is_new = self._wants.note(
+            peer, model, Callers(requests, urgency, age_s, returning), now
+        )
+        if is_new:
             self._want_rate.add(1, now)
         return is_new
 
@@ -170,7 +177,7 @@
     def demand(self, model: str, now: float) -> float:
         """Return the requests for a model: those begun a second and those waiting."""
         rate = self._rates.get(model)
-        waiting = self._wants.count_requests(model)
+        waiting = self._wants.count_callers(model)
         return round((rate.read(now) if rate else 0.0) + waiting, 2)
 
     def in_flight(self, name: str, now: float) -> int:
@@ -201,6 +208,9 @@
             return intent
         wanted = self._rank(self.wanted_models(now), status, copies, now)
         for model in wanted:
+            # Its callers go where it is loaded: a second load would serve nobody.
+            if model in copies.loading:
+                continue
             is_remote = self._is_remote(model, status)
             if is_remote and not self._may_fetch(model, copies, now):
                 continue
@@ -237,7 +247,8 @@
         if model in copies.fetched or is_early:
             return False
         # Where nobody waits, one at a time is enough to serve every model some day.
-        return copies.warming < (FETCHING_AT_ONCE if wants.requests else 1)
+        has_callers = wants.requests or wants.returning
+        return copies.warming < (FETCHING_AT_ONCE if has_callers else 1)
 
     def _is_remote(self, model: str, status: EngineStatus) -> bool:
         return model not in status.in_memory and model not in status.on_disk
@@ -274,14 +285,14 @@
 
     def _is_settling(self, model: str, now: float) -> bool:
         """Return whether the requests that a model was loaded for may still come."""
-        return model in self._wants and now - self._loaded_at.get(model, now) < (
-            _SETTLE_S
-        )
+        return now < self._settles_at.get(model, now)
 
     def _note_held(self, status: EngineStatus, now: float) -> None:
         held = frozenset(item.model for item in status.models)
         for model in held - self._held:
             self._loaded_at[model] = now
+            if self._wants.remove(model):
+                self._settles_at[model] = now + _SETTLE_S
         self._held = held
 
     def _free_mb(self, status: EngineStatus) -> float:
@@ -332,14 +343,14 @@
         )
         # In the unit of the cost, however long they wait: who waits longest must not
         # take the place of many who would have to wait next.
-        gain = _RETURN_S * wants.urgency
+        gain = _RETURN_S * wants.weight
         if wants.is_starved:
             gain = max(gain, wants.age_s)
         is_worth_it = gain > self._eviction_cost(victim, now, held_up_s)
         return victim if is_worth_it else ""
 
     def _is_idle(self, model: str, now: float) -> bool:
-        if self.in_flight(model, now) or model in self._wants:
+        if self.in_flight(model, now):
             return False
         loaded_at = self._loaded_at.get(model, now)
         used_since = self._used_at.get(model, float("-inf")) > loaded_at
--- a/src/jasminewharf/decisions/wants.py
+++ b/src/jasminewharf/decisions/wants.py
@@ -3,7 +3,9 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-__all__ = ["ModelWants", "Want", "Wants"]
+from .urgency import weigh_returns
+
+__all__ = ["Callers", "ModelWants", "Wants"]
 
 # An entry repeats what it wants well within this time.
 _KEPT_S = 1.2
@@ -14,27 +16,35 @@
 _STARVED_WEIGHT = 0.5
 
 
-class Want(NamedTuple):
-    """What one entry asks for.
+class Callers(NamedTuple):
+    """An entry's callers of a model.
 
-    ``since`` and ``at`` are when it first and last did, in monotonic seconds. ``age_s``
-    is how long ago its first caller was refused, if none was served since.
+    ``requests`` of them wait, worth ``urgency`` together. ``age_s`` is how long ago the
+    first one was refused, if none was served since. ``returning`` were refused lately.
     """
 
     requests: int
     urgency: float
+    age_s: float
+    returning: int
+
+
+class _Want(NamedTuple):
+    """What one entry asks for, ``since`` when and last ``at``, in monotonic seconds."""
+
+    callers: Callers
     since: float
     at: float
-    age_s: float
 
 
 class ModelWants(NamedTuple):
-    """What all entries together ask for; see :class:`Want`."""
+    """The callers of a model at all entries; see :class:`Callers`."""
 
     requests: int
     urgency: float
-    since: float
     age_s: float
+    returning: int
+    since: float
 
     @property
     def is_starved(self) -> bool:
@@ -43,58 +53,47 @@
 
     @property
     def weight(self) -> float:
-        """The urgency, raised for a starved model."""
-        return self.urgency + (_STARVED_WEIGHT if self.is_starved else 0.0)
+        """What all of them are worth; refused ones count over all entries together."""
+        starved = _STARVED_WEIGHT if self.is_starved else 0.0
+        return self.urgency + weigh_returns(self.returning) + starved
 
 
 class Wants:
     """The models that entries ask for, by model and entry."""
 
     def __init__(self) -> None:
-        self._wants: dict[str, dict[str, Want]] = {}
-
-    def __contains__(self, model: str) -> bool:
-        return model in self._wants
-
-    def note(
-        self,
-        peer: str,
-        model: str,
-        requests: int,
-        urgency: float,
-        age_s: float,
-        now: float,
-    ) -> bool:
-        """Replace what an entry asks for; return whether it is new.
-
-        Args:
-            peer: The entry.
-            model: What its requests wait for.
-            requests: How many they are.
-            urgency: What they are worth.
-            age_s: How long ago its first caller was refused, if none was served since.
-            now: Monotonic seconds.
-        """
+        self._wants: dict[str, dict[str, _Want]] = {}
+
+    def note(self, peer: str, model: str, callers: Callers, now: float) -> bool:
+        """Replace what an entry asks for; return whether it is new."""
         wants = self._wants.setdefault(model, {})
         known = wants.get(peer)
         is_new = known is None or now - known.at > _KEPT_S
         since = now if known is None or is_new else known.since
-        wants[peer] = Want(requests, urgency, since, now, age_s)
+        wants[peer] = _Want(callers, since, now)
         return is_new
 
+    def remove(self, model: str) -> bool:
+        """Drop what is asked for of a model that is there; return whether it was."""
+        return self._wants.pop(model, None) is not None
+
     def find(self, model: str) -> ModelWants:
         """Return what all entries ask for of a model that is asked for."""
         wants = self._wants[model].values()
         return ModelWants(
-            sum(want.requests for want in wants),
-            sum(want.urgency for want in wants),
+            sum(want.callers.requests for want in wants),
+            sum(want.callers.urgency for want in wants),
+            max(want.callers.age_s for want in wants),
+            sum(want.callers.returning for want in wants),
             min(want.since for want in wants),
-            max(want.age_s for want in wants),
         )
 
-    def count_requests(self, model: str) -> int:
-        """Return how many requests wait for a model."""
-        return sum(want.requests for want in self._wants.get(model, {}).values())
+    def count_callers(self, model: str) -> int:
+        """Return how many callers wait for a model or were refused lately."""
+        if model not in self._wants:
+            return 0
+        wants = self.find(model)
+        return wants.requests + wants.returning
 
     def list_missing(self, held: Collection[str], now: float) -> dict[str, ModelWants]:
         """Return the models asked for that are not held, without those given up."""
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -142,13 +142,14 @@
 
     It is repeated while they wait; with none it tells that callers were refused.
     ``age_ms`` is how long ago the first caller was refused of those since whom nobody
-    was served there.
+    was served there; ``returning`` is how many were refused lately.
     """
 
     model: str
     requests: int
     urgency: float
     age_ms: int = 0
+    returning: int = 0
 
 
 @message(189)
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -5,7 +5,7 @@
 from typing import Any, ClassVar, NamedTuple
 
 from .. import defaults, events
-from ..decisions.choice import LoadPlace, Waiting, choose_load_place
+from ..decisions.choice import LoadPlace, Waiting, choose_load_place, sum_wanted
 from ..decisions.configurations import ModelSpec, ServiceSpec
 from ..decisions.directory import Server
 from ..decisions.urgency import Wait, is_hopeless, weigh_returns, weigh_waits
@@ -173,8 +173,11 @@
         returning = self._expected_back(spec.name)
         # The load itself has not begun: what it could serve in time at best.
         urgency = weigh_waits(waits, spec.memory_s, now) + weigh_returns(returning)
-        waiting = Waiting(len(waits) + returning, max(urgency, 1.0))
         servers = self._loading_places(service)
+        # What all entries together have asked for, as far as agents have told.
+        told = sum_wanted(servers, spec.name)
+        requests = max(len(waits) + returning, round(told))
+        waiting = Waiting(requests, max(urgency, told, 1.0))
         place = choose_load_place(servers, service.engine, spec, waiting, now)
         paused = self._find_paused(service, spec.name)
         if paused and (place is None or paused.ready_s <= place.ready_s):
@@ -282,12 +285,12 @@
         )
         if place is None or is_held or not (waits or returning or is_starved):
             return
-        urgency = weigh_waits(waits, place.ready_s, _now()) + weigh_returns(returning)
+        urgency = weigh_waits(waits, place.ready_s, _now())
         if not waits and not returning:
             urgency = defaults.MISSED_WEIGHT
         age_s = _now() - missed.since if missed is not None else 0.0
         age_ms = int(age_s * defaults.MS_PER_S)
-        want = WantModel(model, len(waits) + returning, urgency, age_ms)
+        want = WantModel(model, len(waits), urgency, age_ms, returning)
         if self.kernel.find("directory").send_to_agent(place.server, want):
             self._asked[model] = _now()
 
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -6,7 +6,7 @@
 
 from .. import defaults, events
 from ..decisions.backpressure import Restraint
-from ..decisions.copies import FleetCopies, gather_copies
+from ..decisions.copies import FleetCopies, gather_copies, list_loading
 from ..decisions.residency import Intent, Residency
 from ..decisions.routes import RouteTable
 from ..dialects.fleet import ENGINE_ORDERS, EngineOrder, EngineStatus
@@ -109,6 +109,7 @@
             want.urgency,
             _now(),
             want.age_ms / defaults.MS_PER_S,
+            want.returning,
         )
         if is_new and self._change is None:
             self._wake.set()
@@ -361,20 +362,25 @@
             self._copies_key = key
             self._copies_until = _now() + defaults.COPIES_KEPT_S
             self._copies = self._gather_copies()
-        return self._copies
+        # Loads of other engines begin and end within that time.
+        loading = list_loading(self._list_other_reports(), self._address)
+        return self._copies._replace(loading=loading)
 
-    def _gather_copies(self) -> FleetCopies:
-        service = self.kernel.find("directory")
-        directory = service.directory
+    def _list_other_reports(self) -> list[EngineReport]:
         now = _now()
-        others = [
+        return [
             server.report
-            for server in directory.servers.values()
+            for server in self.kernel.find("directory").directory.servers.values()
             if server.report is not None
             and server.report.is_reachable
             and now - server.report_at <= defaults.AGENT_FRESH_S
             and server.listed.address != self._address
         ]
+
+    def _gather_copies(self) -> FleetCopies:
+        service = self.kernel.find("directory")
+        directory = service.directory
+        now = _now()
         own_server = directory.at_address(self._address)
         is_complete = own_server is not None and not directory.unheard(
             own_server.listed.service, now, defaults.AGENT_FRESH_S
@@ -382,7 +388,9 @@
         # What a silent relay does not tell must not look like a lack of copies.
         is_complete = is_complete and service.is_settled() and service.hears_relay()
         return gather_copies(
-            [*others, self._build_report()], self._address, is_complete
+            [*self._list_other_reports(), self._build_report()],
+            self._address,
+            is_complete,
         )
 
     def _tell(self) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,6 +8,7 @@
     choose_load_place,
     choose_plain,
     count_excess,
+    sum_wanted,
 )
 from jasminewharf.dialects.fleet import HeldModel
 
@@ -138,6 +139,25 @@
     assert place.ready_s > 12.0
 
 
+def test_callers_at_all_entries_decide_where_a_model_is_loaded():
+    """Pattern: an empty engine fetches for one, while a busy model waits behind it.
+
+    Each entry has few of the model's callers, too few to outweigh the others' swaps.
+    """
+    fetching = build_server(
+        "i-1", [], NOW, changing="m6", is_loading=True, ready_ms=6_000,
+        wanted=[("m5", 40.0)],
+    )  # fmt: skip
+    swapping = build_server("i-2", [], NOW, blocked_rate=1.0, on_disk=["m7"])
+    servers = [fetching, swapping]
+    assert sum_wanted(servers, "m5") == 40.0
+    model = build_model("m5")
+    few = choose_load_place(servers, ENGINE, model, Waiting(3, 3.0), NOW)
+    all_callers = choose_load_place(servers, ENGINE, model, Waiting(40, 40.0), NOW)
+    assert few.server is fetching
+    assert all_callers.server is swapping
+
+
 def test_load_under_way_is_not_told_ready_before_it_is():
     """Pattern: a hot model comes from the store after its last holder crashed.
 
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -70,7 +70,7 @@
         demand.review()
         return sent
 
-    assert [want.requests for want in asyncio.run(main())] == [20]
+    assert [want.returning for want in asyncio.run(main())] == [20]
 
 
 def test_engines_are_not_asked_for_callers_who_have_left():
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -395,6 +395,48 @@
     assert [model for model, _ in residency.wanted_models(10.0)] == ["m1", "m2"]
 
 
+def test_model_that_made_room_is_not_brought_back_by_old_wants():
+    """Pattern: more rare models than places.
+
+    What entries asked for before a load outlived it: a fifth of all loads brought back
+    the model that had just made room.
+    """
+    residency = build_residency(places=1)
+    disk = ("m0", "m1", "m2")
+    residency.choose(build_status([], on_disk=disk), COMPLETE, 0.0)
+    residency.note_want("entry", "m1", 1, 1.0, 1.9)
+    residency.choose(build_status(["m1"], on_disk=disk), COMPLETE, 2.0)
+    residency.note_want("entry", "m1", 1, 1.0, 2.0)
+    residency.note_want("entry", "m2", 1, 0.2, 2.9)
+    intent = residency.choose(build_status(["m1"], on_disk=disk), COMPLETE, 2.9)
+    assert (intent.loads, intent.model) == (False, "m1")
+    intent = residency.choose(build_status([], on_disk=disk), COMPLETE, 3.0)
+    assert (intent.loads, intent.model) == (True, "m2")
+
+
+def test_model_that_another_engine_loads_is_not_loaded_again():
+    """Two entries ask two engines for a model at the same moment."""
+    residency = build_residency()
+    status = build_status([], on_disk=("m1",))
+    residency.note_want("entry", "m1", 1, 1.0, 5.0)
+    elsewhere = COMPLETE._replace(loading=frozenset({"m1"}))
+    assert residency.choose(status, elsewhere, 5.0) is None
+    assert residency.choose(status, COMPLETE, 5.0).model == "m1"
+
+
+def test_refused_callers_of_all_entries_count_together():
+    """Pattern: many entries, each with one refused caller of a lost busy model.
+
+    One caller shows no demand; entry by entry they all were one caller.
+    """
+    residency = build_residency()
+    for number in range(12):
+        residency.note_want(f"entry-{number}", "m1", 0, 0.0, 5.0, returning=1)
+    residency.note_want("entry-0", "m2", 2, 2.0, 5.0)
+    assert residency.wanted_models(5.0)[0][0] == "m1"
+    assert residency.wanted_models(5.0)[0][1] > 10
+
+
 def test_store_is_not_asked_by_more_engines_than_it_serves():
     """Pattern: rare models all over; beyond a few, every load takes longer."""
     residency = build_residency()
