Hold no tokens of a rate while a request waits for its model

Ruled out: a larger part of the allowed overrun (four more requests for each fill of the bucket), advances that expire (few, and given back).

Test that failed first (429): test_request_that_waits_for_its_model_holds_no_tokens.

--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -22,6 +22,7 @@
 from ..kernel import Kernel, Service
 from ..registry import lookup
 from ..services.forwarding import Job
+from ..services.lending import Charge
 from ..services.upstream import Outgoing
 from ..settings import LimitSettings, split_address
 from .http import HttpServer, Request, Responder
@@ -265,14 +266,9 @@
         table = self.kernel.find("view").table
         route, workspace = admitted
         attempts.route = route.name
-        rates = self.kernel.find("rates")
-        cost = charged_at = 0.0
-        owner = 0
-        if workspace is not None:
-            cost = rates.cost(workspace, call.prompt_tokens + call.output_tokens)
-            patience_s = route.target_s * defaults.RATE_PATIENCE_PART
-            charged_at = asyncio.get_running_loop().time()
-            owner = await rates.charge(workspace, cost, call.request_id, patience_s)
+        tokens = call.prompt_tokens + call.output_tokens
+        charge = Charge(self.kernel.find("rates"), workspace, tokens, call.request_id)
+        await charge.take(route.target_s * defaults.RATE_PATIENCE_PART)
         outgoing = Outgoing(
             request.method,
             request.target,
@@ -282,12 +278,12 @@
             route.is_idempotent,
         )
         service = table.split(route, call.request_id)
-        job = Job(call, route, service, workspace, outgoing, started, deadline)
+        job = Job(call, route, service, workspace, outgoing, charge, started, deadline)
         try:
             await self.kernel.find("forwarder").run(job, responder, attempts)
         except BaseException:
-            if workspace is not None and not attempts.may_have_run:
-                rates.give_back(workspace, cost, owner, charged_at)
+            if not attempts.may_have_run:
+                charge.release()
             raise
 
 
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -32,6 +32,7 @@
 )
 from ..kernel import Kernel, Service
 from ..messages.servers import EnsureAdapter
+from .lending import Charge
 from .upstream import Outgoing, UpstreamAnswer
 
 __all__ = ["Forwarder", "Job", "Sink"]
@@ -47,6 +48,7 @@
     service: ServiceSpec
     workspace: WorkspaceSpec | None
     outgoing: Outgoing
+    charge: Charge
     started: float
     deadline: float
 
@@ -425,11 +427,7 @@
                 if holders:
                     await asyncio.sleep(defaults.SERVER_FULL_PAUSE_S)
             if not holders:
-                began_at = _now()
-                try:
-                    await self._demand.wait_model(job)
-                finally:
-                    attempts.waited_s += _now() - began_at
+                await self._wait_model(job, attempts)
                 continue
             excess = count_excess(holders)
             if excess:
@@ -448,6 +446,17 @@
                     retry_after_ms=defaults.SERVER_BUSY_RETRY_MS,
                 )
 
+    async def _wait_model(self, job: Job, attempts: Attempts) -> None:
+        """Wait for the model without the request's tokens, then take them again."""
+        began_at = _now()
+        if not attempts.may_have_run:
+            job.charge.release()
+        try:
+            await self._demand.wait_model(job)
+        finally:
+            attempts.waited_s += _now() - began_at
+        await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
+
     def _find_holders(self, job: Job, attempts: Attempts) -> list[Server]:
         now = _now()
         return [
--- a/src/jasminewharf/services/lending.py
+++ b/src/jasminewharf/services/lending.py
@@ -27,7 +27,7 @@
 from .control import FLEET_GROUP
 from .link import Peer
 
-__all__ = ["RateBorrower", "RateLender"]
+__all__ = ["Charge", "RateBorrower", "RateLender"]
 
 _logger = logging.getLogger(__name__)
 
@@ -238,5 +238,47 @@
         return TokensLent(not wait_s, wait_ms, 0.0, self.entries)
 
 
+class Charge:
+    """The tokens of one request, held from its admission until it is sent.
+
+    A request that waits for its model holds none: a workspace at its rate would pay for
+    requests that are refused in the end, and those that run later would run beyond it.
+    """
+
+    def __init__(
+        self,
+        rates: RateBorrower,
+        spec: WorkspaceSpec | None,
+        tokens: int,
+        request_id: str,
+    ) -> None:
+        self._rates = rates
+        self._spec = spec
+        self._cost = rates.cost(spec, tokens) if spec is not None else 0.0
+        self._request_id = request_id
+        self._owner = 0
+        self._taken_at = math.inf
+
+    async def take(self, patience_s: float) -> None:
+        """Spend the request's cost, unless it is held already.
+
+        Raises:
+            RateExceeded: If the workspace's rate does not allow it in time.
+        """
+        if self._spec is None or self._taken_at < math.inf:
+            return
+        asked_at = _now()
+        self._owner = await self._rates.charge(
+            self._spec, self._cost, self._request_id, patience_s
+        )
+        self._taken_at = asked_at
+
+    def release(self) -> None:
+        """Give the cost back, if it is held."""
+        if self._spec is not None and self._taken_at < math.inf:
+            self._rates.give_back(self._spec, self._cost, self._owner, self._taken_at)
+            self._taken_at = math.inf
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -556,6 +556,34 @@
     run_with_fleet(scenario, tmp_path)
 
 
+def test_request_that_waits_for_its_model_holds_no_tokens(tmp_path):
+    """Pattern: one workspace sends many times its usual, some of it for rare models.
+
+    What those held while they waited, and many were refused in the end, was missing for
+    requests that an engine could have run.
+    """
+
+    async def scenario(fleet):
+        body = json.loads(build_body(version=2))
+        body["tenants"][0] |= {"ratePerS": 100, "burst": 150}
+        await fleet.submit(json.dumps(body).encode())
+        views = [kernel.find("view") for kernel in fleet.kernels[1:3]]
+        await wait_until(
+            lambda: all(view.table.configuration.version == 2 for view in views)
+        )
+        for engine in fleet.engines:
+            engine.load_s = 1.0
+        absent = (("x-model", "m3"), ("x-token-counts", "100,20"))
+        waiting = asyncio.create_task(fleet.call("/plan/1", *absent))
+        await asyncio.sleep(0.3)
+        status, _, _ = await fleet.call("/chat/1", *MODEL, request_id="id-2")
+        assert status == 200
+        status, _, _ = await waiting
+        assert status == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_entry_that_stops_answers_what_it_has_read(tmp_path):
     """A request that waits for its model is refused as not run, never dropped."""
 
