--- a/src/jasminewharf/decisions/copies.py
+++ b/src/jasminewharf/decisions/copies.py
@@ -24,8 +24,8 @@
     engines that hold a model, this one among them; ``places`` names for each model
     the engines that have or load a copy; ``calm`` are the engines with nothing to
     load, ``own`` this one. ``warming`` counts loads from the store in progress;
-    ``is_used`` tells that requests run anywhere. ``fetched`` are the models that other
-    engines load from the store, ``loading`` those that they load from anywhere.
+    ``is_used`` tells that requests run anywhere. ``loading`` are the models that other
+    engines load, from anywhere.
     """
 
     is_complete: bool
@@ -35,7 +35,6 @@
     own: str
     warming: int
     is_used: bool
-    fetched: frozenset[str] = frozenset()
     loading: frozenset[str] = frozenset()
 
     def count(self, model: str) -> int:
@@ -60,11 +59,7 @@
         loading = [report.changing] if report.is_loading else []
         for name in (*held, *loading, *report.in_memory, *report.on_disk):
             places.setdefault(name, set()).add(report.address)
-    fetched = [
-        report.changing
-        for report in reports
-        if report.address != own and is_fetching(report)
-    ]
+    warming = sum(is_fetching(report) for report in reports if report.address != own)
     is_calm = [not report.changing and not report.wanted for report in reports]
     return FleetCopies(
         is_complete,
@@ -72,9 +67,8 @@
         {name: frozenset(engines) for name, engines in places.items()},
         frozenset(r.address for r, calm in zip(reports, is_calm, strict=True) if calm),
         own,
-        len(fetched),
+        warming,
         any(report.running for report in reports),
-        frozenset(fetched),
     )
 
 
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -244,7 +244,7 @@
         """Return whether a load from the store may begin beside those of others."""
         wants = self._wants.find(model)
         is_early = now - max(wants.since, self._free_since) < _FETCH_PAUSE_S
-        if model in copies.fetched or is_early:
+        if is_early:
             return False
         # Where nobody waits, one at a time is enough to serve every model some day.
         has_callers = wants.requests or wants.returning
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -442,7 +442,8 @@
     residency = build_residency()
     residency.note_want("entry", "m1", 1, 1.0, 5.0)
     full = COMPLETE._replace(warming=3)
-    assert residency.choose(build_status(["m0"]), full, 5.0) is None
+    assert residency.choose(build_status(["m0"]), full, 5.5) is None
+    assert residency.choose(build_status(["m0"]), COMPLETE, 5.5).model == "m1"
     at_hand = build_status(["m0"], on_disk=("m1",))
     assert residency.choose(at_hand, full, 5.0).model == "m1"
 
@@ -451,8 +452,10 @@
     """Several entries ask several engines for the same cold model."""
     residency = build_residency()
     residency.note_want("entry", "m1", 1, 1.0, 5.0)
-    fetched = COMPLETE._replace(warming=1, fetched=frozenset({"m1"}))
-    assert residency.choose(build_status(["m0"]), fetched, 5.0) is None
+    fetched = COMPLETE._replace(warming=1, loading=frozenset({"m1"}))
+    assert residency.choose(build_status(["m0"]), fetched, 5.5) is None
+    another = COMPLETE._replace(warming=1, loading=frozenset({"m3"}))
+    assert residency.choose(build_status(["m0"]), another, 5.5).model == "m1"
 
 
 def test_models_that_nobody_waits_for_now_are_fetched_one_at_a_time():
