Drop demand that cannot be true; keep log fields JSON

Cause: an entry's demand decides which loads go first, and its numbers were taken as told: a negative or endless urgency, or a thousand million callers, would have ordered all loads of an engine. A field of a log line that is no finite number was written as NaN, which other readers of JSON refuse.

Figures that are not finite are written as text.

Ruled out: cutting values to bounds, which would leave a faulty entry first.

Before: the ten cases of test_demand_that_cannot_be_true_is_dropped have no counterpart on the code before, which took them all. After: they pass.

--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ..dialects.fleet import EngineStatus
+from ..exceptions import ImplausibleDemand
 from .choice import FETCHING_AT_ONCE, rank_by_hash
 from .configurations import EngineSpec, ModelSpec
 from .copies import FleetCopies, find_displaced, list_sizes
@@ -124,18 +125,22 @@
             age_s: How long ago its first caller was refused, if none was served since.
             returning: How many callers were refused lately.
 
+        Raises:
+            ImplausibleDemand: If no entry can mean this.
+
         Returns:
             Whether the entry has not asked for it before.
         """
         # An entry that has not heard that the model is there will at once; its want
         # would bring the model back right after it has made room.
+        callers = Callers(requests, urgency, age_s, returning)
         if model not in self._models or model in self._held:
             return False
+        if not callers.is_plausible():
+            raise ImplausibleDemand(peer, model)
         # An engine that nobody uses hears of no use, however long it waits.
         self._use_known_from = min(self._use_known_from, now + _LEARN_S)
-        is_new = self._wants.note(
-            peer, model, Callers(requests, urgency, age_s, returning), now
-        )
+        is_new = self._wants.note(peer, model, callers, now)
         if is_new:
             self._want_rate.add(1, now)
         return is_new
--- a/src/jasminewharf/decisions/wants.py
+++ b/src/jasminewharf/decisions/wants.py
@@ -9,6 +9,9 @@
 
 # An entry repeats what it wants well within this time.
 _KEPT_S = 1.2
+# What an entry tells beyond these is an error: it would claim all loads for itself.
+_CALLERS_LIMIT = 10_000
+_AGE_LIMIT_S = 86_400.0
 # How long callers of a model may be refused before it counts for more: longer than the
 # longest patience of one caller, since late requests are no sign of it.
 _STARVED_S = 10.0
@@ -28,6 +31,15 @@
     age_s: float
     returning: int
 
+    def is_plausible(self) -> bool:
+        """Return whether this can be true; no request counts for more than one."""
+        counts = (self.requests, self.returning)
+        return (
+            all(0 <= count <= _CALLERS_LIMIT for count in counts)
+            and 0 <= self.urgency <= max(self.requests, 1)
+            and 0 <= self.age_s < _AGE_LIMIT_S
+        )
+
 
 class _Want(NamedTuple):
     """What one entry asks for, ``since`` when and last ``at``, in monotonic seconds."""
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -26,6 +26,7 @@
     "FenceRejected",
     "Forbidden",
     "HeadTooLarge",
+    "ImplausibleDemand",
     "IncarnationMismatch",
     "JasminewharfError",
     "KernelError",
@@ -292,6 +293,15 @@
     """Bytes on an internal link are not a message of this protocol."""
 
 
+class ImplausibleDemand(LinkError):
+    """An entry asks for more than it can have callers for."""
+
+    def __init__(self, node: str, model: str) -> None:
+        self.node = node
+        self.model = model
+        super().__init__(f"{node}: the demand for model {model!r} is not plausible")
+
+
 class IncarnationMismatch(LinkError):
     """A message was addressed to an earlier life of this process."""
 
--- a/src/jasminewharf/logs.py
+++ b/src/jasminewharf/logs.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 import os
 import sys
 import time
@@ -15,6 +16,9 @@
 
 
 def _render(value: Any) -> Any:
+    if isinstance(value, float) and not math.isfinite(value):
+        # JSON has no form for it.
+        return str(value)
     if isinstance(value, str | int | float | bool) or value is None:
         return value
     if isinstance(value, list | tuple):
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -10,7 +10,7 @@
 from ..decisions.residency import Intent, Residency
 from ..decisions.routes import RouteTable
 from ..dialects.fleet import ENGINE_ORDERS, EngineOrder, EngineStatus
-from ..exceptions import BackendError
+from ..exceptions import BackendError, ImplausibleDemand
 from ..kernel import Kernel, Service
 from ..messages.feed import BackendReport
 from ..messages.servers import (
@@ -102,15 +102,22 @@
     # Messages of entries.
 
     def _take_want(self, peer: Peer, want: WantModel) -> None:
-        is_new = self._residency.note_want(
-            peer.node,
-            want.model,
-            want.requests,
-            want.urgency,
-            _now(),
-            want.age_ms / defaults.MS_PER_S,
-            want.returning,
-        )
+        try:
+            is_new = self._residency.note_want(
+                peer.node,
+                want.model,
+                want.requests,
+                want.urgency,
+                _now(),
+                want.age_ms / defaults.MS_PER_S,
+                want.returning,
+            )
+        except ImplausibleDemand as error:
+            self._metrics.count("demands_dropped_total")
+            events.emit(
+                _logger, events.DEMAND_DROPPED, peer=peer.node, want=want, error=error
+            )
+            return
         if is_new and self._change is None:
             self._wake.set()
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 import os
 
 from jasminewharf import events
@@ -53,3 +54,16 @@
     assert handler.dropped > 0
     os.close(reader)
     emit(logger, events.REQUEST_ENDED, 1.0)
+
+
+def test_fields_are_json_whatever_they_hold():
+    """Text of Python in place of a list, or NaN, is read by no other program."""
+    reader, writer = os.pipe()
+    logger, _ = build_logger(writer, 10)
+    fields = {"models": ["m0", ("m1", 2)], "asked_s": math.nan, "left_s": -math.inf}
+    emit(logger, events.ENGINE_CHANGED, 100.0, **fields)
+    text = os.read(reader, 1 << 20).decode()
+    assert "NaN" not in text and "Infinity" not in text
+    line = json.loads(text)
+    assert line["models"] == ["m0", ["m1", 2]]
+    assert line["asked_s"] == "nan"
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -1,5 +1,8 @@
 """What an agent orders of its engine, for the loads that it meets."""
 
+import math
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -7,6 +10,7 @@
 from jasminewharf.decisions.copies import FleetCopies
 from jasminewharf.decisions.residency import Residency
 from jasminewharf.dialects.fleet import HeldModel
+from jasminewharf.exceptions import ImplausibleDemand
 
 MODELS = ("m0", "m1", "m2", "m3")
 OTHERS = frozenset({"b", "c"})
@@ -437,6 +441,31 @@
     assert residency.wanted_models(5.0)[0][1] > 10
 
 
+@pytest.mark.parametrize(
+    "asked",
+    [
+        {"requests": -1},
+        {"requests": 10**9, "urgency": 1e9},
+        {"urgency": math.nan},
+        {"urgency": math.inf},
+        {"urgency": -1.0},
+        {"urgency": 50.0},
+        {"returning": -5},
+        {"returning": 10**7},
+        {"age_s": math.inf},
+        {"age_s": -1.0},
+    ],
+)
+def test_demand_that_cannot_be_true_is_dropped(asked):
+    """One faulty entry must not claim all loads, nor end its order of them."""
+    residency = build_residency()
+    residency.note_want("entry", "m1", 1, 1.0, 5.0)
+    told = {"requests": 1, "urgency": 1.0, "now": 5.0, **asked}
+    with pytest.raises(ImplausibleDemand):
+        residency.note_want("faulty", "m2", **told)
+    assert residency.wanted_models(5.0) == [("m1", 1.0)]
+
+
 def test_store_is_not_asked_by_more_engines_than_it_serves():
     """Pattern: rare models all over; beyond a few, every load takes longer."""
     residency = build_residency()
