Move the caller's side of a stream out of the forwarder

Cause: forwarding.py had grown to 550 lines and held three things: choosing a server, trying again, and joining the events of several servers' answers. The last, with the sink that it writes to, is a module of its own now. An entry's demand is checked before anything is done with it.

Ruled out: moving the choice of a server as well, which shares the attempts' state with the retries.

--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -131,13 +131,13 @@
         Returns:
             Whether the entry has not asked for it before.
         """
+        callers = Callers(requests, urgency, age_s, returning)
+        if not callers.is_plausible():
+            raise ImplausibleDemand(peer, model)
         # An entry that has not heard that the model is there will at once; its want
         # would bring the model back right after it has made room.
-        callers = Callers(requests, urgency, age_s, returning)
         if model not in self._models or model in self._held:
             return False
-        if not callers.is_plausible():
-            raise ImplausibleDemand(peer, model)
         # An engine that nobody uses hears of no use, however long it waits.
         self._use_known_from = min(self._use_known_from, now + _LEARN_S)
         is_new = self._wants.note(peer, model, callers, now)
@@ -248,8 +248,7 @@
     def _may_fetch(self, model: str, copies: FleetCopies, now: float) -> bool:
         """Return whether a load from the store may begin beside those of others."""
         wants = self._wants.find(model)
-        is_early = now - max(wants.since, self._free_since) < _FETCH_PAUSE_S
-        if is_early:
+        if now - max(wants.since, self._free_since) < _FETCH_PAUSE_S:
             return False
         # Where nobody waits, one at a time is enough to serve every model some day.
         has_callers = wants.requests or wants.returning
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -4,7 +4,7 @@
 import contextlib
 import logging
 from collections.abc import AsyncIterator, Iterator
-from typing import Any, ClassVar, NamedTuple, NoReturn, Protocol
+from typing import Any, ClassVar, NamedTuple, NoReturn
 
 from .. import defaults, events
 from ..decisions.attempts import Attempts, silence_limit_s
@@ -33,9 +33,10 @@
 from ..kernel import Kernel, Service
 from ..messages.servers import EnsureAdapter
 from .lending import Charge
+from .streamrelay import Sink, StreamRelay
 from .upstream import Outgoing, UpstreamAnswer
 
-__all__ = ["Forwarder", "Job", "Sink"]
+__all__ = ["Forwarder", "Job"]
 
 _logger = logging.getLogger(__name__)
 
@@ -68,22 +69,6 @@
         return self.route.priority
 
 
-class Sink(Protocol):
-    """Where an answer goes."""
-
-    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send the head."""
-
-    async def write(self, data: bytes) -> None:
-        """Send a piece of the body."""
-
-    def finish(self) -> None:
-        """End the body."""
-
-    def respond(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
-        """Send a whole answer."""
-
-
 class Forwarder(Service):
     """Finds a backend server for a request and tries again where that is safe."""
 
@@ -192,7 +177,7 @@
     # Streams.
 
     async def _run_stream(self, job: Job, sink: Sink, attempts: Attempts) -> None:
-        relay = _Relay(sink, job.call.last_event)
+        relay = StreamRelay(sink, job.call.last_event)
         while True:
             server = await self._pick(job, attempts)
             try:
@@ -210,7 +195,7 @@
                     self._check_next(job, attempts, error)
 
     async def _attempt_stream(
-        self, server: Server, job: Job, relay: "_Relay", attempts: Attempts
+        self, server: Server, job: Job, relay: StreamRelay, attempts: Attempts
     ) -> bool:
         """Relay one server's stream; return False if it is to be tried elsewhere."""
         limit_s = silence_limit_s(job.route, attempts, job.deadline - _now())
@@ -241,7 +226,7 @@
         self,
         answer: UpstreamAnswer,
         job: Job,
-        relay: "_Relay",
+        relay: StreamRelay,
         attempts: Attempts,
     ) -> bool:
         body = await answer.read()
@@ -502,45 +487,6 @@
         )
 
 
-class _Relay:
-    """Passes the events of one answer on, whichever servers they come from."""
-
-    def __init__(self, sink: Sink, last_event: int) -> None:
-        self._sink = sink
-        self.last_event = last_event
-        self.has_started = False
-
-    async def forward(self, answer: UpstreamAnswer, batch: list[StreamEvent]) -> None:
-        """Send events that the caller does not have yet."""
-        data = b"".join(event.data for event in batch if self._is_new(event))
-        self._start(answer)
-        if data:
-            await self._sink.write(data)
-
-    def _is_new(self, event: StreamEvent) -> bool:
-        if event.number < 0:
-            return True
-        if event.number <= self.last_event:
-            return False
-        self.last_event = event.number
-        return True
-
-    def _start(self, answer: UpstreamAnswer) -> None:
-        if not self.has_started:
-            self.has_started = True
-            self._sink.start(answer.status, answer.headers)
-
-    def finish(self, answer: UpstreamAnswer) -> None:
-        """End the stream as complete."""
-        self._start(answer)
-        self._sink.finish()
-
-    def respond(self, answer: UpstreamAnswer, body: bytes) -> None:
-        """Send a whole answer instead of a stream."""
-        self.has_started = True
-        self._sink.respond(answer.status, answer.headers, body)
-
-
 def _age_ms(at: float) -> int:
     age_s = _now() - at
     return int(age_s * defaults.MS_PER_S) if age_s < defaults.AGE_LIMIT_S else -1
