Never say "not run" of a request that may have run

Cause, found while reading the change: a request that may be repeated, whose first server ran it and broke off, was refused with 503 and "not run" when its next attempt found no server (all leaving or paused) or no model in time. The forwarder's refusals know nothing of earlier attempts.

Change: the gateway, which knows the attempts, answers such a refusal with 502 and not_run false, in one place for all reasons.

Ruled out: a flag at each refusal, which the next one would forget.

Before: test_request_that_ran_is_not_refused_as_not_run failed (503). After: it passes.

--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -152,8 +152,8 @@
             )
             await self._serve(request, call, responder, attempts, started)
         except Refusal as error:
-            refusal = error
-            self._refuse(responder, error, call)
+            refusal = _check_promise(error, attempts)
+            self._refuse(responder, refusal, call)
         except asyncio.CancelledError:
             if exchange.refusal is None:
                 self._record(call, attempts, "caller_left", started)
@@ -287,6 +287,16 @@
             raise
 
 
+def _check_promise(refusal: Refusal, attempts: Attempts) -> Refusal:
+    """Return a refusal that does not say "not run" of a request that may have run.
+
+    Such a request is refused as any other when no server is left for its next attempt.
+    """
+    if not refusal.not_run or not attempts.may_have_run:
+        return refusal
+    return BackendFailed(f"a backend server failed; {refusal.message}", not_run=False)
+
+
 def _conclude_timeout(attempts: Attempts) -> Refusal:
     if attempts.may_have_run:
         return DeadlineExceeded("no whole answer in time", not_run=False)
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -503,6 +503,29 @@
     run_with_fleet(scenario, tmp_path)
 
 
+def test_request_that_ran_is_not_refused_as_not_run(tmp_path):
+    """Its server fails and leaves, and the other asks for a pause.
+
+    Nobody is left for its next attempt; a 503 would promise that it has not run.
+    """
+
+    async def scenario(fleet):
+        first, second = fleet.desks
+        second.fails_next = ["full"]
+        second.pause = "60"
+        for number in range(20):
+            await fleet.call("/orders/1", request_id=f"n{number}")
+        assert len(second.heads) == 1
+        first.fails_next = ["short"]
+        first.says_leaving = True
+        status, _, body = await fleet.call("/status/1")
+        assert fleet.runs("id-1") == 1
+        assert status == 502
+        assert not json.loads(body)["error"]["not_run"]
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_engine_that_asks_its_agent_for_a_pause_gets_no_orders(tmp_path):
     """Orders and reads of the report come from a host as requests do."""
 
