--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -67,7 +67,11 @@
 
 
 class Residency:
-    """The state that one agent's decisions need."""
+    """The state that one agent's decisions need.
+
+    Attributes:
+        held_back: Why the last decision ordered no load of a wanted model, by model.
+    """
 
     def __init__(self) -> None:
         self._spec: EngineSpec | None = None
@@ -87,6 +91,7 @@
         self._adapter_misses = EventRate(_USE_WINDOW_S)
         self._want_rate = EventRate(_WANT_WINDOW_S)
         self._use_known_from = float("inf")
+        self.held_back: dict[str, str] = {}
 
     def set_engine(self, spec: EngineSpec) -> None:
         """Take the engine's limits and the models of its service."""
@@ -185,6 +190,16 @@
         waiting = self._wants.count_callers(model)
         return round((rate.read(now) if rate else 0.0) + waiting, 2)
 
+    def describe_wants(self, model: str) -> dict[str, float]:
+        """Return the figures of a wanted model's callers, for a log line."""
+        wants = self._wants.find(model)
+        return {
+            "requests": wants.requests,
+            "returning": wants.returning,
+            "weight": round(wants.weight, 2),
+            "unserved_s": round(wants.age_s, 1),
+        }
+
     def in_flight(self, name: str, now: float) -> int:
         """Return the requests of all entries in flight for a model or adapter.
 
@@ -211,19 +226,27 @@
         intent = self._choose_adapter(status, now)
         if intent is not None:
             return intent
+        self.held_back = {}
         wanted = self._rank(self.wanted_models(now), status, copies, now)
         for model in wanted:
-            # Its callers go where it is loaded: a second load would serve nobody.
-            if model in copies.loading:
-                continue
-            is_remote = self._is_remote(model, status)
-            if is_remote and not self._may_fetch(model, copies, now):
-                continue
-            intent = self._make_way(model, status, now)
+            reason = self._find_obstacle(model, status, copies, now)
+            intent = None if reason else self._make_way(model, status, now)
             if intent is not None:
                 return intent
+            self.held_back[model] = reason or "no_room"
         return None if wanted else self._warm(status, copies, now)
 
+    def _find_obstacle(
+        self, model: str, status: EngineStatus, copies: FleetCopies, now: float
+    ) -> str:
+        """Return why a wanted model is not loaded now even if there is room."""
+        # Its callers go where it is loaded: a second load would serve nobody.
+        if model in copies.loading:
+            return "loaded_elsewhere"
+        if not self._is_remote(model, status):
+            return ""
+        return self._find_fetch_obstacle(model, copies, now)
+
     def _rank(
         self,
         wanted: list[tuple[str, float]],
@@ -245,14 +268,15 @@
 
         return [model for model, _ in sorted(wanted, key=rank)]
 
-    def _may_fetch(self, model: str, copies: FleetCopies, now: float) -> bool:
-        """Return whether a load from the store may begin beside those of others."""
+    def _find_fetch_obstacle(self, model: str, copies: FleetCopies, now: float) -> str:
+        """Return why no load from the store may begin beside those of others."""
         wants = self._wants.find(model)
         if now - max(wants.since, self._free_since) < _FETCH_PAUSE_S:
-            return False
+            return "fetch_pause"
         # Where nobody waits, one at a time is enough to serve every model some day.
         has_callers = wants.requests or wants.returning
-        return copies.warming < (FETCHING_AT_ONCE if has_callers else 1)
+        at_once = FETCHING_AT_ONCE if has_callers else 1
+        return "" if copies.warming < at_once else "store_busy"
 
     def _is_remote(self, model: str, status: EngineStatus) -> bool:
         return model not in status.in_memory and model not in status.on_disk
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -179,6 +179,7 @@
             outcome=outcome,
             route=attempts.route,
             model=call.model if call else "",
+            adapter=call.adapter if call else "",
             workspace=workspace.name if workspace else "",
             tokens=call.prompt_tokens + call.output_tokens if call else 0,
             sent=attempts.sent,
--- a/src/jasminewharf/losses.py
+++ b/src/jasminewharf/losses.py
@@ -16,6 +16,7 @@
     "ModelLoss",
     "OrderUse",
     "OutcomeCount",
+    "UnservedModel",
     "WaitBand",
     "gather_losses",
     "read_events",
@@ -24,6 +25,8 @@
 
 # Models asked for most that are counted apart from the rest.
 _BUSIEST = 8
+# Unserved models that the text shows, the most asked for first.
+_UNSERVED_SHOWN = 20
 # Upper ends of the bands of told waits, in ms; the last one is open.
 _BANDS_MS = (1_000, 2_000, 4_000, 8_000)
 _ANSWERED = "answered"
@@ -34,6 +37,8 @@
         events.REQUEST_WAITS,
         events.ENGINE_ORDERED,
         events.ENGINE_CHANGED,
+        events.ENGINE_FOUND,
+        events.LOAD_HELD_BACK,
     )
 )
 
@@ -56,6 +61,22 @@
     first_order_s: float
 
 
+class UnservedModel(NamedTuple):
+    """A model, or a model and adapter, of which no request was answered.
+
+    ``tries`` came over ``span_s`` seconds. ``copies`` engines had the model in memory
+    or on disk when their agents first saw them. ``orders`` loads of it were given;
+    ``held_back`` counts, by reason, how often an agent began to hold one back.
+    """
+
+    name: str
+    tries: int
+    span_s: float
+    copies: int
+    orders: int
+    held_back: dict[str, int]
+
+
 class WaitBand(NamedTuple):
     """Waits that were told alike, and how long they were; all in ms.
 
@@ -84,6 +105,7 @@
 
     outcomes: list[OutcomeCount]
     models: list[ModelLoss]
+    unserved: list[UnservedModel]
     waits: list[WaitBand]
     orders: list[OrderUse]
 
@@ -128,6 +150,12 @@
     return Losses(
         _count_outcomes(ended),
         _count_models(ended, waits, given, start),
+        _list_unserved(
+            ended,
+            kinds[events.ENGINE_FOUND.number],
+            given,
+            kinds[events.LOAD_HELD_BACK.number],
+        ),
         _compare_waits(ended, waits),
         _sum_orders(given, changes),
     )
@@ -160,6 +188,48 @@
     ]
 
 
+def _list_unserved(
+    ended: list[dict[str, Any]],
+    found: list[dict[str, Any]],
+    given: list[dict[str, Any]],
+    held_back: list[dict[str, Any]],
+) -> list[UnservedModel]:
+    tries: dict[str, list[float]] = defaultdict(list)
+    served: set[str] = set()
+    for line in ended:
+        for name in _name_asked(line):
+            tries[name].append(line["time"])
+            if line["outcome"] == _ANSWERED:
+                served.add(name)
+    copies = Counter(
+        model
+        for line in found
+        for model in {*line["models"], *line["in_memory"], *line["on_disk"]}
+    )
+    orders = Counter(_name_asked(line)[-1] for line in given if line["loads"])
+    reasons: dict[str, Counter[str]] = defaultdict(Counter)
+    for line in held_back:
+        reasons[line["model"]][line["reason"]] += 1
+    unserved = []
+    for name in tries.keys() - served:
+        model = name.partition("/")[0]
+        times = tries[name]
+        span_s = round(times[-1] - times[0], 1)
+        counts = dict(reasons[model].most_common())
+        unserved.append(
+            UnservedModel(name, len(times), span_s, copies[model], orders[name], counts)
+        )
+    return sorted(unserved, key=lambda item: (-item.tries, item.name))
+
+
+def _name_asked(line: dict[str, Any]) -> list[str]:
+    """Return the model that a line names, and the model with its adapter."""
+    model, adapter = line.get("model", ""), line.get("adapter", "")
+    if not model:
+        return []
+    return [model, f"{model}/{adapter}"] if adapter else [model]
+
+
 def _find_first(lines: Iterable[dict[str, Any]]) -> dict[str, float]:
     first: dict[str, float] = {}
     for line in lines:
@@ -231,6 +301,17 @@
     ]
     tries, answered = sum(m.tries for m in rest), sum(m.answered for m in rest)
     lines.append(f"  {f'{len(rest)} others':16} {tries:6} {answered:6}")
+    lines.append(
+        "never answered: tries, over s, copies found, loads ordered, held back"
+    )
+    for u in losses.unserved[:_UNSERVED_SHOWN]:
+        held_back = " ".join(f"{reason}:{n}" for reason, n in u.held_back.items())
+        lines.append(
+            f"  {u.name:16} {u.tries:6} {u.span_s:7.1f} {u.copies:4} {u.orders:4} "
+            f"{held_back}"
+        )
+    if len(losses.unserved) > _UNSERVED_SHOWN:
+        lines.append(f"  and {len(losses.unserved) - _UNSERVED_SHOWN} more")
     lines.append("waits told from ms: requests, refused, real median ms, 90th ms")
     lines += [
         f"  {w.told_from:6} {w.requests:6} {w.refused:6} {w.median:7} {w.ninetieth:7}"
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -56,6 +56,7 @@
         self._adapter_ordered_at = float("-inf")
         self._wake = asyncio.Event()
         self._is_fenced = False
+        self._held_back: dict[str, str] = {}
         # Counts while the list does not name the engine.
         self._unlisted_restraint = Restraint()
         self._metrics = kernel.find("process").metrics
@@ -283,7 +284,9 @@
                 table = self.kernel.find("view").table
                 if table is not None:
                     self._take_configuration(table)
-            intent = self._residency.choose(status, self._find_copies(), _now())
+            copies = self._find_copies()
+            intent = self._residency.choose(status, copies, _now())
+            self._log_held_back(status, copies)
             if intent is None:
                 return
             if not intent.adapter:
@@ -294,6 +297,24 @@
             self._adapter_ordered_at = _now()
             await self._look()
 
+    def _log_held_back(self, status: EngineStatus, copies: FleetCopies) -> None:
+        """Log each wanted model that gets no load when the reason for it changes."""
+        held_back = self._residency.held_back
+        for model, reason in held_back.items():
+            if self._held_back.get(model) == reason:
+                continue
+            events.emit(
+                _logger,
+                events.LOAD_HELD_BACK,
+                model=model,
+                reason=reason,
+                tier=_find_tier(Intent(True, model), status),
+                copies=copies.count(model),
+                store_loads=copies.warming,
+                **self._residency.describe_wants(model),
+            )
+        self._held_back = held_back
+
     async def _order_model(self, intent: Intent, status: EngineStatus) -> None:
         """Tell the entries first, so that no request crosses an unload."""
         self._change = intent
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -44,6 +44,38 @@
     assert "model_unavailable" in render_losses(losses)
 
 
+UNSERVED = [
+    {"time": 0.1, "event": 901, "node": "agent-1", "models": ["m0"],
+     "in_memory": ["m0"], "on_disk": ["m0", "m2"]},
+    {"time": 0.1, "event": 901, "node": "agent-2", "models": ["m2"],
+     "in_memory": [], "on_disk": ["m2"]},
+    *({"time": at, "event": 850, "request_id": f"r{at}", "model": "m2", "adapter": "a1",
+       "route": "chat", "outcome": "model_unavailable", "sent": 0, "waited_ms": 0}
+      for at in (1.0, 5.0, 9.5)),
+    {"time": 2.0, "event": 906, "node": "agent-1", "model": "m2", "reason": "no_room"},
+    {"time": 3.0, "event": 906, "node": "agent-1", "model": "m2",
+     "reason": "store_busy"},
+    {"time": 4.0, "event": 906, "node": "agent-2", "model": "m2", "reason": "no_room"},
+    {"time": 5.0, "event": 902, "node": "agent-2", "loads": True, "model": "m2",
+     "adapter": "a1", "reason": "wanted", "tier": ""},
+]  # fmt: skip
+
+
+def test_account_tells_why_a_model_was_never_answered():
+    """Pattern: some models are asked for all day and none of their callers is served.
+
+    Copies, orders and reasons tell a model that no engine could load from one that was
+    loaded too late, and either from a missing adapter.
+    """
+    losses = gather_losses([*LINES, *UNSERVED])
+    reasons = {"no_room": 2, "store_busy": 1}
+    assert losses.unserved == [
+        ("m2", 3, 8.5, 2, 0, reasons),
+        ("m2/a1", 3, 8.5, 2, 1, reasons),
+    ]
+    assert "no_room:2" in render_losses(losses)
+
+
 def test_lines_in_any_order_make_one_account():
     """Files of several hosts are read one after the other."""
     assert gather_losses(reversed(LINES)) == gather_losses(LINES)
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -151,6 +151,26 @@
     assert residency.choose(status, COMPLETE, 1.6).model == "m2"
 
 
+def test_decision_names_what_holds_a_load_back():
+    """Models that nobody is served of were lost without a line that tells why."""
+    residency = build_residency(places=1)
+    residency.choose(build_status(["m0"]), COMPLETE, 0.0)
+    for name in ("m1", "m2", "m3"):
+        residency.note_want("entry", name, 1, 1.0, 2.0)
+    residency.note_use("entry", [("m0", 1, 1)], 2.0)
+    status = build_status(["m0"], on_disk=("m1", "m2"))
+    others = COMPLETE._replace(loading=frozenset({"m2"}))
+    assert residency.choose(status, others, 2.1) is None
+    assert residency.held_back == {
+        "m1": "no_room",
+        "m2": "loaded_elsewhere",
+        "m3": "fetch_pause",
+    }
+    residency.note_want("entry", "m3", 1, 1.0, 3.0)
+    assert residency.choose(status, others._replace(warming=9), 3.0) is None
+    assert residency.held_back["m3"] == "store_busy"
+
+
 def test_want_that_is_not_repeated_is_forgotten():
     """Its callers have left: a load would serve nobody."""
     residency = build_residency()
