--- a/src/jasminewharf/services/controllers.py
+++ b/src/jasminewharf/services/controllers.py
@@ -103,7 +103,10 @@
                 # The only control host is this one, and it does not lead.
                 break
             try:
-                return await self.links[name].request(message, remaining)
+                answer = await self.links[name].request(message, remaining)
+                # One-way messages to the leader need to know it too.
+                self._leaders[group] = name
+                return answer
             except NotLeader as error:
                 self._note_leader(group, error.leader, name)
             except PeerUnavailable:
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -56,3 +56,20 @@
         assert frozen.asked == 1
 
     asyncio.run(scenario())
+
+
+def test_host_that_answers_is_the_known_leader():
+    """Guards against one-way messages that go nowhere.
+
+    Pattern: the first host that is asked leads. Nobody was redirected, so that no
+    leader was known, and tokens that went back to the owner of the rates were dropped.
+    """
+
+    async def scenario():
+        leader = FakeLink("yes")
+        controllers = build_controllers(leader=leader)
+        assert controllers.find_leader("fleet") is None
+        await controllers.request("fleet", "x", 0.1)
+        assert controllers.find_leader("fleet") is leader
+
+    asyncio.run(scenario())
