--- a/src/jasminewharf/bench/foundfleet.py
+++ b/src/jasminewharf/bench/foundfleet.py
@@ -11,9 +11,10 @@
 
 from ..decisions.choice import Waiting, choose_load_place, sum_wanted
 from ..decisions.configurations import EngineSpec, ModelSpec
-from ..decisions.copies import FleetCopies, gather_copies, list_loading
+from ..decisions.copies import FleetCopies, gather_copies, refresh_loads
 from ..decisions.directory import Directory
 from ..decisions.residency import Intent, Residency
+from ..decisions.storequeue import StoreQueue
 from ..decisions.urgency import Wait, is_hopeless, weigh_returns, weigh_waits
 from ..dialects.fleet import EngineStatus, HeldModel, ListedServer
 from ..messages.servers import EngineReport
@@ -30,6 +31,7 @@
 _WANT_S = 0.3
 _USE_S = 0.2
 _COPIES_S = 0.5
+_ASK_S = 0.3
 _REFUSED_S = 10.0
 _UNLOAD_S = 0.1
 _MODEL_MB = 70_000.0
@@ -41,9 +43,9 @@
     """A deployment and its demand; rates are a second, times in seconds.
 
     ``uncopied`` of the rare models are on no engine at the start. ``store_at_once``
-    loads from the store run at full speed beside each other, more take longer in
-    proportion. Nobody calls for ``lead_s``. Reports reach other hosts after
-    ``report_delay_s`` at most.
+    loads from the store run at full speed beside each other; one that begins beside
+    more takes longer in proportion. Nobody calls for ``lead_s``. Reports reach other
+    hosts after ``report_delay_s`` at most.
     """
 
     engines: int = 22
@@ -126,6 +128,7 @@
         self.work_s = 0.0
         self.is_remote = False
         self.load_number = 0
+        self.granted = ""
         self.runs: list[tuple[float, str]] = []
         self.begun: Counter[str] = Counter()
         self.reports: list[tuple[float, EngineReport]] = []
@@ -187,6 +190,7 @@
         if intent.loads:
             self.work_s = spec.load_s(self.in_memory, self.on_disk)
             self.is_remote = intent.model not in (*self.in_memory, *self.on_disk)
+            self.granted = ""
         else:
             self.work_s = _UNLOAD_S
 
@@ -281,6 +285,7 @@
         self.tries: Counter[str] = Counter()
         self.served: Counter[str] = Counter()
         self.store_loads: list[StoreLoad] = []
+        self.queue = StoreQueue(-case.lead_s, is_first=True)
 
     def _place_copies(self) -> None:
         """Put the busy models and some rare ones on the engines, copies on disks."""
@@ -325,17 +330,16 @@
         return FleetPlay(models, self.store_loads)
 
     def _advance(self, now: float) -> None:
-        fetching = [e for e in self.engines if e.change and e.is_remote]
-        speed = min(1.0, self.case.store_at_once / max(len(fetching), 1))
         for engine in self.engines:
             engine.runs = [run for run in engine.runs if run[0] > now]
             change = engine.change
             if change is None:
                 continue
-            engine.work_s -= _STEP_S * (speed if engine.is_remote else 1.0)
+            engine.work_s -= _STEP_S
             in_use = any(name == change.model for _, name in engine.runs)
             if engine.work_s <= 0 and (change.loads or not in_use):
                 if engine.is_remote:
+                    self.queue.release(engine.address, True, now)
                     load = self.store_loads[engine.load_number]
                     self.store_loads[engine.load_number] = load._replace(ended_at=now)
                 engine.end(self.case.disk_copies)
@@ -425,6 +429,8 @@
 
     def _decide(self, engine: _Engine, now: float) -> None:
         if engine.change is not None:
+            if engine.is_remote:
+                self.queue.hold(engine.address, engine.change.model, now, 0)
             return
         others = [
             other.find_report(now - self.delays[engine.address, other.address])
@@ -435,15 +441,30 @@
             reports = [*others, engine.report(now)]
             engine.copies = gather_copies(reports, engine.address, True)
             engine.copies_at = now
-        copies = engine.copies._replace(loading=list_loading(others, engine.address))
-        intent = engine.residency.choose(engine.status(), copies, now)
+        copies = refresh_loads(engine.copies, others)._replace(has_owner=True)
+        residency = engine.residency
+        intent = residency.choose(engine.status(), copies, now)
+        if intent is not None and not self._has_turn(engine, intent, now):
+            residency.store_closed_until = now + _ASK_S
+            intent = residency.choose(engine.status(), copies, now)
         if intent is None or intent.adapter:
             return
         engine.begin(intent, self.models[intent.model])
         if engine.is_remote:
+            fetching = sum(1 for e in self.engines if e.change and e.is_remote)
+            engine.work_s *= max(fetching / self.case.store_at_once, 1.0)
             engine.load_number = len(self.store_loads)
             self.store_loads.append(StoreLoad(intent.model, now, float("inf")))
 
+    def _has_turn(self, engine: _Engine, intent: Intent, now: float) -> bool:
+        if not intent.fetches or engine.granted == intent.fetches:
+            return True
+        turn = self.queue.ask(
+            engine.address, intent.fetches, intent.weight, self.case.remote_s, now
+        )
+        engine.granted = intent.fetches if turn.is_granted else ""
+        return turn.is_granted
+
 
 def play_fleet(case: FleetCase, seed: int) -> FleetPlay:
     """Play a case; the same seed gives the same play."""
--- a/src/jasminewharf/decisions/choice.py
+++ b/src/jasminewharf/decisions/choice.py
@@ -9,9 +9,9 @@
 from .configurations import EngineSpec, ModelSpec
 from .copies import count_copies, find_displaced, is_fetching, list_sizes
 from .directory import Server
+from .storequeue import DEFAULT_AT_ONCE
 
 __all__ = [
-    "FETCHING_AT_ONCE",
     "LoadPlace",
     "Preference",
     "Waiting",
@@ -28,8 +28,6 @@
 # Share of the slots beyond which first events come late and memory runs out.
 _FULL_SHARE = 0.75
 _STAY_PART = 0.7
-# Loads from the store that run at full speed beside each other.
-FETCHING_AT_ONCE = 3
 # Beside a load: the unload of another model, whose requests end first.
 _MAKE_ROOM_S = 0.4
 
@@ -142,7 +140,8 @@
     copies = count_copies(s.report.on_disk for s in reachable if s.report)
     fetching = sum(is_fetching(s.report) for s in reachable if s.report)
     # More loads from the store than it serves at full speed take longer, each.
-    stretch = max((fetching + 1) / FETCHING_AT_ONCE, 1.0)
+    told = max((s.report.store_at_once for s in reachable if s.report), default=0)
+    stretch = max((fetching + 1) / (told or DEFAULT_AT_ONCE), 1.0)
     slowed = model._replace(remote_s=model.remote_s * stretch)
     models = {spec.name: spec for spec in engine.models}
     fleet = _Fleet(engine, models, list_sizes(engine), copies)
--- a/src/jasminewharf/decisions/copies.py
+++ b/src/jasminewharf/decisions/copies.py
@@ -13,7 +13,8 @@
     "find_displaced",
     "gather_copies",
     "is_fetching",
-    "list_loading",
+    "list_sizes",
+    "refresh_loads",
 ]
 
 
@@ -25,7 +26,8 @@
     the engines that have or load a copy; ``calm`` are the engines with nothing to
     load, ``own`` this one. ``warming`` counts loads from the store in progress;
     ``is_used`` tells that requests run anywhere. ``loading`` are the models that other
-    engines load, from anywhere.
+    engines load, from anywhere. ``has_owner`` tells that the owner of the store's turns
+    answers, so that ``warming`` need not be judged here.
     """
 
     is_complete: bool
@@ -36,6 +38,7 @@
     warming: int
     is_used: bool
     loading: frozenset[str] = frozenset()
+    has_owner: bool = False
 
     def count(self, model: str) -> int:
         """Return how many engines have or load a copy of a model."""
@@ -59,25 +62,30 @@
         loading = [report.changing] if report.is_loading else []
         for name in (*held, *loading, *report.in_memory, *report.on_disk):
             places.setdefault(name, set()).add(report.address)
-    warming = sum(is_fetching(report) for report in reports if report.address != own)
     is_calm = [not report.changing and not report.wanted for report in reports]
-    return FleetCopies(
+    copies = FleetCopies(
         is_complete,
         dict(holders),
         {name: frozenset(engines) for name, engines in places.items()},
         frozenset(r.address for r, calm in zip(reports, is_calm, strict=True) if calm),
         own,
-        warming,
+        0,
         any(report.running for report in reports),
     )
+    return refresh_loads(copies, reports)
 
 
-def list_loading(reports: Iterable[EngineReport], own: str) -> frozenset[str]:
-    """Return the models that engines other than the one at ``own`` are loading."""
-    return frozenset(
-        report.changing
-        for report in reports
-        if report.is_loading and report.address != own
+def refresh_loads(copies: FleetCopies, reports: Sequence[EngineReport]) -> FleetCopies:
+    """Return the copies with what other engines load now.
+
+    Args:
+        copies: What :func:`gather_copies` returned a moment ago.
+        reports: The fresh reports.
+    """
+    others = [report for report in reports if report.address != copies.own]
+    return copies._replace(
+        loading=frozenset(report.changing for report in others if report.is_loading),
+        warming=sum(is_fetching(report) for report in others),
     )
 
 
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -9,10 +9,11 @@
 
 from ..dialects.fleet import EngineStatus
 from ..exceptions import ImplausibleDemand
-from .choice import FETCHING_AT_ONCE, rank_by_hash
+from .choice import rank_by_hash
 from .configurations import EngineSpec, ModelSpec
 from .copies import FleetCopies, find_displaced, list_sizes
 from .eventrate import EventRate
+from .storequeue import DEFAULT_AT_ONCE
 from .wants import Callers, Wants
 
 __all__ = ["Intent", "Residency"]
@@ -58,12 +59,18 @@
 
 
 class Intent(NamedTuple):
-    """What to order next; ``adapter`` is empty for a model."""
+    """What to order next; ``adapter`` is empty for a model.
+
+    ``fetches`` is the model that a load from the store, or the unload before it, is
+    for; it needs a turn at the store. Its callers are worth ``weight``.
+    """
 
     loads: bool
     model: str
     adapter: str = ""
     reason: str = "wanted"
+    fetches: str = ""
+    weight: float = 0.0
 
 
 class Residency:
@@ -71,6 +78,7 @@
 
     Attributes:
         held_back: Why the last decision ordered no load of a wanted model, by model.
+        store_closed_until: Until when no turn at the store is asked for again.
     """
 
     def __init__(self) -> None:
@@ -92,6 +100,7 @@
         self._want_rate = EventRate(_WANT_WINDOW_S)
         self._use_known_from = float("inf")
         self.held_back: dict[str, str] = {}
+        self.store_closed_until = float("-inf")
 
     def set_engine(self, spec: EngineSpec) -> None:
         """Take the engine's limits and the models of its service."""
@@ -231,6 +240,9 @@
         for model in wanted:
             reason = self._find_obstacle(model, status, copies, now)
             intent = None if reason else self._make_way(model, status, now)
+            if intent is not None and self._is_remote(model, status):
+                weight = self._wants.find(model).weight
+                return intent._replace(fetches=model, weight=weight)
             if intent is not None:
                 return intent
             self.held_back[model] = reason or "no_room"
@@ -273,10 +285,13 @@
         wants = self._wants.find(model)
         if now - max(wants.since, self._free_since) < _FETCH_PAUSE_S:
             return "fetch_pause"
+        if now < self.store_closed_until:
+            return "store_busy"
         # Where nobody waits, one at a time is enough to serve every model some day.
-        has_callers = wants.requests or wants.returning
-        at_once = FETCHING_AT_ONCE if has_callers else 1
-        return "" if copies.warming < at_once else "store_busy"
+        if not (wants.requests or wants.returning):
+            return "" if copies.warming < 1 else "store_busy"
+        is_open = copies.has_owner or copies.warming < DEFAULT_AT_ONCE
+        return "" if is_open else "store_busy"
 
     def _is_remote(self, model: str, status: EngineStatus) -> bool:
         return model not in status.in_memory and model not in status.on_disk
@@ -428,6 +443,8 @@
         at_once = _WARMING_AT_ONCE if copies.is_used else _WARMING_BEFORE_TRAFFIC
         if copies.warming >= at_once or not copies.is_complete:
             return None
+        if now < self.store_closed_until:
+            return None
         if self._want_rate.read(now) > _CALM_RATE:
             return None
         scarce = self._find_scarce(status, copies)
@@ -444,9 +461,9 @@
             ),
         )
         if self._free_mb(status) >= self._models[model].weights_mb:
-            return Intent(True, model, reason="copy")
+            return Intent(True, model, reason="copy", fetches=model)
         victim = self._choose_spare(status, copies, now)
-        return Intent(False, victim, reason="copy") if victim else None
+        return Intent(False, victim, reason="copy", fetches=model) if victim else None
 
     def _find_scarce(self, status: EngineStatus, copies: FleetCopies) -> list[str]:
         """Return the models with too few copies that this engine is to fetch."""
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -158,3 +158,5 @@
 ENGINE_CHANGED = _define(904, logging.INFO, "models of the engine changed")
 DEMAND_DROPPED = _define(905, logging.WARNING, "demand that cannot be true dropped")
 LOAD_HELD_BACK = _define(906, logging.INFO, "wanted model not loaded now")
+STORE_OWNER_SILENT = _define(907, logging.WARNING, "owner of the store's turns silent")
+STORE_SPEED_LEARNED = _define(908, logging.INFO, "loads at once from the store learned")
--- a/src/jasminewharf/interfaces/fleetcontrol.py
+++ b/src/jasminewharf/interfaces/fleetcontrol.py
@@ -16,6 +16,7 @@
 from ..services.reload import SettingsReload
 from ..services.repair import Repair
 from ..services.serverlist import ServerListReader
+from ..services.storeturns import StoreOwner
 from ..services.view import ControlConfigurationView
 from .operatorhttp import OperatorHttp
 from .probes import MetricsHttp
@@ -68,6 +69,7 @@
             ControlConfigurationView,
             ServerListReader,
             RateLender,
+            StoreOwner,
             ConfigurationService,
             Repair,
             OperatorHttp,
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -1,4 +1,4 @@
-"""Messages about backend servers found while running. Codes 180 to 199."""
+"""Messages about backend servers found while running. Codes 180 to 209."""
 
 from typing import NamedTuple
 
@@ -7,6 +7,7 @@
 
 __all__ = [
     "AdapterEnsured",
+    "AskStore",
     "BorrowTokens",
     "ControlHosts",
     "EngineDigest",
@@ -15,13 +16,16 @@
     "EnsureAdapter",
     "FetchServers",
     "FollowEngines",
+    "HoldStore",
     "MembershipAnswer",
     "ModelUse",
+    "ReleaseStore",
     "RequestMembership",
     "ReturnTokens",
     "ServerChanges",
     "ServerListAge",
     "Servers",
+    "StoreTurn",
     "SubmitConfiguration",
     "TokensLent",
     "WantModel",
@@ -93,6 +97,9 @@
     request-seconds. ``blocked_rate`` is how many requests a second come that have to
     wait while the engine carries out an order.
 
+    ``store_at_once`` is how many loads from the store run at full speed beside each
+    other, as the owner of the store's turns said last; 0 if it said nothing.
+
     ``life_ms`` is the wall clock at the agent's start and ``number`` rises with each
     report of that life; ``load_number`` is that of the last load before it.
     """
@@ -116,6 +123,7 @@
     life_ms: int = 0
     number: int = 0
     load_number: int = 0
+    store_at_once: int = 0
 
 
 @message(187)
@@ -252,3 +260,43 @@
     tokens: float
     owner: int
     age_ms: int
+
+
+@message(200)
+class AskStore(NamedTuple):
+    """An agent asks the owner of the store's turns to let its engine load a model.
+
+    It is repeated while the engine waits. ``load_ms`` is what the load takes beside no
+    other, ``at_once`` what the last owner said.
+    """
+
+    address: str
+    model: str
+    weight: float
+    load_ms: int
+    at_once: int = 0
+
+
+@message(201)
+class StoreTurn(NamedTuple):
+    """Answers :class:`AskStore`; ``at_once`` loads run at full speed."""
+
+    is_granted: bool
+    at_once: int
+
+
+@message(202)
+class HoldStore(NamedTuple):
+    """An agent's engine loads a model from the store; repeated while it does."""
+
+    address: str
+    model: str
+    at_once: int = 0
+
+
+@message(203)
+class ReleaseStore(NamedTuple):
+    """An agent's engine loads no more; ``is_complete`` if it has the model now."""
+
+    address: str
+    is_complete: bool
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -6,7 +6,7 @@
 
 from .. import defaults, events
 from ..decisions.backpressure import Restraint
-from ..decisions.copies import FleetCopies, gather_copies, list_loading
+from ..decisions.copies import FleetCopies, gather_copies, refresh_loads
 from ..decisions.residency import Intent, Residency
 from ..decisions.routes import RouteTable
 from ..dialects.fleet import ENGINE_ORDERS, EngineOrder, EngineStatus
@@ -26,6 +26,7 @@
 from .client import FetchedAnswer, HttpClient
 from .enginenews import EngineNews
 from .link import LinkServer, Peer
+from .storeturns import StoreWish
 
 __all__ = ["EngineKeeper"]
 
@@ -57,6 +58,7 @@
         self._wake = asyncio.Event()
         self._is_fenced = False
         self._held_back: dict[str, str] = {}
+        self._store = StoreWish(kernel, self._address)
         # Counts while the list does not name the engine.
         self._unlisted_restraint = Restraint()
         self._metrics = kernel.find("process").metrics
@@ -172,6 +174,7 @@
             await self._look()
             if self._status is not None:
                 await self._act()
+            self._store.renew()
             self._tell()
             try:
                 async with asyncio.timeout(self._pause_s()):
@@ -243,6 +246,7 @@
             if self._status is not None:
                 events.emit(_logger, events.ENGINE_LOST, error=error)
                 self._news.tell_lost()
+                self._store.release(is_complete=False)
             self._status = None
             return
         self._note_status(fresh)
@@ -258,7 +262,7 @@
                 in_memory=list(fresh.in_memory),
                 on_disk=list(fresh.on_disk),
             )
-            self._change = None
+            self._end_change(fresh)
         elif [h.model for h in known.models] != [h.model for h in fresh.models]:
             events.emit(
                 _logger,
@@ -268,12 +272,19 @@
             )
         self._status = fresh
         if self._change is not None and not fresh.is_busy:
-            self._change = None
+            self._end_change(fresh)
         for pair in [p for p in self._adapter_waiters if self._has_adapter(p)]:
             for future in self._adapter_waiters.pop(pair):
                 if not future.done():
                     future.set_result(True)
 
+    def _end_change(self, fresh: EngineStatus) -> None:
+        """Note that the engine carries out no order any more."""
+        change, self._change = self._change, None
+        if change is not None and change.loads and change.fetches:
+            is_complete = any(held.model == change.model for held in fresh.models)
+            self._store.release(is_complete)
+
     async def _act(self) -> None:
         """Give orders until there is none to give now."""
         for _ in range(defaults.ENGINE_ORDERS_IN_A_ROW):
@@ -289,6 +300,9 @@
             self._log_held_back(status, copies)
             if intent is None:
                 return
+            if intent.fetches and not await self._has_turn(intent):
+                self._residency.store_closed_until = _now() + defaults.STORE_ASK_S
+                continue
             if not intent.adapter:
                 await self._order_model(intent, status)
                 return
@@ -297,6 +311,11 @@
             self._adapter_ordered_at = _now()
             await self._look()
 
+    async def _has_turn(self, intent: Intent) -> bool:
+        spec = self._residency.model(intent.fetches)
+        load_s = spec.remote_s if spec is not None else 0.0
+        return await self._store.ask(intent.fetches, intent.weight, load_s)
+
     def _log_held_back(self, status: EngineStatus, copies: FleetCopies) -> None:
         """Log each wanted model that gets no load when the reason for it changes."""
         held_back = self._residency.held_back
@@ -328,8 +347,12 @@
         self._tell()
         if not intent.loads:
             await asyncio.sleep(defaults.ENGINE_NOTICE_S)
+        if intent.loads and intent.fetches:
+            self._store.note_loading()
         if not await self._give(intent, status):
             self._change = None
+            if intent.fetches:
+                self._store.release(is_complete=False)
 
     async def _give(self, intent: Intent, status: EngineStatus) -> bool:
         """Give an order; return whether the engine took it."""
@@ -391,8 +414,8 @@
             self._copies_until = _now() + defaults.COPIES_KEPT_S
             self._copies = self._gather_copies()
         # Loads of other engines begin and end within that time.
-        loading = list_loading(self._list_other_reports(), self._address)
-        return self._copies._replace(loading=loading)
+        copies = refresh_loads(self._copies, self._list_other_reports())
+        return copies._replace(has_owner=self._store.has_owner)
 
     def _list_other_reports(self) -> list[EngineReport]:
         now = _now()
@@ -448,6 +471,7 @@
             status.queued,
             status.used_tokens,
             status.total_tokens,
+            store_at_once=self._store.at_once,
         )
 
 
--- /dev/null
+++ b/src/jasminewharf/services/storeturns.py
@@ -0,0 +1,205 @@
+"""Turns at the weight store: their owner, and an agent's wish for one."""
+
+import asyncio
+import contextlib
+import logging
+from typing import ClassVar
+
+from .. import defaults, events
+from ..decisions.storequeue import StoreQueue
+from ..exceptions import (
+    ConsensusError,
+    Forbidden,
+    ImplausibleDemand,
+    LinkError,
+    NotLeader,
+    PeerUnavailable,
+)
+from ..kernel import Kernel, Service
+from ..messages.servers import AskStore, HoldStore, ReleaseStore, StoreTurn
+from .control import FLEET_GROUP
+from .link import Peer
+
+__all__ = ["StoreOwner", "StoreWish"]
+
+_logger = logging.getLogger(__name__)
+
+
+class StoreOwner(Service):
+    """Gives the turns at the store: the leader of the fleet's log."""
+
+    name: ClassVar[str] = "store-owner"
+    requires: ClassVar[tuple[str, ...]] = ("process", "log", "control")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._queue: StoreQueue | None = None
+        self._started = _now()
+        self._metrics = kernel.find("process").metrics
+
+    async def start(self) -> None:
+        """Answer agents."""
+        control = self.kernel.find("control")
+        control.handle(AskStore, self._ask)
+        control.handle(HoldStore, self._hold)
+        control.handle(ReleaseStore, self._release)
+        self._metrics.watch(
+            "store_loads_at_once", lambda: self._queue.at_once if self._queue else 0
+        )
+
+    def _lead(self) -> StoreQueue:
+        """Return the owner's state, new in each time of leading.
+
+        Raises:
+            NotLeader: If this host does not lead.
+        """
+        log = self.kernel.find("log")
+        if not log.is_leader(FLEET_GROUP):
+            self._queue = None
+            raise NotLeader(FLEET_GROUP, log.leader(FLEET_GROUP))
+        if self._queue is None:
+            age_s = _now() - self._started
+            is_first = (
+                self.kernel.settings.fleet.first_start and age_s < defaults.FOUNDING_S
+            )
+            self._queue = StoreQueue(_now(), is_first)
+        return self._queue
+
+    def _ask(self, peer: Peer, wish: AskStore) -> StoreTurn:
+        _check_agent(peer)
+        queue = self._lead()
+        load_s = wish.load_ms / defaults.MS_PER_S
+        try:
+            turn = queue.ask(
+                wish.address, wish.model, wish.weight, load_s, _now(), wish.at_once
+            )
+        except ImplausibleDemand as error:
+            self._metrics.count("demands_dropped_total")
+            events.emit(
+                _logger, events.DEMAND_DROPPED, peer=peer.node, want=wish, error=error
+            )
+            return StoreTurn(False, queue.at_once)
+        outcome = "granted" if turn.is_granted else "denied"
+        self._metrics.count("store_turns_total", outcome=outcome)
+        return StoreTurn(*turn)
+
+    def _hold(self, peer: Peer, held: HoldStore) -> None:
+        _check_agent(peer)
+        with contextlib.suppress(NotLeader):
+            self._lead().hold(held.address, held.model, _now(), held.at_once)
+
+    def _release(self, peer: Peer, released: ReleaseStore) -> None:
+        _check_agent(peer)
+        with contextlib.suppress(NotLeader):
+            queue = self._lead()
+            before = queue.at_once
+            queue.release(released.address, released.is_complete, _now())
+            if queue.at_once != before:
+                events.emit(
+                    _logger,
+                    events.STORE_SPEED_LEARNED,
+                    at_once=queue.at_once,
+                    before=before,
+                    engine=released.address,
+                )
+
+
+class StoreWish:
+    """One agent's wish for a turn, and the turn that it has.
+
+    Attributes:
+        at_once: Loads that the store serves at full speed, as the owner said last; 0 if
+            it said nothing.
+    """
+
+    def __init__(self, kernel: Kernel, address: str) -> None:
+        self._kernel = kernel
+        self._address = address
+        self.at_once = 0
+        self._model = ""
+        self._granted_at = 0.0
+        self._held_at = 0.0
+        self._is_loading = False
+        self._silent_until = float("-inf")
+        self._metrics = kernel.find("process").metrics
+
+    @property
+    def has_owner(self) -> bool:
+        """Whether the owner answers, as far as this agent knows."""
+        return _now() >= self._silent_until
+
+    async def ask(self, model: str, weight: float, load_s: float) -> bool:
+        """Return whether the engine may load a model from the store now.
+
+        Without an owner it may: the agent has looked at what other engines load.
+        """
+        if self._model == model:
+            return True
+        self.release(is_complete=False)
+        if self.has_owner:
+            turn = await self._ask_owner(model, weight, load_s)
+            if turn is not None:
+                self.at_once = turn.at_once
+                if not turn.is_granted:
+                    return False
+        self._model = model
+        self._granted_at = self._held_at = _now()
+        return True
+
+    async def _ask_owner(
+        self, model: str, weight: float, load_s: float
+    ) -> StoreTurn | None:
+        load_ms = int(load_s * defaults.MS_PER_S)
+        wish = AskStore(self._address, model, weight, load_ms, self.at_once)
+        try:
+            return await self._kernel.find("controllers").request_repeatable(
+                FLEET_GROUP,
+                wish,
+                defaults.STORE_ASK_TIMEOUT_S,
+                defaults.CONTROL_QUICK_ATTEMPT_S,
+            )
+        except (ConsensusError, LinkError) as error:
+            self._silent_until = _now() + defaults.STORE_SILENT_S
+            self._metrics.count("store_owner_silent_total")
+            events.emit(_logger, events.STORE_OWNER_SILENT, model=model, error=error)
+            return None
+
+    def note_loading(self) -> None:
+        """Note that the load has begun."""
+        self._is_loading = True
+
+    def renew(self) -> None:
+        """Repeat that the turn is in use; give it back if it is not used."""
+        if not self._model:
+            return
+        if not self._is_loading and _now() - self._granted_at > defaults.STORE_UNUSED_S:
+            self.release(is_complete=False)
+        elif _now() - self._held_at >= defaults.STORE_HOLD_S:
+            self._held_at = _now()
+            self._send(HoldStore(self._address, self._model, self.at_once))
+
+    def release(self, is_complete: bool) -> None:
+        """Give the turn back, if there is one."""
+        if self._model:
+            self._model = ""
+            self._is_loading = False
+            self._send(ReleaseStore(self._address, is_complete))
+
+    def _send(self, message: HoldStore | ReleaseStore) -> None:
+        """Tell the owner; one that does not hear of it forgets the turn in time."""
+        link = self._kernel.find("controllers").find_leader(FLEET_GROUP)
+        if link is None:
+            return
+        try:
+            link.send(message)
+        except PeerUnavailable:
+            self._metrics.count("store_messages_lost_total")
+
+
+def _check_agent(peer: Peer) -> None:
+    if peer.hello is None or peer.hello.role != "agent":
+        raise Forbidden("only an agent may load from the store")
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -250,6 +250,19 @@
     assert residency.choose(status, copies, 60.0) is None
 
 
+def test_load_from_the_store_waits_for_its_turn():
+    """Pattern: the store's owner has said no; what is at hand is loaded meanwhile."""
+    residency = build_residency()
+    residency.note_want("entry", "m2", 9, 9.0, 1.0)
+    assert residency.choose(build_status([]), COMPLETE, 1.5).fetches == "m2"
+    residency.store_closed_until = 2.0
+    residency.note_want("entry", "m1", 1, 1.0, 1.5)
+    intent = residency.choose(build_status([], on_disk=("m1",)), COMPLETE, 1.6)
+    assert (intent.model, intent.fetches) == ("m1", "")
+    assert residency.choose(build_status([]), COMPLETE, 1.6) is None
+    assert residency.held_back["m2"] == "store_busy"
+
+
 def test_copies_are_not_moved_about():
     """A copy that displaces one of two is not worth the load."""
     residency = build_residency(disk_mb=150_000.0)
--- /dev/null
+++ b/tests/test_storequeue.py
@@ -0,0 +1,162 @@
+"""Turns at the weight store: who loads next, and how many at once."""
+
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jasminewharf.decisions.storequeue import (
+    DEFAULT_AT_ONCE,
+    StoreQueue,
+    estimate_at_once,
+)
+from jasminewharf.exceptions import ImplausibleDemand
+
+ALONE_S = 6.0
+
+
+@pytest.mark.parametrize(
+    ("weight", "alone_s"),
+    [(math.nan, 6.0), (math.inf, 6.0), (-1.0, 6.0), (1.0, -6.0), (1.0, math.nan)],
+)
+def test_wish_that_cannot_be_true_gets_no_turn(weight, alone_s):
+    """One faulty agent must not claim all turns."""
+    queue = StoreQueue(0.0, is_first=True)
+    with pytest.raises(ImplausibleDemand):
+        queue.ask("faulty", "m0", weight, alone_s, 0.0)
+    assert queue.ask("a", "m0", 1.0, ALONE_S, 0.0).is_granted
+
+
+def play_store(queue, at_once, engines, seconds, step_s=0.1):
+    """Keep engines loading, each another model, from a store that serves so many.
+
+    Returns:
+        The most loads at once in the second half.
+    """
+    left: dict[str, float] = {}
+    models: dict[str, str] = {}
+    most = 0
+    for number in range(int(seconds / step_s)):
+        now = number * step_s
+        speed = min(at_once / max(len(left), 1), 1.0)
+        left = {name: rest - speed * step_s for name, rest in left.items()}
+        for name in [name for name, rest in left.items() if rest <= 0]:
+            del left[name]
+            queue.release(name, True, now)
+        for engine in engines:
+            if engine in left:
+                queue.hold(engine, models[engine], now, 0)
+                continue
+            model = f"{engine}-{number}"
+            if queue.ask(engine, model, 1.0, ALONE_S, now).is_granted:
+                models[engine] = model
+                left[engine] = ALONE_S
+        if now > seconds / 2:
+            most = max(most, len(left))
+    return most
+
+
+def test_models_with_more_callers_load_first():
+    """Pattern: ten engines wait for the store when a place falls free."""
+    queue = StoreQueue(0.0, is_first=True)
+    queue.at_once = 1
+    assert queue.ask("a", "m0", 1.0, ALONE_S, 0.0).is_granted
+    assert not queue.ask("b", "m1", 1.0, ALONE_S, 0.1).is_granted
+    assert not queue.ask("c", "m2", 5.0, ALONE_S, 0.1).is_granted
+    queue.release("a", True, 0.5)
+    assert not queue.ask("b", "m1", 1.0, ALONE_S, 0.6).is_granted
+    assert queue.ask("c", "m2", 5.0, ALONE_S, 0.6).is_granted
+
+
+def test_no_model_is_loaded_by_two_engines_at_once():
+    """Pattern: the entries' wishes for one model reach two engines."""
+    queue = StoreQueue(0.0, is_first=True)
+    assert queue.ask("a", "m0", 9.0, ALONE_S, 0.0).is_granted
+    assert not queue.ask("b", "m0", 9.0, ALONE_S, 0.0).is_granted
+    assert queue.ask("b", "m1", 1.0, ALONE_S, 0.1).is_granted
+
+
+def test_wish_that_is_not_repeated_keeps_nobody_waiting():
+    """Pattern: an agent that waits for the store is lost, or its callers leave."""
+    queue = StoreQueue(0.0, is_first=True)
+    queue.at_once = 1
+    queue.ask("a", "m0", 1.0, ALONE_S, 0.0)
+    queue.ask("b", "m1", 9.0, ALONE_S, 0.0)
+    queue.release("a", True, 0.1)
+    assert not queue.ask("c", "m2", 1.0, ALONE_S, 0.2).is_granted
+    assert queue.ask("c", "m2", 1.0, ALONE_S, 1.5).is_granted
+
+
+def test_load_that_is_not_heard_of_frees_its_place():
+    """Pattern: an engine is lost in the middle of a load; nobody ends it."""
+    queue = StoreQueue(0.0, is_first=True)
+    queue.at_once = 1
+    queue.ask("a", "m0", 1.0, ALONE_S, 0.0)
+    queue.hold("a", "m0", 2.0, 0)
+    assert not queue.ask("b", "m1", 1.0, ALONE_S, 4.0).is_granted
+    assert queue.ask("b", "m1", 1.0, ALONE_S, 5.5).is_granted
+
+
+def test_engine_that_asks_again_loads_nothing():
+    """Word of the end of its last load was lost; it must not wait for itself."""
+    queue = StoreQueue(0.0, is_first=True)
+    assert queue.ask("a", "m0", 1.0, ALONE_S, 0.0).is_granted
+    assert queue.ask("a", "m0", 1.0, ALONE_S, 0.5).is_granted
+
+
+def test_owner_that_takes_over_hears_of_loads_first():
+    """Pattern: the leader is lost while the store is busy."""
+    queue = StoreQueue(10.0, is_first=False)
+    assert not queue.ask("a", "m0", 1.0, ALONE_S, 10.1, 2).is_granted
+    for engine in ("b", "c"):
+        queue.hold(engine, f"m-{engine}", 11.0, 2)
+    assert not queue.ask("a", "m0", 1.0, ALONE_S, 11.6, 2).is_granted
+    queue.release("b", True, 11.8)
+    assert queue.ask("a", "m0", 1.0, ALONE_S, 11.9, 2).is_granted
+
+
+def test_number_at_once_is_learned_from_slow_loads():
+    """Pattern: the store serves fewer at full speed than were let begin.
+
+    Each load then takes longer, and the first one is there no sooner than the last.
+    """
+    queue = StoreQueue(0.0, is_first=True)
+    engines = [f"e{n}" for n in range(8)]
+    assert play_store(queue, 1, engines, 45.0) == 1
+
+
+def test_number_at_once_is_learned_from_fast_loads():
+    """Pattern: the store serves more at full speed than were let begin."""
+    queue = StoreQueue(0.0, is_first=True)
+    engines = [f"e{n}" for n in range(8)]
+    assert play_store(queue, 8, engines, 120.0) > DEFAULT_AT_ONCE
+
+
+@given(st.integers(1, 8), st.lists(st.tuples(st.integers(1, 8), st.floats(0.5, 4.0))))
+def test_estimate_finds_the_number_that_explains_a_load(at_once, parts):
+    seconds = {n: s for n, s in parts if n > at_once}
+    if not seconds:
+        return
+    alone_s = sum(s * min(at_once / n, 1.0) for n, s in seconds.items())
+    assert estimate_at_once(seconds, 1, alone_s) == at_once
+
+
+@given(st.integers(1, 6), st.integers(1, 8))
+def test_estimate_finds_the_number_where_a_load_keeps_its_first_speed(at_once, beside):
+    """Pattern: the store slows a load by those that ran when it began."""
+    took_s = ALONE_S * max(beside / at_once, 1.0)
+    found = estimate_at_once({1: took_s}, beside, ALONE_S)
+    assert found == min(at_once, beside)
+
+
+def test_load_that_began_alone_does_not_raise_the_number():
+    """Pattern: the first of three loads keeps its speed, those after it are slow."""
+    queue = StoreQueue(0.0, is_first=True)
+    for name in "abc":
+        assert queue.ask(name, f"m-{name}", 1.0, ALONE_S, 0.0).is_granted
+    for now in (2.0, 4.0):
+        for name in "abc":
+            queue.hold(name, f"m-{name}", now, 0)
+    queue.release("a", True, ALONE_S)
+    assert queue.at_once == DEFAULT_AT_ONCE
