--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -53,6 +53,12 @@
 # Copies of each model that the fleet keeps: one is lost with its engine, and the
 # other loads of a busy engine keep it waiting.
 _COPIES_KEPT = 2
+# What a first copy in the fleet is worth at the store, beside copies of other models.
+_FIRST_COPY_WEIGHT = 0.01
+# How long engines leave the store to those that fetch a first copy.
+_FIRST_COPIES_S = 2.0
+# How long nobody has asked for anything before a model makes room for a first copy.
+_QUIET_S = 2.0
 # Models wanted a second above which an engine has no time for a load from the store
 # that nobody waits for.
 _CALM_RATE = 0.2
@@ -99,6 +105,11 @@
         self._adapter_misses = EventRate(_USE_WINDOW_S)
         self._want_rate = EventRate(_WANT_WINDOW_S)
         self._use_known_from = float("inf")
+        self._asked_at = float("-inf")
+        # What made room for a first copy, until it is back; and that copy's model.
+        self._displaced = ""
+        self._displaced_for = ""
+        self._lacking_since = float("inf")
         self.held_back: dict[str, str] = {}
         self.store_closed_until = float("-inf")
 
@@ -152,6 +163,7 @@
         # would bring the model back right after it has made room.
         if model not in self._models or model in self._held:
             return False
+        self._asked_at = now
         # An engine that nobody uses hears of no use, however long it waits.
         self._use_known_from = min(self._use_known_from, now + _LEARN_S)
         is_new = self._wants.note(peer, model, callers, now)
@@ -170,7 +182,7 @@
             if in_flight > 0:
                 current[name] = in_flight
             if in_flight > 0 or begun > 0:
-                self._used_at[name] = now
+                self._used_at[name] = self._asked_at = now
             if begun > 0:
                 self._rates.setdefault(name, EventRate(_USE_WINDOW_S)).add(begun, now)
 
@@ -237,6 +249,8 @@
             return intent
         self.held_back = {}
         wanted = self._rank(self.wanted_models(now), status, copies, now)
+        if wanted:
+            self._displaced = ""
         for model in wanted:
             reason = self._find_obstacle(model, status, copies, now)
             intent = None if reason else self._make_way(model, status, now)
@@ -246,7 +260,7 @@
             if intent is not None:
                 return intent
             self.held_back[model] = reason or "no_room"
-        return None if wanted else self._warm(status, copies, now)
+        return None if wanted else self._choose_copy(status, copies, now)
 
     def _find_obstacle(
         self, model: str, status: EngineStatus, copies: FleetCopies, now: float
@@ -460,10 +474,67 @@
                 rank_by_hash(copies.own, name),
             ),
         )
+        is_first = not copies.count(model)
+        if not is_first and self._leaves_store(copies, now):
+            return None
+        weight = _FIRST_COPY_WEIGHT if is_first else 0.0
         if self._free_mb(status) >= self._models[model].weights_mb:
-            return Intent(True, model, reason="copy", fetches=model)
+            return Intent(True, model, reason="copy", fetches=model, weight=weight)
         victim = self._choose_spare(status, copies, now)
-        return Intent(False, victim, reason="copy", fetches=model) if victim else None
+        if not victim and is_first:
+            victim = self._displaced = self._choose_lender(status, copies, now)
+            self._displaced_for = model
+        if not victim:
+            return None
+        return Intent(False, victim, reason="copy", fetches=model, weight=weight)
+
+    def _leaves_store(self, copies: FleetCopies, now: float) -> bool:
+        """Return whether other engines may come first with models that lack a copy."""
+        if all(copies.count(name) for name in self._models):
+            self._lacking_since = float("inf")
+            return False
+        self._lacking_since = min(self._lacking_since, now)
+        return now - self._lacking_since < _FIRST_COPIES_S
+
+    def _choose_copy(
+        self, status: EngineStatus, copies: FleetCopies, now: float
+    ) -> Intent | None:
+        """Return what to order while nobody waits: copies, and what made room."""
+        if not self._displaced or self._displaced in self._held:
+            return self._warm(status, copies, now)
+        if self._displaced_for not in self._held:
+            warming = self._warm(status, copies, now)
+            if warming is not None and warming.loads:
+                return warming
+        return self._restore(status, now)
+
+    def _restore(self, status: EngineStatus, now: float) -> Intent | None:
+        """Bring back a model that made room for a first copy."""
+        name, copied = self._displaced, self._displaced_for
+        is_possible = name in self._models and not self._is_remote(name, status)
+        if is_possible and self._free_mb(status) >= self._models[name].weights_mb:
+            return Intent(True, name, reason="return")
+        if is_possible and copied in self._held and not self.in_flight(copied, now):
+            return Intent(False, copied, reason="return")
+        self._displaced = ""
+        return None
+
+    def _choose_lender(
+        self, status: EngineStatus, copies: FleetCopies, now: float
+    ) -> str:
+        """Return a model that makes room for a first copy while nobody calls.
+
+        It is brought back from this engine's copy at once; should callers come first,
+        another engine has a copy too.
+        """
+        if copies.is_used or now - self._asked_at < _QUIET_S:
+            return ""
+        lenders = [
+            held.model
+            for held in status.models
+            if not self._is_remote(held.model, status) and copies.count(held.model) > 1
+        ]
+        return max(lenders, key=lambda name: copies.count(name), default="")
 
     def _find_scarce(self, status: EngineStatus, copies: FleetCopies) -> list[str]:
         """Return the models with too few copies that this engine is to fetch."""
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from fleetparts import WEIGHTS_MB, build_engine, build_status
+from jasminewharf.decisions.choice import rank_by_hash
 from jasminewharf.decisions.copies import FleetCopies
 from jasminewharf.decisions.residency import Residency
 from jasminewharf.dialects.fleet import HeldModel
@@ -250,6 +251,67 @@
     assert residency.choose(status, copies, 60.0) is None
 
 
+QUIET = COMPLETE._replace(places={**COMPLETE.places, "m2": frozenset()}, is_used=False)
+
+
+def test_first_copy_is_fetched_before_anybody_calls():
+    """Guards against a store that stands idle until models without a copy are missed.
+
+    Pattern: a fleet starts full, and some models are on none of its engines. The model
+    that made room is back before the first callers come.
+    """
+    residency = build_residency()
+    full = build_status(["m0", "m1"], on_disk=("m0", "m1"))
+    unload = residency.choose(full, QUIET, 0.0)
+    assert (unload.loads, unload.fetches) == (False, "m2")
+    lent, kept = unload.model, ({"m0", "m1"} - {unload.model}).pop()
+    made = build_status([kept], on_disk=("m0", "m1"))
+    load = residency.choose(made, QUIET, 0.2)
+    assert (load.loads, load.model, load.fetches) == (True, "m2", "m2")
+    places = {**QUIET.places, "m2": frozenset({"own"})}
+    copied = QUIET._replace(places=places)
+    held = build_status([kept, "m2"], on_disk=("m0", "m1", "m2"))
+    assert residency.choose(held, copied, 8.0)[:2] == (False, "m2")
+    made = build_status([kept], on_disk=("m0", "m1", "m2"))
+    assert residency.choose(made, copied, 8.2)[:2] == (True, lent)
+    back = build_status([kept, lent], on_disk=("m0", "m1", "m2"))
+    assert residency.choose(back, copied, 10.0) is None
+
+
+def test_second_copies_leave_the_store_to_first_ones():
+    """Pattern: a fleet starts, and the store is taken for models that have a copy."""
+    residency = build_residency()
+    places = {**COMPLETE.places, "m2": frozenset({"b"}), "m3": frozenset()}
+    copies = COMPLETE._replace(places=places, calm=frozenset({"own", "b"}))
+    rival = next(
+        name
+        for name in "bcdefgh"
+        if rank_by_hash("m3", name) < rank_by_hash("m3", "own")
+    )
+    copies = copies._replace(calm=frozenset({"own", rival}))
+    assert residency.choose(build_status([]), copies, 0.0) is None
+    intent = residency.choose(build_status([]), copies, 2.5)
+    assert (intent.model, intent.weight) == ("m2", 0.0)
+
+
+def test_no_model_makes_room_for_a_copy_while_others_are_used():
+    """Pattern: the fleet is used at some engines, and this one has a calm moment."""
+    residency = build_residency()
+    full = build_status(["m0", "m1"], on_disk=("m0", "m1"))
+    assert residency.choose(full, QUIET._replace(is_used=True), 0.0) is None
+    residency.note_use("entry", [("m0", 0, 1)], 9.0)
+    assert residency.choose(full, QUIET, 10.0) is None
+    assert residency.choose(full, QUIET, 12.0).fetches == "m2"
+
+
+def test_only_copy_makes_no_room_for_a_first_one():
+    """Its callers would wait for the whole load if they come during it."""
+    residency = build_residency(places=1)
+    copies = QUIET._replace(places={**QUIET.places, "m0": frozenset({"own"})})
+    status = build_status(["m0"], on_disk=("m0",))
+    assert residency.choose(status, copies, 0.0) is None
+
+
 def test_load_from_the_store_waits_for_its_turn():
     """Pattern: the store's owner has said no; what is at hand is loaded meanwhile."""
     residency = build_residency()
