--- a/src/jasminewharf/decisions/copies.py
+++ b/src/jasminewharf/decisions/copies.py
@@ -26,8 +26,9 @@
     the engines that have or load a copy; ``calm`` are the engines with nothing to
     load, ``own`` this one. ``warming`` counts loads from the store in progress;
     ``is_used`` tells that requests run anywhere. ``loading`` are the models that other
-    engines load, from anywhere. ``has_owner`` tells that the owner of the store's turns
-    answers, so that ``warming`` need not be judged here.
+    engines load, from anywhere, and ``held`` those that other engines hold.
+    ``has_owner`` tells that the owner of the store's turns answers, so that ``warming``
+    need not be judged here.
     """
 
     is_complete: bool
@@ -38,6 +39,7 @@
     warming: int
     is_used: bool
     loading: frozenset[str] = frozenset()
+    held: frozenset[str] = frozenset()
     has_owner: bool = False
 
     def count(self, model: str) -> int:
@@ -85,6 +87,7 @@
     others = [report for report in reports if report.address != copies.own]
     return copies._replace(
         loading=frozenset(report.changing for report in others if report.is_loading),
+        held=frozenset(item.model for report in others for item in report.models),
         warming=sum(is_fetching(report) for report in others),
     )
 
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -43,6 +43,8 @@
 _IDLE_S = 2.0
 # Holders that a model placed on many engines keeps when others make room.
 _KEPT_HOLDERS = 2
+# How long entries may repeat a want after another engine has loaded the model.
+_STALE_WANT_S = 0.5
 # How long an engine waits after an order, and a model after it was first asked for,
 # before it is fetched from the store: entries ask within this time for what the engine
 # has at hand.
@@ -110,6 +112,8 @@
         self._displaced = ""
         self._displaced_for = ""
         self._lacking_since = float("inf")
+        # Since when other engines hold a model.
+        self._elsewhere_since: dict[str, float] = {}
         self.held_back: dict[str, str] = {}
         self.store_closed_until = float("-inf")
 
@@ -239,6 +243,9 @@
         if self._spec is None:
             return None
         self._note_held(status, now)
+        self._elsewhere_since = {
+            name: self._elsewhere_since.get(name, now) for name in copies.held
+        }
         if status.is_busy:
             self._free_since = now
         # The engine takes no order for an adapter either while a model changes.
@@ -269,6 +276,9 @@
         # Its callers go where it is loaded: a second load would serve nobody.
         if model in copies.loading:
             return "loaded_elsewhere"
+        held_since = self._elsewhere_since.get(model, float("-inf"))
+        if self._wants.find(model).told_at < held_since + _STALE_WANT_S:
+            return "held_elsewhere"
         if not self._is_remote(model, status):
             return ""
         return self._find_fetch_obstacle(model, copies, now)
--- a/src/jasminewharf/decisions/wants.py
+++ b/src/jasminewharf/decisions/wants.py
@@ -50,13 +50,17 @@
 
 
 class ModelWants(NamedTuple):
-    """The callers of a model at all entries; see :class:`Callers`."""
+    """The callers of a model at all entries; see :class:`Callers`.
+
+    They were first asked for ``since`` and last ``told_at``, in monotonic seconds.
+    """
 
     requests: int
     urgency: float
     age_s: float
     returning: int
     since: float
+    told_at: float
 
     @property
     def is_starved(self) -> bool:
@@ -98,6 +102,7 @@
             max(want.callers.age_s for want in wants),
             sum(want.callers.returning for want in wants),
             min(want.since for want in wants),
+            max(want.at for want in wants),
         )
 
     def count_callers(self, model: str) -> int:
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -732,3 +732,59 @@
         )
 
     run_with_fleet(scenario, tmp_path)
+
+
+def test_loads_from_the_store_take_turns(tmp_path):
+    """Guards against loads that slow each other down.
+
+    Pattern: two engines are asked at once for models that neither has a copy of, and
+    the store serves one at full speed.
+    """
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.models = {"m0": set()}
+            engine.load_s = 0.3
+        fleet.kernels[0].find("store-owner")._lead().at_once = 1
+        most = 0
+
+        async def watch():
+            nonlocal most
+            while True:
+                most = max(most, sum(engine.busy for engine in fleet.engines))
+                await asyncio.sleep(0.005)
+
+        watching = asyncio.create_task(watch())
+        answers = await asyncio.gather(
+            *(
+                fleet.call(
+                    "/chat/1",
+                    ("x-model", model),
+                    ("x-token-counts", "100,20"),
+                    request_id=model,
+                )
+                for model in ("m2", "m3")
+            )
+        )
+        watching.cancel()
+        assert [status for status, _, _ in answers] == [200, 200]
+        assert most == 1
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_models_are_loaded_while_the_store_has_no_owner(tmp_path):
+    """Pattern: the control hosts are cut off while a model without a copy is asked for.
+
+    Agents must not wait for turns that nobody gives.
+    """
+
+    async def scenario(fleet):
+        await fleet.kernels[0].stop()
+        absent = (("x-model", "m2"), ("x-token-counts", "100,20"))
+        status, _, _ = await fleet.call("/orders/1", request_id="warm")
+        status, _, _ = await fleet.call("/chat/1", *absent)
+        assert status == 200
+        del fleet.kernels[0]
+
+    run_with_fleet(scenario, tmp_path)
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -523,6 +523,26 @@
     assert residency.choose(status, COMPLETE, 5.0).model == "m1"
 
 
+def test_model_that_another_engine_has_loaded_is_not_loaded_for_old_wants():
+    """Guards against loads, from the store too, whose callers are served elsewhere.
+
+    Pattern: entries ask two engines in turn for one model. The first loads it, and the
+    wants at the second outlast that by a second. Who still asks then lacks it.
+    """
+    residency = build_residency()
+    status = build_status([])
+    residency.note_want("entry", "m1", 3, 3.0, 5.0)
+    loading = COMPLETE._replace(loading=frozenset({"m1"}))
+    assert residency.choose(status, loading, 5.5) is None
+    held = COMPLETE._replace(held=frozenset({"m1"}))
+    assert residency.choose(status, held, 5.6) is None
+    assert residency.held_back == {"m1": "held_elsewhere"}
+    residency.note_want("entry", "m1", 3, 3.0, 6.0)
+    assert residency.choose(status, held, 6.0) is None
+    residency.note_want("entry", "m1", 3, 3.0, 6.2)
+    assert residency.choose(status, held, 6.2).model == "m1"
+
+
 def test_refused_callers_of_all_entries_count_together():
     """Pattern: many entries, each with one refused caller of a lost busy model.
 
