--- a/src/jasminewharf/decisions/storequeue.py
+++ b/src/jasminewharf/decisions/storequeue.py
@@ -27,7 +27,9 @@
 # Part of a load that has to run beside as many as may for it to tell that more could.
 _TELLING_PART = 0.7
 # After loads were slowed down, one more beside them is not tried for this long.
-_RAISE_PAUSE_S = 30.0
+_RAISE_PAUSE_S = 20.0
+# Loads that have to be slowed down before fewer may begin; one may be a slow engine's.
+_SLOWED_LOADS = 2
 
 
 class Turn(NamedTuple):
@@ -45,20 +47,18 @@
 
 
 class _Load:
-    """A load under way.
+    """A turn, and the load that follows once the engine has made room.
 
-    ``beside`` loads ran when it began, itself counted; ``seconds`` are spent beside so
-    many.
+    ``beside`` loads ran when it began, itself counted, 0 before; ``seconds`` are spent
+    beside so many. Of a load that this owner did not give the turn for, ``alone_s`` is
+    0: it teaches nothing.
     """
 
-    def __init__(
-        self, model: str, alone_s: float, now: float, beside: int, is_whole: bool
-    ) -> None:
+    def __init__(self, model: str, alone_s: float, now: float) -> None:
         self.model = model
         self.alone_s = alone_s
         self.heard_at = now
-        self.beside = beside
-        self.is_whole = is_whole
+        self.beside = 0
         self.seconds: dict[int, float] = {}
 
 
@@ -78,6 +78,7 @@
         self._counted_at = now
         self._raises_at = now
         self._is_learned = False
+        self._slowed = 0
 
     def ask(
         self,
@@ -114,24 +115,40 @@
         is_granted = now >= self._opens_at and self._is_next(engine)
         if is_granted:
             del self._wishes[engine]
-            beside = len(self._loads) + 1
-            self._loads[engine] = _Load(model, alone_s, now, beside, is_whole=True)
+            self._loads[engine] = _Load(model, alone_s, now)
         return Turn(is_granted, self.at_once)
 
-    def hold(self, engine: str, model: str, now: float, known_at_once: int) -> None:
-        """Note that a load is under way, granted or not."""
+    def hold(
+        self,
+        engine: str,
+        model: str,
+        is_loading: bool,
+        now: float,
+        known_at_once: int = 0,
+    ) -> None:
+        """Note that an engine uses its turn, granted here or not.
+
+        Args:
+            engine: Who uses it; it repeats this.
+            model: What the turn is for.
+            is_loading: Whether the load has begun.
+            now: Monotonic seconds.
+            known_at_once: What the engine has heard of the owner; 0 if nothing.
+        """
         self._advance(now)
         self._adopt(known_at_once)
         load = self._loads.get(engine)
         if load is None or load.model != model:
-            load = self._loads[engine] = _Load(model, 0.0, now, 0, is_whole=False)
+            load = self._loads[engine] = _Load(model, 0.0, now)
         load.heard_at = now
+        if is_loading and not load.beside:
+            load.beside = 1 + sum(1 for other in self._loads.values() if other.beside)
 
     def release(self, engine: str, is_complete: bool, now: float) -> None:
         """Note that an engine loads no more; learn from it if the load was whole."""
         self._advance(now)
         load = self._loads.pop(engine, None)
-        if load is not None and load.is_whole and is_complete and load.alone_s > 0:
+        if load is not None and is_complete and load.alone_s > 0 and load.seconds:
             self._learn(load, now)
 
     def _is_next(self, engine: str) -> bool:
@@ -153,8 +170,9 @@
 
     def _advance(self, now: float) -> None:
         """Count the time since the last call, then drop what was not repeated."""
-        beside = len(self._loads)
-        for load in self._loads.values():
+        begun = [load for load in self._loads.values() if load.beside]
+        beside = len(begun)
+        for load in begun:
             passed_s = load.seconds.get(beside, 0.0) + now - self._counted_at
             load.seconds[beside] = passed_s
         self._counted_at = now
@@ -180,6 +198,9 @@
         self._is_learned = True
         if took_s > load.alone_s * _SLOWED:
             if estimate_at_once(load.seconds, load.beside, load.alone_s) < self.at_once:
+                self._slowed += 1
+            if self._slowed >= _SLOWED_LOADS:
+                self._slowed = 0
                 self.at_once = max(self.at_once - 1, 1)
                 self._raises_at = now + _RAISE_PAUSE_S
             return
@@ -187,6 +208,8 @@
         is_telling = load.beside >= self.at_once and (
             full_s > load.alone_s * _TELLING_PART
         )
+        if is_telling:
+            self._slowed = 0
         if is_telling and now >= self._raises_at:
             self.at_once = min(self.at_once + 1, _AT_ONCE_LIMIT)
 
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -287,10 +287,14 @@
 
 @message(202)
 class HoldStore(NamedTuple):
-    """An agent's engine loads a model from the store; repeated while it does."""
+    """An agent's engine uses its turn at the store; repeated while it does.
+
+    ``is_loading`` is false while the engine makes room for the model.
+    """
 
     address: str
     model: str
+    is_loading: bool
     at_once: int = 0
 
 
--- a/src/jasminewharf/services/storeturns.py
+++ b/src/jasminewharf/services/storeturns.py
@@ -86,7 +86,9 @@
     def _hold(self, peer: Peer, held: HoldStore) -> None:
         _check_agent(peer)
         with contextlib.suppress(NotLeader):
-            self._lead().hold(held.address, held.model, _now(), held.at_once)
+            self._lead().hold(
+                held.address, held.model, held.is_loading, _now(), held.at_once
+            )
 
     def _release(self, peer: Peer, released: ReleaseStore) -> None:
         _check_agent(peer)
@@ -165,8 +167,9 @@
             return None
 
     def note_loading(self) -> None:
-        """Note that the load has begun."""
+        """Note that the load begins now."""
         self._is_loading = True
+        self._hold()
 
     def renew(self) -> None:
         """Repeat that the turn is in use; give it back if it is not used."""
@@ -175,8 +178,13 @@
         if not self._is_loading and _now() - self._granted_at > defaults.STORE_UNUSED_S:
             self.release(is_complete=False)
         elif _now() - self._held_at >= defaults.STORE_HOLD_S:
-            self._held_at = _now()
-            self._send(HoldStore(self._address, self._model, self.at_once))
+            self._hold()
+
+    def _hold(self) -> None:
+        self._held_at = _now()
+        self._send(
+            HoldStore(self._address, self._model, self._is_loading, self.at_once)
+        )
 
     def release(self, is_complete: bool) -> None:
         """Give the turn back, if there is one."""
