--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -294,6 +294,18 @@
     assert (intent.model, intent.weight) == ("m2", 0.0)
 
 
+def test_copy_of_an_engine_that_is_found_late_is_not_fetched():
+    """Guards against a store that is busy with models that need it least.
+
+    Pattern: a fleet starts, and the list names the last engine a second after the rest.
+    Models that only it has a copy of look like models without one until then.
+    """
+    residency = build_residency()
+    full = build_status(["m0", "m1"], on_disk=("m0", "m1"))
+    assert residency.choose(full, QUIET, 0.0) is None
+    assert residency.choose(full, COMPLETE, 1.0) is None
+
+
 def test_no_model_makes_room_for_a_copy_while_others_are_used():
     """Pattern: the fleet is used at some engines, and this one has a calm moment."""
     residency = build_residency()
