--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -307,7 +307,10 @@
     def _find_fetch_obstacle(self, model: str, copies: FleetCopies, now: float) -> str:
         """Return why no load from the store may begin beside those of others."""
         wants = self._wants.find(model)
-        if now - max(wants.since, self._free_since) < _FETCH_PAUSE_S:
+        # An engine that swaps all the time would never fetch what outweighs the swaps.
+        is_first = not self.held_back and not copies.count(model)
+        waits_since = wants.since if is_first else max(wants.since, self._free_since)
+        if now - waits_since < _FETCH_PAUSE_S:
             return "fetch_pause"
         if now < self.store_closed_until:
             return "store_busy"
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -324,6 +324,22 @@
     assert residency.choose(status, copies, 0.0) is None
 
 
+def test_engine_that_swaps_all_the_time_fetches_what_outweighs_its_swaps():
+    """Guards against a store that stands idle while a model lacks a copy.
+
+    Pattern: an engine has copies of all rare models but one, and never a pause.
+    """
+    residency = build_residency(places=1)
+    swapping = build_status([], on_disk=("m1",), is_busy=True)
+    lacking = COMPLETE._replace(places={**COMPLETE.places, "m2": frozenset()})
+    residency.note_want("entry", "m2", 20, 20.0, 1.0)
+    residency.choose(swapping, lacking, 1.5)
+    residency.note_want("entry", "m1", 1, 1.0, 1.5)
+    idle = build_status([], on_disk=("m1",))
+    assert residency.choose(idle, lacking, 1.55).fetches == "m2"
+    assert residency.choose(idle, COMPLETE, 1.55).model == "m1"
+
+
 def test_load_from_the_store_waits_for_its_turn():
     """Pattern: the store's owner has said no; what is at hand is loaded meanwhile."""
     residency = build_residency()
