Reserve the ports of test fleets across test runs

Cause: the port of a fleet followed from the number of its worker alone, so that two test runs on one machine gave their fleets the same ports and failed to listen. Change: a bound socket on an address of its own marks a block of ports as taken, and the blocks lie below the range of ports for outgoing connections, from which the kernel could have taken one before the fleet listened.

--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -5,9 +5,9 @@
 """
 
 import asyncio
-import itertools
 import json
 import os
+import socket
 from contextlib import asynccontextmanager
 
 from jasminewharf.interfaces.roles import build_kernel
@@ -15,10 +15,11 @@
 from platformfakes import FakeList, FakeReplica, send
 from support import wait_until
 
-_PORTS = itertools.count(0)
-_FIRST_PORT = 21_000
-_PORTS_PER_FLEET = 10
-_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+# Below the range from which the kernel takes ports for outgoing connections.
+_PORTS = range(10_000, 32_000, 10)
+# No fleet listens here; a bound socket marks the ports as taken for other processes.
+_RESERVATION_HOST = "127.0.0.250"
+_reservations = []
 
 KEY = ("api-key", "key-1")
 HOST = ("host", "a.example")
@@ -192,8 +193,19 @@
 
 
 def pick_base():
-    """Return the first port of a fleet that no other test uses."""
-    return _FIRST_PORT + _WORKER * 1_000 + next(_PORTS) * _PORTS_PER_FLEET
+    """Return the first port of a fleet that no other test uses, also of other runs."""
+    taken = len(_reservations)
+    start = (os.getpid() * 97 + taken) % len(_PORTS)
+    for base in (*_PORTS[start:], *_PORTS[:start]):
+        reservation = socket.socket()
+        try:
+            reservation.bind((_RESERVATION_HOST, base))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return base
+    raise OSError("no free ports for another fleet")
 
 
 @asynccontextmanager
