Reproduce a change that an entry learns of late from a silent control host

What callers saw: a change that had been acknowledged was not in force in time. The tests put a feed beside three control hosts, of which the feeding one answers nothing or cannot confirm, while the others commit a change. Event 407 tells when a node changes the host that feeds it, from which to which and why; until now the log could not tell this from a slow change.

--- a/src/jasminewharf/services/feed.py
+++ b/src/jasminewharf/services/feed.py
@@ -172,6 +172,14 @@
         for step in range(1, len(ranked)):
             name = ranked[(position + step) % len(ranked)]
             if links[name].is_connected:
+                events.emit(
+                    _logger,
+                    events.FEED_MOVED,
+                    previous=self.source,
+                    source=name,
+                    reason="late",
+                    version=self.state.version,
+                )
                 self.source = name
                 self._subscribe(links[name])
                 return
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,158 @@
+"""A node's view of the fleet, fed by control hosts that answer, lag or are silent."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from jasminewharf.exceptions import LinkTimeout, QuorumLost
+from jasminewharf.messages import encode
+from jasminewharf.messages.commands import ReplaceConfiguration
+from jasminewharf.messages.feed import (
+    ConfirmFreshness,
+    FeedChanges,
+    FreshnessConfirmed,
+    Subscribe,
+)
+from jasminewharf.services.feed import Feed
+from jasminewharf.settings import TimingSettings
+
+# Operators expect each entry to work by a change this long after its acknowledgement.
+IN_FORCE_S = 2.0
+
+
+class Host:
+    """A control host at the other end of a link.
+
+    Attributes:
+        version: What it has applied, and the quorum has confirmed unless it lags.
+        fault: ``silent`` answers nothing, ``lagging`` cannot confirm; else none.
+    """
+
+    is_connected = True
+
+    def __init__(self, name, deliver):
+        self.name = name
+        self.version = 0
+        self.fault = ""
+        self.welcome = SimpleNamespace(zone="zone-a")
+        self.subscriptions = 0
+        self._deliver = deliver
+        self._subscribed = None
+
+    def send(self, message):
+        assert isinstance(message, Subscribe)
+        self.subscriptions += 1
+        self._subscribed = message.version
+        self.push()
+
+    def push(self):
+        known = self._subscribed
+        if self.fault == "silent" or known is None or known >= self.version:
+            return
+        body = encode(ReplaceConfiguration(self.version, "highest", b""))
+        changes = FeedChanges(known, self.version, [(self.version, body)])
+        self._subscribed = self.version
+        self._deliver(self.name, changes)
+
+    async def request(self, message, timeout_s):
+        assert isinstance(message, ConfirmFreshness)
+        if self.fault == "silent":
+            await asyncio.sleep(timeout_s)
+            raise LinkTimeout("no answer")
+        if self.fault == "lagging":
+            raise QuorumLost("no leader")
+        return FreshnessConfirmed(message.nonce, self.version)
+
+
+class Control:
+    """The control hosts and the kernel that a feed finds them by."""
+
+    def __init__(self, count=3):
+        self.handlers = {}
+        self.hosts = [Host(f"control-{n}", self._deliver) for n in range(count)]
+        self.links = {host.name: host for host in self.hosts}
+        self.settings = SimpleNamespace(
+            node="entry-1", zone="zone-a", timing=TimingSettings()
+        )
+
+    def find(self, name):
+        assert name == "controllers"
+        return self
+
+    def handle(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def _deliver(self, host, changes):
+        asyncio.get_running_loop().call_soon(self.handlers[FeedChanges], host, changes)
+
+    def commit(self):
+        """Commit a change at all hosts that can take part in it."""
+        for host in self.hosts:
+            if not host.fault:
+                host.version += 1
+                host.push()
+
+
+def run_feed(scenario):
+    async def main():
+        control = Control()
+        feed = Feed(control)
+        await feed.start()
+        assert await feed.wait_fresh(2.0)
+        try:
+            await scenario(control, feed)
+        finally:
+            await feed.stop()
+
+    asyncio.run(main())
+
+
+async def wait_version(feed, version):
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    while feed.state.version < version:
+        await asyncio.sleep(0.01)
+    return loop.time() - began_at
+
+
+@pytest.mark.parametrize("fault", ["silent", "lagging"])
+def test_change_is_in_force_in_time_although_the_feeding_host_fails(fault):
+    """An entry kept to the host that fed it, and to the configuration of before."""
+
+    async def scenario(control, feed):
+        control.links[feed.source].fault = fault
+        control.commit()
+        assert await wait_version(feed, 1) < IN_FORCE_S
+        assert control.links[feed.source].fault == ""
+
+    run_feed(scenario)
+
+
+def test_view_stays_confirmed_while_the_feeding_host_is_silent():
+    """An entry was taken out of service although two of three hosts confirmed."""
+
+    async def scenario(control, feed):
+        control.links[feed.source].fault = "silent"
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + 4.0
+        while loop.time() < ends_at:
+            assert feed.is_fresh()
+            await asyncio.sleep(0.02)
+
+    run_feed(scenario)
+
+
+def test_source_stays_while_no_host_can_confirm():
+    """Without a quorum, a new source costs a subscription and confirms nothing."""
+
+    async def scenario(control, feed):
+        source = feed.source
+        asked = sum(host.subscriptions for host in control.hosts)
+        for host in control.hosts:
+            host.fault = "lagging"
+        await asyncio.sleep(2.0)
+        assert feed.source == source
+        assert sum(host.subscriptions for host in control.hosts) == asked
+
+    run_feed(scenario)
