Ask the other control hosts when the one that feeds a node is late

Cause: a node heard of changes from one control host alone and asked no other whether it was still current. A host that stayed connected and fell silent was left after two pings of 0.75 s each had timed out, 2.3 s after its last word, while the others had acknowledged a change; and a node whose hosts could all confirm nothing moved on to another one, and subscribed there, at each failed ping. The class: a node that trusts one peer for what a quorum knows.

Change: a feeding host that has not answered within 0.3 s is backed up by all other connected control hosts. The first confirmation counts. If it names a version that this node does not have, the node follows that host at once; if another host was first twice in a row, it moves. Without any confirmation it stays where it is, and asks the others at most every 0.3 s.

Ruled out: a shorter lease. Found fleets serve known routes past their lease on purpose, so that a loss of the control hosts does not end service; a lease changes nothing there.

Measured: tests/test_feed.py fails on the code before (2.31 s; 24 subscriptions in 2 s) and passes three times in a row; 66 tests of fleets, roles and histories pass.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -141,6 +141,8 @@
 # A node pings this many times per lease, so that two lost pings are borne.
 FRESHNESS_PING_SHARE = 0.25
 FEED_FAILURES_BEFORE_MOVE = 2
+# Without an answer for this long, a node asks the other control hosts too.
+FEED_ANSWER_S = 0.3
 HOST_LIST_INTERVAL_S = 0.5
 CONTROL_RETRY_S = 0.05
 REPORT_INTERVAL_S = 1.0
--- a/src/jasminewharf/services/feed.py
+++ b/src/jasminewharf/services/feed.py
@@ -21,6 +21,7 @@
     Subscribe,
 )
 from ..messages.link import Welcome
+from .link import LinkClient
 
 __all__ = ["Feed"]
 
@@ -49,6 +50,9 @@
         self._interval_s = timing.freshness_lease_s * defaults.FRESHNESS_PING_SHARE
         self._listeners: list[Listener] = []
         self._was_valid = False
+        # Confirmations in a row that another host than the source gave first.
+        self._late_answers = 0
+        self._others_asked_at = float("-inf")
         self._far_until = float("-inf")
         # The welcome of the connection that this node subscribed over.
         self._subscribed: Welcome | None = None
@@ -80,16 +84,13 @@
         return self.is_fresh()
 
     async def _keep_fresh(self) -> None:
-        failures = 0
+        loop = asyncio.get_running_loop()
         while True:
-            started = asyncio.get_running_loop().time()
-            if await self._ping():
-                failures = 0
-                elapsed = asyncio.get_running_loop().time() - started
+            started = loop.time()
+            if await self._confirm():
+                elapsed = loop.time() - started
                 await asyncio.sleep(max(self._interval_s - elapsed, 0))
             else:
-                failures += 1
-                self._move_source(failures)
                 await asyncio.sleep(defaults.CONTROL_RETRY_S)
             self._log_staleness()
 
@@ -106,27 +107,80 @@
             )
         self._was_valid = is_valid
 
-    async def _ping(self) -> bool:
+    async def _confirm(self) -> bool:
+        """Have a quorum confirm the view; ask all hosts if the source is late.
+
+        Returns:
+            Whether the lease was renewed.
+        """
         link = self._find_link()
         if link is None:
             return False
         if link.welcome is not self._subscribed:
             # The control host knows a connection that was made anew as another peer.
             self._subscribe(link)
-        loop = asyncio.get_running_loop()
-        nonce = self._lease.begin_ping(loop.time())
+        pings = {asyncio.create_task(self._ping(link)): self.source}
         try:
-            answer = await link.request(
-                ConfirmFreshness(nonce, self.state.version), self._interval_s
+            done, _ = await asyncio.wait(pings, timeout=defaults.FEED_ANSWER_S)
+            if not any(ping.result() for ping in done):
+                for name, other in self._list_others(link):
+                    pings[asyncio.create_task(self._ping(other))] = name
+            return await self._take_first_answer(pings)
+        finally:
+            for ping in pings:
+                ping.cancel()
+
+    def _list_others(self, link: LinkClient) -> list[tuple[str, LinkClient]]:
+        """Return the other control hosts to ask, rarely while none can confirm."""
+        now = asyncio.get_running_loop().time()
+        if now - self._others_asked_at < defaults.FEED_ANSWER_S:
+            return []
+        self._others_asked_at = now
+        links = self.kernel.find("controllers").links
+        return [
+            (name, other)
+            for name, other in links.items()
+            if other is not link and other.is_connected
+        ]
+
+    async def _take_first_answer(
+        self, pings: dict[asyncio.Task[FreshnessConfirmed | None], str]
+    ) -> bool:
+        pending = set(pings)
+        while pending:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
             )
-        except JasminewharfError:
-            return False
-        if not isinstance(answer, FreshnessConfirmed):
-            return False
-        if answer.version > self.state.version:
+            for ping in done:
+                answer = ping.result()
+                if answer is not None:
+                    return self._take_answer(pings[ping], answer)
+        return False
+
+    def _take_answer(self, name: str, answer: FreshnessConfirmed) -> bool:
+        """Take a confirmation; follow the host that gave it if the source is late."""
+        is_behind = answer.version > self.state.version
+        is_source = name == self.source
+        self._late_answers = 0 if is_source else self._late_answers + 1
+        is_late = self._late_answers >= defaults.FEED_FAILURES_BEFORE_MOVE
+        has_moved = not is_source and (is_behind or is_late)
+        if has_moved:
+            self._move_source(name, "behind" if is_behind else "late")
+        link = self.kernel.find("controllers").links.get(name)
+        if link is not None and (is_behind or has_moved):
             self._subscribe(link)
         return self._lease.confirm(answer.nonce, answer.version, self.state.version)
 
+    async def _ping(self, link: LinkClient) -> FreshnessConfirmed | None:
+        """Return a control host's confirmation; None if it gives none in time."""
+        nonce = self._lease.begin_ping(asyncio.get_running_loop().time())
+        ping = ConfirmFreshness(nonce, self.state.version)
+        try:
+            answer = await link.request(ping, self._interval_s)
+        except JasminewharfError:
+            return None
+        return answer if isinstance(answer, FreshnessConfirmed) else None
+
     def _find_link(self) -> Any:
         links = self.kernel.find("controllers").links
         link = links.get(self.source)
@@ -161,28 +215,20 @@
             ),
         )
 
-    def _move_source(self, failures: int) -> None:
-        if not self.source or failures < defaults.FEED_FAILURES_BEFORE_MOVE:
-            return
-        links = self.kernel.find("controllers").links
+    def _move_source(self, name: str, reason: str) -> None:
+        """Follow the host ``name``, even if another one is nearer."""
+        events.emit(
+            _logger,
+            events.FEED_MOVED,
+            previous=self.source,
+            source=name,
+            reason=reason,
+            version=self.state.version,
+        )
         loop = asyncio.get_running_loop()
         self._far_until = loop.time() + defaults.FEED_NEAR_RETRY_S
-        ranked = self._rank_hosts(list(links))
-        position = ranked.index(self.source)
-        for step in range(1, len(ranked)):
-            name = ranked[(position + step) % len(ranked)]
-            if links[name].is_connected:
-                events.emit(
-                    _logger,
-                    events.FEED_MOVED,
-                    previous=self.source,
-                    source=name,
-                    reason="late",
-                    version=self.state.version,
-                )
-                self.source = name
-                self._subscribe(links[name])
-                return
+        self._late_answers = 0
+        self.source = name
 
     def _subscribe(self, link: Any) -> None:
         try:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from jasminewharf.defaults import FEED_ANSWER_S
 from jasminewharf.exceptions import LinkTimeout, QuorumLost
 from jasminewharf.messages import encode
 from jasminewharf.messages.commands import ReplaceConfiguration
@@ -37,6 +38,7 @@
         self.fault = ""
         self.welcome = SimpleNamespace(zone="zone-a")
         self.subscriptions = 0
+        self.pings = 0
         self._deliver = deliver
         self._subscribed = None
 
@@ -57,6 +59,7 @@
 
     async def request(self, message, timeout_s):
         assert isinstance(message, ConfirmFreshness)
+        self.pings += 1
         if self.fault == "silent":
             await asyncio.sleep(timeout_s)
             raise LinkTimeout("no answer")
@@ -154,5 +157,7 @@
         await asyncio.sleep(2.0)
         assert feed.source == source
         assert sum(host.subscriptions for host in control.hosts) == asked
+        others = [host for host in control.hosts if host.name != source]
+        assert sum(host.pings for host in others) <= 2.0 / FEED_ANSWER_S * len(others)
 
     run_feed(scenario)
