Tell the entries before an agent that is stopped closes its link

Cause: a stopping agent without calls in flight closed its link at once. The entries heard of the stop over the control hosts, up to a report's interval later, and what they had sent meanwhile was dropped in the agent's socket unread. The class: an end without a word of the other side that nothing follows.

Change: the agent tells each connected entry (also one that connects meanwhile); the entry chooses it no more and answers on the same link. Messages keep their order, so nothing follows that answer. The agent refuses as not run what arrives before it, and waits a second at most; event 507 names the entries that have not answered.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -527,6 +527,8 @@
 RATE_RETRY_MIN_MS = 200
 
 # Stopping.
+# A stopping agent waits this long for the entries to send it nothing more.
+AGENT_LEAVE_S = 1.0
 DRAIN_NOTICE_S = 2.5  # Two questions of a balancer that asks once a second.
 DRAIN_WAITING_PART = 0.45  # Of the grace: time to be served elsewhere after it.
 DRAIN_RUNNING_PART = 0.92
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -100,6 +100,7 @@
 REQUEST_REFUSED = _define(501, logging.INFO, "request refused")
 CONNECTION_REJECTED = _define(502, logging.INFO, "connection rejected")
 ANSWER_DROPPED = _define(503, logging.WARNING, "answer to an unknown request dropped")
+ENTRIES_UNINFORMED = _define(507, logging.WARNING, "entries may send more calls")
 STREAM_BROKEN = _define(504, logging.WARNING, "stream interrupted")
 
 # Backend servers and loads: 600 to 699.
--- a/src/jasminewharf/messages/calls.py
+++ b/src/jasminewharf/messages/calls.py
@@ -5,6 +5,7 @@
 from .codec import message
 
 __all__ = [
+    "AgentLeaving",
     "AnswerChunk",
     "AnswerEnd",
     "AnswerHead",
@@ -12,6 +13,7 @@
     "CallRefused",
     "CancelCall",
     "ForwardCall",
+    "LeavingNoted",
     "LoadState",
     "ResumeCall",
 ]
@@ -132,3 +134,16 @@
     backend: str
     incarnation: int
     events: list[tuple[int, str, int]]
+
+
+@message(28)
+class AgentLeaving(NamedTuple):
+    """The agent is about to stop and refuses new calls."""
+
+
+@message(29)
+class LeavingNoted(NamedTuple):
+    """The entry sends the leaving agent no further call.
+
+    Messages of a link keep their order, so no call follows this one.
+    """
--- a/src/jasminewharf/services/agents.py
+++ b/src/jasminewharf/services/agents.py
@@ -1,6 +1,7 @@
 """The links of an entry to the agents, and its calls in flight over them."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from typing import Any, ClassVar, NamedTuple
@@ -9,6 +10,7 @@
 from ..exceptions import OutcomeUnknown, Overloaded, PeerUnavailable, Refusal
 from ..kernel import Kernel, Service
 from ..messages.calls import (
+    AgentLeaving,
     AnswerChunk,
     AnswerEnd,
     AnswerHead,
@@ -16,6 +18,7 @@
     CallRefused,
     CancelCall,
     ForwardCall,
+    LeavingNoted,
     LoadState,
     ResumeCall,
 )
@@ -57,6 +60,8 @@
         self.loads: dict[str, FreshLoad] = {}
         self.own: dict[str, int] = {}
         self._links: dict[str, LinkClient] = {}
+        # The lives of agents that have said that they are about to stop.
+        self._leaving: dict[str, int] = {}
         self._calls: dict[str, CallInFlight] = {}
         self._listeners: list[Callable[[], None]] = []
         self._cache_listeners: list[Callable[[CacheEvents], None]] = []
@@ -89,8 +94,13 @@
         link = self._links.get(report.node)
         if link is None or link.welcome is None:
             return False
+        if self._is_leaving(report.node, link.welcome):
+            return False
         return link.welcome.incarnation == report.incarnation
 
+    def _is_leaving(self, node: str, welcome: Welcome) -> bool:
+        return self._leaving.get(node) == welcome.incarnation
+
     def forward(self, plan: CallPlan, node: str, backend: str) -> CallInFlight:
         """Send a call to an agent.
 
@@ -100,6 +110,8 @@
         link = self._links.get(node)
         if link is None or link.welcome is None:
             raise Overloaded("the agent is not reachable", retry_after_ms=200)
+        if self._is_leaving(node, link.welcome):
+            raise Overloaded("the agent is about to stop", retry_after_ms=200)
         incarnation = link.welcome.incarnation
         call = CallInFlight(
             plan, node, incarnation, backend, lambda m: self._send_resume(node, m)
@@ -140,6 +152,7 @@
                 self._follow(report)
         for node in [node for node in self._links if node not in digest]:
             self._links.pop(node).close()
+            self._leaving.pop(node, None)
         self._notify()
 
     def _follow(self, report: NodeReport) -> None:
@@ -150,9 +163,10 @@
             self._links[report.node] = self._connect(report)
 
     def _connect(self, report: NodeReport) -> LinkClient:
+        node = report.node
         link = self.kernel.find("process").connect(
             "agent",
-            report.node,
+            node,
             report.address,
             {
                 AnswerHead: self._take_head,
@@ -160,13 +174,22 @@
                 AnswerEnd: self._take_end,
                 CallRefused: self._take_refusal,
                 CacheEvents: self._take_cache_events,
+                AgentLeaving: lambda message: self._note_leaving(node),
             },
         )
-        node = report.node
         link.on_lost = lambda: self._lose(node)
         link.on_welcome = lambda welcome: self._regain(node, welcome)
         return link
 
+    def _note_leaving(self, node: str) -> None:
+        link = self._links.get(node)
+        if link is None or link.welcome is None:
+            return
+        self._leaving[node] = link.welcome.incarnation
+        with contextlib.suppress(PeerUnavailable):
+            link.send(LeavingNoted())
+        self._notify()
+
     def _lose(self, node: str) -> None:
         for call in self._calls.values():
             if call.agent == node:
--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -24,12 +24,14 @@
 )
 from ..kernel import Kernel, Service
 from ..messages.calls import (
+    AgentLeaving,
     AnswerChunk,
     AnswerEnd,
     AnswerHead,
     CallRefused,
     CancelCall,
     ForwardCall,
+    LeavingNoted,
     LoadState,
     ResumeCall,
 )
@@ -75,6 +77,8 @@
         self._flush_timer: asyncio.TimerHandle | None = None
         self._expiry_timers: dict[str, asyncio.TimerHandle] = {}
         self._leaving = False
+        # Entries that may still send calls to this leaving agent.
+        self._uninformed: dict[bytes, Peer] = {}
         self._server: LinkServer | None = None
         self._metrics = kernel.find("process").metrics
 
@@ -87,12 +91,14 @@
             {
                 ForwardCall: self._take_call,
                 CancelCall: self._take_cancel,
+                LeavingNoted: self._note_informed,
                 ResumeCall: self._take_resume,
             },
             process.security,
             _CALLING_ROLES,
         )
         self._server.is_idle = lambda: not self._calls
+        self._server.on_peer = self._announce_leaving
         reports = self.kernel.find("reports")
         reports.address = self._server.bind(self.kernel.settings.listen)
         self.kernel.find("feed").listen(lambda applied: self._read_weights())
@@ -115,13 +121,35 @@
                 call.was_abandoned = True
 
     async def drain(self) -> None:
-        """Refuse new calls and wait for those in flight, up to the drain timeout."""
+        """Refuse new calls and wait for those in flight, up to the drain timeout.
+
+        Calls may be on their way until each entry has answered that it knows; they
+        would be lost with the link.
+        """
+        began_at = _now()
         self._leaving = True
         self.kernel.find("reports").leave()
-        timeout_s = self.kernel.settings.timing.drain_timeout_s
-        deadline = _now() + timeout_s
-        while self._unfinished() and _now() < deadline:
-            await asyncio.sleep(0.02)
+        for peer in self.entries():
+            self._announce_leaving(peer)
+        informed_by = began_at + defaults.AGENT_LEAVE_S
+        while self._list_uninformed() and _now() < informed_by:
+            await asyncio.sleep(defaults.DRAIN_POLL_S)
+        if uninformed := self._list_uninformed():
+            events.emit(_logger, events.ENTRIES_UNINFORMED, entries=uninformed)
+        ends_at = began_at + self.kernel.settings.timing.drain_timeout_s
+        while self._unfinished() and _now() < ends_at:
+            await asyncio.sleep(defaults.DRAIN_POLL_S)
+
+    def _announce_leaving(self, peer: Peer) -> None:
+        if self._leaving:
+            self._uninformed[peer.routing_id] = peer
+            peer.send(AgentLeaving())
+
+    def _note_informed(self, peer: Peer, message: LeavingNoted) -> None:
+        self._uninformed.pop(peer.routing_id, None)
+
+    def _list_uninformed(self) -> list[str]:
+        return [p.node for p in self._uninformed.values() if not p.is_forgotten]
 
     async def stop(self) -> None:
         """Flush batched messages and close all connections."""
