Read a stored configuration without the checks of its acceptance

What callers would see: entries and control hosts checked a configuration again whenever they read it from the fleet's state. A check that a newer release adds then makes an acknowledged configuration unreadable: an entry that restarts has none and answers 503 until the operator sends another one. Cause: one reader for what an operator submits and for what has been accepted. Evidence: the body with two routes at one place, refused by the only reader there was (the test's body in test_platform.py). Change: the reader of stored configurations translates and doesn't check; the checks stay where a configuration is accepted. Ruled out: that an entry relies on the check: nothing is stored but through ConfigurationService.replace, which checks.

--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -19,6 +19,7 @@
     "EngineSpec",
     "ModelSpec",
     "Route",
+    "STORED_FORMATS",
     "ServiceSpec",
     "ServiceWeight",
     "WorkspaceSpec",
@@ -153,7 +154,9 @@
 ConfigurationReader = Callable[[bytes], Configuration]
 
 ACCEPTANCE_RULES: dict[str, AcceptanceRule] = {}
+# Readers of submitted configurations, which check them, and of accepted ones.
 CONFIGURATION_FORMATS: dict[str, ConfigurationReader] = {}
+STORED_FORMATS: dict[str, ConfigurationReader] = {}
 
 
 @register(ACCEPTANCE_RULES, "highest")
--- a/src/jasminewharf/platform/__init__.py
+++ b/src/jasminewharf/platform/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from .callers import PlatformCallers
-from .configurations import read_configuration
+from .configurations import read_configuration, read_stored_configuration
 from .engines import PlatformEngines
 from .operators import PlatformOperators
 from .servers import PlatformServers
@@ -17,4 +17,5 @@
     "PlatformOperators",
     "PlatformServers",
     "read_configuration",
+    "read_stored_configuration",
 ]
--- a/src/jasminewharf/platform/configurations.py
+++ b/src/jasminewharf/platform/configurations.py
@@ -4,6 +4,7 @@
 
 from ..decisions.configurations import (
     CONFIGURATION_FORMATS,
+    STORED_FORMATS,
     CallerLimits,
     Configuration,
     EngineSpec,
@@ -17,7 +18,7 @@
 from ..exceptions import ConfigurationRefused
 from ..registry import register
 
-__all__ = ["read_configuration"]
+__all__ = ["read_configuration", "read_stored_configuration"]
 
 _MS_PER_S = 1_000.0
 
@@ -109,19 +110,31 @@
     Raises:
         ConfigurationRefused: If it cannot be read in full or is not valid.
     """
+    configuration = read_stored_configuration(body)
+    check_configuration(configuration)
+    return configuration
+
+
+@register(STORED_FORMATS, "platform")
+def read_stored_configuration(body: bytes) -> Configuration:
+    """Return the configuration in a body that was checked when it was accepted.
+
+    It is in force whatever this release would refuse of it.
+
+    Raises:
+        ConfigurationRefused: If it cannot be read.
+    """
     try:
         read = _decoder.decode(body)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ConfigurationRefused(f"cannot be read: {error}") from error
-    configuration = Configuration(
+    return Configuration(
         read.version,
         tuple(map(_translate_route, read.routes)),
         tuple(map(_translate_service, read.services)),
         tuple(map(_translate_tenant, read.tenants)),
         _translate_limits(read.limits),
     )
-    check_configuration(configuration)
-    return configuration
 
 
 def _translate_route(route: _Route) -> Route:
--- a/src/jasminewharf/services/view.py
+++ b/src/jasminewharf/services/view.py
@@ -5,7 +5,7 @@
 from typing import Any, ClassVar
 
 from .. import events
-from ..decisions.configurations import CONFIGURATION_FORMATS
+from ..decisions.configurations import STORED_FORMATS
 from ..decisions.fleet import StoredConfiguration
 from ..decisions.routes import RouteTable
 from ..exceptions import ConfigurationRefused
@@ -29,7 +29,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         dialect = kernel.settings.fleet.dialect
-        self._read_body = lookup(CONFIGURATION_FORMATS, dialect)
+        self._read_body = lookup(STORED_FORMATS, dialect)
         self.table: RouteTable | None = None
         self._listeners: list[Callable[[RouteTable], None]] = []
 
@@ -45,7 +45,7 @@
         try:
             configuration = self._read_body(unpack_configuration(stored.body))
         except ConfigurationRefused as error:
-            # The control hosts read it with the same code, so that this is a
+            # The control host that accepted it could read it, so that this is a
             # difference between releases: the older configuration stays.
             events.emit(
                 _logger,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
     PlatformOperators,
     PlatformServers,
     read_configuration,
+    read_stored_configuration,
 )
 
 CALLERS = PlatformCallers()
@@ -121,6 +122,12 @@
         read_configuration(body)
 
 
+def test_accepted_configuration_stays_in_force_when_checks_become_stricter():
+    """An entry that restarts under a newer release must not be left without one."""
+    routes = json.loads(build_body())["routes"] * 2
+    assert read_stored_configuration(build_body(routes=routes)).version == 7
+
+
 def test_operators_calls_are_named():
     operators = PlatformOperators()
     assert operators.read_call("POST", "/Config.Put") == "replace"
