Compare the hosts of routes as requests name them

What callers and operators saw: two routes with one prefix whose hosts differ in case, trailing dot or default port were acknowledged, and the later one in the body served all requests or none; a route of a host with a port, a trailing dot or an IPv6 address was acknowledged and answered 404 for ever ("a route that had been added was not served"). Cause: the check compared the spelling, the lookup a lower-case name cut at the first colon. Change: identify_host gives name and port of a host, for the check and for the lookup. A route without a port takes requests to any port, as before; one with a port takes those to its port, and a longer prefix still goes first. Newly refused: two routes whose hosts are equal but for case, one dot at the end, white space around and the port 80, which no request can tell apart (two routes that share host and prefix are invalid); hosts with NUL or a line break, which no header value can hold. Not refused: the same host with another port, which can be told apart and is now found. Ruled out: cutting the port in both places, which would refuse two routes that requests do tell apart; names in Unicode and their ASCII form stay two hosts in check and lookup alike.

--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -10,6 +10,7 @@
 
 from ..exceptions import ConfigurationRefused
 from ..registry import register
+from .identity import HostIdentity, can_hold_host, identify_host
 
 __all__ = [
     "ACCEPTANCE_RULES",
@@ -172,17 +173,24 @@
         ConfigurationRefused: Naming the first part that is not valid.
     """
     services = {service.name for service in configuration.services}
-    places: set[tuple[str, str]] = set()
+    places: dict[tuple[HostIdentity, str], str] = {}
     for route in configuration.routes:
         _check_route(route, services)
-        place = (route.host, route.prefix)
+        place = (identify_host(route.host), route.prefix)
         if place in places:
-            raise ConfigurationRefused(f"two routes at {route.host}{route.prefix}")
-        places.add(place)
+            raise ConfigurationRefused(
+                f"two routes at {route.host}{route.prefix}: "
+                f"{places[place]} and {route.name}"
+            )
+        places[place] = route.name
     _check_keys(configuration.workspaces)
 
 
 def _check_route(route: Route, services: set[str]) -> None:
+    if not can_hold_host(route.host):
+        raise ConfigurationRefused(
+            f"route {route.name}: no request can name the host {route.host!r}"
+        )
     for item in route.services:
         if item.service not in services:
             raise ConfigurationRefused(
--- a/src/jasminewharf/decisions/routes.py
+++ b/src/jasminewharf/decisions/routes.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from .configurations import Configuration, Route, ServiceSpec, WorkspaceSpec
+from .identity import HostIdentity, identify_host
 
 __all__ = ["RouteTable"]
 
@@ -23,9 +24,7 @@
         self.services: dict[str, ServiceSpec] = {
             service.name: service for service in configuration.services
         }
-        self._routes: dict[str, dict[str, Route]] = {}
-        for route in configuration.routes:
-            self._routes.setdefault(route.host.lower(), {})[route.prefix] = route
+        self._routes = _index_routes(configuration.routes)
         self._workspaces: dict[str, WorkspaceSpec] = {}
         for workspace in configuration.workspaces:
             for key in workspace.keys:
@@ -44,10 +43,16 @@
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``.
 
+        Routes without a port take requests to any port. Of two routes with the same
+        prefix the one with the request's port is returned.
+
         Route prefixes begin and end with a slash, so only the prefixes of the path
         that end with a slash are looked up.
         """
-        routes = self._routes.get(host.partition(":")[0].lower())
+        named = identify_host(host)
+        routes = self._routes.get(named)
+        if routes is None:
+            routes = self._routes.get(HostIdentity(named.name))
         if routes is None:
             return None
         end = len(path)
@@ -71,6 +76,18 @@
         return self.services[chosen]
 
 
+def _index_routes(
+    routes: tuple[Route, ...],
+) -> dict[HostIdentity, dict[str, Route]]:
+    """Return the routes by host and prefix; hosts with a port have all that apply."""
+    index: dict[HostIdentity, dict[str, Route]] = {}
+    for route in routes:
+        index.setdefault(identify_host(route.host), {})[route.prefix] = route
+    for host, own in index.items():
+        index[host] = {**index.get(HostIdentity(host.name), {}), **own}
+    return index
+
+
 class _Slice(NamedTuple):
     service: str
     end: float
--- /dev/null
+++ b/tests/test_identity.py
@@ -0,0 +1,87 @@
+"""Routes and keys are told apart exactly if requests can tell them apart."""
+
+import pytest
+
+from fleetparts import build_configuration, build_route
+from jasminewharf.decisions.configurations import check_configuration
+from jasminewharf.decisions.routes import RouteTable
+from jasminewharf.exceptions import ConfigurationRefused
+
+SAME_HOSTS = [
+    ("a.example", "A.Example"),
+    ("a.example", "a.example."),
+    ("a.example", "a.example:"),
+    ("a.example", "a.example:80"),
+    ("a.example", "A.EXAMPLE.:0080"),
+    ("a.example", " a.example\t"),
+    ("a.example:8080", "A.example.:8080"),
+    ("[2001:db8::1]", "[2001:DB8::1]:80"),
+    ("[2001:db8::1]:8080", "[2001:DB8::1]:8080"),
+    ("127.0.0.1", "127.0.0.1:80"),
+]
+OTHER_HOSTS = [
+    ("a.example", "b.example"),
+    ("a.example", "a.example:8080"),
+    ("a.example:8080", "a.example:8081"),
+    ("a.example", "a.example.."),
+    ("[2001:db8::1]", "[2001:db8::2]"),
+    ("[2001:db8::1]", "[2001:db8::1]:8080"),
+]
+
+
+def build_pair(host, other):
+    """Return two routes at one prefix, and a third one."""
+    routes = (
+        build_route("first", host=host, prefix="/a/"),
+        build_route("second", host=other, prefix="/a/"),
+        build_route("third", host="c.example", prefix="/a/"),
+    )
+    return build_configuration(routes=routes)
+
+
+@pytest.mark.parametrize(("host", "other"), SAME_HOSTS)
+def test_routes_of_one_host_in_two_spellings_are_refused(host, other):
+    """Both were acknowledged, and the order in the body chose which one served."""
+    with pytest.raises(ConfigurationRefused, match=r"two routes at .*first and second"):
+        check_configuration(build_pair(host, other))
+
+
+@pytest.mark.parametrize(("host", "other"), SAME_HOSTS)
+def test_route_is_found_in_each_spelling_of_its_host(host, other):
+    """A route of a host with a port, dot or brackets was acknowledged, never found."""
+    for spelling, asked in ((host, other), (other, host)):
+        table = RouteTable(build_pair(spelling, "b.example"))
+        assert table.find_route(asked, "/a/x").name == "first"
+
+
+@pytest.mark.parametrize(("host", "other"), OTHER_HOSTS)
+def test_routes_of_two_hosts_are_accepted_and_both_found(host, other):
+    """A check that takes two hosts for one would refuse a valid configuration."""
+    configuration = build_pair(host, other)
+    check_configuration(configuration)
+    table = RouteTable(configuration)
+    assert table.find_route(host, "/a/x").name == "first"
+    assert table.find_route(other, "/a/x").name == "second"
+
+
+def test_longest_prefix_wins_over_the_port():
+    """A route with a port must not hide a longer prefix of the same host."""
+    table = RouteTable(
+        build_configuration(
+            routes=(
+                build_route("port", host="a.example:8080", prefix="/a/"),
+                build_route("long", host="a.example", prefix="/a/b/"),
+                build_route("short", host="a.example", prefix="/a/"),
+            )
+        )
+    )
+    assert table.find_route("a.example:8080", "/a/b/x").name == "long"
+    assert table.find_route("a.example:8080", "/a/x").name == "port"
+    assert table.find_route("a.example:9090", "/a/x").name == "short"
+
+
+@pytest.mark.parametrize("host", ["a.example\x00", "a\r\nb.example", "a.example\n"])
+def test_host_that_no_header_can_hold_is_refused(host):
+    """Its route was acknowledged, and no request could reach it."""
+    with pytest.raises(ConfigurationRefused, match=r"route first: .* the host"):
+        check_configuration(build_pair(host, "b.example"))
