Refuse path prefixes that no request can have

What operators saw: a route whose prefix lacks the slash at its begin or end, or holds a question mark, a space, a control character or a letter beyond ASCII, was acknowledged; its callers got 404 for ever ("a route that had been added was not served"). Cause: the lookup tries the parts of the path that end with a slash, the check took any text. Evidence: the 10 cases of test_prefix_that_no_request_can_have_is_refused failed before. Change: the check refuses what the lookup can't find and names route and prefix. No valid configuration is hit: every prefix begins and ends with a slash by the protocol, the path of a request ends at the question mark, and a request target holds visible ASCII only (h11 answers 400 otherwise). Prefixes are compared as they are spelled: /%61/ and /a/ are two routes in check and lookup, as are /a%2Fb/ and /a%2fb/, since paths are forwarded unchanged and a prefix "begins the path"; double slashes and dots likewise. The 13 spellings of test_prefix_is_matched_as_it_is_spelled are accepted and found; they passed before too. Measured: test_identity, test_routes, test_configurations, test_platform, test_fleet passed.

--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -10,7 +10,7 @@
 
 from ..exceptions import ConfigurationRefused
 from ..registry import register
-from .identity import HostIdentity, can_hold_host, identify_host
+from .identity import HostIdentity, can_hold_host, can_match_prefix, identify_host
 
 __all__ = [
     "ACCEPTANCE_RULES",
@@ -191,6 +191,11 @@
         raise ConfigurationRefused(
             f"route {route.name}: no request can name the host {route.host!r}"
         )
+    if not can_match_prefix(route.prefix):
+        raise ConfigurationRefused(
+            f"route {route.name}: the prefix {route.prefix!r} must begin and end with "
+            "a slash and hold only what the path of a request can hold"
+        )
     for item in route.services:
         if item.service not in services:
             raise ConfigurationRefused(
--- a/src/jasminewharf/decisions/identity.py
+++ b/src/jasminewharf/decisions/identity.py
@@ -1,4 +1,4 @@
-"""When two hosts are the same.
+"""When hosts and path prefixes are the same.
 
 The check of a configuration and the lookup of requests both use these functions, so
 that routes are told apart exactly if requests can tell them apart.
@@ -10,6 +10,7 @@
 __all__ = [
     "HostIdentity",
     "can_hold_host",
+    "can_match_prefix",
     "identify_host",
 ]
 
@@ -17,6 +18,8 @@
 _DEFAULT_PORTS = frozenset({"", "80"})
 # What no header value holds: NUL and line breaks of every kind.
 _NOT_IN_HEADERS = re.compile(r"[\x00\n\v\f\r]")
+# Visible characters but the question mark, at which the path of a request ends.
+_PREFIX = re.compile(r"/(?:[!->@-~]*/)?")
 
 
 class HostIdentity(NamedTuple):
@@ -43,3 +46,12 @@
 def can_hold_host(text: str) -> bool:
     """Return whether a request's header can hold this host."""
     return _NOT_IN_HEADERS.search(text) is None
+
+
+def can_match_prefix(text: str) -> bool:
+    """Return whether the path of a request can have this prefix.
+
+    Prefixes are compared as they are spelled: a path and its percent-encoded form
+    are two paths, since a request's path is forwarded unchanged.
+    """
+    return _PREFIX.fullmatch(text) is not None
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -85,3 +85,33 @@
     """Its route was acknowledged, and no request could reach it."""
     with pytest.raises(ConfigurationRefused, match=r"route first: .* the host"):
         check_configuration(build_pair(host, "b.example"))
+
+
+@pytest.mark.parametrize(
+    "prefix",
+    ["", "a/", "/a", "a", "/a/?x/", "?/", "/a b/", "/\u00e4/", "/a/\x00/", "/a\n/"],
+)
+def test_prefix_that_no_request_can_have_is_refused(prefix):
+    """Its route was acknowledged and answered 404 for ever."""
+    routes = (build_route("first", prefix=prefix),)
+    with pytest.raises(ConfigurationRefused, match=r"route first: the prefix"):
+        check_configuration(build_configuration(routes=routes))
+
+
+@pytest.mark.parametrize(
+    "prefix",
+    [
+        *("/", "/a/", "//", "/a//", "//a/", "/a/../b/", "/a#/", "/a;x=1/", "/A/"),
+        *("/%61/", "/a%2Fb/", "/a%2fb/", "/%C3%A4/"),
+    ],
+)
+def test_prefix_is_matched_as_it_is_spelled(prefix):
+    """A path is forwarded unchanged, so that another spelling is another path."""
+    other = build_route("second", prefix="/a/" if prefix != "/a/" else "/b/")
+    routes = (build_route("first", prefix=prefix), other)
+    configuration = build_configuration(routes=routes)
+    check_configuration(configuration)
+    table = RouteTable(configuration)
+    assert table.find_route("a.example", prefix).name == "first"
+    assert table.find_route("a.example", f"{prefix}x").name == "first"
+    assert table.find_route("a.example", f"{other.prefix}x").name == "second"
