Compare keys of workspaces as headers hold them

What callers saw: a request without a key passed for the workspace that held an empty key, with its name and rate; a key with white space around it was refused with 401 for ever; two workspaces whose keys differ by that white space were acknowledged, and so were two entries of one name that share a key, of which the later one's rate and priority counted. Cause: keys were compared as they are spelled; HTTP drops the white space around the value of a header, and a missing header was read as an empty key. Owners were compared by name. Evidence: 6 of the 11 new cases in tests/test_identity.py failed before (four pairs accepted, a key with white space not found, an empty key found). Change: identify_key in check and lookup; the lookup knows no empty key; two entries that share a key are refused whatever their names. One entry may list a key twice, as before. Newly refused: two workspaces with one key, which is invalid, in spellings that no request can tell apart. A configuration with an empty key, or one that no header can hold, is still accepted: it is not listed as invalid, and nobody is served by it. Ruled out: keys beyond ASCII: headers are read as UTF-8, and such a key is found. Measured: test_identity, test_routes, test_configurations, test_platform, test_fleet passed.

--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -10,7 +10,13 @@
 
 from ..exceptions import ConfigurationRefused
 from ..registry import register
-from .identity import HostIdentity, can_hold_host, can_match_prefix, identify_host
+from .identity import (
+    HostIdentity,
+    can_hold_host,
+    can_match_prefix,
+    identify_host,
+    identify_key,
+)
 
 __all__ = [
     "ACCEPTANCE_RULES",
@@ -210,10 +216,11 @@
 
 
 def _check_keys(workspaces: tuple[WorkspaceSpec, ...]) -> None:
-    owners: dict[str, str] = {}
+    owners: dict[str, WorkspaceSpec] = {}
     for workspace in workspaces:
-        for key in workspace.keys:
-            if owners.setdefault(key, workspace.name) != workspace.name:
-                raise ConfigurationRefused(
-                    f"workspaces {owners[key]} and {workspace.name} share a key"
-                )
+        keys = {identify_key(key) for key in workspace.keys}
+        for key in keys & owners.keys():
+            raise ConfigurationRefused(
+                f"workspaces {owners[key].name} and {workspace.name} share a key"
+            )
+        owners.update(dict.fromkeys(keys, workspace))
--- a/src/jasminewharf/decisions/identity.py
+++ b/src/jasminewharf/decisions/identity.py
@@ -1,7 +1,7 @@
-"""When hosts and path prefixes are the same.
+"""When hosts, path prefixes and keys are the same.
 
 The check of a configuration and the lookup of requests both use these functions, so
-that routes are told apart exactly if requests can tell them apart.
+that routes and keys are told apart exactly if requests can tell them apart.
 """
 
 import re
@@ -12,6 +12,7 @@
     "can_hold_host",
     "can_match_prefix",
     "identify_host",
+    "identify_key",
 ]
 
 _WHITE_SPACE = " \t"
@@ -43,6 +44,14 @@
     return HostIdentity(name.removesuffix("."), "" if port in _DEFAULT_PORTS else port)
 
 
+def identify_key(text: str) -> str:
+    """Return the identity of a workspace's key or of a request's key.
+
+    White space around the value of a header is not part of it.
+    """
+    return text.strip(_WHITE_SPACE)
+
+
 def can_hold_host(text: str) -> bool:
     """Return whether a request's header can hold this host."""
     return _NOT_IN_HEADERS.search(text) is None
--- a/src/jasminewharf/decisions/routes.py
+++ b/src/jasminewharf/decisions/routes.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from .configurations import Configuration, Route, ServiceSpec, WorkspaceSpec
-from .identity import HostIdentity, identify_host
+from .identity import HostIdentity, identify_host, identify_key
 
 __all__ = ["RouteTable"]
 
@@ -28,7 +28,9 @@
         self._workspaces: dict[str, WorkspaceSpec] = {}
         for workspace in configuration.workspaces:
             for key in workspace.keys:
-                self._workspaces[key] = workspace
+                self._workspaces[identify_key(key)] = workspace
+        # A request without a key must not pass for the owner of an empty one.
+        self._workspaces.pop("", None)
 
     @property
     def version(self) -> int:
@@ -65,7 +67,7 @@
 
     def find_workspace(self, key: str) -> WorkspaceSpec | None:
         """Return the workspace that owns ``key``."""
-        return self._workspaces.get(key)
+        return self._workspaces.get(identify_key(key))
 
     def split(self, route: Route, request_id: str) -> ServiceSpec:
         """Return the service for a request, by weight.
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fleetparts import build_configuration, build_route
+from fleetparts import build_configuration, build_route, build_workspace
 from jasminewharf.decisions.configurations import check_configuration
 from jasminewharf.decisions.routes import RouteTable
 from jasminewharf.exceptions import ConfigurationRefused
@@ -115,3 +115,43 @@
     assert table.find_route("a.example", prefix).name == "first"
     assert table.find_route("a.example", f"{prefix}x").name == "first"
     assert table.find_route("a.example", f"{other.prefix}x").name == "second"
+
+
+@pytest.mark.parametrize(
+    ("own", "other"),
+    [
+        (build_workspace("a", ["k1"]), build_workspace("b", ["k1 "])),
+        (build_workspace("a", ["k1"]), build_workspace("b", ["k0", "\tk1"])),
+        (build_workspace("a", ["\u00e9"]), build_workspace("b", [" \u00e9"])),
+        (build_workspace("a", ["k1"], rate=1.0), build_workspace("a", ["k1"])),
+    ],
+)
+def test_workspaces_that_requests_cannot_tell_apart_are_refused(own, other):
+    """Both were acknowledged, and one of them got the other's requests."""
+    with pytest.raises(
+        ConfigurationRefused, match=r"workspaces a and [ab] share a key"
+    ):
+        check_configuration(build_configuration(workspaces=(own, other)))
+
+
+@pytest.mark.parametrize(
+    ("key", "asked"), [("k1", "k1"), (" k1\t", "k1"), ("\u00e9", "\u00e9"), ("K", "K")]
+)
+def test_key_is_found_as_a_header_holds_it(key, asked):
+    """HTTP drops white space around a key, which was refused with 401 for ever."""
+    workspaces = (build_workspace("a", [key, key]), build_workspace("b", ["k2", "k"]))
+    configuration = build_configuration(workspaces=workspaces)
+    check_configuration(configuration)
+    table = RouteTable(configuration)
+    assert table.find_workspace(asked).name == "a"
+    assert table.find_workspace("k").name == "b"
+
+
+@pytest.mark.parametrize("key", ["", " ", "\t "])
+def test_request_without_a_key_is_nobodys(key):
+    """It was taken for the workspace with the empty key."""
+    configuration = build_configuration(workspaces=(build_workspace("a", [key, "k1"]),))
+    check_configuration(configuration)
+    table = RouteTable(configuration)
+    assert table.find_workspace("") is None
+    assert table.find_workspace("k1").name == "a"
