Refuse configurations that two readers understand differently

What operators saw: a body with the version, the routes or a time-out twice in one object was acknowledged under the last of the two (a time-out of 0 beside another one too), and so was a body that is not UTF-8 in a part that this release doesn't read. It is read back as it was sent, and a reader that takes the first of two names, or checks the encoding, sees another content or none. Cause: the typed reader takes the last value of a name and skips unknown parts without decoding them. Evidence: the 7 cases of test_text_that_two_readers_understand_differently_is_refused failed before. Change: an accepted text is read a second time for the names in each object and for its encoding. No valid configuration is hit: no writer of JSON objects emits a name twice, and JSON is UTF-8. Long numbers, numbers beyond a float, 200 nested lists and unknown names in unknown parts are accepted as before (test_parts_of_another_release_are_accepted). A byte order mark, bytes after the end, NaN, versions such as 7.0 or true, lone surrogates and 50,000 brackets were refused before; unchanged.

--- a/src/jasminewharf/platform/configurations.py
+++ b/src/jasminewharf/platform/configurations.py
@@ -1,5 +1,8 @@
 """The operators' configuration, as it stands on the wire."""
 
+import json
+from typing import Any
+
 import msgspec
 
 from ..decisions.configurations import (
@@ -111,10 +114,39 @@
         ConfigurationRefused: If it cannot be read in full or is not valid.
     """
     configuration = read_stored_configuration(body)
+    _check_text(body)
     check_configuration(configuration)
     return configuration
 
 
+def _check_text(body: bytes) -> None:
+    """Check also the parts that this release does not read.
+
+    Raises:
+        ConfigurationRefused: If readers could understand the text differently.
+    """
+    try:
+        # Numbers need no conversion, and a very long one is no error.
+        json.loads(
+            body.decode(),
+            object_pairs_hook=_check_names,
+            parse_int=str,
+            parse_float=str,
+        )
+    except (ValueError, RecursionError) as error:
+        raise ConfigurationRefused(f"cannot be read: {error}") from error
+
+
+def _check_names(members: list[tuple[str, Any]]) -> None:
+    names = {name for name, _ in members}
+    if len(names) == len(members):
+        return
+    for name, _ in members:
+        if name not in names:
+            raise ConfigurationRefused(f"the name {name!r} is there twice in an object")
+        names.remove(name)
+
+
 @register(STORED_FORMATS, "platform")
 def read_stored_configuration(body: bytes) -> Configuration:
     """Return the configuration in a body that was checked when it was accepted.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -122,6 +122,35 @@
         read_configuration(body)
 
 
+@pytest.mark.parametrize(
+    ("part", "changed", "reason"),
+    [
+        (b'"version": 7', b'"version": 7, "version": 9', "'version'"),
+        (b'"version": 7', b'"version": 7, "versio\\u006e": 9', "'version'"),
+        (b'"version": 7', b'"routes": [], "version": 7', "'routes'"),
+        (b'"timeoutMs": 12000', b'"timeoutMs": 0, "timeoutMs": 5', "'timeoutMs'"),
+        (b'"ignored": true', b'"x": 1, "x": 2', "'x'"),
+        (b'"ignored": true', b'"ignored": "\xff"', "utf-8"),
+        (b'"ignored": true', b'"ign\xffored": 1', "utf-8"),
+    ],
+)
+def test_text_that_two_readers_understand_differently_is_refused(part, changed, reason):
+    """It was acknowledged, and read back by a reader that saw another content."""
+    body = build_body()
+    assert part in body
+    with pytest.raises(ConfigurationRefused, match=reason):
+        read_configuration(body.replace(part, changed))
+
+
+@pytest.mark.parametrize(
+    "changed", [b"1e400", b"9" * 5_000, b"[" * 200 + b"]" * 200, b'{"a": {"a": 1}}']
+)
+def test_parts_of_another_release_are_accepted(changed):
+    """What this release doesn't read must not make a configuration invalid."""
+    body = build_body().replace(b'"ignored": true', b'"ignored": ' + changed)
+    assert read_configuration(body).version == 7
+
+
 def test_accepted_configuration_stays_in_force_when_checks_become_stricter():
     """An entry that restarts under a newer release must not be left without one."""
     routes = json.loads(build_body())["routes"] * 2
