Take only a stream's own rest from the server that resumes it

Callers found another answer's bytes in a stream that had begun, or took a stream for complete that had lost its end.

Cause: after a stream broke off, any success of the next server counted as its rest. Its type and status were not compared with the first answer's, an event without a number was always passed on, and so was an incomplete event at the end, after which the stream was ended as complete.

Evidence: tests/test_broken_streams.py lets the first engine break off in its fourth event, over a real fleet with raw answers of the next one. Before the change 14 of its cases failed: 204, 206, JSON, HTML or text with status 200, an event without a number, no event or only older ones, a gap, half an event (in chunks, with a length, closed), a head alone, and a comment before the rest. Ruled out, as these passed before: 421, 429, 400, 404, 302, 503 with and without x-not-executed, 500 in chunks, a head in two pieces, an error without end, bytes of an error in place of a chunk or after the last one, trailers, interim heads, a length, events sent once more.

Change: a resumed answer has to have the status and type of the first one. StreamPosition decides what is passed on: numbers that rise, from the next number on where the stream has counted without gaps, and events without a number only behind such a one. A resumed answer without a new event does not end the stream. An event stream that ends inside an event is broken, whichever server it comes from and however it is framed, and so is one whose events have no numbers and that would have to be resumed. Whatever else the answer holds breaks the attempt, so that the stream goes on at a third server or is cut. A success that is no event stream is read as a whole, before anything of it is passed on. The error of an answer that takes no part in the stream is no longer read. Events may also end in CRLF; such a stream was held back until its end before.

Event 870 and stream_events_dropped_total tell how many events of which server were dropped; event 851 names why an answer was not taken.

--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -159,6 +159,7 @@
 PERMIT_OWNER_SILENT = _define(
     863, logging.WARNING, "owner of the servers' limits is silent"
 )
+STREAM_EVENTS_DROPPED = _define(870, logging.INFO, "events of a stream dropped")
 RATE_OWNER_SILENT = _define(856, logging.WARNING, "owner of the rates is silent")
 
 # Engines beside an agent: 900 to 949.
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -140,7 +140,7 @@
             except (NotRunThere, AnswerBroken) as error:
                 self._note_failure(server, job, error, attempts)
                 if relay.has_started:
-                    self._check_resume(job, attempts, error)
+                    self._check_resume(job, relay, attempts, error)
                 else:
                     self._check_next(job, attempts, error)
 
@@ -154,23 +154,24 @@
     ) -> bool:
         """Relay one server's stream; return False if it is to be tried elsewhere."""
         limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
+        last_event = relay.position.last_event
         try:
             async with asyncio.timeout(limit_s):
-                answer = await self._open(
-                    server, job, attempts, permit, relay.last_event
-                )
+                answer = await self._open(server, job, attempts, permit, last_event)
         except TimeoutError:
             raise AnswerBroken(f"silent for {limit_s:.2f} s") from None
+        dropped = relay.position.dropped
         try:
-            if not answer.is_success:
-                return await self._take_failure(answer, job, relay, attempts)
+            relay.begin(answer)
+            if not answer.may_be_events:
+                return await self._take_whole(answer, job, relay, attempts)
             if relay.has_started:
                 events.emit(
                     _logger,
                     events.STREAM_RESUMED,
                     request_id=job.call.request_id,
                     server=server.name,
-                    after=relay.last_event,
+                    after=last_event,
                 )
             async for batch in self._watch(answer, server, job, attempts):
                 await relay.forward(answer, batch)
@@ -178,17 +179,17 @@
             return True
         finally:
             answer.close()
+            self._note_dropped(server, job, relay.position.dropped - dropped)
 
-    async def _take_failure(
+    async def _take_whole(
         self,
         answer: UpstreamAnswer,
         job: Job,
         relay: StreamRelay,
         attempts: Attempts,
     ) -> bool:
+        """Pass on an answer that is no stream; see :meth:`_attempt_stream`."""
         body = await answer.read()
-        if relay.has_started:
-            raise AnswerBroken(f"status {answer.status} instead of the stream's rest")
         if answer.status >= defaults.SERVER_ERROR_STATUS and self._may_repeat(
             job, attempts
         ):
@@ -196,6 +197,17 @@
         relay.respond(answer, body)
         return True
 
+    def _note_dropped(self, server: Server, job: Job, count: int) -> None:
+        if count:
+            self._metrics.count("stream_events_dropped_total", count)
+            events.emit(
+                _logger,
+                events.STREAM_EVENTS_DROPPED,
+                request_id=job.call.request_id,
+                server=server.name,
+                count=count,
+            )
+
     async def _watch(
         self, answer: UpstreamAnswer, server: Server, job: Job, attempts: Attempts
     ) -> AsyncIterator[list[StreamEvent]]:
@@ -253,8 +265,10 @@
                 retry_after_ms=defaults.SERVER_BUSY_RETRY_MS,
             ) from error
 
-    def _check_resume(self, job: Job, attempts: Attempts, error: BackendError) -> None:
-        if not self._may_go_on(job, attempts):
+    def _check_resume(
+        self, job: Job, relay: StreamRelay, attempts: Attempts, error: BackendError
+    ) -> None:
+        if not relay.can_resume or not self._may_go_on(job, attempts):
             raise StreamInterrupted(f"the stream broke: {error}", not_run=False)
 
     def _may_go_on(self, job: Job, attempts: Attempts) -> bool:
--- a/src/jasminewharf/services/streamrelay.py
+++ b/src/jasminewharf/services/streamrelay.py
@@ -2,7 +2,8 @@
 
 from typing import Protocol
 
-from ..decisions.eventstream import StreamEvent
+from ..decisions.eventstream import StreamEvent, StreamPosition
+from ..exceptions import AnswerBroken
 from .upstream import UpstreamAnswer
 
 __all__ = ["Sink", "StreamRelay"]
@@ -29,31 +30,61 @@
 
     def __init__(self, sink: Sink, last_event: int) -> None:
         self._sink = sink
-        self.last_event = last_event
+        self._first: UpstreamAnswer | None = None
+        self.position = StreamPosition(last_event)
         self.has_started = False
 
-    async def forward(self, answer: UpstreamAnswer, batch: list[StreamEvent]) -> None:
-        """Send events that the caller does not have yet."""
-        data = b"".join(event.data for event in batch if self._is_new(event))
-        self._start(answer)
-        if data:
-            await self._sink.write(data)
-
-    def _is_new(self, event: StreamEvent) -> bool:
-        if event.number < 0:
-            return True
-        if event.number <= self.last_event:
-            return False
-        self.last_event = event.number
-        return True
+    @property
+    def can_resume(self) -> bool:
+        """Whether another server can go on with what the caller has."""
+        return self.position.can_resume
+
+    def begin(self, answer: UpstreamAnswer) -> None:
+        """Take the head of an answer.
+
+        Raises:
+            AnswerBroken: If it is not the rest of the stream that has begun.
+        """
+        if self._first is None:
+            return
+        if answer.status != self._first.status:
+            reason = f"status {answer.status} instead of the stream's rest"
+            raise AnswerBroken(reason, began=True)
+        if answer.media_type != self._first.media_type:
+            reason = f"type {answer.media_type!r} instead of the stream's rest"
+            raise AnswerBroken(reason, began=True)
+        self.position.resume()
+
+    async def forward(self, answer: UpstreamAnswer, batch: list[StreamEvent]) -> bool:
+        """Send events that the caller does not have yet; return if there were any.
+
+        Raises:
+            AnswerBroken: If the events do not follow those that the caller has.
+        """
+        pieces = []
+        try:
+            for event in batch:
+                if self.position.accept(event):
+                    pieces.append(event.data)
+        finally:
+            if pieces:
+                self._start(answer)
+                await self._sink.write(b"".join(pieces))
+        return bool(pieces)
 
     def _start(self, answer: UpstreamAnswer) -> None:
         if not self.has_started:
             self.has_started = True
+            self._first = answer
             self._sink.start(answer.status, answer.headers)
 
     def finish(self, answer: UpstreamAnswer) -> None:
-        """End the stream as complete."""
+        """End the stream as complete.
+
+        Raises:
+            AnswerBroken: If the caller may lack events.
+        """
+        self.position.check_end()
         self._start(answer)
         self._sink.finish()
 
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -27,6 +27,7 @@
 _logger = logging.getLogger(__name__)
 
 _SUCCESS = range(200, 300)
+_EVENT_STREAM = "text/event-stream"
 _NOT_KEPT = frozenset(
     {
         "connection",
@@ -59,18 +60,26 @@
     Attributes:
         status: The HTTP status.
         headers: The headers for the caller.
+        media_type: The body's type in lower case; empty if not told.
     """
 
     def __init__(self, response: ClientResponse) -> None:
         self._response = response
         self.status = response.status
         self.headers = [(k, v) for k, v in response.headers if k not in _NOT_KEPT]
+        content_type = dict(response.headers).get("content-type", "")
+        self.media_type = content_type.partition(";")[0].strip().lower()
 
     @property
     def is_success(self) -> bool:
         """Whether the status is a 2xx one."""
         return self.status in _SUCCESS
 
+    @property
+    def may_be_events(self) -> bool:
+        """Whether the body can be a stream of events."""
+        return self.is_success and self.media_type in ("", _EVENT_STREAM)
+
     async def read(self) -> bytes:
         """Return the whole body.
 
@@ -83,10 +92,12 @@
             raise AnswerBroken(str(error), began=True) from error
 
     async def events(self) -> AsyncIterator[list[StreamEvent]]:
-        """Yield the stream's events as they arrive, then any incomplete rest as one.
+        """Yield the stream's events as they arrive.
+
+        Where the server does not say that these are events, an incomplete rest follows.
 
         Raises:
-            AnswerBroken: If the stream ended early.
+            AnswerBroken: If the stream ended early or inside an event.
         """
         splitter = EventSplitter()
         try:
@@ -97,6 +108,8 @@
         except BackendError as error:
             raise AnswerBroken(str(error), began=True) from error
         if splitter.rest:
+            if splitter.rest.strip() and self.media_type == _EVENT_STREAM:
+                raise AnswerBroken("the stream ended inside an event", began=True)
             yield [StreamEvent(-1, splitter.rest)]
 
     def close(self) -> None:
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 
 from jasminewharf.exceptions import Refusal
 from jasminewharf.interfaces.http import HttpServer
@@ -65,7 +67,7 @@
         runs: Identifiers of the requests that it ran.
         heads: Headers of every request that it was sent.
         fails_next: Faults for the next requests: full, mute, foreign, short, break
-            or error.
+            or error; or a function that answers, see :func:`answer_raw`.
         pause: What a full server's Retry-After says; none if empty.
         says_leaving: Whether its answers say that it is about to stop.
         limit: The requests a second that its answers name; none if empty.
@@ -198,7 +200,9 @@
             return
         self.runs.append(request_id)
         signed = [*head, ("x-response-signature", f"{self.name}.{request_id}")]
-        if fault == "mute":
+        if callable(fault):
+            await fault(responder, signed)
+        elif fault == "mute":
             await asyncio.sleep(30)
         elif fault == "error":
             responder.respond(500, signed, b"failed")
@@ -232,6 +236,34 @@
         responder.finish()
 
 
+def answer_raw(*pieces, end="close"):
+    """Return a fault that writes bytes, ``%s`` in them being the answer's own headers.
+
+    The connection then ends with a close, a reset, or is kept ("keep").
+    """
+
+    async def answer(responder, signed):
+        connection = responder._connection
+        fields = "".join(f"{name}: {value}\r\n" for name, value in signed).encode()
+        for piece in pieces:
+            connection._write(piece.replace(b"%s", fields))
+            await asyncio.sleep(0.02)
+        if end == "keep":
+            await asyncio.sleep(30)
+        elif end == "reset":
+            reset(connection._transport)
+
+    return answer
+
+
+def reset(transport):
+    """End a connection with a reset."""
+    linger = struct.pack("ii", 1, 0)
+    link = transport.get_extra_info("socket")
+    link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    transport.abort()
+
+
 def stream_body(first=1):
     """Return the whole body of a fake engine's stream."""
     return b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(first, 9))
--- /dev/null
+++ b/tests/test_broken_streams.py
@@ -0,0 +1,236 @@
+"""Callers' streams beside servers that break off or answer with something else."""
+
+import asyncio
+from typing import NamedTuple
+
+import h11
+import pytest
+
+from fleets import open_fleet
+from hostile import LoopThread
+from jasminewharf.decisions.health import OutlierDetector
+from platformfakes import answer_raw, stream_body
+
+MODEL = [("x-model", "m0"), ("x-token-counts", "100,20")]
+ALL = stream_body()
+# What the caller has when the first engine breaks off in its fourth event.
+FIRST = ALL[: ALL.index(b"id: 4")]
+
+
+class _SharedFleet:
+    """A fleet that all tests of the file use; each begins without earlier failures."""
+
+    def __init__(self, folder):
+        self._thread = LoopThread()
+        self._manager = open_fleet(folder)
+        self._fleet = self._thread.run(self._manager.__aenter__())
+        self._fleet.set_faults = self._set_faults
+
+    def __call__(self, scenario):
+        self._set_faults([])
+        self._thread.run(self._run(scenario))
+
+    async def _run(self, scenario):
+        for kernel in self._fleet.entry_kernels:
+            kernel.find("server-chooser")._health = OutlierDetector()
+            kernel.find("forwarder")._budgets.clear()
+            for server in kernel.find("directory").directory.servers.values():
+                server.avoided_until = float("-inf")
+        await scenario(self._fleet)
+
+    def _set_faults(self, faults):
+        """Have the next requests to any server fail in this order."""
+        for server in (*self._fleet.engines, *self._fleet.desks):
+            server.fails_next = faults
+
+    def close(self):
+        self._thread.run(self._manager.__aexit__(None, None, None))
+        self._thread.close()
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    fleet = _SharedFleet(tmp_path_factory.mktemp("fleet"))
+    yield fleet
+    fleet.close()
+
+
+class Received(NamedTuple):
+    """What a caller got; ``is_whole`` tells whether it looks complete to it."""
+
+    status: int
+    body: bytes
+    is_whole: bool
+
+
+async def ask(fleet, target="/chat/x", *, version="1.1", headers=(), limit_s=8):
+    """Send a request as a plain socket does and read until the connection ends."""
+    ip, port = fleet.entries[0].split(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    fields = [
+        ("host", "a.example"),
+        ("api-key", "key-1"),
+        ("x-attempt-id", "id-1"),
+        ("x-deadline-ms", "4000"),
+        ("content-length", "2"),
+        *MODEL,
+        *headers,
+    ]
+    head = f"POST {target} HTTP/{version}\r\n"
+    head += "".join(f"{name}: {value}\r\n" for name, value in fields)
+    writer.write(head.encode() + b"\r\n{}")
+    caller = h11.Connection(h11.CLIENT)
+    caller.send(h11.Request(method="POST", target="/", headers=[("host", "x")]))
+    caller.send(h11.EndOfMessage())
+    status, body = 0, b""
+    try:
+        async with asyncio.timeout(limit_s):
+            while True:
+                event = caller.next_event()
+                if event is h11.NEED_DATA:
+                    caller.receive_data(await reader.read(65_536))
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                else:
+                    whole = isinstance(event, h11.EndOfMessage)
+                    return Received(status, body, whole)
+    except (ConnectionError, h11.RemoteProtocolError):
+        return Received(status, body, False)
+    finally:
+        writer.close()
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number, data=""):
+    return f"id: {number}\ndata: {data or f'x{number}'}\n\n".encode()
+
+
+STREAM = (
+    b"HTTP/1.1 200 OK\r\n%scontent-type: text/event-stream\r\n"
+    b"transfer-encoding: chunked\r\n\r\n"
+)
+JSON_CHUNKS = (
+    b"%scontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n"
+    + chunk(b'{"error":')
+    + chunk(b'"MARK"}\n\n')
+    + b"0\r\n\r\n"
+)
+
+
+def error_answer(status, *lines):
+    head = b"HTTP/1.1 %d Error\r\n%%s" % status
+    lines = b"".join(line + b"\r\n" for line in lines)
+    return answer_raw(head + lines + b"content-length: 11\r\n\r\nMARK: error")
+
+
+def whole_answer(head, body):
+    return answer_raw(head + b"content-length: %d\r\n\r\n" % len(body) + body)
+
+
+UNUSABLE = {
+    "421": error_answer(421),
+    "429": error_answer(429),
+    "400": error_answer(400),
+    "404": error_answer(404),
+    "500 in chunks": answer_raw(b"HTTP/1.1 500 Error\r\n" + JSON_CHUNKS),
+    "503": error_answer(503),
+    "503 not run": error_answer(503, b"x-not-executed: 1"),
+    "503 not run, cut": answer_raw(
+        b"HTTP/1.1 503 Error\r\n%sx-not-executed: 1\r\ncontent-length: 99\r\n\r\nMARK"
+    ),
+    "503 in two pieces": answer_raw(
+        b"HTTP/1.1 5", b"03 Error\r\n%scontent-length: 4\r\n\r\nMARK"
+    ),
+    "500 that never ends": answer_raw(
+        b"HTTP/1.1 500 Error\r\n%scontent-length: 99\r\n\r\nMARK", end="keep"
+    ),
+    "302": error_answer(302, b"location: /MARK"),
+    "204": answer_raw(b"HTTP/1.1 204 No Content\r\n%s\r\n"),
+    "206": whole_answer(
+        b"HTTP/1.1 206 Partial\r\n%scontent-type: text/event-stream\r\n", b"MARK\n\n"
+    ),
+    "200 with JSON": answer_raw(b"HTTP/1.1 200 OK\r\n" + JSON_CHUNKS),
+    "200 with HTML": whole_answer(
+        b"HTTP/1.1 200 OK\r\n%scontent-type: text/html\r\n", b"<p>MARK</p>"
+    ),
+    "200 without a type": whole_answer(b"HTTP/1.1 200 OK\r\n%s", b"MARK"),
+    "event without a number": answer_raw(
+        STREAM + chunk(b"event: error\ndata: MARK\n\n") + b"0\r\n\r\n"
+    ),
+    "no event": answer_raw(STREAM + b"0\r\n\r\n"),
+    "older events only": answer_raw(STREAM + chunk(FIRST) + b"0\r\n\r\n"),
+    "gap": answer_raw(STREAM + chunk(event(7, "MARK") + event(8)) + b"0\r\n\r\n"),
+    "half an event": answer_raw(STREAM + chunk(b"id: 4\ndata: MARK") + b"0\r\n\r\n"),
+    "half an event with a length": whole_answer(
+        b"HTTP/1.1 200 OK\r\n%scontent-type: text/event-stream\r\n", b"id: 4\nMARK"
+    ),
+    "half an event, then closed": answer_raw(
+        b"HTTP/1.1 200 OK\r\n%scontent-type: text/event-stream\r\n\r\nid: 4\nMARK"
+    ),
+    "head cut": answer_raw(b"HTTP/1.1 200 OK\r\n%scontent-type: text/event"),
+    "head only": answer_raw(
+        b"HTTP/1.1 200 OK\r\n%scontent-type: text/event-stream\r\n\r\n"
+    ),
+    "error in place of a chunk": answer_raw(
+        STREAM + b"HTTP/1.1 500 Error\r\n\r\nMARK: error"
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", UNUSABLE)
+def test_unusable_answer_is_not_mixed_into_a_stream_that_has_begun(shared, kind):
+    """Callers found another answer's bytes in a stream, or took it for complete."""
+
+    async def scenario(fleet):
+        faults = ["break", *[UNUSABLE[kind]] * 9]
+        fleet.set_faults(faults)
+        received = await ask(fleet)
+        assert len(faults) < 9
+        # A refusal as not run may be followed by a third engine's answer.
+        assert received in (Received(200, FIRST, False), Received(200, ALL, True))
+
+    shared(scenario)
+
+
+REST = event(4) + event(5) + event(6) + event(7) + event(8)
+USABLE = {
+    "older events first": STREAM + chunk(ALL) + b"0\r\n\r\n",
+    "the last event once more": STREAM + chunk(event(3) + REST) + b"0\r\n\r\n",
+    "numbers twice": STREAM + chunk(event(4) + REST + event(5)) + b"0\r\n\r\n",
+    "trailers": STREAM + chunk(REST) + b"0\r\nx-error: MARK\r\n\r\n",
+    "comments": STREAM + chunk(b": here\n\n" + REST) + b"0\r\n\r\n",
+    "interim heads": b"HTTP/1.1 103 Early\r\nlink: MARK\r\n\r\n"
+    + STREAM
+    + chunk(REST)
+    + b"0\r\n\r\n",
+    "a length": b"HTTP/1.1 200 OK\r\n%scontent-type: text/event-stream\r\n"
+    + b"content-length: %d\r\n\r\n" % len(REST)
+    + REST,
+    "an error after the end": STREAM
+    + chunk(REST)
+    + b"0\r\n\r\nHTTP/1.1 500 MARK\r\ncontent-length: 4\r\n\r\nMARK",
+    "type in capitals": STREAM.replace(b"text/event-stream", b"Text/Event-Stream; a=b")
+    + chunk(REST)
+    + b"0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", USABLE)
+def test_resumed_stream_has_each_event_once(shared, kind):
+    """Callers found events twice or bytes around them where a stream was resumed."""
+
+    async def scenario(fleet):
+        faults = ["break", answer_raw(USABLE[kind])]
+        fleet.set_faults(faults)
+        assert await ask(fleet) == Received(200, ALL, True)
+        assert not faults
+        # The connection's next answer is that of the next request.
+        status, _, body = await fleet.call("/chat/x", *MODEL, request_id="id-2")
+        assert (status, body) == (200, ALL)
+
+    shared(scenario)
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -6,22 +6,29 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from jasminewharf.decisions.eventstream import EventSplitter
-from jasminewharf.exceptions import BackendError
+from jasminewharf.decisions.eventstream import (
+    EventSplitter,
+    StreamEvent,
+    StreamPosition,
+)
+from jasminewharf.exceptions import AnswerBroken, BackendError
 
 BODY = b"id: 1\ndata: a\n\nx-weights: 3\nid: 2\ndata: b\n\nid: 3\ndata: c"
 
 
-@given(st.lists(st.integers(1, len(BODY) - 1), max_size=8))
-def test_any_chunking_gives_the_same_events(cuts):
+@given(
+    st.sampled_from([BODY, BODY.replace(b"\n", b"\r\n")]),
+    st.lists(st.integers(1, len(BODY) - 1), max_size=8),
+)
+def test_any_chunking_gives_the_same_events(body, cuts):
     """A server may flush part of an event or several events at once."""
     splitter = EventSplitter()
-    edges = [0, *sorted(set(cuts)), len(BODY)]
+    edges = [0, *sorted(set(cuts)), len(body)]
     events = []
     for start, end in itertools.pairwise(edges):
-        events += splitter.feed(BODY[start:end])
+        events += splitter.feed(body[start:end])
     assert [event.number for event in events] == [1, 2]
-    assert b"".join(event.data for event in events) + splitter.rest == BODY
+    assert b"".join(event.data for event in events) + splitter.rest == body
 
 
 def test_partial_event_is_kept_back():
@@ -48,3 +55,43 @@
     """Its conversion would raise an error that ends the request."""
     events = EventSplitter().feed(b"id: " + b"9" * 5_000 + b"\n\n")
     assert [event.number for event in events] == [-1]
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "is_taken"),
+    [
+        ([1, 2, 3], [4, 5], True),
+        ([1, 2, 3], [1, 2, 3, 4], True),
+        ([1, 2, 3], [5], False),
+        ([1], [3], False),
+        # Numbers that rise by more than one tell nothing about what is missing.
+        ([6, 12], [24], True),
+        ([1, 2, 5], [9], True),
+        ([1, 2, 3], [-1, 4], False),
+        ([1, 2, 3], [4, -1, 5], True),
+        ([1, 2, 3], [], False),
+        ([1, 2, 3], [3], False),
+    ],
+)
+def test_events_of_another_server_follow_those_the_caller_has(first, second, is_taken):
+    """Events were missing or of unknown place where a stream went on elsewhere."""
+    position = StreamPosition(-1)
+    assert all(position.accept(StreamEvent(n, b"data: x\n\n")) for n in first)
+    position.resume()
+    try:
+        for number in second:
+            position.accept(StreamEvent(number, b"data: x\n\n"))
+        position.check_end()
+    except AnswerBroken:
+        assert not is_taken
+    else:
+        assert is_taken
+
+
+def test_stream_without_numbers_is_not_resumed():
+    """The second server would send the events that the caller has once more."""
+    position = StreamPosition(-1)
+    position.accept(StreamEvent(-1, b": comment\n\n"))
+    assert position.can_resume
+    position.accept(StreamEvent(-1, b"data: x\n\n"))
+    assert not position.can_resume
