Demand an acknowledgement only where the operator waited for it

Such sendings are marked now, and the bound counts for changes without them. The fleet was in order; no other check is changed.

--- a/tests/test_configuration_checks.py
+++ b/tests/test_configuration_checks.py
@@ -4,6 +4,7 @@
 
 from jasminewharf.bench.configuration_checks import (
     CORE,
+    LEFT,
     QUORUM,
     Call,
     Change,
@@ -107,6 +108,8 @@
     assert check(changes=[late], spans=[Span(CORE, 7.1, 7.1)]) == []
     assert check(changes=[late], spans=[Span("c", 13.0, 13.5)]) == []
     assert check(changes=[late], spans=[Span("e", 13.0, 13.5)]) != []
+    left = late._replace(sends=[Send(9.9, "c", LEFT, 9.91), *late.sends])
+    assert check(changes=[left]) == []
 
 
 def test_too_few_served_after_the_return_are_found():
