Ask no leader at an address of yesterday

A process that found its control hosts while running remembered the leader after it had closed the link to it: when another host had taken the leader's place at another address, choosing whom to ask failed with KeyError, on each request, until the process was started again. An essential task that asked ended its process; an entry failed every request whose rate is lent by the leader; a control host answered changes with an internal error.

Cause: set_hosts removes links, the recorded leader stayed, and _choose looked its link up without asking whether it is there. Hosts of the settings at the start are never removed, so that only a leader that was added later, and then left, shows it.

Evidence: the new test failed with KeyError before the change, and passes. Found by reading; the soak has not met it.

--- a/src/jasminewharf/services/controllers.py
+++ b/src/jasminewharf/services/controllers.py
@@ -143,9 +143,9 @@
 
     def _choose(self, group: str) -> str:
         """Return the control host to ask; an empty name if there is none."""
-        name = self._leaders.get(group)
-        if name is not None and self.links[name].is_connected:
-            return name
+        leader = self.find_leader(group)
+        if leader is not None and leader.is_connected:
+            return self._leaders[group]
         connected = [name for name, link in self.links.items() if link.is_connected]
         now = asyncio.get_running_loop().time()
         responsive = [
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -73,3 +73,25 @@
         assert controllers.find_leader("fleet") is leader
 
     asyncio.run(scenario())
+
+
+def test_leader_that_was_replaced_is_not_asked():
+    """A leader at an address of yesterday ended the task that asked with KeyError.
+
+    Its link was closed once another control host had taken its place, but it was
+    remembered as the leader.
+    """
+
+    async def scenario():
+        gone, live = FakeLink(None), FakeLink("yes")
+        gone.is_connected = False
+        gone.close = lambda: None
+        controllers = build_controllers(gone=gone, live=live)
+        fleet = SimpleNamespace(control_host=lambda ip: SimpleNamespace(name=ip))
+        controllers.kernel.settings = SimpleNamespace(control=[], fleet=fleet, node="x")
+        controllers._leaders["fleet"] = "gone"
+        controllers.set_hosts(["live"])
+        assert list(controllers.links) == ["live"]
+        assert await controllers.request("fleet", "x", 0.1) == "yes"
+
+    asyncio.run(scenario())
