Let the successor of a lost control host vote

A control host that took the place of a lost one at another address never voted, and the lost one stayed a member. The fleet worked on with two of three votes; the next loss, or a full stop after which one more host was late, left no quorum: every change was answered 503, and once the leases of the entries had run out, so was much of the traffic.

Cause: of three voters with one lost, a learner was promoted only if all others answered, or a quorum would outlast its loss (neither holds with two of three), and a silent voter was removed only if more than three voted. Each waited for the other. Besides, the removal ran after the addition, which waits 30 s for the newcomer's vote.

Change: a learner that answers and holds the log counts as a successor, so that the silent voter is removed first and the successor votes right after it. The quorum is formed by the same hosts before and after the removal, so that a loss in between costs no more than before. Adding and removing run side by side. Ruled out: to promote the successor first; with four voters and one lost, the loss of the successor would stop writes.

--- a/src/jasminewharf/decisions/consensus.py
+++ b/src/jasminewharf/decisions/consensus.py
@@ -163,6 +163,10 @@
             if now - item.last_answer_at >= seconds
         }
 
+    def find_successors(self, now: float) -> set[str]:
+        """Return learners that answer this leader and hold its log."""
+        return memberchanges.find_successors(self._state, now)
+
     def is_transferring(self, now: float) -> bool:
         """Return whether a snapshot is being sent or installed."""
         return snapshots.is_transferring(self._state, now)
--- a/src/jasminewharf/decisions/memberchanges.py
+++ b/src/jasminewharf/decisions/memberchanges.py
@@ -7,7 +7,12 @@
 from .records import MEMBERS, ChangeMembers, Entry, encode_members, host_name
 from .replication import broadcast
 
-__all__ = ["change_members", "step_down_if_removed", "promote_learners"]
+__all__ = [
+    "change_members",
+    "find_successors",
+    "promote_learners",
+    "step_down_if_removed",
+]
 
 
 def change_members(state: GroupState, change: ChangeMembers, now: float) -> None:
@@ -69,6 +74,15 @@
             return
 
 
+def find_successors(state: GroupState, now: float) -> set[str]:
+    """Return the identities of responsive, caught-up learners."""
+    return {
+        member.identity
+        for member in state.members
+        if not member.voter and _has_caught_up(state, member.identity, now)
+    }
+
+
 def _has_caught_up(state: GroupState, identity: str, now: float) -> bool:
     progress = state.progress.get(identity)
     if progress is None or not _answers(state, identity, now):
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -222,6 +222,11 @@
         now = asyncio.get_running_loop().time()
         return self._runner(group).consensus.silent_members(seconds, now)
 
+    def successors(self, group: str) -> set[str]:
+        """Return members that do not vote yet, answer this leader and hold its log."""
+        now = asyncio.get_running_loop().time()
+        return self._runner(group).consensus.find_successors(now)
+
     def members(self, group: str) -> tuple[MemberRecord, ...]:
         """Return the group's members in the newest configuration known here."""
         return self._runner(group).consensus.members
--- a/src/jasminewharf/services/repair.py
+++ b/src/jasminewharf/services/repair.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from typing import ClassVar
 
 from .. import defaults, events
@@ -49,7 +50,9 @@
         """Answer newcomers, and ask to become a member where this host is none."""
         self.kernel.find("control").handle(RequestMembership, self._take_request)
         self.spawn(self._ask_forever(), essential=True)
-        self.spawn(self._repair_forever(), essential=True)
+        # A newcomer may wait for its vote until a lost member is removed.
+        self.spawn(self._repeat_as_leader(self._add_newcomer), essential=True)
+        self.spawn(self._repeat_as_leader(self._remove_departed), essential=True)
         self.spawn(self._announce_forever(), essential=True)
 
     async def _ask_forever(self) -> None:
@@ -96,15 +99,14 @@
         self._newcomers[request.host] = request
         return MembershipAnswer(False)
 
-    async def _repair_forever(self) -> None:
+    async def _repeat_as_leader(self, repair: Callable[[], Awaitable[None]]) -> None:
         while True:
             await asyncio.sleep(defaults.REPAIR_INTERVAL_S)
             if not self._log.is_leader(FLEET_GROUP):
                 self._newcomers.clear()
                 continue
             try:
-                await self._add_newcomer()
-                await self._remove_departed()
+                await repair()
             except (ConsensusError, LinkError) as error:
                 events.emit(_logger, events.MEMBER_CHANGE_FAILED, error=error)
 
@@ -122,6 +124,7 @@
             self._log.members(FLEET_GROUP),
             self._log.silent_members(FLEET_GROUP, defaults.REPAIR_SILENT_S),
             2 * fleet.tolerated_losses + 1,
+            self._log.successors(FLEET_GROUP),
         )
         if departed:
             await self._log.remove_member(FLEET_GROUP, departed)
--- /dev/null
+++ b/tests/test_repair_service.py
@@ -0,0 +1,69 @@
+"""Control hosts that are replaced by empty ones at other addresses."""
+
+import asyncio
+
+from fleets import build_body, pick_base
+from jasminewharf.interfaces.roles import build_kernel
+from jasminewharf.settings import load_settings
+from processfleet import ProcessFleet
+from support import wait_until
+
+_REPLACED_S = 20.0
+_NEW = "127.0.0.60"
+
+
+async def start_control(fleet, ip, first_start):
+    path = fleet.write_settings(ip, "control", operator_listen=f"{ip}:{fleet.base + 8}")
+    text = path.read_text()
+    path.write_text(
+        text.replace("first_start: true", f"first_start: {str(first_start).lower()}")
+    )
+    kernel = build_kernel(load_settings(str(path)))
+    await kernel.start()
+    fleet.kernels.append(kernel)
+    return kernel
+
+
+def list_voters(kernels):
+    """Return the hosts that vote, by the leader; none while there is no leader."""
+    for kernel in kernels:
+        log = kernel.find("log")
+        if log.is_leader("fleet"):
+            return [m.identity.split("/")[0] for m in log.members("fleet") if m.voter]
+    return []
+
+
+def test_replaced_control_host_does_not_vote_for_ever(tmp_path):
+    """After a second loss no configuration was acknowledged any more.
+
+    The successor of a lost control host was to vote only if all others answered, and
+    the lost one was to be removed only once the successor voted.
+    """
+
+    async def main():
+        fleet = ProcessFleet(pick_base(), tmp_path / "fleet", 2)
+        fleet.folder.mkdir()
+        await fleet.list.start()
+        try:
+            first, second, lost = [
+                await start_control(fleet, ip, True) for ip in fleet.controls
+            ]
+            assert (await fleet.submit(build_body(1)))[0] == 200
+            fleet.kernels.remove(lost)
+            await lost.stop()
+            new = await start_control(fleet, _NEW, False)
+            left = [*fleet.controls[:2], _NEW]
+            await wait_until(
+                lambda: sorted(list_voters([first, second, new])) == sorted(left),
+                _REPLACED_S,
+            )
+            fleet.kernels.remove(second)
+            await second.stop()
+            async with asyncio.timeout(5.0):
+                assert (await fleet.submit(build_body(2)))[0] == 200
+        finally:
+            for kernel in fleet.kernels:
+                await kernel.stop()
+            await fleet.list.stop()
+
+    asyncio.run(main())
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -24,3 +24,12 @@
 def test_newcomer_that_went_away_again_is_dropped():
     group = members("a", "b", "c", "d", learners=("d",))
     assert choose_departed(group, {"d"}, 3) == "d"
+
+
+def test_silent_member_goes_once_a_successor_holds_the_log():
+    """The successor never voted: it waited for the silent member to answer."""
+    group = members("a", "b", "c", "d", learners=("d",))
+    assert choose_departed(group, {"c"}, 3) == ""
+    assert choose_departed(group, {"c"}, 3, {"d"}) == "c"
+    assert choose_departed(group, set(), 3, {"d"}) == ""
+    assert choose_departed(members("a", "b", "c"), {"c"}, 3, set()) == ""
