Reset an answer that is cut for a caller that knows no chunks

An HTTP/1.0 caller took a stream that was cut for complete: its body ends with the connection, and a cut closed the connection as the end of a whole body does.

Evidence: test_cut_stream_does_not_look_complete[1.0] for a resumable and a plain stream, and test_answer_that_ends_with_its_connection_is_reset_when_cut (cut by the handler, by an error in it, by the stop of the server; with and without TLS), 8 cases, failed before. Ruled out: HTTP/1.1 callers, also with "connection: close", get chunks and saw the missing end before.

Change: a cut resets the connection if the caller's version has no chunks, and so does the stop of the server for all answers in progress. With TLS the reset also replaces the close notification.

Measured: test_broken_streams.py, test_hostile_http.py, test_client.py and test_fakes.py pass. What remains: the kernel ends the connections of a killed process with a close if nothing is unread, so an HTTP/1.0 caller can't tell then.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -1,10 +1,13 @@
 """An HTTP/1.1 server on h11 that bounds what a caller may send."""
 
 import asyncio
+import contextlib
 import logging
 import math
 import os
+import socket
 import ssl
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -30,6 +33,9 @@
 _CONNECTION_RETRY_MS = 1_000
 # Colon, space and line end of a header field.
 _FIELD_BYTES = 4
+_VERSION_WITHOUT_CHUNKS = b"1.0"
+# Linger of zero seconds: the socket is reset when it is closed.
+_RESET = struct.pack("ii", 1, 0)
 
 
 class Request(NamedTuple):
@@ -88,7 +94,7 @@
 
     def cut(self) -> None:
         """Close without the end of the body, so that it is not taken for whole."""
-        self._connection.close()
+        self._connection.cut()
 
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
@@ -263,7 +269,7 @@
     def _refuse(self, responder: Responder, refusal: Refusal) -> None:
         if responder.has_started:
             if not responder.is_finished:
-                self.close()
+                self.cut()
             return
         headers, body = self._server.render_error(refusal)
         responder.respond(refusal.status, headers, body)
@@ -290,7 +296,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         if not responder.is_finished:
-            self.close()
+            self.cut()
             return
         if self._server.draining or self._h11.our_state is not h11.DONE:
             self.close()
@@ -348,11 +354,37 @@
         if self._transport is not None:
             self._transport.close()
 
+    def cut(self) -> None:
+        """Close such that an answer in progress does not look complete.
+
+        To a caller that knows no chunks, the close is the end of the body; it gets a
+        reset instead.
+        """
+        if self._h11.their_http_version == _VERSION_WITHOUT_CHUNKS:
+            self._reset()
+        else:
+            self.close()
+
     def abort(self) -> None:
+        """Drop the connection; one with an answer in progress is reset."""
+        if self._task is not None:
+            self._reset()
+            return
         self._closing = True
         if self._transport is not None:
             self._transport.abort()
 
+    def _reset(self) -> None:
+        self._closing = True
+        if self._transport is None:
+            return
+        connection = self._transport.get_extra_info("socket")
+        # The socket may be closed already.
+        with contextlib.suppress(OSError):
+            if connection is not None:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self._transport.abort()
+
     def _arm(self, timeout_s: float) -> None:
         """Set the time-out; a timer that is due earlier looks at it again.
 
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -1,14 +1,19 @@
 """Callers' streams beside servers that break off or answer with something else."""
 
 import asyncio
+import ssl
 from typing import NamedTuple
 
 import h11
 import pytest
 
+from certificates import write_certificate
 from fleets import open_fleet
 from hostile import LoopThread
 from jasminewharf.decisions.health import OutlierDetector
+from jasminewharf.interfaces.http import HttpServer
+from jasminewharf.interfaces.refusals import render_refusal
+from jasminewharf.settings import LimitSettings
 from platformfakes import answer_raw, stream_body
 
 MODEL = [("x-model", "m0"), ("x-token-counts", "100,20")]
@@ -234,3 +239,63 @@
         assert (status, body) == (200, ALL)
 
     shared(scenario)
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("target", ["/chat/x", "/plan/x"])
+def test_cut_stream_does_not_look_complete(shared, version, target):
+    """To a caller that reads until the close, a stream that was cut looked whole."""
+
+    async def scenario(fleet):
+        fleet.set_faults(["break", "break"])
+        received = await ask(
+            fleet, target, version=version, headers=[("connection", "close")]
+        )
+        assert not received.is_whole
+
+    shared(scenario)
+
+
+@pytest.mark.parametrize("tls", [False, True])
+@pytest.mark.parametrize("ending", ["cut", "error", "stop"])
+def test_answer_that_ends_with_its_connection_is_reset_when_cut(tmp_path, tls, ending):
+    """A caller that reads until the close took each of these for whole answers."""
+
+    async def handle(request, responder):
+        responder.start(200, [])
+        await responder.write(b"begun")
+        if ending == "cut":
+            responder.cut()
+        elif ending == "error":
+            raise ValueError("a handler that fails")
+        else:
+            await asyncio.sleep(30)
+
+    async def scenario():
+        server = HttpServer(handle, render_refusal, LimitSettings())
+        address = await server.listen("127.0.0.1", 0, server_context if tls else None)
+        ip, port = address.split(":")
+        reader, writer = await asyncio.open_connection(
+            ip, int(port), ssl=caller_context if tls else None
+        )
+        writer.write(b"GET / HTTP/1.0\r\nhost: x\r\n\r\n")
+        await reader.readuntil(b"begun")
+        if ending == "stop":
+            await server.close()
+        is_whole = True
+        try:
+            await reader.read()
+        except ConnectionError:
+            is_whole = False
+        writer.close()
+        await server.close()
+        assert not is_whole
+
+    if tls:
+        write_certificate(tmp_path, "localhost")
+        server_context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        server_context.load_cert_chain(tmp_path / "tls.crt", tmp_path / "tls.key")
+        caller_context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        caller_context.check_hostname = False
+        caller_context.verify_mode = ssl.CERT_NONE
+    asyncio.run(scenario())
