Do not believe an empty success whose end only the close tells

Callers got a 200 with an empty body, framed as whole, from a server that closed right after its answer's head.

Cause: a head without a length and without chunks means that the body ends with the connection. A server that dies right after such a head closes as one does whose body is empty, and the entry answered with "content-length: 0", or ended the stream.

Ruled out, as these passed before: an answer cut at each byte of head and body, with a length first or last, in chunks, after interim heads, each by close, half-close and reset; two lengths; a larger length; sizes that are no numbers; a longer chunk; unknown codings; a switch of protocols; an empty line in front; a bad status line.

Change: a success that may have a body but has neither length nor chunks is broken if it ends without one byte; it is neither of HEAD nor a 204 or 205. Failures without a body are passed on. Bodies that end with a clean close are believed, as the protocol has it.

A body without a length that a dying server ends with a close in its midst can't be told from a whole one.

--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -18,6 +18,8 @@
 
 # Of the longest time-out of a kept connection that is believed: eleven days.
 _DIGITS = 6
+# Successes but for the one that has no body.
+_WITH_BODY = frozenset({200, 201, 202, 203, 206})
 # Linger of zero seconds: the socket is reset when it is closed.
 _RESET = struct.pack("ii", 1, 0)
 
@@ -134,20 +136,35 @@
         headers: Names in lower case and values.
     """
 
-    def __init__(self, client: "HttpClient", wire: _Wire, head: h11.Response) -> None:
+    def __init__(
+        self, client: "HttpClient", wire: _Wire, head: h11.Response, method: str
+    ) -> None:
         self._client = client
+        self._method = method
         self._wire = wire
         self._finished = False
         self._closed = False
+        self._is_empty = True
         self.status = head.status_code
         self.headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers
         ]
 
+    @property
+    def _needs_body(self) -> bool:
+        """Whether a success promises a body whose end only the close tells."""
+        names = [name for name, _ in self.headers]
+        is_framed = "content-length" in names or "transfer-encoding" in names
+        has_body = self.status in _WITH_BODY and self._method != "HEAD"
+        return has_body and not is_framed
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body.
 
+        An empty body without a length is not believed: a server that ends after the
+        head closes in the same way.
+
         Raises:
             BackendError: If the body ends early.
         """
@@ -155,8 +172,11 @@
             while True:
                 event = await self._wire.next_event()
                 if isinstance(event, h11.Data):
+                    self._is_empty = False
                     yield bytes(event.data)
                 elif isinstance(event, h11.EndOfMessage):
+                    if self._is_empty and self._needs_body:
+                        raise BackendError("the connection ended after the head")
                     self._finished = True
                     return
                 else:
@@ -364,9 +384,7 @@
                 data += wire.h11.send(h11.Data(data=body))
             data += wire.h11.send(h11.EndOfMessage())
             wire.write(data)
-            event = await wire.next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await wire.next_event()
+            event = await _read_head(wire)
         except (OSError, h11.ProtocolError) as error:
             wire.close()
             raise BackendError(f"{self.address}: {error}") from error
@@ -376,8 +394,11 @@
         if not isinstance(event, h11.Response):
             wire.close()
             raise BackendError(f"{self.address} closed the connection")
+        if _is_ambiguous(event):
+            wire.close()
+            raise BackendError(f"{self.address} sent a length and chunks")
         _note_keep_alive(wire, event)
-        return ClientResponse(self, wire, event)
+        return ClientResponse(self, wire, event, method)
 
     def give_back(self, wire: _Wire) -> None:
         """Keep a connection for the next request, if it can be kept."""
@@ -400,6 +421,21 @@
             self._idle.pop().close()
 
 
+async def _read_head(wire: _Wire) -> Any:
+    """Return what follows the interim heads."""
+    for _ in range(defaults.HTTP_INTERIM_HEADS + 1):
+        event = await wire.next_event()
+        if not isinstance(event, h11.InformationalResponse):
+            return event
+    raise h11.RemoteProtocolError("too many interim heads")
+
+
+def _is_ambiguous(head: h11.Response) -> bool:
+    """Return whether another reader could find another end of the body."""
+    names = [name for name, _ in head.headers]
+    return b"content-length" in names and b"transfer-encoding" in names
+
+
 def _note_keep_alive(wire: _Wire, head: h11.Response) -> None:
     """Stop using a kept connection before the server's own time-out ends it."""
     for name, value in head.headers:
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -241,6 +241,38 @@
     shared(scenario)
 
 
+SHORT = {
+    "head only": answer_raw(b"HTTP/1.1 200 OK\r\n%s\r\n"),
+    "head only, reset": answer_raw(b"HTTP/1.1 200 OK\r\n%s\r\n", end="reset"),
+    "part of the head": answer_raw(b"HTTP/1.1 200 OK\r\n%s"),
+    "part of the head, reset": answer_raw(b"HTTP/1.1 200 OK\r\n%s", end="reset"),
+    "interim head": answer_raw(b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "half a body, reset": answer_raw(b"HTTP/1.1 200 OK\r\n%s\r\nMARK", end="reset"),
+    "stream's head only": answer_raw(STREAM),
+    "stream's head only, without a length": answer_raw(
+        STREAM.replace(b"transfer-encoding: chunked\r\n", b"")
+    ),
+}
+
+
+@pytest.mark.parametrize("target", ["/orders/1", "/plan/x", "/chat/x"])
+@pytest.mark.parametrize("kind", SHORT)
+def test_answer_that_ends_with_its_head_is_no_success(shared, kind, target):
+    """Callers got a 200 with an empty or short body, framed as whole."""
+
+    async def scenario(fleet):
+        faults = [SHORT[kind]]
+        fleet.set_faults(faults)
+        received = await ask(fleet, target)
+        assert not faults
+        if target == "/chat/x":
+            assert received == Received(200, ALL, True)
+        else:
+            assert received.status == 502 or not received.is_whole
+
+    shared(scenario)
+
+
 @pytest.mark.parametrize("version", ["1.0", "1.1"])
 @pytest.mark.parametrize("target", ["/chat/x", "/plan/x"])
 def test_cut_stream_does_not_look_complete(shared, version, target):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -8,6 +8,7 @@
 from jasminewharf import defaults
 from jasminewharf.exceptions import BackendError, BackendUnreachable
 from jasminewharf.services.client import HttpClient
+from platformfakes import reset
 from support import wait_until
 
 
@@ -252,3 +253,134 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nx-signature: 1\r\n"
+WHOLE = {
+    "length": HEAD + b"content-length: 2\r\n\r\nok",
+    "length first": b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-signature: 1\r\n\r\nok",
+    "chunks": HEAD + b"transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    "interim heads": b"HTTP/1.1 100 Continue\r\n\r\n"
+    + b"HTTP/1.1 103 Early\r\nlink: a\r\n\r\n"
+    + HEAD
+    + b"content-length: 2\r\n\r\nok",
+}
+
+
+async def _fetch_all(answers, ending):
+    """Return what the client makes of each answer: its body, or None if broken."""
+    left = list(answers)
+
+    async def handle(reader, writer):
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(left.pop(0))
+            await writer.drain()
+            if ending == "reset":
+                # Once the bytes have left.
+                await asyncio.sleep(0.002)
+                reset(writer.transport)
+            elif ending == "half-close":
+                writer.write_eof()
+                await reader.read()
+        writer.close()
+
+    server = await open_server(handle)
+    results = []
+    for _ in answers:
+        client = HttpClient(address_of(server))
+        try:
+            results.append((await client.fetch("POST", "/", timeout_s=5))[1])
+        except BackendError:
+            results.append(None)
+        client.close()
+    server.close()
+    await asyncio.sleep(0.05)
+    return results
+
+
+@pytest.mark.parametrize("ending", ["close", "half-close", "reset"])
+@pytest.mark.parametrize("kind", WHOLE)
+def test_answer_cut_at_any_byte_is_broken(kind, ending):
+    """Callers got an empty or short body, framed as whole."""
+    answer = WHOLE[kind]
+    cuts = [answer[:end] for end in range(len(answer))]
+    assert asyncio.run(_fetch_all(cuts, ending)) == [None] * len(cuts)
+
+
+UNFRAMED = {
+    # Whoever dies after the head closes as one does whose body is empty.
+    "no body": (HEAD + b"\r\n", None),
+    "no body in HTTP/1.0": (HEAD.replace(b"1.1", b"1.0") + b"\r\n", None),
+    "a body": (HEAD + b"\r\nok", b"ok"),
+    "no content": (HEAD.replace(b"200", b"204") + b"\r\n", b""),
+    "a failure": (HEAD.replace(b"200", b"500") + b"\r\n", b""),
+    "an empty body": (HEAD + b"content-length: 0\r\n\r\n", b""),
+    "two lengths": (
+        HEAD + b"content-length: 2\r\ncontent-length: 3\r\n\r\nokk",
+        None,
+    ),
+    "a larger length": (HEAD + b"content-length: 3\r\n\r\nok", None),
+    "a length that is no number": (HEAD + b"content-length: 2x\r\n\r\nok", None),
+    "an unknown coding": (HEAD + b"transfer-encoding: gzip\r\n\r\nok", None),
+    "a chunk's size that is none": (
+        HEAD + b"transfer-encoding: chunked\r\n\r\n-2\r\nok\r\n0\r\n\r\n",
+        None,
+    ),
+    "a chunk that is longer": (
+        HEAD + b"transfer-encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n",
+        None,
+    ),
+    "a length and chunks": (
+        HEAD
+        + b"content-length: 9\r\ntransfer-encoding: chunked\r\n\r\n"
+        + b"2\r\nok\r\n0\r\n\r\n",
+        None,
+    ),
+    "a switch of protocols": (b"HTTP/1.1 101 Switching\r\nupgrade: x\r\n\r\n", None),
+    "an empty line": (b"\r\n" + HEAD + b"content-length: 2\r\n\r\nok", None),
+    "a folded line": (HEAD + b" b\r\ncontent-length: 2\r\n\r\nok", b"ok"),
+    "a bad status": (b"HTTP/1.1 2x0 OK\r\ncontent-length: 2\r\n\r\nok", None),
+}
+
+
+@pytest.mark.parametrize("kind", UNFRAMED)
+def test_answer_is_whole_only_as_its_framing_says(kind):
+    """Callers got an empty or short body, framed as whole."""
+    answer, body = UNFRAMED[kind]
+    assert asyncio.run(_fetch_all([answer], "close")) == [body]
+
+
+def test_answer_to_a_head_request_has_no_body():
+    """It looks like the head of an answer whose server has died."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"\r\n")
+        writer.close()
+
+    async def scenario():
+        server = await open_server(handle)
+        assert await HttpClient(address_of(server)).fetch("HEAD", "/") == (200, b"")
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_interim_heads_without_end_are_given_up():
+    """A server in trouble kept a request for as long as it sent interim heads."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+        await _send_without_end(writer, b"", interim)
+        writer.close()
+
+    async def scenario():
+        server = await open_server(handle)
+        with pytest.raises(BackendError):
+            async with asyncio.timeout(5):
+                await HttpClient(address_of(server)).open("GET", "/", [], b"")
+        server.close()
+
+    asyncio.run(scenario())
