Store the first configuration whatever its version

What operators saw: where nothing was held, a configuration of version 0 or below was acknowledged, never in force, and never read back; one of 2^64 or more was answered 500 for ever, as no message can hold its version. Cause: version 0 stood for "there is none", and the highest version wins against it. Change: an empty body stands for "there is none". Newly refused: versions that don't fit into 64 bits; they could neither be stored nor read back. 0 and negative versions stay accepted: the protocol asks for increasing versions only. While hosts of two releases run side by side, a first configuration of such a version would be stored by the newer ones only.

--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -34,6 +34,8 @@
 ]
 
 
+# Messages and the log hold no other versions.
+_VERSIONS = range(-(1 << 63), 1 << 64)
 # A caller abandons a stream after the longest of: this many seconds, targets, pauses.
 _PATIENCE_S = 2.0
 _PATIENCE_TARGETS = 4.0
@@ -178,6 +180,10 @@
     Raises:
         ConfigurationRefused: Naming the first part that is not valid.
     """
+    if configuration.version not in _VERSIONS:
+        raise ConfigurationRefused(
+            f"version {configuration.version} does not fit into 64 bits"
+        )
     services = {service.name for service in configuration.services}
     places: dict[tuple[HostIdentity, str], str] = {}
     for route in configuration.routes:
--- a/src/jasminewharf/decisions/fleet.py
+++ b/src/jasminewharf/decisions/fleet.py
@@ -69,10 +69,7 @@
 
 
 class StoredConfiguration(NamedTuple):
-    """The active configuration; version 0 if there is none.
-
-    ``body`` is compressed.
-    """
+    """The active configuration; ``body`` is compressed, and empty if there is none."""
 
     version: int = 0
     body: bytes = b""
@@ -241,8 +238,9 @@
         self, index: int, command: ReplaceConfiguration
     ) -> CommandResult:
         accepts = lookup(ACCEPTANCE_RULES, command.rule)
-        if not accepts(self.configuration.version, command.version):
-            return CommandResult("", "not newer", self.configuration.version)
+        held = self.configuration
+        if held.body and not accepts(held.version, command.version):
+            return CommandResult("", "not newer", held.version)
         self.configuration = StoredConfiguration(command.version, command.body)
         return CommandResult("", "replaced", command.version)
 
--- a/src/jasminewharf/services/configurations.py
+++ b/src/jasminewharf/services/configurations.py
@@ -63,7 +63,7 @@
             events.emit(_logger, events.CONFIGURATION_REFUSED, error=error)
             raise
         stored = self.kernel.find("fleet").state.configuration
-        if configuration.version <= stored.version:
+        if stored.body and configuration.version <= stored.version:
             return stored.version
         submission = SubmitConfiguration(
             configuration.version, await asyncio.to_thread(zlib.compress, body)
@@ -114,4 +114,4 @@
         """
         await self.kernel.find("log").read_barrier(FLEET_GROUP)
         stored = self.kernel.find("fleet").state.configuration
-        return unpack_configuration(stored.body) if stored.version else b""
+        return unpack_configuration(stored.body) if stored.body else b""
--- a/src/jasminewharf/services/view.py
+++ b/src/jasminewharf/services/view.py
@@ -38,7 +38,7 @@
         self._listeners.append(listener)
 
     def _read_stored(self, stored: StoredConfiguration) -> None:
-        if stored.version == 0:
+        if not stored.body:
             return
         if self.table is not None and stored.version <= self.table.version:
             return
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -13,6 +13,7 @@
 )
 from jasminewharf.decisions.fleet import FleetState
 from jasminewharf.exceptions import ConfigurationRefused
+from jasminewharf.messages import decode, encode
 from jasminewharf.messages.commands import ReplaceConfiguration
 
 
@@ -37,6 +38,8 @@
             "add up to 0",
         ),
         ({"routes": (build_route(timeout_s=0.0),)}, "timeout"),
+        ({"version": 1 << 64}, "64 bits"),
+        ({"version": -(1 << 63) - 1}, "64 bits"),
         (
             {"workspaces": (build_workspace("a"), build_workspace("b"))},
             "share a key",
@@ -66,6 +69,18 @@
     assert state.configuration.body == b"first"
 
 
+@pytest.mark.parametrize("version", [0, -7, -(1 << 63), (1 << 64) - 1])
+def test_first_configuration_takes_effect_whatever_its_version(version):
+    """Version 0 was acknowledged where nothing was held, and never in force."""
+    state = FleetState()
+    command = decode(encode(ReplaceConfiguration(version, "highest", b"first")))
+    assert state.apply_message(1, command).text == "replaced"
+    restored = FleetState()
+    restored.restore(state.snapshot())
+    assert restored.configuration == (version, b"first")
+    assert put(restored, 2, version, b"second").text == "not newer"
+
+
 def test_snapshot_keeps_the_configuration():
     state = FleetState()
     put(state, 1, 7, b"seven")
