Split requests by weights of any size

What operators saw: weights whose sum is beyond a float were acknowledged, and all requests went to the last service (2,000 of 2,000 in place of a quarter); the smallest weights gave 776 of 2,000. Cause: the sum was infinite, and numbers at the lower end of floats cannot be divided. Evidence: two of the five cases of test_split_follows_weights_of_any_size failed before. Ruled out: refusing such weights; they are valid, as they don't add up to 0.

--- a/src/jasminewharf/decisions/routes.py
+++ b/src/jasminewharf/decisions/routes.py
@@ -1,5 +1,6 @@
 """Lookup of the route, service and workspace of a request."""
 
+import math
 from typing import NamedTuple
 
 import xxhash
@@ -98,12 +99,16 @@
 def _choose(route: Route, request_id: str) -> str:
     if len(route.services) == 1:
         return route.services[0].service
-    total = sum(item.weight for item in route.services)
+    # The largest weight becomes about 1: sums of other ones may be infinite, and the
+    # smallest ones cannot be divided. A power of two rounds nothing.
+    _, exponent = math.frexp(max(item.weight for item in route.services))
+    weights = [math.ldexp(item.weight, -exponent) for item in route.services]
+    total = sum(weights)
     point = xxhash.xxh64_intdigest(request_id.encode()) / _HASH_RANGE * total
     slices: list[_Slice] = []
     end = 0.0
-    for item in route.services:
+    for item, weight in zip(route.services, weights, strict=True):
         if item.weight > 0:
-            end += item.weight
+            end += weight
             slices.append(_Slice(item.service, end))
     return next((item.service for item in slices if point < item.end), slices[-1][0])
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import pytest
+
 from fleetparts import build_configuration, build_route
 from jasminewharf.decisions.configurations import ServiceWeight
 from jasminewharf.decisions.routes import RouteTable
@@ -43,6 +45,16 @@
     assert table.split(route, "id-1") == table.split(route, "id-1")
 
 
+@pytest.mark.parametrize("unit", [5e-324, 1e-300, 1.0, 1e300, 1.7e308 / 3])
+def test_split_follows_weights_of_any_size(unit):
+    """A sum beyond a float gave all to the last service, tiny weights wrong shares."""
+    services = (ServiceWeight("llm", 3 * unit), ServiceWeight("desk", unit))
+    table = build_table(build_route(services=services))
+    route = table.find_route("a.example", "/chat/x")
+    chosen = Counter(table.split(route, f"id-{n}").name for n in range(2_000))
+    assert 0.22 < chosen["desk"] / 2_000 < 0.28
+
+
 def test_service_of_weight_zero_gets_nothing():
     services = (ServiceWeight("llm", 0), ServiceWeight("desk", 1))
     table = build_table(build_route(services=services))
