Refuse a route whose service is unknown beside its split

What operators saw: a route with a valid split and, under service, the name of an unknown service was acknowledged, though a route that names an unknown service is invalid. Cause: the name was dropped where a split is there. Change: the named service is kept with a weight of 0, so that the check sees it and it gets nothing. No valid configuration is hit: one that names a known service beside a split, or an empty name, is accepted and split as before (same test).

--- a/src/jasminewharf/platform/configurations.py
+++ b/src/jasminewharf/platform/configurations.py
@@ -38,7 +38,7 @@
     # safe, unsafe or stream: what may be repeated.
     route_type: str
     timeout_ms: float
-    # A route has either one service or a split.
+    # A route has either one service or a split, which goes first.
     service: str = ""
     traffic_split: list[_Split] = []
     target_latency_ms: float = 0.0
@@ -171,6 +171,9 @@
 
 def _translate_route(route: _Route) -> Route:
     split = [ServiceWeight(item.service, item.weight) for item in route.traffic_split]
+    if split and route.service:
+        # It gets nothing, but has to be known.
+        split.append(ServiceWeight(route.service, 0.0))
     return Route(
         route.name,
         route.host,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from jasminewharf.decisions.routes import RouteTable
 from jasminewharf.dialects.fleet import EngineOrder, ForwardedHead
 from jasminewharf.exceptions import BackendError, BadRequest, ConfigurationRefused
 from jasminewharf.platform import (
@@ -142,6 +143,17 @@
         read_configuration(body.replace(part, changed))
 
 
+def test_service_beside_a_split_must_be_known():
+    """A route that names an unknown service was acknowledged if it has a split too."""
+    route = json.loads(build_body())["routes"][0]
+    with pytest.raises(ConfigurationRefused, match=r"route r-1: no service 'gone'"):
+        read_configuration(build_body(routes=[{**route, "service": "gone"}]))
+    known = read_configuration(build_body(routes=[{**route, "service": "desk"}]))
+    table = RouteTable(known)
+    chosen = [table.split(known.routes[0], f"id-{n}").name for n in range(200)]
+    assert chosen.count("llm") > chosen.count("desk") > 0
+
+
 @pytest.mark.parametrize(
     "changed", [b"1e400", b"9" * 5_000, b"[" * 200 + b"]" * 200, b'{"a": {"a": 1}}']
 )
