Take requests whose target is a whole URL

What callers saw: GET http://a.example/status/x was answered 404, though the route is there; every server must accept this form (RFC 9112, 3.2.2). Cause: the whole URL was looked up as a path. Evidence: 8 new cases of test_hostile_http.py and test_fleet_path.py failed before. Change: the HTTP server turns such a target into path and query, and its host replaces the Host header, for the lookup and for the backend server. A URL without a host, or with a user, gets 400. Ruled out, on a fleet over loopback (26 raw requests): Host in another case, with a dot, with a port, an empty port; double slashes, dots, encoded slashes and a fragment below a route's prefix were all forwarded byte for byte, path, query and Host; /status%2Fx and //status/x are no path of /status/ and got 404; two Host headers or none got 400. The case of the kind that held before is in test_request_is_forwarded_as_it_is_spelled too. Measured: tests/test_hostile_http.py, 50 passed; the new cases of test_fleet_path passed.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -5,6 +5,7 @@
 import logging
 import math
 import os
+import re
 import socket
 import ssl
 import struct
@@ -36,6 +37,8 @@
 _VERSION_WITHOUT_CHUNKS = b"1.0"
 # Linger of zero seconds: the socket is reset when it is closed.
 _RESET = struct.pack("ii", 1, 0)
+# A whole URL as request target: its authority, and path with query.
+_ABSOLUTE_TARGET = re.compile(r"https?://([^/?#]*)(.*)", re.IGNORECASE)
 
 
 class Request(NamedTuple):
@@ -263,6 +266,7 @@
             target = head.target.decode("ascii")
         except UnicodeDecodeError:
             raise BadRequest("header values must be UTF-8") from None
+        target, headers = _read_target(target, headers)
         body = b"".join(self._body)
         return Request(head.method.decode(), target, headers, body, self._peer)
 
@@ -537,6 +541,24 @@
         raise BadRequest("a request may not have two authorization headers")
 
 
+def _read_target(
+    target: str, headers: list[tuple[str, str]]
+) -> tuple[str, list[tuple[str, str]]]:
+    """Return path with query, and headers with the host that the target names.
+
+    A target that is a whole URL replaces the Host header (RFC 9112, 3.2.2).
+    """
+    absolute = _ABSOLUTE_TARGET.fullmatch(target)
+    if absolute is None:
+        return target, headers
+    host, path = absolute.groups()
+    if not host or "@" in host:
+        raise BadRequest("the request's URL must name a host and no user")
+    others = [(name, value) for name, value in headers if name != "host"]
+    target = path if path.startswith("/") else f"/{path}"
+    return target, [("host", host), *others]
+
+
 def _content_length(head: h11.Request) -> int:
     for name, value in head.headers:
         if name == b"content-length":
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -66,6 +66,7 @@
     Attributes:
         runs: Identifiers of the requests that it ran.
         heads: Headers of every request that it was sent.
+        targets: Path and query of each of them.
         fails_next: Faults for the next requests: full, mute, foreign, short, break
             or error; or a function that answers, see :func:`answer_raw`.
         pause: What a full server's Retry-After says; none if empty.
@@ -88,6 +89,7 @@
         self.born = 1_000
         self.runs = []
         self.heads = []
+        self.targets = []
         self.fails_next = []
         self.orders = []
         self.is_overfull = False
@@ -179,6 +181,7 @@
     async def _serve(self, request, responder):
         fields = dict(request.headers)
         self.heads.append(fields)
+        self.targets.append(request.target)
         self.arrivals.append(asyncio.get_running_loop().time())
         fault = self.fails_next.pop(0) if self.fails_next else ""
         request_id = fields.get("x-attempt-id", "")
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from fleets import HOST, build_body, build_route, run_with_fleet
+from fleets import HOST, KEY, build_body, build_route, run_with_fleet
 from jasminewharf import defaults
 from jasminewharf.decisions.enginereports import EngineReportTable
 from jasminewharf.exceptions import BackendError
@@ -35,6 +35,31 @@
     run_with_fleet(scenario, tmp_path)
 
 
+@pytest.mark.parametrize(
+    ("host", "target", "seen"),
+    [
+        ("A.Example.:8080", "/status/b//../c%2Fd?e=/f#g", "/status/b//../c%2Fd?e=/f#g"),
+        ("other.example", "http://a.example:80/status/b?c", "/status/b?c"),
+    ],
+)
+def test_request_is_forwarded_as_it_is_spelled(tmp_path, host, target, seen):
+    """Host and path select the route in any spelling; the server gets the caller's."""
+
+    async def scenario(fleet):
+        head = [("host", host), ("x-attempt-id", "id-1"), KEY]
+        status, _, _ = await send(fleet.entries[0], "GET", target, head)
+        assert status == 200
+        named = "a.example:80" if target.startswith("http") else host
+        sent = [
+            (asked, head["host"])
+            for desk in fleet.desks
+            for asked, head in zip(desk.targets, desk.heads, strict=True)
+        ]
+        assert sent == [(seen, named)]
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_absent_model_is_loaded_for_its_first_request(tmp_path):
     async def scenario(fleet):
         calls = [
--- a/tests/test_hostile_http.py
+++ b/tests/test_hostile_http.py
@@ -37,6 +37,7 @@
         self.thread = LoopThread()
         self.rejections = []
         self.bodies = []
+        self.targets = []
         self.hold_s = 0
         self.server = HttpServer(
             self._answer, render_refusal, LIMITS, self.rejections.append
@@ -45,6 +46,7 @@
 
     async def _answer(self, request, responder):
         self.bodies.append(request.body)
+        self.targets.append((request.target, request.header("host")))
         if self.hold_s:
             await asyncio.sleep(self.hold_s)
         responder.respond(200, [("x-length", str(len(request.body)))], request.body)
@@ -76,6 +78,34 @@
     server.close()
 
 
+@pytest.mark.parametrize(
+    ("target", "path", "host"),
+    [
+        (b"http://a.example/b//c%2F../?d=/e", "/b//c%2F../?d=/e", "a.example"),
+        (b"HTTP://A.example:80/b", "/b", "A.example:80"),
+        (b"https://[::1]:8/b", "/b", "[::1]:8"),
+        (b"http://a.example", "/", "a.example"),
+        (b"http://a.example?b=/c", "/?b=/c", "a.example"),
+        (b"/http://a.example/b", "/http://a.example/b", "x"),
+        (b"ftp://a.example/b", "ftp://a.example/b", "x"),
+        (b"*", "*", "x"),
+    ],
+)
+def test_target_that_is_a_whole_url_names_the_host(echo, target, path, host):
+    """Every server must take this form; its requests were answered 404."""
+    sent = GOOD.replace(b"/echo", target)
+    assert read_status(exchange(echo.address, sent)) == 200
+    assert echo.targets[-1] == (path, host)
+
+
+@pytest.mark.parametrize("target", [b"http:///b", b"http://u@a.example/b"])
+def test_url_without_a_clear_host_is_refused(echo, target):
+    """Its request could go by another route than its caller meant."""
+    sent = GOOD.replace(b"/echo", target)
+    assert read_status(exchange(echo.address, sent)) == 400
+    echo.check_alive()
+
+
 def request(*lines, body=b""):
     return b"\r\n".join([b"POST /echo HTTP/1.1", b"host: x", *lines, b"", b""]) + body
 
