Show that a repeated refusal makes an order run again

Callers of orders that ran were told by a 503 that they had not: a server that refuses a request, keeps the connection and writes the same refusal again when the next request is read ran one order twelve times at two servers. Cause, seen in code: an answer is matched by the request's identifier alone, and the next try of a refused request bears the same identifier over the same kept connection. Ruled out: a repeat that bears another identifier, or none, ended in an unsigned 502 with one run.

--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -90,7 +90,7 @@
 class Fleet:
     """Addresses, kernels and fakes of a running fleet."""
 
-    def __init__(self, base, folder, entries=2):
+    def __init__(self, base, folder, entries=2, desks=()):
         self.base = base
         self.folder = folder
         self.list = FakeList("127.0.0.1")
@@ -98,7 +98,9 @@
             FakeReplica("127.0.0.1", "i-e1", "llm", ["m0", "m1"]),
             FakeReplica("127.0.0.1", "i-e2", "llm", ["m0"]),
         ]
-        self.desks = [FakeReplica("127.0.0.1", f"i-d{n}", "desk") for n in (1, 2)]
+        self.desks = list(desks) or [
+            FakeReplica("127.0.0.1", f"i-d{n}", "desk") for n in (1, 2)
+        ]
         self.kernels = []
         self.operator = f"127.0.0.2:{base + 8}"
         # The second entry's address precedes the agents', any further follow them.
@@ -209,9 +211,9 @@
 
 
 @asynccontextmanager
-async def open_fleet(folder, entries=2):
+async def open_fleet(folder, entries=2, desks=()):
     base = pick_base()
-    fleet = Fleet(base, folder, entries)
+    fleet = Fleet(base, folder, entries, desks)
     try:
         await fleet.start()
         yield fleet
@@ -219,9 +221,9 @@
         await fleet.stop()
 
 
-def run_with_fleet(scenario, tmp_path, entries=2):
+def run_with_fleet(scenario, tmp_path, entries=2, desks=()):
     async def main():
-        async with open_fleet(tmp_path / "data", entries) as fleet:
+        async with open_fleet(tmp_path / "data", entries, desks) as fleet:
             await scenario(fleet)
 
     asyncio.run(main())
--- /dev/null
+++ b/tests/test_replies.py
@@ -0,0 +1,140 @@
+"""Answers of backend servers that belong to no request in progress.
+
+A server may write an answer once more, late, where the answer to the next request on
+the connection is expected. The stand-ins here do so on every connection.
+"""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from fleets import run_with_fleet
+from platformfakes import FakeReplica
+
+# Tell callers that their request has not run and never will.
+PROMISES = (408, 421, 429, 503)
+MARK = b"X-Not-Executed: 1\r\n"
+
+
+async def read_request(reader):
+    """Return method, headers and body of the next request."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    fields = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in head[1:] if line)
+    }
+    body = await reader.readexactly(int(fields.get("content-length", 0)))
+    return head[0].split()[0], fields, body
+
+
+class RepeatingServer(FakeReplica):
+    """Refuses the first request of each connection, and says so once more at the next.
+
+    The next request runs, and its own answer follows 30 ms after the repeated one.
+
+    Attributes:
+        status: The status of the refusal.
+        mark: Its header line that states that the request has not run.
+        named: Whose identifier the refusal bears: own, another or none.
+        repeats: Whether the refusal is written again.
+    """
+
+    def __init__(self, name):
+        super().__init__("127.0.0.1", name, "desk")
+        self.status, self.mark, self.named, self.repeats = 503, MARK, "own", True
+        self.taken = []
+        self._writers = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve_link, self.ip, 0)
+        self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
+
+    async def stop(self):
+        self.close_links()
+        self._server.close()
+
+    def close_links(self):
+        for writer in self._writers:
+            writer.close()
+
+    async def _serve_link(self, reader, writer):
+        self._writers.add(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await self._answer_all(reader, writer)
+        writer.close()
+        self._writers.discard(writer)
+
+    async def _answer_all(self, reader, writer):
+        refusal = b""
+        while True:
+            _, fields, _ = await read_request(reader)
+            request_id = fields["x-attempt-id"]
+            self.taken.append(request_id)
+            if not refusal:
+                refusal = self._render_refusal(request_id)
+                writer.write(refusal)
+                continue
+            self.runs.append(request_id)
+            writer.write(refusal if self.repeats else b"")
+            await asyncio.sleep(0.03)
+            body = f"{self.name}:{request_id}".encode()
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s\r\n"
+                b"Content-Length: %d\r\n\r\n%b" % (request_id.encode(), len(body), body)
+            )
+
+    def _render_refusal(self, request_id):
+        named = {"own": request_id, "another": "id-of-another", "none": ""}[self.named]
+        identifier = f"X-Attempt-Id: {named}\r\n".encode() if named else b""
+        head = b"HTTP/1.1 %d Refused\r\n%b%b" % (self.status, identifier, self.mark)
+        return head + b"Content-Length: 0\r\n\r\n"
+
+
+def run_with_desks(scenario, tmp_path):
+    """Run a scenario with a fleet whose plain service has two repeating servers."""
+    desks = [RepeatingServer(f"i-r{number}") for number in (1, 2)]
+    run_with_fleet(lambda fleet: scenario(fleet, desks), tmp_path, desks=desks)
+
+
+async def call_and_check(fleet, desks, target, request_id):
+    """Send a request; return the status after what holds for each was checked."""
+    status, _, body = await fleet.call(target, request_id=request_id)
+    runs = sum(desk.runs.count(request_id) for desk in desks)
+    if target.startswith("/orders"):
+        assert runs <= 1, f"{target} {request_id} ran {runs} times"
+    assert status not in PROMISES or runs == 0, f"{request_id}: {status} but it ran"
+    assert status != 200 or body.endswith(f":{request_id}".encode())
+    return status
+
+
+@pytest.mark.parametrize("named", ["own", "another", "none"])
+def test_repeated_refusal_is_not_taken_for_the_answer_to_a_later_send(tmp_path, named):
+    """An order ran twelve times and its caller was told that it had not run."""
+
+    async def scenario(fleet, desks):
+        number = 0
+        for status in PROMISES:
+            for mark in (MARK, b""):
+                for desk in desks:
+                    desk.status, desk.mark, desk.named = status, mark, named
+                    desk.close_links()
+                for target in ("/orders/1", "/orders/2", "/status/1", "/status/2"):
+                    number += 1
+                    await call_and_check(fleet, desks, target, f"{named}-{number}")
+
+    run_with_desks(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("target", ["/orders/1", "/status/1"])
+def test_request_whose_answer_follows_a_repeated_refusal_gets_it(tmp_path, target):
+    """A request that had run ended in 502 though its answer came 30 ms later."""
+
+    async def scenario(fleet, desks):
+        await call_and_check(fleet, desks, target, "id-1")
+        taken = [len(desk.taken) for desk in desks]
+        assert await call_and_check(fleet, desks, target, "id-2") == 200
+        # The connections on which the first was refused are used for the second.
+        assert [len(desk.taken) for desk in desks] != taken
+
+    run_with_desks(scenario, tmp_path)
