Log and count answers that belong to no request in progress

Callers and operators could not tell which server writes an answer once more, or bytes after a whole answer: one kind was counted without a server, the others closed the connection in silence. Event 864 names the server, the status, the identifier that the answer bears (64 characters of it at most) and how it was told; foreign_answers_total counts by that. One line per answer, within the log's bound per event number. No decision is changed. Measured: tests/test_client.py::test_answer_of_no_request_is_logged_and_counted; the counter of idle and trailing bytes did not exist before.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -364,6 +364,8 @@
 HTTP_UNREAD_BYTES = 256 * 1024
 # A server's time-out runs from an earlier moment than the client's clock sees.
 HTTP_KEEP_ALIVE_SHARE = 0.7
+# Of an identifier that a server names; longer ones are cut in log lines.
+LOGGED_IDENTIFIER_CHARACTERS = 64
 DRAIN_POLL_S = 0.02
 
 # Traces.
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -160,6 +160,9 @@
     863, logging.WARNING, "owner of the servers' limits is silent"
 )
 STREAM_EVENTS_DROPPED = _define(870, logging.INFO, "events of a stream dropped")
+ANSWER_UNMATCHED = _define(
+    864, logging.WARNING, "answer that belongs to no request in progress"
+)
 RATE_OWNER_SILENT = _define(856, logging.WARNING, "owner of the rates is silent")
 
 # Engines beside an agent: 900 to 949.
--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -81,6 +81,8 @@
         self._uninformed: dict[bytes, Peer] = {}
         self._server: LinkServer | None = None
         self._metrics = kernel.find("process").metrics
+        for backend in self.backends.values():
+            backend.client.metrics = self._metrics
 
     async def start(self) -> None:
         """Listen for entries."""
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -2,20 +2,24 @@
 
 import asyncio
 import collections
+import logging
 import socket
 import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, NamedTuple, Protocol
 
 import h11
 
-from .. import defaults
+from .. import defaults, events
 from ..exceptions import BackendError, BackendUnreachable
+from ..metrics import Metrics
 from ..settings import split_address
 
 __all__ = ["ClientResponse", "FetchedAnswer", "HttpClient", "SendPermit"]
 
 
+_logger = logging.getLogger(__name__)
+
 # Of the longest time-out of a kept connection that is believed: eleven days.
 _DIGITS = 6
 # Successes but for the one that has no body.
@@ -25,9 +29,14 @@
 
 
 class _Wire(asyncio.Protocol):
-    """One connection; bytes that arrive between two requests belong to none."""
+    """One connection; bytes that arrive between two requests belong to none.
+
+    Args:
+        on_unasked: Called with such bytes before the connection is closed.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, on_unasked: Callable[[bytes], None]) -> None:
+        self._on_unasked = on_unasked
         self.h11 = h11.Connection(h11.CLIENT)
         self.idle_since: float | None = None
         self.keep_alive_s = float("inf")
@@ -44,6 +53,8 @@
 
     def data_received(self, data: bytes) -> None:
         if self.idle_since is not None:
+            if self.is_open:
+                self._on_unasked(data)
             self.close()
             return
         self.h11.receive_data(data)
@@ -97,7 +108,12 @@
     def is_clean(self) -> bool:
         """Whether all was sent and nothing follows the answer."""
         has_unsent = self._transport.get_write_buffer_size() > 0
-        return self.is_open and not has_unsent and not self.h11.trailing_data[0]
+        return self.is_open and not has_unsent and not self.unread
+
+    @property
+    def unread(self) -> bytes:
+        """Bytes that have arrived and are not read yet."""
+        return self.h11.trailing_data[0]
 
     def close(self) -> None:
         """Close at once, so that the server sees that nobody waits.
@@ -222,6 +238,7 @@
     Attributes:
         idle_limit: Number of idle connections that are kept.
         connections_opened: Number of connections made so far.
+        metrics: Where answers that belong to no request are counted, if anywhere.
     """
 
     def __init__(
@@ -232,6 +249,33 @@
         self._idle: collections.deque[_Wire] = collections.deque()
         self.idle_limit = defaults.HTTP_IDLE_CONNECTIONS
         self.connections_opened = 0
+        self.metrics: Metrics | None = None
+
+    def note_unmatched(
+        self, told: str, status: int, named: str = "", request_id: str = ""
+    ) -> None:
+        """Log and count an answer that belongs to no request in progress.
+
+        Args:
+            told: How that was told: idle, trailing, another, none or own.
+            status: Its HTTP status, 0 if it has none that can be read.
+            named: The identifier that it bears, if any.
+            request_id: The identifier of the request in progress, if any.
+        """
+        if self.metrics is not None:
+            self.metrics.count("foreign_answers_total", told=told)
+        events.emit(
+            _logger,
+            events.ANSWER_UNMATCHED,
+            server=self.address,
+            status=status,
+            told=told,
+            named=named[: defaults.LOGGED_IDENTIFIER_CHARACTERS],
+            request_id=request_id,
+        )
+
+    def _note_unasked(self, data: bytes) -> None:
+        self.note_unmatched("idle", _read_status(data))
 
     async def open(
         self,
@@ -351,7 +395,9 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 loop = asyncio.get_running_loop()
-                _, wire = await loop.create_connection(_Wire, host, port)
+                _, wire = await loop.create_connection(
+                    lambda: _Wire(self._note_unasked), host, port
+                )
         except (OSError, TimeoutError) as error:
             raise BackendUnreachable(f"{self.address}: {error}") from error
         self.connections_opened += 1
@@ -403,6 +449,8 @@
     def give_back(self, wire: _Wire) -> None:
         """Keep a connection for the next request, if it can be kept."""
         if not wire.is_clean:
+            if wire.unread:
+                self.note_unmatched("trailing", _read_status(wire.unread))
             wire.close()
             return
         try:
@@ -436,6 +484,12 @@
     return b"content-length" in names and b"transfer-encoding" in names
 
 
+def _read_status(data: bytes) -> int:
+    """Return the status of an answer that was not parsed, 0 if it has none."""
+    digits = data[9:12] if data.startswith(b"HTTP/1.") else b""
+    return int(digits) if digits.isdigit() else 0
+
+
 def _note_keep_alive(wire: _Wire, head: h11.Response) -> None:
     """Stop using a kept connection before the server's own time-out ends it."""
     for name, value in head.headers:
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -81,6 +81,7 @@
         self._limits = kernel.find("server-limits")
         self._permits = kernel.find("permits")
         self._metrics = kernel.find("process").metrics
+        self._client.metrics = self._metrics
         self._server: LinkServer | None = None
 
     async def start(self) -> None:
--- a/src/jasminewharf/services/serverlist.py
+++ b/src/jasminewharf/services/serverlist.py
@@ -47,6 +47,7 @@
         super().__init__(kernel)
         fleet = kernel.settings.fleet
         self._client = HttpClient(fleet.list_address)
+        self._client.metrics = kernel.find("process").metrics
         self._list = lookup(SERVER_LISTS, fleet.dialect)
         self._servers: list[ListedServer] = []
         self._published: list[ListedServer] | None = None
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -179,7 +179,7 @@
         except BackendError as error:
             raise AnswerBroken(str(error)) from error
         try:
-            await self._check(server, response, outgoing, permit.sent_at)
+            await self._check(server, client, response, outgoing, permit.sent_at)
         except BaseException:
             response.close()
             raise
@@ -188,6 +188,7 @@
     async def _check(
         self,
         server: Server,
+        client: HttpClient,
         response: ClientResponse,
         outgoing: UpstreamRequest,
         sent_at: float,
@@ -195,7 +196,12 @@
         server.heard_at = asyncio.get_running_loop().time()
         head = self._dialect.read_answer(response.status, response.headers)
         if head.request_id != outgoing.call.request_id:
-            self._metrics.count("foreign_answers_total")
+            client.note_unmatched(
+                "another" if head.request_id else "none",
+                response.status,
+                head.request_id,
+                outgoing.call.request_id,
+            )
             raise AnswerBroken("the answer is not that of the request")
         self._note_load(server, head)
         self._note_backpressure(server, head)
@@ -255,6 +261,7 @@
         if client is None or client.address != server.listed.address:
             client = HttpClient(server.listed.address, defaults.SERVER_CONNECT_S)
             client.idle_limit = self._count_idle(server)
+            client.metrics = self._metrics
             self._clients[server.name] = client
         return client
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -6,7 +6,9 @@
 import pytest
 
 from jasminewharf import defaults
+from jasminewharf.events import ANSWER_UNMATCHED
 from jasminewharf.exceptions import BackendError, BackendUnreachable
+from jasminewharf.metrics import Metrics
 from jasminewharf.services.client import HttpClient
 from platformfakes import reset
 from support import wait_until
@@ -110,6 +112,33 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(("pause_s", "told"), [(0.0, "trailing"), (0.02, "idle")])
+def test_answer_of_no_request_is_logged_and_counted(caplog, pause_s, told):
+    """Nothing told which server writes an answer once more."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        writer.write(answer if pause_s else answer * 2)
+        await asyncio.sleep(pause_s)
+        writer.write(answer if pause_s else b"")
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        client.metrics = Metrics()
+        await client.fetch("GET", "/")
+        await asyncio.sleep(0.06)
+        assert client.metrics.counter_value("foreign_answers_total", told=told) == 1
+        lines = [r.fields for r in caplog.records if r.event is ANSWER_UNMATCHED]
+        assert [(f["server"], f["status"], f["told"]) for f in lines] == [
+            (client.address, 200, told)
+        ]
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_request_that_may_not_repeat_avoids_an_old_connection():
     """The server may have closed it; nobody would know whether the request ran."""
 
