Send each request identifier at most once over a connection

Callers of orders that had run twelve times were told by a 503 that they had not run; orders that ran ended in 502 where another request's answer came first, though their own followed. Cause: an answer was matched by the request's identifier alone, and the next try of a refused request used the connection on which it had been refused, so that a second copy of the refusal passed for the answer to the newest send. Change: a connection remembers the identifiers that it has carried (hashes in an array) and is replaced after 512 of them; a request takes a kept connection that has not carried its own, or connects. Hence an answer with the request's identifier is the answer to its last send. On a kept connection another request's answer is dropped within bounds (four, a mebibyte each), logged and counted, and the own one is read; after an answer without an identifier for half a second, since it may have been the only one. Such a connection is not kept. A request without an identifier, one whose answer is framed otherwise (HEAD), and any call that may not be repeated and bears no identity (orders to engines, the cancel call) have a connection of their own. Interim answers are bounded by number; bytes on a connection before the first request is sent end it unsent, which may be tried elsewhere. Ruled out: to close the connection after each refusal. Refusals are common under load and new connections are priced, and an older request with the same identifier would still be open to it. test_request_that_may_not_repeat_avoids_an_old_connection sent requests without an identity over a kept connection, which is the fault; it sends them with one now and asserts the same.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -364,6 +364,13 @@
 HTTP_UNREAD_BYTES = 256 * 1024
 # A server's time-out runs from an earlier moment than the client's clock sees.
 HTTP_KEEP_ALIVE_SHARE = 0.7
+# A connection remembers the identifiers of that many requests, eight bytes for each.
+HTTP_CONNECTION_REQUESTS = 512
+# A server that repeats answers without end is given up.
+HTTP_EXTRA_ANSWERS = 4
+HTTP_EXTRA_ANSWER_BYTES = 1024 * 1024
+# After an answer without an identifier, which may or may not be the request's own.
+HTTP_UNNAMED_WAIT_S = 0.5
 # Of an identifier that a server names; longer ones are cut in log lines.
 LOGGED_IDENTIFIER_CHARACTERS = 64
 DRAIN_POLL_S = 0.02
--- a/src/jasminewharf/dialects/fleet.py
+++ b/src/jasminewharf/dialects/fleet.py
@@ -151,6 +151,9 @@
     def read_answer(self, status: int, headers: list[tuple[str, str]]) -> AnswerHead:
         """Read the head of an answer."""
 
+    def read_answer_id(self, headers: list[tuple[str, str]]) -> str:
+        """Return which request an answer belongs to; empty if it does not say."""
+
     def refusal_headers(self, request_id: str) -> list[tuple[str, str]]:
         """Return headers that an answer of the fleet's own carries."""
 
--- a/src/jasminewharf/platform/callers.py
+++ b/src/jasminewharf/platform/callers.py
@@ -132,6 +132,10 @@
             list_unknown_headers(headers),
         )
 
+    def read_answer_id(self, headers: list[tuple[str, str]]) -> str:
+        """Return which request an answer belongs to."""
+        return dict(headers).get(_ID, "")
+
     def refusal_headers(self, request_id: str) -> list[tuple[str, str]]:
         """Return headers that an answer of the fleet's own carries."""
         return [(_ID, request_id)] if request_id else []
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 client on h11 for backend servers and the platform."""
 
+import array
 import asyncio
 import collections
 import logging
@@ -15,7 +16,13 @@
 from ..metrics import Metrics
 from ..settings import split_address
 
-__all__ = ["ClientResponse", "FetchedAnswer", "HttpClient", "SendPermit"]
+__all__ = [
+    "ClientResponse",
+    "FetchedAnswer",
+    "HttpClient",
+    "RequestIdentity",
+    "SendPermit",
+]
 
 
 _logger = logging.getLogger(__name__)
@@ -26,19 +33,32 @@
 _WITH_BODY = frozenset({200, 201, 202, 203, 206})
 # Linger of zero seconds: the socket is reset when it is closed.
 _RESET = struct.pack("ii", 1, 0)
+# The length of an answer to these depends on the request.
+_FRAMED_OTHERWISE = frozenset({"HEAD", "CONNECT"})
 
 
 class _Wire(asyncio.Protocol):
     """One connection; bytes that arrive between two requests belong to none.
 
+    It carries each request identifier at most once, so that an answer with an
+    identifier is the answer to the last send of that request.
+
     Args:
         on_unasked: Called with such bytes before the connection is closed.
+
+    Attributes:
+        is_kept: Whether another request may use it after this one.
+        requests: Number of requests that it has carried.
     """
 
     def __init__(self, on_unasked: Callable[[bytes], None]) -> None:
         self._on_unasked = on_unasked
         self.h11 = h11.Connection(h11.CLIENT)
-        self.idle_since: float | None = None
+        self.is_kept = True
+        self.requests = 0
+        self._carried = array.array("q")
+        # No request is on its way before the first is sent.
+        self.idle_since: float | None = asyncio.get_running_loop().time()
         self.keep_alive_s = float("inf")
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -78,6 +98,61 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def has_carried(self, request_id: str) -> bool:
+        """Whether it may have carried this identifier: hashes are compared."""
+        return hash(request_id) in self._carried
+
+    def begin(self, identity: "RequestIdentity | None") -> None:
+        """Note that a request is about to be sent."""
+        self.idle_since = None
+        self.requests += 1
+        if identity is not None:
+            self._carried.append(hash(identity.request_id))
+            if len(self._carried) >= defaults.HTTP_CONNECTION_REQUESTS:
+                self.is_kept = False
+
+    async def read_head(self) -> h11.Response:
+        """Return the next answer's head; interim ones are passed over.
+
+        Raises:
+            OSError: If the connection was lost or closed.
+            h11.RemoteProtocolError: If what arrives is no answer.
+        """
+        for _ in range(defaults.HTTP_INTERIM_HEADS + 1):
+            event = await self.next_event()
+            if isinstance(event, h11.Response):
+                if _is_ambiguous(event):
+                    raise h11.RemoteProtocolError("a length and chunks")
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise ConnectionResetError("the connection was closed")
+        raise h11.RemoteProtocolError("too many interim heads")
+
+    async def skip_answer(self) -> None:
+        """Drop an answer whose head was read; the next one may follow it.
+
+        Raises:
+            OSError: If the connection was lost or closed.
+            h11.RemoteProtocolError: If the answer is too large or is none.
+        """
+        self.is_kept = False
+        size = 0
+        while not isinstance(event := await self.next_event(), h11.EndOfMessage):
+            if not isinstance(event, h11.Data):
+                raise ConnectionResetError("the connection was closed")
+            size += len(event.data)
+            if size > defaults.HTTP_EXTRA_ANSWER_BYTES:
+                raise h11.RemoteProtocolError("another request's answer is too large")
+        rest, is_ended = self.h11.trailing_data
+        self.h11 = h11.Connection(h11.CLIENT)
+        # Only how answers are framed follows from it; nothing of it is sent.
+        self.h11.send(h11.Request(method="GET", target="/", headers=[("host", "")]))
+        self.h11.send(h11.EndOfMessage())
+        if rest:
+            self.h11.receive_data(rest)
+        if is_ended:
+            self.h11.receive_data(b"")
+
     async def next_event(self) -> Any:
         while True:
             event = self.h11.next_event()
@@ -115,6 +190,11 @@
         """Bytes that have arrived and are not read yet."""
         return self.h11.trailing_data[0]
 
+    def retire(self) -> None:
+        """Close after a whole answer; the server sees the usual end."""
+        self.idle_since = asyncio.get_running_loop().time()
+        self.close()
+
     def close(self) -> None:
         """Close at once, so that the server sees that nobody waits.
 
@@ -136,6 +216,28 @@
         """Record a send; raises ``BackendUnreachable`` if it is not allowed."""
 
 
+class RequestIdentity(NamedTuple):
+    """How the answer to a request is told from other answers.
+
+    ``read`` returns the identifier that an answer's headers bear, empty if none. A
+    request whose identifier is empty has a connection of its own.
+    """
+
+    request_id: str
+    read: Callable[[list[tuple[str, str]]], str]
+
+
+class _Sending(NamedTuple):
+    """A request as it is sent."""
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    permit: SendPermit | None
+    identity: RequestIdentity | None
+
+
 class FetchedAnswer(NamedTuple):
     """A whole answer; header names are in lower case."""
 
@@ -150,6 +252,7 @@
     Attributes:
         status: The HTTP status.
         headers: Names in lower case and values.
+        is_first: Whether the connection has carried no other request.
     """
 
     def __init__(
@@ -161,6 +264,7 @@
         self._finished = False
         self._closed = False
         self._is_empty = True
+        self.is_first = wire.requests == 1
         self.status = head.status_code
         self.headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -257,7 +361,7 @@
         """Log and count an answer that belongs to no request in progress.
 
         Args:
-            told: How that was told: idle, trailing, another, none or own.
+            told: How that was told: idle, trailing, another or none.
             status: Its HTTP status, 0 if it has none that can be read.
             named: The identifier that it bears, if any.
             request_id: The identifier of the request in progress, if any.
@@ -287,6 +391,8 @@
         repeatable: bool = False,
         kept_idle_s: float = 0.0,
         permit: SendPermit | None = None,
+        identity: RequestIdentity | None = None,
+        is_exclusive: bool = False,
     ) -> ClientResponse:
         """Send a request and return the response once its head has arrived.
 
@@ -295,37 +401,39 @@
         A request that may not be repeated therefore uses only a kept connection
         that has been idle for at most ``kept_idle_s`` seconds.
 
+        On a kept connection an answer that does not bear the request's identifier
+        is dropped, and the request's own is waited for. Without an identity only a
+        repeatable request uses a kept connection, and none if it ``is_exclusive``;
+        its caller must bear an earlier answer on that connection.
+
         Raises:
             BackendUnreachable: If no connection was made, or ``permit`` allows no send;
                 the call did not begin.
             BackendError: If a connection broke; the call may have begun.
         """
-        wire = self._take_idle(float("inf") if repeatable else kept_idle_s)
+        sending = _Sending(method, target, headers, body, permit, identity)
+        is_told_apart = identity.request_id != "" if identity else repeatable
+        if is_exclusive or not is_told_apart or method in _FRAMED_OTHERWISE:
+            wire = await self._connect()
+            wire.is_kept = False
+            return await self._exchange(wire, sending)
+        wire = self._take_idle(float("inf") if repeatable else kept_idle_s, identity)
         if wire is not None:
             try:
-                return await self._exchange(wire, method, target, headers, body, permit)
+                return await self._exchange(wire, sending)
             except BackendUnreachable:
                 raise
             except BackendError as error:
-                if not repeatable:
+                # After an answer of another request, its caller decides on a repeat.
+                if not repeatable or not wire.is_kept:
                     raise
-                return await self._repeat(error, method, target, headers, body, permit)
-        wire = await self._connect()
-        return await self._exchange(wire, method, target, headers, body, permit)
+                return await self._repeat(error, sending)
+        return await self._exchange(await self._connect(), sending)
 
-    async def _repeat(
-        self,
-        first: BackendError,
-        method: str,
-        target: str,
-        headers: list[tuple[str, str]],
-        body: bytes,
-        permit: SendPermit | None,
-    ) -> ClientResponse:
+    async def _repeat(self, first: BackendError, sending: _Sending) -> ClientResponse:
         """Send a request again that may have begun on a kept connection."""
         try:
-            wire = await self._connect()
-            return await self._exchange(wire, method, target, headers, body, permit)
+            return await self._exchange(await self._connect(), sending)
         except BackendUnreachable as error:
             raise BackendError(f"{first}; {error}") from error
 
@@ -336,11 +444,11 @@
         body: bytes = b"",
         timeout_s: float = defaults.HTTP_FETCH_TIMEOUT_S,
         headers: list[tuple[str, str]] | None = None,
-        kept_idle_s: float = 0.0,
+        is_exclusive: bool = False,
     ) -> tuple[int, bytes]:
         """Send a request and return status and whole body; see :meth:`fetch_answer`."""
         answer = await self.fetch_answer(
-            method, target, body, timeout_s, headers, kept_idle_s
+            method, target, body, timeout_s, headers, is_exclusive=is_exclusive
         )
         return answer.status, answer.body
 
@@ -351,11 +459,13 @@
         body: bytes = b"",
         timeout_s: float = defaults.HTTP_FETCH_TIMEOUT_S,
         headers: list[tuple[str, str]] | None = None,
-        kept_idle_s: float = 0.0,
         permit: SendPermit | None = None,
+        is_exclusive: bool = False,
     ) -> FetchedAnswer:
         """Send a request and return the whole answer; see :meth:`open`.
 
+        Only a GET uses a kept connection.
+
         Raises:
             BackendUnreachable: If the call did not begin.
             BackendError: If it may have begun.
@@ -368,26 +478,29 @@
                     headers or [],
                     body,
                     repeatable=method == "GET",
-                    kept_idle_s=kept_idle_s,
                     permit=permit,
+                    is_exclusive=is_exclusive,
                 )
                 content = await response.read()
                 return FetchedAnswer(response.status, response.headers, content)
         except TimeoutError:
             raise BackendError(f"no answer within {timeout_s:g} s") from None
 
-    def _take_idle(self, idle_s: float) -> _Wire | None:
+    def _take_idle(
+        self, idle_s: float, identity: RequestIdentity | None
+    ) -> _Wire | None:
+        """Return the connection last used that may carry the request, if any."""
         now = asyncio.get_running_loop().time()
-        while self._idle:
-            wire = self._idle[-1]
-            idle_for_s = now - (wire.idle_since or now)
-            if wire.is_open and idle_for_s < wire.keep_alive_s:
-                if idle_for_s > idle_s:
-                    return None
-                self._idle.pop()
-                wire.idle_since = None
-                return wire
+        while self._idle and not _is_usable(self._idle[-1], now):
             self._idle.pop().close()
+        for wire in reversed(self._idle):
+            if now - (wire.idle_since or now) > idle_s:
+                return None
+            if not _is_usable(wire, now):
+                continue
+            if identity is None or not wire.has_carried(identity.request_id):
+                self._idle.remove(wire)
+                return wire
         return None
 
     async def _connect(self) -> _Wire:
@@ -403,48 +516,61 @@
         self.connections_opened += 1
         return wire
 
-    async def _exchange(
-        self,
-        wire: _Wire,
-        method: str,
-        target: str,
-        headers: list[tuple[str, str]],
-        body: bytes,
-        permit: SendPermit | None,
-    ) -> ClientResponse:
-        if permit is not None:
+    async def _exchange(self, wire: _Wire, sending: _Sending) -> ClientResponse:
+        if not wire.is_open:
+            raise BackendUnreachable(f"{self.address} closed a new connection")
+        if sending.permit is not None:
             try:
-                permit.spend()
+                sending.permit.spend()
             except BackendUnreachable:
                 wire.close()
                 raise
-        head = list(headers)
-        if all(name != "host" for name, _ in headers):
+        head = list(sending.headers)
+        if all(name != "host" for name, _ in head):
             head.insert(0, ("host", self.address))
-        if body or method in ("POST", "PUT", "PATCH"):
+        body = sending.body
+        if body or sending.method in ("POST", "PUT", "PATCH"):
             head.append(("content-length", str(len(body))))
         try:
-            request = h11.Request(method=method, target=target, headers=head)
+            request = h11.Request(
+                method=sending.method, target=sending.target, headers=head
+            )
             data = wire.h11.send(request)
             if body:
                 data += wire.h11.send(h11.Data(data=body))
             data += wire.h11.send(h11.EndOfMessage())
+            wire.begin(sending.identity)
             wire.write(data)
-            event = await _read_head(wire)
+            return await self._read_response(wire, sending)
         except (OSError, h11.ProtocolError) as error:
             wire.close()
-            raise BackendError(f"{self.address}: {error}") from error
+            reason = str(error) or "no answer of its own"
+            raise BackendError(f"{self.address}: {reason}") from error
         except asyncio.CancelledError:
             wire.close()
             raise
-        if not isinstance(event, h11.Response):
-            wire.close()
-            raise BackendError(f"{self.address} closed the connection")
-        if _is_ambiguous(event):
-            wire.close()
-            raise BackendError(f"{self.address} sent a length and chunks")
-        _note_keep_alive(wire, event)
-        return ClientResponse(self, wire, event, method)
+
+    async def _read_response(self, wire: _Wire, sending: _Sending) -> ClientResponse:
+        """Return the request's own response; drop others on a kept connection."""
+        identity = sending.identity
+        until: float | None = None
+        for _ in range(defaults.HTTP_EXTRA_ANSWERS + 1):
+            async with asyncio.timeout_at(until):
+                head = await wire.read_head()
+            response = ClientResponse(self, wire, head, sending.method)
+            # The caller judges what a new connection brings.
+            named = identity.read(response.headers) if identity is not None else ""
+            if identity is None or response.is_first or named == identity.request_id:
+                _note_keep_alive(wire, head)
+                return response
+            told = "another" if named else "none"
+            self.note_unmatched(told, head.status_code, named, identity.request_id)
+            await wire.skip_answer()
+            if not named:
+                # It may have been the only one.
+                now = asyncio.get_running_loop().time()
+                until = now + defaults.HTTP_UNNAMED_WAIT_S
+        raise h11.RemoteProtocolError("too many answers to other requests")
 
     def give_back(self, wire: _Wire) -> None:
         """Keep a connection for the next request, if it can be kept."""
@@ -458,6 +584,9 @@
         except h11.ProtocolError:
             wire.close()
             return
+        if not wire.is_kept:
+            wire.retire()
+            return
         wire.idle_since = asyncio.get_running_loop().time()
         self._idle.append(wire)
         while len(self._idle) > self.idle_limit:
@@ -469,13 +598,9 @@
             self._idle.pop().close()
 
 
-async def _read_head(wire: _Wire) -> Any:
-    """Return what follows the interim heads."""
-    for _ in range(defaults.HTTP_INTERIM_HEADS + 1):
-        event = await wire.next_event()
-        if not isinstance(event, h11.InformationalResponse):
-            return event
-    raise h11.RemoteProtocolError("too many interim heads")
+def _is_usable(wire: _Wire, now: float) -> bool:
+    """Return whether an idle connection is open, also by the server's time-out."""
+    return wire.is_open and now - (wire.idle_since or now) < wire.keep_alive_s
 
 
 def _is_ambiguous(head: h11.Response) -> bool:
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -439,7 +439,6 @@
                     call.body,
                     defaults.ENGINE_ORDER_TIMEOUT_S,
                     list(call.headers),
-                    defaults.KEPT_IDLE_S,
                     permit,
                 )
             self._note_pause(answer)
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -19,7 +19,7 @@
 )
 from ..kernel import Kernel, Service
 from ..registry import lookup
-from .client import ClientResponse, HttpClient
+from .client import ClientResponse, HttpClient, RequestIdentity
 from .permits import Permit
 
 __all__ = ["UpstreamRequest", "Upstream", "UpstreamAnswer"]
@@ -171,6 +171,9 @@
                 repeatable=outgoing.is_idempotent,
                 kept_idle_s=defaults.KEPT_IDLE_S,
                 permit=permit,
+                identity=RequestIdentity(
+                    outgoing.call.request_id, self._dialect.read_answer_id
+                ),
             )
         except LimitReached:
             raise
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -9,7 +9,7 @@
 from jasminewharf.events import ANSWER_UNMATCHED
 from jasminewharf.exceptions import BackendError, BackendUnreachable
 from jasminewharf.metrics import Metrics
-from jasminewharf.services.client import HttpClient
+from jasminewharf.services.client import HttpClient, RequestIdentity
 from platformfakes import reset
 from support import wait_until
 
@@ -139,21 +139,221 @@
     asyncio.run(scenario())
 
 
+def identify(request_id):
+    return RequestIdentity(request_id, lambda headers: dict(headers).get("x-id", ""))
+
+
+async def post(client, request_id, kept_idle_s=5.0):
+    """Send a request that may not be repeated; return status and body."""
+    response = await client.open(
+        "POST",
+        "/",
+        [("x-id", request_id)],
+        b"",
+        kept_idle_s=kept_idle_s,
+        identity=identify(request_id),
+    )
+    return response.status, await response.read()
+
+
+def render(request_id, body=b"ok", status=200):
+    named = b"x-id: %b\r\n" % request_id.encode() if request_id else b""
+    head = b"HTTP/1.1 %d X\r\n%bcontent-length: %d\r\n\r\n"
+    return head % (status, named, len(body)) + body
+
+
+async def read_id(reader):
+    """Return the identifier of the next request, which has no body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    return head.partition(b"x-id: ")[2].partition(b"\r")[0].decode()
+
+
 def test_request_that_may_not_repeat_avoids_an_old_connection():
     """The server may have closed it; nobody would know whether the request ran."""
 
     async def handle(reader, writer):
-        while await reader.readuntil(b"\r\n\r\n"):
-            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+        while request_id := await read_id(reader):
+            writer.write(render(request_id))
 
     async def scenario():
         server = await open_server(handle)
         client = HttpClient(address_of(server))
-        await client.fetch("POST", "/", kept_idle_s=5.0)
-        await client.fetch("POST", "/", kept_idle_s=5.0)
+        await post(client, "1")
+        await post(client, "2")
         assert client.connections_opened == 1
         await asyncio.sleep(0.05)
-        await client.fetch("POST", "/", kept_idle_s=0.01)
+        await post(client, "3", kept_idle_s=0.01)
+        assert client.connections_opened == 2
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_connection_carries_an_identifier_once():
+    """An old answer with the identifier would pass for the one to a later send."""
+
+    async def handle(reader, writer):
+        while True:
+            writer.write(render(await read_id(reader)))
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        for request_id in ("1", "2", "1", "3", "2", ""):
+            await post(client, request_id)
+        # "1" and "2" are sent twice; a request without one has a connection of its own.
+        assert client.connections_opened == 3
+        for number in range(defaults.HTTP_CONNECTION_REQUESTS):
+            await post(client, f"r{number}")
+        assert client.connections_opened <= 4
+        for number in range(2 * defaults.HTTP_CONNECTION_REQUESTS):
+            await post(client, f"s{number}")
+        assert client.connections_opened >= 5
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [
+        render("0", b"old"),
+        render("", b"old"),
+        render("0", b"", 204) * defaults.HTTP_EXTRA_ANSWERS,
+        b"HTTP/1.1 503 X\r\nx-id: 0\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"3\r\nold\r\n0\r\n\r\n",
+    ],
+)
+@pytest.mark.parametrize("pause_s", [0.0, 0.02])
+def test_answer_of_another_request_is_dropped(extra, pause_s):
+    """An order that had run ended in a failure, though its answer followed."""
+
+    async def handle(reader, writer):
+        writer.write(render(await read_id(reader)))
+        while request_id := await read_id(reader):
+            writer.write(extra)
+            await asyncio.sleep(pause_s)
+            writer.write(render(request_id, b"own"))
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        await post(client, "0")
+        assert await post(client, "1") == (200, b"own")
+        # What follows on such a connection cannot be foreseen.
+        await post(client, "2")
+        assert client.connections_opened == 2
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "piece",
+    [
+        render("0"),
+        render("0", b"x" * 65_536),
+        b"HTTP/1.1 102 X\r\n\r\n",
+        b"HTTP/1.1 101 X\r\n\r\n",
+        render("0").replace(b"content-length: 2", b"connection: close"),
+        render(""),
+    ],
+)
+def test_answers_of_other_requests_are_given_up_in_the_end(piece):
+    """They must use up neither memory nor the time of other requests."""
+
+    async def handle(reader, writer):
+        writer.write(render(await read_id(reader)))
+        await read_id(reader)
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        await post(client, "0")
+        with pytest.raises(BackendError) as caught:
+            async with asyncio.timeout(5):
+                await post(client, "1")
+        assert not isinstance(caught.value, BackendUnreachable)
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_answer_without_an_identifier_is_not_waited_past_for_long():
+    """It may be the only one; the caller must not wait for its whole time."""
+
+    async def handle(reader, writer):
+        writer.write(render(await read_id(reader)))
+        await read_id(reader)
+        writer.write(render("", status=503))
+        await asyncio.sleep(30)
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        await post(client, "0")
+        with pytest.raises(BackendError):
+            async with asyncio.timeout(defaults.HTTP_UNNAMED_WAIT_S + 1):
+                await post(client, "1")
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_answer_before_the_request_ends_the_connection_unsent():
+    """A server may turn a connection away before it has read a request."""
+    requests = []
+
+    async def handle(reader, writer):
+        writer.write(render("", status=503))
+        requests.append(await reader.read(100))
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        wire = await client._connect()
+        await asyncio.sleep(0.02)
+        assert not wire.is_open
+        client._connect = lambda: asyncio.sleep(0, wire)
+        with pytest.raises(BackendUnreachable):
+            await post(client, "1")
+        assert requests == [b""]
+        server.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", 200), ("GET", 204), ("GET", 304)]
+)
+def test_body_where_none_is_allowed_is_no_answer(method, status):
+    """Its bytes were read as the head of the answer to the next request."""
+
+    async def handle(reader, writer):
+        while await read_id(reader):
+            writer.write(render("1", render("2", b"body"), status))
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        for request_id in ("1", "2"):
+            response = await client.open(
+                method,
+                "/",
+                [("x-id", request_id)],
+                b"",
+                repeatable=True,
+                identity=identify(request_id),
+            )
+            assert (response.status, await response.read()) == (status, b"")
         assert client.connections_opened == 2
         client.close()
         server.close()
