Take a refusal at its head's word, whatever becomes of its body

Callers got 500 "internal error", or 504 at their deadline, for requests that a backend server had refused as not run, though another server was free.

Cause: the body of such a refusal is read before the attempt is given up, so that the connection can be reused. If that read failed, its error was none that the forwarder expects, and ended the request; if the body did not end, the request waited for it until its deadline.

Evidence: test_refusal_whose_body_is_broken_is_still_a_refusal, over a real fleet: a body that is cut, one of 20 MB, and one without end, each for an order and a stream; all 6 cases failed before (500, 500, 504 in place of 200).

Change: the body is read for at most 0.2 s and 64 kB, and only to reuse the connection; otherwise the connection is closed. The refusal stands in any case.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -358,6 +358,8 @@
 IDLE_CONNECTIONS_PART = 0.5  # Of what a server accepts, for all nodes.
 # A hundred such answers at a time fit an entry's memory of 200 MB only in part, so that
 # answers are far smaller as a rule; what is larger is not an answer.
+REFUSAL_BODY_BYTES = 64 * 1024
+REFUSAL_BODY_S = 0.2
 HTTP_INTERIM_HEADS = 16  # Before the head of the answer itself.
 HTTP_ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 STREAM_EVENT_LIMIT_BYTES = 1024 * 1024  # A thousand times a usual event.
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -1,6 +1,7 @@
 """Sends one attempt of a request to a backend server and checks the answer."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import AsyncIterator
 from typing import ClassVar, NamedTuple
@@ -219,8 +220,7 @@
         if head.unknown_headers:
             self._limits.note_unknown_headers(head.unknown_headers, server.name)
         if head.has_not_run:
-            # Reads the whole body, so that the connection can be reused.
-            await response.read()
+            await _read_refusal(response)
             raise NotRunThere(
                 f"status {response.status}",
                 is_full=response.status in defaults.SERVER_FULL_STATUS,
@@ -287,3 +287,13 @@
                 client.idle_limit = self._count_idle(servers[name])
             opened = sum(c.connections_opened for c in self._clients.values())
             self._metrics.watch("server_connections_opened", lambda n=opened: n)
+
+
+async def _read_refusal(response: ClientResponse) -> None:
+    """Read the body of a refusal, so that the connection can be reused.
+
+    The head has said that the request has not run, whatever becomes of the body.
+    """
+    with contextlib.suppress(BackendError, TimeoutError):
+        async with asyncio.timeout(defaults.REFUSAL_BODY_S):
+            await response.read(defaults.REFUSAL_BODY_BYTES)
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -273,6 +273,30 @@
     shared(scenario)
 
 
+REFUSALS = {
+    "cut": UNUSABLE["503 not run, cut"],
+    "endless": answer_raw(
+        b"HTTP/1.1 421 Error\r\n%scontent-length: 99\r\n\r\nMARK", end="keep"
+    ),
+    "too large": answer_raw(
+        b"HTTP/1.1 503 Error\r\n%sx-not-executed: 1\r\n\r\n" + b"a" * 20_000_000
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", REFUSALS)
+@pytest.mark.parametrize("target", ["/orders/1", "/plan/x"])
+def test_refusal_whose_body_is_broken_is_still_a_refusal(shared, kind, target):
+    """Callers got an internal error for requests that no server had run."""
+
+    async def scenario(fleet):
+        fleet.set_faults([REFUSALS[kind]])
+        received = await ask(fleet, target)
+        assert (received.status, received.is_whole) == (200, True)
+
+    shared(scenario)
+
+
 @pytest.mark.parametrize("version", ["1.0", "1.1"])
 @pytest.mark.parametrize("target", ["/chat/x", "/plan/x"])
 def test_cut_stream_does_not_look_complete(shared, version, target):
