Check changes in any order at three control hosts

No fault is fixed. Eight orders in progress from one list of changes: newer ones in uneven steps, older ones again, the same again and other content under a version that is held, each sent to a control host at random until it is acknowledged, while the leadership is handed over or a control host is stopped and started again. After each acknowledgement every control host is read; what it reads back must be as new as the newest acknowledgement and the content that was sent first under its number; 2 s later both entries must have it; entries never go back; at the end all hosts read back the newest.

--- /dev/null
+++ b/tests/test_configuration_order.py
@@ -0,0 +1,203 @@
+"""Changes by two operators at three control hosts, while the leadership moves.
+
+``JASMINEWHARF_ORDER_SEEDS=10-60`` plays these seeds in place of the fixed ones.
+"""
+
+import asyncio
+import json
+import os
+import random
+
+import pytest
+
+from fleets import HOST, Fleet, build_body, build_route, pick_base
+from jasminewharf.exceptions import BackendError
+from platformfakes import send
+from support import wait_until
+
+_ORDERS_AT_ONCE = 8
+_ORDERS = 60
+# Of each answer, and from an acknowledgement until entries work by a version.
+_ANSWER_S = 6.0
+_IN_FORCE_S = 2.0
+
+
+def read_seeds():
+    first, _, last = os.environ.get("JASMINEWHARF_ORDER_SEEDS", "1-2").partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+class OrderFleet(Fleet):
+    """Three control hosts and two entries in this process, without engines."""
+
+    def __init__(self, base, folder):
+        super().__init__(base, folder)
+        self.controls = {}
+        self.operators = [f"127.0.0.{n}:{base + 8}" for n in (2, 8, 9)]
+        self.engines = []
+
+    def settings_text(self, ip, role, **fleet):
+        seeds = ", ".join(f'"{address}"' for address in self.operators)
+        text = super().settings_text(ip, role, **fleet)
+        text = text.replace(f'["{self.operator}"]', f"[{seeds}]")
+        text = text.replace("tolerated_losses: 0", "tolerated_losses: 1")
+        return text.replace(f'"{self.folder}"', f'"{self.folder / ip}"')
+
+    async def add_control(self, address):
+        await self.add(address.partition(":")[0], "control", operator_listen=address)
+        self.controls[address] = self.kernels.pop()
+
+    async def start(self):
+        for fake in (self.list, *self.desks):
+            await fake.start()
+        self.list.replicas = list(self.desks)
+        for address in self.operators:
+            await self.add_control(address)
+        for ip in self.entry_ips:
+            await self.add(ip, "entry", ready_listen=f"{ip}:{self.base + 7}")
+        await self.submit(build_body())
+        for kernel in self.kernels:
+            await wait_until(kernel.find("gateway").is_ready)
+
+    async def stop(self):
+        self.kernels = [*self.controls.values(), *self.kernels]
+        await super().stop()
+
+    def tables(self):
+        return [kernel.find("view").table for kernel in self.kernels]
+
+    async def restart_one(self, rng):
+        address = rng.choice(self.operators)
+        await asyncio.wait_for(self.controls.pop(address).stop(), 20)
+        await self.add_control(address)
+
+
+class Operators:
+    """Sends changes and keeps what was acknowledged."""
+
+    def __init__(self, fleet, seed):
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.bodies = {1: build_body()}
+        self.newest = 1
+        self.faults = []
+
+    def build(self, version):
+        route = build_route("new", "safe", "desk", pathPrefix=f"/v{version}/")
+        routes = [*json.loads(self.bodies[1])["routes"][2:], route]
+        services = json.loads(self.bodies[1])["services"]
+        # A name that tells contents under one version apart.
+        note = f"{version}-{self.rng.random()}"
+        return build_body(version, routes=routes, services=services, note=note)
+
+    async def order(self, version):
+        """Send one change until it is acknowledged, each time to any host."""
+        body = self.bodies.setdefault(version, self.build(version))
+        if version <= self.newest and self.rng.random() < 0.5:
+            # Other content under a version that is held or was overtaken.
+            body = self.build(version)
+        while True:
+            status = await self.send(body)
+            if status == 200:
+                break
+            if status < 500:
+                self.faults.append(f"version {version} was refused with {status}")
+                return
+            await asyncio.sleep(0.05)
+        self.newest = max(self.newest, version)
+        await self.check(version)
+
+    async def send(self, body):
+        address = self.rng.choice(self.fleet.operators)
+        try:
+            async with asyncio.timeout(_ANSWER_S):
+                return (await send(address, "POST", "/Config.Put", [HOST], body))[0]
+        except (BackendError, TimeoutError):
+            return 599
+
+    async def read(self, address):
+        try:
+            async with asyncio.timeout(_ANSWER_S):
+                return await send(address, "GET", "/Config.Get", [HOST])
+        except (BackendError, TimeoutError):
+            return 599, {}, b""
+
+    async def check(self, version):
+        """An acknowledged version, or a newer one, must be read and in force."""
+        for address in self.fleet.operators:
+            newest = self.newest
+            status, _, body = await self.read(address)
+            if status != 200:
+                continue
+            held = json.loads(body)["version"]
+            if held < newest or body != self.bodies[held]:
+                self.faults.append(f"{address} read back {body} after {newest}")
+        await asyncio.sleep(_IN_FORCE_S)
+        seen = [table.version for table in self.fleet.tables()]
+        if min(seen) < version:
+            self.faults.append(f"{version} is not in force at entries: {seen}")
+
+
+async def play(fleet, seed):
+    operators = Operators(fleet, seed)
+    rng = operators.rng
+    views = [kernel.find("view") for kernel in fleet.kernels]
+    seen = [[] for _ in views]
+    for view, versions in zip(views, seen, strict=True):
+        view.listen(lambda table, versions=versions: versions.append(table.version))
+    known = [1]
+    places = asyncio.Semaphore(_ORDERS_AT_ONCE)
+
+    async def order(version):
+        async with places:
+            await operators.order(version)
+
+    async def disturb():
+        while not all(task.done() for task in orders):
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+            leaders = [
+                kernel
+                for kernel in fleet.controls.values()
+                if kernel.find("log").is_leader("fleet")
+            ]
+            if leaders and rng.random() < 0.6:
+                await leaders[0].find("log").drain()
+            else:
+                await fleet.restart_one(rng)
+
+    orders = []
+    disturbing = None
+    for _ in range(_ORDERS):
+        if rng.random() < 0.3:
+            version = rng.choice([*known, *known[-2:] * len(known)])
+        else:
+            version = max(known) + rng.randint(1, 5)
+            known.append(version)
+        orders.append(asyncio.create_task(order(version)))
+        await asyncio.sleep(rng.uniform(0.0, 0.1))
+        disturbing = disturbing or asyncio.create_task(disturb())
+    await asyncio.gather(*orders, disturbing)
+    return operators, seen
+
+
+@pytest.mark.parametrize("seed", read_seeds())
+def test_newest_change_wins_in_any_order(tmp_path, seed):
+    """A change that comes late, again or with other content must change nothing."""
+
+    async def main():
+        fleet = OrderFleet(pick_base(), tmp_path)
+        try:
+            await fleet.start()
+            operators, seen = await play(fleet, seed)
+            assert operators.faults == []
+            for versions in seen:
+                assert versions == sorted(set(versions))
+            for address in fleet.operators:
+                status, _, body = 0, {}, b""
+                while status != 200:
+                    status, _, body = await operators.read(address)
+                assert body == operators.bodies[operators.newest]
+        finally:
+            await fleet.stop()
+
+    asyncio.run(main())
