Sync the folders above a data folder that was created

Found by cutting the power after each file operation (tests/test_power.py).

Cause: a control host that creates its data folder synced the names in it, not the name of the folder itself. A power loss could take the folder with identity, votes and log, after changes had been acknowledged from it.

Change: each folder that the start creates is synced in the one above it. One that was there before is the operator's; its parent may not be readable.

Evidence: test_power_loss_after_any_file_operation_keeps_what_was_acknowledged failed at its first operations with the log gone, and now fails later only, with 'segment before segment-... is missing', another fault. Ruled out: the folder of the groups, which a founding or joining syncs before the identity names it.

--- a/src/jasminewharf/services/disk.py
+++ b/src/jasminewharf/services/disk.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import os
 from typing import NamedTuple
 
 import msgspec
@@ -62,7 +63,7 @@
         self._files = files
         self._folder = folder
         self._groups = groups
-        files.make_folder(folder)
+        self._make_folder()
         self._identity = self._load(host)
         if not self.cluster:
             self._clear_groups()
@@ -77,6 +78,17 @@
         """The cluster that the disk has joined, or an empty string."""
         return self._identity.cluster
 
+    def _make_folder(self) -> None:
+        """Create the data folder so that it survives a power loss."""
+        missing = []
+        path = self._folder.rstrip("/")
+        while path and not self._files.exists(path):
+            missing.append(path)
+            path = os.path.dirname(path)
+        self._files.make_folder(self._folder)
+        for path in reversed(missing):
+            self._files.sync_folder(os.path.dirname(path) or ".")
+
     def _load(self, host: str) -> DiskIdentity:
         path = f"{self._folder}/{_FILE}"
         if not self._files.exists(path):
