Sync each removal of a log segment before the next

Callers saw: a control host that does not start again after a power loss, event 302 'segment before segment- is missing'. With more than the tolerated losses of such hosts no quorum meets and service does not return.

A power loss in between may keep the removal of a newer segment and take back that of an older one; a log with a gap is refused, and rightly so.

Change: the folder is synced after each removal, oldest first.

Ruled out: to accept a gap on opening, which would hide a lost segment.

--- a/src/jasminewharf/services/storage.py
+++ b/src/jasminewharf/services/storage.py
@@ -269,11 +269,10 @@
         # The active segment must hold a hard state before older ones may go.
         if self._offset == 0:
             return
-        removed = False
         while self._closed and self._closed[0].last_index <= index:
             self._files.remove(self._path(self._closed.pop(0).name))
-            removed = True
-        if removed:
+            # A power loss may take back the removal of an older segment and keep
+            # that of a newer one, and a log with a gap does not open.
             self._files.sync_folder(self._folder)
 
     def close(self) -> None:
