Take disks in the soak, and read members by the log's newest line

A control host may also come back with an empty disk. A successor of a control host at 127.0.0.61 was frozen as an agent, without a record of it.

--- a/tests/linkedfleet.py
+++ b/tests/linkedfleet.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import json
+import shutil
 import signal
 import sys
 import time
@@ -216,8 +218,10 @@
             await asyncio.sleep(seconds)
             process.send_signal(signal.SIGCONT)
 
-    async def restart(self, ip, kind, pause_s):
+    async def restart(self, ip, kind, pause_s, is_emptied=False):
         await self.end(ip, kind)
+        if is_emptied:
+            shutil.rmtree(self.folder / ip)
         await asyncio.sleep(pause_s)
         await self.spawn(ip)
 
@@ -228,7 +232,8 @@
         try:
             await asyncio.wait_for(process.wait(), 4.0)
         except TimeoutError:
-            process.kill()
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
             await process.wait()
 
     def hang_up(self, ip):
@@ -236,16 +241,16 @@
             self.processes[ip].send_signal(signal.SIGHUP)
 
     def list_members_left(self):
-        """Return the replaced hosts of which no log tells that they were removed."""
-        removed = [
-            line
+        """Return the replaced hosts that are members by the newest line of any log."""
+        lines = [
+            json.loads(line)
             for path in self.folder.glob("*.log")
             for line in path.read_text().splitlines()
-            if '"event": 813' in line
-        ]
-        return [
-            ip for ip in self.replaced if not any(f'"{ip}/' in line for line in removed)
+            if '"event": 313' in line
         ]
+        newest = max(lines, key=lambda line: line["time"])["members"]
+        members = {identity.partition("/")[0] for identity in newest}
+        return sorted(members & set(self.replaced))
 
     async def replace_control(self, ip, pause_s):
         """Take a control host away and start an empty one at another address."""
--- a/tests/test_configuration_soak.py
+++ b/tests/test_configuration_soak.py
@@ -58,6 +58,7 @@
     "kill core",
     "stop core",
     "replace core",
+    "empty core",
     "two of the core",
 )
 _KINDS = (
@@ -145,6 +146,7 @@
         # Where strikes at the core overlap, hardly any bound holds but those of reads.
         self._is_serial = self._random.random() < 0.7
         self._core_lock = asyncio.Lock()
+        self._repaired_at = 0.0
 
     def add_version(self, is_valid=True):
         last = max(self.versions, default=0)
@@ -325,7 +327,7 @@
         if kind == "settings":
             await self._change_settings()
             return
-        agents = [ip for ip in fleet.hosts if ip.startswith(("127.0.0.5", "127.0.0.6"))]
+        agents = [ip for ip in fleet.hosts if ip in ("127.0.0.5", "127.0.0.6")]
         role, _, deed = kind.partition(" ")
         ip = rng.choice(fleet.entry_ips if role == "entry" else agents)
         begin = now()
@@ -390,8 +392,8 @@
         elif kind == "freeze core":
             with fleet.harming_core([ip]):
                 await fleet.freeze(ip, rng.choice((0.3, 1.2, 3.5, 8.0)))
-        elif kind == "replace core":
-            await self._replace(ip)
+        elif kind in ("replace core", "empty core"):
+            await self._take_disk(ip, kind == "replace core")
         elif kind == "two of the core":
             with fleet.harming_core([ip, others[0]], _CALM_S):
                 await asyncio.gather(
@@ -412,17 +414,28 @@
             # While links of the core are slow, it is not stable.
             self._fleet.disturb(CORE, begin)
 
-    async def _replace(self, ip):
+    async def _take_disk(self, ip, is_replaced):
+        """Start a control host with an empty disk, here or at another address.
+
+        A second loss before the first one is repaired is more than is tolerated.
+        """
         rng, fleet = self._random, self._fleet
-        if fleet.restarting or fleet.list_members_left():
-            # A second loss before the first is repaired is more than is tolerated.
+        if fleet.restarting or fleet.list_members_left() or now() < self._repaired_at:
             return
         fleet.restarting.add(ip)
+        self._repaired_at = now() + _REPAIRED_S
+        fleet.first_start = rng.random() < 0.3
         with fleet.harming_core([ip], _RECOVERY_S):
-            fleet.first_start = rng.random() < 0.3
-            new = await fleet.replace_control(ip, rng.choice((0.0, 1.0, 4.0)))
+            pause_s = rng.choice((0.0, 1.0, 4.0))
+            if is_replaced:
+                new = await fleet.replace_control(ip, pause_s)
+                fleet.note(f"{ip} is replaced by {new}")
+            else:
+                fleet.rewrite_settings(ip)
+                await fleet.restart(ip, signal.SIGKILL, pause_s, is_emptied=True)
         fleet.restarting.discard(ip)
-        fleet.note(f"{ip} is replaced by {new}")
+        if not is_replaced:
+            return
         await asyncio.sleep(rng.uniform(0.5, 3.0))
         for host in fleet.hosts:
             fleet.rewrite_settings(host)
