Wait for no vote of a newcomer that was removed again

A control host that joined and was gone before it voted held up the next newcomer for 30 s: its removal after 6 s did not end the wait for its vote, and one newcomer is added at a time. Where the first loss was not repaired yet, the fleet could stand no other one meanwhile.

--- a/src/jasminewharf/services/memberwork.py
+++ b/src/jasminewharf/services/memberwork.py
@@ -42,11 +42,13 @@
     """Add a member and wait until it votes.
 
     Raises:
-        MemberChangeRefused: If it has not caught up in time.
+        MemberChangeRefused: If it has not caught up in time, or is removed meanwhile.
     """
     await _change(runner, member, "")
     deadline = _now() + LOG_MEMBER_CHANGE_TIMEOUT_S
     while not _is_committed_voter(runner, member.identity):
+        if member.identity not in [m.identity for m in runner.consensus.members]:
+            raise MemberChangeRefused(f"{member.identity} was removed again")
         if _now() > deadline:
             raise MemberChangeRefused(f"{member.identity} has not caught up in time")
         await asyncio.sleep(LOG_MEMBER_POLL_S)
--- a/tests/test_repair_service.py
+++ b/tests/test_repair_service.py
@@ -24,6 +24,17 @@
     return kernel
 
 
+async def stop_control(fleet, kernel):
+    fleet.kernels.remove(kernel)
+    await kernel.stop()
+
+
+async def stop_all(fleet):
+    for kernel in fleet.kernels:
+        await kernel.stop()
+    await fleet.list.stop()
+
+
 def list_voters(kernels):
     """Return the hosts that vote, by the leader; none while there is no leader."""
     for kernel in kernels:
@@ -49,21 +60,46 @@
                 await start_control(fleet, ip, True) for ip in fleet.controls
             ]
             assert (await fleet.submit(build_body(1)))[0] == 200
-            fleet.kernels.remove(lost)
-            await lost.stop()
+            await stop_control(fleet, lost)
             new = await start_control(fleet, _NEW, False)
             left = [*fleet.controls[:2], _NEW]
             await wait_until(
                 lambda: sorted(list_voters([first, second, new])) == sorted(left),
                 _REPLACED_S,
             )
-            fleet.kernels.remove(second)
-            await second.stop()
+            await stop_control(fleet, second)
             async with asyncio.timeout(5.0):
                 assert (await fleet.submit(build_body(2)))[0] == 200
         finally:
-            for kernel in fleet.kernels:
-                await kernel.stop()
-            await fleet.list.stop()
+            await stop_all(fleet)
+
+    asyncio.run(main())
+
+
+def test_newcomer_that_leaves_again_does_not_hold_up_the_next(tmp_path):
+    """The next newcomer waited for 30 s, as long as for the vote of the one before."""
+
+    async def main():
+        fleet = ProcessFleet(pick_base(), tmp_path / "fleet", 2)
+        fleet.folder.mkdir()
+        await fleet.list.start()
+        try:
+            first, second, lost = [
+                await start_control(fleet, ip, True) for ip in fleet.controls
+            ]
+            assert (await fleet.submit(build_body(1)))[0] == 200
+            await stop_control(fleet, lost)
+            gone = await start_control(fleet, "127.0.0.59", False)
+            leader = first if first.find("log").is_leader("fleet") else second
+            await wait_until(lambda: len(leader.find("log").members("fleet")) == 4)
+            await stop_control(fleet, gone)
+            new = await start_control(fleet, _NEW, False)
+            left = [*fleet.controls[:2], _NEW]
+            await wait_until(
+                lambda: sorted(list_voters([first, second, new])) == sorted(left),
+                _REPLACED_S,
+            )
+        finally:
+            await stop_all(fleet)
 
     asyncio.run(main())
