--- a/tests/linkedfleet.py
+++ b/tests/linkedfleet.py
@@ -18,8 +18,9 @@
 _ZONES = ("zone-a", "zone-b", "zone-c")
 # Of the deployment that the fleet stands for.
 _ELECTION_S = 0.8
-_SETTLED_S = 3.0
 _CORE_SIZE = 3
+# From its start on, an interpreter does not ignore a hang-up for so long.
+_INTERPRETER_S = 1.0
 
 
 def now():
@@ -49,6 +50,7 @@
         self._roles = {}
         self._zones = {}
         self._victims = []
+        self._spawned_at = {}
         self._quorum_lost_at = None
         self.replaced = []
 
@@ -94,6 +96,7 @@
     async def spawn(self, ip):
         await self._link(ip)
         self.lives[ip] = self.lives.get(ip, 0) + 1
+        self._spawned_at[ip] = now()
         log = (self.folder / f"{ip}.log").open("ab")
         self.processes[ip] = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -237,6 +240,8 @@
             await process.wait()
 
     def hang_up(self, ip):
+        if now() < self._spawned_at[ip] + _INTERPRETER_S:
+            return
         with contextlib.suppress(ProcessLookupError):
             self.processes[ip].send_signal(signal.SIGHUP)
 
--- a/tests/linkedprocess.py
+++ b/tests/linkedprocess.py
@@ -4,11 +4,15 @@
 ``127.0.0.3`` to ``127.0.0.9`` is made to the same port of ``127.3.0.9``.
 """
 
+import signal
 import sys
 
-import zmq
+# As the start script of a checkout does.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from jasminewharf.interfaces.running import run_daemon
+import zmq  # noqa: E402
+
+from jasminewharf.interfaces.running import run_daemon  # noqa: E402
 
 _INTERNAL_PORTS = 2
 
