Compare added and first routes in the soak

The rule about routes that are added later is checked too: entries in touch serve them at least a quarter as often as the first ones. Versions keep a growing number of routes to a service that the first version does not name.

--- a/src/jasminewharf/bench/configuration_checks.py
+++ b/src/jasminewharf/bench/configuration_checks.py
@@ -32,6 +32,13 @@
 # How long after the return of all hosts this part of the requests is served.
 RECOVERY_S = 12.0
 SERVED_PART = 0.25
+# Of so many requests on routes that were added later, this part of the share on the
+# first routes is served.
+ADDED_REQUESTS = 20
+ADDED_PART = 0.25
+
+# Outcomes that say that a configuration does not allow a request.
+REFUSALS = frozenset({"401", "403", "404"})
 
 # Status of a sending whose operator left.
 LEFT = -1
@@ -131,6 +138,15 @@
             and change.allows(call.target) == call.outcome
         ]
 
+    def is_owed(self, call: Call) -> bool:
+        """Return whether every version that may be in force serves the call."""
+        bound = self.newest_acknowledged(call.at - IN_FORCE_S)
+        return bound > 0 and not any(
+            change.allows(call.target) in REFUSALS
+            for change in self.valid
+            if bound <= change.version and self._sent[change.version] <= call.ended_at
+        )
+
 
 def _first_answer(change: Change) -> float | None:
     return min((s.answered_at for s in change.sends if s.status == 200), default=None)
@@ -152,10 +168,12 @@
             was disturbed itself or on its links to the control hosts.
     """
     record = _Record(changes, spans)
+    calls = list(calls)
     found = [
         *_check_answers(record),
         *_check_reads(record, reads),
         *_check_calls(record, calls),
+        *_check_added_routes(record, calls),
     ]
     return [line for _, line in sorted(found)]
 
@@ -250,15 +268,43 @@
         life.append((call.ended_at, min(possible)))
 
 
+def _check_added_routes(
+    record: _Record, calls: Iterable[Call]
+) -> Iterable[tuple[float, str]]:
+    """Compare how often first and added routes are served by entries in touch."""
+    served = {False: 0, True: 0}
+    asked = {False: 0, True: 0}
+    for call in calls:
+        if not _is_in_touch(record, call) or not record.is_owed(call):
+            continue
+        is_added = record.valid[0].allows(call.target) in REFUSALS
+        asked[is_added] += 1
+        served[is_added] += call.outcome != ""
+    if asked[True] < ADDED_REQUESTS or not asked[False]:
+        return
+    first = served[False] / asked[False]
+    if served[True] / asked[True] < ADDED_PART * first:
+        yield (
+            float("inf"),
+            f"{served[True]} of {asked[True]} requests on added routes are served, "
+            f"{served[False]} of {asked[False]} on the first ones",
+        )
+
+
+def _is_in_touch(record: _Record, call: Call) -> bool:
+    since = call.at - CONTACT_S
+    return not any(
+        record.is_disturbed(subject, since, call.ended_at)
+        for subject in (CORE, QUORUM, call.host)
+    )
+
+
 def _find_bound(record: _Record, call: Call) -> int:
     """Return the oldest version that an entry may still work by; 0 for any."""
     calm_since = call.at - CONTACT_S
     if record.is_disturbed(call.host, calm_since, call.ended_at):
         return 0
-    if not any(
-        record.is_disturbed(subject, calm_since, call.ended_at)
-        for subject in (CORE, QUORUM)
-    ):
+    if _is_in_touch(record, call):
         return record.newest_acknowledged(call.at - IN_FORCE_S)
     since = call.at - IN_FORCE_S - OUTER_S
     if record.is_disturbed(QUORUM, since, call.ended_at):
--- a/tests/linkedfleet.py
+++ b/tests/linkedfleet.py
@@ -38,7 +38,7 @@
 
     def __init__(self, base, folder, entries):
         super().__init__(base, folder, entries)
-        names = ("desk-a", "desk-b", "desk-c")
+        names = ("desk-a", "desk-b", "desk-c", "desk-d")
         self.desks = [FakeReplica("127.0.0.1", f"i-{name}", name) for name in names]
         self.links = {}
         self.spans = []
--- a/tests/test_configuration_checks.py
+++ b/tests/test_configuration_checks.py
@@ -112,6 +112,22 @@
     assert check(changes=[left]) == []
 
 
+def test_added_routes_that_are_hardly_served_are_found():
+    added = Change(2, [Send(1.0, "c", 200, 1.1)], lambda target: "new")
+    first = Change(1, [Send(0.0, "c", 200, 0.1)], lambda t: "404" if t == "/y" else "a")
+    old = [Call(10.0 + n, 10.1 + n, "e", 1, "/x", "new") for n in range(30)]
+    new = [call._replace(target="/y", outcome="") for call in old]
+    found = check(calls=[*old, *new], changes=[first, added])
+    assert found == [
+        "0 of 30 requests on added routes are served, 30 of 30 on the first ones"
+    ]
+    some = [call._replace(outcome="new") for call in new[:8]]
+    assert check(calls=[*old, *some, *new[8:]], changes=[first, added]) == []
+    assert check(calls=[*old, *new[:19]], changes=[first, added]) == []
+    spans = [Span("e", 0.0, 50.0)]
+    assert check(calls=[*old, *new], changes=[first, added], spans=spans) == []
+
+
 def test_too_few_served_after_the_return_are_found():
     served = [(float(at), at % 4 == 0) for at in range(100)]
     # Of those sent later than 12 s after 11.0: 24, 28, ... 96 of 24 to 99.
--- a/tests/test_configuration_soak.py
+++ b/tests/test_configuration_soak.py
@@ -41,6 +41,9 @@
 _CALLS_PER_ENTRY_S = 40.0 / (_ENTRIES + 2)
 _SHIFTING = 4
 _SERVICES = ("desk-a", "desk-b", "desk-c")
+_ADDED_SERVICE = "desk-d"
+_VERSIONS_PER_KEPT = 5
+_KEPT_LIMIT = 12
 _CHANGES_IN_PROGRESS = 8
 _CHANGE_S = 30.0
 _ANSWERED_S = 4.5
@@ -75,7 +78,7 @@
 class Version:
     """A configuration whose routes tell it from all others."""
 
-    def __init__(self, number, rng, is_valid=True):
+    def __init__(self, number, rng, is_valid=True, kept=0):
         self.number = number
         self.is_valid = is_valid
         self.sends = []
@@ -83,6 +86,8 @@
         for index in range(_SHIFTING):
             if rng.random() < 0.75:
                 self.services[f"s{index}"] = rng.choice(_SERVICES)
+        for index in range(kept):
+            self.services[f"kept-{index}"] = _ADDED_SERVICE
         self.keys = {"key-1"}
         if rng.random() < 0.5:
             self.keys.add("key-x")
@@ -96,7 +101,8 @@
         ]
         if rng.random() < 0.03:
             routes += [build_route(f"wide-{n}", "safe", "desk-a") for n in range(1500)]
-        services = [*first["services"][:1], *({"name": name} for name in _SERVICES)]
+        names = sorted({*_SERVICES, *self.services.values()})
+        services = [*first["services"][:1], *({"name": name} for name in names)]
         tenants = [{**first["tenants"][0], "apiKeys": sorted(self.keys)}]
         if not self.is_valid:
             fault = rng.randrange(4)
@@ -147,11 +153,14 @@
         self._is_serial = self._random.random() < 0.7
         self._core_lock = asyncio.Lock()
         self._repaired_at = 0.0
+        self._kept = 0
 
     def add_version(self, is_valid=True):
         last = max(self.versions, default=0)
         number = last + self._random.choice((1, 1, 2, 7)) if last else 1
-        self.versions[number] = Version(number, self._random, is_valid)
+        # Routes that are added and stay, to a service that is not named before.
+        self._kept = min(len(self.versions) // _VERSIONS_PER_KEPT, _KEPT_LIMIT)
+        self.versions[number] = Version(number, self._random, is_valid, self._kept)
         return self.versions[number]
 
     def note_first(self):
@@ -272,6 +281,8 @@
         kind = self._random.random()
         if kind < 0.4:
             name = f"s{self._random.randrange(_SHIFTING)}"
+        elif kind < 0.55 and self._kept:
+            name = f"kept-{self._random.randrange(self._kept)}"
         else:
             newest = sorted(self.versions)[-30:]
             # Mostly one of the newest, whose route may be there by now.
