Sync what a killed process wrote before acting on it

Callers saw: nothing in the record names it. It takes a kill in the middle of a write and a power loss of the same host soon after.

Cause: a started control host reads its segments, the identity and the names of its files from the kernel's cache, where a killed process may have left writes that were never synced. It then tells the leader that it holds an entry, or repeats a vote, without writing again; a power loss takes both, so that an acknowledged change could lack its quorum and a vote be given twice. Where the rename of the identity was lost, the next start emptied the groups.

Change: the start syncs the last segment and the folders before anything is told; also the parent of a data folder without identity, where a process may have been killed between creating and syncing it.

Ruled out: the segments before the last, whose last frame was synced before the next segment was begun.

--- a/src/jasminewharf/services/disk.py
+++ b/src/jasminewharf/services/disk.py
@@ -5,6 +5,7 @@
 votes and entries cannot act under the identity that gave them.
 """
 
+import contextlib
 import hashlib
 import os
 from typing import NamedTuple
@@ -13,7 +14,7 @@
 import xxhash
 
 from ..decisions.records import MEMBERS, Entry, HardState, encode_members
-from ..exceptions import CorruptLog
+from ..exceptions import CorruptLog, StorageError
 from ..identifiers import new_token
 from ..messages.log import MemberRecord
 from .files import Files, replace_file
@@ -88,6 +89,11 @@
         self._files.make_folder(self._folder)
         for path in reversed(missing):
             self._files.sync_folder(os.path.dirname(path) or ".")
+        if not missing and not self._files.exists(f"{self._folder}/{_FILE}"):
+            # A process may have been killed between the two. The parent of a folder
+            # that an operator created need not be readable.
+            with contextlib.suppress(StorageError):
+                self._files.sync_folder(os.path.dirname(path) or ".")
 
     def _load(self, host: str) -> DiskIdentity:
         path = f"{self._folder}/{_FILE}"
@@ -97,6 +103,8 @@
             identity = DiskIdentity(host, new_token(8), "", ())
             self._save(identity)
             return identity
+        # A process may have been killed before it synced the file's new name.
+        self._files.sync_folder(self._folder)
         identity = _parse_identity(self._files.read(path), path)
         if identity.host != host:
             raise CorruptLog(f"{path} belongs to host {identity.host!r}, not {host!r}")
--- a/src/jasminewharf/services/storage.py
+++ b/src/jasminewharf/services/storage.py
@@ -114,6 +114,9 @@
             CorruptLog: If anything else than the tail is damaged or missing.
         """
         self._files.make_folder(self._folder)
+        # What a killed process had written but not synced is read here like the rest,
+        # and votes and acknowledgements rest on it from now on.
+        self._files.sync_folder(self._folder)
         snapshot = self.snapshots.open()
         replay = self._read_segments()
         self._check_mark()
@@ -125,6 +128,7 @@
             self._begin_segment()
         elif self._file is None:
             self._file = self._files.open(self._path(self._name))
+            self._file.sync()
         self._mark = self._files.open(self._path(_MARK))
         restored = _restore(replay, snapshot, self._folder)
         if replay.entries and not restored.entries:
