--- a/src/jasminewharf/services/disk.py
+++ b/src/jasminewharf/services/disk.py
@@ -83,7 +83,7 @@
         """Create the data folder so that it survives a power loss."""
         missing = []
         path = self._folder.rstrip("/")
-        while path and not self._files.exists(path):
+        while path not in ("", "/") and not self._files.exists(path):
             missing.append(path)
             path = os.path.dirname(path)
         self._files.make_folder(self._folder)
