Explore power losses of all hosts, with a disk lost, and kills

A schedule may now cut the power of all hosts at once, half of the times with one of the disks lost, and half of the single crashes keep what was written but not synced, as a kill does.

--- a/src/jasminewharf/bench/log_exploration.py
+++ b/src/jasminewharf/bench/log_exploration.py
@@ -178,6 +178,15 @@
         elif chance < 0.90:
             for each in self.hosts.values():
                 each.files.full = False
+        elif chance < 0.92:
+            self._lose_power(host)
+
+    def _lose_power(self, host):
+        """All hosts at once, and perhaps one disk."""
+        if self.random.random() < 0.5:
+            self.lose_disk(host)
+        for each in self.hosts.values():
+            each.crash()
 
     def _jump_clocks(self):
         # Followers that skip ahead elect a leader while the old one still leads.
@@ -202,7 +211,7 @@
         if not host.up:
             return
         if self.random.random() < 0.5:
-            host.crash()
+            host.crash(has_power=self.random.random() < 0.5)
         else:
             host.files.crash_after = self.random.randrange(1, 8)
 
--- a/src/jasminewharf/bench/log_host.py
+++ b/src/jasminewharf/bench/log_host.py
@@ -86,11 +86,13 @@
         self.state = dict(decoded)
         self.applied = index
 
-    def crash(self) -> None:
-        """Lose unsynced data and the process; restart later."""
+    def crash(self, *, has_power: bool = False) -> None:
+        """Lose the process and, without power, unsynced data; restart later."""
         self.up = False
         self.life += 1
-        self.files.crash(self.simulation.random)
+        self.files.crash_after = None
+        if not has_power:
+            self.files.crash(self.simulation.random)
         down_s = self.simulation.random.choice((0.01, 0.3, 2.0))
         self.simulation.after(down_s, self.restart, self.life)
 
