Log when and from where a configuration came into force

What operators could not tell after the incident: which version an entry worked by at a moment, which one it replaced and how late it was, and which control host acknowledged what; an order whose version was held was acknowledged without a line. Change: event 801, at the control host that answers the operator, holds index, term and leader, and is written for versions that are held too; 804, at the leader, holds index and term of the commit; 802 holds the version before and the index, at nodes also the control host that feeds them and an upper bound of the age: the time since the sending of the last ping after which a quorum confirmed that the node held everything committed, on the node's own clock. Ruled out: the time of acceptance in the command or the state. Hosts of an older release refuse messages with one more field, so that they would stop at such a command during an upgrade.

--- a/src/jasminewharf/decisions/freshness.py
+++ b/src/jasminewharf/decisions/freshness.py
@@ -47,6 +47,13 @@
         """Return whether the view may be acted on at ``now``."""
         return now < self._until
 
+    def unconfirmed_s(self, now: float) -> float:
+        """Return the seconds since the view was known to hold all that is committed.
+
+        Infinite if it never was.
+        """
+        return now - (self._until - self._length_s)
+
     def remaining_s(self, now: float) -> float:
         """Return the seconds left; negative if the lease has run out."""
         return self._until - now
--- a/src/jasminewharf/services/configurations.py
+++ b/src/jasminewharf/services/configurations.py
@@ -64,19 +64,29 @@
             raise
         stored = self.kernel.find("fleet").state.configuration
         if stored.body and configuration.version <= stored.version:
+            self._note_acceptance(
+                configuration.version, CommandResult("", "held", stored.version)
+            )
             return stored.version
         submission = SubmitConfiguration(
             configuration.version, await asyncio.to_thread(zlib.compress, body)
         )
         result = await self._commit(submission)
+        self._note_acceptance(configuration.version, result)
+        return result.version
+
+    def _note_acceptance(self, version: int, result: CommandResult) -> None:
+        log = self.kernel.find("log")
         events.emit(
             _logger,
             events.CONFIGURATION_ACCEPTED,
-            version=configuration.version,
+            version=version,
             stored=result.version,
             result=result.text,
+            index=log.applied_index(FLEET_GROUP),
+            term=log.term(FLEET_GROUP),
+            leader=log.leader(FLEET_GROUP),
         )
-        return result.version
 
     async def _commit(self, submission: SubmitConfiguration) -> CommandResult:
         """Commit here or at the leader; sending it twice changes nothing."""
@@ -103,8 +113,19 @@
 
     async def _propose(self, submission: SubmitConfiguration) -> CommandResult:
         command = ReplaceConfiguration(submission.version, _RULE, submission.body)
-        _, result = await self.kernel.find("log").propose(FLEET_GROUP, encode(command))
-        return decode(result)
+        log = self.kernel.find("log")
+        index, encoded = await log.propose(FLEET_GROUP, encode(command))
+        result = decode(encoded)
+        events.emit(
+            _logger,
+            events.CONFIGURATION_COMMITTED,
+            version=submission.version,
+            stored=result.version,
+            result=result.text,
+            index=index,
+            term=log.term(FLEET_GROUP),
+        )
+        return result
 
     async def read(self) -> bytes:
         """Return the newest configuration as it was sent; empty if there is none.
--- a/src/jasminewharf/services/feed.py
+++ b/src/jasminewharf/services/feed.py
@@ -68,6 +68,13 @@
         """Return whether a quorum confirmed this view within the lease."""
         return self._lease.is_valid(asyncio.get_running_loop().time())
 
+    def unconfirmed_s(self) -> float:
+        """Return the seconds in which changes may have been committed unseen.
+
+        What is applied now was committed that long ago at most.
+        """
+        return self._lease.unconfirmed_s(asyncio.get_running_loop().time())
+
     async def start(self) -> None:
         """Subscribe and keep the lease renewed."""
         controllers = self.kernel.find("controllers")
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -163,6 +163,11 @@
         runner = self._runners.get(group)
         return runner is not None and runner.consensus.is_leader
 
+    def term(self, group: str) -> int:
+        """Return the newest term of the group that is known here, or 0."""
+        runner = self._runners.get(group)
+        return runner.consensus.term if runner else 0
+
     def applied_index(self, group: str) -> int:
         """Return the index of the last entry that was applied here."""
         runner = self._runners.get(group)
--- a/src/jasminewharf/services/view.py
+++ b/src/jasminewharf/services/view.py
@@ -2,9 +2,10 @@
 
 import logging
 from collections.abc import Callable
+from math import inf
 from typing import Any, ClassVar
 
-from .. import events
+from .. import defaults, events
 from ..decisions.configurations import STORED_FORMATS
 from ..decisions.fleet import StoredConfiguration
 from ..decisions.routes import RouteTable
@@ -54,11 +55,22 @@
                 error=error,
             )
             return
+        previous = self.table.version if self.table else None
         self.table = RouteTable(configuration)
-        events.emit(_logger, events.CONFIGURATION_IN_FORCE, version=self.table.version)
+        events.emit(
+            _logger,
+            events.CONFIGURATION_IN_FORCE,
+            version=self.table.version,
+            previous=previous,
+            **self._locate(),
+        )
         for listener in self._listeners:
             listener(self.table)
 
+    def _locate(self) -> dict[str, Any]:
+        """Return where the state was when it held a configuration, for the log."""
+        raise NotImplementedError
+
 
 class ConfigurationView(_View):
     """The view of an entry or agent, from its feed."""
@@ -73,6 +85,15 @@
     def _take(self, applied: list[Any]) -> None:
         self._read_stored(self.kernel.find("feed").state.configuration)
 
+    def _locate(self) -> dict[str, Any]:
+        feed = self.kernel.find("feed")
+        age_s = feed.unconfirmed_s()
+        return {
+            "index": feed.state.version,
+            "source": feed.source,
+            "age_at_most_ms": int(age_s * defaults.MS_PER_S) if age_s < inf else None,
+        }
+
 
 class ControlConfigurationView(_View):
     """The view of a control host, from its own copy of the fleet's state."""
@@ -89,3 +110,9 @@
 
     def _take(self) -> None:
         self._read_stored(self.kernel.find("fleet").state.configuration)
+
+    def _locate(self) -> dict[str, Any]:
+        return {
+            "index": self.kernel.find("fleet").state.version,
+            "term": self.kernel.find("log").term(FLEET_GROUP),
+        }
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -6,10 +6,10 @@
 import pytest
 
 from fleets import HOST, KEY, build_body, build_route, run_with_fleet
-from jasminewharf import defaults
+from jasminewharf import defaults, events
 from jasminewharf.decisions.enginereports import EngineReportTable
 from jasminewharf.exceptions import BackendError
-from platformfakes import send, stream_body
+from platformfakes import FakeReplica, send, stream_body
 from support import wait_until
 
 MODEL = (("x-model", "m0"), ("x-token-counts", "100,20"))
@@ -238,6 +238,84 @@
     run_with_fleet(scenario, tmp_path)
 
 
+def test_log_tells_which_configuration_was_in_force_since_when(tmp_path, caplog):
+    """An incident's record held no line that told when a change reached an entry."""
+
+    def fields(event):
+        lines = [record for record in caplog.records if hasattr(record, "event")]
+        return [line.fields for line in lines if line.event == event]
+
+    async def scenario(fleet):
+        followers = fleet.kernels[1:]
+        loop = asyncio.get_running_loop()
+        fresh_at = loop.time()
+        for kernel in followers:
+            await wait_until(kernel.find("feed").is_fresh)
+        for version in (5, 3):
+            assert (await fleet.submit(build_body(version)))[0] == 200
+        await wait_until(
+            lambda: all(k.find("view").table.version == 5 for k in followers)
+        )
+        elapsed_s = loop.time() - fresh_at
+        committed = fields(events.CONFIGURATION_COMMITTED)[-1]
+        place = {"index": committed["index"], "term": committed["term"]}
+        assert committed == {"version": 5, "stored": 5, "result": "replaced", **place}
+        accepted = fields(events.CONFIGURATION_ACCEPTED)[-2:]
+        assert [line["result"] for line in accepted] == ["replaced", "held"]
+        assert [line["version"] for line in accepted] == [5, 3]
+        assert [line["stored"] for line in accepted] == [5, 5]
+        assert all(place.items() <= line.items() for line in accepted)
+        in_force = [
+            line
+            for line in fields(events.CONFIGURATION_IN_FORCE)
+            if line["version"] == 5 and "source" in line
+        ]
+        assert len(in_force) == len(followers)
+        assert {line["previous"] for line in in_force} == {1}
+        assert {line["index"] for line in in_force} == {committed["index"]}
+        ages = [line["age_at_most_ms"] for line in in_force]
+        # They were confirmed to hold version 1 within a lease before.
+        longest_ms = (defaults.FRESHNESS_LEASE_S + elapsed_s) * 1_000
+        assert 0 <= min(ages) <= max(ages) <= longest_ms
+
+    caplog.set_level("INFO", logger="jasminewharf")
+    run_with_fleet(scenario, tmp_path)
+
+
+def test_added_route_is_refused_as_not_run_until_its_service_has_a_server(tmp_path):
+    """A caller that got 404 would not come back."""
+
+    async def scenario(fleet):
+        body = json.loads(build_body(version=2))
+        body["routes"].append(build_route("late", "unsafe", "late"))
+        body["services"].append({"name": "late"})
+        await fleet.submit(json.dumps(body).encode())
+        for kernel in fleet.entry_kernels:
+            await wait_until(lambda k=kernel: k.find("view").table.version == 2)
+        hurry = ("x-deadline-ms", "500")
+        head = [HOST, KEY, ("x-attempt-id", "id-1")]
+        status, headers, _ = await send(
+            fleet.entries[0], "POST", "/late/x", [*head, hurry]
+        )
+        assert status == 503
+        assert float(headers["retry-after"]) > 0
+        waiting = asyncio.create_task(
+            send(
+                fleet.entries[0], "POST", "/late/x", [*head[:2], ("x-attempt-id", "2")]
+            )
+        )
+        await asyncio.sleep(0.2)
+        late = FakeReplica("127.0.0.1", "i-late", "late")
+        await late.start()
+        fleet.desks.append(late)
+        fleet.list.replicas.append(late)
+        assert (await waiting)[0] == 200
+        assert fleet.runs("2") == 1
+        assert fleet.runs("id-1") == 0
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_invalid_configuration_changes_nothing(tmp_path):
     async def scenario(fleet):
         for body in (b"{", build_body(9)[:-3], build_body(9, services=[])):
