Acknowledge again what an older release has accepted

What operators would see: a configuration that was acknowledged, and is sent again since its answer was lost, is refused by a control host whose release checks more. An order that was accepted is acknowledged again or left without an answer, never refused. Change: a refused body that is byte for byte the stored one is acknowledged. One byte more, or nothing stored, and it is refused.

--- a/src/jasminewharf/services/configurations.py
+++ b/src/jasminewharf/services/configurations.py
@@ -60,6 +60,12 @@
         try:
             configuration = await asyncio.to_thread(self._read_body, body)
         except ConfigurationRefused as error:
+            stored = self.kernel.find("fleet").state.configuration
+            if stored.body and body == unpack_configuration(stored.body):
+                # A release that checked less has acknowledged it.
+                held = CommandResult("", "held", stored.version)
+                self._note_acceptance(stored.version, held)
+                return stored.version
             events.emit(_logger, events.CONFIGURATION_REFUSED, error=error)
             raise
         stored = self.kernel.find("fleet").state.configuration
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -1,5 +1,10 @@
 """Full configurations: validation, and which version is active."""
 
+import asyncio
+import json
+import zlib
+from types import SimpleNamespace
+
 import pytest
 
 from fleetparts import (
@@ -7,6 +12,7 @@
     build_route,
     build_workspace,
 )
+from fleets import build_body
 from jasminewharf.decisions.configurations import (
     ServiceWeight,
     check_configuration,
@@ -15,6 +21,7 @@
 from jasminewharf.exceptions import ConfigurationRefused
 from jasminewharf.messages import decode, encode
 from jasminewharf.messages.commands import ReplaceConfiguration
+from jasminewharf.services.configurations import ConfigurationService
 
 
 def put(state, index, version, body=b"x"):
@@ -81,6 +88,28 @@
     assert put(restored, 2, version, b"second").text == "not newer"
 
 
+def test_accepted_change_that_is_sent_again_is_never_refused():
+    """An operator whose acknowledgement is lost may meet a release that is stricter."""
+    route = json.loads(build_body())["routes"][0]
+    body = build_body(routes=[route, {**route, "host": "A.example"}])
+    state = FleetState()
+    fleet = SimpleNamespace(state=state)
+    log = SimpleNamespace(
+        applied_index=lambda group: 1, term=lambda group: 1, leader=lambda group: ""
+    )
+    settings = SimpleNamespace(fleet=SimpleNamespace(dialect="platform"))
+    kernel = SimpleNamespace(
+        settings=settings, find={"fleet": fleet, "log": log}.__getitem__
+    )
+    service = ConfigurationService(kernel)
+    with pytest.raises(ConfigurationRefused):
+        asyncio.run(service.replace(body))
+    put(state, 1, 1, zlib.compress(body))
+    assert asyncio.run(service.replace(body)) == 1
+    with pytest.raises(ConfigurationRefused):
+        asyncio.run(service.replace(body + b" "))
+
+
 def test_snapshot_keeps_the_configuration():
     state = FleetState()
     put(state, 1, 7, b"seven")
