Leave a change open when the leader's disk is full

Cause: an error of storage is no error of consensus; the handler that looked for it there never saw it. Evidence: test_change_that_finds_the_disk_full_is_left_open got 500 before. Change: 503 with Retry-After and not_run false, and no line of a fault. Measured: the new test passed.

--- a/src/jasminewharf/interfaces/operatorhttp.py
+++ b/src/jasminewharf/interfaces/operatorhttp.py
@@ -10,6 +10,7 @@
     LinkError,
     Refusal,
     ShuttingDown,
+    StorageFull,
     Unconfirmed,
 )
 from ..kernel import Kernel, Service
@@ -73,7 +74,7 @@
             body = json.dumps({"error": str(error)}).encode()
             responder.respond(400, _JSON, body)
             return
-        except (ConsensusError, LinkError) as error:
+        except (ConsensusError, LinkError, StorageFull) as error:
             raise _unconfirmed(error) from error
         body = json.dumps({"version": version}).encode()
         responder.respond(200, _JSON, body)
--- a/src/jasminewharf/services/configurations.py
+++ b/src/jasminewharf/services/configurations.py
@@ -13,7 +13,6 @@
     Forbidden,
     LinkError,
     NotLeader,
-    StorageFull,
 )
 from ..kernel import Kernel, Service
 from ..messages import decode, encode
@@ -56,6 +55,7 @@
             ConfigurationRefused: If it is not valid; nothing changes.
             ConsensusError: If it is not known to be stored.
             LinkError: If it is not known to be stored.
+            StorageFull: If the leader's disk is full; it is not stored.
         """
         try:
             configuration = await asyncio.to_thread(self._read_body, body)
@@ -105,8 +105,8 @@
                 return await self.kernel.find("controllers").request(
                     FLEET_GROUP, submission, defaults.CONTROL_QUICK_ATTEMPT_S
                 )
-            except (ConsensusError, LinkError) as error:
-                if loop.time() > deadline or isinstance(error, StorageFull):
+            except (ConsensusError, LinkError):
+                if loop.time() > deadline:
                     raise
             await asyncio.sleep(defaults.CONTROL_RETRY_S)
 
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -8,7 +8,7 @@
 from fleets import HOST, KEY, build_body, build_route, run_with_fleet
 from jasminewharf import defaults, events
 from jasminewharf.decisions.enginereports import EngineReportTable
-from jasminewharf.exceptions import BackendError
+from jasminewharf.exceptions import BackendError, StorageFull
 from platformfakes import FakeReplica, send, stream_body
 from support import wait_until
 
@@ -316,6 +316,28 @@
     run_with_fleet(scenario, tmp_path)
 
 
+def test_change_that_finds_the_disk_full_is_left_open(tmp_path, monkeypatch):
+    """It was answered 500 "internal error" and logged as a fault of the program."""
+
+    async def scenario(fleet):
+        control = fleet.kernels[0]
+
+        async def propose(group, command):
+            raise StorageFull("the disk of group fleet is full")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(control.find("log"), "propose", propose)
+            status, headers, body = await send(
+                fleet.operator, "POST", "/Config.Put", [HOST], build_body(2)
+            )
+        assert status == 503
+        assert float(headers["retry-after"]) > 0
+        assert json.loads(body)["error"]["not_run"] is False
+        assert (await fleet.submit(build_body(2)))[0] == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_invalid_configuration_changes_nothing(tmp_path):
     async def scenario(fleet):
         for body in (b"{", build_body(9)[:-3], build_body(9, services=[])):
