Answer the requests that have arrived when a planned stop begins

Callers whose requests had just arrived were cut off without an answer when a process was stopped.

Cause: the stop closed each connection on which no whole head had been read: with bytes of a request still in the socket, with part of a head read, or accepted a moment ago. Connections that the kernel had accepted but the event loop had not were reset with the listening socket. After an answer that had begun before the stop, requests sent ahead on the same connection were dropped, though the answer had not said that the connection closes.

Change: before the listening socket is closed the loop accepts what waits. A connection is closed only if nothing of a request was read and the socket holds nothing, and a new one is kept for its first request for 0.5 s; both are looked at again until the stop's time is over. Answers carry "connection: close" as before.

Why it works: whatever has reached the machine is seen by the poll of the socket right before the close. What crosses the close on the way can't be, as in any keep-alive protocol; nor can a connection made between the last turn and the close of the listening socket.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -376,6 +376,8 @@
 # Of an identifier that a server names; longer ones are cut in log lines.
 LOGGED_IDENTIFIER_CHARACTERS = 64
 DRAIN_POLL_S = 0.02
+DRAIN_FRESH_S = 0.5  # How long a new connection is kept for its first request.
+DRAIN_ACCEPT_TURNS = 4  # Of the event loop, which accepts a whole backlog in one.
 
 # Traces.
 
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -6,6 +6,7 @@
 import math
 import os
 import re
+import select
 import socket
 import ssl
 import struct
@@ -124,6 +125,8 @@
         self._held: list[bytes] | None = None
         self._is_paused = False
         self._is_surplus = False
+        self._has_served = False
+        self._made_at = self._loop.time()
 
     def _new_h11(self) -> h11.Connection:
         return h11.Connection(
@@ -131,8 +134,26 @@
         )
 
     @property
-    def is_idle(self) -> bool:
-        return self._task is None and self._head is None
+    def _is_idle(self) -> bool:
+        return self._task is None and not self._is_inside_request
+
+    @property
+    def _has_unread(self) -> bool:
+        """Whether bytes have arrived that the loop or the parser has not read yet."""
+        if self._h11.trailing_data[0]:
+            return True
+        connection = self._transport.get_extra_info("socket")
+        if connection is None or connection.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(connection.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    @property
+    def _is_expecting(self) -> bool:
+        """Whether a caller has just connected and is about to send its request."""
+        age_s = self._loop.time() - self._made_at
+        return not self._has_served and age_s < defaults.DRAIN_FRESH_S
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -297,12 +318,16 @@
 
     def _end_cycle(self, responder: Responder) -> None:
         self._task = None
+        self._has_served = True
         if self._transport is None or self._transport.is_closing():
             return
         if not responder.is_finished:
             self.cut()
             return
-        if self._server.draining or self._h11.our_state is not h11.DONE:
+        if self._h11.our_state is not h11.DONE:
+            self.close()
+            return
+        if self._server.draining and not self._has_unread:
             self.close()
             return
         try:
@@ -350,7 +375,8 @@
             self._write(data)
 
     def close_if_idle(self) -> None:
-        if self.is_idle:
+        """Close the connection unless a request is there or about to arrive."""
+        if self._is_idle and not self._has_unread and not self._is_expecting:
             self.close()
 
     def close(self) -> None:
@@ -498,15 +524,21 @@
         return f"{name[0]}:{name[1]}"
 
     async def drain(self, timeout_s: float) -> None:
-        """Accept no new connection and wait until all requests have ended."""
+        """Accept no new connection and wait until all requests have ended.
+
+        Requests that have arrived are read and answered, also those on connections that
+        wait to be accepted.
+        """
         self.draining = True
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self._connections):
-            connection.close_if_idle()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
+        if self._server is not None:
+            for _ in range(defaults.DRAIN_ACCEPT_TURNS):
+                await asyncio.sleep(0)
+            self._server.close()
         while self._connections and loop.time() < deadline:
+            for connection in list(self._connections):
+                connection.close_if_idle()
             await asyncio.sleep(defaults.DRAIN_POLL_S)
 
     async def close(self) -> None:
