Do not count the event loop's own lateness as a server's silence

Slow but sound streams were run a second time or cut, and their engines ejected, when the entry itself had been held up.

Cause: a time-out for a server's silence ran on while the event loop did not. After a stall the loop finds both what has arrived and the expired timer in one turn, and the time-out cancelled the read though the data was there. The watch over silent servers compared times that the stall lay between.

The watch leaves its own lateness out of all servers' silence. No time-out has changed.

What remains: a node that is slow without being held up at its timers can't tell its own delay.

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -109,6 +109,11 @@
             return 0.0
         return now - max(self.heard_at, self._busy_since)
 
+    def excuse(self, late_s: float, now: float) -> None:
+        """Leave time out of the silence in which this node itself did not read."""
+        self.heard_at = min(self.heard_at + late_s, now)
+        self._busy_since = min(self._busy_since + late_s, now)
+
     def begin(self, model: str, adapter: str, now: float) -> None:
         """Count a request sent to the server."""
         if self.own == 0:
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -524,6 +524,7 @@
 SERVER_AVOIDED_S = 2.0
 SILENCE_WATCH_S = 0.2
 STREAM_SILENCE_S = 1.0
+LOOP_LATE_S = 0.05  # An event loop that is later has been held up.
 SILENCE_MIN_S = 0.15
 SILENCE_PART = 0.4
 RETRY_SLACK_PART = 0.5
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -3,13 +3,12 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import Iterator
 from typing import ClassVar
 
 from .. import defaults, events
 from ..decisions.attempts import Attempts, choose_idle_timeout_s
 from ..decisions.directory import Server
-from ..decisions.eventstream import StreamEvent
 from ..decisions.retries import RetryBudget
 from ..dialects.fleet import ForwardedHead
 from ..exceptions import (
@@ -24,6 +23,7 @@
 from ..kernel import Kernel, Service
 from .jobs import Job
 from .permits import Permit
+from .silence import SilenceLimit
 from .streamrelay import Sink, StreamRelay
 from .upstream import UpstreamAnswer
 
@@ -96,7 +96,7 @@
     ) -> tuple[UpstreamAnswer, bytes]:
         limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
         try:
-            async with asyncio.timeout(limit_s):
+            async with SilenceLimit(limit_s):
                 answer = await self._open(
                     server, job, attempts, permit, job.call.last_event
                 )
@@ -156,7 +156,7 @@
         limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
         last_event = relay.position.last_event
         try:
-            async with asyncio.timeout(limit_s):
+            async with SilenceLimit(limit_s):
                 answer = await self._open(server, job, attempts, permit, last_event)
         except TimeoutError:
             raise AnswerBroken(f"silent for {limit_s:.2f} s") from None
@@ -173,8 +173,7 @@
                     server=server.name,
                     after=last_event,
                 )
-            async for batch in self._watch(answer, server, job, attempts):
-                await relay.forward(answer, batch)
+            await self._forward_events(answer, server, job, relay, attempts)
             relay.finish(answer)
             return True
         finally:
@@ -208,22 +207,27 @@
                 count=count,
             )
 
-    async def _watch(
-        self, answer: UpstreamAnswer, server: Server, job: Job, attempts: Attempts
-    ) -> AsyncIterator[list[StreamEvent]]:
-        """Yield events; end an idempotent stream whose server has fallen silent."""
+    async def _forward_events(
+        self,
+        answer: UpstreamAnswer,
+        server: Server,
+        job: Job,
+        relay: StreamRelay,
+        attempts: Attempts,
+    ) -> None:
+        """Relay events; end an idempotent stream whose server has fallen silent."""
         batches = answer.events()
         while True:
             limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
             try:
-                async with asyncio.timeout(limit_s):
+                async with SilenceLimit(limit_s):
                     batch = await anext(batches, None)
             except TimeoutError:
                 raise AnswerBroken(f"silent for {limit_s:.2f} s", began=True) from None
             if batch is None:
                 return
             server.heard_at = _now()
-            yield batch
+            await relay.forward(answer, batch)
 
     # What follows a failed attempt.
 
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -72,9 +72,11 @@
 
     async def _watch_silence(self) -> None:
         while True:
+            due = _now() + defaults.SILENCE_WATCH_S
             await asyncio.sleep(defaults.SILENCE_WATCH_S)
             now = _now()
             for server in self._directory.servers.values():
+                server.excuse(now - due, now)
                 silent_s = server.silent_s(now)
                 # One request may simply take long; several at once do not.
                 limit_s = defaults.SERVER_SILENT_S * (1 if server.own > 1 else 2)
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ssl
+import time
 from typing import NamedTuple
 
 import h11
@@ -36,6 +37,8 @@
         self._thread.run(self._run(scenario))
 
     async def _run(self, scenario):
+        for engine in self._fleet.engines:
+            engine.event_pause_s = 0.005
         for kernel in self._fleet.entry_kernels:
             kernel.find("server-chooser")._health = OutlierDetector()
             kernel.find("forwarder")._budgets.clear()
@@ -355,3 +358,23 @@
         caller_context.check_hostname = False
         caller_context.verify_mode = ssl.CERT_NONE
     asyncio.run(scenario())
+
+
+def test_late_event_loop_is_not_a_silent_server(shared):
+    """Slow but sound streams were cut, and their engines ejected, by a busy entry."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.event_pause_s = 0.3
+        metrics = fleet.entry_kernels[0].find("process").metrics
+        ejected = metrics.counter_value("servers_ejected_total")
+        runs = fleet.runs("id-1")
+        call = asyncio.create_task(ask(fleet))
+        await asyncio.sleep(0.7)
+        # Longer than a server may be silent.
+        time.sleep(1.3)
+        assert await call == Received(200, ALL, True)
+        assert fleet.runs("id-1") == runs + 1
+        assert metrics.counter_value("servers_ejected_total") == ejected
+
+    shared(scenario)
