End an attempt at a stream that makes no progress

Stalled streams that sent a byte now and then ended only at their deadline, though another engine was free.

Cause: the time-out for a server's silence began anew with each whole event, also with one that the caller had and with a comment; and the body of a failure on a stream's route was read without any.

Ruled out: bytes that complete no event, which did not count before either.

Change: the time runs from the last event with data that was passed on. As before it applies only where another attempt is allowed; otherwise the deadline ends the stream.

--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -188,7 +188,12 @@
         attempts: Attempts,
     ) -> bool:
         """Pass on an answer that is no stream; see :meth:`_attempt_stream`."""
-        body = await answer.read()
+        limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
+        try:
+            async with SilenceLimit(limit_s):
+                body = await answer.read()
+        except TimeoutError:
+            raise AnswerBroken(f"silent for {limit_s:.2f} s", began=True) from None
         if answer.status >= defaults.SERVER_ERROR_STATUS and self._may_repeat(
             job, attempts
         ):
@@ -215,19 +220,21 @@
         relay: StreamRelay,
         attempts: Attempts,
     ) -> None:
-        """Relay events; end an idempotent stream whose server has fallen silent."""
+        """Relay events; end an idempotent stream that makes no progress any more."""
         batches = answer.events()
+        progress_at = _now()
         while True:
             limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
             try:
-                async with SilenceLimit(limit_s):
+                async with SilenceLimit(progress_at + limit_s - _now()):
                     batch = await anext(batches, None)
             except TimeoutError:
                 raise AnswerBroken(f"silent for {limit_s:.2f} s", began=True) from None
             if batch is None:
                 return
             server.heard_at = _now()
-            await relay.forward(answer, batch)
+            if await relay.forward(answer, batch):
+                progress_at = _now()
 
     # What follows a failed attempt.
 
--- a/src/jasminewharf/services/streamrelay.py
+++ b/src/jasminewharf/services/streamrelay.py
@@ -56,21 +56,23 @@
         self.position.resume()
 
     async def forward(self, answer: UpstreamAnswer, batch: list[StreamEvent]) -> bool:
-        """Send events that the caller does not have yet; return if there were any.
+        """Send events that the caller does not have yet; return if any carries data.
 
         Raises:
             AnswerBroken: If the events do not follow those that the caller has.
         """
         pieces = []
+        has_data = False
         try:
             for event in batch:
                 if self.position.accept(event):
                     pieces.append(event.data)
+                    has_data = has_data or event.number >= 0 or not event.is_comment
         finally:
             if pieces:
                 self._start(answer)
                 await self._sink.write(b"".join(pieces))
-        return bool(pieces)
+        return has_data
 
     def _start(self, answer: UpstreamAnswer) -> None:
         if not self.has_started:
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -378,3 +378,29 @@
         assert metrics.counter_value("servers_ejected_total") == ejected
 
     shared(scenario)
+
+
+STALLED = {
+    "bytes of no event": [STREAM + chunk(event(1)), *[chunk(b"x")] * 300],
+    "comments": [STREAM + chunk(event(1)), *[chunk(b": on\n\n")] * 300],
+    "the same event": [STREAM, *[chunk(event(1))] * 300],
+    "a failure's body": [
+        b"HTTP/1.1 500 Error\r\n%scontent-length: 9999\r\n\r\n",
+        *[b"x"] * 300,
+    ],
+}
+
+
+@pytest.mark.parametrize("kind", STALLED)
+def test_stream_without_progress_goes_on_elsewhere(shared, kind):
+    """Stalled streams that sent a byte now and then never ended."""
+
+    async def scenario(fleet):
+        faults = [answer_raw(*STALLED[kind], end="keep")]
+        fleet.set_faults(faults)
+        received = await ask(fleet)
+        assert received.is_whole
+        assert received.status == 200
+        assert received.body.replace(b": on\n\n", b"") == ALL
+
+    shared(scenario)
