Refuse numbers of servers that no message between nodes can hold

One entry of the server list with a number beyond 64 bits ended every control host, and one report of an engine with such a number ended its agent.

Cause: the decoders take integers of any size, and the messages between nodes hold 64 bits. Encoding failed in a task whose error stops the process: the broadcast of the server list, and the reader of the engine. A time left of 1e300 ms did the same.

Evidence: test_stray_entries_of_the_list_are_passed_over with such an entry ended the control host ("service 'broadcast' failed"), and the new cases of test_platform.py failed, 7 in all, before; in a trial the agent ended the same way ("agent engine"). Ruled out, as they are refused or do no harm: lone surrogates, 1e400, endless nesting (before), and 10^30, 1e300, 2^64-1 and 0 in 19 fields of a configuration (trial).

Change: numbers of list and report lie within 2^53 or the entry is passed over and counted, the report unreadable. A server's word on its load counts only between 0 and a million, as any other would have drawn or kept away all requests.

Measured: the tests of test_platform.py and of test_fleet_path.py named above pass; the rest of test_fleet_path.py was run before this change.

--- a/src/jasminewharf/platform/callers.py
+++ b/src/jasminewharf/platform/callers.py
@@ -22,6 +22,8 @@
 _KEY = "api-key"
 _WORKSPACE = "x-tenant"
 _LAST_EVENT = "last-event-id"
+# More requests than any server has at a time.
+_LOAD_LIMIT = 1_000_000
 _MS_PER_S = 1_000.0
 _NOT_RUN_STATUS = 421
 _SUCCESS = range(200, 300)
@@ -146,6 +148,8 @@
         running, waiting, slots = (int(part) for part in parts)
     except ValueError:
         return -1, -1, -1
+    if not all(0 <= number <= _LOAD_LIMIT for number in (running, waiting, slots)):
+        return -1, -1, -1
     return running, waiting, slots
 
 
--- a/src/jasminewharf/platform/engines.py
+++ b/src/jasminewharf/platform/engines.py
@@ -12,7 +12,7 @@
 from ..exceptions import BackendError
 from ..registry import register
 from .answers import read_limit, read_pause_s
-from .servers import Model, translate_models
+from .servers import Model, Number, translate_models
 
 __all__ = ["PlatformEngines"]
 
@@ -33,15 +33,15 @@
     # An order is being carried out.
     busy: bool
     # The number of orders accepted since the start.
-    seq: int
+    seq: Number
     models: list[Model]
-    queued: int = 0
-    running: int = 0
+    queued: Number = 0
+    running: Number = 0
     # Tokens in memory that cannot yield, and the memory for tokens in all.
-    kv_used: int = 0
-    kv_total: int = 0
+    kv_used: Number = 0
+    kv_total: Number = 0
     # Unix milliseconds of the start.
-    born: int = 0
+    born: Number = 0
     state: str = "ready"
     at_hand: _AtHand | None = None
     # Adapters on their way, MODEL/NAME@VERSION.
--- a/src/jasminewharf/platform/servers.py
+++ b/src/jasminewharf/platform/servers.py
@@ -1,6 +1,6 @@
 """The platform's list of backend servers."""
 
-from typing import Any
+from typing import Annotated, Any
 from urllib.parse import quote
 
 import msgspec
@@ -11,8 +11,12 @@
 from ..registry import register
 from ..settings import is_address
 
-__all__ = ["Model", "PlatformServers", "translate_models"]
+__all__ = ["Number", "Model", "PlatformServers", "translate_models"]
 
+# Greater ones do not fit into the messages between nodes.
+_LIMIT = 2**53
+Number = Annotated[int, msgspec.Meta(ge=-_LIMIT, le=_LIMIT)]
+_Duration = Annotated[float, msgspec.Meta(ge=-_LIMIT, le=_LIMIT)]
 _STATES = frozenset({"ready", "draining"})
 
 
@@ -20,7 +24,7 @@
     """A model in an engine's accelerator memory, as reports and the list tell it."""
 
     name: str
-    version: int = 0
+    version: Number = 0
     adapters: list[str] = []
 
 
@@ -33,11 +37,11 @@
     zone: str = ""
     # The version of its software, not of its weights.
     version: str = ""
-    slots: int = 1
+    slots: Number = 1
     # How long it still is there, if it was given short notice.
-    remaining_ms: float | None = None
+    remaining_ms: _Duration | None = None
     # Unix milliseconds of its start.
-    born: int = 0
+    born: Number = 0
     models: list[Model] = []
 
 
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -573,12 +573,16 @@
 
 
 def test_stray_entries_of_the_list_are_passed_over(tmp_path):
+    """One number too large for a message ended every control host."""
+
     async def scenario(fleet):
-        fleet.list.extra = [{"id": 5}, "odd", {"id": "i-x", "state": "ready"}]
+        large = {**fleet.desks[0].describe(), "id": "i-y", "slots": 10**30}
+        fleet.list.extra = [{"id": 5}, "odd", {"id": "i-x", "state": "ready"}, large]
         reads = fleet.list.reads
         await wait_until(lambda: fleet.list.reads > reads + 1)
         status, _, _ = await fleet.call("/orders/1")
         assert status == 200
+        assert [kernel.failure for kernel in fleet.kernels if kernel.failure] == []
 
     run_with_fleet(scenario, tmp_path)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -323,6 +323,33 @@
     assert SERVERS.fetch_page("p 2").target == "/instances?pageToken=p%202"
 
 
+ODD_NUMBERS = (10**30, -(10**30), 2**63, 1e300)
+
+
+@pytest.mark.parametrize("number", ODD_NUMBERS)
+def test_number_that_no_message_can_hold_is_not_taken(number):
+    """One entry or report with such a number ended the process that passed it on."""
+    good = {"id": "i", "service": "s", "address": "10.0.0.1:80", "state": "ready"}
+    fields = [{"slots": number}, {"born": number}, {"remainingMs": number}]
+    models = [{"name": "m", "version": number}]
+    entries = [{**good, **field} for field in (*fields, {"models": models})]
+    body = json.dumps({"instances": [*entries, good]}).encode()
+    page = SERVERS.read_page(200, body)
+    assert (len(page.servers), page.skipped) == (1, 4)
+    report = {"busy": False, "seq": 1, "models": []}
+    for name in ("seq", "queued", "running", "kvUsed", "kvTotal", "born"):
+        with pytest.raises(BackendError):
+            ENGINES.read_status(200, json.dumps({**report, name: number}).encode())
+    with pytest.raises(BackendError):
+        ENGINES.read_status(200, json.dumps({**report, "models": models}).encode())
+
+
+@pytest.mark.parametrize("load", ["9" * 30 + ",0,8", "0,-1,8", "1,1," + "9" * 5_000])
+def test_load_that_cannot_be_true_is_not_taken(load):
+    """A server would get no more requests, or all of them."""
+    assert CALLERS.read_answer(200, [("x-server-load", load)]).running == -1
+
+
 def test_engine_report_is_read():
     body = json.dumps(
         {
