Answer HEAD requests, and refuse CONNECT

Callers that sent HEAD got a closed connection in place of each answer with a body, such as any refusal, and CONNECT ended in an internal error after an attempt.

Cause: the answer to HEAD has no body by the protocol, and h11 raises an error if one is sent; the answer to that error failed in the same way. CONNECT asks for a tunnel, and h11 takes what follows it out of the protocol, at the backend server too.

Change: bodies of answers to HEAD are left out where the answer is written; CONNECT is refused with 400 once its head is read.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -251,6 +251,8 @@
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
         self._arm(self._limits.body_timeout_s)
+        if head.method == b"CONNECT":
+            raise BadRequest("this is no proxy")
         # h11 bounds only heads that arrive in parts.
         if _measure_head(head) > self._limits.head_bytes:
             raise HeadTooLarge("the request head is too large")
@@ -366,6 +368,10 @@
         self.send_event(h11.Response(status_code=status, headers=encoded))
 
     def send_event(self, event: Any) -> None:
+        is_head = self._head is not None and self._head.method == b"HEAD"
+        if is_head and isinstance(event, h11.Data):
+            # The answer has the head of one with a body, but no body.
+            return
         data = self._h11.send(event)
         if not data:
             return
--- a/tests/test_hostile_http.py
+++ b/tests/test_hostile_http.py
@@ -161,6 +161,7 @@
         (b"GET /\xff HTTP/1.1\r\nhost: x\r\n\r\n", 400, "invalid_request"),
         (b"GET / HTTP/1.1\r\n\r\n", 400, "invalid_request"),
         (b"\x16\x03\x01\x02\x00\x01", 400, "invalid_request"),
+        (b"CONNECT x:80 HTTP/1.1\r\nhost: x\r\n\r\n", 400, "invalid_request"),
     ],
 )
 def test_bad_request_gets_its_refusal_and_is_counted(echo, data, status, kind):
@@ -175,6 +176,11 @@
     echo.check_alive()
 
 
+def test_head_request_is_answered_without_a_body(local):
+    """Callers got a closed connection in place of each answer that has a body."""
+    assert local.send(b"/none", method=b"HEAD") == (404, b"")
+
+
 @pytest.mark.parametrize(
     "data", [b"POST /echo HT", request(b"content-length: 10", body=b"ab")]
 )
