Refuse a request that names its model, key or tokens twice

A request could be charged for one token count, or routed by one model, and carry another for the backend server: the entry took the last value of a header and forwarded all of them.

Change: id, key, deadline, last event, model, prompt prefix and token counts may be there once; a second value is a bad request. Other headers may be repeated as before. The tests' fleet replaces its default headers by those of a call, as it sent both.

--- a/src/jasminewharf/platform/callers.py
+++ b/src/jasminewharf/platform/callers.py
@@ -26,6 +26,9 @@
 _TOKENS_LIMIT = 10_000_000
 # More requests than any server has at a time.
 _LOAD_LIMIT = 1_000_000
+_SINGLE = frozenset(
+    {_ID, _DEADLINE, _KEY, _LAST_EVENT, "x-model", "x-prompt-prefix", "x-token-counts"}
+)
 _MS_PER_S = 1_000.0
 _NOT_RUN_STATUS = 421
 _SUCCESS = range(200, 300)
@@ -69,9 +72,12 @@
         """Read a request's head.
 
         Raises:
-            BadRequest: If a number cannot be read or be true.
+            BadRequest: If a number cannot be read or be true, or a header that
+                counts once is there twice.
         """
         fields = dict(headers)
+        if len(fields) < len(headers):
+            _check_single(headers)
         model, _, adapter = fields.get("x-model", "").partition("/")
         # Prompt tokens and the largest number of output tokens.
         prompt, _, output = fields.get("x-token-counts", "").partition(",")
@@ -145,6 +151,13 @@
         return [(_ID, request_id)] if request_id else []
 
 
+def _check_single(headers: list[tuple[str, str]]) -> None:
+    """Refuse a request that the backend server could read differently."""
+    names = [name for name, _ in headers if name in _SINGLE]
+    if len(set(names)) < len(names):
+        raise BadRequest("a header that counts once is there twice")
+
+
 def _read_count(text: str) -> int:
     count = int(text or 0)
     if not 0 <= count <= _TOKENS_LIMIT:
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -183,9 +183,9 @@
 
     async def call(self, target, *headers, entry=0, request_id="id-1", body=b"{}"):
         method = "GET" if target.startswith("/status") else "POST"
-        head = [HOST, ("x-attempt-id", request_id), ("x-deadline-ms", "4000"), *headers]
-        if all(name != "api-key" for name, _ in headers):
-            head.append(KEY)
+        defaults = [HOST, ("x-attempt-id", request_id), ("x-deadline-ms", "4000"), KEY]
+        named = {name for name, _ in headers}
+        head = [field for field in defaults if field[0] not in named] + list(headers)
         content = b"" if method == "GET" else body
         return await send(self.entries[entry], method, target, head, content)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -206,6 +206,16 @@
         CALLERS.read_call("GET", "/", [("x-deadline-ms", "soon")])
 
 
+@pytest.mark.parametrize(
+    "name", ["x-attempt-id", "x-model", "x-token-counts", "x-deadline-ms", "api-key"]
+)
+def test_header_that_counts_once_is_not_taken_twice(name):
+    """The backend server could run another request than the one that was paid for."""
+    with pytest.raises(BadRequest):
+        CALLERS.read_call("GET", "/", [(name, "5"), ("accept", "a"), (name, "6")])
+    CALLERS.read_call("GET", "/", [(name, "5"), ("accept", "a"), ("accept", "b")])
+
+
 @pytest.mark.parametrize("counts", ["-5,0", "0,-5", "9" * 30 + ",1", "1," + "9" * 8])
 def test_token_count_that_cannot_be_true_is_a_bad_request(counts):
     """It added tokens to a workspace's rate, or took them all for good."""
