Try a request elsewhere that a server turns away without naming it

Callers got 502, and no second try, where a server refused their request with its word that it had not run it but without the request's identifier. Cause: an answer without the identifier was never taken for the request's own. Evidence: test_refusal_without_an_identifier_is_tried_elsewhere, 502 in place of 200 before. Change: it is believed on a connection that has carried no other request and is closed after it, if the server's word is there that the request has not run; nothing else than a refusal is. Why it is safe: bytes before the request is sent end the connection unsent, and no answer of an earlier request can arrive on a connection that had none, so that the word can only be about this request. On a kept connection such an answer is still dropped. Ruled out: any answer without an identifier; one that says nothing may be of another request.

--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -199,7 +199,9 @@
     ) -> None:
         server.heard_at = asyncio.get_running_loop().time()
         head = self._dialect.read_answer(response.status, response.headers)
-        if head.request_id != outgoing.call.request_id:
+        # On a connection that carried nothing else, a refusal is that of the request.
+        is_refused = response.is_first and not head.request_id and head.has_not_run
+        if head.request_id != outgoing.call.request_id and not is_refused:
             client.note_unmatched(
                 "another" if head.request_id else "none",
                 response.status,
@@ -220,7 +222,8 @@
         if head.unknown_headers:
             self._limits.note_unknown_headers(head.unknown_headers, server.name)
         if head.has_not_run:
-            await _read_refusal(response)
+            if head.request_id:
+                await _read_refusal(response)
             raise NotRunThere(
                 f"status {response.status}",
                 is_full=response.status in defaults.SERVER_FULL_STATUS,
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -138,3 +138,20 @@
         assert [len(desk.taken) for desk in desks] != taken
 
     run_with_desks(scenario, tmp_path)
+
+
+def test_refusal_without_an_identifier_is_tried_elsewhere(tmp_path):
+    """Callers got 502 where a server had turned them away and another had room."""
+    refusing = RepeatingServer("i-r1")
+    refusing.named = "none"
+    desks = [refusing, FakeReplica("127.0.0.1", "i-d2", "desk")]
+
+    async def scenario(fleet):
+        for number in range(6):
+            request_id = f"id-{number}"
+            assert await call_and_check(fleet, desks, "/orders/1", request_id) == 200
+        assert refusing.taken
+        # A repeated one has no place where another request's answer is expected.
+        assert not refusing.runs
+
+    run_with_fleet(scenario, tmp_path, desks=desks)
