End an order in 502 where a server's refusal does not say that it did not run

Callers were told by 408, 429 or 503 that an order had not run, and would send it again, where a server had answered so with its signature and without its word that it had not run the order. Cause: a signed answer is passed on as it is, whatever its status. Change: for a request that may run once only, such an answer counts as one that may have run; the caller gets an unsigned 502. 421 is unchanged: the status itself is the server's word. Ruled out: the same for requests that may run again; their callers lose nothing by another try, and the server's answer is passed on unchanged.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -481,6 +481,8 @@
 SERVER_ERROR_STATUS = 500
 SERVER_FULL_PAUSE_S = 0.05
 SERVER_FULL_STATUS = (429, 503)
+# Tell callers that their request has not run and never will.
+PROMISE_STATUS = (408, 421, 429, 503)
 SERVER_CONNECT_S = 0.5
 # A server that asks for more is asked again after this time, so that a wrong figure
 # cannot take it out of use for good.
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -229,6 +229,10 @@
                 is_full=response.status in defaults.SERVER_FULL_STATUS,
                 is_absent=response.status == defaults.SERVER_ABSENT_STATUS,
             )
+        if response.status in defaults.PROMISE_STATUS and not outgoing.is_idempotent:
+            raise AnswerBroken(
+                f"status {response.status} of a server that may have run"
+            )
         if head.is_encoded or not head.is_genuine:
             raise AnswerBroken(f"status {response.status} is not the server's own")
 
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -155,3 +155,24 @@
         assert not refusing.runs
 
     run_with_fleet(scenario, tmp_path, desks=desks)
+
+
+@pytest.mark.parametrize("status", PROMISES)
+def test_order_that_ran_is_not_said_to_have_not_run(tmp_path, status):
+    """Without its word that it has not run the order, a server may have run it."""
+    desks = [RepeatingServer(f"i-r{number}") for number in (1, 2)]
+    signature = b"X-Response-Signature: s\r\n"
+
+    async def scenario(fleet):
+        for desk in desks:
+            desk.status, desk.mark = status, signature
+        answer, headers, _ = await fleet.call("/orders/1")
+        taken = sum(len(desk.taken) for desk in desks)
+        if status == 421:
+            # Another server than the one meant does not run the request.
+            assert (answer, taken > 1) == (503, True)
+        else:
+            assert (answer, taken) == (502, 1)
+        assert "x-response-signature" not in headers
+
+    run_with_fleet(scenario, tmp_path, desks=desks)
