Test that orders to engines get their own answers

An agent read the answer to a poll as the answer to the order that it sent next over the same connection.

--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -90,11 +90,11 @@
 class Fleet:
     """Addresses, kernels and fakes of a running fleet."""
 
-    def __init__(self, base, folder, entries=2, desks=()):
+    def __init__(self, base, folder, entries=2, desks=(), engines=()):
         self.base = base
         self.folder = folder
         self.list = FakeList("127.0.0.1")
-        self.engines = [
+        self.engines = list(engines) or [
             FakeReplica("127.0.0.1", "i-e1", "llm", ["m0", "m1"]),
             FakeReplica("127.0.0.1", "i-e2", "llm", ["m0"]),
         ]
@@ -211,9 +211,9 @@
 
 
 @asynccontextmanager
-async def open_fleet(folder, entries=2, desks=()):
+async def open_fleet(folder, entries=2, desks=(), engines=()):
     base = pick_base()
-    fleet = Fleet(base, folder, entries, desks)
+    fleet = Fleet(base, folder, entries, desks, engines)
     try:
         await fleet.start()
         yield fleet
@@ -221,9 +221,9 @@
         await fleet.stop()
 
 
-def run_with_fleet(scenario, tmp_path, entries=2, desks=()):
+def run_with_fleet(scenario, tmp_path, entries=2, desks=(), engines=()):
     async def main():
-        async with open_fleet(tmp_path / "data", entries, desks) as fleet:
+        async with open_fleet(tmp_path / "data", entries, desks, engines) as fleet:
             await scenario(fleet)
 
     asyncio.run(main())
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -10,7 +10,7 @@
 import pytest
 
 from fleets import run_with_fleet
-from platformfakes import FakeReplica
+from platformfakes import FakeList, FakeReplica
 
 # Tell callers that their request has not run and never will.
 PROMISES = (408, 421, 429, 503)
@@ -18,14 +18,14 @@
 
 
 async def read_request(reader):
-    """Return method, headers and body of the next request."""
+    """Return first line, headers and body of the next request."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
     fields = {
         name.lower(): value.strip()
         for name, _, value in (line.partition(":") for line in head[1:] if line)
     }
     body = await reader.readexactly(int(fields.get("content-length", 0)))
-    return head[0].split()[0], fields, body
+    return head[0], fields, body
 
 
 class RepeatingServer(FakeReplica):
@@ -91,6 +91,49 @@
         return head + b"Content-Length: 0\r\n\r\n"
 
 
+class Repeating:
+    """A fake whose answers come once more where the next one on a connection is due."""
+
+    async def start(self):
+        await super().start()
+        self._inner = self.address.split(":")
+        self._front = await asyncio.start_server(self._pass_on, self.ip, 0)
+        self.address = "{}:{}".format(*self._front.sockets[0].getsockname())
+
+    async def stop(self):
+        self._front.close()
+        await super().stop()
+
+    async def _pass_on(self, reader, writer):
+        previous = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                request = await read_request(reader)
+                writer.write(previous)
+                answer = await self._ask(*request)
+                await asyncio.sleep(0.03 if previous else 0)
+                previous = answer
+                writer.write(answer)
+        writer.close()
+
+    async def _ask(self, line, fields, body):
+        head = {**fields, "connection": "close"}.items()
+        lines = [line, *(f"{name}: {value}" for name, value in head), "", ""]
+        reader, writer = await asyncio.open_connection(*self._inner)
+        writer.write("\r\n".join(lines).encode() + body)
+        answer = await reader.read(-1)
+        writer.close()
+        return answer.replace(b"Connection: close\r\n", b"", 1)
+
+
+class RepeatingEngine(Repeating, FakeReplica):
+    """An engine that repeats its answers."""
+
+
+class RepeatingList(Repeating, FakeList):
+    """A list of servers that repeats its answers."""
+
+
 def run_with_desks(scenario, tmp_path):
     """Run a scenario with a fleet whose plain service has two repeating servers."""
     desks = [RepeatingServer(f"i-r{number}") for number in (1, 2)]
@@ -176,3 +219,31 @@
         assert "x-response-signature" not in headers
 
     run_with_fleet(scenario, tmp_path, desks=desks)
+
+
+def test_old_answer_is_not_taken_for_the_answer_to_an_order_to_an_engine(tmp_path):
+    """Orders went over the connection of the reports, and bear no identifier."""
+    told, taken = count_orders(tmp_path)
+    assert taken
+    assert (told["accepted"], told["done"]) == (taken, 0)
+
+
+def count_orders(tmp_path):
+    """Have models loaded; return orders by outcome, and those that engines took."""
+    engines = [RepeatingEngine("127.0.0.1", f"i-e{n}", "llm", ["m0"]) for n in (1, 2)]
+    told = {}
+
+    async def scenario(fleet):
+        for number, model in enumerate(["m1", "m2", "m3", "m1/a1", "m2/a1"]):
+            name = ("x-model", model)
+            await fleet.call("/plan/x", name, request_id=f"id-{number}")
+        agents = [kernel.find("process").metrics for kernel in fleet.kernels[-2:]]
+        for outcome in ("accepted", "done", "conflict"):
+            told[outcome] = sum(
+                metrics.counter_value("engine_orders_total", outcome=outcome)
+                for metrics in agents
+            )
+        assert not any(engine.is_overfull for engine in engines)
+
+    run_with_fleet(scenario, tmp_path, engines=engines)
+    return told, sum(len(engine.orders) for engine in engines)
