Read a report again that was made before an order

An agent took a report that the engine wrote a second time for a new one: it gave the next order with an old count of orders, which the engine refused, and would have returned a store's turn during the load. Cause: reports bear no identifier, and go over a kept connection because new ones are priced. What an old report with the same count can do at most is to show the end of a load one poll late. Ruled out: a new connection for each poll, five a second for each engine.

--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -355,13 +355,13 @@
         self.metrics: Metrics | None = None
 
     def note_unmatched(
-        self, told: str, status: int, named: str = "", request_id: str = ""
+        self, told: str, status: int = 0, named: str = "", request_id: str = ""
     ) -> None:
         """Log and count an answer that belongs to no request in progress.
 
         Args:
-            told: How that was told: idle, trailing, another or none.
-            status: Its HTTP status, 0 if it has none that can be read.
+            told: How that was told: idle, trailing, another, none or old.
+            status: Its HTTP status, 0 if it is not known.
             named: The identifier that it bears, if any.
             request_id: The identifier of the request in progress, if any.
         """
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -61,6 +61,8 @@
         self._orders = lookup(ENGINE_ORDERS, fleet.dialect)
         self._residency = Residency()
         self._status: EngineStatus | None = None
+        # Orders that the engine is known to have accepted since its start.
+        self._accepted = 0
         self._change: Intent | None = None
         self._change_ends = 0.0
         self._copies: FleetCopies | None = None
@@ -272,20 +274,12 @@
         permit = await self._acquire_status_permit()
         if permit is None:
             return
-        call = self._orders.fetch_status()
         try:
             with contextlib.closing(permit):
-                answer = await self._client.fetch_answer(
-                    call.method,
-                    call.target,
-                    timeout_s=defaults.ENGINE_REPORT_TIMEOUT_S,
-                    permit=permit,
-                )
-            self._note_pause(answer)
-            self._note_limit(answer, permit.sent_at)
-            if self._is_paused() and self._status is not None:
-                return
-            fresh = self._orders.read_status(answer.status, answer.body)
+                fresh = await self._read_status(permit)
+                if fresh is not None and self._is_old(fresh):
+                    self._client.note_unmatched("old")
+                    fresh = await self._read_status(permit, is_exclusive=True)
         except LimitReached:
             # The engine named its limit while this host connected; it is not lost.
             return
@@ -296,7 +290,39 @@
                 self._store.release(is_complete=False)
             self._status = None
             return
-        self._note_status(fresh)
+        if fresh is not None:
+            self._note_status(fresh)
+
+    async def _read_status(
+        self, permit: Permit, *, is_exclusive: bool = False
+    ) -> EngineStatus | None:
+        """Return the engine's report; None if it asked for a pause instead.
+
+        Raises:
+            BackendError: If it cannot be read.
+        """
+        call = self._orders.fetch_status()
+        answer = await self._client.fetch_answer(
+            call.method,
+            call.target,
+            timeout_s=defaults.ENGINE_REPORT_TIMEOUT_S,
+            permit=permit,
+            is_exclusive=is_exclusive,
+        )
+        self._note_pause(answer)
+        self._note_limit(answer, permit.sent_at)
+        if self._is_paused() and self._status is not None:
+            return None
+        return self._orders.read_status(answer.status, answer.body)
+
+    def _is_old(self, fresh: EngineStatus) -> bool:
+        """Return whether a report was made before one that is known.
+
+        Reports bear no identifier; one may have been written a second time.
+        """
+        known = self._status
+        is_same_life = known is not None and known.born_ms == fresh.born_ms
+        return is_same_life and fresh.orders < self._accepted
 
     async def _acquire_status_permit(self) -> Permit | None:
         """Return a permit to read the status; None if a limit allows none now.
@@ -329,6 +355,7 @@
                 orders=fresh.orders,
             )
         self._status = fresh
+        self._accepted = fresh.orders
         if self._change is not None and not fresh.is_busy:
             self._end_change(fresh)
         for pair in [p for p in self._adapter_waiters if self._has_adapter(p)]:
@@ -451,6 +478,8 @@
             # The order may still take effect; the engine's order count then changes.
             error = str(failure)
         taken = outcome in ("done", "accepted")
+        if outcome == "accepted":
+            self._accepted = order.expected + 1
         self._metrics.count("engine_orders_total", outcome=outcome)
         events.emit(
             _logger,
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -228,6 +228,12 @@
     assert (told["accepted"], told["done"]) == (taken, 0)
 
 
+def test_report_of_before_an_order_is_not_taken_for_a_new_one(tmp_path):
+    """The order after it was refused, since it named an old count of orders."""
+    told, _ = count_orders(tmp_path)
+    assert told["conflict"] == 0
+
+
 def count_orders(tmp_path):
     """Have models loaded; return orders by outcome, and those that engines took."""
     engines = [RepeatingEngine("127.0.0.1", f"i-e{n}", "llm", ["m0"]) for n in (1, 2)]
