Check that a control host that was left behind holds nobody back

No fault is fixed. A control host that feeds an entry is cut from the other control hosts while its link to the entry stays open; a newer version is acknowledged elsewhere. The entry has to work by it within 2 s, from another control host; the host left behind may not read back the older version, and acknowledges the version that it holds and, through the leader, a newer one.

--- a/tests/test_configuration_order.py
+++ b/tests/test_configuration_order.py
@@ -11,6 +11,7 @@
 import pytest
 
 from fleets import HOST, Fleet, build_body, build_route, pick_base
+from jasminewharf.decisions.records import Received
 from jasminewharf.exceptions import BackendError
 from platformfakes import send
 from support import wait_until
@@ -66,6 +67,20 @@
     def tables(self):
         return [kernel.find("view").table for kernel in self.kernels]
 
+    def find_leader(self):
+        """Return the address of the leader; an empty text if there is none."""
+        leads = {a: k.find("log").is_leader("fleet") for a, k in self.controls.items()}
+        return next((address for address in leads if leads[address]), "")
+
+    def isolate(self, address):
+        """Cut a control host from the others; its links to entries stay."""
+        for runner in self.controls[address].find("log")._runners.values():
+            runner.send = lambda receiver, message: None
+            submit = runner.submit
+            runner.submit = lambda event, submit=submit: (
+                None if isinstance(event, Received) else submit(event)
+            )
+
     async def restart_one(self, rng):
         address = rng.choice(self.operators)
         await asyncio.wait_for(self.controls.pop(address).stop(), 20)
@@ -155,13 +170,9 @@
     async def disturb():
         while not all(task.done() for task in orders):
             await asyncio.sleep(rng.uniform(0.5, 2.0))
-            leaders = [
-                kernel
-                for kernel in fleet.controls.values()
-                if kernel.find("log").is_leader("fleet")
-            ]
-            if leaders and rng.random() < 0.6:
-                await leaders[0].find("log").drain()
+            leader = fleet.find_leader()
+            if leader and rng.random() < 0.6:
+                await fleet.controls[leader].find("log").drain()
             else:
                 await fleet.restart_one(rng)
 
@@ -201,3 +212,40 @@
             await fleet.stop()
 
     asyncio.run(main())
+
+
+def test_control_host_that_is_left_behind_holds_nobody_back(tmp_path):
+    """An entry that it feeds must follow another one, and reads must not go back."""
+
+    async def main():
+        fleet = OrderFleet(pick_base(), tmp_path)
+        loop = asyncio.get_running_loop()
+        try:
+            await fleet.start()
+            feed = fleet.kernels[0].find("feed")
+            await wait_until(feed.is_fresh)
+            behind = f"{feed.source}:{fleet.base + 8}"
+            if fleet.find_leader() == behind:
+                await fleet.controls[behind].find("log").drain()
+                await wait_until(lambda: fleet.find_leader() not in ("", behind))
+            fleet.isolate(behind)
+            fleet.operator = next(a for a in fleet.operators if a != behind)
+            assert (await fleet.submit(build_body(2)))[0] == 200
+            acknowledged_at = loop.time()
+            await wait_until(lambda: min(t.version for t in fleet.tables()) == 2)
+            assert loop.time() - acknowledged_at < _IN_FORCE_S
+            assert feed.source != behind.partition(":")[0]
+            status, _, _ = await send(behind, "GET", "/Config.Get", [HOST])
+            assert status == 503
+            # It holds version 1, and passes a newer one on to the leader.
+            for version, stored in ((1, 1), (3, 3)):
+                status, _, answer = await send(
+                    behind, "POST", "/Config.Put", [HOST], build_body(version)
+                )
+                assert (status, json.loads(answer)) == (200, {"version": stored})
+            status, _, body = await send(fleet.operator, "GET", "/Config.Get", [HOST])
+            assert (status, json.loads(body)["version"]) == (200, 3)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(main())
