--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -161,3 +161,21 @@
         assert sum(host.pings for host in others) <= 2.0 / FEED_ANSWER_S * len(others)
 
     run_feed(scenario)
+
+
+def test_source_whose_link_is_closed_while_it_is_asked_is_left():
+    """The task that keeps the configuration fresh ended, and with it the process.
+
+    Another host had taken the place of the one that feeds the node, at another address.
+    """
+
+    async def scenario(control, feed):
+        gone = feed.source
+        control.links[gone].fault = "silent"
+        await asyncio.sleep(0.9)
+        control.links.pop(gone)
+        control.commit()
+        assert await wait_version(feed, 1) < IN_FORCE_S
+        assert feed.source != gone
+
+    run_feed(scenario)
