Repeat the last request of a kept connection like others

Callers could get 502 for a request that may run more than once, if a server closed its kept connection right before the 512th identifier was sent over it; for any other request on that connection the client connects anew and repeats it.

Cause: the flag that a connection is not kept stood for two things, that an answer to another request was dropped, after which the caller decides on a repeat, and that the connection has carried as many identifiers as it may.

Evidence: test_last_request_of_a_connection_is_repeated_like_others failed before with BackendError. Change: a flag of its own tells that an answer was dropped.

--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -48,6 +48,7 @@
 
     Attributes:
         is_kept: Whether another request may use it after this one.
+        has_skipped: Whether an answer to another request was dropped.
         requests: Number of requests that it has carried.
     """
 
@@ -55,6 +56,7 @@
         self._on_unasked = on_unasked
         self.h11 = h11.Connection(h11.CLIENT)
         self.is_kept = True
+        self.has_skipped = False
         self.requests = 0
         self._carried = array.array("q")
         # No request is on its way before the first is sent.
@@ -136,6 +138,7 @@
             h11.RemoteProtocolError: If the answer is too large or is none.
         """
         self.is_kept = False
+        self.has_skipped = True
         size = 0
         while not isinstance(event := await self.next_event(), h11.EndOfMessage):
             if not isinstance(event, h11.Data):
@@ -424,7 +427,7 @@
                 raise
             except BackendError as error:
                 # After an answer of another request, its caller decides on a repeat.
-                if not repeatable or not wire.is_kept:
+                if not repeatable or wire.has_skipped:
                     raise
                 return await self._repeat(error, sending)
         return await self._exchange(await self._connect(), sending)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -216,6 +216,35 @@
     asyncio.run(scenario())
 
 
+def test_last_request_of_a_connection_is_repeated_like_others(monkeypatch):
+    """A request that may be repeated failed where its connection was to be replaced."""
+    monkeypatch.setattr(defaults, "HTTP_CONNECTION_REQUESTS", 2)
+
+    async def handle(reader, writer):
+        writer.write(render(await read_id(reader)))
+        await read_id(reader)
+        writer.close()
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        await post(client, "1")
+        response = await client.open(
+            "POST",
+            "/",
+            [("x-id", "2")],
+            b"",
+            repeatable=True,
+            identity=identify("2"),
+        )
+        assert await response.read() == b"ok"
+        assert client.connections_opened == 2
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 EXTRA = {
     "another": render("0", b"old"),
     "unnamed": render("", b"old"),
