--- a/tests/linkedfleet.py
+++ b/tests/linkedfleet.py
@@ -9,6 +9,7 @@
 import time
 from pathlib import Path
 
+from jasminewharf import events
 from jasminewharf.bench.configuration_checks import CORE, QUORUM, Span
 from jasminewharf.fakes.linkproxy import BOTH, LinkProxy
 from platformfakes import FakeReplica
@@ -245,18 +246,28 @@
         with contextlib.suppress(ProcessLookupError):
             self.processes[ip].send_signal(signal.SIGHUP)
 
-    def list_members_left(self):
-        """Return the replaced hosts that are members by the newest line of any log."""
+    def _list_lines(self, event):
+        """Return the lines of one event number of all logs, newest last."""
         lines = [
             json.loads(line)
             for path in self.folder.glob("*.log")
             for line in path.read_text().splitlines()
-            if '"event": 313' in line
+            if f'"event": {event},' in line
         ]
-        newest = max(lines, key=lambda line: line["time"])["members"]
+        return sorted(lines, key=lambda line: line["time"])
+
+    def list_members_left(self):
+        """Return the replaced hosts that are members by the newest line of any log."""
+        newest = self._list_lines(events.MEMBERS_CHANGED.number)[-1]["members"]
         members = {identity.partition("/")[0] for identity in newest}
         return sorted(members & set(self.replaced))
 
+    def find_leader(self):
+        """Return the last leader that a log names; empty if it was replaced."""
+        lines = self._list_lines(events.LEADER_CHANGED.number)
+        named = [line["leader"].partition("/")[0] for line in lines if line["leader"]]
+        return named[-1] if named and named[-1] in self.controls else ""
+
     async def replace_control(self, ip, pause_s):
         """Take a control host away and start an empty one at another address."""
         self.replaced.append(ip)
--- a/tests/test_configuration_soak.py
+++ b/tests/test_configuration_soak.py
@@ -394,6 +394,8 @@
     async def _strike_core(self, kind):
         rng, fleet = self._random, self._fleet
         ip = rng.choice(fleet.controls)
+        if rng.random() < 0.5:
+            ip = fleet.find_leader() or ip
         others = [other for other in fleet.controls if other != ip]
         fleet.note(f"{kind} {ip}")
         if kind == "core link":
