Keep links to control hosts that the seeds do not name

A node whose settings were read again with seeds that lag behind lost its link to a control host that had been added later, if that was starting again just then. Control hosts tell the members' addresses when these change, and once to each subscriber, so that nothing made the link anew: where that host led, the node could not reach the leader any more, neither for rates nor for permits nor for turns at the weight store.

Cause: each list of hosts, the settings' as well as any control host's, replaced all lists before it. The same happened by the list of a host that had been removed while it was frozen.

Change: the last list of each source counts, and a link ends only where no source names the host and it is not connected.

Evidence: the new test, with the call's former form, failed on (the link was gone).

--- a/src/jasminewharf/services/controllers.py
+++ b/src/jasminewharf/services/controllers.py
@@ -33,6 +33,7 @@
         super().__init__(kernel)
         self.links: dict[str, LinkClient] = {}
         self._leaders: dict[str, str] = {}
+        self._named: dict[str, set[str]] = {}
         self._unresponsive_until: dict[str, float] = {}
         self._handlers: dict[type, Any] = {}
 
@@ -55,19 +56,26 @@
             _HostHandlers(host.name, self._handlers),
         )
 
-    def set_hosts(self, ips: list[str]) -> None:
-        """Update the links after a discovery of control hosts.
+    def set_hosts(self, ips: list[str], source: str = "") -> None:
+        """Update the links after ``source`` named control hosts.
 
-        Links to hosts missing from ``ips`` are kept while connected, since the list
-        may be outdated and a link costs little.
+        A host that no source names any more loses its link, but not while it is
+        connected: lists may be outdated, and a link costs little.
+
+        Args:
+            ips: The IP addresses, which replace those that this source named before.
+            source: A control host, or empty for the settings.
         """
         fleet = self.kernel.settings.fleet
+        self._named[source] = set(ips)
         for ip in ips:
             self._connect(fleet.control_host(ip))
-        known = {host.name for host in self.kernel.settings.control} | set(ips)
+        known = {host.name for host in self.kernel.settings.control}
+        known |= set().union(*self._named.values())
         for name in [name for name in self.links if name not in known]:
             if not self.links[name].is_connected:
                 self.links.pop(name).close()
+                self._named.pop(name, None)
 
     def find_leader(self, group: str) -> LinkClient | None:
         """Return the link to the last known leader of ``group``; None if unknown."""
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -161,7 +161,7 @@
         self._notify()
 
     def _take_hosts(self, host: str, message: ControlHosts) -> None:
-        self.kernel.find("controllers").set_hosts(message.ips)
+        self.kernel.find("controllers").set_hosts(message.ips, host)
 
     def _find_agents(self) -> None:
         """Take from the nodes' reports where the agents listen."""
--- a/src/jasminewharf/services/repair.py
+++ b/src/jasminewharf/services/repair.py
@@ -140,4 +140,4 @@
                 continue
             ips = sorted({host_name(member.identity) for member in members})
             self.kernel.find("broadcast").publish(ControlHosts(ips))
-            self.kernel.find("controllers").set_hosts(ips)
+            self.kernel.find("controllers").set_hosts(ips, self.kernel.settings.node)
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from fleets import Fleet
 from jasminewharf.exceptions import LinkTimeout, QuorumLost
 from jasminewharf.services.controllers import Controllers
+from jasminewharf.services.reload import SettingsReload
+from jasminewharf.settings import load_settings
 
 
 class FakeLink:
@@ -95,3 +98,32 @@
         assert await controllers.request("fleet", "x", 0.1) == "yes"
 
     asyncio.run(scenario())
+
+
+def test_leader_that_the_seeds_do_not_name_is_kept(tmp_path):
+    """Seeds of yesterday took away the link to the leader, and nothing made it anew.
+
+    The leader was added later and was starting again when the settings were read; the
+    control hosts tell their addresses again only when these change.
+    """
+
+    async def scenario():
+        seed, leader = FakeLink("yes"), FakeLink(None)
+        leader.is_connected = False
+        leader.close = lambda: None
+        controllers = build_controllers(**{"127.0.0.2": seed, "127.0.0.61": leader})
+        fleet = SimpleNamespace(control_host=lambda ip: SimpleNamespace(name=ip))
+        controllers.kernel.settings = SimpleNamespace(control=[], fleet=fleet, node="x")
+        controllers.set_hosts(["127.0.0.2", "127.0.0.61"], "127.0.0.2")
+        file = tmp_path / "settings.yaml"
+        names = Fleet(10_000, tmp_path)
+        names.list.address = "127.0.0.1:10000"
+        file.write_text(names.settings_text("127.0.0.3", "entry"))
+        assert load_settings(str(file)).fleet.seed_ips == ["127.0.0.2"]
+        kernel = SimpleNamespace(
+            settings_file=str(file), settings=None, find=lambda name: controllers
+        )
+        SettingsReload(kernel)._take()
+        assert "127.0.0.61" in controllers.links
+
+    asyncio.run(scenario())
