Bound the times of routes by what messages can hold

What callers saw: under a latency target of 1e300 ms, which was acknowledged, requests of a workspace with a rate were answered 500, as their patience fits into no message; under one below 0 they were answered 429. Cause: times were used as sent. Change: times count as 30 years at most, targets and pauses as 0 at least. A time-out of 0 or below is still refused. Nothing is newly refused. Ruled out: time-outs of 1e308 ms, slots, weights, loads a second, attempts, priorities and rates of 0, below 0 and of up to 1e308 or 1e30: all served, no failed task or handler in the log.

--- a/src/jasminewharf/platform/configurations.py
+++ b/src/jasminewharf/platform/configurations.py
@@ -24,6 +24,8 @@
 __all__ = ["read_configuration", "read_stored_configuration"]
 
 _MS_PER_S = 1_000.0
+# 30 years; longer times would not fit into messages.
+_LONGEST_MS = 1e12
 
 
 class _Split(msgspec.Struct):
@@ -179,17 +181,22 @@
         route.host,
         route.path_prefix,
         route.route_type,
-        route.timeout_ms / _MS_PER_S,
-        route.target_latency_ms / _MS_PER_S,
+        _read_time(route.timeout_ms),
+        max(_read_time(route.target_latency_ms), 0.0),
         route.priority,
         tuple(split or [ServiceWeight(route.service, 1.0)]),
         max(route.max_attempts, 1),
         route.public,
         route.resumable,
-        route.gap_target_ms / _MS_PER_S,
+        max(_read_time(route.gap_target_ms), 0.0),
     )
 
 
+def _read_time(ms: float) -> float:
+    """Return seconds, bounded by what the system can count."""
+    return min(ms, _LONGEST_MS) / _MS_PER_S
+
+
 def _translate_service(service: _Service) -> ServiceSpec:
     engine = service.engine
     if engine is None:
@@ -234,6 +241,6 @@
     return CallerLimits(
         limits.max_header_bytes,
         limits.max_body_bytes,
-        limits.header_timeout_ms / _MS_PER_S,
-        limits.idle_timeout_ms / _MS_PER_S,
+        _read_time(limits.header_timeout_ms),
+        _read_time(limits.idle_timeout_ms),
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -105,6 +105,18 @@
     assert configuration.limits.idle_timeout_s == 15.0
 
 
+@pytest.mark.parametrize("name", ["timeoutMs", "targetLatencyMs", "gapTargetMs"])
+def test_times_of_any_length_can_be_counted(name):
+    """Requests under a target of 1e300 ms were answered 500, below 0 refused."""
+    route = json.loads(build_body())["routes"][0]
+    read = read_configuration(build_body(routes=[{**route, name: 1e300}])).routes[0]
+    times = (read.timeout_s, read.target_s, read.pause_s, read.patience_s)
+    assert max(times) * 1_000 < 1 << 53
+    if name != "timeoutMs":
+        read = read_configuration(build_body(routes=[{**route, name: -5}])).routes[0]
+        assert min(read.target_s, read.pause_s) == 0.0
+
+
 @pytest.mark.parametrize(
     "body",
     [
