Give each call that an agent passes on a connection of its own

A repeatable call could get the answer to another caller's call: where agents pass calls on, an answer is not matched at all, and the connection was kept for the next call. Evidence: test_agent_passes_on_the_answer_to_the_call; the second call got the first one's answer and the third the second one's. Change: such a call uses a connection that carries nothing else, as one that may not be repeated did. So do the reads of an engine's state and of its cache events, whose answers bear no identifier either; the engines are on the agent's own host. Ruled out: to match by the identifier that the agent sends along. Not every server names it in its answer.

--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -351,6 +351,8 @@
             headers,
             request.body,
             repeatable=request.idempotent,
+            # Not every server names the request in its answer.
+            is_exclusive=True,
         )
         try:
             load = call.backend.read_load(_now())
--- a/src/jasminewharf/services/cachefeed.py
+++ b/src/jasminewharf/services/cachefeed.py
@@ -45,7 +45,11 @@
     async def _read(self, backend: Backend, after: int) -> int:
         call = backend.dialect.fetch_cache_events(after, backend.token)
         status, body = await backend.client.fetch(
-            call.method, call.target, call.body, headers=list(call.headers)
+            call.method,
+            call.target,
+            call.body,
+            headers=list(call.headers),
+            is_exclusive=True,
         )
         feed = backend.dialect.read_cache_events(status, body)
         if feed.events:
--- a/src/jasminewharf/services/loader.py
+++ b/src/jasminewharf/services/loader.py
@@ -106,7 +106,11 @@
 
     async def _send(self, backend: Backend, call: HttpCall) -> tuple[int, bytes]:
         return await backend.client.fetch(
-            call.method, call.target, call.body, headers=list(call.headers)
+            call.method,
+            call.target,
+            call.body,
+            headers=list(call.headers),
+            is_exclusive=True,
         )
 
     def _note_lost(self, engine: _Engine, error: BackendError) -> None:
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -88,19 +88,21 @@
 
 
 class Fleet:
-    """Addresses, kernels and fakes of a running fleet."""
+    """Addresses, kernels and fakes of a running fleet.
 
-    def __init__(self, base, folder, entries=2, desks=(), engines=()):
+    ``parts`` replace its fakes: engines, desks or list.
+    """
+
+    def __init__(self, base, folder, entries=2, **parts):
         self.base = base
         self.folder = folder
         self.list = FakeList("127.0.0.1")
-        self.engines = list(engines) or [
+        self.engines = [
             FakeReplica("127.0.0.1", "i-e1", "llm", ["m0", "m1"]),
             FakeReplica("127.0.0.1", "i-e2", "llm", ["m0"]),
         ]
-        self.desks = list(desks) or [
-            FakeReplica("127.0.0.1", f"i-d{n}", "desk") for n in (1, 2)
-        ]
+        self.desks = [FakeReplica("127.0.0.1", f"i-d{n}", "desk") for n in (1, 2)]
+        vars(self).update(parts)
         self.kernels = []
         self.operator = f"127.0.0.2:{base + 8}"
         # The second entry's address precedes the agents', any further follow them.
@@ -211,9 +213,9 @@
 
 
 @asynccontextmanager
-async def open_fleet(folder, entries=2, desks=(), engines=()):
+async def open_fleet(folder, entries=2, **parts):
     base = pick_base()
-    fleet = Fleet(base, folder, entries, desks, engines)
+    fleet = Fleet(base, folder, entries, **parts)
     try:
         await fleet.start()
         yield fleet
@@ -221,9 +223,9 @@
         await fleet.stop()
 
 
-def run_with_fleet(scenario, tmp_path, entries=2, desks=(), engines=()):
+def run_with_fleet(scenario, tmp_path, entries=2, **parts):
     async def main():
-        async with open_fleet(tmp_path / "data", entries, desks, engines) as fleet:
+        async with open_fleet(tmp_path / "data", entries, **parts) as fleet:
             await scenario(fleet)
 
     asyncio.run(main())
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -10,7 +10,12 @@
 import pytest
 
 from fleets import run_with_fleet
-from platformfakes import FakeList, FakeReplica
+from jasminewharf.interfaces.roles import build_kernel
+from jasminewharf.messages.calls import AnswerChunk, ForwardCall
+from jasminewharf.services.backend import AgentCall
+from jasminewharf.settings import parse_settings
+from jasminewharf.tracing import Span
+from platformfakes import FakeHttp, FakeReplica
 
 # Tell callers that their request has not run and never will.
 PROMISES = (408, 421, 429, 503)
@@ -130,8 +135,23 @@
     """An engine that repeats its answers."""
 
 
-class RepeatingList(Repeating, FakeList):
-    """A list of servers that repeats its answers."""
+class RepeatingService(Repeating, FakeHttp):
+    """A plain service that answers with what it was asked for."""
+
+    async def answer(self, request, responder):
+        responder.respond(200, [], request.target.encode())
+
+
+class CollectingPeer:
+    """An entry that keeps the messages that it is sent."""
+
+    routing_id = b"entry"
+
+    def __init__(self):
+        self.messages = []
+
+    def send(self, message):
+        self.messages.append(message)
 
 
 def run_with_desks(scenario, tmp_path):
@@ -253,3 +273,37 @@
 
     run_with_fleet(scenario, tmp_path, engines=engines)
     return told, sum(len(engine.orders) for engine in engines)
+
+
+AGENT = """\
+node: agent-1
+role: agent
+host: host-1
+zone: zone-a
+control: [{{name: c, address: "127.0.0.1:7100", peer_address: "127.0.0.1:7200"}}]
+listen: "127.0.0.1:7300"
+backends: [{{name: b, pool: p, address: "{address}", dialect: plain}}]
+"""
+
+
+def test_agent_passes_on_the_answer_to_the_call(tmp_path):
+    """A repeatable call got the answer to the call before it on the connection."""
+
+    async def scenario():
+        service = RepeatingService("127.0.0.1")
+        await service.start()
+        text = AGENT.format(address=service.address)
+        backends = build_kernel(parse_settings(text, "agent.yaml")).find("backends")
+        peer = CollectingPeer()
+        for target in ("/1", "/2", "/3"):
+            head = (target, 1, "b", "w", "", "", "GET", target, [], b"")
+            call = ForwardCall(*head, 5_000, 1, "normal", True, True, "")
+            call = AgentCall(peer, call, backends.backends["b"])
+            await backends._exchange(call, Span("backend", ""))
+        backends._send_batches(backends._coalescer.flush_all())
+        chunks = [m for m in peer.messages if isinstance(m, AnswerChunk)]
+        answers = [(chunk.request_id, chunk.data.decode()) for chunk in chunks]
+        assert answers == [("/1", "/1"), ("/2", "/2"), ("/3", "/3")]
+        await service.stop()
+
+    asyncio.run(scenario())
