Read each page of the server list over a connection of its own

A page that the platform wrote once more was taken for the next one: the reader asked for pages twice, listed servers twice, and could have missed one that had moved between pages. Evidence: test_page_of_the_server_list_is_not_taken_for_the_next_one; the reader asked for the second page four times in two rounds.

--- a/src/jasminewharf/services/hostlist.py
+++ b/src/jasminewharf/services/hostlist.py
@@ -58,7 +58,9 @@
 
     async def _poll(self) -> None:
         call = self._platform.fetch_hosts()
-        status, body = await self._client.fetch(call.method, call.target)
+        status, body = await self._client.fetch(
+            call.method, call.target, is_exclusive=True
+        )
         listed = self._platform.read_hosts(status, body)
         membership = self.kernel.find("gathering").membership
         reports = map(membership.report, membership.nodes())
--- a/src/jasminewharf/services/serverlist.py
+++ b/src/jasminewharf/services/serverlist.py
@@ -105,6 +105,8 @@
                 call.method,
                 call.target,
                 timeout_s=defaults.SERVER_LIST_TIMEOUT_S,
+                # An earlier page must not pass for this one.
+                is_exclusive=True,
             )
             answer = self._list.read_page(status, body)
             servers.extend(answer.servers)
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 
 import pytest
 
@@ -15,7 +16,8 @@
 from jasminewharf.services.backend import AgentCall
 from jasminewharf.settings import parse_settings
 from jasminewharf.tracing import Span
-from platformfakes import FakeHttp, FakeReplica
+from platformfakes import FakeHttp, FakeList, FakeReplica
+from support import wait_until
 
 # Tell callers that their request has not run and never will.
 PROMISES = (408, 421, 429, 503)
@@ -135,6 +137,26 @@
     """An engine that repeats its answers."""
 
 
+class RepeatingList(Repeating, FakeList):
+    """A list of servers, one on each page, that repeats its answers.
+
+    Attributes:
+        pages: The numbers of the pages that were asked for.
+    """
+
+    def __init__(self, ip):
+        super().__init__(ip)
+        self.pages = []
+
+    async def answer(self, request, responder):
+        page = int(request.target.partition("pageToken=")[2] or 0)
+        self.pages.append(page)
+        following = str(page + 1) if page + 1 < len(self.replicas) else None
+        entries = [replica.describe() for replica in self.replicas[page : page + 1]]
+        body = json.dumps({"instances": entries, "nextToken": following}).encode()
+        responder.respond(200, [], body)
+
+
 class RepeatingService(Repeating, FakeHttp):
     """A plain service that answers with what it was asked for."""
 
@@ -275,6 +297,19 @@
     return told, sum(len(engine.orders) for engine in engines)
 
 
+def test_page_of_the_server_list_is_not_taken_for_the_next_one(tmp_path):
+    """A page that came once more made the list hold servers twice, or not at all."""
+    servers = RepeatingList("127.0.0.1")
+
+    async def scenario(fleet):
+        pages = len(servers.replicas)
+        await wait_until(lambda: len(servers.pages) >= 4 * pages)
+        whole = servers.pages[-3 * pages :]
+        assert sorted(whole) == sorted([*range(pages)] * 3)
+
+    run_with_fleet(scenario, tmp_path, list=servers)
+
+
 AGENT = """\
 node: agent-1
 role: agent
