Test that a stream after a repeated one is the request's own

Measured on with this test: the second stream on a connection ended in 502 though the engine had run it.

--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -16,7 +16,7 @@
 from jasminewharf.services.backend import AgentCall
 from jasminewharf.settings import parse_settings
 from jasminewharf.tracing import Span
-from platformfakes import FakeHttp, FakeList, FakeReplica
+from platformfakes import FakeHttp, FakeList, FakeReplica, stream_body
 from support import wait_until
 
 # Tell callers that their request has not run and never will.
@@ -342,3 +342,20 @@
         await service.stop()
 
     asyncio.run(scenario())
+
+
+def test_stream_after_a_repeated_one_is_its_own(tmp_path):
+    """It was cut off or failed, though the engine had run it and sent it whole."""
+    engines = [RepeatingEngine("127.0.0.1", f"i-e{n}", "llm", ["m0"]) for n in (1, 2)]
+
+    async def scenario(fleet):
+        for number in range(6):
+            request_id = f"id-{number}"
+            status, headers, body = await fleet.call(
+                "/plan/x", ("x-model", "m0"), request_id=request_id
+            )
+            assert (status, body) == (200, stream_body())
+            assert headers["x-attempt-id"] == request_id
+            assert fleet.runs(request_id) == 1
+
+    run_with_fleet(scenario, tmp_path, engines=engines)
