--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -360,6 +360,38 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("is_own", [True, False])
+def test_answer_before_the_whole_request_does_not_change_its_rest(is_own):
+    """The server reads on, and would take what follows for the rest of the body."""
+    body = b"x" * 8_000_000
+    bodies = []
+
+    async def handle(reader, writer):
+        writer.write(render(await read_id(reader)))
+        request_id = await read_id(reader)
+        writer.write(render(request_id if is_own else "0", b"early"))
+        await asyncio.sleep(0.05)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            bodies.append(await reader.readexactly(len(body)))
+            writer.write(render(request_id, b"own"))
+        bodies.append(b"")
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        await post(client, "0")
+        response = await client.open(
+            "POST", "/", [("x-id", "1")], body, kept_idle_s=5.0, identity=identify("1")
+        )
+        assert await response.read() == (b"early" if is_own else b"own")
+        await wait_until(lambda: b"" in bodies)
+        # An own answer may end the connection before the rest of the body.
+        assert bodies == [body, b""] or (is_own and bodies == [b""])
+        server.close()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("method", "status"), [("HEAD", 200), ("GET", 204), ("GET", 304)]
 )
