Try again to listen on an address that is not free yet

A process that is started while the one before still ends (a drain takes up to 8 s), or before its address is up, ended at once with exit code 11, and stays away if nobody starts it again.

Cause: HttpServer, LinkServer and ZmqPeers gave up at the first refusal.

Change: they try again every 0.2 s for 10 s, telling so once (event 106), where the kernel says EADDRINUSE or EADDRNOTAVAIL; any other reason, and these after 10 s, end the process with exit code 11 and the address as before.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -3,6 +3,9 @@
 # Services.
 
 CANCEL_AGAIN_S = 0.5
+# Longer than a process that held the address before may take to end.
+LISTEN_PATIENCE_S = 10.0
+LISTEN_RETRY_S = 0.2
 
 # Links between processes.
 
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -50,6 +50,7 @@
 PROCESS_READY = _define(103, logging.INFO, "process ready")
 PROCESS_STOPPING = _define(104, logging.INFO, "process stopping")
 PROCESS_STARTING = _define(105, logging.INFO, "process starting")
+LISTEN_DELAYED = _define(106, logging.WARNING, "address not free yet, tried again")
 
 # Links: 200 to 299.
 MESSAGE_MALFORMED = _define(200, logging.WARNING, "malformed message dropped")
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -5,6 +5,8 @@
 can have begun the call.
 """
 
+import errno
+
 __all__ = [
     "AccountOwnerUnavailable",
     "AnswerBroken",
@@ -282,11 +284,17 @@
 
 
 class ListenFailed(LinkError):
-    """A process cannot listen where its settings say."""
+    """A process cannot listen where its settings say.
+
+    Attributes:
+        is_passing: Whether it may soon be able to: the address is in use, or not
+            configured yet.
+    """
 
-    def __init__(self, address: str, reason: str) -> None:
+    def __init__(self, address: str, reason: str, number: int | None = None) -> None:
         self.address = address
         self.reason = reason
+        self.is_passing = number in (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
         super().__init__(f"cannot listen on {address}: {reason}")
 
 
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import logging
 import math
 import os
@@ -25,6 +26,7 @@
     RequestTimeout,
     TooManyConnections,
 )
+from ..services.listening import listen_when_free
 from ..settings import LimitSettings
 
 __all__ = ["HttpServer", "Request", "Responder"]
@@ -506,11 +508,17 @@
     async def listen(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> str:
-        """Start listening and return the address with the real port.
+        """Start listening, as soon as the address is free.
+
+        Returns:
+            The address with the real port.
 
         Raises:
-            ListenFailed: If the address is in use or not of this host.
+            ListenFailed: If the address stays in use or is not of this host.
         """
+        return await listen_when_free(lambda: self._listen(host, port, tls))
+
+    async def _listen(self, host: str, port: int, tls: ssl.SSLContext | None) -> str:
         loop = asyncio.get_running_loop()
         try:
             self._server = await loop.create_server(
@@ -525,7 +533,9 @@
             )
         except OSError as error:
             reason = os.strerror(error.errno) if error.errno else str(error)
-            raise ListenFailed(f"{host}:{port}", reason) from error
+            # asyncio leaves the number out where it skips an address that is not up.
+            number = error.errno or errno.EADDRNOTAVAIL
+            raise ListenFailed(f"{host}:{port}", reason, number) from error
         name = self._server.sockets[0].getsockname()
         return f"{name[0]}:{name[1]}"
 
--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -102,7 +102,7 @@
         self._server.is_idle = lambda: not self._calls
         self._server.on_peer = self._announce_leaving
         reports = self.kernel.find("reports")
-        reports.address = self._server.bind(self.kernel.settings.listen)
+        reports.address = await self._server.listen(self.kernel.settings.listen)
         self.kernel.find("feed").listen(lambda applied: self._read_weights())
         self._metrics.watch("calls_in_flight", lambda: len(self._calls))
         self.spawn(self._end_unwanted_forever(), essential=True)
--- a/src/jasminewharf/services/control.py
+++ b/src/jasminewharf/services/control.py
@@ -64,7 +64,9 @@
         self._server = LinkServer(
             process.identity, process.context, self._handlers, process.security
         )
-        self.address = self._server.bind(self.kernel.settings.own_control_host.address)
+        self.address = await self._server.listen(
+            self.kernel.settings.own_control_host.address
+        )
 
     async def stop(self) -> None:
         """Close the socket."""
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -100,7 +100,7 @@
         )
         self._server.on_peer = self._news.send_latest
         self._news.peers = self._server.peers
-        address = self._server.bind(self.kernel.settings.fleet.agent_listen)
+        address = await self._server.listen(self.kernel.settings.fleet.agent_listen)
         reports = self.kernel.find("reports")
         reports.address = address
         reports.read_backends = self._describe_backend
--- a/src/jasminewharf/services/linkserver.py
+++ b/src/jasminewharf/services/linkserver.py
@@ -18,6 +18,7 @@
 from ..messages.link import Failure, Hello, Welcome
 from .channel import ONE_WAY, Channel, Identity, bound_queues, pack_header, unpack
 from .failures import describe_failure
+from .listening import listen_when_free
 from .security import LinkSecurity
 
 __all__ = ["Handler", "LinkServer", "Peer", "Preencoded"]
@@ -134,13 +135,25 @@
         try:
             self._socket.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
-            raise ListenFailed(address, error.strerror) from error
+            raise ListenFailed(address, error.strerror, error.errno) from error
         receive = self._receive if self._security is None else self._receive_secured
         self._channel = Channel(self._socket, receive, copy=self._security is None)
         endpoint = self._socket.getsockopt_string(zmq.LAST_ENDPOINT)
         self._address = endpoint.removeprefix("tcp://")
         return self._address
 
+    async def listen(self, address: str) -> str:
+        """Do as :meth:`bind`, as soon as the address is free.
+
+        Raises:
+            ListenFailed: If it is not in time.
+        """
+
+        async def attempt() -> str:
+            return self.bind(address)
+
+        return await listen_when_free(attempt)
+
     def peers(self) -> list[Peer]:
         """Return the peers that have sent a :class:`Hello`."""
         return [peer for peer in self._peers.values() if peer.hello]
--- a/src/jasminewharf/services/peers.py
+++ b/src/jasminewharf/services/peers.py
@@ -26,6 +26,7 @@
 from ..messages import codec
 from ..messages.log import BatchHeader
 from ..metrics import Metrics
+from .listening import listen_when_free
 from .logsettings import CurveSettings
 from .security import LinkSecurity
 
@@ -155,10 +156,13 @@
         self._set_options(self._receiver)
         if self._security is not None:
             self._security.configure_server(self._receiver)
+        await listen_when_free(self._bind)
+
+    async def _bind(self) -> None:
         try:
             self._receiver.bind(f"tcp://{self._address}")
         except zmq.ZMQError as error:
-            raise ListenFailed(self._address, error.strerror) from error
+            raise ListenFailed(self._address, error.strerror, error.errno) from error
 
     def _set_options(self, socket: zmq.Socket) -> None:
         socket.linger = 0
