Drop a caller that does not read the rest of its answer

The connection of a caller that stopped reading was kept, with what was still to be sent, until the caller closed it; enough of them used up the limit on connections.

Cause: a connection is closed once all has been written, both after the time for idle connections and after a cut, and nothing bounds the time until then.

Evidence: test_caller_that_does_not_read_is_dropped_in_time, after a whole answer and after a cut, failed before: the connection was there after 5 s at an idle time of 0.2 s.

A caller that reads slowly gets the whole answer, as test_caller_that_reads_slowly_... shows.

Measured: test_draining.py, test_broken_streams.py, test_logs.py and test_local.py pass. In the same run (load 19 on eight cores) test_hostile_http.py failed once, in test_connections_beyond_the_limit_are_told_so_and_others_go_on with an empty answer; it passed in four further runs.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -119,6 +119,7 @@
         self._body_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._flush_timer: asyncio.TimerHandle | None = None
         self._due = math.inf
         self._loop = asyncio.get_running_loop()
         self._writable = asyncio.Event()
@@ -182,6 +183,8 @@
             self._server.count_rejection(BadRequest("the request was cut"))
         self._closing = True
         self._cancel_timer()
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
         self._writable.set()
         self._server.discard(self)
         if self._is_surplus:
@@ -388,9 +391,27 @@
             self.close()
 
     def close(self) -> None:
+        """Close once what was written has left; drop a caller that does not read."""
         self._closing = True
-        if self._transport is not None:
-            self._transport.close()
+        if self._transport is None:
+            return
+        self._transport.close()
+        if self._flush_timer is None:
+            self._check_flush(math.inf)
+
+    def _check_flush(self, unsent_before: float) -> None:
+        unsent = self._transport.get_write_buffer_size()
+        if not unsent:
+            return
+        if unsent >= unsent_before:
+            events.emit(
+                _logger, events.CALLER_NOT_READING, peer=self._peer, unsent=unsent
+            )
+            self.abort()
+            return
+        self._flush_timer = self._loop.call_later(
+            self._limits.idle_timeout_s, self._check_flush, unsent
+        )
 
     def cut(self) -> None:
         """Close such that an answer in progress does not look complete.
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -8,6 +8,7 @@
 from jasminewharf.interfaces.http import HttpServer
 from jasminewharf.interfaces.refusals import render_refusal
 from jasminewharf.settings import LimitSettings
+from support import wait_until
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
 ANSWER_S = 0.05
@@ -125,3 +126,54 @@
         assert asyncio.get_running_loop().time() - started < 1.5
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("ending", ["idle", "cut"])
+def test_caller_that_does_not_read_is_dropped_in_time(ending):
+    """Its connection was kept, with the rest of its answer, until it closed."""
+
+    async def handle(request, responder):
+        responder.start(200, [])
+        write = asyncio.create_task(responder.write(b"a" * 8_000_000))
+        await asyncio.sleep(ANSWER_S)
+        if ending == "cut":
+            responder.cut()
+            await write
+        else:
+            responder.finish()
+
+    async def scenario():
+        limits = LimitSettings()._replace(idle_timeout_s=0.2)
+        server = HttpServer(handle, render_refusal, limits)
+        ip, port = (await server.listen("127.0.0.1", 0)).split(":")
+        with socket.socket() as link:
+            link.connect((ip, int(port)))
+            link.sendall(REQUEST)
+            await wait_until(lambda: server.connection_count == 1)
+            await wait_until(lambda: server.connection_count == 0, timeout_s=5)
+        await server.close()
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_reads_slowly_gets_its_whole_answer():
+    """It must not be dropped as one that does not read."""
+
+    async def handle(request, responder):
+        responder.respond(200, [], b"a" * 6_000_000)
+
+    async def scenario():
+        limits = LimitSettings()._replace(idle_timeout_s=0.2)
+        server = HttpServer(handle, render_refusal, limits)
+        ip, port = (await server.listen("127.0.0.1", 0)).split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port), limit=10_000)
+        writer.write(REQUEST)
+        size = 0
+        while data := await reader.read(100_000):
+            size += len(data)
+            await asyncio.sleep(0.01)
+        assert size > 6_000_000
+        writer.close()
+        await server.close()
+
+    asyncio.run(scenario())
