Accept what has arrived before the listening socket closes

Under load, callers that had connected and sent a request when a planned stop closed the listening socket were reset, or got neither an answer nor a close.

Cause: the event loop accepts in one turn and makes the transport in a later one. A connection that waited in the backlog was reset with the socket; one that was accepted but had no transport yet failed in the server that was closed meanwhile.

Change: the socket is closed in the turn in which nothing waited at it for three turns in a row, at the latest after 0.25 s.

Why it works: what was accepted has its transport two turns later, and nothing runs between the last look and the close. What remains is a connection that the kernel completes between these two system calls.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -380,7 +380,8 @@
 LOGGED_IDENTIFIER_CHARACTERS = 64
 DRAIN_POLL_S = 0.02
 DRAIN_FRESH_S = 0.5  # How long a new connection is kept for its first request.
-DRAIN_ACCEPT_TURNS = 4  # Of the event loop, which accepts a whole backlog in one.
+DRAIN_ACCEPT_S = 0.25  # How long connections are accepted that arrive without end.
+DRAIN_QUIET_TURNS = 3  # Of the event loop, which makes a transport in the next turn.
 
 # Traces.
 
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -11,7 +11,7 @@
 import socket
 import ssl
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, NamedTuple
 
 import h11
@@ -146,11 +146,7 @@
         if self._h11.trailing_data[0]:
             return True
         connection = self._transport.get_extra_info("socket")
-        if connection is None or connection.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(connection.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return connection is not None and _is_readable([connection])
 
     @property
     def _is_expecting(self) -> bool:
@@ -569,15 +565,31 @@
         self.draining = True
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
-        if self._server is not None:
-            for _ in range(defaults.DRAIN_ACCEPT_TURNS):
-                await asyncio.sleep(0)
-            self._server.close()
+        await self._stop_accepting()
         while self._connections and loop.time() < deadline:
             for connection in list(self._connections):
                 connection.close_if_idle()
             await asyncio.sleep(defaults.DRAIN_POLL_S)
 
+    async def _stop_accepting(self) -> None:
+        """Close the listening sockets once the loop has accepted what has arrived.
+
+        A connection that waits to be accepted, or whose transport is not made yet, is
+        lost with the listening socket.
+        """
+        if self._server is None:
+            return
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + defaults.DRAIN_ACCEPT_S
+        quiet_turns = 0
+        while loop.time() < deadline:
+            is_quiet = not _is_readable(self._server.sockets)
+            quiet_turns = quiet_turns + 1 if is_quiet else 0
+            if quiet_turns == defaults.DRAIN_QUIET_TURNS:
+                break
+            await asyncio.sleep(0)
+        self._server.close()
+
     async def close(self) -> None:
         """Cut what is left."""
         if self._server is not None:
@@ -586,6 +598,15 @@
             connection.abort()
 
 
+def _is_readable(sockets: Iterable[Any]) -> bool:
+    """Return whether bytes or connections have arrived that were not taken yet."""
+    poll = select.poll()
+    for each in sockets:
+        if each.fileno() >= 0:
+            poll.register(each.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _classify(error: h11.RemoteProtocolError) -> Refusal:
     if error.error_status_hint == HeadTooLarge.status:
         return HeadTooLarge("the request head is too large")
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -177,3 +177,29 @@
         await server.close()
 
     asyncio.run(scenario())
+
+
+def test_connections_that_arrive_while_the_listener_closes_are_answered():
+    """They were reset with the listening socket, or before they had a transport."""
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        server = HttpServer(answer, render_refusal, LimitSettings())
+        ip, port = (await server.listen("127.0.0.1", 0)).split(":")
+        links = []
+
+        def connect_each_turn(left):
+            links.append(socket.create_connection((ip, int(port)), 5))
+            links[-1].sendall(REQUEST)
+            if left:
+                loop.call_soon(connect_each_turn, left - 1)
+
+        draining = asyncio.create_task(server.drain(2.0))
+        connect_each_turn(20)
+        await draining
+        await server.close()
+        for link in links:
+            assert (await read_all(link)).startswith(b"HTTP/1.1 200")
+            link.close()
+
+    asyncio.run(scenario())
