Keep an answer from being lost to bytes that its caller sent behind it

A caller that sent more than its last request on a connection was reset before it had read the answer.

Cause: the kernel resets a connection that is closed with unread bytes, and drops what the other side has not read yet. After a refusal the entry reads on for a while; after an answer that ends the connection it closed at once, with reading paused.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -312,13 +312,26 @@
             headers, body = self._server.render_error(refusal)
             headers = [*headers, ("connection", "close")]
             Responder(self).respond(refusal.status, headers, body)
+        self._cancel_timer()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close after a while in which what the caller still sends is dropped.
+
+        A close with unread data resets the connection, and the caller might not see
+        the answer.
+        """
+        self._closing = True
+        self._resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        # A close with unread data resets the connection, and the caller might not
-        # see the answer, so that what it still sends is read for a while.
-        self._cancel_timer()
         self._loop.call_later(defaults.HTTP_LINGER_S, self.close)
 
+    def _resume_reading(self) -> None:
+        if self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
+
     def _end_cycle(self, responder: Responder) -> None:
         self._task = None
         self._has_served = True
@@ -328,7 +341,10 @@
             self.cut()
             return
         if self._h11.our_state is not h11.DONE:
-            self.close()
+            if self._has_unread:
+                self._linger()
+            else:
+                self.close()
             return
         if self._server.draining and not self._has_unread:
             self.close()
@@ -342,9 +358,7 @@
         self._body = []
         self._body_bytes = 0
         self._arm(self._limits.idle_timeout_s)
-        if self._is_paused:
-            self._is_paused = False
-            self._transport.resume_reading()
+        self._resume_reading()
         self._read_events()
 
     def hold(self) -> None:
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
@@ -203,3 +204,26 @@
             link.close()
 
     asyncio.run(scenario())
+
+
+def test_answer_survives_what_the_caller_sends_behind_its_last_request():
+    """The close of a connection with unread bytes reset it, and the answer was lost."""
+
+    async def scenario():
+        server = HttpServer(answer, render_refusal, LimitSettings())
+        ip, port = (await server.listen("127.0.0.1", 0)).split(":")
+
+        def call():
+            with socket.create_connection((ip, int(port)), 5) as link:
+                head = REQUEST.replace(b"host", b"connection: close\r\nhost")
+                link.sendall(head + b"x" * 1_500_000)
+                time.sleep(ANSWER_S * 4)
+                received = b""
+                while data := link.recv(1000):
+                    received += data
+                return received
+
+        assert (await asyncio.to_thread(call)).endswith(b"ok")
+        await server.close()
+
+    asyncio.run(scenario())
