Hand leadership over when the leader's disk is full

Callers saw: every change answered 503 while the disk of the leading control host was full, though the others had space and a quorum of them had stored the change that filled it.

Cause: a leader whose write failed for lack of space refuses all commands, and stays the leader, since heartbeats need no disk.

Where others are full or gone nothing is handed over, so that reads go on as before. Until it has space the former leader cannot store the new term, and reads at it end in 503; other hosts answer them.

Evidence: test_leader_with_a_full_disk_hands_over_to_hosts_with_space timed out after 5 s before and passes now, six times in a row. Ruled out: to hand over at the first refused write, which would stop reads too where no other has space.

--- a/src/jasminewharf/services/loggroup.py
+++ b/src/jasminewharf/services/loggroup.py
@@ -12,6 +12,7 @@
 from ..decisions.consensus import Consensus
 from ..defaults import (
     LOG_COMMAND_LIMIT_BYTES,
+    LOG_FULL_HANDOVER_S,
     LOG_PENDING_LIMIT_COMMANDS,
     LOG_PROPOSE_TIMEOUT_S,
     LOG_READ_TIMEOUT_S,
@@ -81,6 +82,7 @@
         self._known_leader = ""
         self._known_members: tuple[MemberRecord, ...] = ()
         self._changes: set[int] = set()
+        self._next_hand_over = float("-inf")
 
     # Requests of other services.
 
@@ -185,9 +187,23 @@
         """Let time pass and give up on callers whose time is over."""
         self.submit(records.Tick())
         now = self._loop.time()
+        if self._writer.full and now >= self._next_hand_over:
+            self._leave_to_hosts_with_space(now)
         self._proposals.expire(now)
         self._reads.expire(now)
 
+    def _leave_to_hosts_with_space(self, now: float) -> None:
+        """Hand leadership over if a quorum of others has stored what this host cannot.
+
+        A leader whose disk is full refuses all commands.
+        """
+        consensus = self.consensus
+        if not consensus.is_leader or consensus.commit_index <= consensus.durable_index:
+            return
+        self._next_hand_over = now + LOG_FULL_HANDOVER_S
+        if self.hand_over():
+            events.emit(_logger, events.LEADERSHIP_LEFT, group=self.group)
+
     def stop(self) -> None:
         """Fail the waiting callers and close the files."""
         error = QuorumLost(f"the log group {self.group} is stopping")
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -353,6 +353,28 @@
     await cluster.stop("c0")
 
 
+@in_event_loop
+async def test_leader_with_a_full_disk_hands_over_to_hosts_with_space(tmp_path):
+    """Guards against changes that are refused until the leader's disk has space."""
+    cluster = Cluster(tmp_path, 3, MemoryNetwork())
+    files = {name: MemoryFiles() for name in cluster.addresses}
+    for name in cluster.addresses:
+        await cluster.start(name, files[name])
+    await cluster.propose(b"before")
+    full = await cluster.leader()
+    files[full].full = True
+    async with asyncio.timeout(5):
+        assert (await cluster.services[full].propose("fleet", b"first"))[1] == b"2"
+        while await cluster.leader() == full:
+            await asyncio.sleep(0.01)
+        await cluster.propose(b"second")
+        leader = cluster.services[await cluster.leader()]
+        assert await leader.read_barrier("fleet") == leader.applied_index("fleet")
+    files[full].full = False
+    for name in cluster.addresses:
+        await cluster.stop(name)
+
+
 @in_event_loop
 async def test_damaged_log_stops_the_start(tmp_path):
     async with running(tmp_path, 1) as cluster:
