Count the time in which a machine was suspended

Cause: leases, deadlines and time-outs were read from the steady clock, which on Linux stands still while the machine is suspended. An entry or agent that wakes after 5 s took a lease of 3 s for valid for up to 3 s more, while the owner had given it to others; a grant no longer expired on its holder's clock first. A process that is only stopped (SIGSTOP) was not concerned, its clock runs on.

Change: the daemon's event loop reads CLOCK_BOOTTIME where there is one, and the services that read time.monotonic beside it read the loop's clock. What was due while the machine was suspended ends or is checked on waking.

The wall clock is used for log lines, Date headers, claims' times and the order of an agent's lives, which a silence of the former life overrides; no lease rests on it.

--- a/src/jasminewharf/interfaces/running.py
+++ b/src/jasminewharf/interfaces/running.py
@@ -7,6 +7,7 @@
 import sys
 
 from .. import events
+from ..eventloop import EventLoop
 from ..exceptions import JasminewharfError, SettingsError
 from ..kernel import Kernel
 from ..logs import configure_logging
@@ -51,8 +52,11 @@
         raise SystemExit(find_exit_code(error)) from error
     configure_logging(settings.logs.label or settings.node, settings.logs)
     try:
-        with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(run_process(settings, settings_file))
+        with (
+            contextlib.suppress(KeyboardInterrupt),
+            asyncio.Runner(loop_factory=EventLoop) as runner,
+        ):
+            runner.run(run_process(settings, settings_file))
     except JasminewharfError as error:
         print(f"error: {error}", file=sys.stderr)
         raise SystemExit(find_exit_code(error)) from error
--- a/src/jasminewharf/services/accounts.py
+++ b/src/jasminewharf/services/accounts.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import logging
-import time
 from collections.abc import Callable
 
 from .. import events
@@ -20,6 +19,7 @@
     OWNER_RENEW_INTERVAL_S,
     STATUS_OVER_RATE_S,
 )
+from ..eventloop import read_clock
 from ..exceptions import (
     AccountOwnerUnavailable,
     ConsensusError,
@@ -58,7 +58,7 @@
             account.
         owner: This host's node name.
         incarnation: The incarnation of this process.
-        clock: Returns monotonic seconds.
+        clock: Returns seconds that never go back.
     """
 
     name = "account-owner"
@@ -70,7 +70,7 @@
         limits: Callable[[str], RateLimits | None],
         owner: str,
         incarnation: int,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = read_clock,
     ) -> None:
         super().__init__(kernel)
         self._clock = clock
@@ -117,7 +117,7 @@
         """Return accounts that lack tokens; None if this host is not the owner."""
         if self._allocator is None or not self._log.is_leader(ACCOUNTS_GROUP):
             return None
-        return self._allocator.list_over_rate(time.monotonic(), STATUS_OVER_RATE_S)
+        return self._allocator.list_over_rate(self._clock(), STATUS_OVER_RATE_S)
 
     async def _keep_ownership(self) -> None:
         while True:
@@ -203,7 +203,7 @@
         requester: Sends requests to the leader of the group.
         holder: This entry's node name.
         incarnation: The incarnation of this process.
-        clock: Returns monotonic seconds.
+        clock: Returns seconds that never go back.
     """
 
     name = "accounts"
@@ -214,7 +214,7 @@
         requester: GroupRequester,
         holder: str,
         incarnation: int,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = read_clock,
     ) -> None:
         super().__init__(kernel)
         self._clock = clock
--- a/src/jasminewharf/services/claims.py
+++ b/src/jasminewharf/services/claims.py
@@ -6,7 +6,6 @@
 import asyncio
 import hashlib
 import logging
-import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -21,6 +20,7 @@
     CLAIM_REQUEST_TIMEOUT_S,
     CLAIM_RETRY_AFTER_MS,
 )
+from ..eventloop import read_clock
 from ..exceptions import (
     ClaimConflict,
     ClaimStoreFull,
@@ -63,7 +63,7 @@
         entry: This entry's node name.
         incarnation: The incarnation of this process.
         partitions: Number of claim log groups, as on the control hosts.
-        clock: Returns monotonic seconds.
+        clock: Returns seconds that never go back.
     """
 
     name = "claims"
@@ -75,7 +75,7 @@
         entry: str,
         incarnation: int,
         partitions: int = CLAIM_PARTITIONS,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = read_clock,
     ) -> None:
         super().__init__(kernel)
         self._clock = clock
