Take lists of servers from the leader while there is one

Callers' requests could go to a server that had left, for up to a second, after a link between control hosts that had been silent went on.

Cause: a list bears its age when it was sent, and a control host took the list of any other one as read that long before its arrival. A list of a former leader that was held on a link for seconds so looks newer than what the present leader has read meanwhile, and is told to the nodes until the next reading. The class: one peer believed for what others know better.

Change: while the log has a leader, lists of others count only where the own one is stale. Found by reading; the soak has not met it.

Not covered: the same on the way from a control host to a node; there the newest list follows right behind, and hosts that feed a node no longer are not believed. Reports of engines that control hosts share bear their age in the same way.

--- a/src/jasminewharf/services/serverlist.py
+++ b/src/jasminewharf/services/serverlist.py
@@ -11,6 +11,7 @@
 
 from .. import defaults, events
 from ..decisions.listchanges import compare_lists
+from ..decisions.records import host_name
 from ..dialects.fleet import SERVER_LISTS, ListedServer
 from ..exceptions import BackendError, PeerUnavailable
 from ..kernel import Kernel, Service
@@ -76,6 +77,10 @@
     def _is_reader(self) -> bool:
         if self.kernel.find("log").is_leader(FLEET_GROUP):
             return True
+        return self._is_stale
+
+    @property
+    def _is_stale(self) -> bool:
         return _now() - self._read_at > defaults.SERVER_LIST_STALE_S
 
     async def _read_once(self) -> None:
@@ -169,8 +174,19 @@
     def _take(self, peer: Peer, message: Servers) -> None:
         if peer.hello is None or peer.hello.role != "control":
             return
+        if self._may_be_late(peer):
+            return
         self._accept(message.servers, _now() - message.age_ms / defaults.MS_PER_S)
 
+    def _may_be_late(self, peer: Peer) -> bool:
+        """Return whether another host's list has to do.
+
+        A list bears its age when it was sent, so that one of a former leader that was
+        held on a link looks newer than it is.
+        """
+        leader = host_name(self.kernel.find("log").leader(FLEET_GROUP))
+        return leader not in ("", peer.node) and not self._is_stale
+
 
 def _age_ms(read_at: float) -> int:
     return int((_now() - read_at) * defaults.MS_PER_S)
