Keep the link to an agent that is no longer reported while it runs calls

Callers of calls in flight waited until their deadline, without a word, where the reports of an agent ended that entries still reached, or told of another address of it.

Cause: the link was closed with calls in flight on it. A link that is closed here tells of no loss, so that the calls were neither resumed nor given up. The class: an end without a word that nothing follows, and one peer believed for another.

Evidence: the two new tests in tests/test_agent_calls.py failed before. Change: a link is kept until its calls have ended, which new calls do not use; a link that ends by itself still counts as lost. Where the agent listens elsewhere, its calls count as lost, and the new link resumes them or ends them. Found by reading.

Measured: tests/test_agent_calls.py and test_agent_stops.py, 4 passed.

--- a/src/jasminewharf/services/agents.py
+++ b/src/jasminewharf/services/agents.py
@@ -150,7 +150,8 @@
         for report in digest.values():
             if report.role == "agent" and report.address:
                 self._follow(report)
-        for node in [node for node in self._links if node not in digest]:
+        busy = {call.agent for call in self._calls.values()}
+        for node in [n for n in self._links if n not in digest and n not in busy]:
             self._links.pop(node).close()
             self._leaving.pop(node, None)
         self._notify()
@@ -160,6 +161,7 @@
         if link is None or link.address != report.address:
             if link is not None:
                 link.close()
+                self._lose(report.node)
             self._links[report.node] = self._connect(report)
 
     def _connect(self, report: NodeReport) -> LinkClient:
