Ask no acknowledgement of a host whose link to the leader is harmed

The strike had named one end of the link only. A host is in touch while it has a path to each control host that reaches more than half of them, which neither end had; the other end counts as disturbed now too.

--- a/tests/test_configuration_soak.py
+++ b/tests/test_configuration_soak.py
@@ -423,6 +423,9 @@
         begin = now()
         with self._fleet.harming_core([ip]):
             kind = await self._harm([(ip, other) for other in others], ip)
+        if len(others) == 1:
+            # It lacks a path to a host that reaches more than half of the core.
+            self._fleet.disturb(others[0], begin)
         if kind == "slow":
             # While links of the core are slow, it is not stable.
             self._fleet.disturb(CORE, begin)
