Do not take an error inside a stream for one of its events

A server that failed in the middle of its own stream and wrote an error there, at times with a whole head, had it passed on to the caller between two events.

The cases of test_error_behind_the_events_of_a_server_is_none_of_them and test_head_of_an_error_inside_the_first_event_is_no_event show it.

Change: all events of a stream end like its first one, and one in CRLF has no other line ends. In a stream with numbers an event without one is passed on only if its lines are fields or comments.

--- a/src/jasminewharf/decisions/eventstream.py
+++ b/src/jasminewharf/decisions/eventstream.py
@@ -10,6 +10,9 @@
 
 # The end of a line and an empty line.
 _END = re.compile(rb"\n\r?\n")
+_LF_END = b"\n\n"
+# A comment, or a field with or without a value.
+_LINE = re.compile(rb":.*|[A-Za-z0-9_-]+(:.*)?", re.DOTALL)
 _END_BYTES = 3
 _ID = b"id:"
 _COMMENT = b":"
@@ -29,12 +32,22 @@
         lines = self.data.split(b"\n")
         return all(not line.strip() or line.startswith(_COMMENT) for line in lines)
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether all lines are comments or fields."""
+        lines = self.data.split(b"\n")
+        return all(not line.strip() or _LINE.fullmatch(line) for line in lines)
+
 
 class EventSplitter:
-    """Splits a stream of bytes into events."""
+    """Splits a stream of bytes into events.
+
+    All events of a stream end like its first one, in LF or CRLF.
+    """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._end = b""
 
     @property
     def rest(self) -> bytes:
@@ -45,17 +58,24 @@
         """Return the events that end in ``data``.
 
         Raises:
-            BackendError: If an event exceeds the size limit.
+            BackendError: If an event exceeds the size limit or is none.
         """
         # The bytes that end an event may arrive in parts.
         searched = max(len(self._buffer) - _END_BYTES + 1, 0)
         self._buffer += data
+        if not self._end:
+            first = _END.search(self._buffer, searched)
+            if first is not None:
+                self._end = first.group()
         events = []
         start = 0
-        for end in _END.finditer(self._buffer, searched):
-            piece = bytes(self._buffer[start : end.end()])
+        while self._end and (end := self._buffer.find(self._end, searched)) >= 0:
+            searched = end + len(self._end)
+            piece = bytes(self._buffer[start:searched])
+            if self._end != _LF_END and piece.count(b"\n") != piece.count(b"\r\n"):
+                raise BackendError("the lines of an event end in different ways")
             events.append(StreamEvent(_read_number(piece), piece))
-            start = end.end()
+            start = searched
         if start:
             del self._buffer[:start]
         if len(self._buffer) > defaults.STREAM_EVENT_LIMIT_BYTES:
@@ -125,6 +145,8 @@
             raise AnswerBroken("no new event", began=True)
 
     def _accept_unnumbered(self, event: StreamEvent) -> bool:
+        if self.last_event >= 0 and not event.is_valid:
+            raise AnswerBroken("lines that belong to no event", began=True)
         if not self._is_resumed or self._has_followed:
             self._has_unnumbered = self._has_unnumbered or not event.is_comment
             return True
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -95,3 +95,31 @@
     assert position.can_resume
     position.accept(StreamEvent(-1, b"data: x\n\n"))
     assert not position.can_resume
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"HTTP/1.1 500 Error\r\ncontent-length: 4\r\n\r\n",
+        b"HTTP/1.1 500 Error\n\n",
+        b'{"error": "failed"}\n\n',
+        b"<html>\n\n",
+    ],
+)
+def test_error_behind_the_events_of_a_server_is_none_of_them(rest):
+    """A server that failed wrote its error, at times its head, into its own stream."""
+    splitter, position = EventSplitter(), StreamPosition(-1)
+    for sent in splitter.feed(b"id: 1\ndata: a\n\nretry: 5\n\n"):
+        assert position.accept(sent)
+    with pytest.raises(AnswerBroken):
+        for sent in splitter.feed(rest):
+            position.accept(sent)
+        # What completes no event is not passed on.
+        if splitter.rest:
+            raise AnswerBroken("the stream ended inside an event")
+
+
+def test_head_of_an_error_inside_the_first_event_is_no_event():
+    """It ended the event, which was passed on with the head in it."""
+    with pytest.raises(BackendError):
+        EventSplitter().feed(b"id: 1\ndHTTP/1.1 500 Error\r\ncontent-length: 4\r\n\r\n")
