Refuse an answer's head that has another head in it

A server that stopped inside a header of its answer and wrote an error there was taken for a success with the error as its body.

Cause: the error's status line continues the value of the cut header, and what follows is read as further headers and body.

The case "another head inside the head" of test_answer_is_whole_only_as_its_framing_says failed before.

Change: a head with a status line in a header's value is refused as one that can be read twice, like one with a length and chunks.

Measured: test_client.py passes.

--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -4,6 +4,7 @@
 import asyncio
 import collections
 import logging
+import re
 import socket
 import struct
 from collections.abc import AsyncIterator, Callable
@@ -29,6 +30,7 @@
 
 # Of the longest time-out of a kept connection that is believed: eleven days.
 _DIGITS = 6
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
 # Successes but for the one that has no body.
 _WITH_BODY = frozenset({200, 201, 202, 203, 206})
 # Linger of zero seconds: the socket is reset when it is closed.
@@ -124,7 +126,7 @@
             event = await self.next_event()
             if isinstance(event, h11.Response):
                 if _is_ambiguous(event):
-                    raise h11.RemoteProtocolError("a length and chunks")
+                    raise h11.RemoteProtocolError("a head that can be read twice")
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionResetError("the connection was closed")
@@ -616,9 +618,14 @@
 
 
 def _is_ambiguous(head: h11.Response) -> bool:
-    """Return whether another reader could find another end of the body."""
+    """Return whether another reader could find another body or answer in it.
+
+    A server that stops inside a header and writes an error leaves one head in another.
+    """
     names = [name for name, _ in head.headers]
-    return b"content-length" in names and b"transfer-encoding" in names
+    if b"content-length" in names and b"transfer-encoding" in names:
+        return True
+    return any(_STATUS_LINE.search(value) for _, value in head.headers)
 
 
 def _read_status(data: bytes) -> int:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -627,6 +627,10 @@
         + b"2\r\nok\r\n0\r\n\r\n",
         None,
     ),
+    "another head inside the head": (
+        HEAD[:-2] + b"HTTP/1.1 500 Error\r\ncontent-length: 2\r\n\r\nno",
+        None,
+    ),
     "a switch of protocols": (b"HTTP/1.1 101 Switching\r\nupgrade: x\r\n\r\n", None),
     "an empty line": (b"\r\n" + HEAD + b"content-length: 2\r\n\r\nok", None),
     "a folded line": (HEAD + b" b\r\ncontent-length: 2\r\n\r\nok", b"ok"),
