Forget control hosts that were replaced long ago

Callers saw: nothing in the record names it; found on the way through what outlives a replacement at another address.

Cause: a control host keeps a link to each host that it ever had one to, 28 at most. After as many replacements at new addresses during its life, the next member could not be written to: a leader reports 'cannot be reached', a member never hears the vote requests of the new one.

Change: at the limit the host that has not named itself for longest makes room, if that was at least 60 s ago. Members do so with each batch, so that strangers still cannot drive them out.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -59,6 +59,7 @@
 LOG_PEER_QUEUE_BATCHES = 1_000
 # Four times the largest number of control hosts.
 LOG_PEERS_LIMIT = 28
+LOG_PEER_FORGET_S = 60.0  # Far longer than a restart of a control host.
 LOG_RECONNECT_MS = 50
 LOG_RECONNECT_MAX_MS = 500
 
--- a/src/jasminewharf/services/peers.py
+++ b/src/jasminewharf/services/peers.py
@@ -17,6 +17,7 @@
     LINK_CONNECT_TIMEOUT_MS,
     LINK_HEARTBEAT_MS,
     LINK_MESSAGE_LIMIT_BYTES,
+    LOG_PEER_FORGET_S,
     LOG_PEER_QUEUE_BATCHES,
     LOG_PEERS_LIMIT,
     LOG_RECONNECT_MAX_MS,
@@ -142,6 +143,7 @@
         self._watcher: asyncio.Task[None] | None = None
         self._public_key = b""
         self._senders: dict[str, tuple[str, zmq.Socket]] = {}
+        self._named_at: dict[str, float] = {}
         self._on_batch: OnBatch | None = None
         self._failing_since: dict[str, float] = {}
 
@@ -245,11 +247,13 @@
     def connect(self, host: str, address: str) -> None:
         """Set where ``host`` listens."""
         known = self._senders.get(host)
+        now = asyncio.get_running_loop().time()
         if known is not None:
             if known[0] == address:
+                self._named_at[host] = now
                 return
             known[1].close()
-        elif len(self._senders) >= LOG_PEERS_LIMIT:
+        elif len(self._senders) >= LOG_PEERS_LIMIT and not self._make_room(now):
             # Batches name their senders, so that strangers could add any number.
             return
         sender = self._context.socket(zmq.DEALER)
@@ -266,6 +270,21 @@
             events.emit(_logger, events.BATCH_MALFORMED, error=error)
             return
         self._senders[host] = (address, sender)
+        # A link that is only made anew tells nothing of the host.
+        if known is not None or host not in self._named_at:
+            self._named_at[host] = now
+
+    def _make_room(self, now: float) -> bool:
+        """Forget the host that was named longest ago; return whether that is long ago.
+
+        Members name themselves with each batch, hosts that were replaced no longer do.
+        """
+        oldest = min(self._senders, key=lambda host: self._named_at[host])
+        if now - self._named_at[oldest] < LOG_PEER_FORGET_S:
+            return False
+        self._senders.pop(oldest)[1].close()
+        del self._named_at[oldest]
+        return True
 
     def send(self, host: str, frames: list[bytes]) -> bool:
         """Queue a batch; return False if it was dropped."""
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -12,6 +12,7 @@
 import pytest
 import zmq
 
+from jasminewharf.defaults import LOG_PEER_FORGET_S, LOG_PEERS_LIMIT
 from jasminewharf.services.link import Identity, LinkClient
 from jasminewharf.services.peers import ZmqPeers
 
@@ -76,3 +77,25 @@
         return took_s
 
     assert asyncio.run(main()) < REPEATED_S - 0.2
+
+
+def test_hosts_that_were_replaced_make_room_for_their_successors():
+    """Guards against members that are never heard after many replacements."""
+
+    async def main():
+        peers = ZmqPeers("127.0.0.1:0")
+        await peers.start(lambda frames: None)
+        try:
+            for number in range(LOG_PEERS_LIMIT):
+                peers.connect(f"h{number}", "127.0.0.1:1")
+            peers.connect("stranger", "127.0.0.1:1")
+            assert "stranger" not in peers._senders
+            now = asyncio.get_running_loop().time()
+            peers._named_at["h3"] = now - LOG_PEER_FORGET_S
+            peers.connect("successor", "127.0.0.1:1")
+            assert "successor" in peers._senders
+            assert "h3" not in peers._senders
+        finally:
+            await peers.stop()
+
+    asyncio.run(main())
