End a connection whose caller left before its last answer without an error

What callers saw: nothing; the log of an entry held a trace of ENOTCONN for each caller that closed its connection before an answer that was the last one on it.

Change: an error of that end is passed over; the connection is closed a while later as before.

Measured: test_caller_that_leaves_before_its_answer_ends_the_connection_without_an_error fails on the code before (twice) and passes (twice).

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -323,8 +323,10 @@
         """
         self._closing = True
         self._resume_reading()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
+        # The caller may have reset the connection already.
+        with contextlib.suppress(OSError):
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
         self._loop.call_later(defaults.HTTP_LINGER_S, self.close)
 
     def _resume_reading(self) -> None:
--- a/tests/test_hostile_http.py
+++ b/tests/test_hostile_http.py
@@ -1,6 +1,7 @@
 """Hostile callers: each gets a typed refusal, and the entry goes on."""
 
 import asyncio
+import gc
 import json
 import logging
 import socket
@@ -432,3 +433,38 @@
     assert status != 500, content
     if status != 200:
         assert json.loads(content)["error"]["type"]
+
+
+def test_caller_that_leaves_before_its_answer_ends_the_connection_without_an_error():
+    """The end of an answer failed in the connection's task, and the log held a trace.
+
+    The caller closes while the event loop is held up. The answer is then reset, and
+    the server ends its side of a connection that is gone.
+    """
+    errors = []
+
+    async def answer(request, responder):
+        time.sleep(0.1)
+        responder.respond(200, [], b"whole")
+
+    async def main():
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: errors.append(context["exception"])
+        )
+        server = HttpServer(answer, render_refusal, LIMITS)
+        host, _, port = (await server.listen("127.0.0.1", 0)).partition(":")
+
+        def send_and_leave():
+            link = socket.create_connection((host, int(port)), 5)
+            link.sendall(b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+            time.sleep(0.05)
+            link.close()
+
+        await asyncio.to_thread(send_and_leave)
+        await asyncio.sleep(0.3)
+        gc.collect()
+        assert server.connection_count == 0
+        await server.close()
+
+    asyncio.run(main())
+    assert errors == []
