--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -3,11 +3,11 @@
 import asyncio
 import contextlib
 
+from documentnodes import Node, build_plan, build_report
 from jasminewharf.exceptions import Overloaded
 from jasminewharf.services.agents import Agents
 from jasminewharf.services.backends import Backends
 from support import wait_until
-from test_agent_stops import Node, build_plan, build_report
 
 
 async def open_nodes():
