Read settings again that are being written when a process starts

What callers saw: a control host that stayed away after its restart (class of RECOVER: nobody starts it again).

Cause: the settings file is written in place, and the start took what it read as final, while a running process has always kept its settings in that case.

Change: the start reads again what it cannot use, as long as the file was changed less than a second ago, for two seconds at most. A file that has been wrong for longer ends the process at once, as before.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -557,3 +557,6 @@
 DRAIN_RUNNING_PART = 0.92
 GRACE_PART = 0.95  # The rest is for closing sockets before the process is killed.
 SETTINGS_REFRESH_S = 2.0
+# A file that was changed less long ago may not be written whole yet.
+SETTINGS_WRITTEN_S = 1.0
+SETTINGS_READ_AGAIN_S = 0.05
--- a/src/jasminewharf/interfaces/running.py
+++ b/src/jasminewharf/interfaces/running.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import logging
+import os
 import signal
 import sys
+import time
 
-from .. import events
+from .. import defaults, events
 from ..eventloop import EventLoop
 from ..exceptions import JasminewharfError, SettingsError
 from ..kernel import Kernel
@@ -15,7 +17,7 @@
 from .exits import find_exit_code
 from .roles import build_kernel
 
-__all__ = ["run_daemon", "run_process"]
+__all__ = ["load_written_settings", "run_daemon", "run_process"]
 
 _logger = logging.getLogger(__name__)
 
@@ -39,6 +41,30 @@
     kernel.request_stop()
 
 
+def load_written_settings(path: str) -> Settings:
+    """Return the settings; a file that is just being written is read again.
+
+    Raises:
+        SettingsError: If the file cannot be used and has not been changed for a second.
+    """
+    deadline = time.monotonic() + 2 * defaults.SETTINGS_WRITTEN_S
+    while True:
+        try:
+            return load_settings(path)
+        except SettingsError:
+            if not _has_just_changed(path) or time.monotonic() > deadline:
+                raise
+        time.sleep(defaults.SETTINGS_READ_AGAIN_S)
+
+
+def _has_just_changed(path: str) -> bool:
+    try:
+        age_s = time.time() - os.stat(path).st_mtime
+    except OSError:
+        return False
+    return 0 <= age_s < defaults.SETTINGS_WRITTEN_S
+
+
 def run_daemon(settings_file: str) -> None:
     """Run the process that a settings file describes.
 
@@ -46,7 +72,7 @@
         SystemExit: With the exit code, if the settings or the process failed.
     """
     try:
-        settings = load_settings(settings_file)
+        settings = load_written_settings(settings_file)
     except SettingsError as error:
         print(f"error: {error}", file=sys.stderr)
         raise SystemExit(find_exit_code(error)) from error
