Keep no connection after a failure that names no request

What callers would see: a model that is not loaded, as its engine's agent gives no orders. A status read of an engine bears no identifier and goes over a kept connection; where the engine refused one with a pause (503, Retry-After) and wrote that again when the next was read, the agent paused anew.

Cause: the one place left at which a refusal was believed whose bytes an earlier request could have caused. Change: a connection on which a request without an identity got a failure is not kept, so that the next goes over another one. Repeated successes are told by their count of orders as before.

Measured: test_failure_without_an_identity_is_not_taken_for_the_next_answer fails on the code before; test_client.py and test_replies.py pass, 88 tests.

--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -30,6 +30,7 @@
 
 # Of the longest time-out of a kept connection that is believed: eleven days.
 _DIGITS = 6
+_FIRST_FAILURE = 400
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
 # Successes but for the one that has no body.
 _WITH_BODY = frozenset({200, 201, 202, 203, 206})
@@ -566,6 +567,9 @@
             response = ClientResponse(self, wire, head, sending.method)
             # The caller judges what a new connection brings.
             named = identity.read(response.headers) if identity is not None else ""
+            if identity is None and head.status_code >= _FIRST_FAILURE:
+                # Written once more, it would pass for the answer to the next request.
+                wire.is_kept = False
             if identity is None or response.is_first or named == identity.request_id:
                 _note_keep_alive(wire, head)
                 return response
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -678,3 +678,26 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+def test_failure_without_an_identity_is_not_taken_for_the_next_answer():
+    """A refused status read that came once more paused the orders to an engine."""
+    refusal = b"HTTP/1.1 503 X\r\nretry-after: 9\r\ncontent-length: 0\r\n\r\n"
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(refusal if client.connections_opened == 1 else render("", b"new"))
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(refusal)
+
+    async def scenario():
+        nonlocal client
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        assert (await client.fetch("GET", "/"))[0] == 503
+        assert await client.fetch("GET", "/") == (200, b"new")
+        client.close()
+        server.close()
+
+    client = None
+    asyncio.run(scenario())
