Take a call's answer only from the agent that has the call

What callers could see: a call that an entry had tried again at another agent, under the same request identifier, ended by what the first agent said of it late. Links of the first agent are made anew after a loss, so that it was not shown to happen; the identifier alone decided all the same.

Measured: the new test calls the handlers with the agent's name, which the code before does not take; 15 tests of agents and of the local system pass.

--- a/src/jasminewharf/services/agents.py
+++ b/src/jasminewharf/services/agents.py
@@ -171,10 +171,10 @@
             node,
             report.address,
             {
-                AnswerHead: self._take_head,
-                AnswerChunk: self._take_chunk,
-                AnswerEnd: self._take_end,
-                CallRefused: self._take_refusal,
+                AnswerHead: lambda message: self._take_head(node, message),
+                AnswerChunk: lambda message: self._take_chunk(node, message),
+                AnswerEnd: lambda message: self._take_end(node, message),
+                CallRefused: lambda message: self._take_refusal(node, message),
                 CacheEvents: self._take_cache_events,
                 AgentLeaving: lambda message: self._note_leaving(node),
             },
@@ -212,8 +212,11 @@
         for listener in self._listeners:
             listener()
 
-    def _find(self, request_id: str) -> CallInFlight | None:
+    def _find(self, node: str, request_id: str) -> CallInFlight | None:
+        """Return the call that an agent answers; one tried elsewhere is not its own."""
         call = self._calls.get(request_id)
+        if call is not None and call.agent != node:
+            call = None
         if call is None:
             self._metrics.count("dropped_answers_total")
             events.emit(_logger, events.ANSWER_DROPPED, request_id=request_id)
@@ -225,19 +228,19 @@
             load, own, asyncio.get_running_loop().time()
         )
 
-    def _take_head(self, head: AnswerHead) -> None:
-        call = self._find(head.request_id)
+    def _take_head(self, node: str, head: AnswerHead) -> None:
+        call = self._find(node, head.request_id)
         if call is not None:
             self._note_load(call, head.load)
             call.take_head(head)
 
-    def _take_chunk(self, chunk: AnswerChunk) -> None:
-        call = self._find(chunk.request_id)
+    def _take_chunk(self, node: str, chunk: AnswerChunk) -> None:
+        call = self._find(node, chunk.request_id)
         if call is not None:
             call.take_chunk(chunk)
 
-    def _take_end(self, end: AnswerEnd) -> None:
-        call = self._find(end.request_id)
+    def _take_end(self, node: str, end: AnswerEnd) -> None:
+        call = self._find(node, end.request_id)
         if call is None:
             return
         for span in end.spans:
@@ -245,8 +248,8 @@
         self._note_load(call, end.load)
         call.take_end(end)
 
-    def _take_refusal(self, refused: CallRefused) -> None:
-        call = self._find(refused.request_id)
+    def _take_refusal(self, node: str, refused: CallRefused) -> None:
+        call = self._find(node, refused.request_id)
         if call is not None:
             self._note_load(call, refused.load)
             call.fail(_restore_refusal(refused))
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -5,6 +5,7 @@
 
 from documentnodes import Node, build_plan, build_report
 from jasminewharf.exceptions import Overloaded
+from jasminewharf.messages.calls import CallRefused, LoadState
 from jasminewharf.services.agents import Agents
 from jasminewharf.services.backends import Backends
 from support import wait_until
@@ -108,3 +109,23 @@
         await close_nodes(*nodes)
 
     asyncio.run(main())
+
+
+def test_answer_of_another_agent_is_not_that_of_the_call():
+    """A call that was tried again elsewhere took the first agent's late refusal."""
+
+    async def main():
+        nodes = await open_nodes()
+        _, _, backends, agents = nodes
+        backends.backends["desk-1"].reachable = True
+        backends._start_ready = lambda backend: None
+        call = agents.forward(build_plan(0), "agent-1", "desk-1")
+        load = LoadState(0, 0, 0, 0.0)
+        late = CallRefused("call-0", "Overloaded", "full", True, 100, load)
+        agents._take_refusal("agent-2", late)
+        assert call.failure is None
+        agents._take_refusal("agent-1", late)
+        assert call.failure is not None
+        await close_nodes(*nodes)
+
+    asyncio.run(main())
