--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -24,6 +24,13 @@
     return entry, agent, backends, agents
 
 
+def forward_waiting(backends, agents):
+    """Return a call at an agent that accepts it and starts none."""
+    backends.backends["desk-1"].reachable = True
+    backends._start_ready = lambda backend: None
+    return agents.forward(build_plan(0), "agent-1", "desk-1")
+
+
 async def close_nodes(entry, agent, backends, agents):
     await agents.stop()
     await backends.stop()
@@ -76,9 +83,7 @@
     async def main():
         nodes = await open_nodes()
         entry, _, backends, agents = nodes
-        backends.backends["desk-1"].reachable = True
-        backends._start_ready = lambda backend: None
-        call = agents.forward(build_plan(0), "agent-1", "desk-1")
+        call = forward_waiting(backends, agents)
         await wait_until(lambda: backends._calls)
         entry.digest = {}
         entry.listener()
@@ -100,9 +105,7 @@
     async def main():
         nodes = await open_nodes()
         entry, _, backends, agents = nodes
-        backends.backends["desk-1"].reachable = True
-        backends._start_ready = lambda backend: None
-        call = agents.forward(build_plan(0), "agent-1", "desk-1")
+        call = forward_waiting(backends, agents)
         entry.digest = {"agent-1": build_report("127.0.0.1:9")}
         entry.listener()
         assert call.is_lost
@@ -117,9 +120,7 @@
     async def main():
         nodes = await open_nodes()
         _, _, backends, agents = nodes
-        backends.backends["desk-1"].reachable = True
-        backends._start_ready = lambda backend: None
-        call = agents.forward(build_plan(0), "agent-1", "desk-1")
+        call = forward_waiting(backends, agents)
         load = LoadState(0, 0, 0, 0.0)
         late = CallRefused("call-0", "Overloaded", "full", True, 100, load)
         agents._take_refusal("agent-2", late)
