Count answers whose end only their connection tells

Cause: neither logs nor metrics told whether a server stated the end of an answer, so that the hypotheses about answers framed as complete could not be told apart. Change: decisions/framing.py tells it from method, status and headers; the client's answers carry it, and close_delimited_answers_total counts them at each entry. Ruled out: to read it from the body, which looks the same in both cases.

--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -13,6 +13,7 @@
 import h11
 
 from .. import defaults, events
+from ..decisions.framing import is_close_delimited
 from ..exceptions import BackendError, BackendUnreachable
 from ..metrics import Metrics
 from ..settings import split_address
@@ -258,6 +259,7 @@
     Attributes:
         status: The HTTP status.
         headers: Names in lower case and values.
+        is_close_delimited: Whether only the end of the connection ends the body.
         is_first: Whether the connection has carried no other request.
     """
 
@@ -265,7 +267,6 @@
         self, client: "HttpClient", wire: _Wire, head: h11.Response, method: str
     ) -> None:
         self._client = client
-        self._method = method
         self._wire = wire
         self._finished = False
         self._closed = False
@@ -275,14 +276,12 @@
         self.headers = [
             (name.decode("latin-1"), _read_text(value)) for name, value in head.headers
         ]
+        self.is_close_delimited = is_close_delimited(method, self.status, self.headers)
 
     @property
     def _needs_body(self) -> bool:
         """Whether a success promises a body whose end only the close tells."""
-        names = [name for name, _ in self.headers]
-        is_framed = "content-length" in names or "transfer-encoding" in names
-        has_body = self.status in _WITH_BODY and self._method != "HEAD"
-        return has_body and not is_framed
+        return self.status in _WITH_BODY and self.is_close_delimited
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body.
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -61,6 +61,7 @@
     Attributes:
         status: The HTTP status.
         headers: The headers for the caller.
+        is_close_delimited: Whether only the end of the connection ended the body.
         media_type: The body's type in lower case; empty if not told.
     """
 
@@ -68,6 +69,7 @@
         self._response = response
         self.status = response.status
         self.headers = [(k, v) for k, v in response.headers if k not in _NOT_KEPT]
+        self.is_close_delimited = response.is_close_delimited
         content_type = dict(response.headers).get("content-type", "")
         self.media_type = content_type.partition(";")[0].strip().lower()
 
@@ -187,6 +189,8 @@
         except BaseException:
             response.close()
             raise
+        if response.is_close_delimited:
+            self._metrics.count("close_delimited_answers_total")
         return UpstreamAnswer(response)
 
     async def _check(
