Cut streams without a type that end inside an event

What callers saw: a stream whose server names no media type and that a crash ended inside an event was ended as complete, the part of the event included. Cause: only the type text/event-stream made a rest without its end a broken one. Fix: events with numbers say as much; a rest after them is broken, which is cut, or resumed where the route allows it. Text that holds no numbered events is passed on as before.

--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -97,21 +97,24 @@
     async def events(self) -> AsyncIterator[list[StreamEvent]]:
         """Yield the stream's events as they arrive.
 
-        Where the server does not say that these are events, an incomplete rest follows.
+        Where neither the type nor numbers say that these are events, an incomplete rest
+        follows.
 
         Raises:
             AnswerBroken: If the stream ended early or inside an event.
         """
         splitter = EventSplitter()
+        is_event_stream = self.media_type == _EVENT_STREAM
         try:
             async for chunk in self._response.chunks():
                 events = splitter.feed(chunk)
                 if events:
+                    is_event_stream |= any(event.number >= 0 for event in events)
                     yield events
         except BackendError as error:
             raise AnswerBroken(str(error), began=True) from error
         if splitter.rest:
-            if splitter.rest.strip() and self.media_type == _EVENT_STREAM:
+            if splitter.rest.strip() and is_event_stream:
                 raise AnswerBroken("the stream ended inside an event", began=True)
             yield [StreamEvent(-1, splitter.rest)]
 
