State no end of an answer that its server did not state

What callers saw: an answer without a length or chunks that a crash ended between two events reached them with a last chunk, a plain body with a Content-Length made from the bytes that came, so that both looked complete. Cause: the end of the entry's source became the end of the caller's answer; class: a claim made from an absence. The entry framed each answer anew and did not keep how the server had framed it. Fix: such an answer goes on without a length or chunks and ends with its connection. It is reset where the server's was reset, ended inside an event, or the entry is killed (the socket lingers for no time until the body has ended). The rest of a resumed stream that states no end does not complete one in chunks. The same cause on the way over agents, and for recorded orders sent once more: the head's fields tell it there. Why it works: the caller has what the server said, no more, and a reset for each end that is known to be none. New: an entry that is killed inside such an answer.

--- a/src/jasminewharf/interfaces/callers.py
+++ b/src/jasminewharf/interfaces/callers.py
@@ -8,6 +8,7 @@
 from typing import Any, ClassVar
 
 from .. import events
+from ..decisions.framing import is_close_delimited
 from ..decisions.keys import match_key, parse_key_id
 from ..exceptions import (
     BadRequest,
@@ -384,7 +385,14 @@
         if recorded is not None:
             headers = [*_keep_end_headers(recorded.headers), _REPLAYED_HEADER]
             headers.append(("x-request-id", plan.request_id))
-            responder.respond(recorded.status, headers, recorded.body)
+            responder.respond(
+                recorded.status,
+                headers,
+                recorded.body,
+                is_close_delimited=is_close_delimited(
+                    plan.method, recorded.status, recorded.headers
+                ),
+            )
             return
         # The caller may go while the order runs; its outcome is recorded all the same.
         started: asyncio.Future[OrderRelay] = asyncio.get_running_loop().create_future()
@@ -422,14 +430,15 @@
     ) -> None:
         headers = _keep_end_headers(answer.headers)
         headers.append(("x-request-id", plan.request_id))
+        has_no_end = is_close_delimited(plan.method, answer.status, answer.headers)
         is_started = False
         async for chunk in answer.chunks():
             if not is_started:
-                responder.start(answer.status, headers)
+                responder.start(answer.status, headers, is_close_delimited=has_no_end)
                 is_started = True
             await responder.write(chunk)
         if not is_started:
-            responder.start(answer.status, headers)
+            responder.start(answer.status, headers, is_close_delimited=has_no_end)
         responder.finish()
 
     async def _refuse(
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -40,6 +40,7 @@
 _VERSION_WITHOUT_CHUNKS = b"1.0"
 # Linger of zero seconds: the socket is reset when it is closed.
 _RESET = struct.pack("ii", 1, 0)
+_NO_LINGER = struct.pack("ii", 0, 0)
 # A whole URL as request target: its authority, and path with query.
 _ABSOLUTE_TARGET = re.compile(r"https?://([^/?#]*)(.*)", re.IGNORECASE)
 
@@ -69,15 +70,22 @@
         self.has_started = False
         self.is_finished = False
 
-    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+    def start(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        *,
+        is_close_delimited: bool = False,
+    ) -> None:
         """Send status and headers.
 
-        Without a ``content-length`` the body is sent in chunks.
+        Without a ``content-length`` the body is sent in chunks, or, if it
+        ``is_close_delimited``, ends with the connection.
         """
         self.has_started = True
         # The head waits for the first bytes of the body: one write, one packet.
         self._connection.hold()
-        self._connection.send_head(status, headers)
+        self._connection.send_head(status, headers, is_close_delimited)
 
     async def write(self, data: bytes) -> None:
         """Send body bytes; waits while the caller reads slowly."""
@@ -89,11 +97,21 @@
         """End the body."""
         self._connection.send_event(h11.EndOfMessage())
         self._connection.release()
+        self._connection.note_end()
         self.is_finished = True
 
-    def respond(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
-        """Send a whole response."""
-        self.start(status, [*headers, ("content-length", str(len(body)))])
+    def respond(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        *,
+        is_close_delimited: bool = False,
+    ) -> None:
+        """Send a whole response; see :meth:`start`."""
+        if not is_close_delimited:
+            headers = [*headers, ("content-length", str(len(body)))]
+        self.start(status, headers, is_close_delimited=is_close_delimited)
         if body:
             self._connection.send_event(h11.Data(data=body))
         self.finish()
@@ -129,6 +147,9 @@
         self._is_paused = False
         self._is_surplus = False
         self._has_served = False
+        # Whether the socket is reset when the process ends or closes it.
+        self._is_reset_armed = False
+        self._has_ended = False
         self._made_at = self._loop.time()
 
     def _new_h11(self) -> h11.Connection:
@@ -178,6 +199,9 @@
             events.emit(_logger, events.REQUEST_CUT, peer=self._peer)
             self._server.count_rejection(BadRequest("the request was cut"))
         self._closing = True
+        if self._is_reset_armed and self._has_ended and error is None:
+            # All was written; the socket is closed after this call.
+            self._set_linger(_NO_LINGER)
         self._cancel_timer()
         if self._flush_timer is not None:
             self._flush_timer.cancel()
@@ -377,12 +401,38 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
-    def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
+    def send_head(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        is_close_delimited: bool = False,
+    ) -> None:
+        if is_close_delimited:
+            # h11 frames the body by the version: without chunks, and with a close.
+            self._h11.their_http_version = _VERSION_WITHOUT_CHUNKS
         encoded = [(k.encode(), v.encode()) for k, v in headers]
         encoded.append((b"server", _SERVER_NAME))
         if self._server.draining:
             encoded.append((b"connection", b"close"))
         self.send_event(h11.Response(status_code=status, headers=encoded))
+        self._arm_reset(headers)
+
+    def _arm_reset(self, headers: list[tuple[str, str]]) -> None:
+        """Have the connection reset if the process ends inside the answer.
+
+        Where only the close ends the body, it would look whole to the caller.
+        """
+        if self._h11.their_http_version != _VERSION_WITHOUT_CHUNKS:
+            return
+        is_tls = self._transport.get_extra_info("ssl_object") is not None
+        if is_tls or any(name == "content-length" for name, _ in headers):
+            return
+        self._is_reset_armed = True
+        self._set_linger(_RESET)
+
+    def note_end(self) -> None:
+        """Note that the body has ended."""
+        self._has_ended = True
 
     def send_event(self, event: Any) -> None:
         is_head = self._head is not None and self._head.method == b"HEAD"
@@ -447,14 +497,18 @@
 
     def _reset(self) -> None:
         self._closing = True
+        self._has_ended = False
         if self._transport is None:
             return
+        self._set_linger(_RESET)
+        self._transport.abort()
+
+    def _set_linger(self, value: bytes) -> None:
         connection = self._transport.get_extra_info("socket")
         # The socket may be closed already.
         with contextlib.suppress(OSError):
             if connection is not None:
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-        self._transport.abort()
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
     def _arm(self, timeout_s: float) -> None:
         """Set the time-out; a timer that is due earlier looks at it again.
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -88,7 +88,12 @@
             if is_failure and self._may_repeat(job, attempts):
                 attempts.note_run(server.name)
                 continue
-            sink.respond(answer.status, answer.headers, body)
+            sink.respond(
+                answer.status,
+                answer.headers,
+                body,
+                is_close_delimited=answer.is_close_delimited,
+            )
             return
 
     async def _attempt_plain(
--- a/src/jasminewharf/services/streamrelay.py
+++ b/src/jasminewharf/services/streamrelay.py
@@ -12,8 +12,14 @@
 class Sink(Protocol):
     """Where an answer goes."""
 
-    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send the head."""
+    def start(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        *,
+        is_close_delimited: bool = False,
+    ) -> None:
+        """Send the head; it states no end if only the close is to tell the end."""
 
     async def write(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -21,8 +27,15 @@
     def finish(self) -> None:
         """End the body."""
 
-    def respond(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
-        """Send a whole answer."""
+    def respond(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        *,
+        is_close_delimited: bool = False,
+    ) -> None:
+        """Send a whole answer; see :meth:`start`."""
 
 
 class StreamRelay:
@@ -78,7 +91,11 @@
         if not self.has_started:
             self.has_started = True
             self._first = answer
-            self._sink.start(answer.status, answer.headers)
+            self._sink.start(
+                answer.status,
+                answer.headers,
+                is_close_delimited=answer.is_close_delimited,
+            )
 
     def finish(self, answer: UpstreamAnswer) -> None:
         """End the stream as complete.
@@ -88,9 +105,16 @@
         """
         self.position.check_end()
         self._start(answer)
+        if answer.is_close_delimited and not self._first.is_close_delimited:
+            raise AnswerBroken("the stream's rest states no end", began=True)
         self._sink.finish()
 
     def respond(self, answer: UpstreamAnswer, body: bytes) -> None:
         """Send a whole answer instead of a stream."""
         self.has_started = True
-        self._sink.respond(answer.status, answer.headers, body)
+        self._sink.respond(
+            answer.status,
+            answer.headers,
+            body,
+            is_close_delimited=answer.is_close_delimited,
+        )
--- a/tests/test_close_delimited.py
+++ b/tests/test_close_delimited.py
@@ -1,6 +1,8 @@
 """Answers of backend servers whose end only the close of the connection tells."""
 
 import asyncio
+import signal
+import sys
 from typing import NamedTuple
 
 import pytest
@@ -176,8 +178,12 @@
     """In a fleet with documents the entry made chunks of what the agent had read."""
 
     async def serve(self, reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nshort")
+        head = await reader.readuntil(b"\r\n\r\n")
+        is_load = head.startswith(b"GET /load")
+        if not is_load:
+            await reader.readexactly(2)
+        body = b'{"running": 0}' if is_load else b"short"
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n" + body)
         await writer.drain()
         writer.close()
 
@@ -198,3 +204,48 @@
         assert b" 200 " in received.head.splitlines()[0] + b" "
         assert not received.states_end
         assert received.body == b"short"
+
+
+# Answers without an end, and prints its address first.
+_SERVER = """
+import asyncio
+from jasminewharf.interfaces.http import HttpServer
+from jasminewharf.interfaces.refusals import render_refusal
+from jasminewharf.settings import LimitSettings
+
+async def handle(request, responder):
+    responder.start(200, [], is_close_delimited=True)
+    await responder.write(b"begun")
+    await asyncio.sleep(30)
+
+async def main():
+    server = HttpServer(handle, render_refusal, LimitSettings())
+    print(await server.listen("127.0.0.1", 0), flush=True)
+    await asyncio.sleep(30)
+
+asyncio.run(main())
+"""
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_answer_without_a_stated_end_is_reset_when_its_entry_is_killed(version):
+    """The kernel closed the connection, which to the caller ended a whole answer."""
+
+    async def scenario():
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", _SERVER, stdout=asyncio.subprocess.PIPE
+        )
+        try:
+            address = (await process.stdout.readline()).decode().strip()
+            asking = asyncio.create_task(ask(address, "/", [("host", "x")], version))
+            await asyncio.sleep(0.3)
+            process.send_signal(signal.SIGKILL)
+            received = await asking
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        assert received.body == b"begun"
+        assert received.is_reset
+
+    asyncio.run(scenario())
