Keep requests from engines whose part of a prompt crashes them

What callers saw: requests with one bad part ended one engine after the other, new ones and repeats, at every entry; sound requests were broken off with them or waited for their models. Cause: nothing connected the end of an engine with what was asked of it; class: a fault that each process sees in part and nobody counts for the fleet. Fix: an entry whose answer breaks off asks by a connection whether the server listens yet; if not, it tells the control hosts which parts were there (event 865), and they tell all entries within 0.1 s. Requests with a refused part get 503, not run, with the time until the next trial; with a suspected one they go one at a time in the fleet, by leave of the log's leader, to the engine with the fewest requests. A request whose server has ended goes to no second one unless all its parts were answered before. Whole answers clear parts, but for those whose end only the close tells. Entries repeat what they know every 5 s, so that it outlives any control host. Why it works: a bad part is the one that no answer clears; the others at the same ends are cleared by the next answer anywhere.

--- a/src/jasminewharf/decisions/attempts.py
+++ b/src/jasminewharf/decisions/attempts.py
@@ -16,6 +16,7 @@
         avoided: Servers that are currently excluded from further attempts.
         route: The route's name; empty until the route is known.
         waited_s: Seconds that it has waited for its model or a permit.
+        is_suspect: Whether it may crash the server that it is sent to.
     """
 
     def __init__(self) -> None:
@@ -25,6 +26,7 @@
         self.avoided: set[str] = set()
         self.route = ""
         self.waited_s = 0.0
+        self.is_suspect = False
         self._ran_on: set[str] = set()
         self._is_open = False
 
--- a/src/jasminewharf/decisions/serverselection.py
+++ b/src/jasminewharf/decisions/serverselection.py
@@ -16,6 +16,7 @@
     "RequestTarget",
     "RequestBacklog",
     "choose_engine",
+    "choose_idle_engine",
     "choose_load_placement",
     "choose_least_loaded_server",
     "count_excess_requests",
@@ -69,6 +70,11 @@
     return min(with_room, key=lambda s: rank_by_hash(key, s.name))
 
 
+def choose_idle_engine(servers: Sequence[Server]) -> Server:
+    """Return the engine that has the fewest requests, of those that hold a model."""
+    return min(servers, key=lambda server: server.load)
+
+
 def count_excess_requests(servers: Sequence[Server]) -> int:
     """Return how many requests at a model's engines another copy could take over.
 
--- a/src/jasminewharf/dialects/fleet.py
+++ b/src/jasminewharf/dialects/fleet.py
@@ -82,6 +82,7 @@
 
     ``time_left_s`` is how long the caller waits, 0 if not told. ``last_event`` is
     the last event of a stream that the caller has, -1 if it begins the stream.
+    ``shared_parts`` names the parts of the prompt that other requests may have too.
     """
 
     request_id: str
@@ -94,6 +95,7 @@
     prompt_tokens: int
     output_tokens: int
     last_event: int
+    shared_parts: tuple[str, ...] = ()
 
 
 class ForwardedHead(NamedTuple):
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -163,6 +163,11 @@
 PERMIT_OWNER_SILENT = _define(
     863, logging.WARNING, "owner of the servers' limits is silent"
 )
+SERVER_ENDED = _define(865, logging.WARNING, "backend server ended inside an answer")
+PART_SUSPECTED = _define(866, logging.INFO, "part of prompts suspected of a crash")
+PART_REFUSED = _define(867, logging.WARNING, "part of prompts that crashes servers")
+PART_CLEARED = _define(868, logging.INFO, "part of prompts cleared by an answer")
+PROMPT_REFUSED = _define(869, logging.INFO, "request with a bad part refused")
 STREAM_EVENTS_DROPPED = _define(870, logging.INFO, "events of a stream dropped")
 ANSWER_UNMATCHED = _define(
     864, logging.WARNING, "answer that belongs to no request in progress"
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -53,6 +53,7 @@
     "OutcomeUnknown",
     "Overloaded",
     "PeerUnavailable",
+    "PromptRefused",
     "ProposalRejected",
     "QueueFull",
     "QuorumLost",
@@ -341,10 +342,16 @@
 
     Attributes:
         began: Whether bytes of the answer had arrived.
+        is_silent: Whether the server sent nothing for too long.
+        may_be_poison: Whether the server has ended and the request may be the cause.
     """
 
-    def __init__(self, reason: str, *, began: bool = False) -> None:
+    def __init__(
+        self, reason: str, *, began: bool = False, is_silent: bool = False
+    ) -> None:
         self.began = began
+        self.is_silent = is_silent
+        self.may_be_poison = False
         super().__init__(reason)
 
 
@@ -527,6 +534,13 @@
     kind = "model_unavailable"
 
 
+class PromptRefused(Refusal):
+    """A part of the prompt has crashed backend servers, or may have."""
+
+    status = 503
+    kind = "prompt_refused"
+
+
 class AccountOwnerUnavailable(Refusal):
     """The rate account's owner did not answer and no grant is held."""
 
--- a/src/jasminewharf/interfaces/fleetcontrol.py
+++ b/src/jasminewharf/interfaces/fleetcontrol.py
@@ -11,6 +11,7 @@
 from ..services.lending import RateLender
 from ..services.log import LogService, LogSettings
 from ..services.permitowner import PermitOwner
+from ..services.poisonowner import PoisonOwner
 from ..services.process import Process
 from ..services.publisher import Publisher
 from ..services.relay import EngineRelay
@@ -68,6 +69,7 @@
             Gathering,
             EngineRelay,
             PermitOwner,
+            PoisonOwner,
             ControlConfigurationView,
             ServerListReader,
             RateLender,
--- a/src/jasminewharf/interfaces/fleetentry.py
+++ b/src/jasminewharf/interfaces/fleetentry.py
@@ -9,6 +9,7 @@
 from ..services.forwarding import Forwarder
 from ..services.lending import RateBorrower
 from ..services.permits import Permits
+from ..services.poisonguard import PoisonGuard
 from ..services.process import Process
 from ..services.reload import SettingsReload
 from ..services.reports import Reporter
@@ -43,6 +44,7 @@
             Upstream,
             DemandService,
             ServerChooser,
+            PoisonGuard,
             Forwarder,
             Gateway,
             Readiness,
--- a/src/jasminewharf/platform/callers.py
+++ b/src/jasminewharf/platform/callers.py
@@ -93,6 +93,7 @@
                 _read_count(prompt),
                 _read_count(output),
                 int(fields.get(_LAST_EVENT, "") or -1),
+                _list_shared_parts(fields.get("x-prompt-prefix", "")),
             )
         except ValueError as error:
             raise BadRequest(f"a header holds no number: {error}") from error
@@ -158,6 +159,15 @@
         raise BadRequest("a header that counts once is there twice")
 
 
+def _list_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the names of all parts but the last, which is the request's own.
+
+    A prompt is a list of pairs of name and number of tokens.
+    """
+    names = [part.partition(":")[0].strip().lower() for part in text.split(",")]
+    return tuple(name for name in names[:-1] if name)
+
+
 def _read_count(text: str) -> int:
     count = int(text or 0)
     if not 0 <= count <= _TOKENS_LIMIT:
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -23,6 +23,7 @@
 from ..kernel import Kernel, Service
 from .jobs import Job
 from .permits import Permit
+from .poisonguard import GuardedPrompt
 from .silence import SilenceLimit
 from .streamrelay import Sink, StreamRelay
 from .upstream import UpstreamAnswer
@@ -44,6 +45,7 @@
         "rates",
         "demand",
         "server-chooser",
+        "poison-guard",
     )
 
     def __init__(self, kernel: Kernel) -> None:
@@ -51,6 +53,7 @@
         self._upstream = kernel.find("upstream")
         self._chooser = kernel.find("server-chooser")
         self._demand = kernel.find("demand")
+        self._poison = kernel.find("poison-guard")
         self._budgets: dict[str, RetryBudget] = {}
         self._metrics = kernel.find("process").metrics
 
@@ -61,21 +64,26 @@
             Refusal: Saying whether a backend server can have run the request.
         """
         self._budget(job.service.name).deposit()
+        prompt = self._poison.open(job)
         if job.route.kind == "stream":
-            await self._run_stream(job, sink, attempts)
+            await self._run_stream(job, sink, attempts, prompt)
         else:
-            await self._run_plain(job, sink, attempts)
+            await self._run_plain(job, sink, attempts, prompt)
 
     # Whole answers.
 
-    async def _run_plain(self, job: Job, sink: Sink, attempts: Attempts) -> None:
+    async def _run_plain(
+        self, job: Job, sink: Sink, attempts: Attempts, prompt: GuardedPrompt
+    ) -> None:
         while True:
+            attempts.is_suspect = bool(prompt.check())
             server, permit = await self._chooser.admit(job, attempts)
             try:
                 with self._in_flight(server, job), contextlib.closing(permit):
-                    answer, body = await self._attempt_plain(
-                        server, job, attempts, permit
-                    )
+                    async with prompt.attempt(server):
+                        answer, body = await self._attempt_plain(
+                            server, job, attempts, permit
+                        )
             except LimitReached:
                 attempts.note_unsent()
                 continue
@@ -94,6 +102,8 @@
                 body,
                 is_close_delimited=answer.is_close_delimited,
             )
+            if answer.is_success:
+                await prompt.note_end(server, answer.is_close_delimited)
             return
 
     async def _attempt_plain(
@@ -107,7 +117,7 @@
                 )
                 return answer, await answer.read()
         except TimeoutError:
-            raise AnswerBroken(f"silent for {limit_s:.2f} s") from None
+            raise _describe_silence(limit_s) from None
 
     async def _open(
         self,
@@ -129,15 +139,22 @@
 
     # Streams.
 
-    async def _run_stream(self, job: Job, sink: Sink, attempts: Attempts) -> None:
+    async def _run_stream(
+        self, job: Job, sink: Sink, attempts: Attempts, prompt: GuardedPrompt
+    ) -> None:
         relay = StreamRelay(sink, job.call.last_event)
         while True:
+            attempts.is_suspect = bool(prompt.check())
             server, permit = await self._chooser.admit(job, attempts)
             try:
                 with self._in_flight(server, job), contextlib.closing(permit):
-                    if await self._attempt_stream(server, job, relay, attempts, permit):
-                        self._chooser.note_result(server, True)
-                        return
+                    async with prompt.attempt(server):
+                        is_final = await self._attempt_stream(
+                            server, job, relay, attempts, permit, prompt
+                        )
+                if is_final:
+                    self._chooser.note_result(server, True)
+                    return
                 self._chooser.note_result(server, False)
                 attempts.note_run(server.name)
             except LimitReached:
@@ -156,6 +173,7 @@
         relay: StreamRelay,
         attempts: Attempts,
         permit: Permit,
+        prompt: GuardedPrompt,
     ) -> bool:
         """Relay one server's stream; return False if it is to be tried elsewhere."""
         limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
@@ -164,12 +182,15 @@
             async with SilenceLimit(limit_s):
                 answer = await self._open(server, job, attempts, permit, last_event)
         except TimeoutError:
-            raise AnswerBroken(f"silent for {limit_s:.2f} s") from None
+            raise _describe_silence(limit_s) from None
         dropped = relay.position.dropped
         try:
             relay.begin(answer)
             if not answer.may_be_events:
-                return await self._take_whole(answer, job, relay, attempts)
+                is_final = await self._take_whole(answer, job, relay, attempts)
+                if answer.is_success:
+                    await prompt.note_end(server, answer.is_close_delimited)
+                return is_final
             if relay.has_started:
                 events.emit(
                     _logger,
@@ -178,8 +199,9 @@
                     server=server.name,
                     after=last_event,
                 )
-            await self._forward_events(answer, server, job, relay, attempts)
+            await self._forward_events(answer, server, job, relay, attempts, prompt)
             relay.finish(answer)
+            await prompt.note_end(server, answer.is_close_delimited)
             return True
         finally:
             answer.close()
@@ -198,7 +220,7 @@
             async with SilenceLimit(limit_s):
                 body = await answer.read()
         except TimeoutError:
-            raise AnswerBroken(f"silent for {limit_s:.2f} s", began=True) from None
+            raise _describe_silence(limit_s, began=True) from None
         if answer.status >= defaults.SERVER_ERROR_STATUS and self._may_repeat(
             job, attempts
         ):
@@ -224,6 +246,7 @@
         job: Job,
         relay: StreamRelay,
         attempts: Attempts,
+        prompt: GuardedPrompt,
     ) -> None:
         """Relay events; end an idempotent stream that makes no progress any more."""
         batches = answer.events()
@@ -234,12 +257,13 @@
                 async with SilenceLimit(progress_at + limit_s - _now()):
                     batch = await anext(batches, None)
             except TimeoutError:
-                raise AnswerBroken(f"silent for {limit_s:.2f} s", began=True) from None
+                raise _describe_silence(limit_s, began=True) from None
             if batch is None:
                 return
             server.heard_at = _now()
             if await relay.forward(answer, batch):
                 progress_at = _now()
+                prompt.note_progress()
 
     # What follows a failed attempt.
 
@@ -271,7 +295,9 @@
 
     def _check_next(self, job: Job, attempts: Attempts, error: BackendError) -> None:
         """Raise the final refusal unless the request may be tried again."""
-        if attempts.may_have_run and not self._may_go_on(job, attempts):
+        is_poison = isinstance(error, AnswerBroken) and error.may_be_poison
+        may_go_on = not is_poison and self._may_go_on(job, attempts)
+        if attempts.may_have_run and not may_go_on:
             raise BackendFailed(
                 f"a backend server failed: {error}", not_run=False
             ) from error
@@ -284,7 +310,8 @@
     def _check_resume(
         self, job: Job, relay: StreamRelay, attempts: Attempts, error: BackendError
     ) -> None:
-        if not relay.can_resume or not self._may_go_on(job, attempts):
+        is_poison = isinstance(error, AnswerBroken) and error.may_be_poison
+        if is_poison or not relay.can_resume or not self._may_go_on(job, attempts):
             raise StreamInterrupted(f"the stream broke: {error}", not_run=False)
 
     def _may_go_on(self, job: Job, attempts: Attempts) -> bool:
@@ -327,6 +354,11 @@
             self._demand.note_ended(server)
 
 
+def _describe_silence(limit_s: float, *, began: bool = False) -> AnswerBroken:
+    reason = f"silent for {limit_s:.2f} s"
+    return AnswerBroken(reason, began=began, is_silent=True)
+
+
 def _age_ms(at: float) -> int:
     age_s = _now() - at
     return int(age_s * defaults.MS_PER_S) if age_s < defaults.AGE_LIMIT_S else -1
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -13,6 +13,7 @@
 from ..decisions.serverselection import (
     RequestTarget,
     choose_engine,
+    choose_idle_engine,
     choose_least_loaded_server,
     count_excess_requests,
     is_full,
@@ -354,6 +355,9 @@
             excess = count_excess_requests(free)
             if excess:
                 self._demand.ask_copy(job.service, job.call.model, excess)
+            if attempts.is_suspect:
+                # Its crash would take the other requests of the engine along.
+                return _Choice(choose_idle_engine(free), limited, excess > 0)
             return _Choice(choose_engine(free, wanted), limited, excess > 0)
 
     async def _wait_model(self, job: Job, attempts: Attempts) -> None:
--- a/tests/crashingengines.py
+++ b/tests/crashingengines.py
@@ -43,18 +43,19 @@
         *parts, _ = fields["x-prompt-prefix"].split(",")
         now = asyncio.get_running_loop().time()
         self._received.append(Arrival(now, tuple(parts)))
-        if not self._bad_parts.intersection(parts):
+        bad = self._bad_parts.intersection(parts)
+        if not bad:
             await super()._stream(fields, signed, responder, fault)
             return
         responder.start(200, [*signed, ("content-type", "text/event-stream")])
         await responder.write(b"id: 1\ndata: x1\n\n")
         await asyncio.sleep(0.01)
-        self.crash()
+        self.crash(min(bad))
 
-    def crash(self):
+    def crash(self, part=""):
         """End now and come back later."""
         if self._restart is None or self._restart.done():
-            self._ends.append(asyncio.get_running_loop().time())
+            self._ends.append((asyncio.get_running_loop().time(), part))
             self._restart = asyncio.create_task(self._come_back())
 
     async def _come_back(self):
@@ -80,7 +81,7 @@
     """A load on a fleet, of which a share has a bad part.
 
     Attributes:
-        ends: When engines ended.
+        ends: When engines ended, and the part under which they did.
         received: The requests that reached engines.
         outcomes: What callers got.
     """
@@ -130,12 +131,18 @@
             status, fields = 0, {}
         self.outcomes.append(Outcome(at, is_bad, status, "retry-after" in fields))
 
-    def count_bad(self, since):
-        """Return how many requests with a bad part reached engines."""
-        return sum(
-            arrival.at >= since and not self.bad_parts.isdisjoint(arrival.parts)
-            for arrival in self.received
-        )
+    def count_late(self, contact_s):
+        """Return how many requests of the worst bad part reached engines late.
+
+        That is later than ``contact_s`` after the fifth end under that part.
+        """
+        worst = 0
+        for part in self.bad_parts:
+            ended = [at for at, bad in self.ends if bad == part]
+            if len(ended) >= 5:
+                late = [a for a in self.received if a.at >= ended[4] + contact_s]
+                worst = max(worst, sum(part in arrival.parts for arrival in late))
+        return worst
 
     def measure_served(self, begin, end):
         """Return the share of sound requests sent in a span that were served."""
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -10,9 +10,10 @@
 # The bounds of the platform's pages are several seconds; here all is on one machine.
 CONTACT_S = 1.0
 BAD = "bad0bad0:64"
+DURATION_S = 11.0
 
 
-def play(tmp_path, bad_parts, *, place=1, seed=1, duration_s=11.0, entries=4):
+def play(tmp_path, bad_parts, *, place=1, seed=1, duration_s=DURATION_S, entries=4):
     """Play a load and return it with the time at which it began."""
     load = Play(bad_parts)
     began = []
@@ -27,13 +28,22 @@
     return load, began[0]
 
 
+def check(load, began):
+    """Check what the platform's rules ask: few late arrivals, sound ones served."""
+    assert load.ends
+    assert load.count_late(CONTACT_S) <= 3
+    first, fifth = load.ends[0][0], load.ends[:5][-1][0]
+    before = load.measure_served(began, first)
+    after = load.measure_served(fifth + 2 * CONTACT_S, began + DURATION_S)
+    assert after >= before / 2
+
+
 @pytest.mark.parametrize("place", [0, 1, 2])
 def test_part_that_crashes_engines_is_kept_from_them(tmp_path, place):
     """Each entry went on sending such requests until no engine was left."""
-    load, began = play(tmp_path, [BAD], place=place)
-    assert load.ends
-    fifth = load.ends[:5][-1]
-    assert load.count_bad(fifth + CONTACT_S) <= 3
-    before = load.measure_served(began, load.ends[0])
-    after = load.measure_served(fifth + 2 * CONTACT_S, began + 11.0)
-    assert after >= before / 2
+    check(*play(tmp_path, [BAD], place=place))
+
+
+def test_several_parts_that_crash_engines_are_kept_from_them(tmp_path):
+    """The ends of one part hid those of the others."""
+    check(*play(tmp_path, [BAD, "bad1bad1:64", "bad2bad2:64"]))
