Take only requests during a planned stop that can end in it

What operators of similar systems saw: in a planned stop in calm, requests that came late in the grace were taken and passed on, and cut at its end, orders among them. Cause: until running requests are ended at 92 % of the grace, each was taken whatever it would need; with a grace of 3 s the notice to the balancer took 2.5 s of it. Fix: an entry keeps how long the last answers of each route took; while it stops, a request is taken only if nearly all of them, or its own time, would end before running requests are ended. Others get 503, not run, with Connection: close, at once. The notice takes half of a short grace at most. Why it works: what is taken has its time; what has not is told so before a server saw it, so that orders too may be sent elsewhere. Ruled out: to refuse all from the beginning, which sends callers away that the balancer still brings for two seconds. Not tried: stops of agents and control hosts, entries with documents, stops in trouble.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -581,6 +581,13 @@
 # A stopping agent waits this long for the entries to send it nothing more.
 AGENT_LEAVE_S = 1.0
 DRAIN_NOTICE_S = 2.5  # Two questions of a balancer that asks once a second.
+DRAIN_NOTICE_PART = 0.5  # At most, of a grace that is shorter.
+# What is taken during a stop has to end in it.
+STOP_ANSWERS_KEPT = 64
+STOP_ANSWERS_LEAST = 5
+STOP_ANSWERS_PART = 0.95
+STOP_MARGIN = 1.25
+STOP_ROUTES_LIMIT = 1_000
 DRAIN_WAITING_PART = 0.45  # Of the grace: time to be served elsewhere after it.
 DRAIN_RUNNING_PART = 0.92
 GRACE_PART = 0.95  # The rest is for closing sockets before the process is killed.
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import logging
+import math
 from typing import ClassVar, NamedTuple
 
 from .. import defaults, events
 from ..decisions.attempts import Attempts
 from ..decisions.configurations import CallerLimits, Route, WorkspaceSpec
 from ..decisions.routes import RouteTable
+from ..decisions.stopping import AnswerTimes, can_end_in_time
 from ..dialects.fleet import CALLER_DIALECTS, CallHead
 from ..exceptions import (
     BackendFailed,
@@ -78,6 +80,9 @@
         self._http = HttpServer(self._handle, self._render, kernel.settings.limits)
         self._metrics = kernel.find("process").metrics
         self.is_draining = False
+        self._answer_times = AnswerTimes()
+        # When running requests are ended, on the event loop's clock.
+        self._ends_at = math.inf
         self._exchanges: set[_Exchange] = set()
 
     async def start(self) -> None:
@@ -91,17 +96,20 @@
         """Finish the requests in flight, and answer all before the process ends.
 
         The balancer learns of it at its next questions; until then connections are
-        still taken, and closed after their answer.
+        still taken, and closed after their answer. A request that is not likely to
+        end in time is sent elsewhere at once.
         """
         grace_s = self.kernel.settings.fleet.bounds.grace_s
         loop = asyncio.get_running_loop()
+        self._ends_at = loop.time() + grace_s * defaults.DRAIN_RUNNING_PART
         self.is_draining = True
         self._http.draining = True
         self._metrics.count("drains_total")
         loop.call_later(grace_s * defaults.DRAIN_WAITING_PART, self._refuse_waiting)
         loop.call_later(grace_s * defaults.DRAIN_RUNNING_PART, self._end_running)
-        await asyncio.sleep(defaults.DRAIN_NOTICE_S)
-        left_s = grace_s * defaults.GRACE_PART - defaults.DRAIN_NOTICE_S
+        notice_s = min(defaults.DRAIN_NOTICE_S, grace_s * defaults.DRAIN_NOTICE_PART)
+        await asyncio.sleep(notice_s)
+        left_s = grace_s * defaults.GRACE_PART - notice_s
         await self._http.drain(max(left_s, 0.0))
 
     def _refuse_waiting(self) -> None:
@@ -170,6 +178,8 @@
         table = self.kernel.find("view").table
         workspace = table.find_workspace(call.key) if table and call else None
         elapsed_s = _now() - started
+        if outcome == "answered" and attempts.route:
+            self._answer_times.note(attempts.route, elapsed_s)
         self._metrics.count("requests_total", outcome=outcome)
         self._metrics.observe("request_seconds", elapsed_s, outcome=outcome)
         events.emit(
@@ -218,6 +228,7 @@
         deadline = started + admitted.route.timeout_s
         if call.time_left_s > 0:
             deadline = min(deadline, started + call.time_left_s)
+        self._check_stop(admitted.route, deadline - started)
         try:
             async with asyncio.timeout_at(deadline):
                 await self._run(
@@ -226,6 +237,18 @@
         except TimeoutError:
             raise _conclude_timeout(attempts) from None
 
+    def _check_stop(self, route: Route, patience_s: float) -> None:
+        """Refuse a request that would be cut at the end of a stop.
+
+        Raises:
+            ShuttingDown: If it is not likely to end in time.
+        """
+        left_s = self._ends_at - _now()
+        if not can_end_in_time(route, self._answer_times, patience_s, left_s):
+            raise ShuttingDown(
+                "the entry stops", retry_after_ms=defaults.SERVER_BUSY_RETRY_MS
+            )
+
     def _admit(self, table: RouteTable, call: CallHead) -> _Admitted:
         """Return route and workspace of a request.
 
