Do not hold an engine that starts again to its former failures

What callers saw: an engine that ended and is back under its name got no requests for as long as its former life was ejected, up to minutes with each further end. Cause: the outlier detector's records bear the server's name, which a restart may keep; they were never dropped either, one for each server that ever was on the list. Fix: records bear name and time of the start, and those of servers that are not listed are dropped once a second. Evidence: test_engine_that_starts_again_is_not_held_to_its_former_failures failed before.

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -75,6 +75,11 @@
         """The server's identifier."""
         return self.listed.server
 
+    @property
+    def incarnation(self) -> str:
+        """The identifier with the time of the start, which a restart changes."""
+        return f"{self.listed.server}@{self.listed.born_ms}"
+
     @property
     def is_leaving(self) -> bool:
         """Whether the list or the server itself reports that it is shutting down."""
--- a/src/jasminewharf/decisions/health.py
+++ b/src/jasminewharf/decisions/health.py
@@ -1,7 +1,7 @@
 """Outlier detection for backend servers and failure detection for nodes."""
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 from .. import defaults
@@ -106,6 +106,10 @@
         """Discard the record of a server that is gone or has restarted."""
         self._records.pop(backend, None)
 
+    def retain(self, backends: Collection[str]) -> None:
+        """Discard the records of all servers but these."""
+        self._records = {n: r for n, r in self._records.items() if n in backends}
+
     def _forget_old(self, record: _Record, now: float) -> None:
         horizon = now - self._limits.window_s
         while record.results and record.results[0][0] < horizon:
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -76,7 +76,9 @@
             due = _now() + defaults.SILENCE_WATCH_S
             await asyncio.sleep(defaults.SILENCE_WATCH_S)
             now = _now()
-            for server in self._directory.servers.values():
+            known = self._directory.servers.values()
+            self._health.retain({server.incarnation for server in known})
+            for server in known:
                 server.excuse(now - due, now)
                 silent_s = server.silent_s(now)
                 # One request may simply take long; several at once do not.
@@ -84,7 +86,7 @@
                 if silent_s <= limit_s:
                     continue
                 server.avoided_until = now + defaults.SERVER_AVOIDED_S
-                if self._health.eject(server.name, now):
+                if self._health.eject(server.incarnation, now):
                     self._metrics.count("servers_ejected_total")
                     events.emit(
                         _logger,
@@ -97,7 +99,7 @@
 
     def note_result(self, server: Server, succeeded: bool) -> None:
         """Count the outcome of an attempt; eject a server that fails too often."""
-        if self._health.record(server.name, succeeded, _now()):
+        if self._health.record(server.incarnation, succeeded, _now()):
             self._metrics.count("servers_ejected_total")
             events.emit(
                 _logger,
@@ -115,8 +117,8 @@
             for server in self._directory.in_service(job.service.name)
             if server.is_open(now)
         ]
-        kept = set(self._health.usable([s.name for s in servers], now))
-        return [server for server in servers if server.name in kept]
+        kept = set(self._health.usable([s.incarnation for s in servers], now))
+        return [server for server in servers if server.incarnation in kept]
 
     def list_untried(self, job: Job, attempts: Attempts) -> list[Server]:
         """Return the servers that take the request and are not avoided for it."""
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from types import SimpleNamespace
 
 import pytest
 
@@ -753,3 +754,28 @@
         del fleet.kernels[0]
 
     run_with_fleet(scenario, tmp_path)
+
+
+def test_engine_that_starts_again_is_not_held_to_its_former_failures(tmp_path):
+    """It got no requests for the time for which its former life was ejected."""
+
+    async def scenario(fleet):
+        entry = fleet.entry_kernels[0]
+        chooser = entry.find("server-chooser")
+        directory = entry.find("directory").directory
+        job = SimpleNamespace(service=entry.find("view").table.services["llm"])
+        for _ in range(10):
+            chooser.note_result(directory.servers["i-e1"], False)
+        names = {engine.name for engine in fleet.engines}
+        usable = {server.name for server in chooser._list_usable(job)}
+        assert usable == names - {"i-e1"}
+        fleet.engines[0].born += 1_000
+        await wait_until(lambda: directory.servers["i-e1"].listed.born_ms == 2_000)
+        usable = {server.name for server in chooser._list_usable(job)}
+        assert usable == names
+
+    engines = [
+        FakeReplica("127.0.0.1", f"i-e{number}", "llm", ["m0"])
+        for number in range(1, 5)
+    ]
+    run_with_fleet(scenario, tmp_path, engines=engines)
