--- a/src/jasminewharf/bench/memory_files.py
+++ b/src/jasminewharf/bench/memory_files.py
@@ -104,7 +104,8 @@
     """Implements ``services.files.Files``.
 
     Attributes:
-        full: Whether writes fail, after a half of the data, for lack of space.
+        full: Whether writes fail, after a half of the data, for lack of space; no file
+            can be made then.
         ignore_sync: Whether syncs of files do nothing, as an injected fault.
         crash_after: Number of operations before a crash, or None.
     """
@@ -171,6 +172,8 @@
         """Open or create a file."""
         self.count_operation()
         if path not in self._names:
+            if self.full:
+                raise StorageFull(f"{path}: no space left")
             self._change(_NameChange("", path, _Inode()))
         return MemoryFile(self, self._names[path])
 
--- a/src/jasminewharf/services/files.py
+++ b/src/jasminewharf/services/files.py
@@ -177,6 +177,10 @@
         file.truncate(0)
         file.write(0, data)
         file.sync()
+    except StorageFull:
+        # What was written takes the space that others need.
+        files.remove(temporary)
+        raise
     finally:
         file.close()
     files.rename(temporary, f"{folder}/{name}")
--- a/src/jasminewharf/services/groupsnapshots.py
+++ b/src/jasminewharf/services/groupsnapshots.py
@@ -94,7 +94,11 @@
             _logger, events.SNAPSHOT_SAVED, group=group, index=index, size=meta.size
         )
         base_index = self._runner.consensus.base_index
-        await self._writer.call(self._storage.drop_before, base_index)
+        try:
+            await self._writer.call(self._storage.drop_before, base_index)
+        except StorageFull as error:
+            # They go with the next snapshot.
+            events.emit(_logger, events.DISK_FULL, group=group, error=error)
 
     def send_chunk(self, receiver: str, chunk: SnapshotChunk) -> None:
         """Fill a chunk with its bytes and send it."""
--- a/src/jasminewharf/services/snapshotfiles.py
+++ b/src/jasminewharf/services/snapshotfiles.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from ..decisions.records import SnapshotMeta
-from ..exceptions import CorruptLog, StorageError
+from ..exceptions import CorruptLog, StorageFull
 from ..messages.log import MemberRecord
 from .files import Files, OpenFile, replace_file
 
@@ -108,15 +108,29 @@
         return self._files.read(f"{self._folder}/{_name(index)}", offset, length)
 
     def write_chunk(self, offset: int, data: bytes) -> None:
-        """Store received bytes; offset 0 begins a new snapshot."""
-        if offset == 0 or self._incoming is None:
+        """Store received bytes; offset 0 begins a new snapshot.
+
+        Raises:
+            StorageFull: If there is no space; what was received before is gone too.
+        """
+        try:
+            if offset == 0 or self._incoming is None:
+                self._close_incoming()
+                self._incoming = self._files.open(f"{self._folder}/{_INCOMING}")
+                self._incoming.truncate(0)
+            self._incoming.write(offset, data)
+        except StorageFull:
             self.discard_incoming()
-            self._incoming = self._files.open(f"{self._folder}/{_INCOMING}")
-            self._incoming.truncate(0)
-        self._incoming.write(offset, data)
+            raise
 
     def discard_incoming(self) -> None:
-        """Forget what was received so far."""
+        """Forget what was received so far, and free its space."""
+        self._close_incoming()
+        path = f"{self._folder}/{_INCOMING}"
+        if self._files.exists(path):
+            self._files.remove(path)
+
+    def _close_incoming(self) -> None:
         if self._incoming is not None:
             self._incoming.close()
             self._incoming = None
@@ -125,19 +139,24 @@
         """Verify the received snapshot, make it durable and return the state.
 
         Raises:
-            CorruptLog: If it is damaged or not the one that ``meta`` describes.
+            CorruptLog: If it is damaged, incomplete or not the one that ``meta``
+                describes.
             StorageError: If it could not be stored; the previous one remains.
         """
         if self._incoming is None:
-            raise StorageError("no snapshot was received")
+            # Its chunks found no space.
+            raise CorruptLog("no snapshot was received")
+        path = f"{self._folder}/{_INCOMING}"
         try:
             self._incoming.sync()
-        finally:
+            found, state = _parse(self._files.read(path), path)
+            if found != meta:
+                raise CorruptLog(f"{path}: snapshot is not the announced one")
+        except (CorruptLog, StorageFull):
             self.discard_incoming()
-        path = f"{self._folder}/{_INCOMING}"
-        found, state = _parse(self._files.read(path), path)
-        if found != meta:
-            raise CorruptLog(f"{path}: snapshot is not the announced one")
+            raise
+        finally:
+            self._close_incoming()
         self._files.rename(path, f"{self._folder}/{_name(meta.index)}")
         self._files.sync_folder(self._folder)
         self.newest = meta
--- a/src/jasminewharf/services/storage.py
+++ b/src/jasminewharf/services/storage.py
@@ -6,6 +6,7 @@
 segment is allocated in advance and ends in zeros.
 """
 
+import contextlib
 import logging
 import struct
 from typing import Any, NamedTuple
@@ -15,7 +16,7 @@
 from .. import events
 from ..decisions.records import Entry, HardState, LogReset, Restored, SnapshotMeta
 from ..defaults import LOG_ALLOCATE_BYTES, LOG_SEGMENT_BYTES
-from ..exceptions import CorruptLog, StorageError
+from ..exceptions import CorruptLog, StorageError, StorageFull
 from .files import Files, OpenFile
 from .frames import encode_frame, has_frame_after, read_frame, unpack_records
 from .snapshotfiles import SnapshotFiles
@@ -129,7 +130,7 @@
         elif self._file is None:
             self._file = self._files.open(self._path(self._name))
             self._file.sync()
-        self._mark = self._files.open(self._path(_MARK))
+        self._open_mark()
         restored = _restore(replay, snapshot, self._folder)
         if replay.entries and not restored.entries:
             # The next entry does not follow those on the disk, so that the reset,
@@ -260,8 +261,17 @@
             else:
                 self._last_index = record.index
 
+    def _open_mark(self) -> None:
+        """Open the mark, which only helps to detect damage; else without it."""
+        with contextlib.suppress(StorageFull):
+            self._mark = self._files.open(self._path(_MARK))
+
     def _write_mark(self) -> None:
         checksum = self._mark_checksum(self._sequence)
+        if self._mark is None:
+            self._open_mark()
+        if self._mark is None:
+            return
         try:
             self._mark.write(0, _MARK_FORMAT.pack(self._sequence, checksum))
         except StorageError:
@@ -274,10 +284,13 @@
         if self._offset == 0:
             return
         while self._closed and self._closed[0].last_index <= index:
-            self._files.remove(self._path(self._closed.pop(0).name))
+            path = self._path(self._closed[0].name)
+            if self._files.exists(path):
+                self._files.remove(path)
             # A power loss may take back the removal of an older segment and keep
             # that of a newer one, and a log with a gap does not open.
             self._files.sync_folder(self._folder)
+            del self._closed[0]
 
     def close(self) -> None:
         """Close the files."""
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,5 +1,6 @@
 """Storage must return exactly what it acknowledged, or refuse."""
 
+import contextlib
 import logging
 import random
 
@@ -34,6 +35,22 @@
     return storage
 
 
+@contextlib.contextmanager
+def fill_after_opening(files):
+    """Fill the disk once the next file has been made."""
+    make_file = files.open
+
+    def open_and_fill(path):
+        file = make_file(path)
+        files.full = True
+        return file
+
+    files.open = open_and_fill
+    yield
+    files.open = make_file
+    files.full = False
+
+
 def segments(files):
     return [name for name in files.list_folder("g") if name.startswith("segment")]
 
@@ -217,6 +234,59 @@
     assert open_storage(files)[1].entries[-1] == make_entry(4)
 
 
+def test_snapshot_that_finds_no_space_leaves_nothing_behind():
+    """Each try filled up the space that the log needed, until no change was taken."""
+    files = MemoryFiles()
+    storage = write_entries(files, 3)
+    names = files.list_folder("g")
+    for index in (1, 2, 3):
+        with fill_after_opening(files), pytest.raises(StorageFull):
+            storage.snapshots.save(index, 1, MEMBERS, b"state" * 100)
+        assert files.list_folder("g") == names
+
+
+def test_received_snapshot_that_finds_no_space_leaves_nothing_behind():
+    """It kept the space, and an end without a beginning stopped the process."""
+    files = MemoryFiles()
+    storage = write_entries(files, 3)
+    old = storage.snapshots.save(2, 1, MEMBERS, b"old")
+    names = files.list_folder("g")
+    files.full = True
+    with pytest.raises(StorageFull):
+        storage.snapshots.write_chunk(0, b"first")
+    # The install was queued together with the last chunk.
+    with pytest.raises(CorruptLog):
+        storage.snapshots.install(old._replace(index=3))
+    files.full = False
+    storage.snapshots.write_chunk(0, b"first")
+    files.full = True
+    with pytest.raises(StorageFull):
+        storage.snapshots.write_chunk(5, b"second")
+    with pytest.raises(CorruptLog):
+        storage.snapshots.install(old._replace(index=3))
+    assert files.list_folder("g") == names
+    files.full = False
+    assert open_storage(files)[1].snapshot == old
+
+
+def test_segments_are_removed_once_a_full_disk_has_space():
+    """What could not be removed at once was kept until the next start."""
+    files = MemoryFiles()
+    storage = write_entries(files, 12)
+    storage.snapshots.save(12, 1, MEMBERS, b"state")
+    remove = files.remove
+
+    def refuse(path):
+        raise StorageFull(path)
+
+    files.remove = refuse
+    with pytest.raises(StorageFull):
+        storage.drop_before(12)
+    files.remove = remove
+    storage.drop_before(12)
+    assert len(segments(files)) == 1
+
+
 def test_disk_identity_survives_and_logs_without_it_are_refused(tmp_path):
     folder = str(tmp_path / "data")
     disk = Disk(DiskFiles(), folder, "a", ("fleet",))
