Clear parts by answers that state no end, unless their engine has ended

What callers would see: of engines that never state an end no answer cleared a part, so that every part that was beside an end of any cause went one request at a time in the fleet, and was refused after three such ends. Cause: answers whose end only the close tells cleared nothing, as a crash may look the same; and that a server listened was believed for a second, in which it may have ended. Fix: after such an answer the entry asks whether the server listens yet, if a part was never answered or is accused; if it does, the answer clears. Only an end is kept. Evidence: test_answers_that_state_no_end_clear_the_parts_of_sound_engines failed before; test_end_between_two_events_without_a_stated_end_accuses passed before and guards the other side.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -527,7 +527,7 @@
 # Requests that crash backend servers.
 # A connection to a server that has ended is refused at once.
 SERVER_PROBE_S = 0.3
-SERVER_PROBE_KEPT_S = 1.0
+SERVER_ENDED_KEPT_S = 60.0  # Longer than its last requests take to break off.
 POISON_PARTS_LIMIT = 16  # Parts of one prompt that are looked at.
 POISON_TABLE_LIMIT = 512  # Parts under suspicion in the fleet.
 POISON_ANSWERED_LIMIT = 8_192  # Parts that a node knows to have been answered.
--- a/src/jasminewharf/services/poisonguard.py
+++ b/src/jasminewharf/services/poisonguard.py
@@ -108,12 +108,13 @@
 
         Where only the close tells the end, the server may have ended as well.
         """
-        if not self.parts:
-            return
-        if not is_close_delimited:
+        has_ended = False
+        if is_close_delimited and self._guard.is_open(self.parts):
+            has_ended = await self._guard.note_broken(
+                self._job, server, self.parts, self._trial
+            )
+        if not has_ended:
             self._guard.note_answered(self._job, self.parts)
-        elif list_unanswered(self.parts, self._guard.answered):
-            await self._guard.note_broken(self._job, server, self.parts, self._trial)
 
     def _end_trial(self) -> None:
         if self._trial.number:
@@ -223,6 +224,11 @@
 
     # What is found out.
 
+    def is_open(self, parts: tuple[int, ...]) -> bool:
+        """Return whether a part was never answered, or is accused."""
+        is_accused = any(part in self._table for part in parts)
+        return is_accused or bool(list_unanswered(parts, self.answered))
+
     def note_answered(self, job: Job, parts: tuple[int, ...]) -> None:
         """Record a whole answer and tell the other nodes if that clears a part."""
         now = _now()
@@ -256,17 +262,24 @@
         return True
 
     async def _has_ended(self, server: ServerIncarnation, address: str) -> bool:
-        """Return whether a server listens no more; asked once for all who wonder."""
+        """Return whether a server listens no more; asked once for all who wonder.
+
+        That it listens is true for this moment only.
+        """
         probe = self._probes.get(server)
         if probe is None:
             probe = asyncio.ensure_future(_is_refused(address))
             self._probes[server] = probe
-            loop = asyncio.get_running_loop()
-            loop.call_later(
-                defaults.SERVER_PROBE_KEPT_S, self._probes.pop, server, None
-            )
+            probe.add_done_callback(lambda done: self._keep_probe(server, done))
         return await asyncio.shield(probe)
 
+    def _keep_probe(
+        self, server: ServerIncarnation, probe: "asyncio.Future[bool]"
+    ) -> None:
+        has_ended = not probe.cancelled() and probe.result()
+        kept_s = defaults.SERVER_ENDED_KEPT_S if has_ended else 0.0
+        asyncio.get_running_loop().call_later(kept_s, self._probes.pop, server, None)
+
     def _merge(self, evidence: list[PartEvidence], job: Job) -> None:
         """Add this entry's own evidence to the table, and tell the control hosts."""
         news = [item.part for item in evidence if self._table.merge(item)]
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -3,19 +3,25 @@
 import asyncio
 import contextlib
 import json
+import math
 
 import pytest
 
 from crashingengines import RESTART_S, Play
 from fleets import run_with_fleet
-from jasminewharf.decisions.poison import REFUSED
+from jasminewharf.decisions.backpressure import ServerIncarnation
+from jasminewharf.decisions.poison import REFUSED, PartEnd, PartEvidence, hash_parts
 from jasminewharf.exceptions import JasminewharfError
+from platformfakes import answer_raw, stream_body
 from support import wait_until
 
 # The bounds of the platform's pages are several seconds; here all is on one machine.
 CONTACT_S = 1.0
 BAD = "bad0bad0:64"
 DURATION_S = 11.0
+PARTS = hash_parts("llm", ["f1", "bad0bad0"])
+END = PartEnd(ServerIncarnation("i-before", 1), 0.0)
+WITHOUT_END = b"HTTP/1.1 200 OK\r\n%scontent-type: text/event-stream\r\n\r\n"
 
 
 def play(tmp_path, bad_parts, *, place=1, seed=1, duration_s=DURATION_S, entries=4):
@@ -175,3 +181,46 @@
         await wait_until(lambda: not any(len(guard._table) for guard in guards))
 
     run_with_fleet(scenario, tmp_path, engines=load.engines, desks=[])
+
+
+async def serve_without_end(responder, signed):
+    await answer_raw(WITHOUT_END, stream_body())(responder, signed)
+
+
+def test_answers_that_state_no_end_clear_the_parts_of_sound_engines(tmp_path):
+    """Of engines that never state an end every part would be refused in time."""
+    load = Play([], engines=3)
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.fails_next = [serve_without_end] * 50
+        guards = [kernel.find("poison-guard") for kernel in fleet.entry_kernels]
+        assert (await ask_bad(fleet, 0, "first"))[0] == 200
+        await wait_until(lambda: len(guards[0].answered) == len(PARTS))
+        for guard in guards:
+            for part in PARTS:
+                guard._table.merge(PartEvidence(part, -math.inf, (END,)))
+        assert (await ask_bad(fleet, 1, "sound"))[0] == 200
+        await wait_until(lambda: not any(len(guard._table) for guard in guards))
+
+    run_with_fleet(scenario, tmp_path, engines=load.engines, desks=[])
+
+
+def test_end_between_two_events_without_a_stated_end_accuses(tmp_path):
+    """The close of a crashed engine was taken for a whole answer, which clears."""
+    load = Play([], engines=3)
+
+    async def scenario(fleet):
+        async def serve_and_end(responder, signed):
+            await answer_raw(WITHOUT_END, b"id: 1\ndata: x1\n\n")(responder, signed)
+            responder._connection.close()
+            next(engine for engine in fleet.engines if engine.runs).crash()
+
+        faults = [serve_and_end]
+        for engine in fleet.engines:
+            engine.fails_next = faults
+        await ask_bad(fleet, 0, "ended")
+        guards = [kernel.find("poison-guard") for kernel in fleet.entry_kernels]
+        await wait_until(lambda: all(len(guard._table) for guard in guards))
+
+    run_with_fleet(scenario, tmp_path, engines=load.engines, desks=[])
