Read answers that are nested without end as broken ones everywhere

What operators of similar systems saw: machines that read a list with a very deeply nested entry ended again and again. Cause: in fleets with documents the host list, the store's status, plain services' loads and engines' states caught the decoder's own errors only; at a depth beyond the interpreter's limit it raises RecursionError, which ended the task and with it the control host that leads, or the agent, at each read. One odd host made the list unreadable. Fix: dialects/jsonanswers.py decodes every answer and raises BackendError whatever the decoder raises; lists are read entry by entry there, for both kinds of fleets. Ruled out: hosts that a skipped entry hides lose no mark, as only listed hosts change.

--- a/src/jasminewharf/dialects/hostlisthttp.py
+++ b/src/jasminewharf/dialects/hostlisthttp.py
@@ -1,18 +1,15 @@
 """Platforms that publish the host list and the store's state as JSON over HTTP."""
 
-from typing import TypeVar
-
 import msgspec
 
 from ..exceptions import BackendError
 from ..registry import register
 from .base import HttpCall
 from .hostlists import HOST_LISTS, WEIGHT_STORES, ListedHost, StoreStatus
+from .jsonanswers import decode_answer, decode_entries, decode_entry
 
 __all__ = ["HttpHostList", "HttpWeightStore"]
 
-_T = TypeVar("_T")
-
 
 class _HostBody(msgspec.Struct):
     host: str
@@ -21,7 +18,7 @@
 
 
 class _HostsBody(msgspec.Struct):
-    hosts: list[_HostBody]
+    hosts: list[msgspec.Raw]
 
 
 class _StatusBody(msgspec.Struct):
@@ -31,13 +28,9 @@
     adapters_in_flight: int = 0
 
 
-def _read(status: int, body: bytes, kind: type[_T]) -> _T:
+def _check(status: int) -> None:
     if status != 200:
         raise BackendError(f"status {status}")
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
-        raise BackendError(f"answer does not fit: {error}") from error
 
 
 class HttpHostList:
@@ -48,9 +41,15 @@
         return HttpCall("GET", "/hosts")
 
     def read_hosts(self, status: int, body: bytes) -> tuple[ListedHost, ...]:
-        """Read its answer."""
-        hosts = _read(status, body, _HostsBody).hosts
-        return tuple(ListedHost(item.host, item.zone, item.state) for item in hosts)
+        """Read its answer; entries of another writer are skipped."""
+        _check(status)
+        _, entries = decode_entries(body, _HostsBody, "hosts")
+        hosts = (decode_entry(entry, _HostBody) for entry in entries)
+        return tuple(
+            ListedHost(item.host, item.zone, item.state)
+            for item in hosts
+            if item is not None
+        )
 
 
 class HttpWeightStore:
@@ -62,7 +61,8 @@
 
     def read_status(self, status: int, body: bytes) -> StoreStatus:
         """Read its answer."""
-        store = _read(status, body, _StatusBody)
+        _check(status)
+        store = decode_answer(body, _StatusBody)
         return StoreStatus(
             store.rate_per_s,
             store.concurrency,
--- a/src/jasminewharf/dialects/openai.py
+++ b/src/jasminewharf/dialects/openai.py
@@ -21,6 +21,7 @@
     ModelState,
     OrderResult,
 )
+from .jsonanswers import decode_answer
 
 __all__ = ["OpenAiDialect", "read_prompt"]
 
@@ -99,10 +100,7 @@
         raise FenceRejected(_describe(status, body))
     if status != 200:
         raise BackendError(_describe(status, body))
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
-        raise BackendError(f"answer does not fit: {error}") from error
+    return decode_answer(body, kind)
 
 
 def _describe(status: int, body: bytes) -> str:
--- a/src/jasminewharf/dialects/plain.py
+++ b/src/jasminewharf/dialects/plain.py
@@ -14,6 +14,7 @@
     ModelOrder,
     OrderResult,
 )
+from .jsonanswers import decode_answer
 
 __all__ = ["PlainDialect"]
 
@@ -96,10 +97,7 @@
         """Read the answer to :meth:`fetch_load`."""
         if status != 200:
             raise BackendError(f"status {status}")
-        try:
-            load = msgspec.json.decode(body, type=_LoadBody)
-        except msgspec.MsgspecError as error:
-            raise BackendError(f"answer does not fit: {error}") from error
+        load = decode_answer(body, _LoadBody)
         return EngineLoad(load.running, load.queued, 0.0)
 
     def read_cache_events(self, status: int, body: bytes) -> CacheFeed:
--- a/src/jasminewharf/platform/engines.py
+++ b/src/jasminewharf/platform/engines.py
@@ -9,6 +9,7 @@
     EngineStatus,
     OrderAnswer,
 )
+from ..dialects.jsonanswers import decode_answer
 from ..exceptions import BackendError
 from ..registry import register
 from .answers import read_limit, read_pause_s
@@ -48,9 +49,6 @@
     incoming: list[str] = []
 
 
-_decoder = msgspec.json.Decoder(_Report)
-
-
 class _Order(msgspec.Struct, omit_defaults=True):
     op: str
     model: str
@@ -71,10 +69,7 @@
         """Read a report."""
         if status != 200:
             raise BackendError(f"status {status}")
-        try:
-            report = _decoder.decode(body)
-        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-            raise BackendError(f"report does not fit: {error}") from error
+        report = decode_answer(body, _Report)
         copies = report.at_hand or _AtHand()
         return EngineStatus(
             report.born,
--- a/src/jasminewharf/platform/servers.py
+++ b/src/jasminewharf/platform/servers.py
@@ -7,7 +7,7 @@
 
 from ..dialects.base import HttpCall
 from ..dialects.fleet import SERVER_LISTS, HeldModel, ListedServer, ListPage
-from ..dialects.jsonentries import split_array
+from ..dialects.jsonanswers import decode_entries, decode_entry
 from ..exceptions import BackendError
 from ..registry import register
 from ..settings import is_address
@@ -18,7 +18,6 @@
 _LIMIT = 2**53
 Number = Annotated[int, msgspec.Meta(ge=-_LIMIT, le=_LIMIT)]
 _Duration = Annotated[float, msgspec.Meta(ge=-_LIMIT, le=_LIMIT)]
-_UNREADABLE = (msgspec.MsgspecError, ValueError, RecursionError)
 _STATES = frozenset({"ready", "draining"})
 
 
@@ -53,10 +52,6 @@
     next_token: str | None = None
 
 
-_page_decoder = msgspec.json.Decoder(_Page)
-_instance_decoder = msgspec.json.Decoder(_Instance)
-
-
 def translate_models(models: list[Model]) -> tuple[HeldModel, ...]:
     """Return the models in the product's type."""
     return tuple(
@@ -76,35 +71,20 @@
         """Read a page; entries of another writer are skipped and counted."""
         if status != 200:
             raise BackendError(f"status {status}")
-        try:
-            page = _page_decoder.decode(body)
-            entries = page.instances
-        except _UNREADABLE:
-            page, entries = _read_page_apart(body)
+        page, entries = decode_entries(body, _Page, "instances")
         read = [_read_instance(raw) for raw in entries]
         servers = tuple(server for server in read if server is not None)
         return ListPage(servers, page.next_token or "", len(read) - len(servers))
 
 
-def _read_page_apart(body: bytes) -> tuple[_Page, list[Any]]:
-    """Read a page of which an entry is no JSON or too deeply nested.
-
-    Raises:
-        BackendError: If more than the entries cannot be read.
-    """
-    try:
-        rest, entries = split_array(body, "instances")
-        return _page_decoder.decode(rest), entries
-    except _UNREADABLE as error:
-        raise BackendError(f"answer does not fit: {error}") from error
-
-
 def _read_instance(raw: Any) -> ListedServer | None:
-    try:
-        entry = _instance_decoder.decode(raw)
-    except _UNREADABLE:
-        return None
-    if entry.state not in _STATES or not entry.id or not is_address(entry.address):
+    entry = decode_entry(raw, _Instance)
+    if (
+        entry is None
+        or entry.state not in _STATES
+        or not entry.id
+        or not is_address(entry.address)
+    ):
         return None
     return ListedServer(
         entry.id,
--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from jasminewharf.dialects.jsonentries import split_array
+from jasminewharf.dialects.hostlisthttp import HttpHostList, HttpWeightStore
+from jasminewharf.dialects.jsonanswers import split_array
+from jasminewharf.dialects.openai import OpenAiDialect
+from jasminewharf.dialects.plain import PlainDialect
 from jasminewharf.exceptions import BackendError
 from jasminewharf.platform import PlatformServers
 
@@ -83,3 +86,31 @@
     rest, entries = split_array(body, "list")
     assert entries == [b'{"list": [3, 4]}', b'","']
     assert json.loads(rest)["list"] == []
+
+
+@pytest.mark.parametrize("kind", ODD)
+def test_odd_host_costs_only_itself(kind):
+    """The whole list was ignored, or the leader of the fleet ended at each read."""
+    host = b'{"host": "a", "zone": "z", "state": "leaving"}'
+    body = b'{"hosts": [%s, {"host": 5}, %s]}' % (ODD[kind], host)
+    listed = HttpHostList().read_hosts(200, body)
+    assert [(item.host, item.state) for item in listed] == [("a", "leaving")]
+
+
+@pytest.mark.parametrize(
+    "read",
+    [
+        HttpHostList().read_hosts,
+        HttpWeightStore().read_status,
+        PlainDialect().read_load,
+        PlainDialect().read_state,
+        OpenAiDialect().read_result,
+        OpenAiDialect().read_state,
+        OpenAiDialect().read_load,
+        OpenAiDialect().read_cache_events,
+    ],
+)
+def test_answer_nested_without_end_is_a_typed_error(read):
+    """Another kind of error ended the process that polled, at each start again."""
+    with pytest.raises(BackendError):
+        read(200, b'{"x": %s}' % nest(100_000))
