Decide in one place whether a broken request goes on elsewhere

No change of behaviour: the check for requests that may have ended their server stood in two methods. Measured: test_poison, test_close_delimited and test_broken_streams pass.

--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -295,9 +295,7 @@
 
     def _check_next(self, job: Job, attempts: Attempts, error: BackendError) -> None:
         """Raise the final refusal unless the request may be tried again."""
-        is_poison = isinstance(error, AnswerBroken) and error.may_be_poison
-        may_go_on = not is_poison and self._may_go_on(job, attempts)
-        if attempts.may_have_run and not may_go_on:
+        if attempts.may_have_run and not self._may_go_on(job, attempts, error):
             raise BackendFailed(
                 f"a backend server failed: {error}", not_run=False
             ) from error
@@ -310,11 +308,13 @@
     def _check_resume(
         self, job: Job, relay: StreamRelay, attempts: Attempts, error: BackendError
     ) -> None:
-        is_poison = isinstance(error, AnswerBroken) and error.may_be_poison
-        if is_poison or not relay.can_resume or not self._may_go_on(job, attempts):
+        if not relay.can_resume or not self._may_go_on(job, attempts, error):
             raise StreamInterrupted(f"the stream broke: {error}", not_run=False)
 
-    def _may_go_on(self, job: Job, attempts: Attempts) -> bool:
+    def _may_go_on(self, job: Job, attempts: Attempts, error: BackendError) -> bool:
+        """Return whether a request that may have run is sent to another server."""
+        if isinstance(error, AnswerBroken) and error.may_be_poison:
+            return False
         if not job.route.is_idempotent or attempts.runs >= job.route.attempts:
             return False
         return self._take_budget(job)
