Leave no process behind of strikes that overlap in a soak

Cause: of two strikes at one process the later one did not see that the other had run it again, and ran it once more, so that one of the two outlived the play; one was found after 50 seeds of test_poison_soak and ended by its id. Change: a strike runs only the process again that it struck.

--- a/tests/processfleet.py
+++ b/tests/processfleet.py
@@ -110,7 +110,8 @@
         if kind == signal.SIGSTOP:
             process.send_signal(signal.SIGCONT)
             return
-        if ip in self._restarting:
+        if ip in self._restarting or self.processes[ip] is not process:
+            # Another strike runs it again, or has done so.
             return
         self._restarting.add(ip)
         try:
