Hold kept connections to the limits in force

A caller whose connection was older than a change of the configuration got the limits of its connect: with an idle limit raised from 2 s to 15 s its next request, 3.2 s after the last answer, was closed without a byte; larger heads and bodies, or slower ones, were refused that the configuration allowed. Lowered limits never bound such a connection.

Each connection copied the limits when it was made, also into the parser and into timers that were already set.

A connection now notes the limits at the begin of each request and each wait, and checks against the looser of these and the ones in force. A timer that fires looks at the limits again before it acts, so that no change has to visit all connections. A lowered limit binds from the next answer or the first byte of the next request on: a caller may have sent its request under the former one. The length of an incomplete head is checked beside the parser, whose own bound can't be changed.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -11,7 +11,9 @@
 import socket
 import ssl
 import struct
+import sys
 from collections.abc import Awaitable, Callable, Iterable
+from operator import attrgetter
 from typing import Any, NamedTuple
 
 import h11
@@ -41,6 +43,9 @@
 # Linger of zero seconds: the socket is reset when it is closed.
 _RESET = struct.pack("ii", 1, 0)
 _NO_LINGER = struct.pack("ii", 0, 0)
+_HEAD_TIME = attrgetter("head_timeout_s")
+_BODY_TIME = attrgetter("body_timeout_s")
+_IDLE_TIME = attrgetter("idle_timeout_s")
 # A whole URL as request target: its authority, and path with query.
 _ABSOLUTE_TARGET = re.compile(r"https?://([^/?#]*)(.*)", re.IGNORECASE)
 
@@ -123,13 +128,16 @@
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
 ErrorRenderer = Callable[[Refusal], tuple[list[tuple[str, str]], bytes]]
+_TimeLimit = Callable[[LimitSettings], float]
 
 
 class _Connection(asyncio.Protocol):
     def __init__(self, server: "HttpServer") -> None:
         self._server = server
+        # In force when the request, or the wait for it, began.
         self._limits = server.limits
-        self._h11 = self._new_h11()
+        # The length of an incomplete head is checked by the limits in force.
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
         self._peer = ""
         self._head: h11.Request | None = None
@@ -139,6 +147,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._flush_timer: asyncio.TimerHandle | None = None
         self._due = math.inf
+        self._armed_at = 0.0
+        self._time_limit: _TimeLimit = _IDLE_TIME
         self._loop = asyncio.get_running_loop()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -152,10 +162,16 @@
         self._has_ended = False
         self._made_at = self._loop.time()
 
-    def _new_h11(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
-        )
+    @property
+    def _allowed(self) -> LimitSettings:
+        """The limits for what has begun: of its begin or in force, the looser ones.
+
+        A caller may have sent its request under the former limits.
+        """
+        in_force = self._server.limits
+        if self._limits is in_force:
+            return in_force
+        return LimitSettings(*map(max, self._limits, in_force))
 
     @property
     def _is_idle(self) -> bool:
@@ -192,7 +208,7 @@
                 )
             )
             return
-        self._arm(self._limits.head_timeout_s)
+        self._arm(_HEAD_TIME)
 
     def connection_lost(self, error: Exception | None) -> None:
         if self._is_inside_request and not self._closing:
@@ -230,10 +246,11 @@
         is_first = self._task is None and not self._is_inside_request
         self._h11.receive_data(data)
         if is_first:
-            self._arm(self._limits.head_timeout_s)
+            self._limits = self._server.limits
+            self._arm(_HEAD_TIME)
         if self._task is None:
             self._read_events()
-        elif len(self._h11.trailing_data[0]) > self._limits.head_bytes:
+        elif len(self._h11.trailing_data[0]) > self._allowed.head_bytes:
             # Requests sent ahead wait in the socket's buffer, not in memory.
             self._transport.pause_reading()
             self._is_paused = True
@@ -253,7 +270,10 @@
         try:
             while self._task is None and not self._closing:
                 event = self._h11.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
+                if event is h11.NEED_DATA:
+                    self._check_incomplete()
+                    return
+                if event is h11.PAUSED:
                     return
                 self._take_event(event)
         except h11.RemoteProtocolError as error:
@@ -261,6 +281,11 @@
         except Refusal as refusal:
             self._reject(refusal)
 
+    def _check_incomplete(self) -> None:
+        """Refuse a head, or the head of a chunk, that is too large before its end."""
+        if len(self._h11.trailing_data[0]) > self._allowed.head_bytes:
+            raise HeadTooLarge("the request head is too large")
+
     def _take_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
             self._take_head(event)
@@ -269,31 +294,36 @@
         elif isinstance(event, h11.EndOfMessage):
             self._disarm()
             request = self._take_request()
+            # What follows is another request.
+            self._limits = self._server.limits
             self._task = asyncio.create_task(self._serve(request))
         elif isinstance(event, h11.ConnectionClosed):
             self.close()
 
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
-        self._arm(self._limits.body_timeout_s)
+        self._arm(_BODY_TIME)
         if head.method == b"CONNECT":
             raise BadRequest("this is no proxy")
-        # h11 bounds only heads that arrive in parts.
-        if _measure_head(head) > self._limits.head_bytes:
+        # Heads that arrive whole are never incomplete.
+        if _measure_head(head) > self._allowed.head_bytes:
             raise HeadTooLarge("the request head is too large")
         _check_framing(head)
         length = _content_length(head)
-        if length > self._limits.body_bytes:
-            raise BodyTooLarge(f"the body may have {self._limits.body_bytes} bytes")
+        self._check_body_size(length)
         if self._h11.they_are_waiting_for_100_continue:
             self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
 
     def _take_body(self, data: bytes) -> None:
         self._body_bytes += len(data)
-        if self._body_bytes > self._limits.body_bytes:
-            raise BodyTooLarge(f"the body may have {self._limits.body_bytes} bytes")
+        self._check_body_size(self._body_bytes)
         self._body.append(bytes(data))
 
+    def _check_body_size(self, size: int) -> None:
+        limit = self._allowed.body_bytes
+        if size > limit:
+            raise BodyTooLarge(f"the body may have {limit} bytes")
+
     async def _serve(self, request: Request) -> None:
         responder = Responder(self)
         try:
@@ -383,7 +413,9 @@
         self._head = None
         self._body = []
         self._body_bytes = 0
-        self._arm(self._limits.idle_timeout_s)
+        if not self._h11.trailing_data[0]:
+            self._limits = self._server.limits
+        self._arm(_IDLE_TIME)
         self._resume_reading()
         self._read_events()
 
@@ -459,20 +491,24 @@
             return
         self._transport.close()
         if self._flush_timer is None:
-            self._check_flush(math.inf)
+            self._check_flush(math.inf, self._loop.time())
 
-    def _check_flush(self, unsent_before: float) -> None:
+    def _check_flush(self, unsent_before: float, since: float) -> None:
         unsent = self._transport.get_write_buffer_size()
         if not unsent:
             return
-        if unsent >= unsent_before:
+        now = self._loop.time()
+        if unsent < unsent_before:
+            unsent_before, since = unsent, now
+        left_s = since + self._server.limits.idle_timeout_s - now
+        if left_s <= 0:
             events.emit(
                 _logger, events.CALLER_NOT_READING, peer=self._peer, unsent=unsent
             )
             self.abort()
             return
         self._flush_timer = self._loop.call_later(
-            self._limits.idle_timeout_s, self._check_flush, unsent
+            left_s, self._check_flush, unsent_before, since
         )
 
     def cut(self) -> None:
@@ -510,12 +546,14 @@
             if connection is not None:
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
-    def _arm(self, timeout_s: float) -> None:
+    def _arm(self, time_limit: _TimeLimit) -> None:
         """Set the time-out; a timer that is due earlier looks at it again.
 
         Each request sets three time-outs, and nearly none of them passes.
         """
-        self._due = self._loop.time() + timeout_s
+        self._armed_at = self._loop.time()
+        self._time_limit = time_limit
+        self._due = self._armed_at + time_limit(self._allowed)
         if self._timer is None or self._timer.when() > self._due:
             self._cancel_timer()
             self._timer = self._loop.call_at(self._due, self._check_time)
@@ -530,9 +568,13 @@
 
     def _check_time(self) -> None:
         self._timer = None
+        if self._due == math.inf:
+            return
+        # The limit may have been raised meanwhile.
+        self._due = max(self._due, self._armed_at + self._time_limit(self._allowed))
         if self._due <= self._loop.time():
             self._time_out()
-        elif self._due < math.inf:
+        else:
             self._timer = self._loop.call_at(self._due, self._check_time)
 
     def _time_out(self) -> None:
@@ -551,7 +593,8 @@
     Args:
         handler: Called once a whole request has been read.
         render_error: Turns a refusal into headers and body.
-        limits: Limits on heads, bodies, connections and times.
+        limits: Limits on heads, bodies, connections and times. Changed ones bind
+            from the next request or wait on; before that the looser ones do.
         count_rejection: Called for each request that could not be read.
 
     Attributes:
