End the limits of a configuration with it

Callers of an entry that ran while a configuration without limits replaced one with limits were still held to these, and callers of an entry that had started since were not: the same request was refused with 431 here and served there.

The gateway took limits only from configurations that name some. One without limits now brings back those of the settings, as after a start.

The new test over a fleet failed before (431 for 200) and passes.

--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -139,10 +139,9 @@
         return has_parts and has_servers and not self.is_draining
 
     def _take_configuration(self, table: RouteTable) -> None:
-        if table.configuration.limits is not None:
-            self._http.limits = _merge_limits(
-                self.kernel.settings.limits, table.configuration.limits
-            )
+        self._http.limits = _merge_limits(
+            self.kernel.settings.limits, table.configuration.limits
+        )
 
     def _render(self, refusal: Refusal) -> tuple[list[tuple[str, str]], bytes]:
         return render_refusal(refusal, is_fractional=True)
@@ -330,7 +329,11 @@
     )
 
 
-def _merge_limits(settings: LimitSettings, limits: CallerLimits) -> LimitSettings:
+def _merge_limits(
+    settings: LimitSettings, limits: CallerLimits | None
+) -> LimitSettings:
+    if limits is None:
+        return settings
     return settings._replace(
         head_bytes=limits.head_bytes,
         body_bytes=limits.body_bytes,
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -9,6 +9,7 @@
 from jasminewharf.interfaces.http import HttpServer
 from jasminewharf.interfaces.refusals import render_refusal
 from jasminewharf.settings import LimitSettings
+from platformfakes import send
 from support import wait_until
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -53,6 +54,16 @@
 }
 
 
+def build_limits(**changes):
+    limits = {
+        "maxHeaderBytes": 16_384,
+        "maxBodyBytes": 65_536,
+        "headerTimeoutMs": 3_000,
+        "idleTimeoutMs": 15_000,
+    }
+    return {**limits, **changes}
+
+
 class KeptConnection:
     """A server whose limits change, and one connection to it."""
 
@@ -257,17 +268,9 @@
         for name, value in (HOST, KEY, ("x-attempt-id", "id-%d"))
     )
 
-    def build_limits(idle_ms):
-        return {
-            "maxHeaderBytes": 16_384,
-            "maxBodyBytes": 65_536,
-            "headerTimeoutMs": 3_000,
-            "idleTimeoutMs": idle_ms,
-        }
-
     async def scenario(fleet):
         view = fleet.entry_kernels[0].find("view")
-        await fleet.submit(build_body(2, limits=build_limits(1_000)))
+        await fleet.submit(build_body(2, limits=build_limits(idleTimeoutMs=1_000)))
         await wait_until(lambda: view.table.version == 2)
         ip, port = fleet.entries[0].split(":")
         reader, writer = await asyncio.open_connection(ip, int(port))
@@ -275,7 +278,7 @@
         kept._reader, kept._writer = reader, writer
         kept.send(request % 1 + b"\r\n")
         assert await kept.read_status() == b"200"
-        await fleet.submit(build_body(3, limits=build_limits(15_000)))
+        await fleet.submit(build_body(3, limits=build_limits(idleTimeoutMs=15_000)))
         await wait_until(lambda: view.table.version == 3)
         await asyncio.sleep(1.5)
         kept.send(request % 2 + b"\r\n")
@@ -313,3 +316,26 @@
             link.close()
 
     asyncio.run(scenario())
+
+
+async def ask_with_long_head(address):
+    """Return the status of a request whose head is longer than a narrow limit."""
+    head = [HOST, KEY, ("x-attempt-id", "id-1"), ("x-padding", "a" * SIZE)]
+    status, _, _ = await send(address, "GET", "/status/1", head)
+    return status
+
+
+def test_configuration_without_limits_ends_those_of_the_one_before(tmp_path):
+    """An entry kept them until its next start, and others had those of its settings."""
+
+    async def scenario(fleet):
+        view = fleet.entry_kernels[0].find("view")
+        narrow = build_limits(maxHeaderBytes=1_024)
+        await fleet.submit(build_body(2, limits=narrow))
+        await wait_until(lambda: view.table.version == 2)
+        assert await ask_with_long_head(fleet.entries[0]) == 431
+        await fleet.submit(build_body(3, limits=None))
+        await wait_until(lambda: view.table.version == 3)
+        assert await ask_with_long_head(fleet.entries[0]) == 200
+
+    run_with_fleet(scenario, tmp_path, entries=1)
