Take the limits of a configuration that came before an entry listens

An entry that was started while another process still held its address served callers with the limits of its settings, until the next change of the configuration: a head beyond the configured limit was served (200 for 431), and connections were kept for another time than callers count on.

The gateway asked for configurations only once it listened, which may take ten seconds; the first one comes meanwhile and is told once.

It now asks before it listens, and takes the one that is there already.

The new test failed before and passes.

--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -87,9 +87,12 @@
 
     async def start(self) -> None:
         """Listen for callers."""
+        view = self.kernel.find("view")
+        view.listen(self._take_configuration)
+        if view.table is not None:
+            self._take_configuration(view.table)
         host, port = split_address(self.kernel.settings.listen)
         await self._http.listen(host, port)
-        self.kernel.find("view").listen(self._take_configuration)
         self._metrics.watch("open_connections", lambda: self._http.connection_count)
 
     async def drain(self) -> None:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -1,6 +1,7 @@
 """Kept connections follow the limits in force, and lose no request to a change."""
 
 import asyncio
+import socket
 import time
 
 import pytest
@@ -8,6 +9,7 @@
 from fleets import HOST, KEY, build_body, run_with_fleet
 from jasminewharf.interfaces.http import HttpServer
 from jasminewharf.interfaces.refusals import render_refusal
+from jasminewharf.interfaces.roles import build_kernel
 from jasminewharf.settings import LimitSettings
 from platformfakes import send
 from support import wait_until
@@ -339,3 +341,28 @@
         assert await ask_with_long_head(fleet.entries[0]) == 200
 
     run_with_fleet(scenario, tmp_path, entries=1)
+
+
+def test_configuration_that_comes_while_the_entry_waits_for_its_address(tmp_path):
+    """The entry served with the limits of its settings until the next change."""
+
+    async def scenario(fleet):
+        narrow = build_limits(maxHeaderBytes=1_024)
+        await fleet.submit(build_body(2, limits=narrow))
+        ip = "127.0.0.20"
+        entry = f"{ip}:{fleet.base + 9}"
+        ready = f"{ip}:{fleet.base + 7}"
+        kernel = build_kernel(fleet.settings(ip, "entry", ready_listen=ready))
+        fleet.kernels.append(kernel)
+        with socket.socket() as holder:
+            holder.bind((ip, fleet.base + 9))
+            holder.listen()
+            starting = asyncio.create_task(kernel.start())
+            view = kernel.find("view")
+            await wait_until(lambda: view.table is not None)
+            assert not starting.done()
+        await starting
+        await wait_until(kernel.find("gateway").is_ready)
+        assert await ask_with_long_head(entry) == 431
+
+    run_with_fleet(scenario, tmp_path, entries=1)
