Close idle connections that a lowered limit leaves no place for

A backend server whose configuration allowed fewer connections than before still held the idle ones that the former number allowed, until an answer on one of them ended; a server without requests kept them all.

The client compared the number of its idle connections with the limit only when it kept another one. It now does so as well when the limit changes.

The new test in test_client.py failed before; all 74 of the file pass.

--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -344,7 +344,6 @@
         connect_timeout_s: Time to connect, in seconds.
 
     Attributes:
-        idle_limit: Number of idle connections that are kept.
         connections_opened: Number of connections made so far.
         metrics: Where answers that belong to no request are counted, if anywhere.
     """
@@ -355,10 +354,24 @@
         self.address = address
         self._connect_timeout_s = connect_timeout_s
         self._idle: collections.deque[_Wire] = collections.deque()
-        self.idle_limit = defaults.HTTP_IDLE_CONNECTIONS
+        self._idle_limit = defaults.HTTP_IDLE_CONNECTIONS
         self.connections_opened = 0
         self.metrics: Metrics | None = None
 
+    @property
+    def idle_limit(self) -> int:
+        """Number of idle connections that are kept; a lower one closes the oldest."""
+        return self._idle_limit
+
+    @idle_limit.setter
+    def idle_limit(self, limit: int) -> None:
+        self._idle_limit = limit
+        self._close_surplus()
+
+    def _close_surplus(self) -> None:
+        while len(self._idle) > self._idle_limit:
+            self._idle.popleft().close()
+
     def note_unmatched(
         self, told: str, status: int = 0, named: str = "", request_id: str = ""
     ) -> None:
@@ -598,8 +611,7 @@
             return
         wire.idle_since = asyncio.get_running_loop().time()
         self._idle.append(wire)
-        while len(self._idle) > self.idle_limit:
-            self._idle.popleft().close()
+        self._close_surplus()
 
     def close(self) -> None:
         """Close the kept connections."""
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -701,3 +701,32 @@
 
     client = None
     asyncio.run(scenario())
+
+
+def test_idle_connections_beyond_a_lowered_limit_are_closed():
+    """They took places at a server that has fewer now, until the next answer."""
+    served = []
+    ended = []
+
+    async def handle(reader, writer):
+        served.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while request_id := await read_id(reader):
+                await wait_until(lambda: len(served) == 3)
+                writer.write(render(request_id))
+        ended.append(writer)
+        writer.close()
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        await asyncio.gather(*(post(client, name) for name in "123"))
+        assert client.connections_opened == 3
+        client.idle_limit = 1
+        await wait_until(lambda: len(ended) == 2, timeout_s=1)
+        assert await post(client, "4") == (200, b"ok")
+        assert client.connections_opened == 3
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
