Look for a server's close before a kept connection is used

A caller's order that may run once was answered as failed where the backend server had closed the kept connection shortly before, and the entry was too busy to have read that.

The client took a connection for open as long as the event loop had read no close. It now asks the socket, which costs one system call for each request on a kept connection, and passes over one with something to read. The loop reads it next, and reports bytes that belong to no request as before.

The new test in test_client.py failed before; all 75 of the file pass.

--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -5,6 +5,7 @@
 import collections
 import logging
 import re
+import select
 import socket
 import struct
 from collections.abc import AsyncIterator, Callable
@@ -197,6 +198,16 @@
         """Bytes that have arrived and are not read yet."""
         return self.h11.trailing_data[0]
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes or the server's close wait for the event loop to read them."""
+        connection = self._transport.get_extra_info("socket")
+        if connection is None or connection.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(connection.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def retire(self) -> None:
         """Close after a whole answer; the server sees the usual end."""
         self.idle_since = asyncio.get_running_loop().time()
@@ -513,7 +524,7 @@
         for wire in reversed(self._idle):
             if now - (wire.idle_since or now) > idle_s:
                 return None
-            if not _is_usable(wire, now):
+            if not _is_usable(wire, now) or wire.has_unread:
                 continue
             if identity is None or not wire.has_carried(identity.request_id):
                 self._idle.remove(wire)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -730,3 +731,28 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+def test_connection_that_the_server_has_closed_is_not_used():
+    """A loop that was held up had not read the close; the request was lost."""
+    served = []
+
+    async def handle(reader, writer):
+        served.append(writer.get_extra_info("socket").dup())
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while request_id := await read_id(reader):
+                writer.write(render(request_id))
+        writer.close()
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        assert await post(client, "1") == (200, b"ok")
+        # The loop does not run between the close and the next request.
+        served[0].shutdown(socket.SHUT_RDWR)
+        assert await post(client, "2") == (200, b"ok")
+        assert client.connections_opened == 2
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
