Give a head that began behind a request the time of a head

A caller that had sent the first bytes of its next request before the answer to the one before got the idle time for the rest of the head: with a short one it was refused as late (408) within the time of a head, with a long one a slow head was held far beyond that time.

The end of an answer set the idle time whether or not a part of the next request had been read.

It now sets the time of a head where there is a part, and keeps the limits under which that part came.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -413,9 +413,11 @@
         self._head = None
         self._body = []
         self._body_bytes = 0
-        if not self._h11.trailing_data[0]:
+        if self._h11.trailing_data[0]:
+            self._arm(_HEAD_TIME)
+        else:
             self._limits = self._server.limits
-        self._arm(_IDLE_TIME)
+            self._arm(_IDLE_TIME)
         self._resume_reading()
         self._read_events()
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -366,3 +366,33 @@
         assert await ask_with_long_head(entry) == 431
 
     run_with_fleet(scenario, tmp_path, entries=1)
+
+
+def test_head_that_began_behind_a_request_has_the_time_of_a_head():
+    """Its rest was awaited for the idle time, and it was refused as late."""
+
+    async def scenario():
+        limits = WIDE._replace(idle_timeout_s=SHORT_S)
+        async with KeptConnection(limits) as kept:
+            kept.send(REQUEST + REQUEST[:20])
+            assert await kept.read_status() == b"200"
+            await asyncio.sleep(PAUSE_S)
+            kept.send(REQUEST[20:])
+            assert await kept.read_status() == b"200"
+
+    asyncio.run(scenario())
+
+
+def test_head_that_began_behind_a_request_is_refused_in_time():
+    """A slow head was held for the idle time, which may be far longer."""
+
+    async def scenario():
+        limits = WIDE._replace(head_timeout_s=SHORT_S)
+        async with KeptConnection(limits) as kept:
+            kept.send(REQUEST + REQUEST[:20])
+            assert await kept.read_status() == b"200"
+            started = asyncio.get_running_loop().time()
+            assert await kept.read_status() == b"408"
+            assert asyncio.get_running_loop().time() - started < LONG_S / 2
+
+    asyncio.run(scenario())
