--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -87,9 +87,12 @@
 
     async def start(self) -> None:
         """Listen for callers."""
+        view = self.kernel.find("view")
+        view.listen(self._take_configuration)
+        if view.table is not None:
+            self._take_configuration(view.table)
         host, port = split_address(self.kernel.settings.listen)
         await self._http.listen(host, port)
-        self.kernel.find("view").listen(self._take_configuration)
         self._metrics.watch("open_connections", lambda: self._http.connection_count)
 
     async def drain(self) -> None:
@@ -139,10 +142,9 @@
         return has_parts and has_servers and not self.is_draining
 
     def _take_configuration(self, table: RouteTable) -> None:
-        if table.configuration.limits is not None:
-            self._http.limits = _merge_limits(
-                self.kernel.settings.limits, table.configuration.limits
-            )
+        self._http.limits = _merge_limits(
+            self.kernel.settings.limits, table.configuration.limits
+        )
 
     def _render(self, refusal: Refusal) -> tuple[list[tuple[str, str]], bytes]:
         return render_refusal(refusal, is_fractional=True)
@@ -330,7 +332,11 @@
     )
 
 
-def _merge_limits(settings: LimitSettings, limits: CallerLimits) -> LimitSettings:
+def _merge_limits(
+    settings: LimitSettings, limits: CallerLimits | None
+) -> LimitSettings:
+    if limits is None:
+        return settings
     return settings._replace(
         head_bytes=limits.head_bytes,
         body_bytes=limits.body_bytes,
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -5,6 +5,7 @@
 import collections
 import logging
 import re
+import select
 import socket
 import struct
 from collections.abc import AsyncIterator, Callable
@@ -197,6 +198,16 @@
         """Bytes that have arrived and are not read yet."""
         return self.h11.trailing_data[0]
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes or the server's close wait for the event loop to read them."""
+        connection = self._transport.get_extra_info("socket")
+        if connection is None or connection.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(connection.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def retire(self) -> None:
         """Close after a whole answer; the server sees the usual end."""
         self.idle_since = asyncio.get_running_loop().time()
@@ -344,7 +355,6 @@
         connect_timeout_s: Time to connect, in seconds.
 
     Attributes:
-        idle_limit: Number of idle connections that are kept.
         connections_opened: Number of connections made so far.
         metrics: Where answers that belong to no request are counted, if anywhere.
     """
@@ -355,10 +365,24 @@
         self.address = address
         self._connect_timeout_s = connect_timeout_s
         self._idle: collections.deque[_Wire] = collections.deque()
-        self.idle_limit = defaults.HTTP_IDLE_CONNECTIONS
+        self._idle_limit = defaults.HTTP_IDLE_CONNECTIONS
         self.connections_opened = 0
         self.metrics: Metrics | None = None
 
+    @property
+    def idle_limit(self) -> int:
+        """Number of idle connections that are kept; a lower one closes the oldest."""
+        return self._idle_limit
+
+    @idle_limit.setter
+    def idle_limit(self, limit: int) -> None:
+        self._idle_limit = limit
+        self._close_surplus()
+
+    def _close_surplus(self) -> None:
+        while len(self._idle) > self._idle_limit:
+            self._idle.popleft().close()
+
     def note_unmatched(
         self, told: str, status: int = 0, named: str = "", request_id: str = ""
     ) -> None:
@@ -500,7 +524,7 @@
         for wire in reversed(self._idle):
             if now - (wire.idle_since or now) > idle_s:
                 return None
-            if not _is_usable(wire, now):
+            if not _is_usable(wire, now) or wire.has_unread:
                 continue
             if identity is None or not wire.has_carried(identity.request_id):
                 self._idle.remove(wire)
@@ -598,8 +622,7 @@
             return
         wire.idle_since = asyncio.get_running_loop().time()
         self._idle.append(wire)
-        while len(self._idle) > self.idle_limit:
-            self._idle.popleft().close()
+        self._close_surplus()
 
     def close(self) -> None:
         """Close the kept connections."""
