Notice callers that leave after sending a part of their next request

A caller that had sent more than the head limit of its next request while one was served, and then closed, was served on: the connection was not read any more, so that the close was not seen. The request was given up at the next write, or never where nothing was written.

What arrives while a request is served now waits unparsed, up to 256 kB, and the connection is read on until then. Beyond that it is not read, as before, and looked at every 0.1 s for a close, which the kernel tells of in front of unread bytes. Nothing that was sent ahead is dropped.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -369,6 +369,11 @@
 HTTP_ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 STREAM_EVENT_LIMIT_BYTES = 1024 * 1024  # A thousand times a usual event.
 HTTP_UNREAD_BYTES = 256 * 1024
+# Of requests sent ahead on one connection, and how much of them is parsed at a time.
+HTTP_AHEAD_BYTES = 256 * 1024
+HTTP_PARSED_BYTES = 64 * 1024
+# How often connections that are not read are looked at for a close.
+HTTP_WATCH_S = 0.1
 # A server's time-out runs from an earlier moment than the client's clock sees.
 HTTP_KEEP_ALIVE_SHARE = 0.7
 # A connection remembers the identifiers of that many requests, eight bytes for each.
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -145,6 +145,8 @@
         self._closing = False
         self._held: list[bytes] | None = None
         self._is_paused = False
+        # What arrives while a request is served waits here, unparsed.
+        self._ahead = bytearray()
         self._is_surplus = False
         self._has_served = False
         # Whether the socket is reset when the process ends or closes it.
@@ -164,7 +166,7 @@
     @property
     def _has_unread(self) -> bool:
         """Whether bytes have arrived that the loop or the parser has not read yet."""
-        if self._h11.trailing_data[0]:
+        if self._ahead or self._h11.trailing_data[0]:
             return True
         connection = self._transport.get_extra_info("socket")
         return connection is not None and _is_readable([connection])
@@ -206,6 +208,7 @@
         if self._flush_timer is not None:
             self._flush_timer.cancel()
         self._writable.set()
+        self._server.unwatch(self)
         self._server.discard(self)
         if self._is_surplus:
             self._server.refused -= 1
@@ -228,15 +231,16 @@
             # What arrives after a refusal is dropped, not kept in memory.
             return
         is_first = self._task is None and not self._is_inside_request
-        self._h11.receive_data(data)
+        self._ahead += data
         if is_first:
             self._arm(self._limits.head_timeout_s)
         if self._task is None:
             self._read_events()
-        elif len(self._h11.trailing_data[0]) > self._limits.head_bytes:
-            # Requests sent ahead wait in the socket's buffer, not in memory.
+        if len(self._ahead) > defaults.HTTP_AHEAD_BYTES and not self._is_paused:
+            # Further requests wait in the socket's buffer, not in memory.
             self._transport.pause_reading()
             self._is_paused = True
+            self._server.watch(self)
 
     @property
     def _is_inside_request(self) -> bool:
@@ -253,9 +257,13 @@
         try:
             while self._task is None and not self._closing:
                 event = self._h11.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
+                if event is h11.NEED_DATA and self._ahead:
+                    self._h11.receive_data(self._ahead[: defaults.HTTP_PARSED_BYTES])
+                    del self._ahead[: defaults.HTTP_PARSED_BYTES]
+                elif event is h11.NEED_DATA or event is h11.PAUSED:
                     return
-                self._take_event(event)
+                else:
+                    self._take_event(event)
         except h11.RemoteProtocolError as error:
             self._reject(_classify(error))
         except Refusal as refusal:
@@ -346,6 +354,7 @@
         the answer.
         """
         self._closing = True
+        self._ahead.clear()
         self._resume_reading()
         # The caller may have reset the connection already.
         with contextlib.suppress(OSError):
@@ -354,10 +363,17 @@
         self._loop.call_later(defaults.HTTP_LINGER_S, self.close)
 
     def _resume_reading(self) -> None:
-        if self._is_paused:
+        if self._is_paused and len(self._ahead) <= defaults.HTTP_AHEAD_BYTES:
             self._is_paused = False
+            self._server.unwatch(self)
             self._transport.resume_reading()
 
+    @property
+    def descriptor(self) -> int:
+        """The file descriptor of the socket, negative if that is closed."""
+        connection = self._transport.get_extra_info("socket")
+        return connection.fileno() if connection is not None else -1
+
     def _end_cycle(self, responder: Responder) -> None:
         self._task = None
         self._has_served = True
@@ -384,8 +400,8 @@
         self._body = []
         self._body_bytes = 0
         self._arm(self._limits.idle_timeout_s)
-        self._resume_reading()
         self._read_events()
+        self._resume_reading()
 
     def hold(self) -> None:
         """Keep what is sent until :meth:`release`, so that it leaves at once."""
@@ -574,6 +590,9 @@
         self.refused = 0
         self.on_close: Callable[[str], None] = lambda peer: None
         self._connections: set[_Connection] = set()
+        # Connections that are not read for now.
+        self._watched: set[_Connection] = set()
+        self._watch_timer: asyncio.TimerHandle | None = None
         self._server: asyncio.Server | None = None
 
     @property
@@ -592,6 +611,35 @@
         """Forget a closed connection."""
         self._connections.discard(connection)
 
+    def watch(self, connection: "_Connection") -> None:
+        """Look for the close of a connection that is not read for now."""
+        self._watched.add(connection)
+        if self._watch_timer is None:
+            self._set_watch_timer()
+
+    def unwatch(self, connection: "_Connection") -> None:
+        """Leave the close of a connection to its reader again."""
+        self._watched.discard(connection)
+
+    def _set_watch_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._watch_timer = loop.call_later(
+            defaults.HTTP_WATCH_S, self._close_abandoned
+        )
+
+    def _close_abandoned(self) -> None:
+        self._watch_timer = None
+        by_descriptor = {each.descriptor: each for each in self._watched}
+        poll = select.poll()
+        for descriptor in by_descriptor:
+            if descriptor >= 0:
+                poll.register(descriptor, select.POLLRDHUP)
+        # Broken connections are told of without having been asked for.
+        for descriptor, _ in poll.poll(0):
+            by_descriptor[descriptor].close()
+        if self._watched:
+            self._set_watch_timer()
+
     async def listen(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> str:
--- /dev/null
+++ b/tests/test_leaving_callers.py
@@ -0,0 +1,206 @@
+"""Callers that leave, and what becomes of the requests that they have sent."""
+
+import asyncio
+import contextlib
+import socket
+import ssl
+import time
+
+import pytest
+
+from certificates import write_certificate
+from fleets import run_with_fleet
+from jasminewharf.interfaces.http import HttpServer
+from jasminewharf.interfaces.refusals import render_refusal
+from jasminewharf.interfaces.tls import CallerTls
+from jasminewharf.settings import LimitSettings, TlsSettings
+from support import wait_until
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+FLEET_REQUEST = (
+    b"POST /orders/1 HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: id-1\r\n"
+    b"x-deadline-ms: 4000\r\napi-key: key-1\r\ncontent-length: 2\r\n\r\n{}"
+)
+# A request that a caller sends ahead, of any length.
+LONG_REQUEST = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 8000000\r\n\r\n"
+# Work for a caller ends so long after its close has reached the machine.
+GONE_S = 0.5
+
+
+class Server:
+    """A server whose handler notes when its work ends, and how."""
+
+    def __init__(self, handle=None):
+        self.began = asyncio.Event()
+        self.ended = asyncio.Event()
+        self.targets = []
+        self.handle = handle or wait_long
+        limits = LimitSettings()._replace(head_bytes=16_384)
+        self.http = HttpServer(self._handle, render_refusal, limits)
+
+    async def _handle(self, request, responder):
+        self.targets.append(request.target)
+        self.began.set()
+        try:
+            await self.handle(request, responder)
+        finally:
+            self.ended.set()
+
+
+async def wait_long(request, responder):
+    await asyncio.sleep(30)
+
+
+async def stream_silently(request, responder):
+    responder.start(200, [])
+    await responder.write(b"first")
+    await asyncio.sleep(30)
+
+
+@contextlib.asynccontextmanager
+async def open_server(handle=None, tls=None):
+    server = Server(handle)
+    address = await server.http.listen("127.0.0.1", 0, tls)
+    ip, _, port = address.partition(":")
+    server.address = (ip, int(port))
+    try:
+        yield server
+    finally:
+        await server.http.close()
+
+
+def connect(server, is_tls=False):
+    link = socket.create_connection(server.address, 5)
+    if not is_tls:
+        return link
+    context = ssl.create_default_context()
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    return context.wrap_socket(link)
+
+
+def send_ahead(link, size):
+    """Send a part of a next request; return how much of it was taken."""
+    data = LONG_REQUEST + b"x" * size
+    link.settimeout(0.3)
+    sent = 0
+    with contextlib.suppress(TimeoutError):
+        while sent < size:
+            sent += link.send(data[sent:size])
+    return sent
+
+
+async def measure_end(server, leave):
+    """Return the seconds from a caller's leaving to the end of its request."""
+    started = time.monotonic()
+    await asyncio.to_thread(leave)
+    await asyncio.wait_for(server.ended.wait(), 5)
+    return time.monotonic() - started
+
+
+@pytest.mark.parametrize("size", [100, 20_000, 200_000, 400_000])
+@pytest.mark.parametrize("is_tls", [False, True], ids=["plain", "tls"])
+@pytest.mark.parametrize("handle", [wait_long, stream_silently])
+def test_caller_that_has_sent_ahead_is_seen_to_leave(handle, is_tls, size, tmp_path):
+    """Reading was paused for what it had sent, and its close was not noticed."""
+
+    async def scenario():
+        tls = load_tls(tmp_path) if is_tls else None
+        async with open_server(handle, tls) as server:
+            link = await asyncio.to_thread(connect, server, is_tls)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.began.wait()
+            assert await asyncio.to_thread(send_ahead, link, size) == size
+            assert await measure_end(server, link.close) < GONE_S
+            await wait_until(lambda: server.http.connection_count == 0)
+
+    asyncio.run(scenario())
+
+
+def test_backend_server_is_given_up_for_a_caller_that_has_sent_ahead(tmp_path):
+    """An entry let its server work on for a caller that had left."""
+    began = asyncio.Event()
+    ended = asyncio.Event()
+
+    async def hold(responder, signed):
+        began.set()
+        try:
+            await asyncio.sleep(30)
+        finally:
+            ended.set()
+
+    async def scenario(fleet):
+        fleet.desks[0].fails_next = fleet.desks[1].fails_next = [hold]
+        ip, _, port = fleet.entries[0].partition(":")
+        link = await asyncio.to_thread(socket.create_connection, (ip, int(port)), 5)
+        await asyncio.to_thread(link.sendall, FLEET_REQUEST)
+        await asyncio.wait_for(began.wait(), 5)
+        await asyncio.to_thread(send_ahead, link, 200_000)
+        started = time.monotonic()
+        await asyncio.to_thread(link.close)
+        await asyncio.wait_for(ended.wait(), 5)
+        assert time.monotonic() - started < GONE_S
+        assert fleet.runs("id-1") == 1
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def load_tls(folder):
+    write_certificate(folder, "entry-1")
+    return CallerTls(
+        TlsSettings(str(folder / "tls.crt"), str(folder / "tls.key"))
+    ).context
+
+
+def test_caller_is_seen_to_leave_while_reading_is_paused():
+    """With more sent ahead than is kept in memory, the close is behind unread bytes."""
+
+    async def scenario():
+        async with open_server() as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.began.wait()
+            connection = next(iter(server.http._connections))
+            while not connection._is_paused:
+                await asyncio.to_thread(send_ahead, link, 64_000)
+            await asyncio.to_thread(send_ahead, link, 10_000)
+            assert await measure_end(server, link.close) < GONE_S
+
+    asyncio.run(scenario())
+
+
+def test_requests_sent_ahead_are_answered_and_kept_in_bounds():
+    """Each answer let in another read, however much of the earlier ones was left."""
+
+    async def answer(request, responder):
+        await asyncio.sleep(0.001)
+        responder.respond(200, [], b"")
+
+    async def scenario():
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            count = 1_000
+            head = REQUEST.replace(b"host", b"x: " + b"a" * 1_000 + b"\r\nhost")
+            sending = asyncio.create_task(asyncio.to_thread(link.sendall, head * count))
+            reading = asyncio.create_task(asyncio.to_thread(read_answers, link, count))
+            kept = 0
+            while not reading.done():
+                for connection in server.http._connections:
+                    held = connection._h11.trailing_data[0]
+                    kept = max(kept, len(connection._ahead) + len(held))
+                await asyncio.sleep(0.005)
+            await sending
+            assert await reading == count
+            assert kept < 640_000
+            link.close()
+
+    asyncio.run(scenario())
+
+
+def read_answers(link, count):
+    """Return how many answers arrived, of so many awaited."""
+    received = b""
+    link.settimeout(20)
+    while received.count(b"HTTP/1.1 200") < count and (data := link.recv(65_536)):
+        received += data
+    return received.count(b"HTTP/1.1 200")
