Answer the requests that were sent ahead of a planned stop

A caller that had sent several requests ahead got an answer to the first that was answered inside a planned stop; that answer announced the close, and the requests behind it, which had been read, were dropped.

An answer inside a stop announces the close only if no further bytes have arrived, for a second on each connection, so that a caller that sends without end does not hold up the stop.

New tests, the 2 cases of requests sent ahead failed before, with one answer of 2 and of 5. The one of a caller that sends without end guards the bound; it passed before.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -387,6 +387,7 @@
 LOGGED_IDENTIFIER_CHARACTERS = 64
 DRAIN_POLL_S = 0.02
 DRAIN_FRESH_S = 0.5  # How long a new connection is kept for its first request.
+DRAIN_AHEAD_S = 1.0  # How long requests sent ahead are answered on a connection.
 DRAIN_ACCEPT_S = 0.25  # How long connections are accepted that arrive without end.
 DRAIN_QUIET_TURNS = 3  # Of the event loop, which makes a transport in the next turn.
 
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -156,6 +156,7 @@
         self._is_reset_armed = False
         self._has_ended = False
         self._is_handling = False
+        self._ahead_until: float | None = None
         # Whether the caller has closed its sending side, and all before that is read.
         self._has_left = False
         self._is_read_out = False
@@ -478,11 +479,20 @@
             self._h11.their_http_version = _VERSION_WITHOUT_CHUNKS
         encoded = [(k.encode(), v.encode()) for k, v in headers]
         encoded.append((b"server", _SERVER_NAME))
-        if self._server.draining:
+        if self._server.draining and not self._goes_on():
             encoded.append((b"connection", b"close"))
         self.send_event(h11.Response(status_code=status, headers=encoded))
         self._arm_reset(headers)
 
+    def _goes_on(self) -> bool:
+        """Return whether a request sent ahead is to be answered in a drain.
+
+        A caller that sends without end is told of the close after a while.
+        """
+        if self._ahead_until is None:
+            self._ahead_until = self._loop.time() + defaults.DRAIN_AHEAD_S
+        return self._has_unread and self._loop.time() < self._ahead_until
+
     def _arm_reset(self, headers: list[tuple[str, str]]) -> None:
         """Have the connection reset if the process ends inside the answer.
 
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -404,3 +404,57 @@
         assert fleet.runs("id-1") == (refusal is RAN)
 
     run_with_fleet(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("count", [2, 5])
+def test_requests_sent_ahead_of_a_stop_are_answered(count):
+    """The first answer inside a stop announced the close, and the rest was dropped."""
+
+    async def answer(request, responder):
+        await asyncio.sleep(0.05)
+        responder.respond(200, [], b"")
+
+    async def scenario():
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST * count)
+            await server.began.wait()
+            draining = asyncio.create_task(server.http.drain(5.0))
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            assert received.count(b"HTTP/1.1 200") == count
+            assert received.lower().count(b"connection: close") == 1
+            assert not is_reset
+            link.close()
+            await draining
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_sends_without_end_does_not_hold_up_a_stop():
+    """Its connection would be cut at the end, with a request in progress."""
+
+    async def answer(request, responder):
+        await asyncio.sleep(0.02)
+        responder.respond(200, [], b"")
+
+    def send_all(link):
+        with contextlib.suppress(OSError):
+            while True:
+                link.sendall(REQUEST * 2)
+                time.sleep(0.01)
+
+    async def scenario():
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            sending = asyncio.create_task(asyncio.to_thread(send_all, link))
+            await server.began.wait()
+            reading = asyncio.create_task(asyncio.to_thread(read_rest, link))
+            await server.http.drain(5.0)
+            assert server.http.connection_count == 0
+            received, _ = await reading
+            assert received.lower().count(b"connection: close") == 1
+            assert received.count(b"HTTP/1.1 200") == len(server.targets)
+            link.close()
+            await sending
+
+    asyncio.run(scenario())
