Deliver a broken stream up to its break to a caller that has sent ahead

A stream that broke was closed at once. If the caller had sent more ahead than the entry had read, the close reset the connection, and what had been written and not yet received was lost: the last events, and the error event that says what broke.

The end of the stream is now followed by half a second in which what the caller still sends is read and dropped, as after a refusal.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -156,6 +156,7 @@
         self._is_reset_armed = False
         self._has_ended = False
         self._is_handling = False
+        self._is_lingering = False
         self._ahead_until: float | None = None
         # Whether the caller has closed its sending side, and all before that is read.
         self._has_left = False
@@ -404,6 +405,9 @@
         A close with unread data resets the connection, and the caller might not see
         the answer.
         """
+        if self._is_lingering:
+            return
+        self._is_lingering = True
         self._closing = True
         self._ahead.clear()
         self._resume_reading()
@@ -559,6 +563,8 @@
         """
         if self._h11.their_http_version == _VERSION_WITHOUT_CHUNKS:
             self._reset()
+        elif self._has_unread and not self._is_read_out:
+            self._linger()
         else:
             self.close()
 
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -458,3 +458,34 @@
             await sending
 
     asyncio.run(scenario())
+
+
+def test_end_of_a_broken_stream_survives_what_was_sent_ahead():
+    """The close of a connection with unread bytes reset it, and events were lost."""
+
+    async def scenario():
+        ready = asyncio.Event()
+
+        async def answer(request, responder):
+            await ready.wait()
+            responder.start(200, [])
+            write = asyncio.create_task(responder.write(b"a" * 1_500_000))
+            await asyncio.sleep(0)
+            responder.cut()
+            await write
+
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.began.wait()
+            # More than is read while a request is served.
+            await asyncio.to_thread(send_ahead, link, 2_000_000)
+            ready.set()
+            await asyncio.sleep(0.2)
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            assert received.count(b"a") >= 1_500_000
+            assert not received.endswith(b"0\r\n\r\n")
+            assert not is_reset
+            link.close()
+
+    asyncio.run(scenario())
