Deliver an answer that announces the close past a request that crosses it

After an answer with "connection: close" (its caller's wish, an HTTP/1.0 caller, a planned stop) the connection was closed at once unless bytes had arrived. A request that its caller sent before it had read the answer met a closed socket; the reset that followed destroyed what of the answer was on its way.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -156,7 +156,7 @@
         self._is_reset_armed = False
         self._has_ended = False
         self._is_handling = False
-        self._is_lingering = False
+        self._linger_timer: asyncio.TimerHandle | None = None
         self._ahead_until: float | None = None
         # Whether the caller has closed its sending side, and all before that is read.
         self._has_left = False
@@ -214,6 +214,8 @@
         self._cancel_timer()
         if self._flush_timer is not None:
             self._flush_timer.cancel()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._writable.set()
         self._server.unwatch(self)
         self._server.discard(self)
@@ -405,9 +407,8 @@
         A close with unread data resets the connection, and the caller might not see
         the answer.
         """
-        if self._is_lingering:
+        if self._linger_timer is not None:
             return
-        self._is_lingering = True
         self._closing = True
         self._ahead.clear()
         self._resume_reading()
@@ -415,7 +416,13 @@
         with contextlib.suppress(OSError):
             if self._transport.can_write_eof():
                 self._transport.write_eof()
-        self._loop.call_later(defaults.HTTP_LINGER_S, self.close)
+        if self._is_reset_armed and self._has_ended and self._is_flushed:
+            self._set_linger(_NO_LINGER)
+        self._linger_timer = self._loop.call_later(defaults.HTTP_LINGER_S, self.close)
+
+    @property
+    def _is_flushed(self) -> bool:
+        return not self._transport.get_write_buffer_size()
 
     def _resume_reading(self) -> None:
         if self._is_paused and len(self._ahead) <= defaults.HTTP_AHEAD_BYTES:
@@ -438,10 +445,11 @@
             self.cut()
             return
         if self._h11.our_state is not h11.DONE:
-            if self._has_unread:
-                self._linger()
-            else:
+            # The caller may send before it reads that the connection ends.
+            if self._is_read_out:
                 self.close()
+            else:
+                self._linger()
             return
         if self._server.draining and not self._has_unread:
             self.close()
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -489,3 +489,39 @@
             link.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "request_head",
+    [
+        REQUEST.replace(b"host", b"connection: close\r\nhost"),
+        REQUEST.replace(b"1.1", b"1.0"),
+        REQUEST,
+    ],
+    ids=["close", "old", "stop"],
+)
+def test_answer_survives_what_is_sent_after_it(request_head):
+    """A request that crossed the announced close reset the connection."""
+
+    async def scenario():
+        ready = asyncio.Event()
+
+        async def answer(request, responder):
+            await ready.wait()
+            responder.respond(200, [], b"a" * 1_500_000)
+
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, request_head)
+            await server.began.wait()
+            server.http.draining = request_head is REQUEST
+            ready.set()
+            await asyncio.sleep(0.1)
+            link.sendall(REQUEST)
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            assert received.count(b"a") >= 1_500_000
+            assert not is_reset
+            link.close()
+            await wait_until(lambda: server.http.connection_count == 0)
+
+    asyncio.run(scenario())
