Answer a request that has arrived when its connection times out as idle

A connection was closed as idle although its caller's next request was in the socket: the loop had been held up, and looked at the clock before the socket. The whole request was dropped by a reset.

A connection with unread bytes is not idle; the time for a head runs instead.

The new test holds up the loop past the time-out; one answer of two arrived before, both do now.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -631,6 +631,9 @@
         if self._is_inside_request:
             events.emit(_logger, events.REQUEST_TIMED_OUT, peer=self._peer)
             self._reject(RequestTimeout("the request did not arrive in time"))
+        elif self._has_unread:
+            # Its first bytes are read in the next turn of the loop.
+            self._arm(self._limits.head_timeout_s)
         else:
             self.close()
 
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -525,3 +525,27 @@
             await wait_until(lambda: server.http.connection_count == 0)
 
     asyncio.run(scenario())
+
+
+def test_request_that_arrives_at_the_idle_time_out_is_answered():
+    """Its bytes were in the socket when the connection was closed as idle."""
+
+    async def answer(request, responder):
+        responder.respond(200, [], b"")
+
+    async def scenario():
+        async with open_server(answer) as server:
+            server.http.limits = server.http.limits._replace(idle_timeout_s=0.3)
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.began.wait()
+            # Both timers are due in the same turn of the loop, in this order.
+            asyncio.get_running_loop().call_later(0.25, link.sendall, REQUEST)
+            await asyncio.sleep(0.1)
+            time.sleep(0.4)
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            assert received.count(b"HTTP/1.1 200") == 2
+            assert not is_reset
+            link.close()
+
+    asyncio.run(scenario())
