Read kept connections to backend servers after a large answer

Reading from a server is paused once more than 256 kB of an answer wait, for a caller that reads slowly. If the rest of the answer came with the same read, the connection was kept with reading paused: neither the server's close nor bytes that belong to no request were seen, and the next request, which may not be repeated, was sent on it and failed as one that may have run.

A connection that is kept is read again.

The 2 cases of the new test (the server closes, or writes an unasked answer and closes) failed before; both pass.

--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -170,12 +170,20 @@
             await self._wait()
 
     async def _wait(self) -> None:
+        self._resume_reading()
+        self._waiter = asyncio.get_running_loop().create_future()
+        await self._waiter
+
+    def _resume_reading(self) -> None:
         self._unread_bytes = 0
         if self._is_paused:
             self._is_paused = False
             self._transport.resume_reading()
-        self._waiter = asyncio.get_running_loop().create_future()
-        await self._waiter
+
+    def rest(self) -> None:
+        """Note that no request is on its way; what arrives belongs to none."""
+        self.idle_since = asyncio.get_running_loop().time()
+        self._resume_reading()
 
     def write(self, data: bytes) -> None:
         if self._is_lost or self._transport.is_closing():
@@ -596,7 +604,7 @@
         if not wire.is_kept:
             wire.retire()
             return
-        wire.idle_since = asyncio.get_running_loop().time()
+        wire.rest()
         self._idle.append(wire)
         while len(self._idle) > self.idle_limit:
             self._idle.popleft().close()
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -701,3 +701,37 @@
 
     client = None
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("ending", ["close", "bytes"])
+def test_kept_connection_is_read_after_a_large_answer(ending):
+    """Reading stayed paused, and the next request went to a closed connection."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        size = defaults.HTTP_UNREAD_BYTES
+        head = b"HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: %d\r\n\r\n" % size
+        writer.write(head + b"x" * size)
+        await asyncio.sleep(0.3)
+        if ending == "bytes":
+            writer.write(b"HTTP/1.1 200 OK\r\nx-id: b\r\ncontent-length: 0\r\n\r\n")
+            await asyncio.sleep(0.3)
+        writer.close()
+
+    async def scenario():
+        server = await open_server(serve)
+        client = HttpClient(address_of(server))
+        for name in ("a", "b"):
+            identity = RequestIdentity(name, lambda headers: dict(headers)["x-id"])
+            response = await client.open(
+                "POST", "/", [], b"", kept_idle_s=5.0, identity=identity
+            )
+            # The answer arrives before it is read.
+            await asyncio.sleep(0.1)
+            assert len(await response.read()) == defaults.HTTP_UNREAD_BYTES
+            await asyncio.sleep(0.3)
+        assert client.connections_opened == 2
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
