Read on while a caller reads the rest of an answer that ends its connection

What a caller sent later than half a second after such an answer was left unread while the rest of the answer was on its way; the close then reset the connection, and the rest was lost.

What arrives is read and dropped as long as the caller reads on, looked at each half second. One that reads nothing for so long is closed as before.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -418,7 +418,20 @@
                 self._transport.write_eof()
         if self._is_reset_armed and self._has_ended and self._is_flushed:
             self._set_linger(_NO_LINGER)
-        self._linger_timer = self._loop.call_later(defaults.HTTP_LINGER_S, self.close)
+        self._set_linger_timer()
+
+    def _set_linger_timer(self) -> None:
+        unsent = self._transport.get_write_buffer_size()
+        self._linger_timer = self._loop.call_later(
+            defaults.HTTP_LINGER_S, self._end_linger, unsent
+        )
+
+    def _end_linger(self, unsent_before: int) -> None:
+        """Close, unless the caller is still reading the answer."""
+        if self._transport.get_write_buffer_size() < unsent_before:
+            self._set_linger_timer()
+        else:
+            self.close()
 
     @property
     def _is_flushed(self) -> bool:
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -549,3 +549,37 @@
             link.close()
 
     asyncio.run(scenario())
+
+
+def test_answer_that_is_read_slowly_survives_what_is_sent_meanwhile():
+    """What arrived half a second after the answer was left unread, and reset it."""
+
+    async def answer(request, responder):
+        responder.respond(200, [], b"a" * 12_000_000)
+
+    def read_slowly(link):
+        received = b""
+        link.settimeout(5)
+        is_late = False
+        started = time.monotonic()
+        try:
+            while data := link.recv(100_000):
+                received += data
+                time.sleep(0.01)
+                if not is_late and time.monotonic() - started > 0.7:
+                    link.sendall(REQUEST)
+                    is_late = True
+        except ConnectionError:
+            pass
+        return received
+
+    async def scenario():
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            head = REQUEST.replace(b"host", b"connection: close\r\nhost")
+            await asyncio.to_thread(link.sendall, head)
+            received = await asyncio.to_thread(read_slowly, link)
+            assert received.count(b"a") >= 12_000_000
+            link.close()
+
+    asyncio.run(scenario())
