--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -20,8 +20,10 @@
 
 from .. import defaults, events
 from ..exceptions import (
+    BackendFailed,
     BadRequest,
     BodyTooLarge,
+    CallerLeft,
     HeadTooLarge,
     ListenFailed,
     Refusal,
@@ -37,6 +39,7 @@
 
 _SERVER_NAME = b"jasminewharf"
 _CONNECTION_RETRY_MS = 1_000
+_LEFT = "the caller has closed its sending side"
 # Colon, space and line end of a header field.
 _FIELD_BYTES = 4
 _VERSION_WITHOUT_CHUNKS = b"1.0"
@@ -155,11 +158,19 @@
         self._closing = False
         self._held: list[bytes] | None = None
         self._is_paused = False
+        # What arrives while a request is served waits here, unparsed.
+        self._ahead = bytearray()
         self._is_surplus = False
         self._has_served = False
         # Whether the socket is reset when the process ends or closes it.
         self._is_reset_armed = False
         self._has_ended = False
+        self._is_handling = False
+        self._linger_timer: asyncio.TimerHandle | None = None
+        self._ahead_until: float | None = None
+        # Whether the caller has closed its sending side, and all before that is read.
+        self._has_left = False
+        self._is_read_out = False
         self._made_at = self._loop.time()
 
     @property
@@ -180,7 +191,7 @@
     @property
     def _has_unread(self) -> bool:
         """Whether bytes have arrived that the loop or the parser has not read yet."""
-        if self._h11.trailing_data[0]:
+        if self._ahead or self._h11.trailing_data[0]:
             return True
         connection = self._transport.get_extra_info("socket")
         return connection is not None and _is_readable([connection])
@@ -211,9 +222,7 @@
         self._arm(_HEAD_TIME)
 
     def connection_lost(self, error: Exception | None) -> None:
-        if self._is_inside_request and not self._closing:
-            events.emit(_logger, events.REQUEST_CUT, peer=self._peer)
-            self._server.count_rejection(BadRequest("the request was cut"))
+        self._note_cut()
         self._closing = True
         if self._is_reset_armed and self._has_ended and error is None:
             # All was written; the socket is closed after this call.
@@ -221,14 +230,23 @@
         self._cancel_timer()
         if self._flush_timer is not None:
             self._flush_timer.cancel()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._writable.set()
+        self._server.unwatch(self)
         self._server.discard(self)
         if self._is_surplus:
             self._server.refused -= 1
         self._server.on_close(self._peer)
-        if self._task is not None:
+        # A handler that was told already is about to end.
+        if self._task is not None and not self._has_left:
             self._task.cancel()
 
+    def _note_cut(self) -> None:
+        if self._is_inside_request and not self._closing:
+            events.emit(_logger, events.REQUEST_CUT, peer=self._peer)
+            self._server.count_rejection(BadRequest("the request was cut"))
+
     def pause_writing(self) -> None:
         self._writable.clear()
 
@@ -244,16 +262,17 @@
             # What arrives after a refusal is dropped, not kept in memory.
             return
         is_first = self._task is None and not self._is_inside_request
-        self._h11.receive_data(data)
+        self._ahead += data
         if is_first:
             self._limits = self._server.limits
             self._arm(_HEAD_TIME)
         if self._task is None:
             self._read_events()
-        elif len(self._h11.trailing_data[0]) > self._allowed.head_bytes:
-            # Requests sent ahead wait in the socket's buffer, not in memory.
+        if len(self._ahead) > defaults.HTTP_AHEAD_BYTES and not self._is_paused:
+            # Further requests wait in the socket's buffer, not in memory.
             self._transport.pause_reading()
             self._is_paused = True
+            self._server.watch(self)
 
     @property
     def _is_inside_request(self) -> bool:
@@ -262,20 +281,46 @@
         return self._head is not None or bool(self._h11.trailing_data[0])
 
     def eof_received(self) -> bool:
-        # A caller that closes its sending side is taken to have gone, since a
-        # close of the whole connection looks the same until something is written.
-        return False
+        # A close of the whole connection looks the same until something is written,
+        # so that the caller is told, but not worked for.
+        self._is_read_out = True
+        if self._task is None or self._closing:
+            self._close_read_out()
+            return False
+        self.give_up()
+        # TLS knows no connection that is closed on one side.
+        return self._transport.get_extra_info("ssl_object") is None
+
+    def give_up(self) -> None:
+        """End the work for a caller that has closed its sending side.
+
+        It may still read: each request that was read whole is refused.
+        """
+        if self._has_left:
+            return
+        self._has_left = True
+        if self._is_handling:
+            self._task.cancel()
+
+    def _close_read_out(self) -> None:
+        self._note_cut()
+        self.close()
 
     def _read_events(self) -> None:
         try:
             while self._task is None and not self._closing:
                 event = self._h11.next_event()
-                if event is h11.NEED_DATA:
-                    self._check_incomplete()
-                    return
-                if event is h11.PAUSED:
+                if event is h11.NEED_DATA and self._ahead:
+                    self._h11.receive_data(self._ahead[: defaults.HTTP_PARSED_BYTES])
+                    del self._ahead[: defaults.HTTP_PARSED_BYTES]
+                elif event is h11.NEED_DATA or event is h11.PAUSED:
+                    if event is h11.NEED_DATA:
+                        self._check_incomplete()
+                    if self._is_read_out:
+                        self._close_read_out()
                     return
-                self._take_event(event)
+                else:
+                    self._take_event(event)
         except h11.RemoteProtocolError as error:
             self._reject(_classify(error))
         except Refusal as refusal:
@@ -327,7 +372,12 @@
     async def _serve(self, request: Request) -> None:
         responder = Responder(self)
         try:
-            await self._server.handler(request, responder)
+            await self._handle(request, responder)
+        except asyncio.CancelledError:
+            if not self._has_left:
+                raise
+            failure = BackendFailed(_LEFT, not_run=False)
+            self._refuse(responder, failure)
         except Refusal as refusal:
             self._refuse(responder, refusal)
         except Exception as error:
@@ -336,6 +386,17 @@
             self._refuse(responder, failure)
         self._end_cycle(responder)
 
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        if self._has_left:
+            refusal = CallerLeft(_LEFT)
+            self._server.count_rejection(refusal)
+            raise refusal
+        self._is_handling = True
+        try:
+            await self._server.handler(request, responder)
+        finally:
+            self._is_handling = False
+
     def _take_request(self) -> Request:
         head = self._head
         assert head is not None
@@ -375,19 +436,48 @@
         A close with unread data resets the connection, and the caller might not see
         the answer.
         """
+        if self._linger_timer is not None:
+            return
         self._closing = True
+        self._ahead.clear()
         self._resume_reading()
         # The caller may have reset the connection already.
         with contextlib.suppress(OSError):
             if self._transport.can_write_eof():
                 self._transport.write_eof()
-        self._loop.call_later(defaults.HTTP_LINGER_S, self.close)
+        if self._is_reset_armed and self._has_ended and self._is_flushed:
+            self._set_linger(_NO_LINGER)
+        self._set_linger_timer()
+
+    def _set_linger_timer(self) -> None:
+        unsent = self._transport.get_write_buffer_size()
+        self._linger_timer = self._loop.call_later(
+            defaults.HTTP_LINGER_S, self._end_linger, unsent
+        )
+
+    def _end_linger(self, unsent_before: int) -> None:
+        """Close, unless the caller is still reading the answer."""
+        if self._transport.get_write_buffer_size() < unsent_before:
+            self._set_linger_timer()
+        else:
+            self.close()
+
+    @property
+    def _is_flushed(self) -> bool:
+        return not self._transport.get_write_buffer_size()
 
     def _resume_reading(self) -> None:
-        if self._is_paused:
+        if self._is_paused and len(self._ahead) <= defaults.HTTP_AHEAD_BYTES:
             self._is_paused = False
+            self._server.unwatch(self)
             self._transport.resume_reading()
 
+    @property
+    def descriptor(self) -> int:
+        """The file descriptor of the socket, negative if that is closed."""
+        connection = self._transport.get_extra_info("socket")
+        return connection.fileno() if connection is not None else -1
+
     def _end_cycle(self, responder: Responder) -> None:
         self._task = None
         self._has_served = True
@@ -397,10 +487,11 @@
             self.cut()
             return
         if self._h11.our_state is not h11.DONE:
-            if self._has_unread:
-                self._linger()
-            else:
+            # The caller may send before it reads that the connection ends.
+            if self._is_read_out:
                 self.close()
+            else:
+                self._linger()
             return
         if self._server.draining and not self._has_unread:
             self.close()
@@ -413,13 +504,13 @@
         self._head = None
         self._body = []
         self._body_bytes = 0
-        if self._h11.trailing_data[0]:
+        if self._ahead or self._h11.trailing_data[0]:
             self._arm(_HEAD_TIME)
         else:
             self._limits = self._server.limits
             self._arm(_IDLE_TIME)
-        self._resume_reading()
         self._read_events()
+        self._resume_reading()
 
     def hold(self) -> None:
         """Keep what is sent until :meth:`release`, so that it leaves at once."""
@@ -446,11 +537,20 @@
             self._h11.their_http_version = _VERSION_WITHOUT_CHUNKS
         encoded = [(k.encode(), v.encode()) for k, v in headers]
         encoded.append((b"server", _SERVER_NAME))
-        if self._server.draining:
+        if self._server.draining and not self._goes_on():
             encoded.append((b"connection", b"close"))
         self.send_event(h11.Response(status_code=status, headers=encoded))
         self._arm_reset(headers)
 
+    def _goes_on(self) -> bool:
+        """Return whether a request sent ahead is to be answered in a drain.
+
+        A caller that sends without end is told of the close after a while.
+        """
+        if self._ahead_until is None:
+            self._ahead_until = self._loop.time() + defaults.DRAIN_AHEAD_S
+        return self._has_unread and self._loop.time() < self._ahead_until
+
     def _arm_reset(self, headers: list[tuple[str, str]]) -> None:
         """Have the connection reset if the process ends inside the answer.
 
@@ -521,6 +621,8 @@
         """
         if self._h11.their_http_version == _VERSION_WITHOUT_CHUNKS:
             self._reset()
+        elif self._has_unread and not self._is_read_out:
+            self._linger()
         else:
             self.close()
 
@@ -622,6 +724,9 @@
         self.refused = 0
         self.on_close: Callable[[str], None] = lambda peer: None
         self._connections: set[_Connection] = set()
+        # Connections that are not read for now.
+        self._watched: set[_Connection] = set()
+        self._watch_timer: asyncio.TimerHandle | None = None
         self._server: asyncio.Server | None = None
 
     @property
@@ -640,6 +745,39 @@
         """Forget a closed connection."""
         self._connections.discard(connection)
 
+    def watch(self, connection: "_Connection") -> None:
+        """Look for the close of a connection that is not read for now."""
+        self._watched.add(connection)
+        if self._watch_timer is None:
+            self._set_watch_timer()
+
+    def unwatch(self, connection: "_Connection") -> None:
+        """Leave the close of a connection to its reader again."""
+        self._watched.discard(connection)
+
+    def _set_watch_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._watch_timer = loop.call_later(
+            defaults.HTTP_WATCH_S, self._close_abandoned
+        )
+
+    def _close_abandoned(self) -> None:
+        self._watch_timer = None
+        by_descriptor = {each.descriptor: each for each in self._watched}
+        poll = select.poll()
+        for descriptor in by_descriptor:
+            if descriptor >= 0:
+                poll.register(descriptor, select.POLLRDHUP)
+        # Broken connections are told of without having been asked for.
+        for descriptor, seen in poll.poll(0):
+            connection = by_descriptor[descriptor]
+            if seen & (select.POLLERR | select.POLLHUP):
+                connection.abort()
+            else:
+                connection.give_up()
+        if self._watched:
+            self._set_watch_timer()
+
     async def listen(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> str:
--- /dev/null
+++ b/tests/test_leaving_callers.py
@@ -0,0 +1,585 @@
+"""Callers that leave, and what becomes of the requests that they have sent."""
+
+import asyncio
+import contextlib
+import json
+import socket
+import ssl
+import time
+
+import pytest
+
+from certificates import write_certificate
+from fleets import run_with_fleet
+from jasminewharf.interfaces.http import HttpServer
+from jasminewharf.interfaces.refusals import render_refusal
+from jasminewharf.interfaces.tls import CallerTls
+from jasminewharf.settings import LimitSettings, TlsSettings
+from support import wait_until
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+FLEET_REQUEST = (
+    b"POST /orders/1 HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: id-1\r\n"
+    b"x-deadline-ms: 4000\r\napi-key: key-1\r\ncontent-length: 2\r\n\r\n{}"
+)
+# A request that a caller sends ahead, of any length.
+LONG_REQUEST = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 8000000\r\n\r\n"
+# Work for a caller ends so long after its close has reached the machine.
+GONE_S = 0.5
+
+
+class Server:
+    """A server whose handler notes when its work ends, and how."""
+
+    def __init__(self, handle=None):
+        self.began = asyncio.Event()
+        self.ended = asyncio.Event()
+        self.targets = []
+        self.handle = handle or wait_long
+        limits = LimitSettings()._replace(head_bytes=16_384)
+        self.http = HttpServer(self._handle, render_refusal, limits)
+
+    async def _handle(self, request, responder):
+        self.targets.append(request.target)
+        self.began.set()
+        try:
+            await self.handle(request, responder)
+        finally:
+            self.ended.set()
+
+
+async def wait_long(request, responder):
+    await asyncio.sleep(30)
+
+
+async def stream_silently(request, responder):
+    responder.start(200, [])
+    await responder.write(b"first")
+    await asyncio.sleep(30)
+
+
+@contextlib.asynccontextmanager
+async def open_server(handle=None, tls=None):
+    server = Server(handle)
+    address = await server.http.listen("127.0.0.1", 0, tls)
+    ip, _, port = address.partition(":")
+    server.address = (ip, int(port))
+    try:
+        yield server
+    finally:
+        await server.http.close()
+
+
+def connect(server, is_tls=False):
+    link = socket.create_connection(server.address, 5)
+    if not is_tls:
+        return link
+    context = ssl.create_default_context()
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    return context.wrap_socket(link)
+
+
+def send_ahead(link, size):
+    """Send a part of a next request; return how much of it was taken."""
+    data = LONG_REQUEST + b"x" * size
+    link.settimeout(0.3)
+    sent = 0
+    with contextlib.suppress(TimeoutError):
+        while sent < size:
+            sent += link.send(data[sent:size])
+    return sent
+
+
+async def measure_end(server, leave):
+    """Return the seconds from a caller's leaving to the end of its request."""
+    started = time.monotonic()
+    await asyncio.to_thread(leave)
+    await asyncio.wait_for(server.ended.wait(), 5)
+    return time.monotonic() - started
+
+
+@pytest.mark.parametrize("size", [100, 20_000, 200_000, 400_000])
+@pytest.mark.parametrize("is_tls", [False, True], ids=["plain", "tls"])
+@pytest.mark.parametrize("handle", [wait_long, stream_silently])
+def test_caller_that_has_sent_ahead_is_seen_to_leave(handle, is_tls, size, tmp_path):
+    """Reading was paused for what it had sent, and its close was not noticed."""
+
+    async def scenario():
+        tls = load_tls(tmp_path) if is_tls else None
+        async with open_server(handle, tls) as server:
+            link = await asyncio.to_thread(connect, server, is_tls)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.began.wait()
+            assert await asyncio.to_thread(send_ahead, link, size) == size
+            assert await measure_end(server, link.close) < GONE_S
+            await wait_until(lambda: server.http.connection_count == 0)
+
+    asyncio.run(scenario())
+
+
+def test_backend_server_is_given_up_for_a_caller_that_has_sent_ahead(tmp_path):
+    """An entry let its server work on for a caller that had left."""
+    began = asyncio.Event()
+    ended = asyncio.Event()
+
+    async def hold(responder, signed):
+        began.set()
+        try:
+            await asyncio.sleep(30)
+        finally:
+            ended.set()
+
+    async def scenario(fleet):
+        fleet.desks[0].fails_next = fleet.desks[1].fails_next = [hold]
+        ip, _, port = fleet.entries[0].partition(":")
+        link = await asyncio.to_thread(socket.create_connection, (ip, int(port)), 5)
+        await asyncio.to_thread(link.sendall, FLEET_REQUEST)
+        await asyncio.wait_for(began.wait(), 5)
+        await asyncio.to_thread(send_ahead, link, 200_000)
+        started = time.monotonic()
+        await asyncio.to_thread(link.close)
+        await asyncio.wait_for(ended.wait(), 5)
+        assert time.monotonic() - started < GONE_S
+        assert fleet.runs("id-1") == 1
+
+    run_with_fleet(scenario, tmp_path)
+
+
+def load_tls(folder):
+    write_certificate(folder, "entry-1")
+    return CallerTls(
+        TlsSettings(str(folder / "tls.crt"), str(folder / "tls.key"))
+    ).context
+
+
+def test_caller_is_seen_to_leave_while_reading_is_paused():
+    """With more sent ahead than is kept in memory, the close is behind unread bytes."""
+
+    async def scenario():
+        async with open_server() as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.began.wait()
+            connection = next(iter(server.http._connections))
+            while not connection._is_paused:
+                await asyncio.to_thread(send_ahead, link, 64_000)
+            await asyncio.to_thread(send_ahead, link, 10_000)
+            assert await measure_end(server, link.close) < GONE_S
+
+    asyncio.run(scenario())
+
+
+def test_requests_sent_ahead_are_answered_and_kept_in_bounds():
+    """Each answer let in another read, however much of the earlier ones was left."""
+
+    async def answer(request, responder):
+        await asyncio.sleep(0.001)
+        responder.respond(200, [], b"")
+
+    async def scenario():
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            count = 1_000
+            head = REQUEST.replace(b"host", b"x: " + b"a" * 1_000 + b"\r\nhost")
+            sending = asyncio.create_task(asyncio.to_thread(link.sendall, head * count))
+            reading = asyncio.create_task(asyncio.to_thread(read_answers, link, count))
+            kept = 0
+            while not reading.done():
+                for connection in server.http._connections:
+                    held = connection._h11.trailing_data[0]
+                    kept = max(kept, len(connection._ahead) + len(held))
+                await asyncio.sleep(0.005)
+            await sending
+            assert await reading == count
+            assert kept < 640_000
+            link.close()
+
+    asyncio.run(scenario())
+
+
+def read_answers(link, count):
+    """Return how many answers arrived, of so many awaited."""
+    received = b""
+    link.settimeout(20)
+    while received.count(b"HTTP/1.1 200") < count and (data := link.recv(65_536)):
+        received += data
+    return received.count(b"HTTP/1.1 200")
+
+
+def read_refusals(received):
+    """Return status and word about the run of each refusal received."""
+    found = []
+    while received:
+        head, _, rest = received.partition(b"\r\n\r\n")
+        size = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+        error = json.loads(rest[:size])["error"]
+        found.append((int(head[9:12]), error["type"], error["not_run"]))
+        received = rest[size:]
+    return found
+
+
+def read_rest(link):
+    """Return what still comes, and whether the end was a reset."""
+    link.settimeout(5)
+    received = b""
+    try:
+        while data := link.recv(65_536):
+            received += data
+    except ConnectionError:
+        return received, True
+    return received, False
+
+
+RAN = (502, "backend_failed", False)
+NOT_RUN = (503, "caller_left", True)
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_caller_that_ends_its_sending_side_is_refused(count):
+    """Its requests were read whole, and ended in a bare close."""
+
+    async def scenario():
+        async with open_server() as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST * count)
+            await server.began.wait()
+            leave = link.shutdown
+            assert await measure_end(server, lambda: leave(socket.SHUT_WR)) < GONE_S
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            assert read_refusals(received) == [RAN] + [NOT_RUN] * (count - 1)
+            assert not is_reset
+            assert len(server.targets) == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_requests_that_arrive_with_the_end_of_sending_are_refused(count):
+    """A handler may be given up in its first step, or not begin at all."""
+
+    async def scenario():
+        async with open_server() as server:
+            # The loop does not run in between.
+            link = connect(server)
+            link.sendall(REQUEST * count)
+            link.shutdown(socket.SHUT_WR)
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            ran = len(server.targets)
+            assert ran <= 1
+            assert read_refusals(received) == [RAN] * ran + [NOT_RUN] * (count - ran)
+            assert not is_reset
+
+    asyncio.run(scenario())
+
+
+def test_request_behind_unread_bytes_is_refused_after_the_end_of_sending():
+    """More was sent ahead than is read while a request is served."""
+
+    async def scenario():
+        async with open_server() as server:
+            link = await asyncio.to_thread(connect, server)
+            body = b"x" * 600_000
+            long = LONG_REQUEST.replace(b"8000000", b"%d" % len(body)) + body
+
+            def send():
+                link.sendall(REQUEST + long + REQUEST)
+                link.shutdown(socket.SHUT_WR)
+
+            sending = asyncio.create_task(asyncio.to_thread(send))
+            await server.began.wait()
+            if not sending.done():
+                # The end of sending waits behind what does not fit the buffers.
+                server.http._connections.copy().pop().give_up()
+            received, _ = await asyncio.to_thread(read_rest, link)
+            await sending
+            assert read_refusals(received) == [RAN, NOT_RUN, NOT_RUN]
+
+    asyncio.run(scenario())
+
+
+def test_answer_that_is_being_written_survives_the_end_of_sending():
+    """It must not be cut, since the caller may still read."""
+
+    async def answer(request, responder):
+        responder.respond(200, [], b"a" * 6_000_000)
+
+    async def scenario():
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.ended.wait()
+            link.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(0.2)
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            assert received.count(b"a") > 6_000_000
+            assert not is_reset
+
+    asyncio.run(scenario())
+
+
+def test_stream_is_cut_at_the_end_of_sending():
+    """An answer that is given up must not look whole."""
+
+    async def scenario():
+        async with open_server(stream_silently) as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.began.wait()
+            leave = link.shutdown
+            assert await measure_end(server, lambda: leave(socket.SHUT_WR)) < GONE_S
+            received, _ = await asyncio.to_thread(read_rest, link)
+            assert received.endswith(b"first\r\n")
+
+    asyncio.run(scenario())
+
+
+def test_work_ends_for_a_caller_that_neither_sends_nor_reads():
+    """It went on until the answer written so far had left."""
+
+    async def stream(request, responder):
+        responder.start(200, [])
+        while True:
+            await responder.write(b"a" * 1_000_000)
+
+    async def scenario():
+        async with open_server(stream) as server:
+            server.http.limits = server.http.limits._replace(idle_timeout_s=0.2)
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await asyncio.sleep(0.3)
+            leave = link.shutdown
+            assert await measure_end(server, lambda: leave(socket.SHUT_WR)) < GONE_S
+            await wait_until(lambda: server.http.connection_count == 0)
+            link.close()
+
+    asyncio.run(scenario())
+
+
+def test_idle_connection_whose_caller_does_not_read_is_dropped():
+    """After the end of sending it was kept until the caller had read the answer."""
+
+    async def answer(request, responder):
+        responder.respond(200, [], b"a" * 8_000_000)
+
+    async def scenario():
+        async with open_server(answer) as server:
+            server.http.limits = server.http.limits._replace(idle_timeout_s=0.2)
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.ended.wait()
+            link.shutdown(socket.SHUT_WR)
+            await wait_until(lambda: server.http.connection_count == 0)
+            link.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("target", "model", "refusal"),
+    [(b"/orders/1", b"", RAN), (b"/chat/1", b"m3", NOT_RUN)],
+    ids=["sent", "waiting"],
+)
+def test_entry_says_whether_a_request_may_have_run(target, model, refusal, tmp_path):
+    """After the end of sending the caller has to know whether to send it again."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.load_s = 3.0
+        for desk in fleet.desks:
+            desk.fails_next = ["mute"]
+        ip, _, port = fleet.entries[0].partition(":")
+        link = await asyncio.to_thread(socket.create_connection, (ip, int(port)), 5)
+        request = FLEET_REQUEST.replace(b"/orders/1", target)
+        if model:
+            request = request.replace(b"api-key", b"x-model: " + model + b"\r\napi-key")
+        await asyncio.to_thread(link.sendall, request)
+        await asyncio.sleep(0.3)
+        link.shutdown(socket.SHUT_WR)
+        started = time.monotonic()
+        received, is_reset = await asyncio.to_thread(read_rest, link)
+        assert time.monotonic() - started < GONE_S
+        assert read_refusals(received) == [refusal]
+        assert not is_reset
+        assert fleet.runs("id-1") == (refusal is RAN)
+
+    run_with_fleet(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("count", [2, 5])
+def test_requests_sent_ahead_of_a_stop_are_answered(count):
+    """The first answer inside a stop announced the close, and the rest was dropped."""
+
+    async def answer(request, responder):
+        await asyncio.sleep(0.05)
+        responder.respond(200, [], b"")
+
+    async def scenario():
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST * count)
+            await server.began.wait()
+            draining = asyncio.create_task(server.http.drain(5.0))
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            assert received.count(b"HTTP/1.1 200") == count
+            assert received.lower().count(b"connection: close") == 1
+            assert not is_reset
+            link.close()
+            await draining
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_sends_without_end_does_not_hold_up_a_stop():
+    """Its connection would be cut at the end, with a request in progress."""
+
+    async def answer(request, responder):
+        await asyncio.sleep(0.02)
+        responder.respond(200, [], b"")
+
+    def send_all(link):
+        with contextlib.suppress(OSError):
+            while True:
+                link.sendall(REQUEST * 2)
+                time.sleep(0.01)
+
+    async def scenario():
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            sending = asyncio.create_task(asyncio.to_thread(send_all, link))
+            await server.began.wait()
+            reading = asyncio.create_task(asyncio.to_thread(read_rest, link))
+            await server.http.drain(5.0)
+            assert server.http.connection_count == 0
+            received, _ = await reading
+            assert received.lower().count(b"connection: close") == 1
+            assert received.count(b"HTTP/1.1 200") == len(server.targets)
+            link.close()
+            await sending
+
+    asyncio.run(scenario())
+
+
+def test_end_of_a_broken_stream_survives_what_was_sent_ahead():
+    """The close of a connection with unread bytes reset it, and events were lost."""
+
+    async def scenario():
+        ready = asyncio.Event()
+
+        async def answer(request, responder):
+            await ready.wait()
+            responder.start(200, [])
+            write = asyncio.create_task(responder.write(b"a" * 1_500_000))
+            await asyncio.sleep(0)
+            responder.cut()
+            await write
+
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.began.wait()
+            # More than is read while a request is served.
+            await asyncio.to_thread(send_ahead, link, 2_000_000)
+            ready.set()
+            await asyncio.sleep(0.2)
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            assert received.count(b"a") >= 1_500_000
+            assert not received.endswith(b"0\r\n\r\n")
+            assert not is_reset
+            link.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "request_head",
+    [
+        REQUEST.replace(b"host", b"connection: close\r\nhost"),
+        REQUEST.replace(b"1.1", b"1.0"),
+        REQUEST,
+    ],
+    ids=["close", "old", "stop"],
+)
+def test_answer_survives_what_is_sent_after_it(request_head):
+    """A request that crossed the announced close reset the connection."""
+
+    async def scenario():
+        ready = asyncio.Event()
+
+        async def answer(request, responder):
+            await ready.wait()
+            responder.respond(200, [], b"a" * 1_500_000)
+
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, request_head)
+            await server.began.wait()
+            server.http.draining = request_head is REQUEST
+            ready.set()
+            await asyncio.sleep(0.1)
+            link.sendall(REQUEST)
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            assert received.count(b"a") >= 1_500_000
+            assert not is_reset
+            link.close()
+            await wait_until(lambda: server.http.connection_count == 0)
+
+    asyncio.run(scenario())
+
+
+def test_request_that_arrives_at_the_idle_time_out_is_answered():
+    """Its bytes were in the socket when the connection was closed as idle."""
+
+    async def answer(request, responder):
+        responder.respond(200, [], b"")
+
+    async def scenario():
+        async with open_server(answer) as server:
+            server.http.limits = server.http.limits._replace(idle_timeout_s=0.3)
+            link = await asyncio.to_thread(connect, server)
+            await asyncio.to_thread(link.sendall, REQUEST)
+            await server.began.wait()
+            # Both timers are due in the same turn of the loop, in this order.
+            asyncio.get_running_loop().call_later(0.25, link.sendall, REQUEST)
+            await asyncio.sleep(0.1)
+            time.sleep(0.4)
+            received, is_reset = await asyncio.to_thread(read_rest, link)
+            assert received.count(b"HTTP/1.1 200") == 2
+            assert not is_reset
+            link.close()
+
+    asyncio.run(scenario())
+
+
+def test_answer_that_is_read_slowly_survives_what_is_sent_meanwhile():
+    """What arrived half a second after the answer was left unread, and reset it."""
+
+    async def answer(request, responder):
+        responder.respond(200, [], b"a" * 12_000_000)
+
+    def read_slowly(link):
+        received = b""
+        link.settimeout(5)
+        is_late = False
+        started = time.monotonic()
+        try:
+            while data := link.recv(100_000):
+                received += data
+                time.sleep(0.01)
+                if not is_late and time.monotonic() - started > 0.7:
+                    link.sendall(REQUEST)
+                    is_late = True
+        except ConnectionError:
+            pass
+        return received
+
+    async def scenario():
+        async with open_server(answer) as server:
+            link = await asyncio.to_thread(connect, server)
+            head = REQUEST.replace(b"host", b"connection: close\r\nhost")
+            await asyncio.to_thread(link.sendall, head)
+            received = await asyncio.to_thread(read_slowly, link)
+            assert received.count(b"a") >= 12_000_000
+            link.close()
+
+    asyncio.run(scenario())
