End a trial that is granted to a caller that has left

Callers saw 503 prompt_refused for prompts with a suspected part for up to 10 s after another caller with that part had left. Cause: a request that asks the leader for a trial and is cancelled before the answer, or gives up after an answer that came too late, sent no TrialEnded, so that the leader kept the part on trial until it expired. Evidence: the new test, in which the owner answers after 0.2 s and the caller leaves before, failed (1 case): one trial was left at the owner. Now every ask without a grant that arrived is followed by TrialEnded on the same link, which the owner handles after the ask. The test passes, and so do tests/test_poison.py and tests/test_poison_parts.py.

--- a/src/jasminewharf/services/poisonguard.py
+++ b/src/jasminewharf/services/poisonguard.py
@@ -194,14 +194,23 @@
         """
         give_up_at = min(_now() + defaults.POISON_TRIAL_WAIT_S, job.sent_by)
         number = next(self._numbers)
-        while suspects := prompt.check():
-            if await self._ask_trial(number, suspects):
-                return Trial(number, tuple(suspects))
-            if _now() >= give_up_at:
-                judgement = self._table.judge(suspects[0], _now())
-                raise self._refuse(job, suspects[0], judgement)
-            await asyncio.sleep(defaults.POISON_TRIAL_POLL_S)
-        return Trial(0, ())
+        trial = Trial(0, ())
+        has_asked = False
+        try:
+            while suspects := prompt.check():
+                has_asked = True
+                if await self._ask_trial(number, suspects):
+                    trial = Trial(number, tuple(suspects))
+                    break
+                if _now() >= give_up_at:
+                    judgement = self._table.judge(suspects[0], _now())
+                    raise self._refuse(job, suspects[0], judgement)
+                await asyncio.sleep(defaults.POISON_TRIAL_POLL_S)
+        finally:
+            if has_asked and not trial.number:
+                # It may have been granted by an answer that did not arrive in time.
+                self.end_trial(number)
+        return trial
 
     async def _ask_trial(self, number: int, parts: list[int]) -> bool:
         controllers = self.kernel.find("controllers")
