Return tokens that are lent for a caller that has left

A workspace at its rate was refused for requests that were never sent. Cause: a request that was cancelled while the owner of the tokens was asked, or while it waited for tokens lent ahead, dropped the loan; its charge counts as held only after the wait. Evidence: the new test, whose caller leaves at either moment, failed (2 cases): the owner's bucket lacked the request's 20 tokens. Now the question to the owner goes on, and what was lent goes back to the owner as soon as it is known. It is not kept for the next request here, which could spend before their time what was lent ahead.

--- a/src/jasminewharf/services/lending.py
+++ b/src/jasminewharf/services/lending.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import math
 from typing import ClassVar
@@ -175,12 +176,18 @@
         if advance.take(cost, _now()):
             return advance.owner
         asked_at = _now()
-        lent = await self._borrow(spec, cost, max_wait_s)
-        if lent.is_lent:
-            if lent.advance > 0:
-                advance.add(lent.advance, lent.owner, asked_at, _now())
-            await asyncio.sleep(lent.wait_ms / defaults.MS_PER_S)
-            return lent.owner
+        borrowing = self.spawn(self._borrow(spec, cost, max_wait_s))
+        try:
+            lent = await asyncio.shield(borrowing)
+            if lent.is_lent:
+                await asyncio.sleep(lent.wait_ms / defaults.MS_PER_S)
+                return lent.owner
+        except asyncio.CancelledError:
+            # The owner may have lent the tokens, or be about to.
+            borrowing.add_done_callback(
+                functools.partial(self._return_unused, spec, cost, asked_at)
+            )
+            raise
         self._metrics.count("rate_refusals_total", workspace=spec.name)
         events.emit(
             _logger,
@@ -208,9 +215,28 @@
             advance = self._advances.setdefault(spec.name, Advance())
             advance.add(cost, owner, lent_at, _now())
 
+    def _return_unused(
+        self,
+        spec: WorkspaceSpec,
+        cost: float,
+        asked_at: float,
+        borrowing: "asyncio.Task[TokensLent]",
+    ) -> None:
+        """Return tokens that were lent for a request that waits no more.
+
+        They go to the owner: if they were lent ahead, nobody may spend them yet.
+        """
+        if borrowing.cancelled() or borrowing.exception() is not None:
+            return
+        lent = borrowing.result()
+        if lent.is_lent and lent.owner:
+            age_ms = math.ceil((_now() - asked_at) * defaults.MS_PER_S)
+            self._return(ReturnTokens(spec.name, cost, lent.owner, age_ms))
+
     async def _borrow(
         self, spec: WorkspaceSpec, cost: float, max_wait_s: float
     ) -> TokensLent:
+        asked_at = _now()
         if _now() < self._silent_until:
             return self._use_emergency(spec, cost)
         request = BorrowTokens(spec.name, cost, int(max_wait_s * defaults.MS_PER_S))
@@ -229,6 +255,9 @@
             self._silent_until = _now() + defaults.OWNER_SILENT_S
             return self._use_emergency(spec, cost)
         self.entries = max(lent.entries, 1)
+        if lent.is_lent and lent.advance > 0:
+            advance = self._advances[spec.name]
+            advance.add(lent.advance, lent.owner, asked_at, _now())
         return lent
 
     def _use_emergency(self, spec: WorkspaceSpec, cost: float) -> TokensLent:
--- a/tests/test_gone_callers.py
+++ b/tests/test_gone_callers.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import contextlib
+import json
 import math
 
+import pytest
+
 from crashingengines import Play
-from fleets import run_with_fleet
+from fleets import build_body, run_with_fleet
 from jasminewharf.decisions.backpressure import ServerIncarnation
 from jasminewharf.decisions.poison import PartEnd, PartEvidence, hash_parts
 from jasminewharf.messages.poison import AskTrial
+from jasminewharf.messages.servers import BorrowTokens
 from support import wait_until
 
 LATE_S = 0.2
@@ -60,3 +64,53 @@
         assert status == 200
 
     run_with_fleet(scenario, tmp_path, engines=load.engines, desks=[])
+
+
+@pytest.mark.parametrize("moment", ["asked", "lent"])
+def test_tokens_lent_for_a_caller_that_has_left_come_back(tmp_path, moment):
+    """The workspace paid for requests that were never sent."""
+
+    async def scenario(fleet):
+        tenant = json.loads(build_body())["tenants"][0]
+        tenant |= {"ratePerS": 100, "burst": 1_000}
+        routes = json.loads(build_body())["routes"]
+        routes[1]["targetLatencyMs"] = 4_000
+        await fleet.submit(build_body(2, tenants=[tenant], routes=routes))
+        view = fleet.entry_kernels[0].find("view")
+        await wait_until(lambda: view.table.version == 2)
+        lender = fleet.kernels[0].find("rate-lender")
+        asks = []
+
+        def lend_late(peer, message):
+            asks.append(message)
+            lent = lender._lend(peer, message)
+            return answer_late(lent) if moment == "asked" else lent
+
+        fleet.kernels[0].find("control").handle(BorrowTokens, lend_late)
+        bucket = await empty_bucket(lender, view.table)
+        emptied_at = asyncio.get_running_loop().time()
+        counts = ("x-token-counts", "10,10")
+        asking = asyncio.create_task(fleet.call("/plan/x", ("x-model", "m0"), counts))
+        await wait_until(lambda: asks)
+        # Half of the wait for the tokens themselves.
+        await asyncio.sleep(0.0 if moment == "asked" else 0.1)
+        await leave(asking)
+        await asyncio.sleep(LATE_S + 0.1)
+        now = asyncio.get_running_loop().time()
+        bucket.refill(now)
+        assert bucket.level == pytest.approx(100 * (now - emptied_at), abs=1.0)
+        assert not any(engine.runs for engine in fleet.engines)
+
+    run_with_fleet(scenario, tmp_path)
+
+
+async def empty_bucket(lender, table):
+    """Leave the owner of the tokens with none, so that requests wait for them."""
+    await wait_until(lambda: lender._lender is not None)
+    spec = table.configuration.workspaces[0]
+    now = asyncio.get_running_loop().time()
+    bucket = lender._lender._find_bucket(spec, now)
+    bucket.refill(now)
+    bucket.level = 0.0
+    bucket._peaks.clear()
+    return bucket
