Leave an answer alone that has ended whole

Callers of answers whose end only the close tells got a reset after the whole body: a request without an answer. Cause: after such an answer the entry asks for up to 0.3 s whether its server still listens, within the deadline of the request and the grace of a stop. Where one of them passed meanwhile, the gateway cut the connection, and a cut of an answer without a stated end is a reset. Evidence: the new test, in which the server is asked for 1 s, failed (2 cases, deadline and stop): connection reset by peer. Now a finished response is not touched, and is recorded as answered. The test passes, and so do the others of test_poison.py, test_planned_stop.py and test_close_delimited.py.

--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -170,7 +170,10 @@
             self._refuse(responder, refusal, call)
         finally:
             self._exchanges.discard(exchange)
-        self._record(call, attempts, refusal.kind if refusal else "answered", started)
+        outcome = "answered"
+        if refusal is not None and not responder.is_finished:
+            outcome = refusal.kind
+        self._record(call, attempts, outcome, started)
 
     def _record(
         self, call: CallHead | None, attempts: Attempts, outcome: str, started: float
@@ -202,6 +205,9 @@
     def _refuse(
         self, responder: Responder, refusal: Refusal, call: CallHead | None
     ) -> None:
+        if responder.is_finished:
+            # What has passed is only the time for what follows a whole answer.
+            return
         if responder.has_started:
             # The missing end of the body tells the caller that the answer broke.
             responder.cut()
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -12,6 +12,7 @@
 from jasminewharf.decisions.backpressure import ServerIncarnation
 from jasminewharf.decisions.poison import REFUSED, PartEnd, PartEvidence, hash_parts
 from jasminewharf.exceptions import JasminewharfError
+from jasminewharf.services import poisonguard
 from platformfakes import answer_raw, stream_body
 from support import wait_until
 
@@ -21,6 +22,11 @@
 DURATION_S = 11.0
 PARTS = hash_parts("llm", ["f1", "bad0bad0"])
 END = PartEnd(ServerIncarnation("i-before", 1), 0.0)
+PROMPT = (
+    ("x-model", "m0"),
+    ("x-token-counts", "600,60"),
+    ("x-prompt-prefix", "f1:172,c1:9"),
+)
 WITHOUT_END = b"HTTP/1.1 200 OK\r\n%scontent-type: text/event-stream\r\n\r\n"
 
 
@@ -206,6 +212,34 @@
     run_with_fleet(scenario, tmp_path, engines=load.engines, desks=[])
 
 
+@pytest.mark.parametrize("ending", ["deadline", "stop"])
+def test_whole_answer_is_not_reset_while_its_server_is_asked_for(
+    tmp_path, monkeypatch, ending
+):
+    """Its deadline passed after the answer, and the caller got a reset."""
+    load = Play([], engines=3)
+
+    async def ask_slowly(address):
+        await asyncio.sleep(1.0)
+        return False
+
+    monkeypatch.setattr(poisonguard, "_is_refused", ask_slowly)
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.fails_next = [serve_without_end] * 50
+        deadline = ("x-deadline-ms", "500" if ending == "deadline" else "4000")
+        calling = asyncio.create_task(fleet.call("/chat/x", *PROMPT, deadline))
+        await wait_until(lambda: any(engine.runs for engine in load.engines))
+        await asyncio.sleep(0.3)
+        if ending == "stop":
+            fleet.entry_kernels[0].find("gateway")._end_running()
+        status, _, body = await calling
+        assert (status, body) == (200, stream_body())
+
+    run_with_fleet(scenario, tmp_path, engines=load.engines, desks=[])
+
+
 def test_end_between_two_events_without_a_stated_end_accuses(tmp_path):
     """The close of a crashed engine was taken for a whole answer, which clears."""
     load = Play([], engines=3)
