Keep the models of an engine that falls silent for a moment

Callers of a sound engine's models waited for another engine to load them. Cause: one read of the engine's report without an answer within 0.5 s made its agent tell all entries that the engine is lost and holds no model. Now reports are read again as before, but an engine counts as lost only after 1.5 s without an answer, and gets no orders meanwhile; one that refuses or breaks the connection is lost at once as before.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -450,6 +450,7 @@
 ENGINE_ADAPTER_POLL_S = 0.005  # An adapter from the engine's own copies takes as long.
 ENGINE_ADAPTER_S = 0.05  # An adapter from the store, with the lag of reports.
 ENGINE_REPORT_TIMEOUT_S = 0.5
+ENGINE_SILENT_S = 1.5  # Without a report: longer than a sound engine falls silent.
 STORE_ASK_S = 0.3  # Between an agent's questions for a turn at the store.
 STORE_ASK_TIMEOUT_S = 0.4  # An agent gives its engine no order meanwhile.
 STORE_HOLD_S = 1.0  # A third of the time after which the owner forgets a load.
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -12,6 +12,7 @@
     "AnswerBroken",
     "BackendError",
     "BackendFailed",
+    "BackendSilent",
     "BackendUnreachable",
     "BadRequest",
     "BodyTooLarge",
@@ -320,6 +321,10 @@
     """A backend server answered with an error or not at all."""
 
 
+class BackendSilent(BackendError):
+    """A backend server gave no answer in time; the call may have begun."""
+
+
 class BackendUnreachable(BackendError):
     """No connection to the backend server; the call did not begin."""
 
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -14,7 +14,7 @@
 
 from .. import defaults, events
 from ..decisions.framing import is_close_delimited
-from ..exceptions import BackendError, BackendUnreachable
+from ..exceptions import BackendError, BackendSilent, BackendUnreachable
 from ..metrics import Metrics
 from ..settings import split_address
 
@@ -472,6 +472,7 @@
 
         Raises:
             BackendUnreachable: If the call did not begin.
+            BackendSilent: If no answer came in time.
             BackendError: If it may have begun.
         """
         try:
@@ -488,7 +489,7 @@
                 content = await response.read()
                 return FetchedAnswer(response.status, response.headers, content)
         except TimeoutError:
-            raise BackendError(f"no answer within {timeout_s:g} s") from None
+            raise BackendSilent(f"no answer within {timeout_s:g} s") from None
 
     def _take_idle(
         self, idle_s: float, identity: RequestIdentity | None
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -12,7 +12,7 @@
 from ..decisions.routes import RouteTable
 from ..decisions.serverlimits import ServerLimit
 from ..dialects.fleet import ENGINE_ORDERS, EngineOrder, EngineStatus
-from ..exceptions import BackendError, ImplausibleDemand, LimitReached
+from ..exceptions import BackendError, BackendSilent, ImplausibleDemand, LimitReached
 from ..kernel import Kernel, Service
 from ..messages.feed import BackendReport
 from ..messages.servers import (
@@ -61,6 +61,8 @@
         self._orders = lookup(ENGINE_ORDERS, fleet.dialect)
         self._residency = Residency()
         self._status: EngineStatus | None = None
+        # When the engine last answered.
+        self._heard_at = float("-inf")
         # Orders that the engine is known to have accepted since its start.
         self._accepted = 0
         self._change: Intent | None = None
@@ -194,8 +196,8 @@
     async def _run(self) -> None:
         while True:
             self._wake.clear()
-            await self._refresh_status()
-            if self._status is not None:
+            is_silent = not await self._refresh_status()
+            if self._status is not None and not is_silent:
                 await self._give_orders()
             self._store.renew()
             self._publish_report()
@@ -267,13 +269,17 @@
             granted_s=self._backpressure.note_pause(asked_s, _now()),
         )
 
-    async def _refresh_status(self) -> None:
+    async def _refresh_status(self) -> bool:
+        """Read the engine's report if it may be read; return False without an answer.
+
+        What an engine has told stays valid while it falls silent for a moment.
+        """
         if self._is_paused():
             # The last report stays valid; entries detect failures on their own.
-            return
+            return True
         permit = await self._acquire_status_permit()
         if permit is None:
-            return
+            return True
         try:
             with contextlib.closing(permit):
                 fresh = await self._read_status(permit)
@@ -282,16 +288,24 @@
                     fresh = await self._read_status(permit, is_exclusive=True)
         except LimitReached:
             # The engine named its limit while this host connected; it is not lost.
-            return
+            return True
+        except BackendSilent as error:
+            if _now() - self._heard_at >= defaults.ENGINE_SILENT_S:
+                self._lose_engine(error)
+            return False
         except BackendError as error:
-            if self._status is not None:
-                events.emit(_logger, events.ENGINE_LOST, error=error)
-                self._news.publish_unreachable()
-                self._store.release(is_complete=False)
-            self._status = None
-            return
+            self._lose_engine(error)
+            return False
         if fresh is not None:
             self._note_status(fresh)
+        return True
+
+    def _lose_engine(self, error: BackendError) -> None:
+        if self._status is not None:
+            events.emit(_logger, events.ENGINE_LOST, error=error)
+            self._news.publish_unreachable()
+            self._store.release(is_complete=False)
+        self._status = None
 
     async def _read_status(
         self, permit: Permit, *, is_exclusive: bool = False
@@ -309,6 +323,7 @@
             permit=permit,
             is_exclusive=is_exclusive,
         )
+        self._heard_at = _now()
         self._note_pause(answer)
         self._note_limit(answer, permit.sent_at)
         if self._is_paused() and self._status is not None:
