Log the identity of a whole request at the end of its server

Change: 865 names the request by a hash of workspace, host, method, path with query and body, for all services. The hash is taken when a server has ended under the request, so that others cost nothing; nobody is accused by it yet.

--- a/src/jasminewharf/decisions/poison.py
+++ b/src/jasminewharf/decisions/poison.py
@@ -27,6 +27,7 @@
     "PartTable",
     "TrialBook",
     "hash_parts",
+    "hash_request",
     "list_unanswered",
 ]
 
@@ -37,6 +38,8 @@
 REFUSED = "refused"
 
 _NEVER = -math.inf
+# Set in the identities of whole requests, not in those of parts.
+_WHOLE_BIT = 1 << 63
 
 
 class PartEnd(NamedTuple):
@@ -78,7 +81,23 @@
     """Return the identities of a prompt's parts at a service, each once."""
     considered = parts[: defaults.POISON_PARTS_LIMIT]
     names = (f"{service}\0{part}".encode() for part in considered)
-    return tuple(dict.fromkeys(map(xxhash.xxh3_64_intdigest, names)))
+    return tuple(
+        dict.fromkeys(xxhash.xxh3_64_intdigest(n) & ~_WHOLE_BIT for n in names)
+    )
+
+
+def hash_request(
+    workspace: str, host: str, method: str, target: str, body: bytes
+) -> int:
+    """Return the identity of a whole request.
+
+    It is that of each repeat by the same caller: the request's identifier, its deadline
+    and its other headers are left out.
+    """
+    head = f"{workspace}\0{host.lower()}\0{method}\0{target}\0"
+    digest = xxhash.xxh3_64(head.encode())
+    digest.update(body)
+    return digest.intdigest() | _WHOLE_BIT
 
 
 class AnsweredParts:
--- a/src/jasminewharf/services/poisonguard.py
+++ b/src/jasminewharf/services/poisonguard.py
@@ -20,6 +20,7 @@
     PartTable,
     TrialBook,
     hash_parts,
+    hash_request,
     list_unanswered,
 )
 from ..exceptions import (
@@ -56,8 +57,16 @@
         self._job = job
         self._trial = Trial(0, ())
         self._begun_at: float | None = None
+        self._whole: int | None = None
         self.parts = hash_parts(job.service.name, job.call.shared_parts)
 
+    @property
+    def whole(self) -> int:
+        """The identity of the whole request; the body is read when first asked for."""
+        if self._whole is None:
+            self._whole = _hash_job(self._job)
+        return self._whole
+
     def check(self) -> list[int]:
         """Return the parts under suspicion.
 
@@ -78,9 +87,9 @@
         try:
             yield
         except AnswerBroken as error:
-            if self.parts and not error.is_silent:
+            if not error.is_silent:
                 has_ended = await self._guard.note_broken(
-                    self._job, server, self.parts, self._trial
+                    self._job, server, self, self._trial
                 )
                 error.may_be_poison = has_ended and self._may_be_cause()
             raise
@@ -111,7 +120,7 @@
         has_ended = False
         if is_close_delimited and self._guard.is_open(self.parts):
             has_ended = await self._guard.note_broken(
-                self._job, server, self.parts, self._trial
+                self._job, server, self, self._trial
             )
         if not has_ended:
             self._guard.note_answered(self._job, self.parts)
@@ -237,13 +246,14 @@
             self._merge([PartEvidence(part, now, ()) for part in known], job)
 
     async def note_broken(
-        self, job: Job, server: Server, parts: tuple[int, ...], trial: Trial
+        self, job: Job, server: Server, prompt: GuardedPrompt, trial: Trial
     ) -> bool:
         """Record an answer that broke off; return whether its server has ended."""
         now = _now()
         incarnation = ServerIncarnation(server.name, server.listed.born_ms)
         if not await self._has_ended(incarnation, server.listed.address):
             return False
+        parts = prompt.parts
         unanswered = list_unanswered(parts, self.answered)
         self._metrics.count("answers_ended_by_servers_total")
         events.emit(
@@ -251,6 +261,7 @@
             events.SERVER_ENDED,
             request_id=job.call.request_id,
             server=server.name,
+            request=f"{prompt.whole:x}",
             parts=[f"{part:x}" for part in parts],
             unanswered=[f"{part:x}" for part in unanswered],
         )
@@ -352,6 +363,16 @@
             self._tell(sorted(known))
 
 
+def _hash_job(job: Job) -> int:
+    return hash_request(
+        job.workspace.name if job.workspace else "",
+        job.call.host,
+        job.outgoing.method,
+        job.outgoing.target,
+        job.outgoing.body,
+    )
+
+
 async def _is_refused(address: str) -> bool:
     """Return whether nothing listens at an address."""
     host, port = split_address(address)
