--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -90,12 +90,14 @@
 class Fleet:
     """Addresses, kernels and fakes of a running fleet.
 
-    ``parts`` replace its fakes: engines, desks or list.
+    ``parts`` replace its fakes, engines, desks or list, or its first configuration,
+    ``body``.
     """
 
     def __init__(self, base, folder, entries=2, **parts):
         self.base = base
         self.folder = folder
+        self.body = build_body()
         self.list = FakeList("127.0.0.1")
         self.engines = [
             FakeReplica("127.0.0.1", "i-e1", "llm", ["m0", "m1"]),
@@ -147,7 +149,7 @@
         for number, engine in enumerate(self.engines):
             ip = f"127.0.0.{5 + number}"
             await self.add(ip, "agent", own_server=engine.address)
-        await self.submit(build_body())
+        await self.submit(self.body)
         for kernel in self.entry_kernels:
             await wait_until(kernel.find("gateway").is_ready)
             directory = kernel.find("directory").directory
--- a/tests/processfleet.py
+++ b/tests/processfleet.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 
-from fleets import Fleet, build_body
+from fleets import Fleet
 from jasminewharf.exceptions import BackendError
 
 _GRACE_S = 4.0
@@ -55,7 +55,7 @@
             self._add(f"127.0.0.{5 + number}", "agent", own_server=engine.address)
         for ip in self._commands:
             await self.spawn(ip)
-        await self.submit_until_accepted(build_body())
+        await self.submit_until_accepted(self.body)
         for entry in range(len(self.entries)):
             await self._wait_served(entry)
 
