Keep whole requests that crash servers from them, at all entries

Cause: only parts of prompts accused. A plain request has none; in a prompt the shared parts are cleared by the answers to sound requests, the last part was left out, and a part that was answered before is tried from its fourth end on. Change: a whole request has an identity too: workspace, host, method, path with query and body. It is suspected from its first end on, also if it was answered before, and refused after three; only an answer to itself clears it. Its ends count once for the parts that it holds. Trials of a service leave it servers: one at a time where there are three, none while one server is up. A safe request whose server ended goes on elsewhere as a trial. Ends of a server that is back under its name count again. Why it works: what repeats is found by what repeats; all entries share the table, so that the third end is known everywhere within 0.1 s.

--- a/src/jasminewharf/bench/command_poison.py
+++ b/src/jasminewharf/bench/command_poison.py
@@ -24,12 +24,61 @@
     "30 entries, three bad": PoisonScenario(
         bad_parts=3, entries=30, engines=22, per_s=110.0
     ),
+    "one bad request": PoisonScenario(bad_parts=0, deadly=1, retries=1),
+    "one, rarely sent": PoisonScenario(
+        bad_parts=0, deadly=1, deadly_share=0.01, retries=1
+    ),
+    "two bad requests, polling": PoisonScenario(
+        bad_parts=0, deadly=2, polled_share=0.3, retries=1
+    ),
+    "a bad part and a request": PoisonScenario(
+        bad_share=0.1, deadly=1, polled_share=0.2, retries=1
+    ),
+    "bad request, engines end": PoisonScenario(
+        bad_parts=0, deadly=1, polled_share=0.2, retries=1, ends_per_s=0.1
+    ),
+    "no bad one, engines end": PoisonScenario(
+        bad_parts=0, polled_share=0.2, retries=1, ends_per_s=0.2
+    ),
+    "plain, three servers": PoisonScenario(
+        bad_parts=0, deadly=1, engines=3, per_s=20.0, is_plain=True, retries=1
+    ),
+    "plain, two bad, polling": PoisonScenario(
+        bad_parts=0,
+        deadly=2,
+        deadly_share=0.1,
+        polled_share=0.5,
+        engines=3,
+        per_s=20.0,
+        is_plain=True,
+        retries=1,
+    ),
+    "plain, servers end": PoisonScenario(
+        bad_parts=0,
+        polled_share=0.5,
+        engines=3,
+        per_s=20.0,
+        is_plain=True,
+        retries=1,
+        ends_per_s=0.2,
+    ),
+    "30 entries, bad requests": PoisonScenario(
+        bad_parts=0,
+        deadly=3,
+        polled_share=0.2,
+        entries=30,
+        engines=22,
+        per_s=110.0,
+        retries=1,
+    ),
 }
-_HEADS = ("ends", "late", "found s", "accused", "victims", "refused", "sound")
+_HEADS = ("ends", "late", "found s", "accused", "victims", "refused", "sound", "down s")
 
 
 @register(COMMANDS, "poison")
-@cappa.command(name="poison", help="Find parts of prompts that crash engines.")
+@cappa.command(
+    name="poison", help="Find requests and parts of prompts that crash servers."
+)
 @dataclass
 class PoisonCommand:
     """Plays each scenario with many seeds and prints the worst and mean figures."""
--- a/src/jasminewharf/decisions/attempts.py
+++ b/src/jasminewharf/decisions/attempts.py
@@ -17,6 +17,7 @@
         route: The route's name; empty until the route is known.
         waited_s: Seconds that it has waited for its model or a permit.
         is_suspect: Whether it may crash the server that it is sent to.
+        contended: Servers at which another request is on trial.
     """
 
     def __init__(self) -> None:
@@ -27,6 +28,7 @@
         self.route = ""
         self.waited_s = 0.0
         self.is_suspect = False
+        self.contended: set[str] = set()
         self._ran_on: set[str] = set()
         self._is_open = False
 
--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -205,6 +205,10 @@
         """Return the servers of a service, including leaving ones."""
         return self._by_service.get(service, [])
 
+    def count_by_service(self) -> dict[str, int]:
+        """Return the number of servers of each service, with leaving ones."""
+        return {name: len(servers) for name, servers in self._by_service.items()}
+
     def at_address(self, address: str) -> Server | None:
         """Return the server at an address."""
         return self._by_address.get(address)
--- a/src/jasminewharf/decisions/poison.py
+++ b/src/jasminewharf/decisions/poison.py
@@ -1,9 +1,12 @@
-"""Poison requests: parts of prompts that crash each backend server they reach.
+"""Poison requests: whole requests, or parts of prompts, that crash backend servers.
 
-A server that ends accuses the parts of all requests that were there, also those of
-innocent neighbours. An answer that comes back whole clears the parts of its request. So
-a bad part is one with several ends and no whole answer since. All nodes keep the same
+A server that ends accuses all requests that were there and their parts, also those of
+innocent neighbours. An answer that comes back whole clears its request and the parts of
+it. So what is bad has several ends and no whole answer since. All nodes keep the same
 table: what they tell each other is merged in any order with the same result.
+
+Whole requests and parts are both known by a number, their identity; one bit tells them
+apart.
 """
 
 import math
@@ -26,12 +29,15 @@
     "PartEvidence",
     "PartTable",
     "TrialBook",
+    "count_trial_slots",
     "hash_parts",
     "hash_request",
+    "hash_trial_slot",
+    "is_whole",
     "list_unanswered",
 ]
 
-# What may be done with requests that hold a part.
+# What may be done with a request, or with all that hold a part.
 CLEAR = "clear"
 # One request at a time in the fleet, on trial.
 SUSPECT = "suspect"
@@ -43,10 +49,10 @@
 
 
 class PartEnd(NamedTuple):
-    """A server that ended while it had a request with a part, in monotonic seconds.
+    """A server that ended while it had such a request, in monotonic seconds.
 
     ``is_trial`` tells that the request was the only one in the fleet that was on trial
-    for the part.
+    for its part, or for itself.
     """
 
     server: ServerIncarnation
@@ -55,7 +61,7 @@
 
 
 class PartEvidence(NamedTuple):
-    """What is known of a part.
+    """What is known of a part or a whole request.
 
     ``answered_at`` is when the last request with it was answered whole, -inf if none
     was; all ``ends`` are later.
@@ -75,6 +81,52 @@
 
 
 _INNOCENT = Judgement(CLEAR, 0)
+_NONE: frozenset[ServerIncarnation] = frozenset()
+
+
+class _Rules(NamedTuple):
+    """From how many ends on something is suspected and refused, and for how long.
+
+    The time grows by ``growth`` with each further end.
+    """
+
+    suspect_ends: int
+    refused_ends: int
+    refused_s: float
+    growth: int
+    limit_s: float
+
+
+_PART_RULES = _Rules(
+    1,
+    defaults.POISON_REFUSED_ENDS,
+    defaults.POISON_REFUSED_S,
+    2,
+    defaults.POISON_REFUSED_LIMIT_S,
+)
+_ANSWERED_PART_RULES = _PART_RULES._replace(
+    suspect_ends=defaults.POISON_ANSWERED_SUSPECT_ENDS,
+    refused_ends=defaults.POISON_ANSWERED_REFUSED_ENDS,
+)
+# An answer to an earlier repeat says nothing for a request that has turned bad.
+_WHOLE_RULES = _Rules(
+    1,
+    defaults.POISON_REFUSED_ENDS,
+    defaults.POISON_WHOLE_REFUSED_S,
+    defaults.POISON_WHOLE_REFUSED_GROWTH,
+    defaults.POISON_WHOLE_REFUSED_LIMIT_S,
+)
+
+
+def is_whole(identity: int) -> bool:
+    """Return whether an identity is that of a whole request."""
+    return bool(identity & _WHOLE_BIT)
+
+
+def _find_rules(identity: int, answered_at: float) -> _Rules:
+    if is_whole(identity):
+        return _WHOLE_RULES
+    return _PART_RULES if answered_at == _NEVER else _ANSWERED_PART_RULES
 
 
 def hash_parts(service: str, parts: Sequence[str]) -> tuple[int, ...]:
@@ -100,6 +152,16 @@
     return digest.intdigest() | _WHOLE_BIT
 
 
+def count_trial_slots(servers: int) -> int:
+    """Return how many servers of a service may be put at risk by trials at a time."""
+    return max(servers - defaults.POISON_SPARED_SERVERS, 1)
+
+
+def hash_trial_slot(service: str, slot: int) -> int:
+    """Return the identity that all trials in a slot of a service have in common."""
+    return xxhash.xxh3_64_intdigest(f"{service}\0slot {slot}".encode()) & ~_WHOLE_BIT
+
+
 class AnsweredParts:
     """When requests with a part were last answered whole, as one node has seen it.
 
@@ -137,19 +199,41 @@
 
     def __init__(self) -> None:
         self.answered_at = _NEVER
-        self.ends: dict[ServerIncarnation, PartEnd] = {}
+        self.ends: list[PartEnd] = []
 
     @property
     def last_at(self) -> float:
-        return max((end.at for end in self.ends.values()), default=self.answered_at)
-
-    def list_steps(self) -> list[float]:
+        return max((end.at for end in self.ends), default=self.answered_at)
+
+    def add(self, end: PartEnd) -> None:
+        """Add an end, unless it is one that another request has told of."""
+        for number, known in enumerate(self.ends):
+            is_same = abs(known.at - end.at) < defaults.POISON_SAME_END_S
+            if known.server == end.server and is_same:
+                is_trial = known.is_trial or end.is_trial
+                self.ends[number] = known._replace(is_trial=is_trial)
+                return
+        self.ends.append(end)
+
+    def drop_ends(self) -> None:
+        """Drop the ends that an answer has followed, and the oldest of too many."""
+        later = [end for end in self.ends if end.at > self.answered_at]
+        later.sort(key=lambda end: (end.at, end.server))
+        self.ends = later[-defaults.POISON_ENDS_KEPT :]
+
+    def list_steps(self, explained: frozenset[ServerIncarnation]) -> list[float]:
         """Return the times of the ends that count.
 
-        Those of trials do, and of others that are close together only the first.
+        Those of trials do, and of others that are close together only the first. Those
+        of ``explained`` servers count once together.
         """
         steps: list[float] = []
-        for end in sorted(self.ends.values(), key=lambda end: end.at):
+        is_explained = False
+        for end in self.ends:
+            if end.server in explained:
+                if is_explained:
+                    continue
+                is_explained = True
             is_apart = not steps or end.at - steps[-1] >= defaults.POISON_SPACING_S
             if end.is_trial or is_apart:
                 steps.append(end.at)
@@ -157,18 +241,25 @@
 
 
 class PartTable:
-    """The parts of prompts under suspicion, the same on all nodes."""
+    """The parts of prompts and whole requests under suspicion, as on all nodes."""
 
     def __init__(self, limit: int = defaults.POISON_TABLE_LIMIT) -> None:
         self._limit = limit
         self._records: dict[int, _Record] = {}
+        # Whole requests with enough ends to be refused.
+        self._guilty: set[int] = set()
 
     def __len__(self) -> int:
         """Return the number of parts with an end that no answer has followed."""
         return sum(bool(record.ends) for record in self._records.values())
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is known of anything."""
+        return not self._records
+
     def __contains__(self, part: int) -> bool:
-        """Return whether anything is known of a part."""
+        """Return whether anything is known of a part or a whole request."""
         return part in self._records
 
     def merge(self, evidence: PartEvidence) -> bool:
@@ -178,44 +269,68 @@
             if not evidence.ends:
                 return False
             record = self._records[evidence.part] = _Record()
-        is_news = False
-        if evidence.answered_at > record.answered_at:
-            record.answered_at = evidence.answered_at
-            is_news = True
+        before = record.answered_at, record.ends
+        record.answered_at = max(record.answered_at, evidence.answered_at)
+        record.ends = list(record.ends)
         for end in evidence.ends:
-            known = record.ends.get(end.server)
-            if known is None or (end.is_trial and not known.is_trial):
-                record.ends[end.server] = end
-                is_news = is_news or end.at > record.answered_at
-        _drop_ends(record)
+            record.add(end)
+        record.drop_ends()
+        self._note_guilt(evidence.part, record)
         self._make_room(evidence.part)
-        return is_news
+        return (record.answered_at, record.ends) != before
+
+    def _note_guilt(self, part: int, record: _Record) -> None:
+        if is_whole(part):
+            is_guilty = len(self._list_steps(part, record)) >= _WHOLE_RULES.refused_ends
+            (self._guilty.add if is_guilty else self._guilty.discard)(part)
+
+    def _list_steps(self, part: int, record: _Record) -> list[float]:
+        return record.list_steps(self._list_explained(part, record))
+
+    def _list_explained(
+        self, part: int, record: _Record
+    ) -> frozenset[ServerIncarnation]:
+        """Return the servers of a part's ends that one bad request explains.
+
+        It may have the part from sound requests. Several bad requests accuse the part
+        that they have in common.
+        """
+        if is_whole(part) or not self._guilty:
+            return _NONE
+        servers = {end.server for end in record.ends}
+        causes = []
+        for whole in self._guilty:
+            common = servers.intersection(e.server for e in self._records[whole].ends)
+            if len(common) > 1:
+                causes.append(frozenset(common))
+        return causes[0] if len(causes) == 1 else _NONE
 
     def _make_room(self, kept: int) -> None:
         """Forget the part with the least evidence if there are too many."""
         if len(self._records) <= self._limit:
             return
-        others = ((p, r) for p, r in self._records.items() if p != kept)
-        part, _ = min(others, key=lambda i: (len(i[1].list_steps()), i[1].last_at))
+        others = (item for item in self._records.items() if item[0] != kept)
+        part, _ = min(others, key=lambda i: (len(self._list_steps(*i)), i[1].last_at))
+        self._forget(part)
+
+    def _forget(self, part: int) -> None:
         del self._records[part]
+        self._guilty.discard(part)
 
     def judge(self, part: int, now: float) -> Judgement:
         """Return what may be done with requests that hold a part."""
         record = self._records.get(part)
         if record is None or not record.ends:
             return _INNOCENT
-        steps = record.list_steps()
+        steps = self._list_steps(part, record)
         count = len(steps)
-        suspect_ends, refused_ends = 1, defaults.POISON_REFUSED_ENDS
-        if record.answered_at > _NEVER:
-            suspect_ends = defaults.POISON_ANSWERED_SUSPECT_ENDS
-            refused_ends = defaults.POISON_ANSWERED_REFUSED_ENDS
-        if count < suspect_ends:
+        rules = _find_rules(part, record.answered_at)
+        if count < rules.suspect_ends:
             return Judgement(CLEAR, count)
-        if count < refused_ends:
+        if count < rules.refused_ends:
             return Judgement(SUSPECT, count)
-        refused_s = defaults.POISON_REFUSED_S * 2 ** (count - refused_ends)
-        left_s = steps[-1] + min(refused_s, defaults.POISON_REFUSED_LIMIT_S) - now
+        refused_s = rules.refused_s * rules.growth ** (count - rules.refused_ends)
+        left_s = steps[-1] + min(refused_s, rules.limit_s) - now
         if left_s <= 0:
             return Judgement(SUSPECT, count)
         return Judgement(REFUSED, count, left_s)
@@ -225,7 +340,7 @@
         record = self._records.get(part)
         if record is None:
             return None
-        return PartEvidence(part, record.answered_at, tuple(record.ends.values()))
+        return PartEvidence(part, record.answered_at, tuple(record.ends))
 
     def parts(self) -> Iterator[int]:
         """Iterate over the parts of which anything is known."""
@@ -238,17 +353,10 @@
             if record.ends:
                 left_s = self.judge(part, now).left_s
                 kept_s = defaults.POISON_SUSPECT_KEPT_S + left_s
-                if len(record.list_steps()) >= defaults.POISON_REFUSED_ENDS:
-                    kept_s += defaults.POISON_REFUSED_LIMIT_S
+                if len(self._list_steps(part, record)) >= defaults.POISON_REFUSED_ENDS:
+                    kept_s += _find_rules(part, record.answered_at).limit_s
             if now - record.last_at > kept_s:
-                del self._records[part]
-
-
-def _drop_ends(record: _Record) -> None:
-    """Drop the ends that an answer has followed, and the oldest of too many."""
-    later = [end for end in record.ends.values() if end.at > record.answered_at]
-    later.sort(key=lambda end: end.at)
-    record.ends = {end.server: end for end in later[-defaults.POISON_ENDS_KEPT :]}
+                self._forget(part)
 
 
 class TrialBook:
--- a/src/jasminewharf/decisions/serverselection.py
+++ b/src/jasminewharf/decisions/serverselection.py
@@ -1,6 +1,6 @@
 """Selects the backend server for a request and the engine that loads a model."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence, Set
 from typing import NamedTuple
 
 import xxhash
@@ -70,9 +70,12 @@
     return min(with_room, key=lambda s: rank_by_hash(key, s.name))
 
 
-def choose_idle_engine(servers: Sequence[Server]) -> Server:
-    """Return the engine that has the fewest requests, of those that hold a model."""
-    return min(servers, key=lambda server: server.load)
+def choose_idle_engine(servers: Sequence[Server], contended: Set[str]) -> Server:
+    """Return the engine that has the fewest requests, of those that hold a model.
+
+    Those with a trial under way, ``contended``, come last.
+    """
+    return min(servers, key=lambda server: (server.name in contended, server.load))
 
 
 def count_excess_requests(servers: Sequence[Server]) -> int:
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -541,10 +541,22 @@
 POISON_ANSWERED_REFUSED_ENDS = 5
 POISON_REFUSED_S = 60.0  # Doubles with each trial that ends a server.
 POISON_REFUSED_LIMIT_S = 960.0
+# Of whole requests; few repeats may reach servers after the first three ends.
+POISON_WHOLE_REFUSED_S = 600.0
+POISON_WHOLE_REFUSED_GROWTH = 6
+POISON_WHOLE_REFUSED_LIMIT_S = 86_400.0
 POISON_SUSPECT_KEPT_S = 300.0
+# A server takes longer than this to end twice.
+POISON_SAME_END_S = 1.0
+# Longer than a server that has ended takes to return under its name, or stays listed.
+POISON_DOWN_S = 5.0
+POISON_SPARED_SERVERS = 2  # Of a service, not put at risk by trials.
+POISON_TRIAL_IDENTITIES = POISON_PARTS_LIMIT + 2
 POISON_CLEARED_KEPT_S = 30.0  # Longer than an older report of an end is on its way.
 # An answer that has gone on for so long does not end its server at its beginning.
 POISON_PROGRESS_S = 1.0
+# After which the next one on trial may go.
+POISON_TRIAL_PROGRESS_S = 0.5
 POISON_TRIAL_S = 10.0  # Of a trial whose node is lost.
 POISON_TRIAL_POLL_S = 0.1
 POISON_TRIAL_WAIT_S = 1.0
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -167,7 +167,10 @@
 PART_SUSPECTED = _define(866, logging.INFO, "part of prompts suspected of a crash")
 PART_REFUSED = _define(867, logging.WARNING, "part of prompts that crashes servers")
 PART_CLEARED = _define(868, logging.INFO, "part of prompts cleared by an answer")
-PROMPT_REFUSED = _define(869, logging.INFO, "request with a bad part refused")
+PROMPT_REFUSED = _define(869, logging.INFO, "request kept from the servers")
+REQUEST_SUSPECTED = _define(871, logging.INFO, "request suspected of a crash")
+POISON_REQUEST_FOUND = _define(872, logging.WARNING, "request that crashes servers")
+REQUEST_CLEARED = _define(873, logging.INFO, "request cleared by an answer")
 STREAM_EVENTS_DROPPED = _define(870, logging.INFO, "events of a stream dropped")
 ANSWER_UNMATCHED = _define(
     864, logging.WARNING, "answer that belongs to no request in progress"
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -69,6 +69,7 @@
     "StreamInterrupted",
     "SubmissionUnconfirmed",
     "TooManyConnections",
+    "TrialBusy",
     "TraceNotFound",
     "TrialError",
     "Unauthorized",
@@ -337,6 +338,14 @@
         super().__init__(f"{server} takes no request within {wait_s:.2f} s")
 
 
+class TrialBusy(JasminewharfError):
+    """A request under suspicion can't be sent to a server now; nothing was sent."""
+
+    def __init__(self, server: str) -> None:
+        self.server = server
+        super().__init__(f"{server} is left out of trials now")
+
+
 class AnswerBroken(BackendError):
     """An answer ended early or was not that of the request; the request may have run.
 
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -19,6 +19,7 @@
     ModelUnavailable,
     NotRunThere,
     StreamInterrupted,
+    TrialBusy,
 )
 from ..kernel import Kernel, Service
 from .jobs import Job
@@ -87,6 +88,9 @@
             except LimitReached:
                 attempts.note_unsent()
                 continue
+            except TrialBusy as error:
+                attempts.contended.add(error.server)
+                continue
             except (NotRunThere, AnswerBroken) as error:
                 self._note_failure(server, job, error, attempts)
                 self._check_next(job, attempts, error)
@@ -102,8 +106,10 @@
                 body,
                 is_close_delimited=answer.is_close_delimited,
             )
-            if answer.is_success:
-                await prompt.note_end(server, answer.is_close_delimited)
+            if not is_failure:
+                await prompt.note_end(
+                    server, answer.is_close_delimited, is_success=answer.is_success
+                )
             return
 
     async def _attempt_plain(
@@ -159,6 +165,8 @@
                 attempts.note_run(server.name)
             except LimitReached:
                 attempts.note_unsent()
+            except TrialBusy as error:
+                attempts.contended.add(error.server)
             except (NotRunThere, AnswerBroken) as error:
                 self._note_failure(server, job, error, attempts)
                 if relay.has_started:
@@ -188,8 +196,10 @@
             relay.begin(answer)
             if not answer.may_be_events:
                 is_final = await self._take_whole(answer, job, relay, attempts)
-                if answer.is_success:
-                    await prompt.note_end(server, answer.is_close_delimited)
+                if answer.status < defaults.SERVER_ERROR_STATUS:
+                    await prompt.note_end(
+                        server, answer.is_close_delimited, is_success=answer.is_success
+                    )
                 return is_final
             if relay.has_started:
                 events.emit(
--- a/src/jasminewharf/services/poisonguard.py
+++ b/src/jasminewharf/services/poisonguard.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import logging
+import math
 from collections.abc import AsyncIterator
 from typing import ClassVar, NamedTuple
 
@@ -11,6 +12,7 @@
 from ..decisions.backpressure import ServerIncarnation
 from ..decisions.directory import Server
 from ..decisions.poison import (
+    CLEAR,
     REFUSED,
     SUSPECT,
     AnsweredParts,
@@ -19,8 +21,11 @@
     PartEvidence,
     PartTable,
     TrialBook,
+    count_trial_slots,
     hash_parts,
     hash_request,
+    hash_trial_slot,
+    is_whole,
     list_unanswered,
 )
 from ..exceptions import (
@@ -29,6 +34,7 @@
     LinkError,
     PeerUnavailable,
     PromptRefused,
+    TrialBusy,
 )
 from ..kernel import Kernel, Service
 from ..messages.poison import AskTrial, PartReports, TrialEnded
@@ -41,16 +47,26 @@
 
 _logger = logging.getLogger(__name__)
 
+# By whether a whole request is meant, and its standing.
+_EVENTS = {
+    (False, SUSPECT): events.PART_SUSPECTED,
+    (False, REFUSED): events.PART_REFUSED,
+    (False, CLEAR): events.PART_CLEARED,
+    (True, SUSPECT): events.REQUEST_SUSPECTED,
+    (True, REFUSED): events.POISON_REQUEST_FOUND,
+    (True, CLEAR): events.REQUEST_CLEARED,
+}
+
 
 class Trial(NamedTuple):
-    """The only request in the fleet with these parts; ``number`` 0 is none."""
+    """The only request in the fleet of these identities; ``number`` 0 is none."""
 
     number: int
     parts: tuple[int, ...]
 
 
 class GuardedPrompt:
-    """The prompt of one request, and its part in what is found out about its parts."""
+    """One request, and its part in what is found out about it and its prompt."""
 
     def __init__(self, guard: "PoisonGuard", job: Job) -> None:
         self._guard = guard
@@ -58,6 +74,8 @@
         self._trial = Trial(0, ())
         self._begun_at: float | None = None
         self._whole: int | None = None
+        # When a request that waits for a trial is refused.
+        self._give_up_at: float | None = None
         self.parts = hash_parts(job.service.name, job.call.shared_parts)
 
     @property
@@ -68,25 +86,29 @@
         return self._whole
 
     def check(self) -> list[int]:
-        """Return the parts under suspicion.
+        """Return the identities under suspicion: the request's own and its parts'.
 
         Raises:
-            PromptRefused: If a part crashes servers; the request has not been sent.
+            PromptRefused: If one crashes servers; the request has not been sent.
         """
-        return self._guard.find_suspects(self._job, self.parts)
+        return self._guard.find_suspects(self._job, self)
 
     @contextlib.asynccontextmanager
     async def attempt(self, server: Server) -> AsyncIterator[None]:
-        """Guard one send to a server: wait for a trial, and record how it ends.
+        """Guard one send to a server: take a trial, and record how it ends.
 
         Raises:
             PromptRefused: If it may not be sent now.
+            TrialBusy: If another server may be tried at once.
         """
         self._begun_at = None
-        self._trial = await self._guard.take_trial(self._job, self)
+        self._trial = await self._guard.take_trial(self._job, self, server)
         try:
             yield
         except AnswerBroken as error:
+            # It may have run, and waits as long as its caller does.
+            wait_until = _now() + defaults.POISON_TRIAL_WAIT_S
+            self._give_up_at = max(wait_until, self._job.sent_by)
             if not error.is_silent:
                 has_ended = await self._guard.note_broken(
                     self._job, server, self, self._trial
@@ -98,32 +120,46 @@
 
     def _may_be_cause(self) -> bool:
         """Whether a part may have ended the server at which it was begun."""
-        begun_at = self._begun_at
-        if begun_at is not None and _now() - begun_at >= defaults.POISON_PROGRESS_S:
+        if self.has_progressed:
             return False
         return bool(list_unanswered(self.parts, self._guard.answered))
 
+    @property
+    def has_progressed(self) -> bool:
+        """Whether the answer has gone on for longer than a crash at the beginning."""
+        begun_at = self._begun_at
+        return begun_at is not None and _now() - begun_at >= defaults.POISON_PROGRESS_S
+
+    @property
+    def give_up_at(self) -> float:
+        """When the request, which waits for a trial, is refused."""
+        if self._give_up_at is None:
+            wait_until = _now() + defaults.POISON_TRIAL_WAIT_S
+            self._give_up_at = min(wait_until, self._job.sent_by)
+        return self._give_up_at
+
     def note_progress(self) -> None:
         """Note that a part of the answer has come; its trial ends after a while."""
         if self._begun_at is None:
             self._begun_at = _now()
-        elif (
-            self._trial.number and _now() - self._begun_at >= defaults.POISON_PROGRESS_S
-        ):
+        elif _now() - self._begun_at >= defaults.POISON_TRIAL_PROGRESS_S:
             self._end_trial()
 
-    async def note_end(self, server: Server, is_close_delimited: bool) -> None:
-        """Note the end of an answer: one that is whole clears all parts.
+    async def note_end(
+        self, server: Server, is_close_delimited: bool, *, is_success: bool = True
+    ) -> None:
+        """Note the end of an answer: one that is whole clears the request.
 
-        Where only the close tells the end, the server may have ended as well.
+        A success clears its parts too. Where only the close tells the end, the server
+        may have ended as well.
         """
         has_ended = False
-        if is_close_delimited and self._guard.is_open(self.parts):
+        if is_close_delimited and self._guard.is_open(self):
             has_ended = await self._guard.note_broken(
                 self._job, server, self, self._trial
             )
         if not has_ended:
-            self._guard.note_answered(self._job, self.parts)
+            self._guard.note_answered(self._job, self, is_success)
 
     def _end_trial(self) -> None:
         if self._trial.number:
@@ -132,14 +168,19 @@
 
 
 class PoisonGuard(Service):
-    """Finds the parts of prompts that crash servers, together with the other entries.
+    """Finds what crashes servers, together with the other entries.
 
     Attributes:
         answered: The parts whose requests this entry has seen answered whole.
     """
 
     name: ClassVar[str] = "poison-guard"
-    requires: ClassVar[tuple[str, ...]] = ("process", "controllers", "feed")
+    requires: ClassVar[tuple[str, ...]] = (
+        "process",
+        "controllers",
+        "feed",
+        "directory",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -150,6 +191,10 @@
         self._numbers = itertools.count(1)
         self._probes: dict[ServerIncarnation, asyncio.Future[bool]] = {}
         self._standings: dict[int, str] = {}
+        # When servers have ended lately, and how many each service had before.
+        self._ended: dict[ServerIncarnation, float] = {}
+        self._sizes: dict[str, tuple[int, int]] = {}
+        self._directory = kernel.find("directory").directory
         self._metrics = kernel.find("process").metrics
 
     async def start(self) -> None:
@@ -164,13 +209,13 @@
 
     # Requests.
 
-    def find_suspects(self, job: Job, parts: tuple[int, ...]) -> list[int]:
-        """Return the parts under suspicion; see :meth:`GuardedPrompt.check`."""
-        if not len(self._table):
+    def find_suspects(self, job: Job, prompt: GuardedPrompt) -> list[int]:
+        """Return what is under suspicion; see :meth:`GuardedPrompt.check`."""
+        if self._table.is_empty:
             return []
         now = _now()
         suspects = []
-        for part in parts:
+        for part in (prompt.whole, *prompt.parts):
             judgement = self._table.judge(part, now)
             if judgement.standing == REFUSED:
                 raise self._refuse(job, part, judgement)
@@ -185,32 +230,66 @@
             _logger,
             events.PROMPT_REFUSED,
             request_id=job.call.request_id,
-            part=f"{part:x}",
+            **_name_identity(part),
             standing=judgement.standing,
             ends=judgement.ends,
             retry_ms=int(retry_s * defaults.MS_PER_S),
         )
+        refused = "the request" if is_whole(part) else "a part of the prompt"
         return PromptRefused(
-            "a part of the prompt is kept from the backend servers",
+            f"{refused} is kept from the backend servers",
             retry_after_ms=int(retry_s * defaults.MS_PER_S),
         )
 
-    async def take_trial(self, job: Job, prompt: GuardedPrompt) -> Trial:
-        """Return the trial that a request needs, if it needs one.
+    async def take_trial(
+        self, job: Job, prompt: GuardedPrompt, server: Server
+    ) -> Trial:
+        """Return the trial that a request needs at a server, if it needs one.
 
         Raises:
-            PromptRefused: If a part is refused, or on trial for too long.
+            PromptRefused: If it or a part is refused, or on trial for too long.
+            TrialBusy: If no trial is to be had now.
         """
-        give_up_at = min(_now() + defaults.POISON_TRIAL_WAIT_S, job.sent_by)
+        suspects = prompt.check()
+        if not suspects:
+            return Trial(0, ())
         number = next(self._numbers)
-        while suspects := prompt.check():
-            if await self._ask_trial(number, suspects):
+        if self._may_risk_server(job.service.name):
+            slot = self._find_slot(job.service.name, server)
+            if await self._ask_trial(number, [slot, *suspects]):
                 return Trial(number, tuple(suspects))
-            if _now() >= give_up_at:
-                judgement = self._table.judge(suspects[0], _now())
-                raise self._refuse(job, suspects[0], judgement)
-            await asyncio.sleep(defaults.POISON_TRIAL_POLL_S)
-        return Trial(0, ())
+        if _now() >= prompt.give_up_at:
+            judgement = self._table.judge(suspects[0], _now())
+            raise self._refuse(job, suspects[0], judgement)
+        await asyncio.sleep(defaults.POISON_TRIAL_POLL_S)
+        raise TrialBusy(server.name)
+
+    def _find_slot(self, service: str, server: Server) -> int:
+        """Return the slot of trials at a server; few servers are at risk at a time."""
+        names = sorted(s.name for s in self._directory.in_service(service))
+        place = names.index(server.name) if server.name in names else 0
+        slots = count_trial_slots(self._count_servers(service))
+        return hash_trial_slot(service, place % slots)
+
+    def _count_servers(self, service: str) -> int:
+        """Return how many servers a service has, with those that have ended lately."""
+        now = len(self._directory.in_service(service))
+        return max(now, *self._sizes.get(service, (0, 0)))
+
+    def _may_risk_server(self, service: str) -> bool:
+        """Return whether a trial leaves the service a server if it ends one."""
+        now = _now()
+        up = [
+            server
+            for server in self._directory.in_service(service)
+            if server.is_open(now) and not self._is_down(server, now)
+        ]
+        return len(up) > 1 or self._count_servers(service) == 1
+
+    def _is_down(self, server: Server, now: float) -> bool:
+        ended_at = self._ended.get(_identify_life(server), -math.inf)
+        is_recent = now - ended_at < defaults.POISON_DOWN_S
+        return is_recent and server.heard_at <= ended_at
 
     async def _ask_trial(self, number: int, parts: list[int]) -> bool:
         controllers = self.kernel.find("controllers")
@@ -233,16 +312,23 @@
 
     # What is found out.
 
-    def is_open(self, parts: tuple[int, ...]) -> bool:
-        """Return whether a part was never answered, or is accused."""
-        is_accused = any(part in self._table for part in parts)
-        return is_accused or bool(list_unanswered(parts, self.answered))
+    def is_open(self, prompt: GuardedPrompt) -> bool:
+        """Return whether a part was never answered, or something is accused."""
+        is_unanswered = bool(list_unanswered(prompt.parts, self.answered))
+        return is_unanswered or bool(self._list_accused(prompt.parts, prompt))
 
-    def note_answered(self, job: Job, parts: tuple[int, ...]) -> None:
-        """Record a whole answer and tell the other nodes if that clears a part."""
+    def _list_accused(self, parts: tuple[int, ...], prompt: GuardedPrompt) -> list[int]:
+        """Return the request and those of the parts of which anything is known."""
+        if self._table.is_empty:
+            return []
+        return [part for part in (prompt.whole, *parts) if part in self._table]
+
+    def note_answered(self, job: Job, prompt: GuardedPrompt, is_success: bool) -> None:
+        """Record a whole answer and tell the other nodes if that clears something."""
         now = _now()
+        parts = prompt.parts if is_success else ()
         self.answered.note(parts, now)
-        if known := [part for part in parts if part in self._table]:
+        if known := self._list_accused(parts, prompt):
             self._merge([PartEvidence(part, now, ()) for part in known], job)
 
     async def note_broken(
@@ -250,7 +336,7 @@
     ) -> bool:
         """Record an answer that broke off; return whether its server has ended."""
         now = _now()
-        incarnation = ServerIncarnation(server.name, server.listed.born_ms)
+        incarnation = _identify_life(server)
         if not await self._has_ended(incarnation, server.listed.address):
             return False
         parts = prompt.parts
@@ -269,6 +355,9 @@
         for part in parts:
             end = PartEnd(incarnation, now, part in trial.parts)
             evidence.append(PartEvidence(part, self.answered.find(part), (end,)))
+        if not prompt.has_progressed:
+            end = PartEnd(incarnation, now, prompt.whole in trial.parts)
+            evidence.append(PartEvidence(prompt.whole, -math.inf, (end,)))
         self._merge(evidence, job)
         return True
 
@@ -294,9 +383,16 @@
     def _merge(self, evidence: list[PartEvidence], job: Job) -> None:
         """Add this entry's own evidence to the table, and tell the control hosts."""
         news = [item.part for item in evidence if self._table.merge(item)]
+        self._note_ended(news)
         self._log_standings(news, job.call.request_id)
         self._tell(news)
 
+    def _note_ended(self, parts: list[int]) -> None:
+        """Note the servers that have ended lately."""
+        known = [self._table.find(part) for part in parts]
+        for end in (end for item in known if item is not None for end in item.ends):
+            self._ended[end.server] = max(end.at, self._ended.get(end.server, 0.0))
+
     def _tell(self, parts: list[int]) -> None:
         now = _now()
         known = [self._table.find(part) for part in parts]
@@ -319,6 +415,7 @@
 
     def _take_reports(self, host: str, message: PartReports) -> None:
         news = merge_reports(self._table, message.reports, _now())
+        self._note_ended(news)
         self._log_standings(news)
         # What this entry has seen answered may be news to the others.
         own = []
@@ -335,34 +432,51 @@
             before = self._standings.get(part)
             if judgement.standing == before:
                 continue
-            if judgement.standing == SUSPECT:
-                event = events.PART_SUSPECTED
-            elif judgement.standing == REFUSED:
-                event = events.PART_REFUSED
-            elif before is None:
+            if judgement.standing == CLEAR and before is None:
                 continue
-            else:
-                event = events.PART_CLEARED
             self._standings[part] = judgement.standing
             events.emit(
                 _logger,
-                event,
+                _EVENTS[is_whole(part), judgement.standing],
                 request_id=request_id,
-                part=f"{part:x}",
+                **_name_identity(part),
                 ends=judgement.ends,
                 left_ms=int(judgement.left_s * defaults.MS_PER_S),
             )
 
+    def _note_sizes(self) -> None:
+        """Note the number of servers of each service, beside the one before."""
+        counts = self._directory.count_by_service()
+        known = self._sizes.keys() | counts.keys()
+        sizes = {s: (self._sizes.get(s, (0, 0))[1], counts.get(s, 0)) for s in known}
+        self._sizes = {s: pair for s, pair in sizes.items() if any(pair)}
+
     async def _repeat_forever(self) -> None:
         """Repeat what is known: a control host that starts knows nothing."""
         while True:
             await asyncio.sleep(defaults.POISON_REPEAT_S)
-            self._table.forget_old(_now())
+            now = _now()
+            self._table.forget_old(now)
+            self._ended = {
+                server: at
+                for server, at in self._ended.items()
+                if now - at < defaults.POISON_DOWN_S
+            }
+            self._note_sizes()
             known = set(self._table.parts())
             self._standings = {p: s for p, s in self._standings.items() if p in known}
             self._tell(sorted(known))
 
 
+def _identify_life(server: Server) -> ServerIncarnation:
+    return ServerIncarnation(server.name, server.listed.born_ms)
+
+
+def _name_identity(identity: int) -> dict[str, str]:
+    """Return the field of a log line that names a part or a whole request."""
+    return {"request" if is_whole(identity) else "part": f"{identity:x}"}
+
+
 def _hash_job(job: Job) -> int:
     return hash_request(
         job.workspace.name if job.workspace else "",
--- a/src/jasminewharf/services/poisonowner.py
+++ b/src/jasminewharf/services/poisonowner.py
@@ -109,7 +109,7 @@
         if peer.hello is None or peer.hello.role != "entry":
             raise Forbidden("only an entry may ask for a trial")
         holder = peer.hello.incarnation, message.number
-        parts = message.parts[: defaults.POISON_PARTS_LIMIT]
+        parts = message.parts[: defaults.POISON_TRIAL_IDENTITIES]
         is_granted = self._trials.take(holder, parts, _now())
         outcome = "granted" if is_granted else "refused"
         self._metrics.count("part_trials_total", outcome=outcome)
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -359,7 +359,8 @@
                 self._demand.ask_copy(job.service, job.call.model, excess)
             if attempts.is_suspect:
                 # Its crash would take the other requests of the engine along.
-                return _Choice(choose_idle_engine(free), limited, excess > 0)
+                engine = choose_idle_engine(free, attempts.contended)
+                return _Choice(engine, limited, excess > 0)
             return _Choice(choose_engine(free, wanted), limited, excess > 0)
 
     async def _wait_model(self, job: Job, attempts: Attempts) -> None:
