--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -310,12 +310,12 @@
         try:
             while self._task is None and not self._closing:
                 event = self._h11.next_event()
+                if event is h11.NEED_DATA:
+                    self._check_incomplete()
                 if event is h11.NEED_DATA and self._ahead:
                     self._h11.receive_data(self._ahead[: defaults.HTTP_PARSED_BYTES])
                     del self._ahead[: defaults.HTTP_PARSED_BYTES]
                 elif event is h11.NEED_DATA or event is h11.PAUSED:
-                    if event is h11.NEED_DATA:
-                        self._check_incomplete()
                     if self._is_read_out:
                         self._close_read_out()
                     return
