Accuse a request by its own ends only, and wait for the news of a trial

What callers saw, in tests that failed before: trials at two entries took the last server of a service while the news of the trial before was on its way; a request that ended servers inside an answer without a length went on (18 late sends), so did one that came at other ports of its host (20); a sound request was refused after one end of a server that came back under its name (three broken answers counted as ends); a report that a frozen host read late counted as another end; a bad part was explained by one request for ever where servers keep their names; a repeat every six minutes was forgotten each time. Cause: a trial ended before its evidence had spread; a probe for such answers only where something was accused; the host's name in the identity; ends told apart by the time at which they were heard, and a probe kept for a life that was over. Change: a trial that ended a server ends 0.3 s later; each answer that only the close ends asks whether its server listens; the route's name stands for the host; each end that an entry sees itself a second after the last one begins another life of the server, and ends are told apart by lives; requests are remembered for an hour. A request whose caller has left is accused if its server is found to have ended within a second. A request that waits for a trial does not count as one in flight. Why it works: evidence has one name for one end, wherever and whenever it is heard.

--- a/src/jasminewharf/decisions/poison.py
+++ b/src/jasminewharf/decisions/poison.py
@@ -87,7 +87,8 @@
 class _Rules(NamedTuple):
     """From how many ends on something is suspected and refused, and for how long.
 
-    The time grows by ``growth`` with each further end.
+    The time grows by ``growth`` with each further end. ``kept_s`` is how long an end is
+    remembered that does not lead to a refusal.
     """
 
     suspect_ends: int
@@ -95,6 +96,7 @@
     refused_s: float
     growth: int
     limit_s: float
+    kept_s: float
 
 
 _PART_RULES = _Rules(
@@ -103,6 +105,7 @@
     defaults.POISON_REFUSED_S,
     2,
     defaults.POISON_REFUSED_LIMIT_S,
+    defaults.POISON_SUSPECT_KEPT_S,
 )
 _ANSWERED_PART_RULES = _PART_RULES._replace(
     suspect_ends=defaults.POISON_ANSWERED_SUSPECT_ENDS,
@@ -115,6 +118,7 @@
     defaults.POISON_WHOLE_REFUSED_S,
     defaults.POISON_WHOLE_REFUSED_GROWTH,
     defaults.POISON_WHOLE_REFUSED_LIMIT_S,
+    defaults.POISON_WHOLE_KEPT_S,
 )
 
 
@@ -139,14 +143,14 @@
 
 
 def hash_request(
-    workspace: str, host: str, method: str, target: str, body: bytes
+    workspace: str, route: str, method: str, target: str, body: bytes
 ) -> int:
     """Return the identity of a whole request.
 
     It is that of each repeat by the same caller: the request's identifier, its deadline
     and its other headers are left out.
     """
-    head = f"{workspace}\0{host.lower()}\0{method}\0{target}\0"
+    head = f"{workspace}\0{route}\0{method}\0{target}\0"
     digest = xxhash.xxh3_64(head.encode())
     digest.update(body)
     return digest.intdigest() | _WHOLE_BIT
@@ -199,27 +203,26 @@
 
     def __init__(self) -> None:
         self.answered_at = _NEVER
-        self.ends: list[PartEnd] = []
+        self.ends: dict[ServerIncarnation, PartEnd] = {}
 
     @property
     def last_at(self) -> float:
-        return max((end.at for end in self.ends), default=self.answered_at)
+        return max((end.at for end in self.ends.values()), default=self.answered_at)
 
     def add(self, end: PartEnd) -> None:
-        """Add an end, unless it is one that another request has told of."""
-        for number, known in enumerate(self.ends):
-            is_same = abs(known.at - end.at) < defaults.POISON_SAME_END_S
-            if known.server == end.server and is_same:
-                is_trial = known.is_trial or end.is_trial
-                self.ends[number] = known._replace(is_trial=is_trial)
-                return
-        self.ends.append(end)
+        """Add an end, unless another request has told of it."""
+        known = self.ends.get(end.server)
+        if known is None:
+            self.ends[end.server] = end
+        elif end.is_trial:
+            self.ends[end.server] = known._replace(is_trial=True)
 
     def drop_ends(self) -> None:
         """Drop the ends that an answer has followed, and the oldest of too many."""
-        later = [end for end in self.ends if end.at > self.answered_at]
+        later = [end for end in self.ends.values() if end.at > self.answered_at]
         later.sort(key=lambda end: (end.at, end.server))
-        self.ends = later[-defaults.POISON_ENDS_KEPT :]
+        kept = later[-defaults.POISON_ENDS_KEPT :]
+        self.ends = {end.server: end for end in kept}
 
     def list_steps(self, explained: frozenset[ServerIncarnation]) -> list[float]:
         """Return the times of the ends that count.
@@ -229,7 +232,7 @@
         """
         steps: list[float] = []
         is_explained = False
-        for end in self.ends:
+        for end in self.ends.values():
             if end.server in explained:
                 if is_explained:
                     continue
@@ -271,7 +274,7 @@
             record = self._records[evidence.part] = _Record()
         before = record.answered_at, record.ends
         record.answered_at = max(record.answered_at, evidence.answered_at)
-        record.ends = list(record.ends)
+        record.ends = dict(record.ends)
         for end in evidence.ends:
             record.add(end)
         record.drop_ends()
@@ -297,10 +300,9 @@
         """
         if is_whole(part) or not self._guilty:
             return _NONE
-        servers = {end.server for end in record.ends}
         causes = []
         for whole in self._guilty:
-            common = servers.intersection(e.server for e in self._records[whole].ends)
+            common = record.ends.keys() & self._records[whole].ends.keys()
             if len(common) > 1:
                 causes.append(frozenset(common))
         return causes[0] if len(causes) == 1 else _NONE
@@ -340,7 +342,7 @@
         record = self._records.get(part)
         if record is None:
             return None
-        return PartEvidence(part, record.answered_at, tuple(record.ends))
+        return PartEvidence(part, record.answered_at, tuple(record.ends.values()))
 
     def parts(self) -> Iterator[int]:
         """Iterate over the parts of which anything is known."""
@@ -352,7 +354,7 @@
             kept_s = defaults.POISON_CLEARED_KEPT_S
             if record.ends:
                 left_s = self.judge(part, now).left_s
-                kept_s = defaults.POISON_SUSPECT_KEPT_S + left_s
+                kept_s = _find_rules(part, record.answered_at).kept_s + left_s
                 if len(self._list_steps(part, record)) >= defaults.POISON_REFUSED_ENDS:
                     kept_s += _find_rules(part, record.answered_at).limit_s
             if now - record.last_at > kept_s:
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -552,11 +552,16 @@
 POISON_WHOLE_REFUSED_S = 600.0
 POISON_WHOLE_REFUSED_GROWTH = 6
 POISON_WHOLE_REFUSED_LIMIT_S = 86_400.0
+POISON_WHOLE_KEPT_S = 3_600.0  # Of a request that comes rarely.
 POISON_SUSPECT_KEPT_S = 300.0
 # A server takes longer than this to end twice.
 POISON_SAME_END_S = 1.0
 # Longer than a server that has ended takes to return under its name, or stays listed.
 POISON_DOWN_S = 5.0
+# Until the news of a trial's end has reached the other entries.
+POISON_NEWS_S = 0.3
+# After which the server of a request that was given up has ended under it, or not.
+POISON_LEFT_S = 1.0
 POISON_SPARED_SERVERS = 2  # Of a service, not put at risk by trials.
 POISON_TRIAL_IDENTITIES = POISON_PARTS_LIMIT + 2
 POISON_CLEARED_KEPT_S = 30.0  # Longer than an older report of an end is on its way.
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -80,11 +80,12 @@
             attempts.is_suspect = bool(prompt.check())
             server, permit = await self._chooser.admit(job, attempts)
             try:
-                with self._in_flight(server, job), contextlib.closing(permit):
+                with contextlib.closing(permit):
                     async with prompt.attempt(server):
-                        answer, body = await self._attempt_plain(
-                            server, job, attempts, permit
-                        )
+                        with self._in_flight(server, job):
+                            answer, body = await self._attempt_plain(
+                                server, job, attempts, permit
+                            )
             except LimitReached:
                 attempts.note_unsent()
                 continue
@@ -153,11 +154,12 @@
             attempts.is_suspect = bool(prompt.check())
             server, permit = await self._chooser.admit(job, attempts)
             try:
-                with self._in_flight(server, job), contextlib.closing(permit):
+                with contextlib.closing(permit):
                     async with prompt.attempt(server):
-                        is_final = await self._attempt_stream(
-                            server, job, relay, attempts, permit, prompt
-                        )
+                        with self._in_flight(server, job):
+                            is_final = await self._attempt_stream(
+                                server, job, relay, attempts, permit, prompt
+                            )
                 if is_final:
                     self._chooser.note_result(server, True)
                     return
--- a/src/jasminewharf/services/poisonguard.py
+++ b/src/jasminewharf/services/poisonguard.py
@@ -103,8 +103,14 @@
         """
         self._begun_at = None
         self._trial = await self._guard.take_trial(self._job, self, server)
+        has_ended = False
         try:
             yield
+        except asyncio.CancelledError:
+            # The server may end under it yet.
+            has_ended = True
+            self._guard.watch_left(self._job, server, self)
+            raise
         except AnswerBroken as error:
             # It may have run, and waits as long as its caller does.
             wait_until = _now() + defaults.POISON_TRIAL_WAIT_S
@@ -116,7 +122,8 @@
                 error.may_be_poison = has_ended and self._may_be_cause()
             raise
         finally:
-            self._end_trial()
+            # The next trial is not to begin before the others know of the end.
+            self._end_trial(defaults.POISON_NEWS_S if has_ended else 0.0)
 
     def _may_be_cause(self) -> bool:
         """Whether a part may have ended the server at which it was begun."""
@@ -154,16 +161,16 @@
         may have ended as well.
         """
         has_ended = False
-        if is_close_delimited and self._guard.is_open(self):
+        if is_close_delimited:
             has_ended = await self._guard.note_broken(
                 self._job, server, self, self._trial
             )
         if not has_ended:
             self._guard.note_answered(self._job, self, is_success)
 
-    def _end_trial(self) -> None:
+    def _end_trial(self, delay_s: float = 0.0) -> None:
         if self._trial.number:
-            self._guard.end_trial(self._trial.number)
+            self._guard.end_trial(self._trial.number, delay_s)
             self._trial = Trial(0, ())
 
 
@@ -191,8 +198,8 @@
         self._numbers = itertools.count(1)
         self._probes: dict[ServerIncarnation, asyncio.Future[bool]] = {}
         self._standings: dict[int, str] = {}
-        # When servers have ended lately, and how many each service had before.
-        self._ended: dict[ServerIncarnation, float] = {}
+        # The last end of each server, and how many each service had before.
+        self._ended: dict[str, PartEnd] = {}
         self._sizes: dict[str, tuple[int, int]] = {}
         self._directory = kernel.find("directory").directory
         self._metrics = kernel.find("process").metrics
@@ -294,9 +301,29 @@
         return len(up) > 1 or self._count_servers(service) == 1
 
     def _is_down(self, server: Server, now: float) -> bool:
-        ended_at = self._ended.get(_identify_life(server), -math.inf)
-        is_recent = now - ended_at < defaults.POISON_DOWN_S
-        return is_recent and server.heard_at <= ended_at
+        ended = self._find_end(server)
+        if ended is None or now - ended.at >= defaults.POISON_DOWN_S:
+            return False
+        return server.heard_at <= ended.at
+
+    def _find_end(self, server: Server) -> PartEnd | None:
+        """Return the last end of a server that has not been listed anew since."""
+        ended = self._ended.get(server.name)
+        if ended is None or ended.server.born_ms < server.listed.born_ms:
+            return None
+        return ended
+
+    def _identify_life(self, server: Server, now: float) -> ServerIncarnation:
+        """Return the life of a server that seems to have ended now.
+
+        One that is back under its name and start time has another life.
+        """
+        ended = self._find_end(server)
+        if ended is None:
+            return ServerIncarnation(server.name, server.listed.born_ms)
+        if now - ended.at < defaults.POISON_SAME_END_S:
+            return ended.server
+        return ended.server._replace(born_ms=ended.server.born_ms + 1)
 
     async def _ask_trial(self, number: int, parts: list[int]) -> bool:
         controllers = self.kernel.find("controllers")
@@ -312,18 +339,17 @@
             return self._own_trials.take(number, parts, now)
         return answer.is_granted
 
-    def end_trial(self, number: int) -> None:
-        """Let the next request with the parts of a trial go."""
+    def end_trial(self, number: int, delay_s: float = 0.0) -> None:
+        """Let the next request with the parts of a trial go, after a while."""
+        if delay_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self.end_trial, number)
+            return
         self._own_trials.end(number)
         self._send(TrialEnded(number))
 
     # What is found out.
 
-    def is_open(self, prompt: GuardedPrompt) -> bool:
-        """Return whether a part was never answered, or something is accused."""
-        is_unanswered = bool(list_unanswered(prompt.parts, self.answered))
-        return is_unanswered or bool(self._list_accused(prompt.parts, prompt))
-
     def _list_accused(self, parts: tuple[int, ...], prompt: GuardedPrompt) -> list[int]:
         """Return the request and those of the parts of which anything is known."""
         if self._table.is_empty:
@@ -343,7 +369,7 @@
     ) -> bool:
         """Record an answer that broke off; return whether its server has ended."""
         now = _now()
-        incarnation = _identify_life(server)
+        incarnation = self._identify_life(server, now)
         if not await self._has_ended(incarnation, server.listed.address):
             return False
         parts = prompt.parts
@@ -368,6 +394,26 @@
         self._merge(evidence, job)
         return True
 
+    def watch_left(self, job: Job, server: Server, prompt: GuardedPrompt) -> None:
+        """Accuse a request that was given up if its server is found to have ended.
+
+        Nobody is asked: other requests at the server tell.
+        """
+        loop = asyncio.get_running_loop()
+        left_at = loop.time()
+        if not prompt.has_progressed:
+            loop.call_later(
+                defaults.POISON_LEFT_S, self._accuse_left, job, server, left_at, prompt
+            )
+
+    def _accuse_left(
+        self, job: Job, server: Server, left_at: float, prompt: GuardedPrompt
+    ) -> None:
+        ended = self._ended.get(server.name)
+        if ended is not None and ended.at >= left_at:
+            end = PartEnd(ended.server, ended.at)
+            self._merge([PartEvidence(prompt.whole, -math.inf, (end,))], job)
+
     async def _has_ended(self, server: ServerIncarnation, address: str) -> bool:
         """Return whether a server listens no more; asked once for all who wonder.
 
@@ -398,7 +444,9 @@
         """Note the servers that have ended lately."""
         known = [self._table.find(part) for part in parts]
         for end in (end for item in known if item is not None for end in item.ends):
-            self._ended[end.server] = max(end.at, self._ended.get(end.server, 0.0))
+            ended = self._ended.get(end.server.server)
+            if ended is None or ended.server.born_ms < end.server.born_ms:
+                self._ended[end.server.server] = end
 
     def _tell(self, parts: list[int]) -> None:
         now = _now()
@@ -465,9 +513,9 @@
             now = _now()
             self._table.forget_old(now)
             self._ended = {
-                server: at
-                for server, at in self._ended.items()
-                if now - at < defaults.POISON_DOWN_S
+                name: end
+                for name, end in self._ended.items()
+                if now - end.at < defaults.POISON_WHOLE_KEPT_S
             }
             self._note_sizes()
             known = set(self._table.parts())
@@ -475,10 +523,6 @@
             self._tell(sorted(known))
 
 
-def _identify_life(server: Server) -> ServerIncarnation:
-    return ServerIncarnation(server.name, server.listed.born_ms)
-
-
 def _name_identity(identity: int) -> dict[str, str]:
     """Return the field of a log line that names a part or a whole request."""
     return {"request" if is_whole(identity) else "part": f"{identity:x}"}
@@ -487,7 +531,7 @@
 def _hash_job(job: Job) -> int:
     return hash_request(
         job.workspace.name if job.workspace else "",
-        job.call.host,
+        job.route.name,
         job.outgoing.method,
         job.outgoing.target,
         job.outgoing.body,
--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -154,6 +154,9 @@
 
     It resets all its connections and is back after ``RESTART_S`` at its address, under
     a new name, or as before if it ``keeps_name``.
+
+    Attributes:
+        crash_answer: What it writes before, of a body that only the close ends.
     """
 
     def __init__(self, name, kind, record, *, keeps_name=False, ends_after_s=0.01):
@@ -161,6 +164,7 @@
             "127.0.0.1", name, kind.service, ["m0"] if kind.is_stream else None
         )
         self.answer_s = 0.03
+        self.crash_answer = b""
         self._stem = name
         self._kind = kind
         self._record = record
@@ -187,6 +191,10 @@
                     stream = ("content-type", "text/event-stream")
                     responder.start(200, [*signed, stream])
                     await responder.write(b"id: 1\ndata: x1\n\n")
+                if self.crash_answer:
+                    responder.start(200, signed, is_close_delimited=True)
+                    await responder.write(self.crash_answer)
+                    responder.finish()
                 await asyncio.sleep(self._ends_after_s)
                 self.crash(call)
 
