Close a connection over TLS once only

What callers saw: a planned stop with an idle connection over TLS left a request on another one without an answer; each connection that was closed as idle logged an error. Cause: a TLS transport that is closed twice loses its protocol, and the second close raised, out of the drain or out of the handler of the caller's close. Evidence: both new tests failed before with AttributeError. Change: a connection closes its transport once. Measured: both pass.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -166,6 +166,7 @@
         self._is_reset_armed = False
         self._has_ended = False
         self._is_handling = False
+        self._is_closed = False
         self._linger_timer: asyncio.TimerHandle | None = None
         self._ahead_until: float | None = None
         # Whether the caller has closed its sending side, and all before that is read.
@@ -589,8 +590,10 @@
     def close(self) -> None:
         """Close once what was written has left; drop a caller that does not read."""
         self._closing = True
-        if self._transport is None:
+        # A TLS transport can be closed once only.
+        if self._transport is None or self._is_closed:
             return
+        self._is_closed = True
         self._transport.close()
         if self._flush_timer is None:
             self._check_flush(math.inf, self._loop.time())
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -583,3 +583,55 @@
             link.close()
 
     asyncio.run(scenario())
+
+
+def leave_politely(server):
+    """Call once, and close as the server does."""
+    link = connect(server, is_tls=True)
+    link.sendall(REQUEST)
+    with contextlib.suppress(OSError):
+        while link.recv(1000):
+            pass
+        link.unwrap()
+    link.close()
+
+
+def test_connection_that_is_closed_as_idle_over_tls_ends_without_an_error(tmp_path):
+    """Its second close raised, also in a drain, which then left requests unanswered."""
+    errors = []
+
+    async def answer(request, responder):
+        responder.respond(200, [], b"ok")
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: errors.append(context))
+        async with open_server(answer, load_tls(tmp_path)) as server:
+            server.http.limits = server.http.limits._replace(idle_timeout_s=0.3)
+            await asyncio.to_thread(leave_politely, server)
+            await asyncio.sleep(0.1)
+
+    asyncio.run(scenario())
+    assert errors == []
+
+
+def test_drain_over_tls_answers_beside_an_idle_connection(tmp_path):
+    """The idle one was closed twice, and the error ended the drain."""
+
+    async def answer(request, responder):
+        await asyncio.sleep(0.6 if request.target == "/slow" else 0)
+        responder.respond(200, [], b"ok")
+
+    async def scenario():
+        async with open_server(answer, load_tls(tmp_path)) as server:
+            idle = await asyncio.to_thread(connect, server, True)
+            await asyncio.to_thread(idle.sendall, REQUEST)
+            await asyncio.to_thread(idle.recv, 1000)
+            busy = await asyncio.to_thread(connect, server, True)
+            slow = REQUEST.replace(b"/ ", b"/slow ", 1)
+            await asyncio.to_thread(busy.sendall, slow)
+            await asyncio.sleep(0.2)
+            await server.http.drain(3.0)
+            assert b" 200 " in await asyncio.to_thread(busy.recv, 1000)
+
+    asyncio.run(scenario())
