Refuse a request whose work is cancelled elsewhere

What callers saw: nothing, for as long as they waited; the connection was kept. Cause: a cancellation that neither the caller's leaving nor a refusal explains was passed on, and left the connection as if it still served the request. Evidence: the new test, a handler that awaits what something else cancels, timed out. Change: while the connection is open the caller gets 502, as the request may have run. Measured: the test passes, also for a second request on the connection.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -40,6 +40,7 @@
 _SERVER_NAME = b"jasminewharf"
 _CONNECTION_RETRY_MS = 1_000
 _LEFT = "the caller has closed its sending side"
+_GIVEN_UP = "the request was given up"
 # Colon, space and line end of a header field.
 _FIELD_BYTES = 4
 _VERSION_WITHOUT_CHUNKS = b"1.0"
@@ -375,10 +376,10 @@
         try:
             await self._handle(request, responder)
         except asyncio.CancelledError:
-            if not self._has_left:
+            if self._transport is None or self._transport.is_closing():
                 raise
-            failure = BackendFailed(_LEFT, not_run=False)
-            self._refuse(responder, failure)
+            reason = _LEFT if self._has_left else _GIVEN_UP
+            self._refuse(responder, BackendFailed(reason, not_run=False))
         except Refusal as refusal:
             self._refuse(responder, refusal)
         except Exception as error:
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -635,3 +635,23 @@
             assert b" 200 " in await asyncio.to_thread(busy.recv, 1000)
 
     asyncio.run(scenario())
+
+
+def test_request_whose_work_is_cancelled_elsewhere_is_refused():
+    """Its caller waited for ever, and its connection was kept."""
+
+    async def cancel(request, responder):
+        waiting = asyncio.get_running_loop().create_future()
+        asyncio.get_running_loop().call_later(0.05, waiting.cancel)
+        await waiting
+
+    async def scenario():
+        async with open_server(cancel) as server:
+            link = await asyncio.to_thread(connect, server)
+            for _ in range(2):
+                await asyncio.to_thread(link.sendall, REQUEST)
+                answer = await asyncio.to_thread(link.recv, 1000)
+                assert answer.startswith(b"HTTP/1.1 502 ")
+            link.close()
+
+    asyncio.run(scenario())
