Leave connections that wait for their caller's close out of the limit

What callers saw: new ones were refused with connections_full for half a second after answers that announced the close, though nothing was served. Cause: such a connection stays open to read what crosses the answer, and counted. Evidence: of 32 callers in turn at a limit of 8, which keep their sockets open, 24 were refused. Change: up to 256 of them take no places; beyond that they are closed at once, as before. Measured: the new test, 32 of 32 answered, failed before.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -357,6 +357,7 @@
 HTTP_LINGER_S = 0.5
 # At most this many connections beyond the limit are answered at a time.
 HTTP_REFUSED_CONNECTIONS = 64
+HTTP_LINGERING_CONNECTIONS = 256  # Answered ones that wait for their close.
 HTTP_CONNECT_TIMEOUT_S = 1.0
 HTTP_FETCH_TIMEOUT_S = 5.0
 HTTP_IDLE_CONNECTIONS = 32
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -440,6 +440,9 @@
         """
         if self._linger_timer is not None:
             return
+        if not self._server.admit_lingering(self):
+            self.close()
+            return
         self._closing = True
         self._ahead.clear()
         self._resume_reading()
@@ -728,6 +731,7 @@
         self.refused = 0
         self.on_close: Callable[[str], None] = lambda peer: None
         self._connections: set[_Connection] = set()
+        self._lingering: set[_Connection] = set()
         # Connections that are not read for now.
         self._watched: set[_Connection] = set()
         self._watch_timer: asyncio.TimerHandle | None = None
@@ -740,7 +744,8 @@
 
     def admit(self, connection: "_Connection") -> bool:
         """Return whether one more connection is allowed, and note it."""
-        if len(self._connections) >= self.limits.connections:
+        lingering = len(self._lingering & self._connections)
+        if len(self._connections) - lingering >= self.limits.connections:
             return False
         self._connections.add(connection)
         return True
@@ -748,6 +753,17 @@
     def discard(self, connection: "_Connection") -> None:
         """Forget a closed connection."""
         self._connections.discard(connection)
+        self._lingering.discard(connection)
+
+    def admit_lingering(self, connection: "_Connection") -> bool:
+        """Return whether an answered connection may stay open for a while.
+
+        It takes no place of those that callers may have.
+        """
+        if len(self._lingering) >= defaults.HTTP_LINGERING_CONNECTIONS:
+            return False
+        self._lingering.add(connection)
+        return True
 
     def watch(self, connection: "_Connection") -> None:
         """Look for the close of a connection that is not read for now."""
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -655,3 +655,28 @@
             link.close()
 
     asyncio.run(scenario())
+
+
+def test_answered_connections_take_no_places():
+    """Those whose callers had not closed yet kept others out for half a second."""
+
+    async def answer(request, responder):
+        responder.respond(200, [], b"ok")
+
+    def call(server, links):
+        link = connect(server)
+        links.append(link)
+        link.sendall(b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        return link.recv(1000)
+
+    async def scenario():
+        async with open_server(answer) as server:
+            server.http.limits = server.http.limits._replace(connections=8)
+            links = []
+            for _ in range(32):
+                answered = await asyncio.to_thread(call, server, links)
+                assert answered.startswith(b"HTTP/1.1 200 ")
+            for link in links:
+                link.close()
+
+    asyncio.run(scenario())
