Keep a broken stream's connection for what its caller still sends

What callers saw: a stream that broke arrived in part and was reset, where a few bytes of the next request had come before and others came after the break. Cause: the break was handled twice. The first time what had been sent ahead was dropped and the connection was left open to read; the second time nothing was unread, and it was closed. Change: a connection that is about to end is not cut again.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -626,6 +626,8 @@
         To a caller that knows no chunks, the close is the end of the body; it gets a
         reset instead.
         """
+        if self._linger_timer is not None:
+            return
         if self._h11.their_http_version == _VERSION_WITHOUT_CHUNKS:
             self._reset()
         elif self._has_unread and not self._is_read_out:
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -460,7 +460,8 @@
     asyncio.run(scenario())
 
 
-def test_end_of_a_broken_stream_survives_what_was_sent_ahead():
+@pytest.mark.parametrize("size", [100, 2_000_000])
+def test_end_of_a_broken_stream_survives_what_was_sent_ahead(size):
     """The close of a connection with unread bytes reset it, and events were lost."""
 
     async def scenario():
@@ -478,10 +479,12 @@
             link = await asyncio.to_thread(connect, server)
             await asyncio.to_thread(link.sendall, REQUEST)
             await server.began.wait()
-            # More than is read while a request is served.
-            await asyncio.to_thread(send_ahead, link, 2_000_000)
+            # The larger one is more than is read while a request is served.
+            await asyncio.to_thread(send_ahead, link, size)
             ready.set()
             await asyncio.sleep(0.2)
+            if size < 1_000:
+                await asyncio.to_thread(link.sendall, b"x" * 10)
             received, is_reset = await asyncio.to_thread(read_rest, link)
             assert received.count(b"a") >= 1_500_000
             assert not received.endswith(b"0\r\n\r\n")
