--- a/tests/test_hostile_http.py
+++ b/tests/test_hostile_http.py
@@ -12,7 +12,6 @@
 from hypothesis import strategies as st
 
 from hostile import LoopThread, exchange, fuzz, read_status
-from jasminewharf import defaults
 from jasminewharf.exceptions import WorkspaceBusy
 from jasminewharf.interfaces.http import HttpServer
 from jasminewharf.interfaces.limits import WorkspaceLimits
@@ -238,8 +237,7 @@
                 pass
             connection = next(iter(echo.server._connections))
             held = len(connection._ahead) + len(connection._h11.trailing_data[0])
-            # One more read of the loop may come on top of the bound.
-            assert held <= defaults.HTTP_AHEAD_BYTES + 256 * 1024
+            assert held <= LIMITS.head_bytes + 256 * 1024
     finally:
         echo.hold_s = 0
     echo.check_alive()
