--- /dev/null
+++ b/review/4/hang.py
@@ -0,0 +1,17 @@
+"""An agent whose replica has refused an order for its fencing token."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+import staleagent
+import standins
+
+
+async def _case(recorder: standins.Recorder) -> int:
+    return await staleagent.play(recorder, checks_fences=True)
+
+
+if __name__ == "__main__":
+    standins.run_case(Path(__file__).resolve().parent, _case, "hang-record.txt")
