--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,11 @@
-"""A control host is replaced as planned, then another one loses its disk."""
+"""A control host is replaced as planned, then another one loses its disk.
+
+With TROUBLE=kill the replaced one is removed without SIGTERM; with TROUBLE=replace no
+disk is lost, and with TROUBLE=wipe no host is replaced.
+"""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -55,7 +60,7 @@
         await fleet.add(ip, "control").start(is_first=True)
     if not await fleet.put(_configuration(1), [_A, _B, _C], 30.0):
         return standins.NOT_RUN
-    if standins.is_troubled("replace") or not standins.is_troubled("wipe"):
+    if os.environ.get("TROUBLE") != "wipe":
         if not await _replace(recorder, fleet):
             return standins.NOT_RUN
         members = [_A, _B, _D]
@@ -65,7 +70,7 @@
     await asyncio.sleep(_CONTACT_S + _MARGIN_S)
     if not await fleet.put(_configuration(2), [_B]):
         return standins.NOT_RUN
-    if standins.is_troubled("wipe"):
+    if standins.is_troubled("wipe") or standins.is_troubled("kill"):
         await _lose_disk(recorder, fleet.daemons[_B])
     return await _read_back(fleet, members)
 
@@ -77,6 +82,10 @@
     await asyncio.sleep(_CATCH_UP_S + _MARGIN_S)
     if await fleet.read_version(_D) != 1:
         return False
+    if os.environ.get("TROUBLE") == "kill":
+        await fleet.daemons[_C].kill()
+        recorder.note(f"{_C} is removed without SIGTERM")
+        return True
     recorder.note(f"SIGTERM to {_C}, which is removed")
     fleet.daemons[_C].send_signal(signal.SIGTERM)
     has_ended = await fleet.daemons[_C].wait(_GRACE_S)
