Give up the vote of a control host that stops and is not needed

Cause: a voter was removed only after 6 s of silence, also where more members vote than the promised losses need, and a host that stops said nothing of its vote. Of four votes two were then gone for good, and no removal can commit.

Change: a control host that stops hands over leadership and asks the leader to remove it, which the leader does where the others are enough; it asks to vote again when it starts. A silent voter that is not needed goes after 2 s, below contactMs; learners keep the 6 s.

Why it works: the quorum is made of hosts that are there, before the next loss that the fleet has to bear.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -420,7 +420,10 @@
 CONFIGURATION_COMMIT_S = 2.5  # Below the acknowledgement that operators wait for.
 REPAIR_INTERVAL_S = 0.5
 REPAIR_LEADERLESS_S = 3.0  # Longer than an election.
-REPAIR_SILENT_S = 6.0  # Longer than a restart of a control host.
+REPAIR_SILENT_S = 6.0  # Of a learner, which may be installing a snapshot.
+# Of a voter beyond those that the promised losses need.
+REPAIR_SPARE_SILENT_S = 2.0
+REPAIR_LEAVE_S = 1.5  # For which a control host that stops waits to lose its vote.
 BROADCAST_INTERVAL_S = 0.25
 SERVER_LIST_INTERVAL_S = 1.0  # A third of the time in which a leaving server counts.
 SERVER_LIST_STALE_S = 2.5  # Two reads and the way to a control host.
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -18,6 +18,8 @@
     "FetchServers",
     "FollowEngines",
     "HoldStore",
+    "LeaveAnswer",
+    "LeaveMembership",
     "MembershipAnswer",
     "ModelUse",
     "PermitAnswer",
@@ -64,6 +66,20 @@
     is_member: bool
 
 
+@message(208)
+class LeaveMembership(NamedTuple):
+    """A control host that stops gives up its vote."""
+
+    identity: str
+
+
+@message(209)
+class LeaveAnswer(NamedTuple):
+    """Answers :class:`LeaveMembership`: whether the identity is no member any more."""
+
+    has_left: bool
+
+
 @message(183)
 class ControlHosts(NamedTuple):
     """IP addresses of the control hosts that are members."""
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -105,6 +105,10 @@
 
     async def drain(self) -> None:
         """Hand leadership of every group to another member."""
+        await self.hand_over()
+
+    async def hand_over(self) -> None:
+        """Hand leadership of every group to another member, if there is one."""
         now = asyncio.get_running_loop().time
         deadline = now() + self._settings.election_s
         handed_over = [r for r in self._runners.values() if r.hand_over()]
--- a/src/jasminewharf/services/repair.py
+++ b/src/jasminewharf/services/repair.py
@@ -2,7 +2,9 @@
 
 A control host whose disk is empty asks the leader to become a member; the leader
 adds one at a time and then removes members that have been silent, but never below
-the number that the promised losses need.
+the number that the promised losses need. A control host that stops gives up its vote
+where the others are enough: a vote that is never cast again counts against the next
+loss.
 """
 
 import asyncio
@@ -20,7 +22,13 @@
     NotLeader,
 )
 from ..kernel import Kernel, Service
-from ..messages.servers import ControlHosts, MembershipAnswer, RequestMembership
+from ..messages.servers import (
+    ControlHosts,
+    LeaveAnswer,
+    LeaveMembership,
+    MembershipAnswer,
+    RequestMembership,
+)
 from .control import FLEET_GROUP
 from .link import Peer
 
@@ -45,10 +53,13 @@
         self._log = kernel.find("log")
         self._newcomers: dict[str, RequestMembership] = {}
         self._without_leader_since: float | None = None
+        self._is_leaving = False
 
     async def start(self) -> None:
         """Answer newcomers, and ask to become a member where this host is none."""
-        self.kernel.find("control").handle(RequestMembership, self._take_request)
+        control = self.kernel.find("control")
+        control.handle(RequestMembership, self._take_request)
+        control.handle(LeaveMembership, self._take_departure)
         self.spawn(self._ask_forever(), essential=True)
         # A newcomer may wait for its vote until a lost member is removed.
         self.spawn(self._repeat_as_leader(self._add_newcomer), essential=True)
@@ -58,7 +69,7 @@
     async def _ask_forever(self) -> None:
         while True:
             await asyncio.sleep(defaults.REPAIR_INTERVAL_S)
-            if self._is_settled():
+            if self._is_leaving or self._is_settled():
                 continue
             settings = self.kernel.settings
             request = RequestMembership(
@@ -73,6 +84,25 @@
             except (ConsensusError, LinkError) as error:
                 events.emit(_logger, events.MEMBERSHIP_PENDING, error=error)
 
+    async def drain(self) -> None:
+        """Give up this host's vote, unless the promised losses need it."""
+        self._is_leaving = True
+        try:
+            members = self._log.members(FLEET_GROUP)
+        except NotLeader:
+            return
+        if len(members) <= self._wanted_voters():
+            return
+        await self._log.hand_over()
+        try:
+            await self.kernel.find("controllers").request(
+                FLEET_GROUP,
+                LeaveMembership(self._log.identity),
+                defaults.REPAIR_LEAVE_S,
+            )
+        except (ConsensusError, LinkError) as error:
+            events.emit(_logger, events.MEMBER_CHANGE_FAILED, error=error)
+
     def _is_settled(self) -> bool:
         """Return whether this host votes and knows a leader, or lately knew one."""
         now = asyncio.get_running_loop().time()
@@ -99,6 +129,19 @@
         self._newcomers[request.host] = request
         return MembershipAnswer(False)
 
+    async def _take_departure(
+        self, peer: Peer, request: LeaveMembership
+    ) -> LeaveAnswer:
+        if peer.hello is None or peer.hello.role != "control":
+            raise Forbidden("only a control host may give up a vote")
+        if not self._log.is_leader(FLEET_GROUP):
+            raise NotLeader(FLEET_GROUP, self._log.leader(FLEET_GROUP))
+        if self._find_departed({request.identity}) != request.identity:
+            return LeaveAnswer(False)
+        await self._log.remove_member(FLEET_GROUP, request.identity)
+        events.emit(_logger, events.MEMBER_LEFT, identity=request.identity)
+        return LeaveAnswer(True)
+
     async def _repeat_as_leader(self, repair: Callable[[], Awaitable[None]]) -> None:
         while True:
             await asyncio.sleep(defaults.REPAIR_INTERVAL_S)
@@ -119,17 +162,27 @@
         events.emit(_logger, events.MEMBER_ADDED, identity=identity)
 
     async def _remove_departed(self) -> None:
-        fleet = self.kernel.settings.fleet
-        departed = choose_departed(
-            self._log.members(FLEET_GROUP),
-            self._log.silent_members(FLEET_GROUP, defaults.REPAIR_SILENT_S),
-            2 * fleet.tolerated_losses + 1,
-            self._log.successors(FLEET_GROUP),
-        )
+        silent = self._log.silent_members(FLEET_GROUP, defaults.REPAIR_SILENT_S)
+        lately = self._log.silent_members(FLEET_GROUP, defaults.REPAIR_SPARE_SILENT_S)
+        members = self._log.members(FLEET_GROUP)
+        voters = {member.identity for member in members if member.voter}
+        departed = self._find_departed(silent | (lately & voters))
         if departed:
             await self._log.remove_member(FLEET_GROUP, departed)
             events.emit(_logger, events.MEMBER_REMOVED, identity=departed)
 
+    def _find_departed(self, candidates: set[str]) -> str:
+        """Return the candidate that can be spared, or an empty string."""
+        return choose_departed(
+            self._log.members(FLEET_GROUP),
+            candidates,
+            self._wanted_voters(),
+            self._log.successors(FLEET_GROUP),
+        )
+
+    def _wanted_voters(self) -> int:
+        return 2 * self.kernel.settings.fleet.tolerated_losses + 1
+
     async def _announce_forever(self) -> None:
         """Tell nodes and control hosts where the members are."""
         while True:
--- a/tests/processfleet.py
+++ b/tests/processfleet.py
@@ -27,6 +27,7 @@
     def __init__(self, base, folder, entries, **parts):
         super().__init__(base, folder, entries, **parts)
         self.controls = ["127.0.0.2", "127.0.0.8", "127.0.0.9"]
+        self.tolerated_losses = 1
         self.processes = {}
         self._commands = {}
         self._restarting = set()
@@ -35,7 +36,9 @@
         text = self.settings_text(ip, role, **fleet)
         seeds = ", ".join(f'"{host}:{self.base + 8}"' for host in self.controls)
         text = text.replace(f'["127.0.0.2:{self.base + 8}"]', f"[{seeds}]")
-        text = text.replace("tolerated_losses: 0", "tolerated_losses: 1")
+        text = text.replace(
+            "tolerated_losses: 0", f"tolerated_losses: {self.tolerated_losses}"
+        )
         data = self.folder / ip
         text = text.replace(f'data_folder: "{self.folder}"', f'data_folder: "{data}"')
         path = self.folder / f"{ip}.yaml"
--- a/tests/test_repair_service.py
+++ b/tests/test_repair_service.py
@@ -1,15 +1,22 @@
 """Control hosts that are replaced by empty ones at other addresses."""
 
 import asyncio
+import shutil
+
+import pytest
 
 from fleets import build_body, pick_base
 from jasminewharf.interfaces.roles import build_kernel
+from jasminewharf.kernel import Service
 from jasminewharf.settings import load_settings
 from processfleet import ProcessFleet
 from support import wait_until
 
 _REPLACED_S = 20.0
 _NEW = "127.0.0.60"
+# Bounds of the deployments: until hosts count as calm, and as caught up.
+_CONTACT_S = 3.0
+_CATCH_UP_S = 4.0
 
 
 async def start_control(fleet, ip, first_start):
@@ -99,3 +106,144 @@
         await wait_for_successor(fleet, [first, second, new])
 
     run_with_lost_host(scenario, tmp_path)
+
+
+def run_with_added_host(scenario, tmp_path):
+    """Run a scenario with three control hosts that vote and a fourth that was added."""
+
+    async def main():
+        fleet = ProcessFleet(pick_base(), tmp_path / "fleet", 2)
+        fleet.folder.mkdir()
+        await fleet.list.start()
+        try:
+            hosts = [await start_control(fleet, ip, True) for ip in fleet.controls]
+            assert (await fleet.submit(build_body(1)))[0] == 200
+            hosts.append(await start_control(fleet, _NEW, False))
+            await wait_until(lambda: len(list_voters(hosts)) == 4, _REPLACED_S)
+            await scenario(fleet, hosts)
+        finally:
+            await stop_all(fleet)
+
+    asyncio.run(main())
+
+
+async def kill_control(fleet, kernel):
+    """End a control host without a planned stop."""
+    fleet.kernels.remove(kernel)
+    for service in kernel._services.values():
+        service.drain = Service(kernel).drain
+    await kernel.stop()
+
+
+async def lose_disk(fleet, kernel):
+    """Start a control host again with an empty disk."""
+    await kill_control(fleet, kernel)
+    shutil.rmtree(fleet.folder / kernel.settings.node)
+    return await start_control(fleet, kernel.settings.node, False)
+
+
+def sort_by_leadership(hosts):
+    """Return the three first hosts, the leader last."""
+    return sorted(hosts[:3], key=lambda kernel: kernel.find("log").is_leader("fleet"))
+
+
+@pytest.mark.parametrize("end", [stop_control, kill_control])
+@pytest.mark.parametrize("has_led", [False, True])
+def test_disk_lost_after_a_replacement_leaves_a_leader(tmp_path, end, has_led):
+    """No configuration could be read any more.
+
+    The replaced host kept its vote, so that two of four voters were gone for good.
+    """
+
+    async def scenario(fleet, hosts):
+        first, second, third = sort_by_leadership(hosts)
+        replaced, wiped = (third, second) if has_led else (first, second)
+        await end(fleet, replaced)
+        left = [host for host in hosts if host is not replaced]
+        await wait_until(lambda: len(list_voters(left)) == 3, _CONTACT_S)
+        new = await lose_disk(fleet, wiped)
+        left = [host for host in left if host is not wiped]
+        await wait_until(lambda: any(list_voters(left)), _REPLACED_S)
+        assert await left[0].find("configurations").read()
+        await wait_until(lambda: len(list_voters([*left, new])) == 3, _REPLACED_S)
+
+    run_with_added_host(scenario, tmp_path)
+
+
+def test_stop_of_a_needed_control_host_keeps_its_vote(tmp_path):
+    """A rolling restart must not shrink the group below the promised losses."""
+
+    async def scenario(fleet, first, second):
+        assert len(list_voters([first, second])) == 3
+
+    run_with_lost_host(scenario, tmp_path)
+
+
+def test_stopped_member_votes_again_after_its_start(tmp_path):
+    """A member that gave up its vote for a restart was not to stay without one."""
+
+    async def scenario(fleet, hosts):
+        stopped = sort_by_leadership(hosts)[0]
+        await stop_control(fleet, stopped)
+        left = [host for host in hosts if host is not stopped]
+        await wait_until(lambda: len(list_voters(left)) == 3, _CONTACT_S)
+        again = await start_control(fleet, stopped.settings.node, False)
+        await wait_until(lambda: len(list_voters([*left, again])) == 4, _REPLACED_S)
+
+    run_with_added_host(scenario, tmp_path)
+
+
+def test_successor_that_starts_later_votes_in_time(tmp_path):
+    """The removed host kept its vote for 6 s, longer than a successor may need."""
+
+    async def scenario(fleet, first, second):
+        new = await start_control(fleet, _NEW, False)
+        left = sorted([*fleet.controls[:2], _NEW])
+        hosts = [first, second, new]
+        await wait_until(lambda: sorted(list_voters(hosts)) == left, _CATCH_UP_S)
+
+    run_with_lost_host(scenario, tmp_path)
+
+
+def test_two_of_five_leave_in_a_row_and_two_disks_are_lost(tmp_path):
+    """Two votes that were left behind used up the losses that the fleet tolerates."""
+
+    async def main():
+        fleet = ProcessFleet(pick_base(), tmp_path / "fleet", 2)
+        fleet.tolerated_losses = 2
+        fleet.controls += ["127.0.0.61", "127.0.0.62"]
+        fleet.folder.mkdir()
+        await fleet.list.start()
+        try:
+            hosts = [await start_control(fleet, ip, True) for ip in fleet.controls]
+            assert (await fleet.submit(build_body(1)))[0] == 200
+            for ip in (_NEW, "127.0.0.63"):
+                hosts.append(await start_control(fleet, ip, False))
+            await wait_until(lambda: len(list_voters(hosts)) == 7, _REPLACED_S)
+            for _ in range(2):
+                await stop_control(fleet, hosts.pop(1))
+            await wait_until(lambda: len(list_voters(hosts)) == 5, _CONTACT_S)
+            wiped = [hosts.pop(1), hosts.pop(1)]
+            for kernel in wiped:
+                hosts.append(await lose_disk(fleet, kernel))
+            await wait_until(lambda: any(list_voters(hosts)), _REPLACED_S)
+            async with asyncio.timeout(_REPLACED_S):
+                assert (await fleet.submit(build_body(2)))[0] == 200
+        finally:
+            await stop_all(fleet)
+
+    asyncio.run(main())
+
+
+def test_disk_lost_while_a_member_is_added(tmp_path):
+    """The newcomer must not hold up the host whose disk was lost."""
+
+    async def scenario(fleet, hosts):
+        first, second, third = sort_by_leadership(hosts)
+        new, wiped = await asyncio.gather(
+            start_control(fleet, "127.0.0.59", False), lose_disk(fleet, second)
+        )
+        left = [first, third, hosts[3], new, wiped]
+        await wait_until(lambda: len(list_voters(left)) == 5, _REPLACED_S)
+
+    run_with_added_host(scenario, tmp_path)
