Use no state that a quorum has not confirmed since the start

Cause: a node that starts has no memory, and took the state of the first control host that fed it, also of one that had missed changes and could not confirm any. Orders bear the version of that state.

Change: Feed holds back what it is fed until the first confirmation of this life, then puts it in force as a whole. Entries and agents read all of the fleet's state there, so that routes, keys, rates and replicas follow the rule.

Why it works: what a former life acted on was committed, and a confirmation covers all that was committed before it was asked for.

--- a/src/jasminewharf/services/feed.py
+++ b/src/jasminewharf/services/feed.py
@@ -1,4 +1,8 @@
-"""A node's view of the fleet, fed by one control host."""
+"""A node's view of the fleet, fed by one control host.
+
+A node starts without memory of its former life, and a control host may have missed what
+that life had seen. What a node is fed counts only once a quorum has confirmed it.
+"""
 
 import asyncio
 import logging
@@ -34,7 +38,8 @@
     """Subscribes to one control host and applies its changes in order.
 
     Attributes:
-        state: The fleet state at the version that this node has reached.
+        state: The fleet state at the version that this node has reached; empty until
+            a quorum has confirmed it for the first time in this life.
         source: The control host that feeds this node; empty if there is none.
     """
 
@@ -45,6 +50,8 @@
         super().__init__(kernel)
         timing = kernel.settings.timing
         self.state = FleetState()
+        # What was applied; becomes ``state`` with the first confirmation.
+        self._fed = FleetState()
         self.source = ""
         self._lease = FreshnessLease(timing.freshness_lease_s)
         self._interval_s = timing.freshness_lease_s * defaults.FRESHNESS_PING_SHARE
@@ -60,7 +67,7 @@
     def listen(self, listener: Listener) -> None:
         """Call ``listener`` with each batch of applied commands.
 
-        The batch is empty if the state was replaced by a snapshot.
+        The batch is empty if the state was replaced as a whole.
         """
         self._listeners.append(listener)
 
@@ -104,12 +111,12 @@
     def _log_staleness(self) -> None:
         is_valid = self.is_fresh()
         if self._was_valid and not is_valid:
-            events.emit(_logger, events.VIEW_STALE, version=self.state.version)
+            events.emit(_logger, events.VIEW_STALE, version=self._fed.version)
         elif is_valid and not self._was_valid:
             events.emit(
                 _logger,
                 events.VIEW_FRESH,
-                version=self.state.version,
+                version=self._fed.version,
                 source=self.source,
             )
         self._was_valid = is_valid
@@ -166,7 +173,7 @@
 
     def _take_answer(self, name: str, answer: FreshnessConfirmed) -> bool:
         """Take a confirmation; follow the host that gave it if the source is late."""
-        is_behind = answer.version > self.state.version
+        is_behind = answer.version > self._fed.version
         is_source = name == self.source
         self._late_answers = 0 if is_source else self._late_answers + 1
         is_late = self._late_answers >= defaults.FEED_FAILURES_BEFORE_MOVE
@@ -176,12 +183,17 @@
         link = self.kernel.find("controllers").links.get(name)
         if link is not None and (is_behind or has_moved):
             self._subscribe(link)
-        return self._lease.confirm(answer.nonce, answer.version, self.state.version)
+        if not self._lease.confirm(answer.nonce, answer.version, self._fed.version):
+            return False
+        if self.state is not self._fed:
+            self.state = self._fed
+            self._notify([])
+        return True
 
     async def _ping(self, link: LinkClient) -> FreshnessConfirmed | None:
         """Return a control host's confirmation; None if it gives none in time."""
         nonce = self._lease.begin_ping(asyncio.get_running_loop().time())
-        ping = ConfirmFreshness(nonce, self.state.version)
+        ping = ConfirmFreshness(nonce, self._fed.version)
         try:
             answer = await link.request(ping, self._interval_s)
         except JasminewharfError:
@@ -230,7 +242,7 @@
             previous=self.source,
             source=name,
             reason=reason,
-            version=self.state.version,
+            version=self._fed.version,
         )
         loop = asyncio.get_running_loop()
         self._far_until = loop.time() + defaults.FEED_NEAR_RETRY_S
@@ -239,7 +251,7 @@
 
     def _subscribe(self, link: Any) -> None:
         try:
-            link.send(Subscribe(self.state.version))
+            link.send(Subscribe(self._fed.version))
             self._subscribed = link.welcome
         except PeerUnavailable:
             self.source = ""
@@ -247,32 +259,34 @@
     def _take_changes(self, host: str, changes: FeedChanges) -> None:
         if host != self.source:
             return
-        if changes.version < self.state.version:
+        if changes.version < self._fed.version:
             events.emit(
                 _logger, events.FEED_REFUSED, source=host, version=changes.version
             )
             return
-        if changes.base_version > self.state.version:
+        if changes.base_version > self._fed.version:
             self._subscribe(self.kernel.find("controllers").links[host])
             return
         applied = []
         for index, data in changes.commands:
-            if index > self.state.version:
+            if index > self._fed.version:
                 command = decode(data)
-                self.state.apply_message(index, command)
+                self._fed.apply_message(index, command)
                 applied.append(command)
-        self.state.version = max(self.state.version, changes.version)
+        self._fed.version = max(self._fed.version, changes.version)
         if applied:
             self._notify(applied)
 
     def _take_snapshot(self, host: str, snapshot: FeedSnapshot) -> None:
-        if host != self.source or snapshot.version <= self.state.version:
+        if host != self.source or snapshot.version <= self._fed.version:
             return
-        self.state.restore(snapshot.state)
-        self.state.version = snapshot.version
+        self._fed.restore(snapshot.state)
+        self._fed.version = snapshot.version
         events.emit(_logger, events.VIEW_RESTORED, version=snapshot.version)
         self._notify([])
 
     def _notify(self, applied: list[Any]) -> None:
+        if self.state is not self._fed:
+            return
         for listener in self._listeners:
             listener(applied)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -179,3 +179,62 @@
         assert feed.source != gone
 
     run_feed(scenario)
+
+
+def run_restarted_feed(scenario, version, stale):
+    """Run a feed that only reaches one control host, which cannot confirm anything."""
+
+    async def main():
+        control = Control()
+        for host in control.hosts:
+            host.version = version
+            host.is_connected = False
+        control.hosts[0].version = stale
+        control.hosts[0].fault = "lagging"
+        control.hosts[0].is_connected = True
+        feed = Feed(control)
+        told = []
+        feed.listen(lambda applied: told.append(feed.state.version))
+        await feed.start()
+        try:
+            await scenario(control, feed, told)
+        finally:
+            await feed.stop()
+
+    asyncio.run(main())
+
+
+def test_restarted_node_does_not_work_by_an_older_state():
+    """A restarted agent gave orders with a lower fencing token than in its former life.
+
+    It took the state of a control host that had missed changes and could confirm none.
+    """
+
+    async def scenario(control, feed, told):
+        await asyncio.sleep(3 * FEED_ANSWER_S)
+        assert control.hosts[0].subscriptions
+        assert feed.state.version == 0
+        assert told == []
+        for host in control.hosts[1:]:
+            host.is_connected = True
+        await wait_version(feed, 6)
+        assert told == [6]
+        control.hosts[0].fault = ""
+        control.commit()
+        await wait_version(feed, 7)
+        assert told == [6, 7]
+
+    run_restarted_feed(scenario, version=6, stale=3)
+
+
+def test_restarted_node_works_by_what_the_same_host_confirms_later():
+    """What was fed before the confirmation is in force with it, without a change."""
+
+    async def scenario(control, feed, told):
+        await asyncio.sleep(FEED_ANSWER_S)
+        assert told == []
+        control.hosts[0].fault = ""
+        await wait_version(feed, 6)
+        assert told == [6]
+
+    run_restarted_feed(scenario, version=6, stale=6)
