Count repeats after the break of a kept connection as retries

Cause: HttpClient sent a repeatable request once more when its kept connection broke, however late, with the head of the first send: nothing was taken from the budget, and the server was told of more time than was left.

Change: the caller of the client allows each repeat, the entry from its budget; a break later than 0.25 s after the send is an error, so that the entry sends the request anew, with a new deadline, if it may.

Evidence: both cases of test_break_of_a_kept_connection_is_not_repeated_freely fail on the source before (there without the new argument), and pass.

Why it works: there is one place left that decides on a second send.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -478,6 +478,7 @@
 AGE_LIMIT_S = 1_000_000.0  # Beyond it nothing was ever told.
 CHANGE_WAIT_S = 0.1
 CONNECTIONS_TIDY_S = 2.0
+KEPT_REPEAT_S = 0.25  # In which the close of a kept connection crosses a request.
 KEPT_IDLE_S = 2.0
 MODEL_RETRY_MS = 2_000
 PATIENCE_PART = 0.9  # Of a caller's patience: the way to it and back.
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -425,6 +425,7 @@
         body: bytes,
         *,
         repeatable: bool = False,
+        may_repeat: Callable[[], bool] = lambda: True,
         kept_idle_s: float = 0.0,
         permit: SendPermit | None = None,
         identity: RequestIdentity | None = None,
@@ -435,7 +436,9 @@
         A kept connection may have been closed by the server just before the
         request is written, and then nobody knows whether the request was read.
         A request that may not be repeated therefore uses only a kept connection
-        that has been idle for at most ``kept_idle_s`` seconds.
+        that has been idle for at most ``kept_idle_s`` seconds. One that is repeatable
+        is sent once more if the connection breaks at once and ``may_repeat`` allows
+        it; later, what its head says of its deadline would not hold any more.
 
         On a kept connection an answer that does not bear the request's identifier
         is dropped, and the request's own is waited for. Without an identity only a
@@ -455,6 +458,8 @@
             return await self._exchange(wire, sending)
         wire = self._take_idle(float("inf") if repeatable else kept_idle_s, identity)
         if wire is not None:
+            loop = asyncio.get_running_loop()
+            repeated_until = loop.time() + defaults.KEPT_REPEAT_S
             try:
                 return await self._exchange(wire, sending)
             except BackendUnreachable:
@@ -463,6 +468,8 @@
                 # After an answer of another request, its caller decides on a repeat.
                 if not repeatable or wire.has_skipped:
                     raise
+                if loop.time() > repeated_until or not may_repeat():
+                    raise
                 return await self._repeat(error, sending)
         return await self._exchange(await self._connect(), sending)
 
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -142,7 +142,13 @@
             job.priority if job.service.engine else -1,
             last_event,
         )
-        return await self._upstream.open(server, job.outgoing, forwarded, permit)
+        return await self._upstream.open(
+            server,
+            job.outgoing,
+            forwarded,
+            permit,
+            may_repeat=lambda: self._take_budget(job),
+        )
 
     # Streams.
 
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import ClassVar, NamedTuple
 
 from .. import defaults, events
@@ -158,9 +158,12 @@
         outgoing: UpstreamRequest,
         forwarded: ForwardedHead,
         permit: Permit,
+        may_repeat: Callable[[], bool],
     ) -> UpstreamAnswer:
         """Send a request and return the answer once its head has been checked.
 
+        ``may_repeat`` is asked before a second send to the same server.
+
         Raises:
             LimitReached: If the permit does not allow it any more; nothing was sent.
             NotRunThere: If the server cannot have run the request.
@@ -175,6 +178,7 @@
                 headers,
                 outgoing.body,
                 repeatable=outgoing.is_idempotent,
+                may_repeat=may_repeat,
                 kept_idle_s=defaults.KEPT_IDLE_S,
                 permit=permit,
                 identity=RequestIdentity(
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -246,6 +246,39 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("pause_s, is_allowed", [(0.0, False), (0.6, True)])
+def test_break_of_a_kept_connection_is_not_repeated_freely(pause_s, is_allowed):
+    """Repeats took nothing from the budget, and late ones bore the first deadline."""
+    asked = []
+
+    async def handle(reader, writer):
+        writer.write(render(await read_id(reader)))
+        await read_id(reader)
+        await asyncio.sleep(pause_s)
+        writer.close()
+
+    async def scenario():
+        server = await open_server(handle)
+        client = HttpClient(address_of(server))
+        await post(client, "1")
+        with pytest.raises(BackendError):
+            await client.open(
+                "POST",
+                "/",
+                [("x-id", "2")],
+                b"",
+                repeatable=True,
+                may_repeat=lambda: bool(asked.append(1)) or is_allowed,
+                identity=identify("2"),
+            )
+        assert client.connections_opened == 1
+        assert len(asked) == (not is_allowed)
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 EXTRA = {
     "another": render("0", b"old"),
     "unnamed": render("", b"old"),
