Ask servers that have all shed a request ever more rarely

What callers saw: a request went to the same shedding server every 57 ms, six times in the users' record, which spent the retries of its entry for nothing; the requests after it were refused for want of a retry.

Cause: once all servers had refused a request, the entry waited 50 ms and began anew, however often that had failed before.

Change: the pause doubles with each round, up to 0.8 s, and a request whose caller leaves before the next round is refused at once, as not run, with the time after which to come back.

Why it works: a place that is free a moment later is still found within 50 ms, and a server that sheds for seconds gets a handful of sends instead of all.

--- a/src/jasminewharf/decisions/attempts.py
+++ b/src/jasminewharf/decisions/attempts.py
@@ -31,6 +31,7 @@
         self.contended: set[str] = set()
         self._ran_on: set[str] = set()
         self._is_open = False
+        self._rounds = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -64,9 +65,20 @@
         self.avoided.add(server)
         self._ran_on.add(server)
 
-    def forget_rejections(self) -> None:
-        """Allow further attempts at servers that only rejected the request."""
+    def begin_round(self) -> float:
+        """Allow further attempts at servers that only rejected the request.
+
+        Returns:
+            Seconds to wait before the next attempt. They double with each round: a
+            server that has no place now is not asked again and again for one.
+        """
         self.avoided = set(self._ran_on)
+        pause_s = min(
+            defaults.SERVER_FULL_PAUSE_S * 2**self._rounds,
+            defaults.SERVER_FULL_PAUSE_MAX_S,
+        )
+        self._rounds += 1
+        return pause_s
 
 
 def choose_idle_timeout_s(route: Route, attempts: Attempts, left_s: float) -> float:
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -310,15 +310,26 @@
                 server = choose_least_loaded_server(free, zone, self._random.random())
                 return _Choice(server, limited, is_full(server))
             if usable and attempts.avoided:
-                # All have refused it: a place may be free a moment later.
-                attempts.forget_rejections()
-                await asyncio.sleep(defaults.SERVER_FULL_PAUSE_S)
+                await self._pause(job, attempts, attempts.begin_round())
                 if not attempts.may_have_run or job.route.is_idempotent:
                     continue
             if not usable:
                 self._check_pauses(job)
             await self._demand.wait_change(job.deadline)
 
+    async def _pause(self, job: Job, attempts: Attempts, pause_s: float) -> None:
+        """Wait before the servers that have all refused a request are asked again.
+
+        Raises:
+            Overloaded: If the caller leaves before that.
+        """
+        if not attempts.may_have_run and _now() + pause_s >= job.leaves_at:
+            raise Overloaded(
+                "all backend servers have refused the request",
+                retry_after_ms=int(pause_s * defaults.MS_PER_S),
+            )
+        await asyncio.sleep(pause_s)
+
     def _check_pauses(self, job: Job) -> None:
         """Refuse a request whose caller leaves before a server takes requests again.
 
@@ -342,10 +353,10 @@
         while True:
             holders = self._find_holders(job, attempts)
             if not holders and attempts.avoided:
-                attempts.forget_rejections()
+                pause_s = attempts.begin_round()
                 holders = self._find_holders(job, attempts)
                 if holders:
-                    await asyncio.sleep(defaults.SERVER_FULL_PAUSE_S)
+                    await self._pause(job, attempts, pause_s)
             if not holders:
                 await self._wait_model(job, attempts)
                 continue
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,6 +1,7 @@
 """Attempts of a request and the idle timeout of servers."""
 
 from fleetparts import build_route
+from jasminewharf import defaults
 from jasminewharf.decisions.attempts import Attempts, choose_idle_timeout_s
 
 
@@ -23,10 +24,18 @@
     attempts = Attempts()
     attempts.note_run("i-1")
     attempts.note_rejected("i-2")
-    attempts.forget_rejections()
+    attempts.begin_round()
     assert attempts.avoided == {"i-1"}
 
 
+def test_servers_that_shed_are_asked_ever_more_rarely():
+    """A request came to the same shedding server every 57 ms until the budget ended."""
+    attempts = Attempts()
+    pauses = [attempts.begin_round() for _ in range(7)]
+    assert pauses[:3] == [0.05, 0.1, 0.2]
+    assert pauses[-1] == pauses[-2] == defaults.SERVER_FULL_PAUSE_MAX_S
+
+
 def test_request_that_may_not_repeat_has_no_idle_timeout():
     route = build_route(kind="unsafe", is_resumable=False, attempts=3)
     assert choose_idle_timeout_s(route, Attempts(), 2.0) >= 2.0
--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -65,3 +65,20 @@
         assert len(window) - requests <= _SHARE * 16 + _SLACK
 
     run_with_fleet(scenario, tmp_path)
+
+
+def test_request_is_not_sent_to_shedding_servers_again_and_again(tmp_path):
+    """Each of two servers got a request every 57 ms, which spent the entry's budget."""
+
+    async def scenario(fleet):
+        for desk in fleet.desks:
+            desk.fails_next = ["full"] * _LONG
+        began_at = asyncio.get_running_loop().time()
+        status, headers, _ = await fleet.call("/status/1", ("x-deadline-ms", "900"))
+        assert status == 503
+        assert float(headers["retry-after"]) > 0
+        assert asyncio.get_running_loop().time() - began_at < 0.9
+        for desk in fleet.desks:
+            assert len(desk.heads) <= 5
+
+    run_with_fleet(scenario, tmp_path)
