Give other tasks a turn while an answer arrives in tiny parts

Cause: the client took all parts that had arrived without a turn for anybody else; 256 kB of such chunks are 43,000 parts, and the next ones had arrived by then.

Change: after 64 parts of an answer the event loop runs the other tasks.

Why it works: a turn is bounded by steps, whatever the size of the parts.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -369,6 +369,8 @@
 HTTP_INTERIM_HEADS = 16  # Before the head of the answer itself.
 HTTP_ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 STREAM_EVENT_LIMIT_BYTES = 1024 * 1024  # A thousand times a usual event.
+# Parts of an answer, which may be chunks of a byte, that are read in one turn.
+HTTP_EVENTS_IN_TURN = 64
 HTTP_UNREAD_BYTES = 256 * 1024
 # Of requests sent ahead on one connection, and how much of them is parsed at a time.
 HTTP_AHEAD_BYTES = 256 * 1024
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -73,6 +73,7 @@
         self._error: Exception | None = None
         self._unread_bytes = 0
         self._is_paused = False
+        self._events_in_turn = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -165,12 +166,21 @@
         while True:
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
+                await self._yield_turn()
                 return event
             if self._is_lost:
                 raise self._error or ConnectionResetError("the connection was lost")
             await self._wait()
 
+    async def _yield_turn(self) -> None:
+        """Let other tasks run now and then, also if more events have arrived."""
+        self._events_in_turn += 1
+        if self._events_in_turn >= defaults.HTTP_EVENTS_IN_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
+
     async def _wait(self) -> None:
+        self._events_in_turn = 0
         self._resume_reading()
         self._waiter = asyncio.get_running_loop().create_future()
         await self._waiter
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 
 import pytest
 
@@ -516,6 +517,37 @@
     return sent
 
 
+def test_answer_in_chunks_of_a_byte_leaves_the_event_loop_to_others():
+    """One server's answer without end kept all other requests from being answered."""
+
+    async def flood(reader, writer):
+        await reader.read(100)
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        await _send_without_end(writer, head, b"1\r\na\r\n" * 10_000)
+        writer.close()
+
+    async def read(client):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                response = await client.open("GET", "/", [], b"")
+                await response.read()
+
+    async def scenario():
+        server = await open_server(flood)
+        client = HttpClient(address_of(server))
+        reading = asyncio.gather(*(read(client) for _ in range(3)))
+        longest_s = 0.0
+        while not reading.done():
+            began_at = time.perf_counter()
+            await asyncio.sleep(0)
+            longest_s = max(longest_s, time.perf_counter() - began_at)
+        assert longest_s < 0.2
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 ENDLESS = {
     "head": (b"HTTP/1.1 200 OK\r\nx-pad: ", b"a" * 65_536),
     "head of many lines": (b"HTTP/1.1 200 OK\r\n", b"x-pad: a\r\n" * 6_000),
