Reset answers without a length whose rest a stop drops

Cause: once its handler was done, a connection was aborted at the end of a stop as an idle one. What was not written yet was dropped, and the lost connection, without an error, was taken for one that had sent all.

Change: an abort of such a connection with unsent bytes is a reset. The same abort drops callers that do not read.

Why it works: the socket says the end of the body only if all of it has left.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -636,14 +636,21 @@
             self.close()
 
     def abort(self) -> None:
-        """Drop the connection; one with an answer in progress is reset."""
-        if self._task is not None:
+        """Drop the connection; one with an answer in progress is reset.
+
+        So is one whose answer has not left whole, where only the close ends it.
+        """
+        if self._task is not None or (self._is_reset_armed and self._has_unsent):
             self._reset()
             return
         self._closing = True
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def _has_unsent(self) -> bool:
+        return self._transport.get_write_buffer_size() > 0
+
     def _reset(self) -> None:
         self._closing = True
         self._has_ended = False
--- a/tests/test_close_delimited.py
+++ b/tests/test_close_delimited.py
@@ -11,7 +11,10 @@
 from hostile import LoopThread
 from jasminewharf.decisions.health import OutlierDetector
 from jasminewharf.fakes import FakePlainService
+from jasminewharf.interfaces.http import HttpServer
 from jasminewharf.interfaces.local import LocalOptions, open_local_system
+from jasminewharf.interfaces.refusals import render_refusal
+from jasminewharf.settings import LimitSettings
 from platformfakes import answer_raw, stream_body
 
 ALL = stream_body()
@@ -249,3 +252,27 @@
         assert received.is_reset
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_answer_whose_rest_is_dropped_when_its_entry_stops_is_reset(version):
+    """The close after a part of a large answer was in order, as after a whole one."""
+    body = b"x" * 16 * 1024 * 1024
+
+    async def handle(request, responder):
+        responder.respond(200, [], body, is_close_delimited=True)
+
+    async def scenario():
+        server = HttpServer(handle, render_refusal, LimitSettings())
+        ip, port = (await server.listen("127.0.0.1", 0)).split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(f"GET / HTTP/{version}\r\nhost: x\r\n\r\n".encode())
+        assert await reader.read(1)
+        await server.drain(0.3)
+        await server.close()
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(1_048_576):
+                pass
+        writer.close()
+
+    asyncio.run(scenario())
