Find out requests that end their servers late in the answer

Cause: an answer that had gone on for a second accused nobody of the end, so that long answers are not blamed for ends that they only meet.

Change: such an end counts for a second identity of the request, which is on trial from two ends on and refused after three; also where its caller left before. Both identities are asked before each send, and cleared by a whole answer.

Why it works: innocent requests are sent once or twice, and are refused only if each of three sends met an end.

--- a/src/jasminewharf/decisions/poison.py
+++ b/src/jasminewharf/decisions/poison.py
@@ -6,7 +6,7 @@
 table: what they tell each other is merged in any order with the same result.
 
 Whole requests and parts are both known by a number, their identity; one bit tells them
-apart.
+apart. A whole request has a second identity, for ends that came late in its answer.
 """
 
 import math
@@ -30,6 +30,7 @@
     "PartTable",
     "TrialBook",
     "count_trial_slots",
+    "find_late_identity",
     "hash_parts",
     "hash_request",
     "hash_trial_slot",
@@ -46,6 +47,8 @@
 _NEVER = -math.inf
 # Set in the identities of whole requests, not in those of parts.
 _WHOLE_BIT = 1 << 63
+# Tells the two identities of a whole request apart.
+_LATE_BIT = 1 << 62
 
 
 class PartEnd(NamedTuple):
@@ -120,6 +123,8 @@
     defaults.POISON_WHOLE_REFUSED_LIMIT_S,
     defaults.POISON_WHOLE_KEPT_S,
 )
+# A long answer meets many ends of its server that it has nothing to do with.
+_LATE_RULES = _WHOLE_RULES._replace(suspect_ends=defaults.POISON_LATE_SUSPECT_ENDS)
 
 
 def is_whole(identity: int) -> bool:
@@ -129,7 +134,7 @@
 
 def _find_rules(identity: int, answered_at: float) -> _Rules:
     if is_whole(identity):
-        return _WHOLE_RULES
+        return _LATE_RULES if identity & _LATE_BIT else _WHOLE_RULES
     return _PART_RULES if answered_at == _NEVER else _ANSWERED_PART_RULES
 
 
@@ -153,7 +158,12 @@
     head = f"{workspace}\0{route}\0{method}\0{target}\0"
     digest = xxhash.xxh3_64(head.encode())
     digest.update(body)
-    return digest.intdigest() | _WHOLE_BIT
+    return digest.intdigest() & ~_LATE_BIT | _WHOLE_BIT
+
+
+def find_late_identity(whole: int) -> int:
+    """Return the identity of a whole request for ends that came late in its answer."""
+    return whole | _LATE_BIT
 
 
 def count_trial_slots(servers: int) -> int:
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -554,6 +554,7 @@
 # The same of parts that were answered whole before.
 POISON_ANSWERED_SUSPECT_ENDS = 4
 POISON_ANSWERED_REFUSED_ENDS = 5
+POISON_LATE_SUSPECT_ENDS = 2  # Of a request whose answer had gone on for a while.
 POISON_REFUSED_S = 60.0  # Doubles with each trial that ends a server.
 POISON_REFUSED_LIMIT_S = 960.0
 # Of whole requests; few repeats may reach servers after the first three ends.
@@ -571,7 +572,7 @@
 # After which the server of a request that was given up has ended under it, or not.
 POISON_LEFT_S = 1.0
 POISON_SPARED_SERVERS = 2  # Of a service, not put at risk by trials.
-POISON_TRIAL_IDENTITIES = POISON_PARTS_LIMIT + 2
+POISON_TRIAL_IDENTITIES = POISON_PARTS_LIMIT + 3
 POISON_CLEARED_KEPT_S = 30.0  # Longer than an older report of an end is on its way.
 # An answer that has gone on for so long does not end its server at its beginning.
 POISON_PROGRESS_S = 1.0
--- a/src/jasminewharf/services/poisonguard.py
+++ b/src/jasminewharf/services/poisonguard.py
@@ -22,6 +22,7 @@
     PartTable,
     TrialBook,
     count_trial_slots,
+    find_late_identity,
     hash_parts,
     hash_request,
     hash_trial_slot,
@@ -85,6 +86,16 @@
             self._whole = _hash_job(self._job)
         return self._whole
 
+    @property
+    def identities(self) -> tuple[int, ...]:
+        """Both identities of the whole request."""
+        return self.whole, find_late_identity(self.whole)
+
+    @property
+    def accused(self) -> int:
+        """The identity that an end of the server accuses now."""
+        return self.identities[self.has_progressed]
+
     def check(self) -> list[int]:
         """Return the identities under suspicion: the request's own and its parts'.
 
@@ -222,7 +233,7 @@
             return []
         now = _now()
         suspects = []
-        for part in (prompt.whole, *prompt.parts):
+        for part in (*prompt.identities, *prompt.parts):
             judgement = self._table.judge(part, now)
             if judgement.standing == REFUSED:
                 raise self._refuse(job, part, judgement)
@@ -354,7 +365,8 @@
         """Return the request and those of the parts of which anything is known."""
         if self._table.is_empty:
             return []
-        return [part for part in (prompt.whole, *parts) if part in self._table]
+        accused = (*prompt.identities, *parts)
+        return [part for part in accused if part in self._table]
 
     def note_answered(self, job: Job, prompt: GuardedPrompt, is_success: bool) -> None:
         """Record a whole answer and tell the other nodes if that clears something."""
@@ -388,9 +400,9 @@
         for part in parts:
             end = PartEnd(incarnation, now, part in trial.parts)
             evidence.append(PartEvidence(part, self.answered.find(part), (end,)))
-        if not prompt.has_progressed:
-            end = PartEnd(incarnation, now, prompt.whole in trial.parts)
-            evidence.append(PartEvidence(prompt.whole, -math.inf, (end,)))
+        accused = prompt.accused
+        end = PartEnd(incarnation, now, accused in trial.parts)
+        evidence.append(PartEvidence(accused, -math.inf, (end,)))
         self._merge(evidence, job)
         return True
 
@@ -400,19 +412,15 @@
         Nobody is asked: other requests at the server tell.
         """
         loop = asyncio.get_running_loop()
-        left_at = loop.time()
-        if not prompt.has_progressed:
-            loop.call_later(
-                defaults.POISON_LEFT_S, self._accuse_left, job, server, left_at, prompt
-            )
+        left = loop.time(), prompt.accused
+        loop.call_later(defaults.POISON_LEFT_S, self._accuse_left, job, server, left)
 
-    def _accuse_left(
-        self, job: Job, server: Server, left_at: float, prompt: GuardedPrompt
-    ) -> None:
+    def _accuse_left(self, job: Job, server: Server, left: tuple[float, int]) -> None:
+        left_at, accused = left
         ended = self._ended.get(server.name)
         if ended is not None and ended.at >= left_at:
             end = PartEnd(ended.server, ended.at)
-            self._merge([PartEvidence(prompt.whole, -math.inf, (end,))], job)
+            self._merge([PartEvidence(accused, -math.inf, (end,))], job)
 
     async def _has_ended(self, server: ServerIncarnation, address: str) -> bool:
         """Return whether a server listens no more; asked once for all who wonder.
--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -190,7 +190,8 @@
                 if self._kind.is_resumable:
                     stream = ("content-type", "text/event-stream")
                     responder.start(200, [*signed, stream])
-                    await responder.write(b"id: 1\ndata: x1\n\n")
+                    first = int(request.header("last-event-id") or 0) + 1
+                    await responder.write(b"id: %d\ndata: x%d\n\n" % (first, first))
                 if self.crash_answer:
                     responder.start(200, signed, is_close_delimited=True)
                     await responder.write(self.crash_answer)
--- a/tests/test_poison_requests_ends.py
+++ b/tests/test_poison_requests_ends.py
@@ -5,6 +5,7 @@
 from crashingservers import (
     LATE_LIMIT,
     RESTART_S,
+    RESUMABLE,
     UNSAFE,
     Load,
     ask,
@@ -126,3 +127,20 @@
     play(load, scenario, tmp_path)
     assert load.record.ends
     assert len(load.record.list_late(load.deadly)) <= LATE_LIMIT
+
+
+def test_request_that_ends_servers_late_in_its_answer_is_found_out(tmp_path):
+    """One that did so a second after its first event was sent on for ever."""
+    load = Load(RESUMABLE, ends_after_s=1.2)
+
+    async def scenario(fleet):
+        await asyncio.sleep(_SEEN_S)
+        for number in range(14):
+            await ask(fleet, load.deadly, number % 3)
+            # Answers to others clear the parts of the prompt.
+            for entry in range(3):
+                await ask(fleet, RESUMABLE.build_call(f"s{number}-{entry}"), entry)
+
+    play(load, scenario, tmp_path)
+    assert len(load.record.list_ends(load.deadly)) >= 3
+    assert len(load.record.list_late(load.deadly)) <= LATE_LIMIT
--- a/tests/test_poison_wholes.py
+++ b/tests/test_poison_wholes.py
@@ -19,6 +19,7 @@
     PartEvidence,
     PartTable,
     count_trial_slots,
+    find_late_identity,
     hash_parts,
     hash_request,
     hash_trial_slot,
@@ -80,6 +81,16 @@
         assert table.judge(REQUEST, 18.5).standing == standing
 
 
+def test_late_ends_put_a_request_on_trial_from_the_second_on():
+    """A long answer meets ends of servers that have other causes."""
+    late = find_late_identity(REQUEST)
+    for ends, standing in ((1, CLEAR), (2, SUSPECT), (3, REFUSED)):
+        evidence = accuse(*(end(n, 10.0 * n) for n in range(1, ends + 1)), of=late)
+        table = fill(evidence)
+        assert table.judge(late, 30.5).standing == standing
+        assert table.judge(REQUEST, 30.5).standing == CLEAR
+
+
 def test_only_an_answer_to_the_request_itself_clears_it():
     """Answers to sound requests with the same subject cleared a bad one."""
     ends = [accuse(*THREE), accuse(*THREE, of=SUBJECT)]
