Have an agent order again once its fencing token is higher

Cause: a refused agent waited for the answer to another order, and gave none.

Change: it keeps the refused token, and orders again when the version that it works by, which is the token, is higher. It never sends the same token again.

Why it works: the token rises with each committed change, and the holder of the higher one is this agent in its former life, or an operator's change is needed.

--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -74,7 +74,8 @@
         self._adapter_waiters: dict[tuple[str, str], list[asyncio.Future[bool]]] = {}
         self._adapter_ordered_at = float("-inf")
         self._wake = asyncio.Event()
-        self._is_fenced = False
+        # The highest fencing token that the engine has refused.
+        self._refused_fence = -1
         self._held_back: dict[str, str] = {}
         self._store = StoreSlotClient(kernel, self._address)
         # Used while the server list does not contain the engine.
@@ -389,7 +390,7 @@
         """Send orders until none is needed or the engine accepts no more."""
         for _ in range(defaults.ENGINE_ORDERS_IN_A_ROW):
             status = self._status
-            if status is None or self._is_fenced or self._is_paused():
+            if status is None or self._is_fenced() or self._is_paused():
                 return
             if self._residency.spec is None:
                 table = self.kernel.find("view").table
@@ -510,9 +511,14 @@
             outcome=outcome,
             error=error,
         )
-        self._is_fenced = outcome == "fenced"
+        if outcome == "fenced":
+            self._refused_fence = max(self._refused_fence, order.fence)
         return taken
 
+    def _is_fenced(self) -> bool:
+        """Return whether the engine has refused the token that an order would bear."""
+        return self.kernel.find("feed").state.version <= self._refused_fence
+
     def _find_copies(self) -> FleetCopies:
         """Return the copies of each model according to all engines' reports.
 
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -104,6 +104,7 @@
         self.reports = 0
         self.refuses_orders = False
         self.orders_refused = 0
+        self.least_fence = 0
 
     def describe(self):
         entry = {
@@ -156,6 +157,9 @@
             self.orders_refused += 1
             responder.respond(503, [*JSON, ("retry-after", self.pause)], b"{}")
             return
+        if order["fence"] < self.least_fence:
+            responder.respond(412, JSON, b"{}")
+            return
         if self.busy or order["expected"] != len(self.orders):
             responder.respond(409, JSON, b"{}")
             return
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -493,6 +493,27 @@
     run_with_fleet(scenario, tmp_path)
 
 
+def test_agent_whose_fencing_token_was_refused_orders_again_with_a_higher_one(
+    tmp_path,
+):
+    """An agent that was refused once gave no order any more until it was restarted."""
+
+    async def scenario(fleet):
+        version = fleet.kernels[0].find("fleet").state.version
+        for engine in fleet.engines:
+            engine.least_fence = version + 1
+        absent = (("x-model", "m3"), ("x-token-counts", "100,20"))
+        task = asyncio.create_task(fleet.call("/chat/1", *absent))
+        await asyncio.sleep(0.8)
+        assert not any(engine.orders for engine in fleet.engines)
+        await fleet.submit(build_body(2))
+        await wait_until(lambda: any(engine.orders for engine in fleet.engines))
+        status, _, _ = await task
+        assert status == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_rate_holds_over_all_entries(tmp_path):
     """Two entries together must not admit twice the configured rate."""
 
