Show a group of control hosts without a leader

Cause: only changes of the leader were logged, and a control host had no readiness.

Change: a host that knows no leader for 3 s logs event 316 with its term and the voters, again every 10 s; log_leaderless_seconds tells for how long, and /ready at the address of the metrics answers 503 meanwhile.

Evidence: test_group_without_a_leader_shows_it, new with the event.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -56,6 +56,8 @@
 LOG_ALLOCATE_BYTES = 1024 * 1024
 LOG_FULL_DISK_RETRY_S = 0.2
 LOG_FULL_HANDOVER_S = 1.0  # Longer than an election of the successor.
+LOG_LEADERLESS_S = 3.0  # Longer than an election.
+LOG_LEADERLESS_REPEAT_S = 10.0
 LOG_PEER_QUEUE_BATCHES = 1_000
 # Four times the largest number of control hosts.
 LOG_PEERS_LIMIT = 28
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -76,6 +76,7 @@
 MEMBERS_CHANGED = _define(313, logging.INFO, "members changed")
 PEER_QUEUE_FULL = _define(314, logging.DEBUG, "batch to a control host dropped")
 LEADERSHIP_LEFT = _define(315, logging.WARNING, "full disk, another host is to lead")
+LEADER_MISSING = _define(316, logging.WARNING, "no leader is known")
 
 # Configuration and keys: 400 to 499.
 DOCUMENT_ACCEPTED = _define(400, logging.INFO, "document accepted")
--- a/src/jasminewharf/interfaces/probes.py
+++ b/src/jasminewharf/interfaces/probes.py
@@ -40,7 +40,7 @@
 
 
 class MetricsHttp(Service):
-    """Serves a process' metrics."""
+    """Serves a process' metrics, and at ``/ready`` whether a control host can work."""
 
     name: ClassVar[str] = "metrics-http"
     requires: ClassVar[tuple[str, ...]] = ("process",)
@@ -60,6 +60,17 @@
         await self._http.close()
 
     async def _handle(self, request: Request, responder: Responder) -> None:
+        if request.target == "/ready" and self.kernel.has("log"):
+            self._answer_ready(responder)
+            return
         metrics: Any = self.kernel.find("process").metrics
         text = [("content-type", "text/plain; version=0.0.4")]
         responder.respond(200, text, metrics.render().encode())
+
+    def _answer_ready(self, responder: Responder) -> None:
+        text = [("content-type", "text/plain")]
+        log: Any = self.kernel.find("log")
+        if any(not log.leader(group) for group in log.groups):
+            responder.respond(503, text, b"no leader\n")
+        else:
+            responder.respond(200, text, b"ready\n")
--- a/src/jasminewharf/services/log.py
+++ b/src/jasminewharf/services/log.py
@@ -162,6 +162,11 @@
         runner = self._runners.get(group)
         return runner.consensus.leader if runner else ""
 
+    def leaderless_s(self, group: str) -> float:
+        """Return the seconds for which no leader of the group is known; 0 if one is."""
+        runner = self._runners.get(group)
+        return runner.leaderless_s() if runner else 0.0
+
     def is_leader(self, group: str) -> bool:
         """Return whether this member leads the group."""
         runner = self._runners.get(group)
--- a/src/jasminewharf/services/loggroup.py
+++ b/src/jasminewharf/services/loggroup.py
@@ -13,6 +13,8 @@
 from ..defaults import (
     LOG_COMMAND_LIMIT_BYTES,
     LOG_FULL_HANDOVER_S,
+    LOG_LEADERLESS_REPEAT_S,
+    LOG_LEADERLESS_S,
     LOG_PENDING_LIMIT_COMMANDS,
     LOG_PROPOSE_TIMEOUT_S,
     LOG_READ_TIMEOUT_S,
@@ -80,6 +82,8 @@
         self._at_index: dict[int, tuple[int, int]] = {}
         self._confirmed_reads: list[tuple[int, int]] = []
         self._known_leader = ""
+        self._leaderless_since: float | None = self._loop.time()
+        self._next_missing_at = self._loop.time() + LOG_LEADERLESS_S
         self._known_members: tuple[MemberRecord, ...] = ()
         self._changes: set[int] = set()
         self._next_hand_over = float("-inf")
@@ -191,6 +195,25 @@
             self._leave_to_hosts_with_space(now)
         self._proposals.expire(now)
         self._reads.expire(now)
+        if self._leaderless_since is not None and now >= self._next_missing_at:
+            self._report_missing_leader(now)
+
+    def leaderless_s(self) -> float:
+        """Return the seconds for which no leader is known here; 0 if one is."""
+        if self._leaderless_since is None:
+            return 0.0
+        return self._loop.time() - self._leaderless_since
+
+    def _report_missing_leader(self, now: float) -> None:
+        self._next_missing_at = now + LOG_LEADERLESS_REPEAT_S
+        events.emit(
+            _logger,
+            events.LEADER_MISSING,
+            group=self.group,
+            term=self.consensus.term,
+            for_s=round(self.leaderless_s(), 1),
+            voters=[m.identity for m in self.consensus.members if m.voter],
+        )
 
     def _leave_to_hosts_with_space(self, now: float) -> None:
         """Hand leadership over if a quorum of others has stored what this host cannot.
@@ -267,6 +290,9 @@
         leader = self.consensus.leader
         if leader != self._known_leader:
             self._known_leader = leader
+            now = self._loop.time()
+            self._leaderless_since = None if leader else now
+            self._next_missing_at = now + LOG_LEADERLESS_S
             events.emit(
                 _logger,
                 events.LEADER_CHANGED,
--- a/src/jasminewharf/services/repair.py
+++ b/src/jasminewharf/services/repair.py
@@ -42,6 +42,7 @@
 
     name: ClassVar[str] = "repair"
     requires: ClassVar[tuple[str, ...]] = (
+        "process",
         "log",
         "control",
         "controllers",
@@ -57,6 +58,9 @@
 
     async def start(self) -> None:
         """Answer newcomers, and ask to become a member where this host is none."""
+        self.kernel.find("process").metrics.watch(
+            "log_leaderless_seconds", lambda: self._log.leaderless_s(FLEET_GROUP)
+        )
         control = self.kernel.find("control")
         control.handle(RequestMembership, self._take_request)
         control.handle(LeaveMembership, self._take_departure)
--- a/tests/test_repair_service.py
+++ b/tests/test_repair_service.py
@@ -1,14 +1,18 @@
 """Control hosts that are replaced by empty ones at other addresses."""
 
 import asyncio
+import logging
 import shutil
 
 import pytest
 
 from fleets import build_body, pick_base
+from jasminewharf.defaults import LOG_LEADERLESS_S
+from jasminewharf.events import LEADER_MISSING
 from jasminewharf.interfaces.roles import build_kernel
 from jasminewharf.kernel import Service
 from jasminewharf.settings import load_settings
+from platformfakes import send
 from processfleet import ProcessFleet
 from support import wait_until
 
@@ -247,3 +251,22 @@
         await wait_until(lambda: len(list_voters(left)) == 5, _REPLACED_S)
 
     run_with_added_host(scenario, tmp_path)
+
+
+def test_group_without_a_leader_shows_it(tmp_path, caplog):
+    """Control hosts that could elect nobody looked like sound ones."""
+    caplog.set_level(logging.WARNING)
+
+    async def scenario(fleet, first, second):
+        address = second.settings.fleet.metrics_listen
+        assert (await send(address, "GET", "/ready", []))[0] == 200
+        await kill_control(fleet, first)
+        log = second.find("log")
+        await wait_until(lambda: log.leaderless_s("fleet") > LOG_LEADERLESS_S, 8.0)
+        assert (await send(address, "GET", "/ready", []))[0] == 503
+        metrics = second.find("process").metrics
+        assert metrics.read_gauge("log_leaderless_seconds") > LOG_LEADERLESS_S
+        await asyncio.sleep(0.1)
+        assert any(record.event is LEADER_MISSING for record in caplog.records)
+
+    run_with_lost_host(scenario, tmp_path)
