Stop a control host in order whatever the leader answers

Cause: an error of the leader other than of consensus or of the link, as one of an older release that does not know the message, left Repair.drain and ended the stop before the other services had drained.

Change: the errors of all requests are logged, and the stop goes on.

Evidence: test_control_host_stops_although_the_leader_refuses_to_let_it_go failed on the commit before (Forbidden from kernel.stop) and passes.

--- a/src/jasminewharf/services/repair.py
+++ b/src/jasminewharf/services/repair.py
@@ -18,6 +18,7 @@
 from ..exceptions import (
     ConsensusError,
     Forbidden,
+    JasminewharfError,
     LinkError,
     NotLeader,
 )
@@ -104,7 +105,7 @@
                 LeaveMembership(self._log.identity),
                 defaults.REPAIR_LEAVE_S,
             )
-        except (ConsensusError, LinkError) as error:
+        except JasminewharfError as error:
             events.emit(_logger, events.MEMBER_CHANGE_FAILED, error=error)
 
     def _is_settled(self) -> bool:
--- a/tests/test_repair_service.py
+++ b/tests/test_repair_service.py
@@ -9,6 +9,7 @@
 from fleets import build_body, pick_base
 from jasminewharf.defaults import LOG_LEADERLESS_S
 from jasminewharf.events import LEADER_MISSING
+from jasminewharf.exceptions import Forbidden
 from jasminewharf.interfaces.roles import build_kernel
 from jasminewharf.kernel import Service
 from jasminewharf.settings import load_settings
@@ -253,6 +254,24 @@
     run_with_added_host(scenario, tmp_path)
 
 
+def test_control_host_stops_although_the_leader_refuses_to_let_it_go(tmp_path):
+    """An error of another host ended the stop before the other services had drained."""
+
+    async def scenario(fleet, hosts):
+        stopped = sort_by_leadership(hosts)[0]
+        drained = []
+        stopped.find("process").drain = lambda: asyncio.sleep(0, drained.append(True))
+
+        async def refuse(*arguments):
+            raise Forbidden("no")
+
+        stopped.find("controllers").request = refuse
+        await stop_control(fleet, stopped)
+        assert drained
+
+    run_with_added_host(scenario, tmp_path)
+
+
 def test_group_without_a_leader_shows_it(tmp_path, caplog):
     """Control hosts that could elect nobody looked like sound ones."""
     caplog.set_level(logging.WARNING)
