Forget the refused fencing token of an engine that starts again

What callers saw: an absent model was not loaded, until the next change of the configuration, where an engine had refused a token and then started again.

Cause: an engine's start clears the tokens that it has seen, but its agent kept the refused one.

Change: the agent forgets it with the engine's former life.

Evidence: test_engine_that_starts_again_takes_orders_with_the_same_fencing_token failed on the commit before and passes.

--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -362,6 +362,7 @@
                 in_memory=list(fresh.in_memory),
                 on_disk=list(fresh.on_disk),
             )
+            self._refused_fence = -1
             self._end_change(fresh)
         elif [h.model for h in known.models] != [h.model for h in fresh.models]:
             events.emit(
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -514,6 +514,25 @@
     run_with_fleet(scenario, tmp_path)
 
 
+def test_engine_that_starts_again_takes_orders_with_the_same_fencing_token(tmp_path):
+    """Its start clears its tokens, but the agent went on to hold its orders back."""
+
+    async def scenario(fleet):
+        version = fleet.kernels[0].find("fleet").state.version
+        for engine in fleet.engines:
+            engine.least_fence = version + 1
+        absent = (("x-model", "m3"), ("x-token-counts", "100,20"))
+        task = asyncio.create_task(fleet.call("/chat/1", *absent))
+        await asyncio.sleep(0.8)
+        for engine in fleet.engines:
+            engine.least_fence = 0
+            engine.born += 1_000
+        await wait_until(lambda: any(engine.orders for engine in fleet.engines))
+        assert (await task)[0] == 200
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_rate_holds_over_all_entries(tmp_path):
     """Two entries together must not admit twice the configured rate."""
 
