Ask no servers again when the answer would come too late

Cause: since pauses double, a request may begin a last round right before its caller leaves, and the deadline passes while that is on its way.

Change: a round that would begin later than the request has to be sent is not begun; the refusal comes at once.

Why it works: the last send leaves the time in which an answer is expected.

--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -321,9 +321,9 @@
         """Wait before the servers that have all refused a request are asked again.
 
         Raises:
-            Overloaded: If the caller leaves before that.
+            Overloaded: If no answer is expected after that before the caller leaves.
         """
-        if not attempts.may_have_run and _now() + pause_s >= job.leaves_at:
+        if not attempts.may_have_run and _now() + pause_s >= job.sent_by:
             raise Overloaded(
                 "all backend servers have refused the request",
                 retry_after_ms=int(pause_s * defaults.MS_PER_S),
--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -67,6 +67,21 @@
     run_with_fleet(scenario, tmp_path)
 
 
+def test_request_is_refused_before_a_round_that_would_come_too_late(tmp_path):
+    """The last send crossed the deadline: 504 in place of a refusal as not run."""
+
+    async def scenario(fleet):
+        for desk in fleet.desks:
+            desk.fails_next = ["full"] * _LONG
+        began_at = asyncio.get_running_loop().time()
+        status, _, body = await fleet.call("/status/1", ("x-deadline-ms", "800"))
+        assert status == 503
+        assert b'"not_run": true' in body or b'"not_run":true' in body
+        assert asyncio.get_running_loop().time() - began_at < 0.65
+
+    run_with_fleet(scenario, tmp_path)
+
+
 def test_request_is_not_sent_to_shedding_servers_again_and_again(tmp_path):
     """Each of two servers got a request every 57 ms, which spent the entry's budget."""
 
