Log under which configuration a request was read and why it ended

A line of event 850 named the version in force at the end and the kind of the outcome only. A request that a change ended could not be told from one whose server was silent. The version at the read and the refusal's message are in the line now; no decision changes.

--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -40,8 +40,10 @@
 class _Exchange:
     """A request that this entry has read and not answered yet."""
 
-    def __init__(self, attempts: Attempts) -> None:
+    def __init__(self, attempts: Attempts, configuration: int) -> None:
         self.attempts = attempts
+        # The version under which it was read; the answer may end under another one.
+        self.configuration = configuration
         self.refusal: Refusal | None = None
         self._task = asyncio.current_task()
 
@@ -155,7 +157,8 @@
         attempts = Attempts()
         call: CallHead | None = None
         refusal: Refusal | None = None
-        exchange = _Exchange(attempts)
+        table = self.kernel.find("view").table
+        exchange = _Exchange(attempts, table.version if table else 0)
         self._exchanges.add(exchange)
         try:
             call = self._dialect.read_call(
@@ -169,20 +172,28 @@
             if exchange.refusal is None:
                 # One that closed only its sending side may read this.
                 self._refuse(responder, _describe_leaving(attempts), call)
-                self._record(call, attempts, "caller_left", started)
+                self._record(call, exchange, "caller_left", started)
                 raise
             refusal = exchange.refusal
             self._refuse(responder, refusal, call)
         finally:
             self._exchanges.discard(exchange)
         outcome = "answered"
+        reason = ""
         if refusal is not None and not responder.is_finished:
             outcome = refusal.kind
-        self._record(call, attempts, outcome, started)
+            reason = str(refusal)
+        self._record(call, exchange, outcome, started, reason)
 
     def _record(
-        self, call: CallHead | None, attempts: Attempts, outcome: str, started: float
+        self,
+        call: CallHead | None,
+        exchange: _Exchange,
+        outcome: str,
+        started: float,
+        reason: str = "",
     ) -> None:
+        attempts = exchange.attempts
         table = self.kernel.find("view").table
         workspace = table.find_workspace(call.key) if table and call else None
         elapsed_s = _now() - started
@@ -205,6 +216,8 @@
             waited_ms=int(attempts.waited_s * defaults.MS_PER_S),
             elapsed_ms=int(elapsed_s * defaults.MS_PER_S),
             configuration=table.version if table else 0,
+            read_under=exchange.configuration,
+            reason=reason,
         )
 
     def _refuse(
