Keep a silent attempt until another server has begun to answer

Callers saw streams cut and plain requests answered with 504 although their server went on: an attempt that was silent for 1.5 s (0.4 of the time left for a plain request) was ended first, and only then was it found out whether another server can go on. Where one engine holds the model, the retries are spent, or the second server refuses, fails or is silent too, nothing can.

Cause: something is ended before it is known that something better follows.

Now a second attempt is prepared in a task of its own while the first one stays open (services/standby.py). It replaces the first once it has read an event that the caller lacks, or a whole answer that is no failure; events of the first server end it. A retry is taken when the second request is sent. The poison guard keeps its trial for each send, as two may be in progress.

Evidence: on the code before, 13 of the 15 new cases of test_silent_servers.py failed (streams with one holder of the model, with and without a change of the configuration, without a retry, with another engine that is full, breaks off, fails or answers for somebody else; slow plain servers). All 25 cases of the file pass, and 430 tests of 20 files of streams, retries, poison requests, leaving callers and planned stops.

--- a/src/jasminewharf/decisions/attempts.py
+++ b/src/jasminewharf/decisions/attempts.py
@@ -59,9 +59,13 @@
         self.avoided.add(server)
 
     def note_run(self, server: str) -> None:
-        """Count a failed attempt at a server that may have run the request."""
+        """Count an attempt at a server that may have run the request.
+
+        A server is counted once: as soon as another one is asked in its place, or when
+        its attempt has failed.
+        """
         self._is_open = False
-        self.runs += 1
+        self.runs += server not in self._ran_on
         self.avoided.add(server)
         self._ran_on.add(server)
 
@@ -90,7 +94,8 @@
         left_s: Seconds until the deadline.
 
     Returns:
-        Seconds; more than the remaining time if no other server may be tried.
+        Seconds; more than the remaining time if no other server may be tried. The first
+        server keeps its time: it may still answer before the other one does.
     """
     if not route.is_idempotent or attempts.runs + 1 >= route.attempts:
         return max(left_s, 0.0) + 1.0
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -173,6 +173,8 @@
 REQUEST_SUSPECTED = _define(871, logging.INFO, "request suspected of a crash")
 POISON_REQUEST_FOUND = _define(872, logging.WARNING, "request that crashes servers")
 REQUEST_CLEARED = _define(873, logging.INFO, "request cleared by an answer")
+ATTEMPT_SILENT = _define(874, logging.INFO, "backend server silent, another is asked")
+ATTEMPT_WENT_ON = _define(875, logging.INFO, "silent backend server went on")
 STREAM_EVENTS_DROPPED = _define(870, logging.INFO, "events of a stream dropped")
 ANSWER_UNMATCHED = _define(
     864, logging.WARNING, "answer that belongs to no request in progress"
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -9,6 +9,7 @@
 from .. import defaults, events
 from ..decisions.attempts import Attempts, choose_idle_timeout_s
 from ..decisions.directory import Server
+from ..decisions.eventstream import StreamEvent
 from ..dialects.fleet import ForwardedHead
 from ..exceptions import (
     AnswerBroken,
@@ -17,14 +18,14 @@
     LimitReached,
     ModelUnavailable,
     NotRunThere,
+    Overloaded,
     StreamInterrupted,
     TrialBusy,
 )
 from ..kernel import Kernel, Service
 from .jobs import Job
-from .permits import Permit
 from .poisonguard import GuardedPrompt
-from .silence import SilenceLimit
+from .standby import Attempt, Standby
 from .streamrelay import Sink, StreamRelay
 from .upstream import UpstreamAnswer
 
@@ -71,69 +72,31 @@
         else:
             await self._run_plain(job, sink, attempts, prompt)
 
-    # Whole answers.
+    async def _admit(
+        self, job: Job, attempts: Attempts, prompt: GuardedPrompt
+    ) -> Attempt:
+        """Return an attempt at a server that takes the request.
 
-    async def _run_plain(
-        self, job: Job, sink: Sink, attempts: Attempts, prompt: GuardedPrompt
-    ) -> None:
+        Raises:
+            Refusal: If there is none in time.
+        """
         while True:
             attempts.is_suspect = bool(prompt.check())
             server, permit = await self._chooser.admit(job, attempts)
-            try:
-                with contextlib.closing(permit):
-                    async with prompt.attempt(server):
-                        with self._in_flight(server, job):
-                            answer, body = await self._attempt_plain(
-                                server, job, attempts, permit
-                            )
-            except LimitReached:
-                attempts.note_unsent()
-                continue
-            except TrialBusy as error:
-                attempts.contended.add(error.server)
-                continue
-            except (NotRunThere, AnswerBroken) as error:
-                self._note_failure(server, job, error, attempts)
-                self._check_next(job, attempts, error)
-                continue
-            is_failure = answer.status >= defaults.SERVER_ERROR_STATUS
-            self._chooser.note_result(server, not is_failure)
-            if is_failure and self._may_repeat(job, attempts):
-                attempts.note_run(server.name)
-                continue
-            sink.respond(
-                answer.status,
-                answer.headers,
-                body,
-                is_close_delimited=answer.is_close_delimited,
-            )
-            if not is_failure:
-                await prompt.note_end(
-                    server, answer.is_close_delimited, is_success=answer.is_success
-                )
-            return
-
-    async def _attempt_plain(
-        self, server: Server, job: Job, attempts: Attempts, permit: Permit
-    ) -> tuple[UpstreamAnswer, bytes]:
-        limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
-        try:
-            async with SilenceLimit(limit_s):
-                answer = await self._open(
-                    server, job, attempts, permit, job.call.last_event
-                )
-                return answer, await answer.read()
-        except TimeoutError:
-            raise _describe_silence(limit_s) from None
+            async with contextlib.AsyncExitStack() as held:
+                held.enter_context(contextlib.closing(permit))
+                try:
+                    guard = await held.enter_async_context(prompt.attempt(server))
+                except TrialBusy as error:
+                    attempts.contended.add(error.server)
+                    continue
+                held.enter_context(self._in_flight(server, job))
+                return Attempt(server, permit, guard, held.pop_all())
 
     async def _open(
-        self,
-        server: Server,
-        job: Job,
-        attempts: Attempts,
-        permit: Permit,
-        last_event: int,
+        self, attempt: Attempt, job: Job, attempts: Attempts, last_event: int
     ) -> UpstreamAnswer:
+        server = attempt.server
         attempts.note_sent(server.name)
         forwarded = ForwardedHead(
             server.name,
@@ -142,13 +105,89 @@
             job.priority if job.service.engine else -1,
             last_event,
         )
-        return await self._upstream.open(
+        answer = attempt.answer = await self._upstream.open(
             server,
             job.outgoing,
             forwarded,
-            permit,
+            attempt.permit,
             may_repeat=lambda: self._take_budget(job),
         )
+        attempt.held.callback(answer.close)
+        return answer
+
+    # Whole answers.
+
+    async def _run_plain(
+        self, job: Job, sink: Sink, attempts: Attempts, prompt: GuardedPrompt
+    ) -> None:
+        standby = Standby(
+            lambda silent: self._may_replace(silent, job, attempts),
+            lambda: self._prepare(job, attempts, prompt),
+        )
+        try:
+            attempt = await self._admit(job, attempts, prompt)
+            while not await self._answer_plain(attempt, job, sink, attempts, standby):
+                attempt = await standby.take() or await self._admit(
+                    job, attempts, prompt
+                )
+        finally:
+            await standby.drop()
+
+    async def _answer_plain(
+        self,
+        attempt: Attempt,
+        job: Job,
+        sink: Sink,
+        attempts: Attempts,
+        standby: Standby,
+    ) -> bool:
+        """Answer with what a server sends; return False if another one is to be tried.
+
+        Raises:
+            Refusal: If it failed and no other server may be tried.
+        """
+        server = attempt.server
+        try:
+            async with attempt.held:
+                if attempt.body is None:
+                    await self._read_plain(attempt, job, attempts, standby)
+        except LimitReached:
+            attempts.note_unsent()
+            return False
+        except (NotRunThere, AnswerBroken) as error:
+            self._note_failure(server, job, error, attempts)
+            if not standby.is_active:
+                self._check_next(job, attempts, error)
+            return False
+        answer = attempt.answer
+        is_failure = answer.status >= defaults.SERVER_ERROR_STATUS
+        self._chooser.note_result(server, not is_failure)
+        if is_failure and (standby.is_active or self._may_repeat(job, attempts)):
+            attempts.note_run(server.name)
+            return False
+        sink.respond(
+            answer.status,
+            answer.headers,
+            attempt.body,
+            is_close_delimited=answer.is_close_delimited,
+        )
+        await self._keep(attempt, job, standby)
+        if not is_failure:
+            await attempt.guard.note_end(
+                answer.is_close_delimited, is_success=answer.is_success
+            )
+        return True
+
+    async def _read_plain(
+        self, attempt: Attempt, job: Job, attempts: Attempts, standby: Standby
+    ) -> None:
+        limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
+        try:
+            async with standby.watch(attempt, limit_s, limit_s):
+                answer = await self._open(attempt, job, attempts, job.call.last_event)
+                attempt.body = await answer.read()
+        except TimeoutError:
+            raise _describe_silence(limit_s) from None
 
     # Streams.
 
@@ -156,57 +195,82 @@
         self, job: Job, sink: Sink, attempts: Attempts, prompt: GuardedPrompt
     ) -> None:
         relay = StreamRelay(sink, job.call.last_event)
-        while True:
-            attempts.is_suspect = bool(prompt.check())
-            server, permit = await self._chooser.admit(job, attempts)
-            try:
-                with contextlib.closing(permit):
-                    async with prompt.attempt(server):
-                        with self._in_flight(server, job):
-                            is_final = await self._attempt_stream(
-                                server, job, relay, attempts, permit, prompt
-                            )
-                if is_final:
-                    self._chooser.note_result(server, True)
-                    return
-                self._chooser.note_result(server, False)
+        standby = Standby(
+            lambda silent: self._may_replace(silent, job, attempts, relay),
+            lambda: self._prepare(job, attempts, prompt, relay),
+        )
+        try:
+            attempt = await self._admit(job, attempts, prompt)
+            while not await self._answer_stream(attempt, job, relay, attempts, standby):
+                attempt = await standby.take() or await self._admit(
+                    job, attempts, prompt
+                )
+        finally:
+            await standby.drop()
+
+    async def _answer_stream(
+        self,
+        attempt: Attempt,
+        job: Job,
+        relay: StreamRelay,
+        attempts: Attempts,
+        standby: Standby,
+    ) -> bool:
+        """Relay one server's stream; return False if another one is to be tried.
+
+        Raises:
+            Refusal: If it failed and no other server may be tried.
+        """
+        server = attempt.server
+        try:
+            async with attempt.held:
+                is_final = await self._relay_answer(
+                    attempt, job, relay, attempts, standby
+                )
+            self._chooser.note_result(server, is_final)
+            if not is_final:
                 attempts.note_run(server.name)
-            except LimitReached:
-                attempts.note_unsent()
-            except TrialBusy as error:
-                attempts.contended.add(error.server)
-            except (NotRunThere, AnswerBroken) as error:
-                self._note_failure(server, job, error, attempts)
-                if relay.has_started:
-                    self._check_resume(job, relay, attempts, error)
-                else:
-                    self._check_next(job, attempts, error)
+            return is_final
+        except LimitReached:
+            attempts.note_unsent()
+        except (NotRunThere, AnswerBroken) as error:
+            self._note_failure(server, job, error, attempts)
+            if standby.is_active:
+                return False
+            if relay.has_started:
+                self._check_resume(job, relay, attempts, error)
+            else:
+                self._check_next(job, attempts, error)
+        return False
 
-    async def _attempt_stream(
+    async def _relay_answer(
         self,
-        server: Server,
+        attempt: Attempt,
         job: Job,
         relay: StreamRelay,
         attempts: Attempts,
-        permit: Permit,
-        prompt: GuardedPrompt,
+        standby: Standby,
     ) -> bool:
-        """Relay one server's stream; return False if it is to be tried elsewhere."""
-        limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
+        """Relay one server's answer; return False if it is to be tried elsewhere."""
         last_event = relay.position.last_event
-        try:
-            async with SilenceLimit(limit_s):
-                answer = await self._open(server, job, attempts, permit, last_event)
-        except TimeoutError:
-            raise _describe_silence(limit_s) from None
+        if attempt.answer is None:
+            limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
+            try:
+                async with standby.watch(attempt, limit_s, limit_s):
+                    await self._open(attempt, job, attempts, last_event)
+            except TimeoutError:
+                raise _describe_silence(limit_s) from None
+        answer = attempt.answer
         dropped = relay.position.dropped
         try:
             relay.begin(answer)
             if not answer.may_be_events:
-                is_final = await self._take_whole(answer, job, relay, attempts)
+                is_final = await self._take_whole(
+                    attempt, job, relay, attempts, standby
+                )
                 if answer.status < defaults.SERVER_ERROR_STATUS:
-                    await prompt.note_end(
-                        server, answer.is_close_delimited, is_success=answer.is_success
+                    await attempt.guard.note_end(
+                        answer.is_close_delimited, is_success=answer.is_success
                     )
                 return is_final
             if relay.has_started:
@@ -214,36 +278,37 @@
                     _logger,
                     events.STREAM_RESUMED,
                     request_id=job.call.request_id,
-                    server=server.name,
+                    server=attempt.server.name,
                     after=last_event,
                 )
-            await self._forward_events(answer, server, job, relay, attempts, prompt)
+            await self._forward_events(attempt, job, relay, attempts, standby)
             relay.finish(answer)
-            await prompt.note_end(server, answer.is_close_delimited)
+            await attempt.guard.note_end(answer.is_close_delimited)
             return True
         finally:
-            answer.close()
-            self._note_dropped(server, job, relay.position.dropped - dropped)
+            self._note_dropped(attempt.server, job, relay.position.dropped - dropped)
 
     async def _take_whole(
         self,
-        answer: UpstreamAnswer,
+        attempt: Attempt,
         job: Job,
         relay: StreamRelay,
         attempts: Attempts,
+        standby: Standby,
     ) -> bool:
-        """Pass on an answer that is no stream; see :meth:`_attempt_stream`."""
-        limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
-        try:
-            async with SilenceLimit(limit_s):
-                body = await answer.read()
-        except TimeoutError:
-            raise _describe_silence(limit_s, began=True) from None
-        if answer.status >= defaults.SERVER_ERROR_STATUS and self._may_repeat(
-            job, attempts
-        ):
+        """Pass on an answer that is no stream; see :meth:`_relay_answer`."""
+        answer = attempt.answer
+        if attempt.body is None:
+            limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
+            try:
+                async with standby.watch(attempt, limit_s, limit_s):
+                    attempt.body = await answer.read()
+            except TimeoutError:
+                raise _describe_silence(limit_s, began=True) from None
+        is_failure = answer.status >= defaults.SERVER_ERROR_STATUS
+        if is_failure and (standby.is_active or self._may_repeat(job, attempts)):
             return False
-        relay.respond(answer, body)
+        relay.respond(answer, attempt.body)
         return True
 
     def _note_dropped(self, server: Server, job: Job, count: int) -> None:
@@ -259,29 +324,126 @@
 
     async def _forward_events(
         self,
-        answer: UpstreamAnswer,
-        server: Server,
+        attempt: Attempt,
         job: Job,
         relay: StreamRelay,
         attempts: Attempts,
-        prompt: GuardedPrompt,
+        standby: Standby,
     ) -> None:
-        """Relay events; end an idempotent stream that makes no progress any more."""
-        batches = answer.events()
+        """Relay events; look for another server while none of them carries data."""
+        answer = attempt.answer
+        batches = attempt.batches or answer.events()
+        batch: list[StreamEvent] | None = attempt.first
         progress_at = _now()
-        while True:
+        while batch is not None:
+            attempt.server.heard_at = _now()
+            if await relay.forward(answer, batch):
+                progress_at = _now()
+                attempt.guard.note_progress()
+                await self._keep(attempt, job, standby)
             limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
             try:
-                async with SilenceLimit(progress_at + limit_s - _now()):
+                async with standby.watch(
+                    attempt, progress_at + limit_s - _now(), limit_s
+                ):
                     batch = await anext(batches, None)
             except TimeoutError:
                 raise _describe_silence(limit_s, began=True) from None
-            if batch is None:
-                return
-            server.heard_at = _now()
-            if await relay.forward(answer, batch):
-                progress_at = _now()
-                prompt.note_progress()
+
+    # Replacements of silent attempts.
+
+    def _may_replace(
+        self,
+        attempt: Attempt,
+        job: Job,
+        attempts: Attempts,
+        relay: StreamRelay | None = None,
+    ) -> bool:
+        """Return whether another server is asked while one is silent."""
+        if not job.route.is_idempotent or (relay is not None and not relay.can_resume):
+            return False
+        attempts.note_run(attempt.server.name)
+        if attempts.runs >= job.route.attempts:
+            return False
+        self._metrics.count("silent_attempts_total")
+        events.emit(
+            _logger,
+            events.ATTEMPT_SILENT,
+            request_id=job.call.request_id,
+            server=attempt.server.name,
+            attempt=attempts.sent,
+            after=relay.position.last_event if relay is not None else -1,
+        )
+        return True
+
+    async def _prepare(
+        self,
+        job: Job,
+        attempts: Attempts,
+        prompt: GuardedPrompt,
+        relay: StreamRelay | None = None,
+    ) -> Attempt:
+        """Return an attempt at another server that has begun to answer.
+
+        Raises:
+            BackendError: If none has.
+            Refusal: If none takes the request.
+        """
+        while True:
+            attempt = await self._admit(job, attempts, prompt)
+            try:
+                async with attempt.held:
+                    if not self._take_budget(job):
+                        raise Overloaded("no retry is left")
+                    await self._read_first(attempt, job, attempts, relay)
+                    if attempt.answer.status < defaults.SERVER_ERROR_STATUS:
+                        attempt.held = attempt.held.pop_all()
+                        return attempt
+                self._chooser.note_result(attempt.server, False)
+                attempts.note_run(attempt.server.name)
+                if attempts.runs >= job.route.attempts:
+                    raise AnswerBroken(f"status {attempt.answer.status}", began=True)
+            except LimitReached:
+                attempts.note_unsent()
+            except (NotRunThere, AnswerBroken) as error:
+                self._note_failure(attempt.server, job, error, attempts)
+                if attempts.runs >= job.route.attempts:
+                    raise
+
+    async def _read_first(
+        self,
+        attempt: Attempt,
+        job: Job,
+        attempts: Attempts,
+        relay: StreamRelay | None,
+    ) -> None:
+        """Read as much of an answer as shows that it can take another one's place.
+
+        Raises:
+            NotRunThere: If the server has not run the request.
+            AnswerBroken: If the answer fails or is not the rest of the stream.
+        """
+        last_event = job.call.last_event
+        if relay is not None:
+            last_event = relay.position.last_event
+        answer = await self._open(attempt, job, attempts, last_event)
+        if relay is None or not answer.may_be_events:
+            if relay is not None:
+                relay.check(answer)
+            attempt.body = await answer.read()
+            return
+        attempt.batches = answer.events()
+        attempt.first = await relay.read_first(answer, attempt.batches)
+
+    async def _keep(self, attempt: Attempt, job: Job, standby: Standby) -> None:
+        """Go on with an attempt that is not silent any more."""
+        if await standby.drop():
+            events.emit(
+                _logger,
+                events.ATTEMPT_WENT_ON,
+                request_id=job.call.request_id,
+                server=attempt.server.name,
+            )
 
     # What follows a failed attempt.
 
@@ -359,7 +521,7 @@
 
 
 def _describe_silence(limit_s: float, *, began: bool = False) -> AnswerBroken:
-    reason = f"silent for {limit_s:.2f} s"
+    reason = f"silent for {limit_s:.2f} s, and another server has answered"
     return AnswerBroken(reason, began=began, is_silent=True)
 
 
--- a/src/jasminewharf/services/poisonguard.py
+++ b/src/jasminewharf/services/poisonguard.py
@@ -44,7 +44,7 @@
 from .jobs import Job
 from .partreports import build_part_report, merge_reports
 
-__all__ = ["GuardedPrompt", "PoisonGuard", "Trial"]
+__all__ = ["GuardedAttempt", "GuardedPrompt", "PoisonGuard", "Trial"]
 
 _logger = logging.getLogger(__name__)
 
@@ -72,8 +72,6 @@
     def __init__(self, guard: "PoisonGuard", job: Job) -> None:
         self._guard = guard
         self._job = job
-        self._trial = Trial(0, ())
-        self._begun_at: float | None = None
         self._whole: int | None = None
         # When a request that waits for a trial is refused.
         self._give_up_at: float | None = None
@@ -91,11 +89,6 @@
         """Both identities of the whole request."""
         return self.whole, find_late_identity(self.whole)
 
-    @property
-    def accused(self) -> int:
-        """The identity that an end of the server accuses now."""
-        return self.identities[self.has_progressed]
-
     def check(self) -> list[int]:
         """Return the identities under suspicion: the request's own and its parts'.
 
@@ -105,48 +98,34 @@
         return self._guard.find_suspects(self._job, self)
 
     @contextlib.asynccontextmanager
-    async def attempt(self, server: Server) -> AsyncIterator[None]:
+    async def attempt(self, server: Server) -> AsyncIterator["GuardedAttempt"]:
         """Guard one send to a server: take a trial, and record how it ends.
 
         Raises:
             PromptRefused: If it may not be sent now.
             TrialBusy: If another server may be tried at once.
         """
-        self._begun_at = None
-        self._trial = await self._guard.take_trial(self._job, self, server)
+        trial = await self._guard.take_trial(self._job, self, server)
+        attempt = GuardedAttempt(self._guard, self._job, self, server, trial)
         has_ended = False
         try:
-            yield
+            yield attempt
         except asyncio.CancelledError:
             # The server may end under it yet.
             has_ended = True
-            self._guard.watch_left(self._job, server, self)
+            self._guard.watch_left(self._job, attempt)
             raise
         except AnswerBroken as error:
             # It may have run, and waits as long as its caller does.
             wait_until = _now() + defaults.POISON_TRIAL_WAIT_S
             self._give_up_at = max(wait_until, self._job.sent_by)
             if not error.is_silent:
-                has_ended = await self._guard.note_broken(
-                    self._job, server, self, self._trial
-                )
-                error.may_be_poison = has_ended and self._may_be_cause()
+                has_ended = await self._guard.note_broken(self._job, attempt)
+                error.may_be_poison = has_ended and attempt.may_be_cause()
             raise
         finally:
             # The next trial is not to begin before the others know of the end.
-            self._end_trial(defaults.POISON_NEWS_S if has_ended else 0.0)
-
-    def _may_be_cause(self) -> bool:
-        """Whether a part may have ended the server at which it was begun."""
-        if self.has_progressed:
-            return False
-        return bool(list_unanswered(self.parts, self._guard.answered))
-
-    @property
-    def has_progressed(self) -> bool:
-        """Whether the answer has gone on for longer than a crash at the beginning."""
-        begun_at = self._begun_at
-        return begun_at is not None and _now() - begun_at >= defaults.POISON_PROGRESS_S
+            attempt.end_trial(defaults.POISON_NEWS_S if has_ended else 0.0)
 
     @property
     def give_up_at(self) -> float:
@@ -156,15 +135,57 @@
             self._give_up_at = min(wait_until, self._job.sent_by)
         return self._give_up_at
 
+
+class GuardedAttempt:
+    """One send of a request to a server, and the trial that it may need there.
+
+    Attributes:
+        prompt: The request.
+        server: The server that it was sent to.
+        trial: The trial that it holds.
+    """
+
+    def __init__(
+        self,
+        guard: "PoisonGuard",
+        job: Job,
+        prompt: GuardedPrompt,
+        server: Server,
+        trial: Trial,
+    ) -> None:
+        self._guard = guard
+        self._job = job
+        self._begun_at: float | None = None
+        self.prompt = prompt
+        self.server = server
+        self.trial = trial
+
+    @property
+    def accused(self) -> int:
+        """The identity that an end of the server accuses now."""
+        return self.prompt.identities[self.has_progressed]
+
+    @property
+    def has_progressed(self) -> bool:
+        """Whether the answer has gone on for longer than a crash at the beginning."""
+        begun_at = self._begun_at
+        return begun_at is not None and _now() - begun_at >= defaults.POISON_PROGRESS_S
+
+    def may_be_cause(self) -> bool:
+        """Whether a part may have ended the server at which it was begun."""
+        if self.has_progressed:
+            return False
+        return bool(list_unanswered(self.prompt.parts, self._guard.answered))
+
     def note_progress(self) -> None:
         """Note that a part of the answer has come; its trial ends after a while."""
         if self._begun_at is None:
             self._begun_at = _now()
         elif _now() - self._begun_at >= defaults.POISON_TRIAL_PROGRESS_S:
-            self._end_trial()
+            self.end_trial()
 
     async def note_end(
-        self, server: Server, is_close_delimited: bool, *, is_success: bool = True
+        self, is_close_delimited: bool, *, is_success: bool = True
     ) -> None:
         """Note the end of an answer: one that is whole clears the request.
 
@@ -173,16 +194,15 @@
         """
         has_ended = False
         if is_close_delimited:
-            has_ended = await self._guard.note_broken(
-                self._job, server, self, self._trial
-            )
+            has_ended = await self._guard.note_broken(self._job, self)
         if not has_ended:
-            self._guard.note_answered(self._job, self, is_success)
+            self._guard.note_answered(self._job, self.prompt, is_success)
 
-    def _end_trial(self, delay_s: float = 0.0) -> None:
-        if self._trial.number:
-            self._guard.end_trial(self._trial.number, delay_s)
-            self._trial = Trial(0, ())
+    def end_trial(self, delay_s: float = 0.0) -> None:
+        """Let the next request with the same parts go, after a while."""
+        if self.trial.number:
+            self._guard.end_trial(self.trial.number, delay_s)
+            self.trial = Trial(0, ())
 
 
 class PoisonGuard(Service):
@@ -376,11 +396,10 @@
         if known := self._list_accused(parts, prompt):
             self._merge([PartEvidence(part, now, ()) for part in known], job)
 
-    async def note_broken(
-        self, job: Job, server: Server, prompt: GuardedPrompt, trial: Trial
-    ) -> bool:
+    async def note_broken(self, job: Job, attempt: GuardedAttempt) -> bool:
         """Record an answer that broke off; return whether its server has ended."""
         now = _now()
+        server, prompt, trial = attempt.server, attempt.prompt, attempt.trial
         incarnation = self._identify_life(server, now)
         if not await self._has_ended(incarnation, server.listed.address):
             return False
@@ -400,20 +419,22 @@
         for part in parts:
             end = PartEnd(incarnation, now, part in trial.parts)
             evidence.append(PartEvidence(part, self.answered.find(part), (end,)))
-        accused = prompt.accused
+        accused = attempt.accused
         end = PartEnd(incarnation, now, accused in trial.parts)
         evidence.append(PartEvidence(accused, -math.inf, (end,)))
         self._merge(evidence, job)
         return True
 
-    def watch_left(self, job: Job, server: Server, prompt: GuardedPrompt) -> None:
+    def watch_left(self, job: Job, attempt: GuardedAttempt) -> None:
         """Accuse a request that was given up if its server is found to have ended.
 
         Nobody is asked: other requests at the server tell.
         """
         loop = asyncio.get_running_loop()
-        left = loop.time(), prompt.accused
-        loop.call_later(defaults.POISON_LEFT_S, self._accuse_left, job, server, left)
+        left = loop.time(), attempt.accused
+        loop.call_later(
+            defaults.POISON_LEFT_S, self._accuse_left, job, attempt.server, left
+        )
 
     def _accuse_left(self, job: Job, server: Server, left: tuple[float, int]) -> None:
         left_at, accused = left
--- a/src/jasminewharf/services/silence.py
+++ b/src/jasminewharf/services/silence.py
@@ -1,6 +1,7 @@
-"""Time-outs for peers that fall silent, apart from the event loop's own lateness."""
+"""Waits for peers that fall silent, apart from the event loop's own lateness."""
 
 import asyncio
+from collections.abc import Callable
 from types import TracebackType
 
 from .. import defaults
@@ -9,19 +10,25 @@
 
 
 class SilenceLimit:
-    """Raises ``TimeoutError`` if the body takes longer while the event loop runs.
+    """Calls back while the body waits for longer than a limit.
 
     A loop that was held up has not read what has arrived meanwhile, so that the time by
-    which it is late is granted again, up to ``seconds`` in all.
+    which it is late is granted again, up to the limit in all.
     """
 
-    def __init__(self, seconds: float) -> None:
-        self._left_s = seconds
+    def __init__(
+        self, first_s: float, repeat_s: float, on_silent: Callable[[], None]
+    ) -> None:
+        self._left_s = first_s
+        self._repeat_s = repeat_s
+        self._on_silent = on_silent
         self._loop = asyncio.get_running_loop()
         self._timeout = asyncio.timeout(None)
-        self._timer = self._loop.call_later(seconds, self._check)
+        self._is_waiting = False
+        self._timer = self._loop.call_later(first_s, self._check)
 
     async def __aenter__(self) -> None:
+        self._is_waiting = True
         await self._timeout.__aenter__()
 
     async def __aexit__(
@@ -30,15 +37,22 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        self._is_waiting = False
         self._timer.cancel()
         await self._timeout.__aexit__(kind, error, trace)
 
+    def end(self) -> None:
+        """End the body with ``TimeoutError``, after what has been read in this turn."""
+        if self._is_waiting:
+            self._timeout.reschedule(self._loop.time())
+
     def _check(self) -> None:
         now = self._loop.time()
         late_s = min(now - self._timer.when(), self._left_s)
-        if late_s < defaults.LOOP_LATE_S:
-            # Ends the wait in the next turn, after what has been read in this one.
-            self._timeout.reschedule(now)
+        if late_s >= defaults.LOOP_LATE_S:
+            self._left_s -= late_s
+            self._timer = self._loop.call_later(late_s, self._check)
             return
-        self._left_s -= late_s
-        self._timer = self._loop.call_later(late_s, self._check)
+        self._left_s = self._repeat_s
+        self._timer = self._loop.call_later(self._repeat_s, self._check)
+        self._on_silent()
--- a/src/jasminewharf/services/streamrelay.py
+++ b/src/jasminewharf/services/streamrelay.py
@@ -1,5 +1,7 @@
 """The caller's side of an answer, whichever servers the events of it come from."""
 
+import copy
+from collections.abc import AsyncIterator
 from typing import Protocol
 
 from ..decisions.eventstream import StreamEvent, StreamPosition
@@ -52,11 +54,11 @@
         """Whether another server can go on with what the caller has."""
         return self.position.can_resume
 
-    def begin(self, answer: UpstreamAnswer) -> None:
-        """Take the head of an answer.
+    def check(self, answer: UpstreamAnswer) -> None:
+        """Check that an answer can be the rest of the stream that has begun.
 
         Raises:
-            AnswerBroken: If it is not the rest of the stream that has begun.
+            AnswerBroken: If it cannot.
         """
         if self._first is None:
             return
@@ -66,7 +68,38 @@
         if answer.media_type != self._first.media_type:
             reason = f"type {answer.media_type!r} instead of the stream's rest"
             raise AnswerBroken(reason, began=True)
-        self.position.resume()
+
+    def begin(self, answer: UpstreamAnswer) -> None:
+        """Take the head of an answer.
+
+        Raises:
+            AnswerBroken: If it is not the rest of the stream that has begun.
+        """
+        self.check(answer)
+        if self._first is not None:
+            self.position.resume()
+
+    async def read_first(
+        self, answer: UpstreamAnswer, batches: AsyncIterator[list[StreamEvent]]
+    ) -> list[StreamEvent]:
+        """Read the events of another server up to the first that the caller lacks.
+
+        Nothing is sent to the caller yet.
+
+        Raises:
+            AnswerBroken: If they do not follow those that the caller has.
+        """
+        self.check(answer)
+        position = copy.copy(self.position)
+        if self.has_started:
+            position.resume()
+        first: list[StreamEvent] = []
+        async for batch in batches:
+            first += batch
+            if any(position.accept(event) and _has_data(event) for event in batch):
+                return first
+        position.check_end()
+        return first
 
     async def forward(self, answer: UpstreamAnswer, batch: list[StreamEvent]) -> bool:
         """Send events that the caller does not have yet; return if any carries data.
@@ -80,7 +113,7 @@
             for event in batch:
                 if self.position.accept(event):
                     pieces.append(event.data)
-                    has_data = has_data or event.number >= 0 or not event.is_comment
+                    has_data = has_data or _has_data(event)
         finally:
             if pieces:
                 self._start(answer)
@@ -118,3 +151,7 @@
             body,
             is_close_delimited=answer.is_close_delimited,
         )
+
+
+def _has_data(event: StreamEvent) -> bool:
+    return event.number >= 0 or not event.is_comment
