Read answers out by the idle limit of their request

A caller that read a large answer slowly, on a connection that closes after it, lost the rest when a change of the configuration lowered the idle limit: of 12,000,000 bytes 3,919,788 arrived, then the connection was dropped.

The time in which a closing connection may make no progress was that of the limits in force at each look, so that a change made it shorter for an answer that was under way.

It is now the looser of the limit in force and that of the request's end, as for all other times of a connection.

test_lowered_idle_limit_does_not_cut_an_answer_that_is_being_read failed before; with the fix it passes with test_kept_connections.py and test_leaving_callers.py.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -609,7 +609,7 @@
         now = self._loop.time()
         if unsent < unsent_before:
             unsent_before, since = unsent, now
-        left_s = since + self._server.limits.idle_timeout_s - now
+        left_s = since + self._allowed.idle_timeout_s - now
         if left_s <= 0:
             events.emit(
                 _logger, events.CALLER_NOT_READING, peer=self._peer, unsent=unsent
--- /dev/null
+++ b/tests/test_changes_beside_requests.py
@@ -0,0 +1,52 @@
+"""No change of the configuration or of the settings ends a whole request."""
+
+import asyncio
+
+from jasminewharf.interfaces.http import HttpServer
+from jasminewharf.interfaces.refusals import render_refusal
+from jasminewharf.settings import LimitSettings
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+LONG_S = 5.0
+SHORT_S = 0.3
+WIDE = LimitSettings(idle_timeout_s=LONG_S)
+LARGE = b"a" * 12_000_000
+
+
+async def open_server(handle, limits=WIDE):
+    """Return a server, and reader and writer of a connection to it."""
+    server = HttpServer(handle, render_refusal, limits)
+    ip, port = (await server.listen("127.0.0.1", 0)).split(":")
+    streams = await asyncio.open_connection(ip, int(port), limit=10_000)
+    return server, *streams
+
+
+async def read_answer(reader):
+    """Return head and body of an answer with a length."""
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LONG_S)
+    fields = dict(
+        line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:] if line
+    )
+    return head, await reader.readexactly(int(fields[b"content-length"]))
+
+
+def test_lowered_idle_limit_does_not_cut_an_answer_that_is_being_read():
+    """A caller that paused for less than the former limit lost the rest."""
+
+    async def handle(request, responder):
+        responder.respond(200, [("connection", "close")], LARGE)
+
+    async def scenario():
+        server, reader, writer = await open_server(handle)
+        writer.write(REQUEST)
+        await reader.readuntil(b"\r\n\r\n")
+        server.limits = WIDE._replace(idle_timeout_s=SHORT_S)
+        await asyncio.sleep(LONG_S / 2)
+        received = bytearray()
+        while piece := await reader.read(1_000_000):
+            received += piece
+        assert len(received) == len(LARGE)
+        writer.close()
+        await server.close()
+
+    asyncio.run(scenario())
