Refuse an answer whose head cannot be sent

A caller whose answer had a head that h11 refuses to write got a close, or a reset where only the close ends the answer, without a byte; requests it had sent ahead were lost too. No such head of a backend server was found: the parser of answers refuses the same (trial: 8 forms of a header with 5 statuses). It would take an error of this process or another release of h11.

The responder noted that the answer had started before its head was encoded, so that the refusal that followed was taken for one inside an answer.

The head is checked before the parser's state changes and before the answer counts as started. An error becomes a refusal, 502 and not "not run", and the connection goes on with the next request.

6 of 6 cases of test_answer_whose_head_cannot_be_sent_is_refused failed before and pass now, as do test_hostile_http.py, test_close_delimited.py, test_draining.py, test_broken_streams.py and test_gone_callers.py.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -90,11 +90,14 @@
 
         Without a ``content-length`` the body is sent in chunks, or, if it
         ``is_close_delimited``, ends with the connection.
+
+        Raises:
+            BackendFailed: If the head cannot be sent; another one still can.
         """
-        self.has_started = True
         # The head waits for the first bytes of the body: one write, one packet.
         self._connection.hold()
         self._connection.send_head(status, headers, is_close_delimited)
+        self.has_started = True
 
     async def write(self, data: bytes) -> None:
         """Send body bytes; waits while the caller reads slowly."""
@@ -537,14 +540,20 @@
         headers: list[tuple[str, str]],
         is_close_delimited: bool = False,
     ) -> None:
-        if is_close_delimited:
-            # h11 frames the body by the version: without chunks, and with a close.
-            self._h11.their_http_version = _VERSION_WITHOUT_CHUNKS
         encoded = [(k.encode(), v.encode()) for k, v in headers]
         encoded.append((b"server", _SERVER_NAME))
         if self._server.draining and not self._goes_on():
             encoded.append((b"connection", b"close"))
-        self.send_event(h11.Response(status_code=status, headers=encoded))
+        try:
+            # Checked before the parser's state changes, so that a refusal can follow.
+            head = h11.Response(status_code=status, headers=encoded)
+        except h11.LocalProtocolError as error:
+            reason = f"the answer's head cannot be sent: {error}"
+            raise BackendFailed(reason, not_run=False) from error
+        if is_close_delimited:
+            # h11 frames the body by the version: without chunks, and with a close.
+            self._h11.their_http_version = _VERSION_WITHOUT_CHUNKS
+        self.send_event(head)
         self._arm_reset(headers)
 
     def _goes_on(self) -> bool:
--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from jasminewharf.interfaces.http import HttpServer
 from jasminewharf.interfaces.refusals import render_refusal
 from jasminewharf.settings import LimitSettings
@@ -50,3 +52,33 @@
         await server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_close_delimited", [False, True])
+@pytest.mark.parametrize(
+    "field",
+    [("x-note", "a\nb"), ("x note", "a"), ("content-length", "ten")],
+    ids=["value", "name", "length"],
+)
+def test_answer_whose_head_cannot_be_sent_is_refused(field, is_close_delimited):
+    """Its caller got a close without a byte of an answer."""
+
+    async def handle(request, responder):
+        if request.target == "/bad":
+            responder.start(200, [field], is_close_delimited=is_close_delimited)
+            await responder.write(b"whole")
+            responder.finish()
+        else:
+            responder.respond(200, [], b"whole")
+
+    async def scenario():
+        server, reader, writer = await open_server(handle)
+        writer.write(REQUEST.replace(b"/ ", b"/bad ", 1) + REQUEST)
+        head, _ = await read_answer(reader)
+        assert head.startswith(b"HTTP/1.1 502 ")
+        head, body = await read_answer(reader)
+        assert (head[:13], body) == (b"HTTP/1.1 200 ", b"whole")
+        writer.close()
+        await server.close()
+
+    asyncio.run(scenario())
