Answer an order whose work fails inside the entry

A caller of an order with an Idempotency-Key waited without end when an error that is no refusal ended the task that carries the order out: for a head, or for the end of its answer. A resend waited for the claim up to its deadline. The error takes a fault of this process (a listener that fails beside a change, for example); none was found that causes it.

The task told the caller of refusals only, and an answer's end was queued only after the outcome had been recorded.

Whatever ends the task now reaches the caller: the refusal "internal error", which does not say "not run", or a broken end of the body. The claim is recorded as unknown, so that a resend is told so.

test_order_whose_work_fails_in_the_entry_is_refused and test_answer_to_an_order_that_is_not_recorded_ends_as_broken failed before, each after its wait of 5 s; both pass with test_local.py, test_close_delimited.py, test_sessions.py and test_claim_service.py.

--- a/src/jasminewharf/interfaces/callers.py
+++ b/src/jasminewharf/interfaces/callers.py
@@ -406,6 +406,7 @@
         claims = self.kernel.find("claims")
         charge = _Charge(None, "", "", 0)
         tokens = -1
+        failure = Refusal("internal error", not_run=False)
         try:
             charge = await self._charge(plan)
             answer = await self.kernel.find("router").call(plan)
@@ -414,16 +415,21 @@
             await relay.run()
             tokens = relay.tokens
         except Refusal as refusal:
+            failure = refusal
             if refusal.not_run:
                 charge.cancel()
                 await claims.release(*claim)
             else:
                 await claims.record_unknown(*claim[:2], claim.request_id)
-            started.set_exception(refusal)
-            # The exception counts as seen even if the caller has gone.
-            started.exception()
+        except Exception:
+            await claims.record_unknown(*claim[:2], claim.request_id)
+            raise
         finally:
             charge.end(tokens)
+            if not started.done():
+                started.set_exception(failure)
+                # The exception counts as seen even if the caller has gone.
+                started.exception()
 
     async def _pass_on(
         self, answer: Answer | OrderRelay, plan: CallPlan, responder: Responder
--- a/src/jasminewharf/interfaces/orders.py
+++ b/src/jasminewharf/interfaces/orders.py
@@ -49,6 +49,15 @@
 
     async def run(self) -> None:
         """Read and record; must not be cancelled by the caller's leaving."""
+        end: Refusal | None = StreamInterrupted("the entry failed", not_run=False)
+        try:
+            end = await self._record()
+        finally:
+            # Whatever happens, a caller does not wait for an end that never comes.
+            self._queue.put_nowait(end)
+
+    async def _record(self) -> Refusal | None:
+        """Read and record the answer; return why it broke off, if it has."""
         claim = self._claim
         try:
             async for chunk in self._answer.chunks():
@@ -59,14 +68,13 @@
                 claim.workspace, claim.idempotency_key, claim.request_id
             )
             text = f"the answer broke off: {error}"
-            self._queue.put_nowait(StreamInterrupted(text, not_run=False))
-            return
+            return StreamInterrupted(text, not_run=False)
         self.tokens = self._answer.tokens
         recorded = RecordedAnswer(self.status, self.headers, b"".join(self._body))
         await self._claims.record(
             claim.workspace, claim.idempotency_key, claim.request_id, recorded
         )
-        self._queue.put_nowait(None)
+        return None
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -1,12 +1,18 @@
 """No change of the configuration or of the settings ends a whole request."""
 
 import asyncio
+import json
+from types import SimpleNamespace
 
 import pytest
 
+from jasminewharf.exceptions import StreamInterrupted
 from jasminewharf.interfaces.http import HttpServer
+from jasminewharf.interfaces.local import LocalOptions, open_local_system
+from jasminewharf.interfaces.orders import Claim, OrderRelay
 from jasminewharf.interfaces.refusals import render_refusal
 from jasminewharf.settings import LimitSettings
+from support import call
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
 LONG_S = 5.0
@@ -82,3 +88,69 @@
         await server.close()
 
     asyncio.run(scenario())
+
+
+async def fail(*arguments):
+    raise ValueError("planted")
+
+
+def test_order_whose_work_fails_in_the_entry_is_refused(monkeypatch):
+    """Its caller waited for ever, and so did a resend up to its deadline."""
+
+    async def main():
+        async with open_local_system(LocalOptions(port=0)) as system:
+            entry = next(k for k in system._kernels if k.has("callers"))
+            monkeypatch.setattr(entry.find("router"), "call", fail)
+            field = [("idempotency-key", "order-1")]
+            seen = []
+            for _ in range(2):
+                asking = call(
+                    system.address,
+                    "POST",
+                    "/services/orders/orders",
+                    system.key,
+                    {"a": 1},
+                    field,
+                )
+                status, _, content = await asyncio.wait_for(asking, LONG_S)
+                error = json.loads(content)["error"]
+                seen.append((status, error["type"], error["not_run"]))
+            assert seen == [
+                (500, "internal_error", False),
+                (409, "outcome_unknown", False),
+            ]
+
+    asyncio.run(main())
+
+
+class OneChunk:
+    """The answer to an order, of which a chunk arrives."""
+
+    status = 200
+    headers = ()
+    tokens = -1
+
+    async def chunks(self):
+        yield b"half"
+
+
+def test_answer_to_an_order_that_is_not_recorded_ends_as_broken():
+    """Its caller waited for ever for the end of the body."""
+
+    async def scenario():
+        claims = SimpleNamespace(record=fail)
+        relay = OrderRelay(claims, Claim("guild", "order-1", "", "id-1"), OneChunk())
+        running = asyncio.create_task(relay.run())
+        received = []
+
+        async def read():
+            async for chunk in relay.chunks():
+                received.append(chunk)
+
+        with pytest.raises(StreamInterrupted):
+            await asyncio.wait_for(read(), LONG_S)
+        assert received == [b"half"]
+        with pytest.raises(ValueError, match="planted"):
+            await running
+
+    asyncio.run(scenario())
