Keep a process that reads no settings while it runs on SIGHUP

Callers of an entry of a fleet run by service documents had their connections reset when the entry was sent SIGHUP, which says that the settings file has changed: the process ended at once, with all requests in progress.

Only fleets with service discovery read the settings again, and only they handled the signal; for the others its default action applied.

All processes handle it now. One that does not read its settings again says so with event 832 and goes on.

test_hangup_does_not_end_an_entry_that_reads_no_changed_settings failed before: the second half of its request met a reset.

--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -145,6 +145,7 @@
 RELAY_HEARD = _define(825, logging.INFO, "reports of engines from the relay")
 SETTINGS_RELOADED = _define(830, logging.INFO, "settings read again")
 SETTINGS_REFUSED = _define(831, logging.ERROR, "changed settings not used")
+SETTINGS_NOT_READ = _define(832, logging.INFO, "settings count from the next start")
 LINES_LEFT_OUT = _define(840, logging.WARNING, "log lines left out")
 
 # Requests to found backend servers: 850 to 899.
--- a/src/jasminewharf/interfaces/running.py
+++ b/src/jasminewharf/interfaces/running.py
@@ -28,8 +28,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _stop, kernel)
-    if kernel.has("reload"):
-        loop.add_signal_handler(signal.SIGHUP, kernel.find("reload").reload)
+    # Unhandled, the notice of changed settings would end the process.
+    reload = kernel.find("reload").reload if kernel.has("reload") else _note_hangup
+    loop.add_signal_handler(signal.SIGHUP, reload)
     events.emit(
         _logger, events.PROCESS_STARTING, role=settings.role, zone=settings.zone
     )
@@ -41,6 +42,10 @@
     kernel.request_stop()
 
 
+def _note_hangup() -> None:
+    events.emit(_logger, events.SETTINGS_NOT_READ)
+
+
 def load_written_settings(path: str) -> Settings:
     """Return the settings; a file that is just being written is read again.
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -10,11 +11,13 @@
 
 import pytest
 
+from deployment import ENVIRONMENT
 from jasminewharf.exceptions import SettingsError
 from jasminewharf.interfaces.running import load_written_settings
 
 _ROOT = Path(__file__).parents[1]
 _SCRIPT = _ROOT / "deploy" / "jasminewharfd.py"
+_DAEMON = "from jasminewharf.interfaces.daemon import main; main()"
 _STUB = """
 import pathlib, time
 folder = pathlib.Path(__file__).parent
@@ -76,3 +79,52 @@
     with pytest.raises(SettingsError):
         load_written_settings(str(path))
     assert time.monotonic() - began_at < 0.5
+
+
+ENTRY_SETTINGS = """\
+node: entry-1
+role: entry
+zone: zone-a
+listen: "127.0.0.1:{port}"
+hash_secret_file: "{folder}/secret"
+control: [{{name: control-1, address: "127.0.0.1:9", peer_address: "127.0.0.1:9"}}]
+"""
+
+
+def test_hangup_does_not_end_an_entry_that_reads_no_changed_settings(tmp_path):
+    """The notice of changed settings killed it, with all requests in progress."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    secret = tmp_path / "secret"
+    secret.touch(mode=0o600)
+    secret.write_text("a" * 64)
+    settings = tmp_path / "entry.yaml"
+    settings.write_text(ENTRY_SETTINGS.format(port=port, folder=tmp_path))
+    process = subprocess.Popen(
+        [sys.executable, "-c", _DAEMON, "--settings", str(settings)], env=ENVIRONMENT
+    )
+    try:
+        link = connect(port)
+        link.sendall(b"GET /healthz HTTP/1.1\r\n")
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.2)
+        link.sendall(b"host: x\r\n\r\n")
+        assert link.recv(1_000).startswith(b"HTTP/1.1 200 ")
+        link.close()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(20) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+def connect(port):
+    """Return a connection to a process that is starting."""
+    deadline = time.monotonic() + 20
+    while True:
+        try:
+            return socket.create_connection(("127.0.0.1", port), timeout=20)
+        except OSError:
+            assert time.monotonic() < deadline
+            time.sleep(0.05)
