Play changes beside requests in progress

Streams, orders and safe requests in progress are answered whole, with one run each, beside 12 changes of the configuration, a list without servers, other seeds and a settings file that is half written; a request that waits for its model is answered or refused as not run beside five of them.

--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -6,13 +6,16 @@
 
 import pytest
 
+from fleets import build_body, build_route, run_with_fleet
+from jasminewharf import defaults
 from jasminewharf.exceptions import StreamInterrupted
 from jasminewharf.interfaces.http import HttpServer
 from jasminewharf.interfaces.local import LocalOptions, open_local_system
 from jasminewharf.interfaces.orders import Claim, OrderRelay
 from jasminewharf.interfaces.refusals import render_refusal
 from jasminewharf.settings import LimitSettings
-from support import call
+from platformfakes import stream_body
+from support import call, wait_until
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
 LONG_S = 5.0
@@ -154,3 +157,128 @@
             await running
 
     asyncio.run(scenario())
+
+
+def change_first(part, **fields):
+    """Return the first configuration's part with fields changed in each item."""
+    return [{**item, **fields} for item in json.loads(build_body())[part]]
+
+
+OTHER_ROUTE = build_route("other", "safe", "desk")
+BODIES = {
+    "routes gone": {"routes": [OTHER_ROUTE]},
+    "routes moved": {"routes": change_first("routes", service="desk")},
+    "time-outs lowered": {"routes": change_first("routes", timeoutMs=100)},
+    "attempts lowered": {
+        "routes": change_first("routes", maxAttempts=1, resumable=False)
+    },
+    "hundreds of routes": {
+        "routes": change_first("routes")
+        + [build_route(f"more-{number}", "safe", "desk") for number in range(500)]
+    },
+    "service gone": {
+        "services": [{"name": "other"}],
+        "routes": [build_route("other", "safe", "other")],
+    },
+    "connections lowered": {"services": change_first("services", maxConns=1)},
+    "models gone": {"services": [{"name": "llm"}, {"name": "desk"}]},
+    "key gone": {"tenants": change_first("tenants", apiKeys=["key-x"])},
+    "workspace gone": {"tenants": change_first("tenants", name="x", apiKeys=["x"])},
+    "rate lowered": {"tenants": change_first("tenants", ratePerS=1, burst=1)},
+    "limits lowered": {
+        "limits": {
+            "maxHeaderBytes": 512,
+            "maxBodyBytes": 1,
+            "headerTimeoutMs": 100,
+            "idleTimeoutMs": 100,
+        }
+    },
+}
+
+
+async def change_servers(fleet, change, folder):
+    """Carry out a change that is none of the configuration."""
+    entry = fleet.entry_kernels[0]
+    if change == "servers gone":
+        fleet.list.replicas = []
+        directory = entry.find("directory").directory
+        await wait_until(lambda: not directory.servers)
+        # Until connections to servers that are gone are closed.
+        await asyncio.sleep(2 * defaults.CONNECTIONS_TIDY_S)
+        return
+    file = folder / "settings.yaml"
+    text = fleet.settings_text(fleet.entry_ips[0], "entry")
+    seeds = text.replace('seeds: ["127.0.0.2:', 'seeds: ["127.0.0.99:')
+    file.write_text(seeds if change == "seeds replaced" else seeds[:-200])
+    entry.settings_file = str(file)
+    entry.find("reload").reload()
+    await asyncio.sleep(0.2)
+
+
+@pytest.mark.parametrize(
+    "change", [*BODIES, "servers gone", "seeds replaced", "settings half written"]
+)
+def test_requests_in_progress_are_answered_whole_beside_a_change(
+    change, tmp_path, monkeypatch
+):
+    """A change may end no request that was taken before it."""
+    monkeypatch.setattr(defaults, "CONNECTIONS_TIDY_S", 0.1)
+
+    async def scenario(fleet):
+        for desk in fleet.desks:
+            desk.answer_s = 1.2
+        for engine in fleet.engines:
+            engine.event_pause_s = 0.15
+        model = ("x-model", "m0")
+        asking = [
+            asyncio.create_task(fleet.call(target, *fields, request_id=f"id-{number}"))
+            for number, (target, *fields) in enumerate(
+                (("/chat/x", model), ("/plan/x", model), ("/orders/1",), ("/status/1",))
+            )
+        ]
+        servers = [*fleet.engines, *fleet.desks]
+        await wait_until(lambda: sum(len(each.runs) for each in servers) == 4)
+        if change in BODIES:
+            view = fleet.entry_kernels[0].find("view")
+            status, _ = await fleet.submit(build_body(2, **BODIES[change]))
+            assert status == 200
+            await wait_until(lambda: view.table.version == 2)
+        else:
+            await change_servers(fleet, change, tmp_path)
+        assert not any(task.done() for task in asking)
+        answers = await asyncio.gather(*asking)
+        assert [status for status, _, _ in answers] == [200] * 4
+        assert [body for _, _, body in answers[:2]] == [stream_body()] * 2
+        assert all(
+            body.endswith(b":id-%d" % n)
+            for n, (_, _, body) in enumerate(answers)
+            if n > 1
+        )
+        assert sum(len(each.runs) for each in servers) == 4
+
+    run_with_fleet(scenario, tmp_path, entries=1)
+
+
+@pytest.mark.parametrize(
+    "change", ["routes gone", "service gone", "models gone", "key gone", "rate lowered"]
+)
+def test_request_that_waits_for_its_model_is_answered_beside_a_change(change, tmp_path):
+    """What it waits for may never come; it is then to be refused in time."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.load_s = 0.8
+        entry = fleet.entry_kernels[0]
+        asking = asyncio.create_task(fleet.call("/chat/x", ("x-model", "m3")))
+        await wait_until(lambda: entry.find("demand")._waiters)
+        status, _ = await fleet.submit(build_body(2, **BODIES[change]))
+        assert status == 200
+        await wait_until(lambda: entry.find("view").table.version == 2)
+        assert not asking.done()
+        status, _, body = await asyncio.wait_for(asking, 2 * LONG_S)
+        if status != 200:
+            assert status in (429, 503)
+            assert json.loads(body)["error"]["not_run"]
+            assert not any(engine.runs for engine in fleet.engines)
+
+    run_with_fleet(scenario, tmp_path, entries=1)
