Begin the idle time when the answer has been sent

A caller that read a large answer for longer than the idle limit, which a change may have lowered meanwhile, sent its next request at once and found the connection closed: 12,000,000 bytes in 1.2 s with a limit of 0.3 s.

The idle time began when the answer was written, while most of it still lay in this process and in the kernel.

When the idle time has passed, the connection now compares what the caller's host has not acknowledged with the last look: as long as it changes, the time begins anew. A caller that reads nothing for a whole idle time is dropped as before. What has arrived at the caller's host and is not read there can't be seen from here.

test_idle_time_begins_when_the_caller_has_been_sent_the_answer failed before (closed before the second answer) and passes now, with test_kept_connections.py, test_leaving_callers.py, test_hostile_http.py, test_draining.py, test_close_delimited.py and test_connecting.py.

--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import errno
+import fcntl
 import logging
 import math
 import os
@@ -12,6 +13,7 @@
 import ssl
 import struct
 import sys
+import termios
 from collections.abc import Awaitable, Callable, Iterable
 from operator import attrgetter
 from typing import Any, NamedTuple
@@ -47,6 +49,7 @@
 # Linger of zero seconds: the socket is reset when it is closed.
 _RESET = struct.pack("ii", 1, 0)
 _NO_LINGER = struct.pack("ii", 0, 0)
+_INT = struct.Struct("i")
 _HEAD_TIME = attrgetter("head_timeout_s")
 _BODY_TIME = attrgetter("body_timeout_s")
 _IDLE_TIME = attrgetter("idle_timeout_s")
@@ -173,6 +176,8 @@
         self._is_closed = False
         self._linger_timer: asyncio.TimerHandle | None = None
         self._ahead_until: float | None = None
+        # Of the last answer, when an idle time last passed.
+        self._unsent = 0
         # Whether the caller has closed its sending side, and all before that is read.
         self._has_left = False
         self._is_read_out = False
@@ -516,6 +521,7 @@
             self._arm(_HEAD_TIME)
         else:
             self._limits = self._server.limits
+            self._unsent = 0
             self._arm(_IDLE_TIME)
         self._read_events()
         self._resume_reading()
@@ -715,9 +721,28 @@
         elif self._has_unread:
             # A request, or the caller's close, which the loop reads next.
             self._arm(_HEAD_TIME)
+        elif self._has_sent():
+            self._arm(_IDLE_TIME)
         else:
             self.close()
 
+    def _has_sent(self) -> bool:
+        """Return whether the answer was on its way since this was asked last.
+
+        Its caller is idle only once it has been sent the whole of it.
+        """
+        before, self._unsent = self._unsent, self._count_unsent()
+        return self._unsent != before
+
+    def _count_unsent(self) -> int:
+        """Return the bytes that the caller's host has not acknowledged."""
+        unsent = self._transport.get_write_buffer_size()
+        if self.descriptor < 0:
+            return unsent
+        # The kernel's part, which Linux tells under this name (SIOCOUTQ).
+        held = fcntl.ioctl(self.descriptor, termios.TIOCOUTQ, bytes(_INT.size))
+        return unsent + _INT.unpack(held)[0]
+
 
 class HttpServer:
     """Accepts callers' connections.
--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 from types import SimpleNamespace
 
 import pytest
@@ -282,3 +283,30 @@
             assert not any(engine.runs for engine in fleet.engines)
 
     run_with_fleet(scenario, tmp_path, entries=1)
+
+
+def test_idle_time_begins_when_the_caller_has_been_sent_the_answer():
+    """It began at the write: a caller that read for longer had its next request cut."""
+    piece = 3_000_000
+
+    async def handle(request, responder):
+        responder.respond(200, [], LARGE)
+
+    async def scenario():
+        narrow = WIDE._replace(idle_timeout_s=SHORT_S)
+        server, reader, writer = await open_server(handle, narrow)
+        link = writer.get_extra_info("socket")
+        link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 100_000)
+        writer.write(REQUEST)
+        await reader.readuntil(b"\r\n\r\n")
+        for _ in range(len(LARGE) // piece):
+            await asyncio.sleep(SHORT_S)
+            await reader.readexactly(piece)
+        writer.write(REQUEST)
+        head, body = await read_answer(reader)
+        assert (head[:13], body) == (b"HTTP/1.1 200 ", LARGE)
+        assert await asyncio.wait_for(reader.read(), LONG_S) == b""
+        writer.close()
+        await server.close()
+
+    asyncio.run(scenario())
