--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import errno
+import fcntl
 import logging
 import math
 import os
@@ -12,6 +13,7 @@
 import ssl
 import struct
 import sys
+import termios
 from collections.abc import Awaitable, Callable, Iterable
 from operator import attrgetter
 from typing import Any, NamedTuple
@@ -47,6 +49,7 @@
 # Linger of zero seconds: the socket is reset when it is closed.
 _RESET = struct.pack("ii", 1, 0)
 _NO_LINGER = struct.pack("ii", 0, 0)
+_INT = struct.Struct("i")
 _HEAD_TIME = attrgetter("head_timeout_s")
 _BODY_TIME = attrgetter("body_timeout_s")
 _IDLE_TIME = attrgetter("idle_timeout_s")
@@ -90,11 +93,14 @@
 
         Without a ``content-length`` the body is sent in chunks, or, if it
         ``is_close_delimited``, ends with the connection.
+
+        Raises:
+            BackendFailed: If the head cannot be sent; another one still can.
         """
-        self.has_started = True
         # The head waits for the first bytes of the body: one write, one packet.
         self._connection.hold()
         self._connection.send_head(status, headers, is_close_delimited)
+        self.has_started = True
 
     async def write(self, data: bytes) -> None:
         """Send body bytes; waits while the caller reads slowly."""
@@ -170,6 +176,8 @@
         self._is_closed = False
         self._linger_timer: asyncio.TimerHandle | None = None
         self._ahead_until: float | None = None
+        # Of the last answer, when an idle time last passed.
+        self._unsent = 0
         # Whether the caller has closed its sending side, and all before that is read.
         self._has_left = False
         self._is_read_out = False
@@ -513,6 +521,7 @@
             self._arm(_HEAD_TIME)
         else:
             self._limits = self._server.limits
+            self._unsent = 0
             self._arm(_IDLE_TIME)
         self._read_events()
         self._resume_reading()
@@ -537,14 +546,20 @@
         headers: list[tuple[str, str]],
         is_close_delimited: bool = False,
     ) -> None:
-        if is_close_delimited:
-            # h11 frames the body by the version: without chunks, and with a close.
-            self._h11.their_http_version = _VERSION_WITHOUT_CHUNKS
         encoded = [(k.encode(), v.encode()) for k, v in headers]
         encoded.append((b"server", _SERVER_NAME))
         if self._server.draining and not self._goes_on():
             encoded.append((b"connection", b"close"))
-        self.send_event(h11.Response(status_code=status, headers=encoded))
+        try:
+            # Checked before the parser's state changes, so that a refusal can follow.
+            head = h11.Response(status_code=status, headers=encoded)
+        except h11.LocalProtocolError as error:
+            reason = f"the answer's head cannot be sent: {error}"
+            raise BackendFailed(reason, not_run=False) from error
+        if is_close_delimited:
+            # h11 frames the body by the version: without chunks, and with a close.
+            self._h11.their_http_version = _VERSION_WITHOUT_CHUNKS
+        self.send_event(head)
         self._arm_reset(headers)
 
     def _goes_on(self) -> bool:
@@ -609,7 +624,7 @@
         now = self._loop.time()
         if unsent < unsent_before:
             unsent_before, since = unsent, now
-        left_s = since + self._server.limits.idle_timeout_s - now
+        left_s = since + self._allowed.idle_timeout_s - now
         if left_s <= 0:
             events.emit(
                 _logger, events.CALLER_NOT_READING, peer=self._peer, unsent=unsent
@@ -706,9 +721,28 @@
         elif self._has_unread:
             # A request, or the caller's close, which the loop reads next.
             self._arm(_HEAD_TIME)
+        elif self._has_sent():
+            self._arm(_IDLE_TIME)
         else:
             self.close()
 
+    def _has_sent(self) -> bool:
+        """Return whether the answer was on its way since this was asked last.
+
+        Its caller is idle only once it has been sent the whole of it.
+        """
+        before, self._unsent = self._unsent, self._count_unsent()
+        return self._unsent != before
+
+    def _count_unsent(self) -> int:
+        """Return the bytes that the caller's host has not acknowledged."""
+        unsent = self._transport.get_write_buffer_size()
+        if self.descriptor < 0:
+            return unsent
+        # The kernel's part, which Linux tells under this name (SIOCOUTQ).
+        held = fcntl.ioctl(self.descriptor, termios.TIOCOUTQ, bytes(_INT.size))
+        return unsent + _INT.unpack(held)[0]
+
 
 class HttpServer:
     """Accepts callers' connections.
