Use a silent server again as soon as it is heard

What callers saw: the only holder of a model was silent for 1.7 s with a stream in flight and went on; requests that came then were refused (503) or waited for a load at another engine, as it was avoided for 2 s more.

Cause: the time for which a silent server is avoided, and its ejection, ended by the clock only. Class: given up before anything better is known to follow.

Fix: the avoidance holds only while nothing is heard, and the ejection for silence is taken back with its probation. Heard is a byte of an answer, or its agent's report that it answers again after one that it does not; other reports repeat what an agent knows and prove nothing. Ejections for failed calls stay.

Failed before: test_engine_gets_requests_as_soon_as_it_goes_on[during, after], 503 instead of the stream. The five tests of the parts failed for want of avoid() and readmit().

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -68,6 +68,9 @@
         self.missing: dict[str, float] = {}
         self.heard_at = float("-inf")
         self.avoided_until = float("-inf")
+        # When the server was last found silent, and when its agent heard it again.
+        self._avoided_at = float("-inf")
+        self._found_at = float("-inf")
         self._busy_since = float("-inf")
 
     @property
@@ -117,8 +120,34 @@
     def excuse(self, late_s: float, now: float) -> None:
         """Leave time out of the silence in which this node itself did not read."""
         self.heard_at = min(self.heard_at + late_s, now)
+        self._avoided_at = min(self._avoided_at + late_s, now)
         self._busy_since = min(self._busy_since + late_s, now)
 
+    def avoid(self, until: float, now: float) -> None:
+        """Send the silent server no requests until then, or until it is heard again."""
+        self.avoided_until = until
+        self._avoided_at = now
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether the server fell silent and was not heard since."""
+        return now < self.avoided_until and not self.has_spoken
+
+    @property
+    def has_spoken(self) -> bool:
+        """Whether it was heard, here or by its agent, since it was found silent."""
+        return max(self.heard_at, self._found_at) > self._avoided_at
+
+    def note_report(self, report: EngineReport, at: float) -> None:
+        """Record its agent's report, measured at ``at``.
+
+        Agents repeat what they know while an engine is silent, so that only the report
+        that it answers again shows that it does.
+        """
+        if report.is_reachable and self.report and not self.report.is_reachable:
+            self._found_at = at
+        self.report = report
+        self.report_at = at
+
     def begin(self, model: str, adapter: str, now: float) -> None:
         """Count a request sent to the server."""
         if self.own == 0:
@@ -147,7 +176,7 @@
 
     def holds(self, model: str, now: float, fresh_s: float) -> bool:
         """Return whether the server has a model loaded and may get requests for it."""
-        if now < self.avoided_until or not self.backpressure.allows(now):
+        if self.is_avoided(now) or not self.backpressure.allows(now):
             return False
         return self.has_model(model, now, fresh_s)
 
@@ -296,8 +325,7 @@
             return
         if server.report_at != at and report.is_reachable:
             server.note_load(report.running, report.queued, at)
-        server.report = report
-        server.report_at = at
+        server.note_report(report, at)
 
     def forget_agent(self, address: str) -> None:
         """Drop an agent's report; the platform's list applies again."""
--- a/src/jasminewharf/decisions/health.py
+++ b/src/jasminewharf/decisions/health.py
@@ -33,6 +33,7 @@
         "failed",
         "probation",
         "results",
+        "waived",
     )
 
     def __init__(self) -> None:
@@ -42,6 +43,8 @@
         self.ejected_until: float | None = None
         self.ejections = 0
         self.probation = 0
+        # What an ejection for silence has replaced: ejections and probation.
+        self.waived: tuple[int, int] | None = None
 
 
 class OutlierDetector:
@@ -75,12 +78,27 @@
         return True
 
     def eject(self, backend: str, now: float) -> bool:
-        """Eject a server immediately; return False if it is already ejected."""
+        """Eject a silent server at once; return False if it is already ejected."""
         if self.is_ejected(backend, now):
             return False
-        self._eject(self._records.setdefault(backend, _Record()), now)
+        record = self._records.setdefault(backend, _Record())
+        before = record.ejections, record.probation
+        self._eject(record, now)
+        record.waived = before
         return True
 
+    def readmit(self, backend: str, now: float) -> None:
+        """Take back the ejection of a server that was silent and is heard again.
+
+        One that failed calls stays ejected.
+        """
+        record = self._records.get(backend)
+        if record is None or record.waived is None or not self.is_ejected(backend, now):
+            return
+        record.ejections, record.probation = record.waived
+        record.ejected_until = None
+        record.waived = None
+
     def is_ejected(self, backend: str, now: float) -> bool:
         """Return whether the server is ejected, regardless of ``max_ejected_share``."""
         record = self._records.get(backend)
@@ -139,6 +157,7 @@
         limits = self._limits
         duration = limits.ejection_s * 2.0 ** min(record.ejections, 16)
         record.ejected_until = now + min(duration, limits.ejection_max_s)
+        record.waived = None
         record.ejections += 1
         record.probation = limits.probation_successes
         record.consecutive = 0
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -256,7 +256,7 @@
             server
             for server in self._directory.in_service(service.name)
             if server.is_open(now)
-            and now >= server.avoided_until
+            and not server.is_avoided(now)
             and server.report is not None
             and now - server.report_at <= defaults.AGENT_FRESH_S
         ]
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -82,8 +82,9 @@
                 server.excuse(now - due, now)
                 silent_s = server.silent_s(now)
                 if silent_s <= defaults.SERVER_SILENT_S:
+                    self._readmit(server, now)
                     continue
-                server.avoided_until = now + defaults.SERVER_AVOIDED_S
+                server.avoid(now + defaults.SERVER_AVOIDED_S, now)
                 if self._health.eject(server.incarnation, now):
                     self._metrics.count("servers_ejected_total")
                     events.emit(
@@ -95,6 +96,14 @@
                     )
                     self._demand.review()
 
+    def _readmit(self, server: Server, now: float) -> None:
+        """Use a server again that was only silent, and let waiting requests go on."""
+        if now >= server.avoided_until or not server.has_spoken:
+            return
+        server.avoided_until = now
+        self._health.readmit(server.incarnation, now)
+        self._demand.review()
+
     def note_result(self, server: Server, succeeded: bool) -> None:
         """Count the outcome of an attempt; eject a server that fails too often."""
         if self._health.record(server.incarnation, succeeded, _now()):
--- /dev/null
+++ b/tests/test_silent_peers.py
@@ -0,0 +1,132 @@
+"""Peers that are given up for a silence although they go on: engines, agents, hosts."""
+
+import asyncio
+
+import pytest
+
+from fleetparts import build_listed, build_report, build_server
+from fleets import run_with_fleet
+from jasminewharf import defaults
+from jasminewharf.decisions.directory import Directory
+from jasminewharf.decisions.health import OutlierDetector
+from platformfakes import FakeReplica, stream_body
+from support import wait_until
+from test_silent_servers import MODEL, SilentReplica
+
+FRESH_S = defaults.AGENT_FRESH_S
+# Longer than entries bear with requests in flight, and too short for its agent.
+SILENT_S = 1.85
+
+
+class QuietReplica(SilentReplica):
+    """An engine that reports while it is not awake, but answers no request."""
+
+    async def answer(self, request, responder):
+        if request.target == "/report":
+            await FakeReplica.answer(self, request, responder)
+        else:
+            await super().answer(request, responder)
+
+
+def _now():
+    return asyncio.get_running_loop().time()
+
+
+# Servers that entries avoid.
+
+
+@pytest.mark.parametrize("arrives", ["during", "after"])
+def test_engine_gets_requests_as_soon_as_it_goes_on(tmp_path, arrives):
+    """The only holder of a model got none for 2 s more: callers waited for a load."""
+    engines = [
+        QuietReplica("127.0.0.1", "i-e1", "llm", ["m1"]),
+        QuietReplica("127.0.0.1", "i-e2", "llm", ["m0"]),
+    ]
+    silent, other = engines
+    other.load_s = 3.0
+
+    async def scenario(fleet):
+        silent.fails_next = [silent.send_halves]
+        first = asyncio.create_task(
+            fleet.call("/plan/x", *MODEL, request_id="id-first")
+        )
+        await wait_until(lambda: len(silent.runs) == 1)
+        silent.awake.clear()
+        await asyncio.sleep(SILENT_S)
+        call = fleet.call("/plan/x", *MODEL, request_id="id-late")
+        if arrives == "during":
+            late = asyncio.create_task(call)
+            await asyncio.sleep(0.1)
+            silent.awake.set()
+        else:
+            silent.awake.set()
+            assert (await first)[2] == stream_body()
+            late = asyncio.create_task(call)
+        began_at = _now()
+        status, _, body = await late
+        assert (status, body) == (200, stream_body())
+        assert (await first)[2] == stream_body()
+        assert _now() - began_at < 0.6
+        assert sorted(silent.runs) == ["id-first", "id-late"]
+        if arrives == "after":
+            assert [o for o in other.orders if o["model"] == "m1"] == []
+
+    run_with_fleet(scenario, tmp_path, engines=engines)
+
+
+def test_avoided_server_that_is_heard_holds_its_models_again():
+    """An engine that went on was avoided for as long as one that hangs."""
+    server = build_server("i-1", ["m0"], now=10.0)
+    server.begin("m0", "", 10.0)
+    server.avoid(13.6, 11.6)
+    assert not server.holds("m0", 11.7, FRESH_S)
+    server.heard_at = 11.8
+    assert server.holds("m0", 11.9, FRESH_S)
+    server.avoid(15.6, 13.6)
+    assert not server.holds("m0", 13.7, FRESH_S)
+
+
+def test_time_in_which_nobody_read_does_not_count_as_heard():
+    """A late event loop of the entry made a hanging server look as if it had spoken."""
+    server = build_server("i-1", ["m0"], now=10.0)
+    server.begin("m0", "", 10.0)
+    server.heard_at = 10.0
+    server.avoid(13.6, 11.6)
+    server.excuse(1.5, 13.0)
+    assert not server.holds("m0", 13.1, FRESH_S)
+
+
+def test_avoided_server_is_used_when_its_agent_hears_it_again():
+    """Without a request in flight, an engine that answers again was still avoided."""
+    directory = Directory()
+    directory.take_list([build_listed("i-1", "10.0.0.1:80")], 10.0)
+    server = directory.servers["i-1"]
+    directory.take_report(build_report(models=["m0"], number=1), 10.0)
+    server.avoid(13.6, 11.6)
+    # What the agent knows of a silent engine proves nothing.
+    directory.take_report(build_report(models=["m0"], number=2), 11.7)
+    assert not server.holds("m0", 11.8, FRESH_S)
+    lost = build_report(models=[], number=3, is_reachable=False)
+    directory.take_report(lost, 11.9)
+    directory.take_report(build_report(models=["m0"], number=4), 12.0)
+    assert server.holds("m0", 12.1, FRESH_S)
+
+
+def test_silence_that_ended_leaves_no_trace():
+    """A server that had only been silent stayed ejected, and longer each time."""
+    health = OutlierDetector()
+    for start in (0.0, 10.0, 20.0):
+        assert health.eject("i-1", start)
+        health.readmit("i-1", start + 0.5)
+        assert not health.is_ejected("i-1", start + 0.5)
+    # Nor is it on probation, in which one failure ejects it.
+    assert not health.record("i-1", False, 21.0)
+
+
+def test_server_that_failed_calls_is_not_readmitted():
+    """Bytes of one answer would bring back a server that fails others."""
+    health = OutlierDetector()
+    for _ in range(defaults.HEALTH_CONSECUTIVE_FAILURES):
+        health.record("i-1", False, 1.0)
+    health.readmit("i-1", 1.5)
+    assert health.is_ejected("i-1", 1.6)
