Keep an unanswered order until the engine's report shows its outcome

What callers saw: an engine was silent for 0.9 s after it had taken a load order. Its agent reported no load and gave the turn at the weight store back while the load ran for seconds: callers were told nothing of it, and another engine could load from the store beside it.

Cause: an order without an answer within 0.5 s was forgotten, though it may have been taken; the report that would show it came afterwards.

Fix: the change stays in force until the next report. That one ends it as it always does: not busy means that the order is over or was not taken, and it is given again. Orders that were refused or never sent are dropped at once.

Failed before: test_order_without_an_answer_holds_until_the_engine_tells (the report's change was '' while the engine loaded). The second test, of an order that was not taken, passed before and guards the fix.

--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -38,6 +38,8 @@
 # Orders go before callers' requests, which may wait for what is loaded.
 _STATUS_WISH = PermitWish("status", "", -1, 0.0)
 _ORDER_WISH = PermitWish("order", "", -1, defaults.PERMIT_ORDER_WAIT_S)
+# Outcomes of orders that the engine has accepted.
+_TAKEN = ("done", "accepted")
 
 
 class EngineManager(Service):
@@ -408,7 +410,7 @@
             if not intent.adapter:
                 await self._order_model(intent, status)
                 return
-            if not await self._give_order(intent, status):
+            if await self._give_order(intent, status) not in _TAKEN:
                 return
             self._adapter_ordered_at = _now()
             await self._refresh_status()
@@ -455,13 +457,15 @@
             await asyncio.sleep(defaults.ENGINE_NOTICE_S)
         if intent.loads and intent.fetches:
             self._store.note_loading()
-        if not await self._give_order(intent, status):
+        outcome = await self._give_order(intent, status)
+        # Without an answer, the engine's next report shows whether it took the order.
+        if outcome not in (*_TAKEN, "silent"):
             self._change = None
             if intent.fetches:
                 self._store.release(is_complete=False)
 
-    async def _give_order(self, intent: Intent, status: EngineStatus) -> bool:
-        """Send an order and return whether the engine accepted it."""
+    async def _give_order(self, intent: Intent, status: EngineStatus) -> str:
+        """Send an order; return what became of it, as far as that is known."""
         server = self.kernel.find("directory").directory.at_address(self._address)
         order = EngineOrder(
             intent.loads,
@@ -491,16 +495,18 @@
         except LimitReached as failure:
             outcome = "limited"
             error = str(failure)
+        except BackendSilent as failure:
+            outcome = "silent"
+            error = str(failure)
         except BackendError as failure:
             # The order may still take effect; the engine's order count then changes.
             error = str(failure)
-        taken = outcome in ("done", "accepted")
         if outcome == "accepted":
             self._accepted = order.expected + 1
         self._metrics.count("engine_orders_total", outcome=outcome)
         events.emit(
             _logger,
-            events.ENGINE_ORDERED if taken else events.ENGINE_ORDER_FAILED,
+            events.ENGINE_ORDERED if outcome in _TAKEN else events.ENGINE_ORDER_FAILED,
             loads=intent.loads,
             model=intent.model,
             adapter=intent.adapter,
@@ -514,7 +520,7 @@
         )
         if outcome == "fenced":
             self._refused_fence = max(self._refused_fence, order.fence)
-        return taken
+        return outcome
 
     def _is_fenced(self) -> bool:
         """Return whether the engine has refused the token that an order would bear."""
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -1,11 +1,12 @@
 """Peers that are given up for a silence although they go on: engines, agents, hosts."""
 
 import asyncio
+import json
 
 import pytest
 
 from fleetparts import build_listed, build_report, build_server
-from fleets import run_with_fleet
+from fleets import build_body, run_with_fleet
 from jasminewharf import defaults
 from jasminewharf.decisions.directory import Directory
 from jasminewharf.decisions.health import OutlierDetector
@@ -130,3 +131,111 @@
         health.record("i-1", False, 1.0)
     health.readmit("i-1", 1.5)
     assert health.is_ejected("i-1", 1.6)
+
+
+# Engines that fall silent while they carry out an order.
+
+LOAD_S = 3.0
+LOADED = (("x-model", "m3"), ("x-token-counts", "100,20"))
+
+
+class BusyReplica(SilentReplica):
+    """An engine that may take an order and answer it only later, as all else."""
+
+    order_silent_s = 0.0
+
+    async def answer(self, request, responder):
+        if request.target == "/order" and self.order_silent_s:
+            self.fall_silent_for(self.order_silent_s)
+            self.order_silent_s = 0.0
+            self._take_order(json.loads(request.body), self)
+            await self.awake.wait()
+            responder.respond(202, [], b"{}")
+        else:
+            await super().answer(request, responder)
+
+    def respond(self, status, headers, body):
+        assert status == 202
+
+    def fall_silent_for(self, silent_s):
+        self.awake.clear()
+        asyncio.get_running_loop().call_later(silent_s, self.awake.set)
+
+
+def build_slow_body():
+    """Return a configuration of which all loads take long, as those of the engines."""
+    body = json.loads(build_body())
+    for model in body["services"][0]["engine"]["models"]:
+        model.update(loadS=LOAD_S, diskS=LOAD_S, warmS=LOAD_S)
+    return json.dumps(body).encode()
+
+
+def build_busy_engines():
+    engines = [
+        BusyReplica("127.0.0.1", "i-e1", "llm", ["m0"]),
+        BusyReplica("127.0.0.1", "i-e2", "llm", ["m0"]),
+    ]
+    for engine in engines:
+        engine.load_s = LOAD_S
+    return engines
+
+
+async def want_model(fleet):
+    """Call for a model that nobody holds; return the engine ordered to load it."""
+    call = asyncio.create_task(fleet.call("/plan/x", *LOADED))
+
+    def find():
+        for agent, engine in zip(fleet.kernels[-2:], fleet.engines, strict=True):
+            if any(order["model"] == "m3" for order in engine.orders):
+                return agent.find("engine"), engine
+        return None
+
+    await wait_until(find, timeout_s=5)
+    return *find(), call
+
+
+async def check_load_is_kept(agent, engine):
+    """Check that the report and the store's turn last as long as the load."""
+    while engine.busy:
+        if engine.awake.is_set():
+            assert agent._build_report().changing == "m3"
+        assert agent._store._model == "m3"
+        await asyncio.sleep(0.05)
+    await wait_until(lambda: agent._change is None or agent._change.model != "m3")
+    assert "m3" in engine.models
+    assert sum(order["model"] == "m3" for order in engine.orders) == 1
+
+
+def test_order_without_an_answer_holds_until_the_engine_tells(tmp_path):
+    """The turn at the store was returned while the engine loaded, unknown to all."""
+    engines = build_busy_engines()
+    for engine in engines:
+        engine.order_silent_s = 0.9
+
+    async def scenario(fleet):
+        agent, engine, call = await want_model(fleet)
+        await check_load_is_kept(agent, engine)
+        await call
+
+    run_with_fleet(scenario, tmp_path, engines=engines, body=build_slow_body())
+
+
+def test_order_that_a_silent_engine_did_not_take_is_given_again(tmp_path):
+    """A change that never began would have kept the engine from all others."""
+    engines = build_busy_engines()
+
+    async def scenario(fleet):
+        call = asyncio.create_task(fleet.call("/plan/x", *LOADED))
+        for engine in engines:
+            # No order is read while the engine is silent, and none later: it is reset.
+            engine._take_order = lambda order, responder: None
+            engine.order_silent_s = 0.9
+        await wait_until(
+            lambda: any(not engine.awake.is_set() for engine in engines), timeout_s=5
+        )
+        for engine in engines:
+            del engine._take_order
+        await wait_until(lambda: any(engine.orders for engine in engines), timeout_s=5)
+        await call
+
+    run_with_fleet(scenario, tmp_path, engines=engines, body=build_slow_body())
