Keep a load through the silence of its engine

What callers saw: an engine fell silent for 2.4 s while it loaded and went on. Its agent gave the turn at the weight store back at once, and when the engine answered again the agent counted it as new: the load under way, its expected end and the token that the engine had refused were forgotten.

Cause: an engine that does not answer and one that has ended were the same to its agent, and any first report after that ended the change.

Fix: the agent keeps the start of the engine that it heard last. The same life goes on with its change, which ends as ever with a report that is not busy; a report older than an accepted order is told as such after a silence, too. The turn at the store is kept while the engine is only silent, until 3 s after the estimated end of the load; an engine whose connection fails loses it at once.

Failed before: test_engine_that_is_silent_while_it_loads_keeps_its_load[2.4] (the report's change was '' during the load). [1.0] and the test of a restart passed before; the one of an engine that stays silent needs the new constant.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -471,6 +471,7 @@
 STORE_UNUSED_S = 3.0  # Longer than the unload of a model in use.
 STORE_SILENT_S = 2.0  # How long an owner that gave no answer is not asked.
 ENGINE_ORDER_TIMEOUT_S = 0.5
+ENGINE_LATE_LOAD_S = 3.0  # By which a load of an engine that is silent may be late.
 ENGINE_ORDERS_IN_A_ROW = 4
 ENGINE_UNLOAD_S = 0.1  # Of a model that nobody uses.
 ENGINE_BUSY_UNLOAD_S = 1.5  # Of a model with running requests.
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -63,6 +63,8 @@
         self._orders = lookup(ENGINE_ORDERS, fleet.dialect)
         self._residency = Residency()
         self._status: EngineStatus | None = None
+        # The start of the engine that was last heard, also while it is silent.
+        self._born_ms: int | None = None
         # When the engine last answered.
         self._heard_at = float("-inf")
         # Orders that the engine is known to have accepted since its start.
@@ -202,6 +204,8 @@
             is_silent = not await self._refresh_status()
             if self._status is not None and not is_silent:
                 await self._give_orders()
+            if self._status is None and _now() >= self._turn_until:
+                self._store.release(is_complete=False)
             self._store.renew()
             self._publish_report()
             try:
@@ -307,9 +311,21 @@
         if self._status is not None:
             events.emit(_logger, events.ENGINE_LOST, error=error)
             self._news.publish_unreachable()
+        if not isinstance(error, BackendSilent):
             self._store.release(is_complete=False)
         self._status = None
 
+    @property
+    def _turn_until(self) -> float:
+        """Until when an engine that does not answer may load from the store.
+
+        One that is only silent loads on. The end of its load is an estimate.
+        """
+        change = self._change
+        if change is None or not change.loads:
+            return float("-inf")
+        return self._change_ends + defaults.ENGINE_LATE_LOAD_S
+
     async def _read_status(
         self, permit: Permit, *, is_exclusive: bool = False
     ) -> EngineStatus | None:
@@ -338,9 +354,13 @@
 
         Reports bear no identifier; one may have been written a second time.
         """
-        known = self._status
-        is_same_life = known is not None and known.born_ms == fresh.born_ms
-        return is_same_life and fresh.orders < self._accepted
+        return self._is_same_life(fresh) and fresh.orders < self._accepted
+
+    def _is_same_life(self, fresh: EngineStatus) -> bool:
+        """Return whether the engine has not started anew since it was last heard."""
+        if self._status is None and not fresh.born_ms:
+            return False
+        return self._born_ms == fresh.born_ms
 
     async def _acquire_status_permit(self) -> Permit | None:
         """Return a permit to read the status; None if a limit allows none now.
@@ -355,7 +375,8 @@
 
     def _note_status(self, fresh: EngineStatus) -> None:
         known = self._status
-        if known is None or known.born_ms != fresh.born_ms:
+        is_same_life = self._is_same_life(fresh)
+        if known is None or not is_same_life:
             events.emit(
                 _logger,
                 events.ENGINE_FOUND,
@@ -364,8 +385,6 @@
                 in_memory=list(fresh.in_memory),
                 on_disk=list(fresh.on_disk),
             )
-            self._refused_fence = -1
-            self._end_change(fresh)
         elif [h.model for h in known.models] != [h.model for h in fresh.models]:
             events.emit(
                 _logger,
@@ -373,7 +392,11 @@
                 models=[held.model for held in fresh.models],
                 orders=fresh.orders,
             )
+        if not is_same_life:
+            self._refused_fence = -1
+            self._end_change(fresh)
         self._status = fresh
+        self._born_ms = fresh.born_ms
         self._accepted = fresh.orders
         if self._change is not None and not fresh.is_busy:
             self._end_change(fresh)
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -239,3 +239,57 @@
         await call
 
     run_with_fleet(scenario, tmp_path, engines=engines, body=build_slow_body())
+
+
+@pytest.mark.parametrize("silent_s", [1.0, 2.4])
+def test_engine_that_is_silent_while_it_loads_keeps_its_load(tmp_path, silent_s):
+    """It counted as idle when it answered again, and its turn at the store was gone."""
+
+    async def scenario(fleet):
+        agent, engine, call = await want_model(fleet)
+        await asyncio.sleep(0.1)
+        engine.fall_silent_for(silent_s)
+        await check_load_is_kept(agent, engine)
+        await call
+
+    run_with_fleet(
+        scenario, tmp_path, engines=build_busy_engines(), body=build_slow_body()
+    )
+
+
+def test_engine_that_stays_silent_gives_its_turn_at_the_store_back(
+    tmp_path, monkeypatch
+):
+    """An engine that hangs for good would have kept one load fewer for all others."""
+    monkeypatch.setattr(defaults, "ENGINE_LATE_LOAD_S", 0.5)
+
+    async def scenario(fleet):
+        agent, engine, call = await want_model(fleet)
+        engine.fall_silent_for(8.0)
+        began_at = _now()
+        await wait_until(lambda: not agent._store._model, timeout_s=7)
+        assert _now() - began_at > LOAD_S
+        await call
+
+    run_with_fleet(
+        scenario, tmp_path, engines=build_busy_engines(), body=build_slow_body()
+    )
+
+
+def test_restarted_engine_loses_the_load_of_its_earlier_life(tmp_path):
+    """An engine that started anew would have been taken for one that loads."""
+
+    async def scenario(fleet):
+        agent, engine, call = await want_model(fleet)
+        engine.fall_silent_for(2.4)
+        await asyncio.sleep(2.3)
+        engine._work.cancel()
+        engine.born, engine.busy, engine.orders = 2_000, False, []
+        await wait_until(lambda: agent._status is not None, timeout_s=3)
+        assert agent._change is None or engine.orders
+        assert not agent._store._model or engine.orders
+        call.cancel()
+
+    run_with_fleet(
+        scenario, tmp_path, engines=build_busy_engines(), body=build_slow_body()
+    )
