Answer an order that meets an unexpected error

What callers saw: an order with an Idempotency-Key got no answer at all when an error that is no refusal ended its run, before the head or inside the body; a resend under the same key waited as well and got "still running".

Cause: the order runs in a task of its own. Its caller waits for a future or a queue that only refusals and other known errors filled.

Fix: any error fills them. Before the head the caller gets the 500 that other requests get in this case, later an answer that breaks off. The order's outcome is recorded as unknown, as nobody knows how far it came, and the error is logged as that of a task.

Failed before, after 5 s each: test_order_that_meets_an_unexpected_error_is_ answered and test_answer_to_an_order_that_meets_an_unexpected_error_ends.

--- a/src/jasminewharf/interfaces/callers.py
+++ b/src/jasminewharf/interfaces/callers.py
@@ -103,6 +103,14 @@
     ]
 
 
+def _fail(started: "asyncio.Future[OrderRelay]", error: Exception) -> None:
+    """Tell the caller of an order what happened, if its answer has not begun."""
+    if not started.done():
+        started.set_exception(error)
+        # The exception counts as seen even if the caller has gone.
+        started.exception()
+
+
 class Callers(Service):
     """Serves callers over HTTP.
 
@@ -419,9 +427,12 @@
                 await claims.release(*claim)
             else:
                 await claims.record_unknown(*claim[:2], claim.request_id)
-            started.set_exception(refusal)
-            # The exception counts as seen even if the caller has gone.
-            started.exception()
+            _fail(started, refusal)
+        except Exception as error:
+            # Nobody knows how far the order came. Its caller must not wait for ever.
+            _fail(started, error)
+            await claims.record_unknown(*claim[:2], claim.request_id)
+            raise
         finally:
             charge.end(tokens)
 
--- a/src/jasminewharf/interfaces/orders.py
+++ b/src/jasminewharf/interfaces/orders.py
@@ -49,6 +49,14 @@
 
     async def run(self) -> None:
         """Read and record; must not be cancelled by the caller's leaving."""
+        try:
+            await self._read_and_record()
+        except Exception as error:
+            # The caller waits for the queue alone.
+            self._queue.put_nowait(StreamInterrupted(str(error), not_run=False))
+            raise
+
+    async def _read_and_record(self) -> None:
         claim = self._claim
         try:
             async for chunk in self._answer.chunks():
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -10,8 +10,12 @@
 from jasminewharf import defaults
 from jasminewharf.decisions.directory import Directory
 from jasminewharf.decisions.health import OutlierDetector
+from jasminewharf.exceptions import BackendError
+from jasminewharf.interfaces.local import LocalOptions, open_local_system
+from jasminewharf.services.answers import Answer
+from jasminewharf.services.router import Router
 from platformfakes import FakeReplica, stream_body
-from support import wait_until
+from support import call, wait_until
 from test_silent_servers import MODEL, SilentReplica
 
 FRESH_S = defaults.AGENT_FRESH_S
@@ -293,3 +297,69 @@
     run_with_fleet(
         scenario, tmp_path, engines=build_busy_engines(), body=build_slow_body()
     )
+
+
+# Orders of fleets that are run by documents.
+
+ORDERS = "/services/orders/orders"
+
+
+async def give_order(system):
+    """Give an order and give it again; return both statuses and bodies."""
+    answers = []
+    for _ in range(2):
+        async with asyncio.timeout(5.0):
+            status, _, body = await call(
+                system.address,
+                "POST",
+                ORDERS,
+                system.key,
+                {"order": "menu"},
+                [("idempotency-key", "order-1")],
+            )
+        answers.append((status, json.loads(body)["error"]))
+    return answers
+
+
+def test_order_that_meets_an_unexpected_error_is_answered(monkeypatch):
+    """Its caller waited without end, and so did whoever sent the order again."""
+
+    async def fail(router, plan):
+        raise ValueError("unexpected")
+
+    async def main():
+        async with open_local_system(LocalOptions(port=0)) as system:
+            monkeypatch.setattr(Router, "call", fail)
+            first, second = await give_order(system)
+            assert (first[0], first[1]["not_run"]) == (500, False)
+            assert (second[0], second[1]["type"]) == (409, "outcome_unknown")
+
+    asyncio.run(main())
+
+
+def test_answer_to_an_order_that_meets_an_unexpected_error_ends(monkeypatch):
+    """The caller had the head at most and waited for the rest without end."""
+
+    async def fail(answer):
+        yield b"part"
+        raise ValueError("unexpected")
+
+    async def main():
+        async with open_local_system(LocalOptions(port=0)) as system:
+            monkeypatch.setattr(Answer, "chunks", fail)
+            request = call(
+                system.address,
+                "POST",
+                ORDERS,
+                system.key,
+                {"order": "menu"},
+                [("idempotency-key", "order-1")],
+            )
+            with pytest.raises(BackendError):
+                async with asyncio.timeout(5.0):
+                    await request
+            async with asyncio.timeout(5.0):
+                _, again = await give_order(system)
+            assert (again[0], again[1]["type"]) == (409, "outcome_unknown")
+
+    asyncio.run(main())
