--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -38,6 +38,8 @@
 # Orders go before callers' requests, which may wait for what is loaded.
 _STATUS_WISH = PermitWish("status", "", -1, 0.0)
 _ORDER_WISH = PermitWish("order", "", -1, defaults.PERMIT_ORDER_WAIT_S)
+# Outcomes of orders that the engine has accepted.
+_TAKEN = ("done", "accepted")
 
 
 class EngineManager(Service):
@@ -61,6 +63,8 @@
         self._orders = lookup(ENGINE_ORDERS, fleet.dialect)
         self._residency = Residency()
         self._status: EngineStatus | None = None
+        # The start of the engine that was last heard, also while it is silent.
+        self._born_ms: int | None = None
         # When the engine last answered.
         self._heard_at = float("-inf")
         # Orders that the engine is known to have accepted since its start.
@@ -200,6 +204,8 @@
             is_silent = not await self._refresh_status()
             if self._status is not None and not is_silent:
                 await self._give_orders()
+            if self._status is None and _now() >= self._turn_until:
+                self._store.release(is_complete=False)
             self._store.renew()
             self._publish_report()
             try:
@@ -305,9 +311,21 @@
         if self._status is not None:
             events.emit(_logger, events.ENGINE_LOST, error=error)
             self._news.publish_unreachable()
+        if not isinstance(error, BackendSilent):
             self._store.release(is_complete=False)
         self._status = None
 
+    @property
+    def _turn_until(self) -> float:
+        """Until when an engine that does not answer may load from the store.
+
+        One that is only silent loads on. The end of its load is an estimate.
+        """
+        change = self._change
+        if change is None or not change.loads:
+            return float("-inf")
+        return self._change_ends + defaults.ENGINE_LATE_LOAD_S
+
     async def _read_status(
         self, permit: Permit, *, is_exclusive: bool = False
     ) -> EngineStatus | None:
@@ -336,9 +354,13 @@
 
         Reports bear no identifier; one may have been written a second time.
         """
-        known = self._status
-        is_same_life = known is not None and known.born_ms == fresh.born_ms
-        return is_same_life and fresh.orders < self._accepted
+        return self._is_same_life(fresh) and fresh.orders < self._accepted
+
+    def _is_same_life(self, fresh: EngineStatus) -> bool:
+        """Return whether the engine has not started anew since it was last heard."""
+        if self._status is None and not fresh.born_ms:
+            return False
+        return self._born_ms == fresh.born_ms
 
     async def _acquire_status_permit(self) -> Permit | None:
         """Return a permit to read the status; None if a limit allows none now.
@@ -353,7 +375,8 @@
 
     def _note_status(self, fresh: EngineStatus) -> None:
         known = self._status
-        if known is None or known.born_ms != fresh.born_ms:
+        is_same_life = self._is_same_life(fresh)
+        if known is None or not is_same_life:
             events.emit(
                 _logger,
                 events.ENGINE_FOUND,
@@ -362,8 +385,6 @@
                 in_memory=list(fresh.in_memory),
                 on_disk=list(fresh.on_disk),
             )
-            self._refused_fence = -1
-            self._end_change(fresh)
         elif [h.model for h in known.models] != [h.model for h in fresh.models]:
             events.emit(
                 _logger,
@@ -371,7 +392,11 @@
                 models=[held.model for held in fresh.models],
                 orders=fresh.orders,
             )
+        if not is_same_life:
+            self._refused_fence = -1
+            self._end_change(fresh)
         self._status = fresh
+        self._born_ms = fresh.born_ms
         self._accepted = fresh.orders
         if self._change is not None and not fresh.is_busy:
             self._end_change(fresh)
@@ -408,7 +433,7 @@
             if not intent.adapter:
                 await self._order_model(intent, status)
                 return
-            if not await self._give_order(intent, status):
+            if await self._give_order(intent, status) not in _TAKEN:
                 return
             self._adapter_ordered_at = _now()
             await self._refresh_status()
@@ -455,13 +480,15 @@
             await asyncio.sleep(defaults.ENGINE_NOTICE_S)
         if intent.loads and intent.fetches:
             self._store.note_loading()
-        if not await self._give_order(intent, status):
+        outcome = await self._give_order(intent, status)
+        # Without an answer, the engine's next report shows whether it took the order.
+        if outcome not in (*_TAKEN, "silent"):
             self._change = None
             if intent.fetches:
                 self._store.release(is_complete=False)
 
-    async def _give_order(self, intent: Intent, status: EngineStatus) -> bool:
-        """Send an order and return whether the engine accepted it."""
+    async def _give_order(self, intent: Intent, status: EngineStatus) -> str:
+        """Send an order; return what became of it, as far as that is known."""
         server = self.kernel.find("directory").directory.at_address(self._address)
         order = EngineOrder(
             intent.loads,
@@ -491,16 +518,18 @@
         except LimitReached as failure:
             outcome = "limited"
             error = str(failure)
+        except BackendSilent as failure:
+            outcome = "silent"
+            error = str(failure)
         except BackendError as failure:
             # The order may still take effect; the engine's order count then changes.
             error = str(failure)
-        taken = outcome in ("done", "accepted")
         if outcome == "accepted":
             self._accepted = order.expected + 1
         self._metrics.count("engine_orders_total", outcome=outcome)
         events.emit(
             _logger,
-            events.ENGINE_ORDERED if taken else events.ENGINE_ORDER_FAILED,
+            events.ENGINE_ORDERED if outcome in _TAKEN else events.ENGINE_ORDER_FAILED,
             loads=intent.loads,
             model=intent.model,
             adapter=intent.adapter,
@@ -514,7 +543,7 @@
         )
         if outcome == "fenced":
             self._refused_fence = max(self._refused_fence, order.fence)
-        return taken
+        return outcome
 
     def _is_fenced(self) -> bool:
         """Return whether the engine has refused the token that an order would bear."""
