Add members in the log's tests as the tool and repair do

Cause: the test. add_member asks the new host for its disk first, which takes 50 ms and more, and only then changes the members. A leader that hears nothing of a quorum for its election timeout of 0.5 s steps down (check_quorum) and knows no leader; all hosts of the test share one event loop, so that a stall of it does that. add_member says NotLeader then, as its docstring states. The product's callers ask again: the tool through Controllers.request_repeatable, a newcomer through Repair, which asks every second until it votes. Cluster.propose of the test asks again too, but the test called add_member of one host once.

The test keeps all its checks and adds the host at whichever host leads. test_leader_that_steps_down_while_it_adds_a_member cuts the leader off between lookup and change: the call gets "leader is unknown", a caller that asks again gets the member. Two tests in test_repair_service.py hand leadership over at that point: the newcomer votes, and the tool's client gets its answer.

--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -134,6 +134,17 @@
                     return await self.services[name].propose("fleet", command)
                 await asyncio.sleep(0.01)
 
+    async def add_member(self, host):
+        """Add a host at whichever host leads, as the operator's tool does."""
+        async with asyncio.timeout(20):
+            while True:
+                name = await self.leader()
+                with contextlib.suppress(NotLeader):
+                    service = self.services[name]
+                    address = self.addresses[host]
+                    return await service.add_member("fleet", host, address)
+                await asyncio.sleep(0.01)
+
 
 @contextlib.asynccontextmanager
 async def running(folder, count, network=None, **options):
@@ -241,13 +252,11 @@
         assert service.identity != old
         with pytest.raises(NotLeader):
             await service.propose("fleet", b"x")
+        assert await cluster.add_member(lost) == service.identity
         name = await cluster.leader()
-        address = cluster.addresses[lost]
-        added = await cluster.services[name].add_member("fleet", lost, address)
-        assert added == service.identity
         identities = {m.identity for m in cluster.services[name].members("fleet")}
         assert old not in identities
-        assert added in identities
+        assert service.identity in identities
         await service.read_barrier("fleet")
         assert len(cluster.machines[lost].commands) == 1501
         # A second loss right after the repair: two of three still commit.
@@ -255,6 +264,39 @@
         await cluster.propose(b"second")
 
 
+@in_event_loop
+async def test_leader_that_steps_down_while_it_adds_a_member(tmp_path):
+    """A newcomer must vote although the leader that was asked leads no more.
+
+    Case: the leader loses its quorum before it knows the newcomer's disk.
+    """
+    network = MemoryNetwork()
+    async with running(tmp_path, 3, network) as cluster:
+        await cluster.propose(b"first")
+        name = await cluster.leader()
+        lost, other = [n for n in cluster.services if n != name]
+        await cluster.stop(lost)
+        shutil.rmtree(tmp_path / lost)
+        service = await cluster.start(lost)
+        network.severed = {(name, lost), (name, other)}
+        leader = cluster.services[name]
+        address = cluster.addresses[lost]
+        adding = asyncio.create_task(leader.add_member("fleet", lost, address))
+        again = asyncio.create_task(cluster.add_member(lost))
+        async with asyncio.timeout(10):
+            while leader.is_leader("fleet"):
+                await asyncio.sleep(0.01)
+        # The newcomer answers, but no quorum does yet.
+        network.severed = {(name, other)}
+        with pytest.raises(NotLeader, match="leader is unknown"):
+            await adding
+        assert not again.done()
+        network.severed = set()
+        assert await again == service.identity
+        await service.read_barrier("fleet")
+        assert cluster.machines[lost].commands == [b"first"]
+
+
 @in_event_loop
 async def test_added_host_is_found_after_a_restart_without_settings(tmp_path):
     cluster = Cluster(tmp_path, 2)
--- a/tests/test_repair_service.py
+++ b/tests/test_repair_service.py
@@ -10,9 +10,10 @@
 from jasminewharf.defaults import LOG_LEADERLESS_S
 from jasminewharf.events import LEADER_MISSING
 from jasminewharf.exceptions import Forbidden
+from jasminewharf.interfaces.operator import OperatorClient
 from jasminewharf.interfaces.roles import build_kernel
 from jasminewharf.kernel import Service
-from jasminewharf.settings import load_settings
+from jasminewharf.settings import ControlHost, Settings, ToolSettings, load_settings
 from platformfakes import send
 from processfleet import ProcessFleet
 from support import wait_until
@@ -254,6 +255,87 @@
     run_with_added_host(scenario, tmp_path)
 
 
+def lose_leadership_while_adding(kernel):
+    """Hand leadership over once the next newcomer's disk is known."""
+    log = kernel.find("log")
+    identify = log._identify
+    handed_over = []
+
+    async def identify_late(host, address):
+        log._identify = identify
+        identity = await identify(host, address)
+        # The first successor that is chosen may be the host that has just stopped.
+        while log.is_leader("fleet"):
+            await log.hand_over()
+            await asyncio.sleep(0.01)
+        handed_over.append(identity)
+        return identity
+
+    log._identify = identify_late
+    return handed_over
+
+
+def test_newcomer_votes_although_leadership_changes_while_it_is_added(tmp_path):
+    """Its request is gone with the leader that took it; the next one is to have it."""
+
+    async def scenario(fleet, first, second):
+        leader = first if first.find("log").is_leader("fleet") else second
+        handed_over = lose_leadership_while_adding(leader)
+        new = await start_control(fleet, _NEW, False)
+        await wait_for_successor(fleet, [first, second, new])
+        assert handed_over == [new.find("log").identity]
+
+    run_with_lost_host(scenario, tmp_path)
+
+
+async def start_document_control(folder, host, hosts):
+    settings = Settings(
+        host.name,
+        "control",
+        "zone-a",
+        hosts,
+        data_folder=str(folder / host.name),
+        hash_secret_file=str(folder / "secret"),
+    )
+    kernel = build_kernel(settings)
+    await kernel.start()
+    return kernel
+
+
+def test_operator_adds_a_member_although_leadership_changes(tmp_path):
+    """The tool asks the next leader, in place of an error to its user."""
+
+    async def main():
+        (tmp_path / "secret").write_text("0" * 64)
+        base = pick_base()
+        hosts = [
+            ControlHost(f"c{n}", f"127.0.0.{n}:{base}", f"127.0.0.{n}:{base + 1}")
+            for n in (2, 3, 4)
+        ]
+        kernels = []
+        try:
+            for host in hosts:
+                kernels.append(await start_document_control(tmp_path, host, hosts))
+            await wait_until(lambda: len(list_voters(kernels)) == 3, 10.0)
+            lost = next(k for k in kernels if not k.find("log").is_leader("fleet"))
+            kernels.remove(lost)
+            await lost.stop()
+            shutil.rmtree(lost.settings.data_folder)
+            host = lost.settings.own_control_host
+            kernels.append(await start_document_control(tmp_path, host, hosts))
+            leader = next(k for k in kernels if k.find("log").is_leader("fleet"))
+            handed_over = lose_leadership_while_adding(leader)
+            async with OperatorClient(ToolSettings(hosts)) as operator:
+                added = await operator.add_member("fleet", host.name, host.peer_address)
+            assert added == handed_over == [kernels[-1].find("log").identity]
+            assert sorted(list_voters(kernels)) == ["c2", "c3", "c4"]
+        finally:
+            for kernel in kernels:
+                await kernel.stop()
+
+    asyncio.run(main())
+
+
 def test_control_host_stops_although_the_leader_refuses_to_let_it_go(tmp_path):
     """An error of another host ended the stop before the other services had drained."""
 
