Let reads of an engine's status outdate no limit

Cause: an agent notes each answer of its engine. Reports and answers to orders need not carry a limit and do not end one (may_end=False), but while the agent knew none they counted as newer answers all the same. The reading of an entry, told over the control hosts 0.1 s later, then had an earlier request than the agent's last read and was dropped as outdated, also at each repeat. Whether it got through depended on the phase of the reads, five a second.

Fix: an answer that cannot end a limit does not outdate one, whether a limit is known or not. The engine's answers that do tell keep their order among themselves.

--- a/src/jasminewharf/services/serverlimits.py
+++ b/src/jasminewharf/services/serverlimits.py
@@ -74,11 +74,12 @@
         """
         now = _now()
         if per_s is None:
+            # An answer that cannot end a limit does not outdate one either.
+            if not may_end:
+                return
             if limit.reading is None:
                 limit.note_answer(sent_at, now)
                 return
-            if not may_end:
-                return
         elif math.isnan(per_s):
             self._note_unreadable(limit, request_id)
             return
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -10,6 +10,7 @@
 import pytest
 
 from fleets import build_body, run_with_fleet
+from jasminewharf import defaults
 from jasminewharf.bench.limit_checks import Arrival, find_excess
 from support import wait_until
 
@@ -238,3 +239,28 @@
         assert status == 200
 
     run_with_fleet(scenario, tmp_path)
+
+
+def test_agent_hears_of_a_limit_named_before_its_last_read(tmp_path, monkeypatch):
+    """Its reads name no limit and made the one that a caller's answer named look old.
+
+    The agent went on to read and to order as if there were none.
+    """
+    # The agent reads the status several times until it is told.
+    monkeypatch.setattr(defaults, "LIMIT_SHARE_S", 0.7)
+
+    async def scenario(fleet):
+        for each in fleet.engines:
+            each.limit = "0.5"
+        status, headers, _ = await fleet.call("/chat/x", *MODEL)
+        assert (status, headers["server-limit"]) == (200, "0.5")
+        (number,) = [n for n, each in enumerate(fleet.engines) if each.runs]
+        engine = fleet.engines[number]
+        agent = fleet.kernels[-len(fleet.engines) + number]
+        view = agent.find("directory").directory.at_address(engine.address)
+        await wait_until(lambda: view.limit.is_limited, 3.0)
+        before = engine.reports
+        await asyncio.sleep(4.0)
+        assert engine.reports - before <= 2
+
+    run_with_fleet(scenario, tmp_path)
