Give a replacement back whose request ends as it is ready

What callers saw: nothing at first; a second server worked on, and its place, trial and connection were held by the entry for good.

Cause: take() forgot the task before its result was handed over, and a drop() that was cancelled forgot it as well. Besides, a limit of silence that ended twice in a turn raised RuntimeError in the event loop.

Evidence: test_replacement_that_is_ready_as_its_request_ends_is_given_back, test_replacement_is_given_back_although_its_drop_is_cancelled and test_silence_that_ends_twice_is_no_error failed before and pass.

Why it works: the task stays known until its result is returned, and a drop that is cut short leaves a callback that closes what the task holds.

--- a/src/jasminewharf/services/silence.py
+++ b/src/jasminewharf/services/silence.py
@@ -43,7 +43,7 @@
 
     def end(self) -> None:
         """End the body with ``TimeoutError``, after what has been read in this turn."""
-        if self._is_waiting:
+        if self._is_waiting and not self._timeout.expired():
             self._timeout.reschedule(self._loop.time())
 
     def _check(self) -> None:
--- a/src/jasminewharf/services/standby.py
+++ b/src/jasminewharf/services/standby.py
@@ -99,12 +99,13 @@
         task = self._task
         if task is None:
             return None
+        # Until it is handed over, :meth:`drop` gives it back.
+        await asyncio.wait([task])
+        self._task = None
         try:
-            return await task
+            return task.result()
         except (BackendError, Refusal):
             return None
-        finally:
-            self._task = None
 
     async def drop(self) -> bool:
         """Give the replacement up; return whether there was one."""
@@ -112,7 +113,23 @@
         if task is None:
             return False
         task.cancel()
-        await asyncio.wait([task])
-        if not task.cancelled() and task.exception() is None:
-            await task.result().held.aclose()
+        try:
+            await asyncio.wait([task])
+        finally:
+            if not task.done():
+                task.add_done_callback(_give_back)
+            else:
+                await _close(task)
         return True
+
+
+def _give_back(task: "asyncio.Task[Attempt]") -> None:
+    """Give back what a task holds that was ready as it was cancelled."""
+    if not task.cancelled() and task.exception() is None:
+        closing = asyncio.ensure_future(_close(task))
+        closing.add_done_callback(lambda done: done.cancelled() or done.exception())
+
+
+async def _close(task: "asyncio.Task[Attempt]") -> None:
+    if not task.cancelled() and task.exception() is None:
+        await task.result().held.aclose()
