Check what may follow when the second attempt fails as well

What callers saw: 504 at the deadline in place of 502 or the server's own 500 within 2.5 s, and a third server ran the request although the route allows two attempts, for which no retry was taken.

Cause: a first attempt that failed beside an active replacement skipped _check_next, _check_resume and _may_repeat, and a replacement that failed then led straight to the next admission.

Why it works: the outcome of the replacement is awaited before it is decided whether the request may go on, with the same checks as without a replacement.

--- a/src/jasminewharf/decisions/attempts.py
+++ b/src/jasminewharf/decisions/attempts.py
@@ -38,6 +38,10 @@
         """Whether a server may have run the request, including a pending attempt."""
         return self.runs > 0 or self._is_open
 
+    def has_run_on(self, server: str) -> bool:
+        """Return whether an attempt at a server has been counted."""
+        return server in self._ran_on
+
     def note_sent(self, server: str) -> None:
         """Count a send; until its outcome is known, the request may have run."""
         self.sent += 1
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -125,11 +125,11 @@
             lambda: self._prepare(job, attempts, prompt),
         )
         try:
-            attempt = await self._admit(job, attempts, prompt)
+            attempt: Attempt | None = await self._admit(job, attempts, prompt)
             while not await self._answer_plain(attempt, job, sink, attempts, standby):
-                attempt = await standby.take() or await self._admit(
-                    job, attempts, prompt
-                )
+                attempt = await standby.take()
+                if attempt is None:
+                    attempt = await self._admit(job, attempts, prompt)
         finally:
             await standby.drop()
 
@@ -156,13 +156,15 @@
             return False
         except (NotRunThere, AnswerBroken) as error:
             self._note_failure(server, job, error, attempts)
-            if not standby.is_active:
+            if not await standby.wait():
                 self._check_next(job, attempts, error)
             return False
         answer = attempt.answer
         is_failure = answer.status >= defaults.SERVER_ERROR_STATUS
         self._chooser.note_result(server, not is_failure)
-        if is_failure and (standby.is_active or self._may_repeat(job, attempts)):
+        if is_failure and (
+            await standby.wait() or self._may_repeat(server, job, attempts)
+        ):
             attempts.note_run(server.name)
             return False
         sink.respond(
@@ -200,11 +202,11 @@
             lambda: self._prepare(job, attempts, prompt, relay),
         )
         try:
-            attempt = await self._admit(job, attempts, prompt)
+            attempt: Attempt | None = await self._admit(job, attempts, prompt)
             while not await self._answer_stream(attempt, job, relay, attempts, standby):
-                attempt = await standby.take() or await self._admit(
-                    job, attempts, prompt
-                )
+                attempt = await standby.take()
+                if attempt is None:
+                    attempt = await self._admit(job, attempts, prompt)
         finally:
             await standby.drop()
 
@@ -235,7 +237,7 @@
             attempts.note_unsent()
         except (NotRunThere, AnswerBroken) as error:
             self._note_failure(server, job, error, attempts)
-            if standby.is_active:
+            if await standby.wait():
                 return False
             if relay.has_started:
                 self._check_resume(job, relay, attempts, error)
@@ -306,7 +308,9 @@
             except TimeoutError:
                 raise _describe_silence(limit_s, began=True) from None
         is_failure = answer.status >= defaults.SERVER_ERROR_STATUS
-        if is_failure and (standby.is_active or self._may_repeat(job, attempts)):
+        if is_failure and (
+            await standby.wait() or self._may_repeat(attempt.server, job, attempts)
+        ):
             return False
         relay.respond(answer, attempt.body)
         return True
@@ -499,12 +503,14 @@
             return False
         return self._take_budget(job)
 
-    def _may_repeat(self, job: Job, attempts: Attempts) -> bool:
+    def _may_repeat(self, server: Server, job: Job, attempts: Attempts) -> bool:
         """Return whether a server's own failure is tried at another server."""
-        if not job.route.is_idempotent or attempts.runs + 1 >= job.route.attempts:
+        runs = attempts.runs + (not attempts.has_run_on(server.name))
+        if not job.route.is_idempotent or runs >= job.route.attempts:
             return False
-        others = self._chooser.list_untried(job, attempts)
-        return len(others) > 1 and self._take_budget(job)
+        untried = self._chooser.list_untried(job, attempts)
+        others = [other for other in untried if other is not server]
+        return bool(others) and self._take_budget(job)
 
     def _take_budget(self, job: Job) -> bool:
         return self._retries.withdraw(job.service.name)
--- a/src/jasminewharf/services/standby.py
+++ b/src/jasminewharf/services/standby.py
@@ -94,6 +94,13 @@
         elif self._limit is not None:
             self._limit.end()
 
+    async def wait(self) -> bool:
+        """Wait for a replacement in preparation; return whether one is ready."""
+        if self._task is not None:
+            await asyncio.wait([self._task])
+        task = self._task
+        return task is not None and not task.cancelled() and task.exception() is None
+
     async def take(self) -> Attempt | None:
         """Return the replacement once it is ready; None if there is none."""
         task = self._task
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -245,9 +245,7 @@
         assert status == 200
         assert took_s < 3.5
 
-    run_with_fleet(
-        scenario, tmp_path, engines=[], desks=desks, body=build_attempts(3)
-    )
+    run_with_fleet(scenario, tmp_path, engines=[], desks=desks, body=build_attempts(3))
 
 
 def test_third_engine_is_asked_after_two_silent_ones(tmp_path):
@@ -530,9 +528,7 @@
     ]
     body = json.loads(build_body())
     body["services"][0]["engine"]["models"] = models
-    run_with_fleet(
-        scenario, tmp_path, engines=engines, body=json.dumps(body).encode()
-    )
+    run_with_fleet(scenario, tmp_path, engines=engines, body=json.dumps(body).encode())
 
 
 # Parts.
