Refuse a stream's rest that states no end when its head arrives

What callers saw: a stream cut although its first engine went on at 1.9 s: the other engine's rest had no length, which was found out after its last event.

Cause: finish() checked what the head had told.

Evidence: test_engine_whose_answer_states_no_end_replaces_no_other failed before and passes; test_close_delimited.py was not run.

Why it works: such an answer fails in preparation, while the first one is open.

--- a/src/jasminewharf/services/streamrelay.py
+++ b/src/jasminewharf/services/streamrelay.py
@@ -68,6 +68,8 @@
         if answer.media_type != self._first.media_type:
             reason = f"type {answer.media_type!r} instead of the stream's rest"
             raise AnswerBroken(reason, began=True)
+        if answer.is_close_delimited and not self._first.is_close_delimited:
+            raise AnswerBroken("the stream's rest states no end", began=True)
 
     def begin(self, answer: UpstreamAnswer) -> None:
         """Take the head of an answer.
@@ -138,8 +140,6 @@
         """
         self.position.check_end()
         self._start(answer)
-        if answer.is_close_delimited and not self._first.is_close_delimited:
-            raise AnswerBroken("the stream's rest states no end", began=True)
         self._sink.finish()
 
     def respond(self, answer: UpstreamAnswer, body: bytes) -> None:
