Write no error event into an answer with a length

A caller whose key was withdrawn inside an answer with a length got the error event as a part of the body; where it filled the rest of the length, the answer looked whole.

The event was written into any answer that had started, whatever its framing.

It is written only where the head states no length. Where it does, the close inside the body tells that the answer broke off.

--- a/src/jasminewharf/interfaces/callers.py
+++ b/src/jasminewharf/interfaces/callers.py
@@ -459,7 +459,8 @@
                 _logger, events.STREAM_BROKEN, request_id=request_id, error=refusal
             )
         # An explicit error event tells a reader of server-sent events what broke;
-        # the missing end of the chunked body tells everybody else.
-        error = json.dumps(describe_refusal(refusal, request_id))
-        await responder.write(f"data: {error}\n\n".encode())
+        # the missing end of the body tells everybody else. It must not fill a length.
+        if not responder.has_length:
+            error = json.dumps(describe_refusal(refusal, request_id))
+            await responder.write(f"data: {error}\n\n".encode())
         responder.cut()
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -75,11 +75,18 @@
 
 
 class Responder:
-    """Writes one response."""
+    """Writes one response.
+
+    Attributes:
+        has_started: Whether its head was sent.
+        has_length: Whether the head states the length of the body.
+        is_finished: Whether its body has ended.
+    """
 
     def __init__(self, connection: "_Connection") -> None:
         self._connection = connection
         self.has_started = False
+        self.has_length = False
         self.is_finished = False
 
     def start(
@@ -101,6 +108,7 @@
         self._connection.hold()
         self._connection.send_head(status, headers, is_close_delimited)
         self.has_started = True
+        self.has_length = any(name == "content-length" for name, _ in headers)
 
     async def write(self, data: bytes) -> None:
         """Send body bytes; waits while the caller reads slowly."""
--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -9,11 +9,12 @@
 
 from fleets import build_body, build_route, run_with_fleet
 from jasminewharf import defaults
-from jasminewharf.exceptions import StreamInterrupted
+from jasminewharf.exceptions import KeyWithdrawn, StreamInterrupted
+from jasminewharf.interfaces.callers import Callers
 from jasminewharf.interfaces.http import HttpServer
 from jasminewharf.interfaces.local import LocalOptions, open_local_system
 from jasminewharf.interfaces.orders import Claim, OrderRelay
-from jasminewharf.interfaces.refusals import render_refusal
+from jasminewharf.interfaces.refusals import describe_refusal, render_refusal
 from jasminewharf.settings import LimitSettings
 from platformfakes import stream_body
 from support import call, wait_until
@@ -310,3 +311,31 @@
         await server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("has_length", [True, False])
+def test_refusal_inside_an_answer_does_not_make_it_look_whole(has_length):
+    """A withdrawn key ended it with an error event, which could fill its length."""
+    refusal = KeyWithdrawn("the key was withdrawn", not_run=False)
+    event = f"data: {json.dumps(describe_refusal(refusal, 'id-1'))}\n\n".encode()
+    length = ("content-length", str(len(b"half" + event)))
+
+    async def handle(request, responder):
+        responder.start(200, [length] if has_length else [])
+        await responder.write(b"half")
+        await Callers._refuse(SimpleNamespace(), responder, refusal, "id-1")
+
+    async def scenario():
+        server, reader, writer = await open_server(handle)
+        writer.write(REQUEST)
+        received = await asyncio.wait_for(reader.read(), LONG_S)
+        body = received.partition(b"\r\n\r\n")[2]
+        if has_length:
+            assert body == b"half"
+        else:
+            assert event in body
+            assert not body.endswith(b"0\r\n\r\n")
+        writer.close()
+        await server.close()
+
+    asyncio.run(scenario())
