Replace a silent attempt by a success only, and count what was asked

What callers saw, shown by the review: a refusal (400, 404, 429) or an empty stream of the second server took the place of a first server's success; a second server that was asked in vain was not counted, so that a third one ran a request of two attempts; a stream that was answered whole counted as a refused caller, for whom a load was ordered.

Cause: the second attempt was judged like a first one, and what it left behind was told by its failure only.

Fix: it replaces the first with a 2xx, a stream with an event that carries data; dropped, its server counts as one that may have run the request; a refusal while it waits for a model is no demand. One whose server ended under it is not followed by a third.

Evidence: the 8 cases of test_standby.py for this all failed in the review and pass now. 78 pass in test_standby.py, test_silent_servers.py and test_attempts.py; three stay red and are listed: silence of the second server.

--- a/src/jasminewharf/decisions/attempts.py
+++ b/src/jasminewharf/decisions/attempts.py
@@ -18,6 +18,8 @@
         waited_s: Seconds that it has waited for its model or a permit.
         is_suspect: Whether it may crash the server that it is sent to.
         contended: Servers at which another request is on trial.
+        is_second: Whether a server is looked for beside one that is silent.
+        second: The server that was sent the request beside it; empty if none.
     """
 
     def __init__(self) -> None:
@@ -29,6 +31,8 @@
         self.waited_s = 0.0
         self.is_suspect = False
         self.contended: set[str] = set()
+        self.is_second = False
+        self.second = ""
         self._ran_on: set[str] = set()
         self._is_open = False
         self._rounds = 0
@@ -73,6 +77,12 @@
         self.avoided.add(server)
         self._ran_on.add(server)
 
+    def note_second_left(self) -> None:
+        """Count the second server, which may have run the request, if it has it."""
+        if self.second:
+            self.note_run(self.second)
+        self.second = ""
+
     def begin_round(self) -> float:
         """Allow further attempts at servers that only rejected the request.
 
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -36,6 +36,7 @@
     model: str
     wait: WaitingRequest
     ready: asyncio.Future[None]
+    may_return: bool
 
 
 class _Returning(NamedTuple):
@@ -99,13 +100,15 @@
             if future in self._changes:
                 self._changes.remove(future)
 
-    async def wait_model(self, job: Any) -> None:
+    async def wait_model(self, job: Any, *, may_return: bool = True) -> None:
         """Wait until an engine holds the job's model.
 
+        A refusal counts as demand if the caller ``may_return`` after it.
+
         Raises:
             ModelUnavailable: If it cannot be loaded before the caller leaves.
         """
-        waiter = self._build_waiter(job)
+        waiter = self._build_waiter(job, may_return=may_return)
         self._check(waiter, job.call.request_id)
         self._waiters.append(waiter)
         self._has_demand.set()
@@ -142,10 +145,10 @@
         """Return whether an engine without a limit can be asked to load a model."""
         return bool(split_by_limit(self._loading_places(service))[0])
 
-    def _build_waiter(self, job: Any) -> _Waiter:
+    def _build_waiter(self, job: Any, *, may_return: bool = True) -> _Waiter:
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         wait = WaitingRequest(job.started, job.route.target_s, job.leaves_at)
-        return _Waiter(job.service, job.call.model, wait, future)
+        return _Waiter(job.service, job.call.model, wait, future, may_return)
 
     def _check(self, waiter: _Waiter, request_id: str) -> None:
         """Refuse at once what no load can serve in time."""
@@ -180,6 +183,14 @@
     def _refuse(self, waiter: _Waiter, ready_s: float) -> ModelUnavailable:
         """Return a refusal; the load goes on, for when the caller comes back."""
         back_s = ready_s + defaults.RETURN_MARGIN_S
+        if waiter.may_return:
+            self._count_refused(waiter, back_s)
+        return ModelUnavailable(
+            "the model is not ready before the caller leaves",
+            retry_after_ms=int(back_s * defaults.MS_PER_S),
+        )
+
+    def _count_refused(self, waiter: _Waiter, back_s: float) -> None:
         returning = self._returning.setdefault(waiter.model, [])
         counts_s = max(back_s, defaults.REFUSED_COUNT_S)
         returning.append(_Returning(waiter.service, _now() + counts_s))
@@ -191,10 +202,6 @@
         )
         self._has_demand.set()
         self._ask(waiter.service, waiter.model)
-        return ModelUnavailable(
-            "the model is not ready before the caller leaves",
-            retry_after_ms=int(back_s * defaults.MS_PER_S),
-        )
 
     def _expected_back(self, model: str) -> int:
         """Return how many refused callers of a model may still come back."""
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -128,6 +128,7 @@
             attempt: Attempt | None = await self._admit(job, attempts, prompt)
             while not await self._answer_plain(attempt, job, sink, attempts, standby):
                 attempt = await standby.take()
+                attempts.second = ""
                 if attempt is None:
                     attempt = await self._admit(job, attempts, prompt)
         finally:
@@ -173,7 +174,7 @@
             attempt.body,
             is_close_delimited=answer.is_close_delimited,
         )
-        await self._keep(attempt, job, standby)
+        await self._keep(attempt, job, attempts, standby)
         if not is_failure:
             await attempt.guard.note_end(
                 answer.is_close_delimited, is_success=answer.is_success
@@ -205,6 +206,7 @@
             attempt: Attempt | None = await self._admit(job, attempts, prompt)
             while not await self._answer_stream(attempt, job, relay, attempts, standby):
                 attempt = await standby.take()
+                attempts.second = ""
                 if attempt is None:
                     attempt = await self._admit(job, attempts, prompt)
         finally:
@@ -344,7 +346,7 @@
             if await relay.forward(answer, batch):
                 progress_at = _now()
                 attempt.guard.note_progress()
-                await self._keep(attempt, job, standby)
+                await self._keep(attempt, job, attempts, standby)
             limit_s = choose_idle_timeout_s(job.route, attempts, job.deadline - _now())
             try:
                 async with standby.watch(
@@ -394,24 +396,35 @@
             Refusal: If none takes the request.
         """
         while True:
-            attempt = await self._admit(job, attempts, prompt)
+            attempts.is_second = True
+            try:
+                attempt = await self._admit(job, attempts, prompt)
+            finally:
+                attempts.is_second = False
+            server = attempt.server
             try:
                 async with attempt.held:
                     if not self._take_budget(job):
                         raise Overloaded("no retry is left")
+                    attempts.second = server.name
                     await self._read_first(attempt, job, attempts, relay)
-                    if attempt.answer.status < defaults.SERVER_ERROR_STATUS:
+                    if attempt.answer.is_success:
                         attempt.held = attempt.held.pop_all()
                         return attempt
-                self._chooser.note_result(attempt.server, False)
-                attempts.note_run(attempt.server.name)
+                attempts.second = ""
+                status = attempt.answer.status
+                self._chooser.note_result(server, status < defaults.SERVER_ERROR_STATUS)
+                attempts.note_run(server.name)
                 if attempts.runs >= job.route.attempts:
-                    raise AnswerBroken(f"status {attempt.answer.status}", began=True)
+                    raise AnswerBroken(f"status {status}", began=True)
             except LimitReached:
+                attempts.second = ""
                 attempts.note_unsent()
             except (NotRunThere, AnswerBroken) as error:
-                self._note_failure(attempt.server, job, error, attempts)
-                if attempts.runs >= job.route.attempts:
+                attempts.second = ""
+                self._note_failure(server, job, error, attempts)
+                is_poison = isinstance(error, AnswerBroken) and error.may_be_poison
+                if is_poison or attempts.runs >= job.route.attempts:
                     raise
 
     async def _read_first(
@@ -439,9 +452,12 @@
         attempt.batches = answer.events()
         attempt.first = await relay.read_first(answer, attempt.batches)
 
-    async def _keep(self, attempt: Attempt, job: Job, standby: Standby) -> None:
+    async def _keep(
+        self, attempt: Attempt, job: Job, attempts: Attempts, standby: Standby
+    ) -> None:
         """Go on with an attempt that is not silent any more."""
         if await standby.drop():
+            attempts.note_second_left()
             events.emit(
                 _logger,
                 events.ATTEMPT_WENT_ON,
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -387,7 +387,7 @@
         if not attempts.may_have_run:
             job.charge.release()
         try:
-            await self._demand.wait_model(job)
+            await self._demand.wait_model(job, may_return=not attempts.is_second)
         finally:
             attempts.waited_s += _now() - began_at
         await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
--- a/src/jasminewharf/services/streamrelay.py
+++ b/src/jasminewharf/services/streamrelay.py
@@ -89,7 +89,8 @@
         Nothing is sent to the caller yet.
 
         Raises:
-            AnswerBroken: If they do not follow those that the caller has.
+            AnswerBroken: If they do not follow those that the caller has, or if there
+                is none.
         """
         self.check(answer)
         position = copy.copy(self.position)
@@ -100,8 +101,7 @@
             first += batch
             if any(position.accept(event) and _has_data(event) for event in batch):
                 return first
-        position.check_end()
-        return first
+        raise AnswerBroken("no new event", began=True)
 
     async def forward(self, answer: UpstreamAnswer, batch: list[StreamEvent]) -> bool:
         """Send events that the caller does not have yet; return if any carries data.
