Risk no last server for answers that were written before an end

Cause: whether a server is up was told by when bytes of it were last read. An answer written before its end may be read after it, so that the last of three servers was risked. And a suspect was refused after 1 s although servers that have ended are back after 1.5 s.

Fix: a server counts as up again with its answer to a request that was sent after its end; a trial goes only to a server that is up; while none may be risked, a suspect waits as long as its caller does.

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -40,6 +40,7 @@
         report_at: Time of that report.
         missing: Models that it refused as not loaded, with the time of refusal.
         heard_at: When the last bytes of an answer were received from it.
+        proved_at: When the last request was sent that it has begun to answer.
         avoided_until: Until when it gets no requests because it stopped answering.
         backpressure: What its answers have asked of this node.
         limit: The request rate that it names for all nodes together.
@@ -67,6 +68,7 @@
         self.report_at = float("-inf")
         self.missing: dict[str, float] = {}
         self.heard_at = float("-inf")
+        self.proved_at = float("-inf")
         self.avoided_until = float("-inf")
         # When the server was last found silent, and when its agent heard it again.
         self._avoided_at = float("-inf")
--- a/src/jasminewharf/services/poisonguard.py
+++ b/src/jasminewharf/services/poisonguard.py
@@ -135,6 +135,10 @@
             self._give_up_at = min(wait_until, self._job.sent_by)
         return self._give_up_at
 
+    def wait_for_server(self) -> None:
+        """Wait as long as the caller does, as a trial would leave no server."""
+        self._give_up_at = max(self.give_up_at, self._job.sent_by)
+
 
 class GuardedAttempt:
     """One send of a request to a server, and the trial that it may need there.
@@ -292,7 +296,9 @@
         if not suspects:
             return Trial(0, ())
         number = next(self._numbers)
-        if self._may_risk_server(job.service.name):
+        up = self._list_up(job.service.name)
+        is_alone = self._count_servers(job.service.name) == 1
+        if is_alone or (len(up) > 1 and server in up):
             slot = self._find_slot(job.service.name, server)
             is_granted = False
             try:
@@ -303,6 +309,8 @@
                     self.end_trial(number)
             if is_granted:
                 return Trial(number, tuple(suspects))
+        elif len(up) <= 1:
+            prompt.wait_for_server()
         if _now() >= prompt.give_up_at:
             judgement = self._table.judge(suspects[0], _now())
             raise self._refuse(job, suspects[0], judgement)
@@ -321,21 +329,21 @@
         now = len(self._directory.in_service(service))
         return max(now, *self._sizes.get(service, (0, 0)))
 
-    def _may_risk_server(self, service: str) -> bool:
-        """Return whether a trial leaves the service a server if it ends one."""
+    def _list_up(self, service: str) -> list[Server]:
+        """Return the servers of a service that take requests and have not ended."""
         now = _now()
-        up = [
+        return [
             server
             for server in self._directory.in_service(service)
             if server.is_open(now) and not self._is_down(server, now)
         ]
-        return len(up) > 1 or self._count_servers(service) == 1
 
     def _is_down(self, server: Server, now: float) -> bool:
         ended = self._find_end(server)
         if ended is None or now - ended.at >= defaults.POISON_DOWN_S:
             return False
-        return server.heard_at <= ended.at
+        # What it had written before may be read later.
+        return server.proved_at <= ended.at
 
     def _find_end(self, server: Server) -> PartEnd | None:
         """Return the last end of a server that has not been listed anew since."""
