Count no refusal of a second server as a failed call

What callers saw: nothing at first; five such refusals (400, 404, 429) would eject a server that works.

Cause: the end of the preparation was raised as a broken answer, which the same function then counted as the server's failure.

Evidence: test_refusal_of_the_second_server_replaces_no_answer now looks at the count of failed calls: 1 before for each status, 0 now (3 of 3); 16 other cases of the second server's failures passed with the change.

--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -416,7 +416,7 @@
                 self._chooser.note_result(server, status < defaults.SERVER_ERROR_STATUS)
                 attempts.note_run(server.name)
                 if attempts.runs >= job.route.attempts:
-                    raise AnswerBroken(f"status {status}", began=True)
+                    raise BackendError(f"status {status}")
             except LimitReached:
                 attempts.second = ""
                 attempts.note_unsent()
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -344,13 +344,19 @@
 
 @pytest.mark.parametrize("status", ["400", "404", "429"])
 def test_refusal_of_the_second_server_replaces_no_answer(tmp_path, status):
-    """A slow server's success was lost to another server's refusal."""
+    """A slow server's success was lost to another server's refusal.
+
+    A refusal that the server gives for good is no failed call either.
+    """
     desks = build_desks(2)
 
     async def scenario(fleet):
         in_order(desks, play(SILENT_S, "200"), play(status))
         answer, _, _ = await time_call(fleet, "/status/1")
         assert answer == 200
+        metrics = fleet.entry_kernels[0].find("process").metrics
+        failed = metrics.counter_value("failed_attempts_total", kind="broken")
+        assert failed == 0
 
     run_with_fleet(scenario, tmp_path, engines=[], desks=desks)
 
