--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -36,7 +36,7 @@
     model: str
     wait: WaitingRequest
     ready: asyncio.Future[None]
-    may_return: bool
+    may_return: bool = True
 
 
 class _Returning(NamedTuple):
