--- a/tests/processfleet.py
+++ b/tests/processfleet.py
@@ -22,7 +22,12 @@
 
 
 class ProcessFleet(Fleet):
-    """A fleet whose daemons are processes of their own."""
+    """A fleet whose daemons are processes of their own.
+
+    ``prelude`` is a statement, with its semicolon, that each runs first.
+    """
+
+    prelude = ""
 
     def __init__(self, base, folder, entries, **parts):
         super().__init__(base, folder, entries, **parts)
@@ -70,7 +75,7 @@
         self.processes[ip] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-c",
-            "from jasminewharf.interfaces.daemon import main; main()",
+            f"{self.prelude}from jasminewharf.interfaces.daemon import main; main()",
             "--settings",
             str(self._commands[ip]),
             stdout=log,
