Bound what a process holds for untrusted clients

Cause: each connection kept its own bytes and nothing bounded their sum; a body took 1.4 times its size in pieces, and 14 MB of a body of 4 MB while its server did not read it (head joined with body, kept by the exchange and again by the transport). Tiny chunks took 15 times the time of large ones in one turn of the event loop. More connections than descriptors left an entry that accepted nobody.

Change: a budget of a quarter of the memory for all requests of a process (decisions/requestbudget.py, services/requestmemory.py), three quarters of it for requests over 64 kB, of which one address and one workspace have three quarters. Those that held most bytes for the longest time are refused first (503 memory_full, event 712, requests_shed_total). Whole requests and answers that are read or left unread count. Bodies are kept in blocks of 64 kB and sent on without a copy; chunks are joined before the parser; a connection parses 64 kB in one turn; connections take half of the descriptors; metrics and readiness take bodies of 64 kB.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -379,6 +379,26 @@
 HTTP_AHEAD_BYTES = 256 * 1024
 HTTP_AHEAD_ROOM_BYTES = 128 * 1024  # Free again before more of them is read.
 HTTP_PARSED_BYTES = 64 * 1024
+# While memory for requests is short; a head of the documented 16 kB fits.
+HTTP_AHEAD_SHORT_BYTES = 32 * 1024
+# A connection parses pieces of HTTP_PARSED_BYTES until it has had so much; then others
+# have a turn. One piece takes 7 ms if its chunks have one byte each.
+HTTP_TURN_BYTES = 32 * 1024
+# Bodies are kept in blocks of one size, which the allocator can use for any other.
+HTTP_BODY_BLOCK_BYTES = 64 * 1024
+# Larger bodies and answers are not joined with their heads, which would copy them.
+HTTP_JOINED_BYTES = 64 * 1024
+# Divisors of the descriptors that a process may open: connections of callers, those
+# beyond them that are told so, and answered ones that wait for their close. The rest is
+# for backend servers, links and files.
+HTTP_CONNECTIONS_PART = 2
+HTTP_REFUSED_PART = 16
+HTTP_LINGERING_PART = 8
+HTTP_DESCRIPTORS_MAX = 65_536
+# Accepted in one turn of the event loop; more could take all descriptors at once.
+HTTP_ACCEPTED_IN_TURN = 32
+SHED_LOG_INTERVAL_S = 1.0
+SHED_RETRY_MS = 1_000
 # How often connections that are not read are looked at for a close.
 HTTP_WATCH_S = 0.02
 # A caller that ended its sending side and takes no byte for so long has left; work for
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -124,6 +124,9 @@
 CONNECTION_UNANSWERED = _define(
     711, logging.INFO, "connection closed with a request unanswered"
 )
+REQUESTS_SHED = _define(
+    712, logging.WARNING, "requests refused for lack of memory for them"
+)
 BATCH_MALFORMED = _define(709, logging.WARNING, "malformed batch dropped")
 CERTIFICATE_CHANGED = _define(705, logging.INFO, "changed certificate taken up")
 CERTIFICATE_REFUSED = _define(706, logging.ERROR, "changed certificate not used")
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -45,6 +45,7 @@
     "LogDivergence",
     "MalformedMessage",
     "MemberChangeRefused",
+    "MemoryFull",
     "MemoryOvercommit",
     "MissingService",
     "ModelUnavailable",
@@ -507,6 +508,13 @@
     kind = "connections_full"
 
 
+class MemoryFull(Refusal):
+    """The process has no memory left for what the request still has to send."""
+
+    status = 503
+    kind = "memory_full"
+
+
 class WorkspaceBusy(Refusal):
     """The workspace has as many connections or requests here as it may."""
 
--- a/src/jasminewharf/interfaces/callers.py
+++ b/src/jasminewharf/interfaces/callers.py
@@ -7,6 +7,8 @@
 import time
 from typing import Any, ClassVar
 
+import h11
+
 from .. import events
 from ..decisions.framing import is_close_delimited
 from ..decisions.keys import match_key, parse_key_id
@@ -127,7 +129,12 @@
         self.address = ""
         self._hash_secret = read_secret(settings.hash_secret_file)
         self._http = HttpServer(
-            self._handle, render_refusal, settings.limits, self._count_rejection
+            self._handle,
+            render_refusal,
+            settings.limits,
+            self._count_rejection,
+            memory=kernel.find("process").request_memory,
+            find_workspace=self._find_workspace,
         )
         self._workspaces = WorkspaceLimits(settings.limits)
         self._http.on_close = self._workspaces.forget
@@ -258,6 +265,14 @@
             raise Unauthorized("the key is not valid")
         return Caller(record.workspace, key_id, key)
 
+    def _find_workspace(self, head: h11.Request) -> str:
+        """Return whose large request is about to be read; empty if that is unknown."""
+        fields = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers]
+        try:
+            return self._authenticate(Request("", "", fields, b"", "")).workspace
+        except Unauthorized:
+            return ""
+
     def _list_models(self, request: Request, responder: Responder) -> None:
         caller = self._authenticate(request)
         names = sorted(
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -5,6 +5,8 @@
 import math
 from typing import ClassVar, NamedTuple
 
+import h11
+
 from .. import defaults, events
 from ..decisions.attempts import Attempts
 from ..decisions.configurations import CallerLimits, Route, WorkspaceSpec
@@ -80,7 +82,13 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._dialect = lookup(CALLER_DIALECTS, kernel.settings.fleet.dialect)
-        self._http = HttpServer(self._handle, self._render, kernel.settings.limits)
+        self._http = HttpServer(
+            self._handle,
+            self._render,
+            kernel.settings.limits,
+            memory=kernel.find("process").request_memory,
+            find_workspace=self._find_workspace,
+        )
         self._metrics = kernel.find("process").metrics
         self.is_draining = False
         self._answer_times = AnswerTimes()
@@ -162,6 +170,21 @@
             self.kernel.settings.limits, table.configuration.limits
         )
 
+    def _find_workspace(self, head: h11.Request) -> str:
+        """Return whose large request is about to be read; empty if that is unknown."""
+        table = self.kernel.find("view").table
+        if table is None:
+            return ""
+        fields = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers]
+        try:
+            call = self._dialect.read_call(
+                head.method.decode("latin-1"), head.target.decode("latin-1"), fields
+            )
+        except Refusal:
+            return ""
+        workspace = table.find_workspace(call.key)
+        return workspace.name if workspace else ""
+
     def _render(self, refusal: Refusal) -> tuple[list[tuple[str, str]], bytes]:
         return render_refusal(refusal, is_fractional=True)
 
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -4,12 +4,16 @@
 import errno
 import os
 import select
+import socket
 import ssl
 from collections.abc import Awaitable, Callable
 
+import h11
+
 from .. import defaults
 from ..exceptions import ListenFailed, Refusal
 from ..services.listening import listen_when_free
+from ..services.requestmemory import RequestMemory, read_memory_bytes
 from ..settings import LimitSettings
 from .httpconnections import Connection
 from .httprequests import Request
@@ -19,6 +23,7 @@
 __all__ = ["HttpServer", "Request", "Responder"]
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
+WorkspaceFinder = Callable[[h11.Request], str]
 ErrorRenderer = Callable[[Refusal], tuple[list[tuple[str, str]], bytes]]
 
 
@@ -33,6 +38,9 @@
         count_rejection: Called for each request that could not be read.
         half_close_s: How long a caller that has ended its sending side is worked for
             without a sign that it still reads.
+        memory: What the process may hold for callers; of its own if it is None.
+        find_workspace: Returns the workspace of a request by its head, empty if it
+            has none; asked for requests that may have large bodies.
 
     Attributes:
         refused: Connections beyond the limit that are being told so.
@@ -47,12 +55,16 @@
         limits: LimitSettings,
         count_rejection: Callable[[Refusal], None] = lambda refusal: None,
         half_close_s: float = defaults.HTTP_HALF_CLOSE_S,
+        memory: RequestMemory | None = None,
+        find_workspace: WorkspaceFinder | None = None,
     ) -> None:
         self.handler = handler
         self.render_error = render_error
         self.limits = limits
         self.count_rejection = count_rejection
         self.half_close_s = half_close_s
+        self.memory = memory or RequestMemory(read_memory_bytes())
+        self.find_workspace = find_workspace
         self.draining = False
         self.refused = 0
         self.chunk = memoryview(bytearray(defaults.HTTP_AHEAD_BYTES))
@@ -72,7 +84,8 @@
     def admit(self, connection: "Connection") -> bool:
         """Return whether one more connection is allowed, and note it."""
         lingering = len(self._lingering & self._connections)
-        if len(self._connections) - lingering >= self.limits.connections:
+        limit = min(self.limits.connections, self.memory.connections)
+        if len(self._connections) - lingering >= limit:
             return False
         self._connections.add(connection)
         return True
@@ -87,7 +100,7 @@
 
         It takes no place of those that callers may have.
         """
-        if len(self._lingering) >= defaults.HTTP_LINGERING_CONNECTIONS:
+        if len(self._lingering) >= self.memory.lingering:
             return False
         self._lingering.add(connection)
         return True
@@ -146,7 +159,7 @@
                 host,
                 port,
                 ssl=tls,
-                backlog=defaults.HTTP_BACKLOG,
+                backlog=defaults.HTTP_ACCEPTED_IN_TURN,
                 reuse_address=True,
                 # A handshake counts as part of the head: slow ones end in time.
                 ssl_handshake_timeout=self.limits.head_timeout_s if tls else None,
@@ -156,6 +169,10 @@
             # asyncio leaves the number out where it skips an address that is not up.
             number = error.errno or errno.EADDRNOTAVAIL
             raise ListenFailed(f"{host}:{port}", reason, number) from error
+        for each in self._server.sockets:
+            # asyncio accepts as many in one turn as may wait to be accepted.
+            with socket.socket(fileno=os.dup(each.fileno())) as listener:
+                listener.listen(defaults.HTTP_BACKLOG)
         name = self._server.sockets[0].getsockname()
         return f"{name[0]}:{name[1]}"
 
--- a/src/jasminewharf/interfaces/httpconnections.py
+++ b/src/jasminewharf/interfaces/httpconnections.py
@@ -14,13 +14,14 @@
     BackendFailed,
     BadRequest,
     CallerLeft,
+    MemoryFull,
     Refusal,
     RequestTimeout,
     TooManyConnections,
 )
 from ..settings import LimitSettings
-from .httpreader import RequestReader
-from .httprequests import Request, classify
+from .httpreader import TURN_ENDED, RequestReader
+from .httprequests import Request, classify, read_length
 from .httpresponses import Responder
 from .httpsilence import SilenceWatch
 from .httptimers import BODY_TIME, HEAD_TIME, IDLE_TIME, Timeout
@@ -48,6 +49,16 @@
 _VERSION_WITHOUT_CHUNKS = b"1.0"
 
 
+class _UnreadAnswer:
+    """What a caller has not read of its answer yet."""
+
+    def __init__(self, connection: "Connection") -> None:
+        self._connection = connection
+
+    def shed(self, reason: str) -> str:
+        return self._connection.shed_answer()
+
+
 class Connection(asyncio.BufferedProtocol):
     """One caller's connection, from its first byte to its close."""
 
@@ -59,6 +70,11 @@
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
         self._peer = ""
+        self._address = ""
+        self._turn: asyncio.Handle | None = None
+        # The body of the request that is served.
+        self._served_bytes = 0
+        self._unread_answer = _UnreadAnswer(self)
         self._reader = RequestReader(self._h11, lambda: self._allowed)
         # What arrives while a request is served waits here, unparsed.
         self._ahead = self._reader.ahead
@@ -135,8 +151,9 @@
         self._transport = transport
         name = transport.get_extra_info("peername")
         self._peer = f"{name[0]}:{name[1]}" if name else ""
+        self._address = name[0] if name else ""
         if not self._server.admit(self):
-            if self._server.refused >= defaults.HTTP_REFUSED_CONNECTIONS:
+            if self._server.refused >= self._server.memory.refused:
                 self._note_closing()
                 transport.abort()
                 return
@@ -164,6 +181,8 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._silence.stop()
+        self._forget_bytes()
+        self._server.memory.release(self._unread_answer)
         self._writable.set()
         self._server.unwatch(self)
         self._server.discard(self)
@@ -226,6 +245,7 @@
 
     def resume_writing(self) -> None:
         """Let answers go on."""
+        self._server.memory.release(self._unread_answer)
         self._writable.set()
 
     async def wait_writable(self) -> None:
@@ -243,7 +263,13 @@
         kept = len(self._ahead)
         if self._task is not None:
             kept += len(self._h11.trailing_data[0])
-        return defaults.HTTP_AHEAD_BYTES - kept
+        return self._ahead_limit - kept
+
+    @property
+    def _ahead_limit(self) -> int:
+        if self._server.memory.is_short:
+            return defaults.HTTP_AHEAD_SHORT_BYTES
+        return defaults.HTTP_AHEAD_BYTES
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where to read to, no more than may be kept."""
@@ -263,8 +289,11 @@
         if is_first:
             self._limits = self._server.limits
             self._timeout.arm(HEAD_TIME)
-        if self._task is None:
+        if self._task is None and self._turn is None:
             self._read_events()
+        self._note_bytes()
+        if self._closing:
+            return
         if self._room_bytes <= 0 and not self._is_paused:
             # Further requests wait in the socket's buffer, not in memory.
             self._transport.pause_reading()
@@ -279,6 +308,9 @@
 
     def eof_received(self) -> bool:
         """Note that the caller sends no more; return whether to keep the socket."""
+        while self._turn is not None:
+            # What has arrived before the end comes first; it has a bound.
+            self._go_on()
         self._is_read_out = True
         if self._task is None or self._closing:
             self._close_read_out()
@@ -339,9 +371,13 @@
         self.close()
 
     def _read_events(self) -> None:
+        self._reader.begin_turn()
         try:
             while self._task is None and not self._closing:
                 item = self._reader.read()
+                if item is TURN_ENDED:
+                    self._turn = self._loop.call_soon(self._go_on)
+                    return
                 if item is None:
                     if self._is_read_out:
                         self._close_read_out()
@@ -352,21 +388,76 @@
         except Refusal as refusal:
             self._reject(refusal)
 
+    def _go_on(self) -> None:
+        """Read on after other connections had their turn."""
+        if self._turn is not None:
+            self._turn.cancel()
+            self._turn = None
+        if self._task is None and not self._closing:
+            self._read_events()
+        self._note_bytes()
+        if not self._closing:
+            self._resume_reading()
+
+    def _note_bytes(self) -> None:
+        """Count what is held; this or another request may be refused for it."""
+        if not self._closing:
+            held = self._served_bytes + self._reader.held_bytes
+            self._server.memory.hold(self, self._address, held)
+
+    def _forget_bytes(self) -> None:
+        if self._turn is not None:
+            self._turn.cancel()
+            self._turn = None
+        self._reader.drop()
+        self._server.memory.release(self)
+
+    def shed(self, reason: str) -> str:
+        """Refuse the request that is being read: its bytes have to be given up."""
+        self._reject(
+            MemoryFull(
+                f"too much is held of requests that are not whole ({reason})",
+                retry_after_ms=defaults.SHED_RETRY_MS,
+            )
+        )
+        return self._peer
+
+    def shed_answer(self) -> str:
+        """Drop the caller of an answer that is left unread."""
+        unsent = self._transport.get_write_buffer_size()
+        events.emit(_logger, events.CALLER_NOT_READING, peer=self._peer, unsent=unsent)
+        self._reset()
+        return self._peer
+
     def _take(self, item: Any) -> None:
         if isinstance(item, h11.Request):
             self._timeout.arm(BODY_TIME)
             self._reader.check_head()
+            self._name_workspace(item)
             if self._h11.they_are_waiting_for_100_continue:
                 self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
         elif isinstance(item, h11.EndOfMessage):
             self._timeout.disarm()
             request = self._reader.take_request(self._peer)
+            memory = self._server.memory
+            self._served_bytes = len(request.body)
+            memory.complete(self)
             # What follows is another request.
             self._limits = self._server.limits
             self._task = asyncio.create_task(self._serve(request))
         elif isinstance(item, h11.ConnectionClosed):
             self.close()
 
+    def _name_workspace(self, head: h11.Request) -> None:
+        if self._server.find_workspace is None:
+            return
+        length = read_length(head)
+        has_chunks = any(name == b"transfer-encoding" for name, _ in head.headers)
+        if has_chunks or length > defaults.HTTP_JOINED_BYTES:
+            workspace = self._server.find_workspace(head)
+            self._server.memory.hold(self, self._address, self._reader.held_bytes)
+            self._server.memory.name_workspace(self, workspace)
+
     async def _serve(self, request: Request) -> None:
         responder = Responder(self)
         try:
@@ -418,6 +509,7 @@
             Responder(self).respond(refusal.status, headers, body)
         self._timeout.cancel()
         self._linger()
+        self._forget_bytes()
 
     def _linger(self) -> None:
         """Close after a while in which what the caller still sends is dropped.
@@ -463,7 +555,8 @@
         return not self._transport.get_write_buffer_size()
 
     def _resume_reading(self) -> None:
-        if self._is_paused and self._room_bytes >= defaults.HTTP_AHEAD_ROOM_BYTES:
+        least = min(defaults.HTTP_AHEAD_ROOM_BYTES, self._ahead_limit // 2)
+        if self._is_paused and self._room_bytes >= least:
             self._is_paused = False
             if not self._is_half_closed:
                 self._server.unwatch(self)
@@ -481,6 +574,8 @@
 
     def _end_cycle(self, responder: Responder) -> None:
         self._task = None
+        self._served_bytes = 0
+        self._server.memory.release(self)
         self._has_served = True
         if self._transport is None or self._transport.is_closing():
             return
@@ -510,6 +605,7 @@
             self._unsent = 0
             self._timeout.arm(IDLE_TIME)
         self._read_events()
+        self._note_bytes()
         self._resume_reading()
 
     def hold(self) -> None:
@@ -519,8 +615,11 @@
     def release(self) -> None:
         """Write what was kept."""
         held, self._held = self._held, None
-        if held:
+        if held and sum(map(len, held)) <= defaults.HTTP_JOINED_BYTES:
             self._write(b"".join(held))
+        else:
+            for part in held or ():
+                self._write(part)
 
     def _write(self, data: bytes) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -528,6 +627,9 @@
         if self._is_half_closed:
             self._silence.note_written(len(data))
         self._transport.write(data)
+        unsent = self._transport.get_write_buffer_size()
+        if unsent > defaults.HTTP_JOINED_BYTES:
+            self._server.memory.hold(self._unread_answer, self._address, unsent)
 
     def send_head(
         self,
--- a/src/jasminewharf/interfaces/operatorhttp.py
+++ b/src/jasminewharf/interfaces/operatorhttp.py
@@ -31,13 +31,18 @@
     """Takes and returns configurations in the platform's dialect."""
 
     name: ClassVar[str] = "operator-http"
-    requires: ClassVar[tuple[str, ...]] = ("configurations",)
+    requires: ClassVar[tuple[str, ...]] = ("process", "configurations")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._dialect = lookup(OPERATOR_DIALECTS, kernel.settings.fleet.dialect)
         limits = LimitSettings(body_bytes=_BODY_LIMIT_BYTES)
-        self._http = HttpServer(self._handle, render_refusal, limits)
+        self._http = HttpServer(
+            self._handle,
+            render_refusal,
+            limits,
+            memory=kernel.find("process").request_memory,
+        )
         self._is_draining = False
 
     async def start(self) -> None:
--- a/src/jasminewharf/interfaces/probes.py
+++ b/src/jasminewharf/interfaces/probes.py
@@ -3,22 +3,38 @@
 from typing import Any, ClassVar
 
 from ..kernel import Kernel, Service
-from ..settings import split_address
+from ..settings import LimitSettings, split_address
 from .http import HttpServer, Request, Responder
 from .refusals import render_refusal
 
 __all__ = ["MetricsHttp", "Readiness"]
 
+# Nobody needs a body to ask these questions, nor many connections.
+_BODY_BYTES = 64 * 1024
+_CONNECTIONS = 64
+
+
+def _limit(limits: LimitSettings) -> LimitSettings:
+    return limits._replace(
+        body_bytes=min(limits.body_bytes, _BODY_BYTES),
+        connections=min(limits.connections, _CONNECTIONS),
+    )
+
 
 class Readiness(Service):
     """Tells the balancer whether this entry takes new connections."""
 
     name: ClassVar[str] = "readiness"
-    requires: ClassVar[tuple[str, ...]] = ("gateway",)
+    requires: ClassVar[tuple[str, ...]] = ("process", "gateway")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self._http = HttpServer(self._handle, render_refusal, kernel.settings.limits)
+        self._http = HttpServer(
+            self._handle,
+            render_refusal,
+            _limit(kernel.settings.limits),
+            memory=kernel.find("process").request_memory,
+        )
 
     async def start(self) -> None:
         """Listen for the balancer."""
@@ -47,7 +63,12 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self._http = HttpServer(self._handle, render_refusal, kernel.settings.limits)
+        self._http = HttpServer(
+            self._handle,
+            render_refusal,
+            _limit(kernel.settings.limits),
+            memory=kernel.find("process").request_memory,
+        )
 
     async def start(self) -> None:
         """Listen for scrapes."""
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -8,7 +8,7 @@
 import select
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple, Protocol
 
 import h11
@@ -74,6 +74,9 @@
         self._unread_bytes = 0
         self._is_paused = False
         self._events_in_turn = 0
+        # Of the request's body, what the transport has not been given.
+        self._unsent = memoryview(b"")
+        self._is_full = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -99,6 +102,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._is_lost = True
+        self._unsent = memoryview(b"")
         self._error = error
         self._wake()
 
@@ -196,10 +200,36 @@
         self.idle_since = asyncio.get_running_loop().time()
         self._resume_reading()
 
-    def write(self, data: bytes) -> None:
+    def send(self, request: h11.Request, body: bytes) -> None:
+        """Send a request; most of a large body waits here, not in a copy.
+
+        Raises:
+            OSError: If the connection was lost.
+        """
         if self._is_lost or self._transport.is_closing():
             raise ConnectionResetError("the connection was lost")
-        self._transport.write(data)
+        head = self.h11.send(request)
+        if body:
+            # A body with a length is sent as it is.
+            self.h11.send(h11.Data(data=body))
+        self.h11.send(h11.EndOfMessage())
+        first = defaults.HTTP_JOINED_BYTES
+        self._unsent = memoryview(body)[first:]
+        self._transport.write(head + body[:first])
+        self._write_on()
+
+    def pause_writing(self) -> None:
+        self._is_full = True
+
+    def resume_writing(self) -> None:
+        self._is_full = False
+        self._write_on()
+
+    def _write_on(self) -> None:
+        while self._unsent and not self._is_full and self.is_open:
+            part = self._unsent[: defaults.HTTP_JOINED_BYTES]
+            self._unsent = self._unsent[len(part) :]
+            self._transport.write(part)
 
     @property
     def is_open(self) -> bool:
@@ -208,7 +238,7 @@
     @property
     def is_clean(self) -> bool:
         """Whether all was sent and nothing follows the answer."""
-        has_unsent = self._transport.get_write_buffer_size() > 0
+        has_unsent = self._unsent or self._transport.get_write_buffer_size() > 0
         return self.is_open and not has_unsent and not self.unread
 
     @property
@@ -339,9 +369,17 @@
         finally:
             self.close()
 
-    async def read(self, limit_bytes: int = defaults.HTTP_ANSWER_LIMIT_BYTES) -> bytes:
+    async def read(
+        self,
+        limit_bytes: int = defaults.HTTP_ANSWER_LIMIT_BYTES,
+        on_read: Callable[[int], Awaitable[None]] | None = None,
+    ) -> bytes:
         """Return the whole body.
 
+        Args:
+            limit_bytes: What it may have.
+            on_read: Awaited with the bytes read so far before more are read.
+
         Raises:
             BackendError: If the body ends early or does not end within the limit; the
                 connection is closed then.
@@ -352,6 +390,8 @@
             if len(body) > limit_bytes:
                 self.close()
                 raise BackendError(f"the answer is larger than {limit_bytes} bytes")
+            if on_read is not None:
+                await on_read(len(body))
         return bytes(body)
 
     def close(self) -> None:
@@ -591,12 +631,8 @@
             request = h11.Request(
                 method=sending.method, target=sending.target, headers=fields
             )
-            data = wire.h11.send(request)
-            if body:
-                data += wire.h11.send(h11.Data(data=body))
-            data += wire.h11.send(h11.EndOfMessage())
             wire.begin(sending.identity)
-            wire.write(data)
+            wire.send(request, body)
             return await self._read_response(wire, sending)
         except (OSError, h11.ProtocolError) as error:
             wire.close()
--- a/src/jasminewharf/services/process.py
+++ b/src/jasminewharf/services/process.py
@@ -9,6 +9,7 @@
 from ..kernel import Kernel, Service
 from ..metrics import Metrics
 from .link import Identity, LinkClient
+from .requestmemory import RequestMemory, read_memory_bytes
 from .security import LinkSecurity
 
 __all__ = ["Process"]
@@ -22,6 +23,7 @@
         context: The ZeroMQ context; closed after all other services.
         metrics: The metrics that ``/metrics`` and ``status`` show.
         random: The random source handed to decisions.
+        request_memory: What all HTTP servers of the process may hold together.
         security: Keys of internal links; None if the settings name none.
     """
 
@@ -36,6 +38,7 @@
         self.context = zmq.Context()
         self.metrics = Metrics()
         self.random = random.Random()
+        self.request_memory = RequestMemory(read_memory_bytes(settings), self.metrics)
         self.security: LinkSecurity | None = None
 
     async def start(self) -> None:
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -22,6 +22,7 @@
 from ..registry import lookup
 from .client import ClientResponse, HttpClient, RequestIdentity
 from .permits import Permit
+from .requestmemory import AnswerMemory
 
 __all__ = ["UpstreamRequest", "Upstream", "UpstreamAnswer"]
 
@@ -65,8 +66,9 @@
         media_type: The body's type in lower case; empty if not told.
     """
 
-    def __init__(self, response: ClientResponse) -> None:
+    def __init__(self, response: ClientResponse, memory: AnswerMemory) -> None:
         self._response = response
+        self._memory = memory
         self.status = response.status
         self.headers = [(k, v) for k, v in response.headers if k not in _NOT_KEPT]
         self.is_close_delimited = response.is_close_delimited
@@ -90,9 +92,11 @@
             AnswerBroken: If it ended early.
         """
         try:
-            return await self._response.read()
+            return await self._response.read(on_read=self._memory.grow)
         except BackendError as error:
             raise AnswerBroken(str(error), began=True) from error
+        finally:
+            self._memory.end()
 
     async def events(self) -> AsyncIterator[list[StreamEvent]]:
         """Yield the stream's events as they arrive.
@@ -141,6 +145,7 @@
         self._dialect = lookup(CALLER_DIALECTS, kernel.settings.fleet.dialect)
         self._clients: dict[str, HttpClient] = {}
         self._metrics = kernel.find("process").metrics
+        self._memory = kernel.find("process").request_memory
 
     async def start(self) -> None:
         """Start to close connections to servers that have left the list."""
@@ -198,7 +203,7 @@
             raise
         if response.is_close_delimited:
             self._metrics.count("close_delimited_answers_total")
-        return UpstreamAnswer(response)
+        return UpstreamAnswer(response, self._memory.begin_answer())
 
     async def _check(
         self,
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -242,6 +242,11 @@
 
     ``listen`` is the address for callers on an entry and for internal links on an
     agent; a control host listens where its line in ``control`` says.
+
+    ``memory_mb`` is the memory of an agent's engines, and on other processes the
+    memory that they may use; 0 for that of the machine. A quarter of it, at least 32
+    MB, is what requests may hold that a process reads or serves; half of the file
+    descriptors that it may open is what connections of callers take.
     """
 
     node: NodeName
