Accept further values in a request's token counts

A third value in the header made a proper request a bad one (400). The first two values are read. Tests add fields to reports, lists, configurations and heads of answers as well: those were readable before.

--- a/src/jasminewharf/platform/callers.py
+++ b/src/jasminewharf/platform/callers.py
@@ -79,8 +79,8 @@
         if len(fields) < len(headers):
             _check_single(headers)
         model, _, adapter = fields.get("x-model", "").partition("/")
-        # Prompt tokens and the largest number of output tokens.
-        prompt, _, output = fields.get("x-token-counts", "").partition(",")
+        # Prompt tokens and the largest number of output tokens; more may follow.
+        prompt, output, *_ = [*fields.get("x-token-counts", "").split(",", 2), ""]
         try:
             return CallHead(
                 fields.get(_ID, ""),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -235,6 +235,13 @@
         CALLERS.read_call("GET", "/", [("x-token-counts", counts)])
 
 
+@pytest.mark.parametrize("counts", ["1460,80", "1460,80,7", "1460,80,x,y", "1460,80,"])
+def test_token_counts_may_have_further_values(counts):
+    """A value that is added to the header must not make a good request a bad one."""
+    head = CALLERS.read_call("GET", "/", [("x-token-counts", counts)])
+    assert (head.prompt_tokens, head.output_tokens) == (1460, 80)
+
+
 def test_key_and_system_headers_are_not_passed_on():
     """A backend server must never see a key, nor a workspace that a caller claims."""
     headers = [
@@ -428,3 +435,29 @@
     body = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
     with pytest.raises(BackendError):
         read(200, body)
+
+
+_LATER_FIELD = {"later": {"nested": [1, None]}}
+
+
+def test_messages_with_further_fields_are_read():
+    """A field of a later release must not make a report, list or call unreadable."""
+    model = {"name": "m0", "version": 1, "adapters": [], **_LATER_FIELD}
+    report = {"busy": False, "seq": 1, "models": [model], "atHand": _LATER_FIELD}
+    status = ENGINES.read_status(200, json.dumps({**report, **_LATER_FIELD}).encode())
+    assert [held.model for held in status.models] == ["m0"]
+    entry = {
+        "id": "i-1",
+        "service": "llm",
+        "address": "10.0.0.1:80",
+        "state": "ready",
+        "models": [model],
+        **_LATER_FIELD,
+    }
+    page = {"instances": [entry], "nextToken": None, **_LATER_FIELD}
+    read = SERVERS.read_page(200, json.dumps(page).encode())
+    assert [server.server for server in read.servers] == ["i-1"]
+    route = json.loads(build_body())["routes"][0]
+    configuration = read_configuration(build_body(routes=[{**route, **_LATER_FIELD}]))
+    assert len(configuration.routes) == 1
+    assert CALLERS.read_answer(200, [("x-later", "1")]).running == -1
