Take an engine with an overdue order as busy, and wait for a store owner

Cause: in the second in which the leader was lost, five engines found no owner of the store and all began a load. The store serves 2 at full speed, and each load took 27 to 31 s in place of 7.8 s. An agent tells when an order should end, entries count that time down to 0, and after 8 s all entries took the loading engines for free ones with the models on disk. They asked only these, while other engines with a copy were idle.

Now an overdue order is expected to take as long again as it is late, the estimate of a load from the store counts the loads beside it, and an engine without an owner waits for 4 to 8 s, longer than an election and a takeover, each engine for another time.

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -74,6 +74,8 @@
         self._avoided_at = float("-inf")
         self._found_at = float("-inf")
         self._busy_since = float("-inf")
+        # When the engine's order in progress was first expected to end.
+        self._order_due_at = float("inf")
 
     @property
     def name(self) -> str:
@@ -147,6 +149,9 @@
         """
         if report.is_reachable and self.report and not self.report.is_reachable:
             self._found_at = at
+        due_at = at + report.ready_ms / defaults.MS_PER_S
+        if not self.report or _name_order(report) != _name_order(self.report):
+            self._order_due_at = due_at
         self.report = report
         self.report_at = at
 
@@ -170,11 +175,19 @@
                 self.in_flight_by_model.pop(name, None)
 
     def busy_s(self, now: float) -> float:
-        """Return the seconds until the engine accepts its next load order."""
+        """Return the seconds until the engine accepts its next load order.
+
+        An order that is overdue is expected to take as long again as it is late. A load
+        from an overloaded store takes several times its usual time, and other engines
+        can load a model meanwhile.
+        """
         if self.report is None:
             return 0.0
         told_s = self.report.ready_ms / defaults.MS_PER_S
-        return max(told_s - (now - self.report_at), 0.0)
+        left_s = max(told_s - (now - self.report_at), 0.0)
+        if not self.report.changing:
+            return left_s
+        return max(left_s, now - self._order_due_at)
 
     def holds(self, model: str, now: float, fresh_s: float) -> bool:
         """Return whether the server has a model loaded and may get requests for it."""
@@ -206,6 +219,11 @@
         return self.report.models if self.report is not None else self.listed.models
 
 
+def _name_order(report: EngineReport) -> tuple[int, str, bool]:
+    """Return what identifies the engine's order in progress."""
+    return report.born_ms, report.changing, report.is_loading
+
+
 def _use_names(model: str, adapter: str) -> tuple[str, ...]:
     if not model:
         return ()
--- a/src/jasminewharf/decisions/serverselection.py
+++ b/src/jasminewharf/decisions/serverselection.py
@@ -9,7 +9,7 @@
 from .configurations import EngineSpec, ModelSpec
 from .copies import count_copies, is_fetching, list_evicted_copies, list_sizes
 from .directory import Server
-from .storequeue import DEFAULT_STORE_CONCURRENCY
+from .storequeue import estimate_slowdown
 
 __all__ = [
     "LoadPlacement",
@@ -183,8 +183,8 @@
     fetching = sum(is_fetching(s.report) for s in reachable if s.report)
     # Each load slows down when more run than the store serves at full speed.
     told = max((s.report.store_at_once for s in reachable if s.report), default=0)
-    stretch = max((fetching + 1) / (told or DEFAULT_STORE_CONCURRENCY), 1.0)
-    slowed = model._replace(remote_s=model.remote_s * stretch)
+    slowdown = estimate_slowdown(fetching, told)
+    slowed = model._replace(remote_s=model.remote_s * slowdown)
     models = {spec.name: spec for spec in engine.models}
     fleet = _ServiceContext(engine, models, list_sizes(engine), copies)
     places = [_estimate_placement(s, fleet, slowed, waiting, now) for s in reachable]
--- a/src/jasminewharf/decisions/storequeue.py
+++ b/src/jasminewharf/decisions/storequeue.py
@@ -7,12 +7,16 @@
 
 from typing import NamedTuple
 
+import xxhash
+
 from ..exceptions import ImplausibleDemand
 
 __all__ = [
     "DEFAULT_STORE_CONCURRENCY",
     "StoreQueue",
     "SlotAnswer",
+    "allows_unowned_load",
+    "estimate_slowdown",
     "estimate_store_concurrency",
 ]
 
@@ -33,6 +37,14 @@
 _TELLING_PART = 0.7
 # Time without increases of the limit after a decrease.
 _RAISE_PAUSE_S = 20.0
+# How long an engine waits for an owner before it loads without one. It exceeds an
+# election and the new owner's takeover: engines that all load at once make each load
+# take several times as long, and take no other order meanwhile.
+_UNOWNED_WAIT_S = 4.0
+# The wait is longer by a part of this that differs between engines, so that each sees
+# the loads that others have begun.
+_UNOWNED_SPREAD_S = 4.0
+_HASH_RANGE = 1 << 64
 # Slow loads that decrease the limit; a single one may be due to a slow engine.
 _SLOWED_LOADS = 2
 
@@ -246,6 +258,27 @@
             self.at_once = min(self.at_once + 1, _AT_ONCE_LIMIT)
 
 
+def allows_unowned_load(engine: str, silent_s: float) -> bool:
+    """Return whether an engine may load from the store without an owner.
+
+    Args:
+        engine: The engine's address.
+        silent_s: Seconds since the owner was first asked without an answer.
+    """
+    part = xxhash.xxh64_intdigest(engine.encode()) / _HASH_RANGE
+    return silent_s >= _UNOWNED_WAIT_S + part * _UNOWNED_SPREAD_S
+
+
+def estimate_slowdown(others: int, at_once: int) -> float:
+    """Return the time of a load from the store relative to one without others.
+
+    Args:
+        others: Loads from the store in progress on other engines.
+        at_once: Loads that the store serves at full speed; 0 if unknown.
+    """
+    return max((others + 1) / (at_once or DEFAULT_STORE_CONCURRENCY), 1.0)
+
+
 def estimate_store_concurrency(
     seconds: dict[int, float], beside: int, alone_s: float
 ) -> int:
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -480,6 +480,8 @@
             load_s = defaults.ENGINE_BUSY_UNLOAD_S
         if intent.loads and spec is not None:
             load_s = spec.load_s(status.in_memory, status.on_disk)
+        if intent.loads and intent.fetches:
+            load_s *= self._store.estimate_slowdown(self._find_copies().store_loads)
         self._change_ends = _now() + load_s
         self._publish_report()
         if not intent.loads:
--- a/src/jasminewharf/services/storeslots.py
+++ b/src/jasminewharf/services/storeslots.py
@@ -6,7 +6,11 @@
 from typing import ClassVar
 
 from .. import defaults, events
-from ..decisions.storequeue import StoreQueue
+from ..decisions.storequeue import (
+    StoreQueue,
+    allows_unowned_load,
+    estimate_slowdown,
+)
 from ..exceptions import (
     ConsensusError,
     Forbidden,
@@ -134,6 +138,8 @@
         # Whether the owner may still count a request of this engine.
         self._is_queued = False
         self._silent_until = float("-inf")
+        # When the first request without an answer was sent, after the last answer.
+        self._silent_since = float("inf")
         self._metrics = kernel.find("process").metrics
 
     @property
@@ -149,8 +155,8 @@
     async def request_slot(self, model: str, weight: float, load_s: float) -> bool:
         """Return whether the engine may load a model from the store now.
 
-        If no owner is reachable, the load is allowed; the caller has then already taken
-        the loads of other engines into account.
+        If no owner has been reachable for some time, the load is allowed; the caller
+        has then already taken the loads of other engines into account.
         """
         if self._model == model:
             return True
@@ -162,6 +168,10 @@
                 self._is_queued = not answer.is_granted
                 if not answer.is_granted:
                     return False
+        if not self.has_owner:
+            silent_s = _now() - self._silent_since
+            if not allows_unowned_load(self._address, silent_s):
+                return False
         self._model = model
         self._granted_at = self._held_at = _now()
         return True
@@ -171,18 +181,26 @@
     ) -> StoreTurn | None:
         load_ms = int(load_s * defaults.MS_PER_S)
         request = AskStore(self._address, model, weight, load_ms, self.at_once)
+        asked_at = _now()
         try:
-            return await self._kernel.find("controllers").request_repeatable(
+            answer = await self._kernel.find("controllers").request_repeatable(
                 FLEET_GROUP,
                 request,
                 defaults.STORE_ASK_TIMEOUT_S,
                 defaults.CONTROL_QUICK_ATTEMPT_S,
             )
         except (ConsensusError, LinkError) as error:
+            self._silent_since = min(self._silent_since, asked_at)
             self._silent_until = _now() + defaults.STORE_SILENT_S
             self._metrics.count("store_owner_silent_total")
             events.emit(_logger, events.STORE_OWNER_SILENT, model=model, error=error)
             return None
+        self._silent_since = float("inf")
+        return answer
+
+    def estimate_slowdown(self, others: int) -> float:
+        """Return by how much a load takes longer beside ``others`` from the store."""
+        return estimate_slowdown(others, self.at_once)
 
     def note_loading(self) -> None:
         """Tell the owner that the load starts now."""
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -106,6 +106,27 @@
     assert server.report.ready_ms == 0
 
 
+def test_overdue_order_does_not_look_finished():
+    """Guards against callers that wait at an engine for the end of a slow load.
+
+    A load from an overloaded store took 31 s in place of 8 s. All entries took the
+    engine as free meanwhile, although others had the models that they asked it for.
+    """
+    directory = build_directory(build_listed())
+    loading = build_report(changing="m1", is_loading=True, ready_ms=8_000, number=1)
+    directory.take_report(loading, 0.0)
+    server = directory.servers["i-1"]
+    assert server.busy_s(2.0) == 6.0
+    assert server.busy_s(8.0) == 0.0
+    assert server.busy_s(20.0) == 12.0
+    again = loading._replace(ready_ms=10, number=2, wanted=[("m2", 1.0)])
+    directory.take_report(again, 20.0)
+    assert server.busy_s(24.0) == 16.0
+    done = build_report(models=["m1"], number=3)
+    directory.take_report(done, 31.0)
+    assert server.busy_s(31.5) == 0.0
+
+
 def test_silence_counts_only_with_requests_in_flight():
     """An idle server sends nothing and is not silent."""
     directory = build_directory(build_listed())
--- a/tests/test_serverselection.py
+++ b/tests/test_serverselection.py
@@ -236,3 +236,14 @@
     source = random.Random(1)
     first = [order_by_limit([low, high], source.random)[0] for _ in range(4_000)]
     assert 0.72 <= first.count(high) / len(first) <= 0.78
+
+
+def test_load_goes_past_an_engine_with_an_overdue_order():
+    """Case: two engines have a model on disk, one of them in a slow load."""
+    slow, free = servers_with([], count=2, on_disk=["m5"])
+    slow.note_report(
+        slow.report._replace(changing="m6", is_loading=True, ready_ms=1_000), NOW - 9
+    )
+    free.report = free.report._replace(room_cost=0.5)
+    model = build_model("m5")
+    assert choose_load_placement([slow, free], ENGINE, model, ONE, NOW).server is free
--- a/tests/test_storeslots.py
+++ b/tests/test_storeslots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from jasminewharf.exceptions import LinkTimeout
 from jasminewharf.messages.servers import ReleaseStore, StoreTurn
 from jasminewharf.services.storeslots import StoreSlotClient
 
@@ -73,3 +74,33 @@
         assert owner.count_releases() == 0
 
     asyncio.run(check())
+
+
+def test_silent_owner_does_not_start_the_loads_of_all_engines(monkeypatch):
+    """Guards against loads that all begin in the second that an election takes.
+
+    The store serves them to the end beside each other, so that each one occupies its
+    engine for several times its usual time.
+    """
+
+    class SilentOwner(FakeOwner):
+        async def request_repeatable(self, group, request, *timeouts):
+            raise LinkTimeout("no owner")
+
+        def count(self, name):
+            pass
+
+    async def check():
+        clock = [0.0]
+        monkeypatch.setattr("jasminewharf.services.storeslots._now", lambda: clock[0])
+        owner = SilentOwner(is_granted=False)
+        owner.metrics = owner
+        engines = [StoreSlotClient(owner, f"10.0.0.{n}:80") for n in range(20)]
+        begun = []
+        for clock[0] in (100.0, 102.5, 103.9, 104.5, 106.0, 108.1):
+            allowed = [await e.request_slot("m0", 1.0, 6.0) for e in engines]
+            begun.append(sum(allowed))
+        assert begun[:3] == [0, 0, 0]
+        assert 0 < begun[3] < begun[4] < begun[5] == len(engines)
+
+    asyncio.run(check())
