--- a/src/jasminewharf/services/poisonowner.py
+++ b/src/jasminewharf/services/poisonowner.py
@@ -24,7 +24,8 @@
 
 __all__ = ["PoisonOwner"]
 
-_SENDERS = frozenset({"entry", "control"})
+_ENTRY_ROLE = "entry"
+_SENDERS = frozenset({_ENTRY_ROLE, "control"})
 
 
 class PoisonOwner(Service):
@@ -67,7 +68,9 @@
             self._has_news.set()
 
     def _greet(self, peer: Peer) -> None:
-        """Tell a node that begins to follow this host of all parts."""
+        """Tell an entry that begins to follow this host of all parts."""
+        if not _is_entry(peer):
+            return
         if reports := self._build(set(self._table.parts())):
             peer.send(PartReports(reports))
 
@@ -93,7 +96,8 @@
                 # The nodes repeat what they know.
                 self._metrics.count("part_reports_unsent_total")
         encoded = Preencoded(message)
-        for peer in self.kernel.find("relay").followers():
+        # Agents follow too; they have no use for the reports and cannot read them.
+        for peer in filter(_is_entry, self.kernel.find("relay").followers()):
             peer.send(encoded)
 
     async def _tidy_forever(self) -> None:
@@ -106,7 +110,7 @@
         log = self.kernel.find("log")
         if not log.is_leader(FLEET_GROUP):
             raise NotLeader(FLEET_GROUP, log.leader(FLEET_GROUP))
-        if peer.hello is None or peer.hello.role != "entry":
+        if not _is_entry(peer):
             raise Forbidden("only an entry may ask for a trial")
         holder = peer.hello.incarnation, message.number
         parts = message.parts[: defaults.POISON_TRIAL_IDENTITIES]
@@ -120,5 +124,9 @@
             self._trials.end((peer.hello.incarnation, message.number))
 
 
+def _is_entry(peer: Peer) -> bool:
+    return peer.hello is not None and peer.hello.role == _ENTRY_ROLE
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
