Replace copies of leaving engines early, and load without a store owner sooner

Two engines held the model asked for most and were replaced within a second. Their copies counted until they were gone, so that its fetch began 3 s later than it could. Copies of leaving engines no longer count (new test, failed before).

An engine without an owner of the store waited for 4 to 8 s since; callers with less patience were refused although nothing else was loaded (test_fleet_path store_has_no_owner failed). It now waits for 2.5 s for each load that runs on others, and up to 1 s more.

--- a/src/jasminewharf/decisions/copies.py
+++ b/src/jasminewharf/decisions/copies.py
@@ -5,8 +5,10 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from .. import defaults
 from ..messages.servers import EngineReport
 from .configurations import EngineSpec
+from .directory import Server
 
 __all__ = [
     "FleetCopies",
@@ -15,6 +17,7 @@
     "list_evicted_copies",
     "gather_copies",
     "is_fetching",
+    "list_other_reports",
     "list_sizes",
     "refresh_loads",
 ]
@@ -87,6 +90,30 @@
         return lost
 
 
+def list_other_reports(
+    servers: Iterable[Server], own: str, now: float
+) -> list[EngineReport]:
+    """Return the reports of the other engines whose copies can be used.
+
+    An engine that is leaving takes its copies along: they are replaced while it still
+    serves, as a load from the store takes longer than it stays.
+
+    Args:
+        servers: All servers.
+        own: The address of this engine.
+        now: Monotonic seconds.
+    """
+    return [
+        server.report
+        for server in servers
+        if server.report is not None
+        and server.report.is_reachable
+        and not server.is_leaving
+        and now - server.report_at <= defaults.AGENT_FRESH_S
+        and server.listed.address != own
+    ]
+
+
 def gather_copies(
     reports: Sequence[EngineReport], own: str, is_complete: bool
 ) -> FleetCopies:
--- a/src/jasminewharf/decisions/storequeue.py
+++ b/src/jasminewharf/decisions/storequeue.py
@@ -37,13 +37,13 @@
 _TELLING_PART = 0.7
 # Time without increases of the limit after a decrease.
 _RAISE_PAUSE_S = 20.0
-# How long an engine waits for an owner before it loads without one. It exceeds an
-# election and the new owner's takeover: engines that all load at once make each load
-# take several times as long, and take no other order meanwhile.
-_UNOWNED_WAIT_S = 4.0
-# The wait is longer by a part of this that differs between engines, so that each sees
-# the loads that others have begun.
-_UNOWNED_SPREAD_S = 4.0
+# How long an engine waits for an owner for each load that runs on others, before it
+# loads without one. It exceeds an election and the new owner's takeover: engines that
+# all load at once make each load take several times as long, and take no other order.
+_UNOWNED_WAIT_S = 2.5
+# The wait differs between engines by up to this, so that each sees the loads that
+# others have begun.
+_UNOWNED_SPREAD_S = 1.0
 _HASH_RANGE = 1 << 64
 # Slow loads that decrease the limit; a single one may be due to a slow engine.
 _SLOWED_LOADS = 2
@@ -258,15 +258,16 @@
             self.at_once = min(self.at_once + 1, _AT_ONCE_LIMIT)
 
 
-def allows_unowned_load(engine: str, silent_s: float) -> bool:
+def allows_unowned_load(engine: str, others: int, silent_s: float) -> bool:
     """Return whether an engine may load from the store without an owner.
 
     Args:
         engine: The engine's address.
+        others: Loads from the store in progress on other engines.
         silent_s: Seconds since the owner was first asked without an answer.
     """
     part = xxhash.xxh64_intdigest(engine.encode()) / _HASH_RANGE
-    return silent_s >= _UNOWNED_WAIT_S + part * _UNOWNED_SPREAD_S
+    return silent_s >= others * _UNOWNED_WAIT_S + part * _UNOWNED_SPREAD_S
 
 
 def estimate_slowdown(others: int, at_once: int) -> float:
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -7,7 +7,13 @@
 
 from .. import defaults, events
 from ..decisions.backpressure import ServerBackpressure, ServerIncarnation
-from ..decisions.copies import FleetCopies, LostCopies, gather_copies, refresh_loads
+from ..decisions.copies import (
+    FleetCopies,
+    LostCopies,
+    gather_copies,
+    list_other_reports,
+    refresh_loads,
+)
 from ..decisions.residency import Intent, Residency
 from ..decisions.routes import RouteTable
 from ..decisions.serverlimits import ServerLimit
@@ -447,7 +453,10 @@
     async def _acquire_store_slot(self, intent: Intent) -> bool:
         spec = self._residency.model(intent.fetches)
         load_s = spec.remote_s if spec is not None else 0.0
-        return await self._store.request_slot(intent.fetches, intent.weight, load_s)
+        others = self._find_copies().store_loads
+        return await self._store.request_slot(
+            intent.fetches, intent.weight, load_s, others
+        )
 
     def _log_held_back(self, status: EngineStatus, copies: FleetCopies) -> None:
         """Log why a wanted model is not loaded, whenever the reason changes."""
@@ -574,15 +583,8 @@
         return copies._replace(has_owner=self._store.has_owner)
 
     def _list_other_reports(self) -> list[EngineReport]:
-        now = _now()
-        return [
-            server.report
-            for server in self.kernel.find("directory").directory.servers.values()
-            if server.report is not None
-            and server.report.is_reachable
-            and now - server.report_at <= defaults.AGENT_FRESH_S
-            and server.listed.address != self._address
-        ]
+        servers = self.kernel.find("directory").directory.servers.values()
+        return list_other_reports(servers, self._address, _now())
 
     def _gather_copies(self) -> FleetCopies:
         service = self.kernel.find("directory")
--- a/src/jasminewharf/services/storeslots.py
+++ b/src/jasminewharf/services/storeslots.py
@@ -152,11 +152,19 @@
         """The model that the engine may load from the store and has not begun to."""
         return "" if self._is_loading else self._model
 
-    async def request_slot(self, model: str, weight: float, load_s: float) -> bool:
+    async def request_slot(
+        self, model: str, weight: float, load_s: float, others: int
+    ) -> bool:
         """Return whether the engine may load a model from the store now.
 
-        If no owner has been reachable for some time, the load is allowed; the caller
-        has then already taken the loads of other engines into account.
+        If no owner is reachable, the load is allowed after a while that grows with the
+        loads of other engines.
+
+        Args:
+            model: The model.
+            weight: Total weight of its callers.
+            load_s: Uncontended load time in seconds.
+            others: Loads from the store in progress on other engines.
         """
         if self._model == model:
             return True
@@ -170,7 +178,7 @@
                     return False
         if not self.has_owner:
             silent_s = _now() - self._silent_since
-            if not allows_unowned_load(self._address, silent_s):
+            if not allows_unowned_load(self._address, others, silent_s):
                 return False
         self._model = model
         self._granted_at = self._held_at = _now()
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -1,11 +1,12 @@
 """Counting and eviction of cached model copies."""
 
-from fleetparts import build_engine, build_report
+from fleetparts import build_engine, build_report, build_server
 from jasminewharf.decisions.copies import (
     LostCopies,
     count_copies,
     gather_copies,
     list_evicted_copies,
+    list_other_reports,
     list_sizes,
 )
 
@@ -69,3 +70,18 @@
     assert lost.update([*others, crashing], {"a:1", "b:1"}, 4.0) == {}
     assert lost.update(others, {"a:1"}, 5.0) == {}
     assert lost.update(others, {"a:1", "b:1"}, 6.0) == {}
+
+
+def test_copies_of_a_leaving_engine_are_replaced_before_it_is_gone():
+    """Guards against a busy model whose only copies leave in one release.
+
+    Both engines that held it were replaced within a second. Their copies counted until
+    they were gone, so that nothing was fetched, and callers were refused for 11 s.
+    """
+    staying = build_server("i-1", ["m0"], 1.0)
+    leaving = build_server("i-2", ["m1"], 1.0)
+    leaving.listed = leaving.listed._replace(is_leaving=True)
+    reports = list_other_reports([staying, leaving], "10.9.9.9:80", 1.0)
+    own = build_report("10.9.9.9:80")
+    copies = gather_copies([*reports, own], own.address, is_complete=True)
+    assert (copies.count("m0"), copies.count("m1")) == (1, 0)
