Count the store's queue in the estimate of a load

The estimate took a load from the store to begin at once; up to 15 models waited for 3 slots. Now loads in progress and heavier models that engines were asked to fetch come first, so that a request that cannot be served is refused at once with the time to come back. The store's slowdown by further loads is no longer guessed per load: these wait for a slot.

--- a/src/jasminewharf/decisions/serverselection.py
+++ b/src/jasminewharf/decisions/serverselection.py
@@ -7,9 +7,9 @@
 
 from ..messages.servers import EngineReport
 from .configurations import EngineSpec, ModelSpec
-from .copies import count_copies, is_fetching, list_evicted_copies, list_sizes
+from .copies import count_copies, list_evicted_copies, list_sizes
 from .directory import Server
-from .storequeue import estimate_slowdown
+from .storewait import estimate_store_wait
 
 __all__ = [
     "LoadPlacement",
@@ -180,14 +180,12 @@
     if not reachable:
         return None
     copies = count_copies(s.report.on_disk for s in reachable if s.report)
-    fetching = sum(is_fetching(s.report) for s in reachable if s.report)
-    # Each load slows down when more run than the store serves at full speed.
-    told = max((s.report.store_at_once for s in reachable if s.report), default=0)
-    slowdown = estimate_slowdown(fetching, told)
-    slowed = model._replace(remote_s=model.remote_s * slowdown)
     models = {spec.name: spec for spec in engine.models}
-    fleet = _ServiceContext(engine, models, list_sizes(engine), copies)
-    places = [_estimate_placement(s, fleet, slowed, waiting, now) for s in reachable]
+    store_wait_s = estimate_store_wait(
+        reachable, models, model.name, waiting.urgency, now
+    )
+    fleet = _ServiceContext(engine, models, list_sizes(engine), copies, store_wait_s)
+    places = [_estimate_placement(s, fleet, model, waiting, now) for s in reachable]
     return min(places, key=lambda p: (p.cost, rank_by_hash(model.name, p.server.name)))
 
 
@@ -203,12 +201,16 @@
 
 
 class _ServiceContext(NamedTuple):
-    """Values shared by the cost estimates of all engines of a service."""
+    """Values shared by the cost estimates of all engines of a service.
+
+    ``store_wait_s`` is the time until the store can begin the load.
+    """
 
     engine: EngineSpec
     models: Mapping[str, ModelSpec]
     sizes: Mapping[str, float]
     copies: Mapping[str, int]
+    store_wait_s: float
 
 
 def _estimate_placement(
@@ -230,7 +232,11 @@
     others = [item for item in report.wanted if item[0] != model.name]
     is_wanted_there = len(others) < len(report.wanted)
     ahead = _list_loads_ahead(others, waiting.urgency / own_s, report, fleet)
-    ready_s = busy_s + own_s + sum(ahead)
+    is_remote = own_s >= model.remote_s
+    begins_s = busy_s + sum(ahead)
+    if is_remote:
+        begins_s = max(begins_s, fleet.store_wait_s)
+    ready_s = begins_s + own_s
     # Hysteresis: a model queued at one agent does not move for a small gain.
     stay_part = _INCUMBENT_COST_FACTOR if is_wanted_there else 1.0
     # The engine takes no other order during a load. Requests that arrive meanwhile wait
@@ -238,7 +244,7 @@
     behind = len(others) - len(ahead)
     held_up = report.blocked_rate * own_s * own_s / 2 + behind * own_s
     cost = requests * ready_s * stay_part + report.room_cost + held_up
-    if own_s >= model.remote_s:
+    if is_remote:
         displaced = list_evicted_copies(
             fleet.engine, report.on_disk, model.weights_mb, fleet.sizes
         )
