Read a load header of three values, four and more

Cause: the header of a backend server's load was read only if it had exactly three values. Servers that add a fourth value, the pace of their host, had every load thrown away, so that an entry knew only its own requests.

A load of which one count is missing keeps the last one.

--- a/src/jasminewharf/dialects/fleet.py
+++ b/src/jasminewharf/dialects/fleet.py
@@ -117,13 +117,14 @@
 
     ``is_genuine`` tells that the server itself signed it. ``has_not_run`` is the
     server's own word; without it the request may have run. ``running``, ``waiting``
-    and ``slots`` are its load, -1 if not told. ``is_encoded`` marks a body that is
+    and ``slots`` are its load, each -1 if not told. ``is_encoded`` marks a body that is
     not the server's own bytes. ``is_leaving`` tells that the server is about to stop.
     ``pause_s`` is for how long it wants no request from this host, 0 if it does not
     say so and not a number if that cannot be read. ``limit_per_s`` is how many requests
     a second it takes from all hosts together, None if it names no limit and not a
     number if that cannot be read. ``unknown_headers`` names what the dialect cannot
-    read.
+    read. ``pace_percent`` is how long work takes on its host at this moment, 100 as
+    usual and -1 if not told.
     """
 
     request_id: str
@@ -137,6 +138,7 @@
     pause_s: float
     limit_per_s: float | None
     unknown_headers: tuple[str, ...]
+    pace_percent: float = -1.0
 
 
 class CallerDialect(Protocol):
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -251,9 +251,11 @@
             raise AnswerBroken(f"status {response.status} is not the server's own")
 
     def _note_load(self, server: Server, head: AnswerHead) -> None:
-        if head.running >= 0:
-            now = asyncio.get_running_loop().time()
-            server.note_load(head.running, head.waiting, now)
+        if head.running < 0 and head.waiting < 0:
+            return
+        running = server.running if head.running < 0 else head.running
+        waiting = server.waiting if head.waiting < 0 else head.waiting
+        server.note_load(running, waiting, asyncio.get_running_loop().time())
 
     def _note_backpressure(self, server: Server, head: AnswerHead) -> None:
         """Record a pause or drain that the server has signalled in its answer."""
