Choose backend servers by their pace

Cause: engines of one service differ in pace by a factor of up to 2.7, and requests were packed on an engine up to 0.6 of its slots whatever its pace. All entries moved to the next engine at the same load, and to a server that had returned at the same moment.

Change: decisions/pace.py keeps the pace of each server (reported by its answers or its agent, else learned from gaps, first events and whole answers at a similar load) and a window, the share of its slots in use, which starts low when the server is new or has returned, grows with time and timely answers and is cut by late ones. decisions/spreading.py turns both into choices that differ between entries. Agents report the mean pace of their engine. Selection of engines and plain servers, demand for another copy, placement of loads and the wait before a second attempt use it. Setting policy.balancing (auto, pace, load): with auto a service is balanced by pace from the first reported pace on, so that deployments without one are served as before. Events 880 to 884, metrics backend_pace, backend_window, busiest_backend_load, first_events_total, late_first_events_total.

--- a/src/jasminewharf/decisions/attempts.py
+++ b/src/jasminewharf/decisions/attempts.py
@@ -149,7 +149,11 @@
 
 
 def choose_idle_timeout_s(
-    route: Route, attempts: Attempts, left_s: float, server: str = ""
+    route: Route,
+    attempts: Attempts,
+    left_s: float,
+    server: str = "",
+    pace: float = 1.0,
 ) -> float:
     """Return how long to wait for data from a server before trying another one.
 
@@ -158,6 +162,7 @@
         attempts: The request's attempts so far.
         left_s: Seconds until the deadline.
         server: The server that is waited for.
+        pace: Its usual pace; a slow server is waited for longer, up to a limit.
 
     Returns:
         Seconds; more than the remaining time if no other server may be tried. The first
@@ -165,7 +170,8 @@
     """
     if not route.is_idempotent or not attempts.may_ask_another(route.attempts, server):
         return max(left_s, 0.0) + 1.0
+    pace = min(max(pace, 1.0), defaults.PACE_SILENCE_MAX)
     if route.kind == "stream":
-        return defaults.STREAM_SILENCE_S
+        return defaults.STREAM_SILENCE_S * pace
     share = left_s * defaults.SILENCE_PART
-    return min(max(share, defaults.SILENCE_MIN_S), defaults.STREAM_SILENCE_S)
+    return min(max(share, defaults.SILENCE_MIN_S * pace), defaults.STREAM_SILENCE_S)
--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -13,6 +13,7 @@
 from ..messages.servers import EngineLoad, EngineReport
 from .backpressure import BackpressureTable, ServerBackpressure, ServerIncarnation
 from .enginereports import TAKEN, EngineReportTable
+from .pace import ServerPace, ServicePace
 from .serverlimits import ServerLimit, ServerLimitTable
 
 __all__ = ["Directory", "ListChange", "Server"]
@@ -44,6 +45,7 @@
         avoided_until: Until when it gets no requests because it stopped answering.
         backpressure: What its answers have asked of this node.
         limit: The request rate that it names for all nodes together.
+        pace: How long work takes on it, and the share of its slots that is used.
     """
 
     def __init__(
@@ -52,12 +54,14 @@
         found_at: float,
         backpressure: ServerBackpressure | None = None,
         limit: ServerLimit | None = None,
+        pace: ServerPace | None = None,
     ) -> None:
         self.listed = listed
         self.found_at = found_at
         self.backpressure = backpressure or ServerBackpressure()
         incarnation = ServerIncarnation(listed.server, listed.born_ms)
         self.limit = limit or ServerLimit(incarnation)
+        self.pace = pace or ServerPace()
         self.own = 0
         self.in_flight_by_model: dict[str, int] = {}
         self.running = 0
@@ -100,6 +104,15 @@
         begun = len(self._begun_since_load)
         return max(self.running + self.waiting + begun, self.own)
 
+    def capacity(self, now: float) -> float:
+        """Return how many requests it runs as fast as a usual server's slots would."""
+        slots = max(self.listed.slots, 1)
+        return slots * self.pace.window(now) / self.pace.factor(now)
+
+    def relative_load(self, now: float) -> float:
+        """Return the load per slot, adjusted for the pace."""
+        return self.load / self.capacity(now)
+
     def note_load(self, running: int, waiting: int, at: float) -> None:
         """Record a load reported by the server or its agent, measured at ``at``.
 
@@ -110,6 +123,7 @@
         self.running = running
         self.waiting = waiting
         self.load_at = at
+        self.pace.note_queue(waiting, at)
         while self._begun_since_load and self._begun_since_load[0] <= at:
             self._begun_since_load.popleft()
 
@@ -220,9 +234,13 @@
         board: The last report of each agent.
         list_at: When the list was read.
         limits: The request rates that servers name for all nodes together.
+
+    Args:
+        balancing: Whether servers are chosen by their pace; see
+            :data:`.pace.BALANCING_MODES`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, balancing: str = "auto") -> None:
         self.servers: dict[str, Server] = {}
         self._by_service: dict[str, list[Server]] = {}
         self._by_address: dict[str, Server] = {}
@@ -231,6 +249,15 @@
         self.list_at = float("-inf")
         self._backpressure = BackpressureTable()
         self.limits = ServerLimitTable()
+        self._balancing = balancing
+        self._service_paces: dict[str, ServicePace] = {}
+
+    def service_pace(self, service: str) -> ServicePace:
+        """Return what the paces of a service's servers have in common."""
+        pace = self._service_paces.get(service)
+        if pace is None:
+            pace = self._service_paces[service] = ServicePace(self._balancing)
+        return pace
 
     def in_service(self, service: str) -> list[Server]:
         """Return the servers of a service, including leaving ones."""
@@ -261,6 +288,7 @@
                     read_at,
                     self._backpressure.find(life),
                     self.limits.find(life),
+                    ServerPace(self.service_pace(listed.service)),
                 )
                 found.append(listed)
             elif listed.is_leaving and not server.listed.is_leaving:
@@ -327,6 +355,7 @@
             return
         if server.report_at != at and report.is_reachable:
             server.note_load(report.running, report.queued, at)
+            server.pace.note_told(report.pace_percent, at)
         server.note_report(report, at)
 
     def forget_agent(self, address: str) -> None:
--- a/src/jasminewharf/decisions/enginereports.py
+++ b/src/jasminewharf/decisions/enginereports.py
@@ -84,6 +84,7 @@
             blocked_rate=load.blocked_rate,
             ready_ms=max(report.ready_ms - max(passed_ms, 0), 0),
             load_number=load.number,
+            pace_percent=load.pace_percent,
         )
         self._posted[load.address] = TimedReport(fresh, max(at, known.at))
         return TAKEN
@@ -112,6 +113,7 @@
         report.life_ms,
         report.number,
         report.load_number,
+        report.pace_percent,
     )
 
 
--- a/src/jasminewharf/decisions/serverselection.py
+++ b/src/jasminewharf/decisions/serverselection.py
@@ -9,6 +9,7 @@
 from .configurations import EngineSpec, ModelSpec
 from .copies import count_copies, is_fetching, list_evicted_copies, list_sizes
 from .directory import Server
+from .spreading import FULL_SHARE, Spread, draw_better, pick_preferred, project_load
 from .storequeue import DEFAULT_STORE_CONCURRENCY
 
 __all__ = [
@@ -31,9 +32,13 @@
 _PACKING_LOAD_SHARE = 0.6
 # Share of the slots beyond which first events are late and memory runs out.
 _OVERLOAD_SHARE = 0.75
+# Share of a plain server's slots up to which its load does not matter.
+_ALIKE_SHARE = 0.5
 _INCUMBENT_COST_FACTOR = 0.7
 # Requests a second at least, as weight of a server whose limit is lower.
 _LOWEST_LIMIT = 0.1
+# Usual time of an answer, for what a slow engine costs the requests there.
+_ANSWER_S = 1.0
 # Time before a load to drain and unload another model.
 _EVICTION_S = 0.4
 
@@ -50,54 +55,105 @@
     return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
 
 
-def choose_engine(servers: Sequence[Server], wanted: RequestTarget) -> Server:
+def choose_engine(
+    servers: Sequence[Server], wanted: RequestTarget, spread: Spread | None = None
+) -> Server:
     """Return the engine for a request, of those that hold its model.
 
     Requests for one model are kept together on the first engine of its rendezvous
     order while that has room: this reuses its prompt cache, and other engines can evict
     the model for rare ones. Adapters are spread over the engines in the same way, by
     their own rendezvous order.
+
+    With ``spread``, the pace of the engines decides how much is packed on each: a slow
+    one is left at a lower load, and gradually instead of by all entries at once.
     """
-    key = f"{wanted.model}/{wanted.adapter}" if wanted.adapter else wanted.model
+    if len(servers) == 1:
+        return servers[0]
+    if spread is not None:
+        return _spread_over_engines(servers, wanted, spread)
+    key = _find_key(wanted)
     with_room = [s for s in servers if s.load < _PACKING_LOAD_SHARE * s.listed.slots]
     if not with_room:
         return min(servers, key=lambda s: s.load / max(s.listed.slots, 1))
-    if wanted.adapter:
-        loaded = [s for s in with_room if s.holds_adapter(wanted.model, wanted.adapter)]
-        # An engine rejects adapter orders while it loads or unloads a model.
-        calm = [s for s in with_room if s.report is None or not s.report.changing]
-        with_room = loaded or calm or with_room
+    with_room = _prefer_adapter(with_room, wanted)
     return min(with_room, key=lambda s: rank_by_hash(key, s.name))
 
 
-def choose_idle_engine(servers: Sequence[Server], contended: Set[str]) -> Server:
-    """Return the engine that has the fewest requests, of those that hold a model.
+def _find_key(wanted: RequestTarget) -> str:
+    return f"{wanted.model}/{wanted.adapter}" if wanted.adapter else wanted.model
+
+
+def _prefer_adapter(servers: list[Server], wanted: RequestTarget) -> list[Server]:
+    """Return the engines at which a request waits least for its adapter."""
+    if not wanted.adapter:
+        return servers
+    loaded = [s for s in servers if s.holds_adapter(wanted.model, wanted.adapter)]
+    # An engine rejects adapter orders while it loads or unloads a model.
+    calm = [s for s in servers if s.report is None or not s.report.changing]
+    return loaded or calm or servers
+
+
+def _spread_over_engines(
+    servers: Sequence[Server], wanted: RequestTarget, spread: Spread
+) -> Server:
+    now = spread.now
+    with_room = [s for s in servers if project_load(s, now) < FULL_SHARE]
+    key = _find_key(wanted)
+    preferred = _prefer_adapter(with_room, wanted)
+    preferred.sort(key=lambda s: rank_by_hash(key, s.name))
+    chosen = pick_preferred(preferred, spread)
+    return chosen or draw_better(preferred or servers, spread, 0.0)
+
+
+def choose_idle_engine(
+    servers: Sequence[Server], contended: Set[str], spread: Spread | None = None
+) -> Server:
+    """Return the engine that has the least load, of those that hold a model.
 
-    Those with a trial under way, ``contended``, come last.
+    Those with a trial under way, ``contended``, come last. The load is the number of
+    requests; with ``spread`` it is that per slot, adjusted for the pace.
     """
-    return min(servers, key=lambda server: (server.name in contended, server.load))
+
+    def rank(server: Server) -> tuple[bool, float]:
+        load = server.load if spread is None else project_load(server, spread.now)
+        return server.name in contended, load
+
+    return min(servers, key=rank)
 
 
-def count_excess_requests(servers: Sequence[Server]) -> int:
+def count_excess_requests(
+    servers: Sequence[Server], spread: Spread | None = None
+) -> int:
     """Return how many requests at a model's engines another copy could take over.
 
     Args:
         servers: The engines that hold the model.
+        spread: Given if the pace of the engines counts; another copy is then asked for
+            before the first of them is full.
 
     Returns:
         0 while the least loaded of them has room.
     """
+    if spread is not None:
+        now = spread.now
+        least = min(servers, key=lambda s: s.relative_load(now))
+        return max(least.load - int(FULL_SHARE * least.capacity(now)), 0)
     least = min(servers, key=lambda s: s.load / max(s.listed.slots, 1))
     return max(least.load - int(_OVERLOAD_SHARE * least.listed.slots), 0)
 
 
 def choose_least_loaded_server(
-    servers: Sequence[Server], zone: str, random: float
+    servers: Sequence[Server], zone: str, random: float, spread: Spread | None = None
 ) -> Server:
     """Return the least loaded server, of equal ones one in the own zone.
 
-    ``random`` in [0, 1) breaks the ties that are left.
+    ``random`` in [0, 1) breaks the ties that are left. With ``spread``, it is the
+    better of two by load and pace, wherever they are: a way between zones takes less
+    time than the paces differ by.
     """
+    if spread is not None:
+        return draw_better(servers, spread, _ALIKE_SHARE)
 
     def rank(item: tuple[int, Server]) -> tuple[float, bool, int]:
         number, server = item
@@ -110,7 +166,7 @@
 def _bucket_load(server: Server) -> float:
     """Return the load in slots, where the first half of the slots is alike."""
     slots = max(server.listed.slots, 1)
-    return max(server.load / slots, 0.5)
+    return max(server.load / slots, _ALIKE_SHARE)
 
 
 def split_by_limit(servers: Sequence[Server]) -> tuple[list[Server], list[Server]]:
@@ -231,13 +287,15 @@
     is_wanted_there = len(others) < len(report.wanted)
     ahead = _list_loads_ahead(others, waiting.urgency / own_s, report, fleet)
     ready_s = busy_s + own_s + sum(ahead)
+    # What the requests take longer there than on a usual engine.
+    slower_s = (server.pace.step_factor(now) - 1.0) * _ANSWER_S
     # Hysteresis: a model queued at one agent does not move for a small gain.
     stay_part = _INCUMBENT_COST_FACTOR if is_wanted_there else 1.0
     # The engine takes no other order during a load. Requests that arrive meanwhile wait
     # for half of it on average, models queued behind it for all of it.
     behind = len(others) - len(ahead)
     held_up = report.blocked_rate * own_s * own_s / 2 + behind * own_s
-    cost = requests * ready_s * stay_part + report.room_cost + held_up
+    cost = requests * (ready_s * stay_part + slower_s) + report.room_cost + held_up
     if own_s >= model.remote_s:
         displaced = list_evicted_copies(
             fleet.engine, report.on_disk, model.weights_mb, fleet.sizes
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -609,6 +609,16 @@
 LOOP_LATE_S = 0.05  # An event loop that is later has been held up.
 SILENCE_MIN_S = 0.15
 SILENCE_PART = 0.4
+
+# Pace of backend servers.
+PACE_CHANGES_LIMIT = 8  # Changes of one server between two looks at them.
+# Reports and answers bring the load of a server this long after a request began there.
+PACE_BLIND_S = 0.3
+PACE_RATE_WINDOW_S = 2.0  # In which the requests of a service are counted.
+PACE_SILENCE_MAX = 2.0  # Times the usual wait for a slow server's next piece.
+PACE_GAPS_LEAST = 8  # Events of a stream from which its pace can be told.
+PACE_STEP_PERCENT = 10  # Change that an agent reports before its next heartbeat.
+PACE_AGENT_SAMPLES = 10  # Reads of an agent that its mean of the pace counts for.
 # Parts of the retries that the deployment allows: of its share, and of its slack what
 # is kept and what is earned in a window, which add up to less than 1.
 RETRY_SHARE_PART = 0.8
--- a/src/jasminewharf/dialects/fleet.py
+++ b/src/jasminewharf/dialects/fleet.py
@@ -230,6 +230,9 @@
     def read_pause_s(self, status: int, headers: list[tuple[str, str]]) -> float:
         """Return for how long the engine wants no call; see :class:`AnswerHead`."""
 
+    def read_pace(self, headers: list[tuple[str, str]]) -> float:
+        """Return how long work takes on the engine's host; see :class:`AnswerHead`."""
+
     def read_limit(self, headers: list[tuple[str, str]]) -> float | None:
         """Return the limit that the engine names; see :class:`AnswerHead`."""
 
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -183,6 +183,13 @@
 ANSWER_UNMATCHED = _define(
     864, logging.WARNING, "answer that belongs to no request in progress"
 )
+PACE_CHANGED = _define(880, logging.INFO, "pace of a backend server changed")
+WINDOW_RESTARTED = _define(
+    881, logging.INFO, "backend server new or back, few requests at first"
+)
+WINDOW_CUT = _define(882, logging.INFO, "backend server late, fewer requests")
+WINDOW_FULL = _define(883, logging.INFO, "backend server in full use again")
+PACE_ACTIVE = _define(884, logging.INFO, "servers are chosen by their pace")
 RATE_OWNER_SILENT = _define(856, logging.WARNING, "owner of the rates is silent")
 
 # Engines beside an agent: 900 to 949.
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -131,6 +131,9 @@
     ``store_at_once`` is how many loads from the store run at full speed beside each
     other, as the owner of the store's turns said last; 0 if it said nothing.
 
+    ``pace_percent`` is how long work takes on the engine's host, 100 as usual, as a
+    mean of the agent's last reads; 0 if the engine does not report it.
+
     ``life_ms`` is the wall clock at the agent's start and ``number`` rises with each
     report of that life; ``load_number`` is that of the last load before it.
     """
@@ -155,6 +158,7 @@
     number: int = 0
     load_number: int = 0
     store_at_once: int = 0
+    pace_percent: float = 0.0
 
 
 @message(187)
@@ -173,6 +177,7 @@
     life_ms: int = 0
     report_number: int = 0
     number: int = 0
+    pace_percent: float = 0.0
 
 
 @message(188)
--- a/src/jasminewharf/metrics.py
+++ b/src/jasminewharf/metrics.py
@@ -40,6 +40,10 @@
         """Register a gauge that is read when the metrics are rendered."""
         self._gauges[(name, tuple(sorted(labels.items())))] = read
 
+    def unwatch(self, name: str, **labels: str) -> None:
+        """Remove a gauge, if there is one."""
+        self._gauges.pop((name, tuple(sorted(labels.items()))), None)
+
     def read_gauge(self, name: str, **labels: str) -> float:
         """Return a gauge's value now; raises ``KeyError`` if there is none."""
         return self._gauges[(name, tuple(sorted(labels.items())))]()
--- a/src/jasminewharf/platform/callers.py
+++ b/src/jasminewharf/platform/callers.py
@@ -1,8 +1,5 @@
 """Heads of callers' requests and of backend servers' answers."""
 
-import re
-from typing import NamedTuple
-
 from ..dialects.fleet import (
     CALLER_DIALECTS,
     AnswerHead,
@@ -17,6 +14,7 @@
     read_pause_s,
     says_leaving,
 )
+from .loads import read_load
 
 __all__ = ["PlatformCallers"]
 
@@ -27,14 +25,6 @@
 _LAST_EVENT = "last-event-id"
 # More tokens than any engine holds.
 _TOKENS_LIMIT = 10_000_000
-# More requests than any server has at a time.
-_LOAD_LIMIT = 1_000_000
-# Values of the load header that this release reads.
-_LOAD_VALUES = 4
-# Characters of the load header that are looked at; four values take less.
-_LOAD_TEXT_LIMIT = 100
-_LOAD_COUNT = re.compile(r"\d{1,9}", re.ASCII)
-_PACE = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 _SINGLE = frozenset(
     {_ID, _DEADLINE, _KEY, _LAST_EVENT, "x-model", "x-prompt-prefix", "x-token-counts"}
 )
@@ -136,7 +126,7 @@
     def read_answer(self, status: int, headers: list[tuple[str, str]]) -> AnswerHead:
         """Read the head of an answer."""
         fields = dict(headers)
-        load = _read_load(fields.get("x-server-load", ""))
+        load = read_load(fields)
         return AnswerHead(
             fields.get(_ID, ""),
             "x-response-signature" in fields,
@@ -184,31 +174,4 @@
     return count
 
 
-class _Load(NamedTuple):
-    """The values of a load header; -1 for what is absent or cannot be read."""
-
-    running: int
-    waiting: int
-    slots: int
-    pace_percent: float
-
-
-def _read_load(text: str) -> _Load:
-    """Read running, waiting, slots and pace; later releases may add values."""
-    parts = text[:_LOAD_TEXT_LIMIT].split(",", _LOAD_VALUES)[:_LOAD_VALUES]
-    parts += [""] * (_LOAD_VALUES - len(parts))
-    running, waiting, slots = map(_read_load_count, parts[:3])
-    return _Load(running, waiting, slots, _read_pace(parts[3]))
-
-
-def _read_load_count(text: str) -> int:
-    number = int(text) if _LOAD_COUNT.fullmatch(text.strip()) else -1
-    return number if number <= _LOAD_LIMIT else -1
-
-
-def _read_pace(text: str) -> float:
-    percent = float(text) if _PACE.fullmatch(text.strip()) else -1.0
-    return percent if percent > 0 else -1.0
-
-
 register(CALLER_DIALECTS, "platform")(PlatformCallers())
--- a/src/jasminewharf/platform/engines.py
+++ b/src/jasminewharf/platform/engines.py
@@ -13,6 +13,7 @@
 from ..exceptions import BackendError
 from ..registry import register
 from .answers import read_limit, read_pause_s
+from .loads import read_load
 from .servers import Model, Number, translate_models
 
 __all__ = ["PlatformEngines"]
@@ -109,6 +110,10 @@
         """Return for how long the engine wants no call from this host."""
         return read_pause_s(status, dict(headers))
 
+    def read_pace(self, headers: list[tuple[str, str]]) -> float:
+        """Return how long work takes on the engine's host; see :class:`AnswerHead`."""
+        return read_load(dict(headers)).pace_percent
+
     def read_limit(self, headers: list[tuple[str, str]]) -> float | None:
         """Return how many requests a second the engine takes from all hosts."""
         return read_limit(headers)
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -49,7 +49,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self.directory = Directory()
+        self.directory = Directory(kernel.settings.policy.balancing)
         self.agents = AgentLinks(self._connect_agent)
         # The control host whose list this is, and the list's number there.
         self._list_base = ("", 0)
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -8,6 +8,7 @@
 from .. import defaults, events
 from ..decisions.backpressure import ServerBackpressure, ServerIncarnation
 from ..decisions.copies import FleetCopies, LostCopies, gather_copies, refresh_loads
+from ..decisions.pace import PaceMean
 from ..decisions.residency import Intent, Residency
 from ..decisions.routes import RouteTable
 from ..decisions.serverlimits import ServerLimit
@@ -83,6 +84,7 @@
         self._held_back: dict[str, str] = {}
         self._store = StoreSlotClient(kernel, self._address)
         self._lost_copies = LostCopies()
+        self._pace = PaceMean()
         # Used while the server list does not contain the engine.
         self._unlisted_backpressure = ServerBackpressure()
         self._unlisted_limit = kernel.find("directory").directory.limits.find(
@@ -259,6 +261,12 @@
         per_s = self._orders.read_limit(answer.headers)
         self._limits.note_answer(self._limit, per_s, sent_at, may_end=False)
 
+    def _note_pace(self, answer: FetchedAnswer) -> None:
+        """Add the pace that the engine reports to the mean of the last reads."""
+        percent = self._orders.read_pace(answer.headers)
+        if percent > 0:
+            self._pace.add(percent)
+
     def _is_paused(self) -> bool:
         return self._backpressure.pause_s(_now()) > 0
 
@@ -346,6 +354,7 @@
         self._heard_at = _now()
         self._note_pause(answer)
         self._note_limit(answer, permit.sent_at)
+        self._note_pace(answer)
         if self._is_paused() and self._status is not None:
             return None
         return self._orders.read_status(answer.status, answer.body)
@@ -630,6 +639,7 @@
             status.used_tokens,
             status.total_tokens,
             store_at_once=self._store.at_once,
+            pace_percent=self._pace.percent,
         )
 
 
--- a/src/jasminewharf/services/enginereporter.py
+++ b/src/jasminewharf/services/enginereporter.py
@@ -158,6 +158,7 @@
     return (
         abs(known.room_cost - report.room_cost) > defaults.ROOM_COST_STEP_S
         or abs(known.blocked_rate - report.blocked_rate) > defaults.BLOCKED_STEP
+        or abs(known.pace_percent - report.pace_percent) > defaults.PACE_STEP_PERCENT
     )
 
 
@@ -184,6 +185,7 @@
         life_ms=0,
         number=0,
         load_number=0,
+        pace_percent=0.0,
     )
 
 
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -24,6 +24,7 @@
     TrialBusy,
 )
 from ..kernel import Kernel, Service
+from .answertimes import AnswerTimer, measure_load
 from .jobs import Job
 from .poisonguard import GuardedPrompt
 from .standby import Attempt, Standby
@@ -99,6 +100,7 @@
     ) -> UpstreamAnswer:
         server = attempt.server
         attempts.note_sent(server.name)
+        attempt.load = measure_load(server)
         forwarded = ForwardedHead(
             server.name,
             job.workspace.name if job.workspace else "",
@@ -186,6 +188,8 @@
             async with standby.watch(attempt, limit_s, limit_s):
                 answer = await self._open(attempt, job, attempts, job.call.last_event)
                 attempt.body = await answer.read()
+                if answer.is_success:
+                    _build_timer(attempt, job).end_whole()
         except TimeoutError:
             raise _describe_silence(limit_s) from None
 
@@ -334,10 +338,16 @@
         batches = attempt.batches or answer.events()
         batch: list[StreamEvent] | None = attempt.first
         progress_at = _now()
+        is_first = not relay.has_started
+        timer = _build_timer(attempt, job)
         while batch is not None:
             attempt.server.heard_at = _now()
             if await relay.forward(answer, batch):
                 progress_at = _now()
+                timer.note_events(len(batch))
+                if is_first:
+                    is_first = False
+                    self._note_first_event(job, progress_at)
                 attempt.guard.note_progress()
                 await self._keep(attempt, job, attempts, standby)
             limit_s = _choose_limit_s(attempt, job, attempts)
@@ -348,6 +358,14 @@
                     batch = await anext(batches, None)
             except TimeoutError:
                 raise _describe_silence(limit_s, began=True) from None
+        timer.end_stream()
+
+    def _note_first_event(self, job: Job, now: float) -> None:
+        """Count a stream that has begun to answer its caller, and whether in time."""
+        route = job.route
+        self._metrics.count("first_events_total", route=route.name)
+        if 0 < route.target_s < now - job.started:
+            self._metrics.count("late_first_events_total", route=route.name)
 
     # Replacements of silent attempts.
 
@@ -596,10 +614,18 @@
             self._demand.note_ended(server)
 
 
+def _build_timer(attempt: Attempt, job: Job) -> AnswerTimer:
+    # What took the place of another attempt had begun to answer before.
+    sent_at = attempt.permit.sent_at if attempt.batches is None else None
+    return AnswerTimer(attempt.server, job.route, attempt.load, sent_at)
+
+
 def _choose_limit_s(attempt: Attempt, job: Job, attempts: Attempts) -> float:
     """Return how long an attempt is silent before another server is asked."""
     left_s = job.deadline - _now()
-    return choose_idle_timeout_s(job.route, attempts, left_s, attempt.server.name)
+    server = attempt.server
+    factor = server.pace.usual_factor(_now())
+    return choose_idle_timeout_s(job.route, attempts, left_s, server.name, factor)
 
 
 def _describe_silence(limit_s: float, *, began: bool = False) -> AnswerBroken:
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -28,6 +28,7 @@
 )
 from ..kernel import Kernel, Service
 from ..messages.servers import EnsureAdapter
+from .balance import Balance
 from .jobs import Job
 from .permits import Permit, PermitWish
 
@@ -64,6 +65,7 @@
         self._directory = kernel.find("directory").directory
         self._demand = kernel.find("demand")
         self._health = OutlierDetector()
+        self._balance = Balance(kernel, self._directory)
         self._metrics = kernel.find("process").metrics
         self._random = kernel.find("process").random
 
@@ -95,6 +97,7 @@
                         in_flight=server.own,
                     )
                     self._demand.review()
+            self._balance.review()
 
     def _readmit(self, server: Server, now: float) -> None:
         """Use a server again that was only silent, and let waiting requests go on."""
@@ -133,7 +136,9 @@
             if server.is_open(now)
         ]
         kept = set(self._health.usable([s.incarnation for s in servers], now))
-        return [server for server in servers if server.incarnation in kept]
+        usable = [server for server in servers if server.incarnation in kept]
+        self._balance.note_usable(job.service.name, usable, now)
+        return usable
 
     def list_untried(self, job: Job, attempts: Attempts) -> list[Server]:
         """Return the servers that take the request and may be asked."""
@@ -169,6 +174,7 @@
                 is_ready = is_ready or await self._ensure_adapter(server, job)
                 if is_ready and server.is_open(_now()):
                     held.pop_all()
+                    self._balance.note_sent(job.service.name, _now())
                     return server, permit
             if is_ready:
                 continue
@@ -323,7 +329,9 @@
                 if not free:
                     return _Choice(None, limited, is_busy=True)
                 zone = self.kernel.settings.zone
-                server = choose_least_loaded_server(free, zone, self._random.random())
+                spread = self._balance.build_spread(job.service.name, _now())
+                draw = self._random.random()
+                server = choose_least_loaded_server(free, zone, draw, spread)
                 return _Choice(server, limited, is_full(server))
             if usable and attempts.avoided:
                 await self._pause(job, attempts, attempts.begin_round())
@@ -383,14 +391,16 @@
             free, limited = split_by_limit(holders)
             if not free:
                 return _Choice(None, limited, is_busy=True)
-            excess = count_excess_requests(free)
+            spread = self._balance.build_spread(job.service.name, _now())
+            excess = count_excess_requests(free, spread)
             if excess:
                 self._demand.ask_copy(job.service, job.call.model, excess)
             if attempts.is_suspect:
                 # Its crash would take the other requests of the engine along.
-                engine = choose_idle_engine(free, attempts.contended)
+                engine = choose_idle_engine(free, attempts.contended, spread)
                 return _Choice(engine, limited, excess > 0)
-            return _Choice(choose_engine(free, wanted), limited, excess > 0)
+            engine = choose_engine(free, wanted, spread)
+            return _Choice(engine, limited, excess > 0)
 
     async def _wait_model(self, job: Job, attempts: Attempts) -> None:
         """Wait for the model without the request's tokens, then take them again."""
--- a/src/jasminewharf/services/standby.py
+++ b/src/jasminewharf/services/standby.py
@@ -27,6 +27,7 @@
         body: The body of an answer that is no stream, once it is whole.
         batches: The events of a stream, in batches.
         first: Events that were read before the attempt replaced another one.
+        load: The server's requests per slot when the request was sent.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         self.body: bytes | None = None
         self.batches: AsyncIterator[list[StreamEvent]] | None = None
         self.first: list[StreamEvent] = []
+        self.load = 0.0
 
 
 class Standby:
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -251,11 +251,14 @@
             raise AnswerBroken(f"status {response.status} is not the server's own")
 
     def _note_load(self, server: Server, head: AnswerHead) -> None:
+        now = asyncio.get_running_loop().time()
+        if head.pace_percent > 0:
+            server.pace.note_told(head.pace_percent, now)
         if head.running < 0 and head.waiting < 0:
             return
         running = server.running if head.running < 0 else head.running
         waiting = server.waiting if head.waiting < 0 else head.waiting
-        server.note_load(running, waiting, asyncio.get_running_loop().time())
+        server.note_load(running, waiting, now)
 
     def _note_backpressure(self, server: Server, head: AnswerHead) -> None:
         """Record a pause or drain that the server has signalled in its answer."""
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -119,7 +119,9 @@
     """Weights of the deployment and names of the policies in use.
 
     ``cold_start_weight`` is the cost of one second that a caller waits for a cold
-    model, ``idle_weight`` the cost of one idle accelerator second.
+    model, ``idle_weight`` the cost of one idle accelerator second. ``balancing`` says
+    when backend servers found while running are chosen by their pace: ``auto`` as soon
+    as one of the service reports its pace, ``pace`` always, ``load`` never.
     """
 
     cold_start_weight: Annotated[float, Range(0, 1_000_000)] = 1.0
@@ -128,6 +130,7 @@
     queue: str = "fair"
     eviction: str = "expected-cost"
     pacing: str = "aimd"
+    balancing: Literal["auto", "pace", "load"] = "auto"
 
 
 class LimitSettings(NamedTuple):
