--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -19,6 +19,10 @@
 __all__ = ["Directory", "ListChange", "Server"]
 
 
+# Pace below which a server is not filled further: its memory and slots stay the same.
+_FASTEST_FACTOR = 0.87
+
+
 class ListChange(NamedTuple):
     """Result of a new list: servers added, and servers removed or now leaving."""
 
@@ -105,9 +109,13 @@
         return max(self.running + self.waiting + begun, self.own)
 
     def capacity(self, now: float) -> float:
-        """Return how many requests it runs as fast as a usual server's slots would."""
+        """Return how many requests it runs as fast as a usual server's slots would.
+
+        A fast server has no more slots for that.
+        """
         slots = max(self.listed.slots, 1)
-        return slots * self.pace.window(now) / self.pace.factor(now)
+        slower = max(self.pace.factor(now), _FASTEST_FACTOR)
+        return slots * self.pace.window(now) / slower
 
     def relative_load(self, now: float) -> float:
         """Return the load per slot, adjusted for the pace."""
--- a/src/jasminewharf/decisions/spreading.py
+++ b/src/jasminewharf/decisions/spreading.py
@@ -23,6 +23,12 @@
 # which on none does; first events on a usual engine begin to be late above the latter.
 _PACKED_SHARE = 0.3
 FULL_SHARE = 0.65
+# Share of the slots beyond which first events are late and memory runs out, and how
+# much more a request in it counts than one in another slot.
+_CROWDED_SHARE = 0.75
+_CROWDED_WEIGHT = 8.0
+# Servers that are drawn to take the best of.
+_DRAWN = 2
 
 
 class Spread(NamedTuple):
@@ -79,16 +85,19 @@
     if len(servers) == 1:
         return servers[0]
     weights = [server.capacity(spread.now) for server in servers]
-    first = _draw_index(weights, spread.draw())
-    weights[first] = 0.0
-    second = _draw_index(weights, spread.draw())
-    pair = (servers[first], servers[second])
-    return min(pair, key=lambda server: _rate_wait(server, spread.now, floor))
+    drawn = []
+    for _ in range(min(_DRAWN, len(servers))):
+        index = _draw_index(weights, spread.draw())
+        weights[index] = 0.0
+        drawn.append(servers[index])
+    return min(drawn, key=lambda server: _rate_wait(server, spread.now, floor))
 
 
 def _rate_wait(server: Server, now: float, floor: float) -> float:
     slots = max(server.listed.slots, 1) * server.pace.window(now)
-    return max((server.load + 1) / slots, floor) * server.pace.factor(now)
+    share = (server.load + 1) / slots
+    crowded = max(share - _CROWDED_SHARE, 0.0) * _CROWDED_WEIGHT
+    return (max(share, floor) + crowded) * server.pace.factor(now)
 
 
 def _draw_index(weights: Sequence[float], point: float) -> int:
