--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -75,6 +75,7 @@
         pause: What a full server's Retry-After says; none if empty.
         says_leaving: Whether its answers say that it is about to stop.
         limit: The requests a second that its answers name; none if empty.
+        load: The load that its answers and its report tell.
         answer_s: Time to answer a request of a plain service.
         arrivals: When each request of a caller came, on the event loop's clock.
         reports: How often its report was read.
@@ -102,6 +103,7 @@
         self.pause = ""
         self.says_leaving = False
         self.limit = ""
+        self.load = "1,0,8"
         self.answer_s = 0.0
         self.arrivals = []
         self.reports = 0
@@ -153,7 +155,8 @@
             "atHand": {"inMemory": [], "onDisk": sorted(self.on_disk)},
             "incoming": [],
         }
-        responder.respond(200, JSON, json.dumps(report).encode())
+        head = [*JSON, ("x-server-load", self.load)]
+        responder.respond(200, head, json.dumps(report).encode())
 
     def _take_order(self, order, responder):
         if self.refuses_orders:
@@ -192,7 +195,7 @@
         self.arrivals.append(asyncio.get_running_loop().time())
         fault = self.fails_next.pop(0) if self.fails_next else ""
         request_id = fields.get("x-attempt-id", "")
-        head = [("x-attempt-id", request_id), ("x-server-load", "1,0,8")]
+        head = [("x-attempt-id", request_id), ("x-server-load", self.load)]
         if self.says_leaving:
             head.append(("server-leaving", "1"))
         if self.limit:
