Ask for no copy because of a window that is small for a moment

Cause: a returned engine's small window made its models look short of engines. Change: excess requests are counted against the slots by pace, without the window.

--- a/src/jasminewharf/decisions/serverselection.py
+++ b/src/jasminewharf/decisions/serverselection.py
@@ -136,9 +136,12 @@
         0 while the least loaded of them has room.
     """
     if spread is not None:
-        now = spread.now
-        least = min(servers, key=lambda s: s.relative_load(now))
-        return max(least.load - int(FULL_SHARE * least.capacity(now)), 0)
+        # A server that has returned is soon used whole; a copy would come later.
+        rooms = [
+            (s.capacity(spread.now) / s.pace.window(spread.now), s) for s in servers
+        ]
+        room, least = min(rooms, key=lambda item: item[1].load / item[0])
+        return max(least.load - int(FULL_SHARE * room), 0)
     least = min(servers, key=lambda s: s.load / max(s.listed.slots, 1))
     return max(least.load - int(_OVERLOAD_SHARE * least.listed.slots), 0)
 
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -224,6 +224,9 @@
     assert count_excess_requests([slow]) == 0
     assert count_excess_requests([slow], build_spread()) > 0
     assert count_excess_requests([slow, usual], build_spread()) == 0
+    # One that has just returned is soon used whole, so that a copy is not worth it.
+    usual.pace.restart(NOW, "returned")
+    assert count_excess_requests([usual], build_spread()) == 0
 
 
 def test_model_is_loaded_on_the_faster_of_equal_engines():
