--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -13,11 +13,16 @@
 from ..messages.servers import EngineLoad, EngineReport
 from .backpressure import BackpressureTable, ServerBackpressure, ServerIncarnation
 from .enginereports import TAKEN, EngineReportTable
+from .pace import ServerPace, ServicePace
 from .serverlimits import ServerLimit, ServerLimitTable
 
 __all__ = ["Directory", "ListChange", "Server"]
 
 
+# Pace below which a server is not filled further: its memory and slots stay the same.
+_FASTEST_FACTOR = 0.87
+
+
 class ListChange(NamedTuple):
     """Result of a new list: servers added, and servers removed or now leaving."""
 
@@ -44,6 +49,7 @@
         avoided_until: Until when it gets no requests because it stopped answering.
         backpressure: What its answers have asked of this node.
         limit: The request rate that it names for all nodes together.
+        pace: How long work takes on it, and the share of its slots that is used.
     """
 
     def __init__(
@@ -52,12 +58,14 @@
         found_at: float,
         backpressure: ServerBackpressure | None = None,
         limit: ServerLimit | None = None,
+        pace: ServerPace | None = None,
     ) -> None:
         self.listed = listed
         self.found_at = found_at
         self.backpressure = backpressure or ServerBackpressure()
         incarnation = ServerIncarnation(listed.server, listed.born_ms)
         self.limit = limit or ServerLimit(incarnation)
+        self.pace = pace or ServerPace()
         self.own = 0
         self.in_flight_by_model: dict[str, int] = {}
         self.running = 0
@@ -74,6 +82,8 @@
         self._avoided_at = float("-inf")
         self._found_at = float("-inf")
         self._busy_since = float("-inf")
+        # When the engine's order in progress was first expected to end.
+        self._order_due_at = float("inf")
 
     @property
     def name(self) -> str:
@@ -100,6 +110,19 @@
         begun = len(self._begun_since_load)
         return max(self.running + self.waiting + begun, self.own)
 
+    def capacity(self, now: float) -> float:
+        """Return how many requests it runs as fast as a usual server's slots would.
+
+        A fast server has no more slots for that.
+        """
+        slots = max(self.listed.slots, 1)
+        slower = max(self.pace.factor(now), _FASTEST_FACTOR)
+        return slots * self.pace.window(now) / slower
+
+    def relative_load(self, now: float) -> float:
+        """Return the load per slot, adjusted for the pace."""
+        return self.load / self.capacity(now)
+
     def note_load(self, running: int, waiting: int, at: float) -> None:
         """Record a load reported by the server or its agent, measured at ``at``.
 
@@ -110,6 +133,7 @@
         self.running = running
         self.waiting = waiting
         self.load_at = at
+        self.pace.note_queue(waiting, at)
         while self._begun_since_load and self._begun_since_load[0] <= at:
             self._begun_since_load.popleft()
 
@@ -147,6 +171,9 @@
         """
         if report.is_reachable and self.report and not self.report.is_reachable:
             self._found_at = at
+        due_at = at + report.ready_ms / defaults.MS_PER_S
+        if not self.report or _name_order(report) != _name_order(self.report):
+            self._order_due_at = due_at
         self.report = report
         self.report_at = at
 
@@ -170,11 +197,19 @@
                 self.in_flight_by_model.pop(name, None)
 
     def busy_s(self, now: float) -> float:
-        """Return the seconds until the engine accepts its next load order."""
+        """Return the seconds until the engine accepts its next load order.
+
+        An order that is overdue is expected to take as long again as it is late. A load
+        from an overloaded store takes several times its usual time, and other engines
+        can load a model meanwhile.
+        """
         if self.report is None:
             return 0.0
         told_s = self.report.ready_ms / defaults.MS_PER_S
-        return max(told_s - (now - self.report_at), 0.0)
+        left_s = max(told_s - (now - self.report_at), 0.0)
+        if not self.report.changing:
+            return left_s
+        return max(left_s, now - self._order_due_at)
 
     def holds(self, model: str, now: float, fresh_s: float) -> bool:
         """Return whether the server has a model loaded and may get requests for it."""
@@ -206,6 +241,11 @@
         return self.report.models if self.report is not None else self.listed.models
 
 
+def _name_order(report: EngineReport) -> tuple[int, str, bool]:
+    """Return what identifies the engine's order in progress."""
+    return report.born_ms, report.changing, report.is_loading
+
+
 def _use_names(model: str, adapter: str) -> tuple[str, ...]:
     if not model:
         return ()
@@ -220,9 +260,13 @@
         board: The last report of each agent.
         list_at: When the list was read.
         limits: The request rates that servers name for all nodes together.
+
+    Args:
+        balancing: Whether servers are chosen by their pace; see
+            :data:`.pace.BALANCING_MODES`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, balancing: str = "auto") -> None:
         self.servers: dict[str, Server] = {}
         self._by_service: dict[str, list[Server]] = {}
         self._by_address: dict[str, Server] = {}
@@ -231,6 +275,15 @@
         self.list_at = float("-inf")
         self._backpressure = BackpressureTable()
         self.limits = ServerLimitTable()
+        self._balancing = balancing
+        self._service_paces: dict[str, ServicePace] = {}
+
+    def service_pace(self, service: str) -> ServicePace:
+        """Return what the paces of a service's servers have in common."""
+        pace = self._service_paces.get(service)
+        if pace is None:
+            pace = self._service_paces[service] = ServicePace(self._balancing)
+        return pace
 
     def in_service(self, service: str) -> list[Server]:
         """Return the servers of a service, including leaving ones."""
@@ -261,6 +314,7 @@
                     read_at,
                     self._backpressure.find(life),
                     self.limits.find(life),
+                    ServerPace(self.service_pace(listed.service)),
                 )
                 found.append(listed)
             elif listed.is_leaving and not server.listed.is_leaving:
@@ -327,6 +381,7 @@
             return
         if server.report_at != at and report.is_reachable:
             server.note_load(report.running, report.queued, at)
+            server.pace.note_told(report.pace_percent, at)
         server.note_report(report, at)
 
     def forget_agent(self, address: str) -> None:
--- a/tests/test_storeslots.py
+++ b/tests/test_storeslots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from jasminewharf.exceptions import LinkTimeout
 from jasminewharf.messages.servers import ReleaseStore, StoreTurn
 from jasminewharf.services.storeslots import StoreSlotClient
 
@@ -35,7 +36,7 @@
 async def ask(is_granted):
     owner = FakeOwner(is_granted)
     client = StoreSlotClient(owner, ADDRESS)
-    assert await client.request_slot("m0", 1.0, 6.0) is is_granted
+    assert await client.request_slot("m0", 1.0, 6.0, 0) is is_granted
     return owner, client
 
 
@@ -73,3 +74,37 @@
         assert owner.count_releases() == 0
 
     asyncio.run(check())
+
+
+def test_silent_owner_does_not_start_the_loads_of_all_engines(monkeypatch):
+    """Guards against loads that all begin in the second that an election takes.
+
+    The store serves them to the end beside each other, so that each one occupies its
+    engine for several times its usual time.
+    """
+
+    class SilentOwner(FakeOwner):
+        async def request_repeatable(self, group, request, *timeouts):
+            raise LinkTimeout("no owner")
+
+        def count(self, name):
+            pass
+
+    async def check():
+        clock = [0.0]
+        monkeypatch.setattr("jasminewharf.services.storeslots._now", lambda: clock[0])
+        owner = SilentOwner(is_granted=False)
+        owner.metrics = owner
+        engines = [StoreSlotClient(owner, f"10.0.0.{n}:80") for n in range(20)]
+        begun = []
+        for clock[0] in (100.0, 100.5, 104.9, 105.5, 106.1):
+            allowed = [await e.request_slot("m0", 1.0, 6.0, 2) for e in engines]
+            begun.append(sum(allowed))
+        assert begun[:3] == [0, 0, 0]
+        assert 0 < begun[3] < begun[4] == len(engines)
+        idle = StoreSlotClient(owner, ADDRESS)
+        await idle.request_slot("m0", 1.0, 6.0, 0)
+        clock[0] += 1.0
+        assert await idle.request_slot("m0", 1.0, 6.0, 0)
+
+    asyncio.run(check())
