Take an answer whose status is none for a failure of its server

Cause: the parser takes any three digits, so that 600 and 999 reached callers from plain services, engines and streams, an agent took them for a refused order of its engine, and a recorded answer of an order was replayed with them.

Change: the client refuses a final status outside 200 to 599 as a broken answer, for all that is read from servers: requests in first and second attempts, agents' orders and reports, the server list. A recorded answer with such a status is an unknown outcome. The server for callers sends none, whoever hands it over (an agent of an earlier release).

--- a/src/jasminewharf/decisions/framing.py
+++ b/src/jasminewharf/decisions/framing.py
@@ -2,13 +2,19 @@
 
 from collections.abc import Iterable
 
-__all__ = ["is_close_delimited"]
+__all__ = ["is_close_delimited", "is_final_status"]
 
 _WITHOUT_BODY = frozenset({204, 304})
 _FIRST_FINAL = 200
+_FINAL = range(_FIRST_FINAL, 600)
 _LENGTHS = frozenset({"content-length", "transfer-encoding"})
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether an answer may have this status (RFC 9110, 15)."""
+    return status in _FINAL
+
+
 def is_close_delimited(
     method: str, status: int, headers: Iterable[tuple[str, str]]
 ) -> bool:
--- a/src/jasminewharf/interfaces/httpconnections.py
+++ b/src/jasminewharf/interfaces/httpconnections.py
@@ -10,6 +10,7 @@
 import h11
 
 from .. import defaults, events
+from ..decisions.framing import is_final_status
 from ..exceptions import (
     BackendFailed,
     BadRequest,
@@ -638,6 +639,9 @@
         is_close_delimited: bool = False,
     ) -> None:
         """Send the head of an answer; see :meth:`Responder.start`."""
+        if not is_final_status(status):
+            # An agent of an earlier release passes any on.
+            raise BackendFailed(f"{status} is no status of an answer", not_run=False)
         encoded = [(k.encode(), v.encode()) for k, v in headers]
         encoded.append((b"server", _SERVER_NAME))
         if self._server.draining and not self._goes_on():
--- a/src/jasminewharf/services/claims.py
+++ b/src/jasminewharf/services/claims.py
@@ -11,6 +11,7 @@
 
 from .. import events
 from ..decisions.claims import measure_answer
+from ..decisions.framing import is_final_status
 from ..defaults import (
     CLAIM_ANSWER_LIMIT_BYTES,
     CLAIM_PARTITIONS,
@@ -38,7 +39,13 @@
 )
 from .groups import GroupRequester
 
-__all__ = ["ClaimCoordinator", "OrderClaims", "RecordedAnswer", "claims_group"]
+__all__ = [
+    "ClaimCoordinator",
+    "OrderClaims",
+    "RecordedAnswer",
+    "claims_group",
+    "read_recorded",
+]
 
 _MS = 1000
 _DIGEST_HEADER = "x-body-sha256"
@@ -146,7 +153,7 @@
                 if state == "claimed":
                     return None
                 if state != "running":
-                    return _read_answer(answer)
+                    return read_recorded(answer)
             await asyncio.sleep(min(pause_s, left_s))
             pause_s = min(2 * pause_s, CLAIM_POLL_LIMIT_S)
             message = message._replace(entry_ms=wall_ms())
@@ -254,9 +261,14 @@
     )
 
 
-def _read_answer(answer: ClaimAnswer) -> RecordedAnswer:
+def read_recorded(answer: ClaimAnswer) -> RecordedAnswer:
     """Return the recorded answer, or raise the error for the claim's state."""
     if answer.state == "done":
+        # A process of an earlier release may have recorded any.
+        if not is_final_status(answer.status):
+            raise OutcomeUnknown(
+                f"the recorded answer has the status {answer.status}", not_run=False
+            )
         return RecordedAnswer(answer.status, answer.headers, answer.body)
     if answer.state == "conflict":
         raise ClaimConflict("the idempotency key was used with another body")
--- a/src/jasminewharf/services/client.py
+++ b/src/jasminewharf/services/client.py
@@ -14,7 +14,7 @@
 import h11
 
 from .. import defaults, events
-from ..decisions.framing import is_close_delimited
+from ..decisions.framing import is_close_delimited, is_final_status
 from ..exceptions import BackendError, BackendSilent, BackendUnreachable
 from ..metrics import Metrics
 from ..settings import split_address
@@ -133,6 +133,10 @@
         for _ in range(defaults.HTTP_INTERIM_HEADS + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
+                if not is_final_status(event.status_code):
+                    raise h11.RemoteProtocolError(
+                        f"{event.status_code} is no status of an answer"
+                    )
                 if _is_ambiguous(event):
                     raise h11.RemoteProtocolError("a head that can be read twice")
                 return event
