Bound frames that an engine's agent receives

Cause: every link takes frames of 32 MB whole before a hello says who sends them. The agent beside an engine is sent names and numbers only.

Change: its link takes frames of 1 MB at most.

--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -23,6 +23,10 @@
 # Ten times the nodes of the target size; the longest silent ones leave first.
 LINK_PEERS_LIMIT = 4_000
 LINK_MESSAGE_LIMIT_BYTES = 32 * 1024 * 1024
+# Of what the agent beside an engine is sent: a name and a few numbers in each message,
+# those of one turn of the event loop in one frame. Frames are received whole before
+# anything says who sends them.
+LINK_AGENT_LIMIT_BYTES = 1024 * 1024
 
 # Replicated log and storage.
 
--- a/src/jasminewharf/services/channel.py
+++ b/src/jasminewharf/services/channel.py
@@ -107,11 +107,13 @@
         self.socket.close(linger=defaults.LINK_LINGER_MS)
 
 
-def bound_queues(socket: zmq.Socket) -> None:
+def bound_queues(
+    socket: zmq.Socket, message_bytes: int = defaults.LINK_MESSAGE_LIMIT_BYTES
+) -> None:
     """Set the limits that every link's socket has."""
     socket.setsockopt(zmq.SNDHWM, defaults.LINK_SEND_QUEUE_MESSAGES)
     socket.setsockopt(zmq.RCVHWM, defaults.LINK_SEND_QUEUE_MESSAGES)
-    socket.setsockopt(zmq.MAXMSGSIZE, defaults.LINK_MESSAGE_LIMIT_BYTES)
+    socket.setsockopt(zmq.MAXMSGSIZE, message_bytes)
     socket.setsockopt(zmq.HEARTBEAT_IVL, defaults.LINK_HEARTBEAT_MS)
     socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, defaults.LINK_HEARTBEAT_TIMEOUT_MS)
     socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -112,7 +112,11 @@
             FollowEngines: self._news.add_follower,
         }
         self._server = LinkServer(
-            process.identity, process.context, handlers, process.security
+            process.identity,
+            process.context,
+            handlers,
+            process.security,
+            message_bytes=defaults.LINK_AGENT_LIMIT_BYTES,
         )
         self._server.on_peer = self._news.send_latest
         self._news.peers = self._server.peers
--- a/src/jasminewharf/services/linkserver.py
+++ b/src/jasminewharf/services/linkserver.py
@@ -93,6 +93,7 @@
             returned message, or one that an awaitable yields, is the answer.
         security: CURVE keys; None for a link without authentication.
         roles: Roles of the peers that are served; None for all.
+        message_bytes: The largest frame that a peer may send.
     """
 
     def __init__(
@@ -102,6 +103,7 @@
         handlers: dict[type, Handler],
         security: LinkSecurity | None = None,
         roles: frozenset[str] | None = None,
+        message_bytes: int = defaults.LINK_MESSAGE_LIMIT_BYTES,
     ) -> None:
         self._identity = identity
         self._handlers = handlers
@@ -119,7 +121,7 @@
         self.on_peer: Callable[[Peer], None] | None = None
         self._socket = context.socket(zmq.ROUTER, socket_class=zmq.Socket)
         self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
-        bound_queues(self._socket)
+        bound_queues(self._socket, message_bytes)
         if security is not None:
             security.configure_server(self._socket)
             security.watch_link(self)
