Account for refusals over the rate and for late streams

Cause: a refusal line named neither burst, window, nor what other entries had granted, and the end of a stream named neither its server nor the load there. Bounded log lines hid many refusals of a burst.

Change: `jasminewharf account` judges each refusal by what all entries granted (an ideal bucket and the rule's window) and lists each late stream with its server, the load and pace known when it was sent, and what ran beside it. Entries sum up grants and refusals by workspace (890) and streams by route (894) each second; late streams have line 893; the end of a request names its server. The owner logs refusals and queue (891) and when it begins to lend (892).

--- a/src/jasminewharf/decisions/attempts.py
+++ b/src/jasminewharf/decisions/attempts.py
@@ -2,6 +2,7 @@
 
 from .. import defaults
 from .configurations import Route
+from .lateness import StreamTiming
 
 __all__ = ["Attempts", "choose_idle_timeout_s"]
 
@@ -16,9 +17,11 @@
         avoided: Servers that are currently excluded from further attempts.
         route: The route's name; empty until the route is known.
         waited_s: Seconds that it has waited for its model or a permit.
+        token_wait_s: Seconds that it has waited for tokens of its workspace's rate.
         is_suspect: Whether it may crash the server that it is sent to.
         contended: Servers at which another request is on trial.
         is_second: Whether a server is looked for beside one that is silent.
+        timing: When the events of its stream came, and from where.
     """
 
     def __init__(self) -> None:
@@ -28,9 +31,11 @@
         self.avoided: set[str] = set()
         self.route = ""
         self.waited_s = 0.0
+        self.token_wait_s = 0.0
         self.is_suspect = False
         self.contended: set[str] = set()
         self.is_second = False
+        self.timing = StreamTiming()
         self._ran_on: set[str] = set()
         # Servers of _ran_on whose attempt was given up although it had not failed.
         self._left: set[str] = set()
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -184,6 +184,11 @@
     864, logging.WARNING, "answer that belongs to no request in progress"
 )
 RATE_OWNER_SILENT = _define(856, logging.WARNING, "owner of the rates is silent")
+RATE_USED = _define(890, logging.INFO, "tokens granted and refused in a second")
+RATE_OWNED = _define(891, logging.INFO, "owner of the rates refused or queued requests")
+RATE_OWNER_BEGAN = _define(892, logging.INFO, "owner of the rates begins to lend")
+STREAM_LATE = _define(893, logging.INFO, "stream late")
+STREAMS_ENDED = _define(894, logging.INFO, "streams answered in a second")
 
 # Engines beside an agent: 900 to 949.
 ENGINE_LOST = _define(900, logging.WARNING, "engine does not answer")
--- a/src/jasminewharf/interfaces/fleetcontrol.py
+++ b/src/jasminewharf/interfaces/fleetcontrol.py
@@ -9,12 +9,12 @@
 from ..services.entrycounter import EntryCounter
 from ..services.fleet import Fleet
 from ..services.gathering import Gathering
-from ..services.lending import RateLender
 from ..services.log import LogService, LogSettings
 from ..services.permitowner import PermitOwner
 from ..services.poisonowner import PoisonOwner
 from ..services.process import Process
 from ..services.publisher import Publisher
+from ..services.ratelender import RateLender
 from ..services.relay import EngineRelay
 from ..services.reload import SettingsReload
 from ..services.repair import Repair
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -8,6 +8,7 @@
 from .. import defaults, events
 from ..decisions.attempts import Attempts
 from ..decisions.configurations import CallerLimits, Route, WorkspaceSpec
+from ..decisions.lateness import StreamCounts
 from ..decisions.routes import RouteTable
 from ..decisions.stopping import AnswerTimes, can_end_in_time
 from ..dialects.fleet import CALLER_DIALECTS, CallHead
@@ -25,7 +26,7 @@
 from ..kernel import Kernel, Service
 from ..registry import lookup
 from ..services.jobs import Job
-from ..services.lending import Charge
+from ..services.lending import Charge, TokenPatience
 from ..services.upstream import UpstreamRequest
 from ..settings import LimitSettings, split_address
 from .http import HttpServer, Request, Responder
@@ -87,6 +88,7 @@
         # When running requests are ended, on the event loop's clock.
         self._ends_at = math.inf
         self._exchanges: set[_Exchange] = set()
+        self._streams = StreamCounts()
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -97,6 +99,15 @@
         host, port = split_address(self.kernel.settings.listen)
         await self._http.listen(host, port)
         self._metrics.watch("open_connections", lambda: self._http.connection_count)
+        self.spawn(self._log_streams_forever(), essential=True)
+
+    async def _log_streams_forever(self) -> None:
+        """Tell how many streams ended; lines of single ones may be left out."""
+        while True:
+            await asyncio.sleep(defaults.ACCOUNT_LOG_S)
+            counts = self._streams.take()
+            if counts:
+                events.emit(_logger, events.STREAMS_ENDED, routes=counts)
 
     async def drain(self) -> None:
         """Finish the requests in flight, and answer all before the process ends.
@@ -226,12 +237,42 @@
             tokens=call.prompt_tokens + call.output_tokens if call else 0,
             sent=attempts.sent,
             runs=attempts.runs,
+            server=attempts.timing.last_server,
+            token_wait_ms=int(attempts.token_wait_s * defaults.MS_PER_S),
             waited_ms=int(attempts.waited_s * defaults.MS_PER_S),
             elapsed_ms=int(elapsed_s * defaults.MS_PER_S),
             configuration=table.version if table else 0,
             read_under=exchange.configuration,
             reason=reason,
         )
+        if call is not None and attempts.timing.first_s is not None:
+            self._record_stream(table, call, attempts, started)
+
+    def _record_stream(
+        self, table: RouteTable | None, call: CallHead, attempts: Attempts, begun: float
+    ) -> None:
+        """Count a stream that was answered; log it if it was late."""
+        route = table.find_route(call.host, call.path) if table else None
+        if route is None:
+            return
+        is_late = attempts.timing.is_late(route, begun)
+        self._streams.note(route.name, is_late=is_late)
+        if not is_late:
+            return
+        self._metrics.count("streams_late_total", route=route.name)
+        events.emit(
+            _logger,
+            events.STREAM_LATE,
+            request_id=call.request_id,
+            route=route.name,
+            priority=route.priority,
+            model=call.model,
+            target_ms=int(route.target_s * defaults.MS_PER_S),
+            pause_limit_ms=int(route.pause_s * defaults.MS_PER_S),
+            token_wait_ms=int(attempts.token_wait_s * defaults.MS_PER_S),
+            waited_ms=int(attempts.waited_s * defaults.MS_PER_S),
+            **attempts.timing.describe(begun),
+        )
 
     def _refuse(
         self, responder: Responder, refusal: Refusal, call: CallHead | None
@@ -328,8 +369,17 @@
         route, workspace = admitted
         attempts.route = route.name
         tokens = call.prompt_tokens + call.output_tokens
-        charge = Charge(self.kernel.find("rates"), workspace, tokens, call.request_id)
-        await charge.take(route.target_s * defaults.RATE_PATIENCE_PART)
+        charge = Charge(
+            self.kernel.find("rates"),
+            workspace,
+            tokens,
+            call.request_id,
+            route.priority,
+        )
+        try:
+            await charge.take(self._find_token_patience(route, deadline - started))
+        finally:
+            attempts.token_wait_s = charge.waited_s
         outgoing = UpstreamRequest(
             request.method,
             request.target,
@@ -346,6 +396,16 @@
             if not attempts.may_have_run:
                 charge.release()
             raise
+        finally:
+            attempts.token_wait_s = charge.waited_s
+
+    def _find_token_patience(self, route: Route, left_s: float) -> TokenPatience:
+        """Return how long a request waits for tokens before it is sent."""
+        share = self.kernel.settings.fleet.bounds.rate_wait_share
+        if route.kind == "stream":
+            left_s = min(left_s, route.patience_s)
+        owner_s = min(left_s * defaults.RATE_OWNER_PART, defaults.OWNER_WAIT_S)
+        return TokenPatience(route.target_s * share, owner_s)
 
 
 def _check_promise(refusal: Refusal, attempts: Attempts) -> Refusal:
--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -11,6 +11,7 @@
 from ..logs import configure_logging
 from ..settings import LogFormat
 from .exits import find_exit_code
+from .tool_account import AccountCommand
 from .tool_config import ConfigCommand
 from .tool_explain import ExplainCommand
 from .tool_keys import KeyCommand
@@ -75,6 +76,7 @@
         | TraceCommand
         | ExplainCommand
         | LossesCommand
+        | AccountCommand
         | MemberCommand
         | RunCommand
     ]
--- a/src/jasminewharf/losses.py
+++ b/src/jasminewharf/losses.py
@@ -4,12 +4,12 @@
 line's JSON object are passed over.
 """
 
-import json
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Sequence
 from typing import Any, NamedTuple
 
 from . import events
+from .logreading import read_lines
 
 __all__ = [
     "Losses",
@@ -116,24 +116,7 @@
     Raises:
         OSError: If a file cannot be read.
     """
-    for path in paths:
-        with open(path, encoding="utf-8", errors="replace") as file:
-            for text in file:
-                line = _parse_line(text)
-                if line is not None:
-                    yield line
-
-
-def _parse_line(text: str) -> dict[str, Any] | None:
-    start = text.find('{"time"')
-    if start < 0:
-        return None
-    try:
-        line = json.loads(text[start:])
-    except ValueError:
-        # A line cut by a crash or by the log's own bound.
-        return None
-    return line if line.get("event") in _WANTED_EVENTS else None
+    return read_lines(paths, _WANTED_EVENTS)
 
 
 def gather_losses(lines: Iterable[dict[str, Any]]) -> Losses:
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -23,11 +23,13 @@
     "LeaveMembership",
     "MembershipAnswer",
     "ModelUse",
+    "OwnerBegan",
     "PermitAnswer",
     "PermitAnswers",
     "PermitAsk",
     "PermitUnused",
     "ReleaseStore",
+    "ReportLent",
     "RequestMembership",
     "ReturnTokens",
     "ServerChanges",
@@ -217,12 +219,22 @@
 class BorrowTokens(NamedTuple):
     """An entry asks the owner of the rates for a request's tokens.
 
-    ``patience_ms`` is how long the request may wait for them.
+    ``patience_ms`` is how long the request may wait for them. ``number`` names the
+    request at its entry, so that it keeps its place when it asks again; 0 takes none.
+    It has waited for ``waited_ms`` before, ``priority`` 0 is the most urgent. The
+    request returns ``returned`` tokens that ``returned_owner`` lent it
+    ``returned_age_ms`` ago and that are too old to be spent.
     """
 
     workspace: str
     tokens: float
     patience_ms: int
+    number: int = 0
+    waited_ms: int = 0
+    priority: int = 0
+    returned: float = 0.0
+    returned_owner: int = 0
+    returned_age_ms: int = 0
 
 
 @message(193)
@@ -232,6 +244,11 @@
     ``wait_ms`` is when lent tokens may be spent, or when to ask again; ``advance`` are
     tokens beyond those asked for, ``entries`` the number of entries that live.
     ``owner`` names the time of leading in which they were lent.
+
+    A request with ``is_queued`` has a place in the workspace's queue and asks again
+    after ``wait_ms``. ``is_scarce`` asks the entry to return what it does not need;
+    ``is_assumed`` tells that the owner does not know what earlier ones lent, ``level``
+    what it had to lend. ``place`` is the entry's place among all.
     """
 
     is_lent: bool
@@ -239,6 +256,11 @@
     advance: float
     entries: int
     owner: int = 0
+    is_queued: bool = False
+    is_scarce: bool = False
+    is_assumed: bool = False
+    level: float = 0.0
+    place: float = 0.0
 
 
 @message(194)
@@ -284,13 +306,36 @@
 class ReturnTokens(NamedTuple):
     """An entry gives back what it was lent and no request has spent.
 
-    ``age_ms`` is how long ago the oldest of the tokens were lent.
+    ``age_ms`` is how long ago the oldest of the tokens were lent. The request
+    ``number`` gives up its place in the queue.
     """
 
     workspace: str
     tokens: float
     owner: int
     age_ms: int
+    number: int = 0
+
+
+@message(226)
+class OwnerBegan(NamedTuple):
+    """A new owner of the rates asks entries what they were lent before."""
+
+    owner: int
+
+
+@message(227)
+class ReportLent(NamedTuple):
+    """Answers :class:`OwnerBegan`: how long ago an entry was lent which tokens.
+
+    ``entries`` is the number of entries that the last owner told. ``is_complete`` is
+    false if the entry has not run for long enough to know.
+    """
+
+    owner: int
+    entries: int
+    is_complete: bool
+    grants: list[tuple[str, list[tuple[int, float]]]]
 
 
 @message(200)
--- a/src/jasminewharf/services/controllers.py
+++ b/src/jasminewharf/services/controllers.py
@@ -37,6 +37,7 @@
         self.links: dict[str, LinkClient] = {}
         self._leaders: dict[str, str] = {}
         self._named: dict[str, set[str]] = {}
+        self._leaderless_at: dict[str, float] = {}
         self._unresponsive_until: dict[str, float] = {}
         self._handlers: dict[type, Any] = {}
 
@@ -84,6 +85,10 @@
         """Return the link to the last known leader of ``group``; None if unknown."""
         return self.links.get(self._leaders.get(group, ""))
 
+    def leaderless_at(self, group: str) -> float:
+        """Return when a control host last said that it knows no leader."""
+        return self._leaderless_at.get(group, float("-inf"))
+
     async def stop(self) -> None:
         """Close the links."""
         await super().stop()
@@ -119,6 +124,8 @@
                 self._leaders[group] = name
                 return answer
             except NotLeader as error:
+                if not error.leader:
+                    self._leaderless_at[group] = loop.time()
                 self._note_leader(group, error.leader, name)
             except PeerUnavailable:
                 self._note_leader(group, "", name)
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -10,6 +10,7 @@
 from ..decisions.attempts import Attempts, choose_idle_timeout_s
 from ..decisions.directory import Server
 from ..decisions.eventstream import StreamEvent
+from ..decisions.lateness import describe_server
 from ..dialects.fleet import ForwardedHead
 from ..exceptions import (
     AnswerBroken,
@@ -86,6 +87,8 @@
             server, permit = await self._chooser.admit(job, attempts)
             async with contextlib.AsyncExitStack() as held:
                 held.enter_context(contextlib.closing(permit))
+                if not attempts.may_have_run:
+                    await job.charge.renew(job.find_token_patience(0.0))
                 try:
                     guard = await held.enter_async_context(prompt.attempt(server))
                 except TrialBusy as error:
@@ -99,6 +102,7 @@
     ) -> UpstreamAnswer:
         server = attempt.server
         attempts.note_sent(server.name)
+        attempts.timing.note_sent(describe_server(server, _now()))
         forwarded = ForwardedHead(
             server.name,
             job.workspace.name if job.workspace else "",
@@ -338,6 +342,7 @@
             attempt.server.heard_at = _now()
             if await relay.forward(answer, batch):
                 progress_at = _now()
+                attempts.timing.note_data(progress_at)
                 attempt.guard.note_progress()
                 await self._keep(attempt, job, attempts, standby)
             limit_s = _choose_limit_s(attempt, job, attempts)
--- a/src/jasminewharf/services/jobs.py
+++ b/src/jasminewharf/services/jobs.py
@@ -5,7 +5,7 @@
 from .. import defaults
 from ..decisions.configurations import Route, ServiceSpec, WorkspaceSpec
 from ..dialects.fleet import CallHead
-from .lending import Charge
+from .lending import Charge, TokenPatience
 from .upstream import UpstreamRequest
 
 __all__ = ["Job"]
@@ -40,6 +40,15 @@
         half_s = (self.leaves_at - self.started) / 2
         return self.leaves_at - min(self.route.target_s, half_s)
 
+    def find_token_patience(self, waited_s: float) -> TokenPatience:
+        """Return how long it waits for tokens after it has waited for its model.
+
+        Args:
+            waited_s: How long it has waited, which counts in the queue for tokens.
+        """
+        wait_s = defaults.RATE_WAITED_PATIENCE_S
+        return TokenPatience(wait_s, wait_s, waited_s)
+
     @property
     def priority(self) -> int:
         """The request's rank; 0 is the most urgent."""
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -224,12 +224,12 @@
                 except LimitReached as error:
                     waits.append(error.wait_s)
                     if self._is_outdated(server, job, attempts):
-                        await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
+                        await self._take_tokens(job, began_at)
                         return None
                     continue
                 with contextlib.ExitStack() as held:
                     held.enter_context(contextlib.closing(permit))
-                    await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
+                    await self._take_tokens(job, began_at)
                     held.pop_all()
                 return server, permit
         if job.needs_model and self._demand.can_load_freely(job.service):
@@ -401,7 +401,11 @@
             await self._demand.wait_model(job, may_return=not attempts.is_second)
         finally:
             attempts.waited_s += _now() - began_at
-        await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
+        await self._take_tokens(job, began_at)
+
+    async def _take_tokens(self, job: Job, began_at: float) -> None:
+        """Take the tokens of a request that has waited since ``began_at``."""
+        await job.charge.take(job.find_token_patience(_now() - began_at))
 
     def _find_holders(self, job: Job, attempts: Attempts) -> list[Server]:
         now = _now()
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -89,7 +89,7 @@
 def test_short_wait_is_lent_ahead_and_a_long_one_refused():
     spec = build_workspace(rate=1_000.0, burst=1_000.0)
     lender = TokenLender(OverrunLimits(8.0, 0.0, 0.0), 0.0, is_first=True)
-    assert lender.lend(spec, 1_000.0, 0.0, 0.0) == (True, 0.0, 0.0)
+    assert lender.lend(spec, 1_000.0, 0.0, 0.0) == (True, 0.0, 0.0, False)
     loan = lender.lend(spec, 50.0, 0.06, 0.0)
     assert loan.is_lent
     assert loan.wait_s == 0.05
