--- a/src/jasminewharf/decisions/entryrates.py
+++ b/src/jasminewharf/decisions/entryrates.py
@@ -44,7 +44,8 @@
         self._advances: dict[str, Advance] = {}
         self._emergency: dict[str, EmergencyBucket] = {}
         self._silent_at = float("-inf")
-        self._history: dict[str, GrantHistory] = {}
+        # By workspace and owner; 0 is this entry's own share.
+        self._history: dict[tuple[str, int], GrantHistory] = {}
         self._scarce: set[str] = set()
 
     def note_entries(self, entries: int, place: float) -> None:
@@ -59,11 +60,12 @@
         advance = self._advances.get(spec.name)
         return advance.spend(tokens, now) if advance is not None else None
 
-    def note_loan(self, workspace: str, tokens: float, now: float) -> None:
-        """Record tokens that the owner lent."""
-        history = self._history.get(workspace)
+    def note_loan(self, workspace: str, tokens: float, owner: int, now: float) -> None:
+        """Record tokens that an owner lent."""
+        key = (workspace, owner)
+        history = self._history.get(key)
         if history is None:
-            history = self._history[workspace] = GrantHistory(self._kept_s)
+            history = self._history[key] = GrantHistory(self._kept_s)
         history.forget(now)
         history.add(tokens, now)
 
@@ -101,7 +103,7 @@
 
     def note_returned(self, unspent: Unspent) -> Unspent:
         """Record that tokens go back to the owner."""
-        history = self._history.get(unspent.workspace)
+        history = self._history.get((unspent.workspace, unspent.owner))
         if history is not None:
             history.add(-unspent.tokens, unspent.lent_at)
         return unspent
@@ -125,19 +127,24 @@
         else:
             wait_s = bucket.take(spec, self.entries, tokens, now)
         if not wait_s:
-            self.note_loan(spec.name, tokens, now)
+            self.note_loan(spec.name, tokens, 0, now)
         return wait_s
 
-    def report(self, now: float) -> list[tuple[str, list[tuple[float, float]]]]:
-        """Return how long ago which tokens were granted, by workspace."""
+    def report(
+        self, owner: int, now: float
+    ) -> list[tuple[str, list[tuple[float, float]]]]:
+        """Return how long ago which tokens were granted, by workspace.
+
+        An owner that asks knows of its own loans.
+        """
         reported = []
-        for workspace, history in list(self._history.items()):
+        for key, history in list(self._history.items()):
             history.forget(now)
-            if history:
+            if not history:
+                del self._history[key]
+            elif key[1] != owner:
                 items = [(now - at, tokens) for at, tokens in history.items()]
-                reported.append((workspace, items))
-            else:
-                del self._history[workspace]
+                reported.append((key[0], items))
         return reported
 
     def is_complete(self, now: float) -> bool:
--- a/src/jasminewharf/decisions/lending.py
+++ b/src/jasminewharf/decisions/lending.py
@@ -23,8 +23,6 @@
     "TokenTicket",
 ]
 
-# Above this fraction of its size, a bucket lends tokens in advance.
-_PLENTY_PART = 0.5
 # Limit of an advance, in multiples of the request.
 _ADVANCE_REQUESTS = 4.0
 # An entry counts as active for this long after its last request for tokens.
@@ -130,7 +128,7 @@
         bucket = self._buckets[spec.name]
         queue.serve(now)
         wait_s = queue.claim(ticket, now)
-        if wait_s is None:
+        if wait_s is None and not queue.is_displaced(ticket):
             if not queue and not bucket.wait_s(ticket.tokens, now):
                 queue.note_lent(ticket, now)
                 return self._lend(bucket, queue, ticket.tokens, 0.0, now)
@@ -150,9 +148,8 @@
         now: float,
     ) -> Loan:
         bucket.debit(tokens, now, wait_s)
-        plenty = bucket.level - _PLENTY_PART * bucket.size
-        advance = max(min(tokens * _ADVANCE_REQUESTS, plenty / 2), 0.0)
-        if queue or self.is_assumed or bucket.wait_s(advance, now):
+        advance = min(tokens * _ADVANCE_REQUESTS, bucket.find_plenty(now))
+        if queue or self.is_assumed:
             advance = 0.0
         if advance:
             bucket.debit(advance, now)
@@ -176,7 +173,7 @@
     def is_scarce(self, name: str) -> bool:
         """Return whether tokens that lie unspent at an entry are missed elsewhere."""
         bucket = self._buckets.get(name)
-        return bucket is not None and bucket.level < bucket.size * _PLENTY_PART
+        return bucket is not None and bucket.is_scarce
 
     def read_level(self, name: str) -> float:
         """Return the tokens that could be lent when the workspace asked last."""
--- a/src/jasminewharf/decisions/ratebuckets.py
+++ b/src/jasminewharf/decisions/ratebuckets.py
@@ -15,11 +15,12 @@
 # Fraction of the allowed overrun that the owner adds to the burst.
 _SLACK_PART = 0.25
 # Fraction of the allowed overrun that may be lent once more after a change of owner
-# about which the entries have not all reported, or after a lowered limit.
+# about which the entries have not all reported.
 _RESERVE_PART = 0.3
 # Tokens are accepted back for this long after the loan; few return later.
 _RETURN_KEPT_S = 4.0
-_PEAK_SPAN_S = 0.1
+# Above this fraction of its size, a bucket lends tokens in advance.
+_PLENTY_PART = 0.5
 _TINY = 1e-9
 
 
@@ -57,10 +58,12 @@
     ) -> None:
         self.spec = spec
         self._limits = limits
-        self.level = self.size if is_full else self._reserve(spec)
+        reserve = min(spec.burst, limits.slack(spec) * _RESERVE_PART)
+        self.level = self.size if is_full else reserve
         self._at = now
         self._history = GrantHistory(limits.kept_s)
-        # The highest level in each interval of _PEAK_SPAN_S, in order of time.
+        # Levels before loans, each with its time, but for those that a later one
+        # exceeds: the first one after a time is the highest level since.
         self._peaks: deque[tuple[float, float]] = deque()
 
     @property
@@ -73,9 +76,6 @@
         carried = self.spec.rate_per_s * self._limits.carry_s
         return self.spec.burst + self._slack + carried
 
-    def _reserve(self, spec: WorkspaceSpec) -> float:
-        return min(spec.burst, self._limits.slack(spec) * _RESERVE_PART)
-
     def refill(self, now: float) -> None:
         """Add what has been earned until now."""
         earned = max(now - self._at, 0.0) * self.spec.rate_per_s
@@ -85,13 +85,10 @@
         self._note_peak(now)
 
     def _note_peak(self, now: float) -> None:
-        span = now // _PEAK_SPAN_S
-        if self._peaks and self._peaks[-1][0] == span:
-            _, peak = self._peaks.pop()
-            self._peaks.append((span, max(peak, self.level)))
-        else:
-            self._peaks.append((span, self.level))
-        while self._peaks[0][0] < span - _RETURN_KEPT_S / _PEAK_SPAN_S:
+        while self._peaks and self._peaks[-1][1] <= self.level:
+            self._peaks.pop()
+        self._peaks.append((now, self.level))
+        while self._peaks[0][0] < now - _RETURN_KEPT_S:
             self._peaks.popleft()
 
     def wait_s(self, tokens: float, now: float) -> float:
@@ -104,8 +101,7 @@
     def _wait_window(self, tokens: float, now: float) -> float:
         """Return when enough of the window's loans are too old to count."""
         kept_s = self._limits.kept_s
-        limit = self.spec.rate_per_s * kept_s + self.spec.burst + self._slack
-        excess = self._history.total(now - kept_s) + tokens - limit
+        excess = tokens - self._find_room(now)
         if excess <= 0:
             return 0.0
         for at, lent in self._history.items():
@@ -114,6 +110,25 @@
                 return max(at + kept_s - now, 0.0)
         return kept_s
 
+    def _find_room(self, now: float) -> float:
+        """Return the tokens that the window leaves."""
+        kept_s = self._limits.kept_s
+        limit = self.spec.rate_per_s * kept_s + self.spec.burst + self._slack
+        return limit - self._history.total(now - kept_s)
+
+    def find_plenty(self, now: float) -> float:
+        """Return the tokens that can be lent in advance; none if they grow scarce."""
+        plenty = self.level - _PLENTY_PART * self.size
+        if self._limits.carry_s:
+            kept = self.spec.burst + self._slack
+            plenty = min(plenty, self._find_room(now) - kept)
+        return max(plenty, 0.0) / 2
+
+    @property
+    def is_scarce(self) -> bool:
+        """Whether tokens that lie unspent at an entry are missed elsewhere."""
+        return self.level < self.size * _PLENTY_PART
+
     def debit(self, tokens: float, now: float, wait_s: float = 0.0) -> None:
         """Lend tokens that may be spent after ``wait_s``."""
         self.level -= tokens
@@ -128,32 +143,38 @@
         self.refill(now)
         if now - lent_at > _RETURN_KEPT_S:
             return 0.0
-        first = lent_at // _PEAK_SPAN_S
-        peak = max(level for span, level in self._peaks if span >= first)
+        # The level just before the loan itself does not count.
+        since = [item for item in self._peaks if item[0] > lent_at]
+        peak = max((level for _, level in since), default=self.level)
         counted = max(min(tokens, self.size - peak), 0.0)
         self.level += counted
-        self._history.add(-counted, lent_at)
-        self._peaks = deque(
-            (span, level + counted if span >= first else level)
-            for span, level in self._peaks
-        )
+        self._history.add(-tokens, lent_at)
+        before = [item for item in self._peaks if item[0] <= lent_at]
+        self._peaks.clear()
+        for at, level in before + [(at, level + counted) for at, level in since]:
+            while self._peaks and self._peaks[-1][1] <= level:
+                self._peaks.pop()
+            self._peaks.append((at, level))
         return counted
 
     def change(self, spec: WorkspaceSpec, now: float) -> None:
         """Take another rate and burst.
 
         A raised limit counts at once. A lowered one counts in windows that begin now:
-        a level that loans under the old one have used up starts with the reserve.
+        a level that loans under the old one have used up starts with what the overrun
+        of the old limit leaves, since that one counts in windows that began before.
         """
         self.refill(now)
         before = self.size
+        unused = self._limits.slack(self.spec) - self._slack
+        unused = max(unused - self.spec.rate_per_s * LATE_SEND_S, 0.0)
         is_lowered = spec.rate_per_s < self.spec.rate_per_s or spec.burst < (
             self.spec.burst
         )
         self.spec = spec
         if is_lowered:
             self._history = GrantHistory(self._limits.kept_s)
-            self.level = min(max(self.level, self._reserve(spec)), self.size)
+            self.level = min(max(self.level, unused), self.size)
         else:
             self.level += max(self.size - before, 0.0)
         self._peaks.clear()
--- a/src/jasminewharf/decisions/ratequeue.py
+++ b/src/jasminewharf/decisions/ratequeue.py
@@ -1,12 +1,14 @@
 """Requests that wait at the owner for tokens of their workspace's rate.
 
 A request takes its place when it first asks, and asks again when its tokens are due.
-Earlier deadlines go first, so that routes with short targets pass those that can wait,
-and nobody waits for longer than announced. A request that could not be served in time,
-or that would make one late that waits already, is refused at once.
+Requests of about the same size and patience form a flow. Within a flow, the first to
+come is the first to be served; flows that wait share the rate, so that small requests
+do not wait behind all large ones, nor large ones for a gap between small ones. A
+request that cannot be served in time is refused at once. If its flow has less than its
+share of the queue, the last request of the flow with the most tokens gives way.
 """
 
-from bisect import insort
+import math
 from typing import NamedTuple
 
 from .ratebuckets import RateBucket
@@ -15,8 +17,11 @@
 
 # Requests of one workspace that wait at a time; the times bound them before, as a rule.
 _LIMIT = 200
-# One step of priority counts as so much more patience in the order of the queue.
-_PRIORITY_STEP_S = 0.1
+# One step of priority halves a flow's share.
+_PRIORITY_BASE = 2.0
+_PRIORITY_LIMIT = 20
+# Sizes of a flow differ by less than this factor.
+_SIZE_FACTOR = 4.0
 # Tokens of a request that did not ask for them when they were due go to the others.
 _CLAIM_S = 0.4
 # Answers are repeated to requests that ask again because the first one was lost.
@@ -28,12 +33,15 @@
 _RETURN_SPREAD_S = 4.0
 _TINY = 1e-9
 
+_Key = tuple[str, int]
+_Flow = tuple[int, int, int]
+
 
 class TokenTicket(NamedTuple):
     """A request for tokens; ``number`` names it at its node.
 
-    It may wait for ``patience_s`` for those before it. It has waited for ``waited_s``
-    for something else, which counts in the order. Priority 0 is the most urgent.
+    It may wait for ``patience_s`` for those before it. If it has waited for
+    ``waited_s`` for something else, it is served next. Priority 0 is the most urgent.
     """
 
     node: str
@@ -45,20 +53,29 @@
 
 
 class _Waiting:
-    """A place in the queue; ``due_by`` is when its tokens have to be there."""
+    """A place in the queue.
+
+    ``begin`` is its place in the order, in tokens of a flow's share; ``due_by`` is when
+    its tokens have to be there.
+    """
 
-    def __init__(self, ticket: TokenTicket, own_s: float, now: float) -> None:
+    def __init__(self, ticket: TokenTicket, rate: float, now: float) -> None:
         self.key = (ticket.node, ticket.number)
         self.tokens = ticket.tokens
-        own_s = min(own_s, ticket.patience_s * _OWN_SHARE)
+        priority = max(0, min(ticket.priority, _PRIORITY_LIMIT))
+        size = int(math.log(max(ticket.tokens, 1.0), _SIZE_FACTOR))
+        patience_ms = round(ticket.patience_s * 1_000)
+        self.flow: _Flow = (priority, patience_ms, size)
+        self.share_tokens = ticket.tokens * _PRIORITY_BASE**priority
+        own_s = min(ticket.tokens / max(rate, _TINY), ticket.patience_s * _OWN_SHARE)
         self.start_by = now + ticket.patience_s
         self.due_by = self.start_by + own_s
-        rank_s = ticket.priority * _PRIORITY_STEP_S
-        self.order_at = now + ticket.patience_s - ticket.waited_s + rank_s
+        self.begin = 0.0
         self.granted_at = 0.0
 
-    def __lt__(self, other: "_Waiting") -> bool:
-        return self.order_at < other.order_at
+    @property
+    def end(self) -> float:
+        return self.begin + self.share_tokens
 
 
 class TokenQueue:
@@ -67,9 +84,12 @@
     def __init__(self, bucket: RateBucket) -> None:
         self._bucket = bucket
         self._waiting: list[_Waiting] = []
-        self._granted: dict[tuple[str, int], _Waiting] = {}
+        # Where the order has come to, and where each flow's next request begins.
+        self._served = 0.0
+        self._granted: dict[_Key, _Waiting] = {}
         # When tokens were lent, and to whom, for questions that are repeated.
-        self._lent: dict[tuple[str, int], float] = {}
+        self._lent: dict[_Key, float] = {}
+        self._displaced: dict[_Key, float] = {}
         self._returns_until = 0.0
 
     def __len__(self) -> int:
@@ -88,19 +108,31 @@
             if now - item.granted_at > _CLAIM_S:
                 del self._granted[key]
                 bucket.put_back(item.tokens, item.granted_at, now)
-        for key in [k for k, at in self._lent.items() if now - at > _ANSWER_KEPT_S]:
-            del self._lent[key]
+        for noted in (self._lent, self._displaced):
+            for key in [k for k, at in noted.items() if now - at > _ANSWER_KEPT_S]:
+                del noted[key]
         while self._waiting and not bucket.wait_s(self._waiting[0].tokens, now):
             item = self._waiting.pop(0)
+            self._served = max(self._served, item.begin)
             bucket.debit(item.tokens, now)
             item.granted_at = now
             self._granted[item.key] = item
 
+    def is_known(self, node: str, number: int) -> bool:
+        """Return whether a request has asked before."""
+        key = (node, number)
+        is_noted = key in self._lent or key in self._granted or key in self._displaced
+        return is_noted or any(item.key == key for item in self._waiting)
+
+    def is_displaced(self, ticket: TokenTicket) -> bool:
+        """Return whether a request had to give way."""
+        return (ticket.node, ticket.number) in self._displaced
+
     def claim(self, ticket: TokenTicket, now: float) -> float | None:
         """Return 0 if a known request has its tokens, or the seconds until then.
 
         Returns:
-            None if the request is not known.
+            None if the request has no place.
         """
         key = (ticket.node, ticket.number)
         if key in self._lent:
@@ -115,12 +147,6 @@
                 return max(self._bucket.wait_s(tokens, now), _TINY)
         return None
 
-    def is_known(self, node: str, number: int) -> bool:
-        """Return whether a request has asked before."""
-        key = (node, number)
-        is_served = key in self._lent or key in self._granted
-        return is_served or any(item.key == key for item in self._waiting)
-
     def note_lent(self, ticket: TokenTicket, now: float) -> None:
         """Record a loan to a request that did not wait."""
         self._lent[ticket.node, ticket.number] = now
@@ -131,24 +157,41 @@
         Returns:
             None if it cannot be served in time.
         """
-        own_s = ticket.tokens / max(self._bucket.spec.rate_per_s, _TINY)
-        new = _Waiting(ticket, own_s, now)
+        new = _Waiting(ticket, self._bucket.spec.rate_per_s, now)
         if len(self._waiting) >= _LIMIT:
             return None
-        place = list(self._waiting)
-        insort(place, new)
-        wait_s, tokens, is_behind = 0.0, 0.0, False
-        for item in place:
-            if item is new:
-                is_behind = True
-                if now + self._bucket.wait_s(tokens, now) > new.start_by:
-                    return None
-                wait_s = self._bucket.wait_s(tokens + new.tokens, now)
-            tokens += item.tokens
-            if is_behind and now + self._bucket.wait_s(tokens, now) > item.due_by:
+        kept = list(self._waiting)
+        displaced: list[_Waiting] = []
+        while True:
+            self._place(new, kept, is_next=ticket.waited_s > 0)
+            place = sorted([*kept, new], key=lambda item: item.begin)
+            if self._is_feasible(place, now):
+                break
+            victim = _find_victim(kept, new)
+            if victim is None:
                 return None
+            kept.remove(victim)
+            displaced.append(victim)
+        for item in displaced:
+            self._displaced[item.key] = now
         self._waiting = place
-        return max(wait_s, _TINY)
+        tokens = sum(item.tokens for item in place[: place.index(new) + 1])
+        return max(self._bucket.wait_s(tokens, now), _TINY)
+
+    def _place(self, new: _Waiting, kept: list[_Waiting], *, is_next: bool) -> None:
+        ends = [item.end for item in kept if item.flow == new.flow]
+        new.begin = self._served if is_next else max([self._served, *ends])
+
+    def _is_feasible(self, place: list[_Waiting], now: float) -> bool:
+        """Return whether all are served in time in this order."""
+        tokens = 0.0
+        for item in place:
+            if now + self._bucket.wait_s(tokens, now) > item.start_by:
+                return False
+            tokens += item.tokens
+            if now + self._bucket.wait_s(tokens, now) > item.due_by:
+                return False
+        return True
 
     def withdraw(self, node: str, number: int, now: float) -> None:
         """Drop a request whose caller has left."""
@@ -171,3 +214,16 @@
             return_s = first_s
         self._returns_until = now + return_s
         return return_s
+
+
+def _find_victim(kept: list[_Waiting], new: _Waiting) -> _Waiting | None:
+    """Return the last request of the flow with the most tokens; None if it is new's."""
+    tokens: dict[_Flow, float] = {new.flow: new.share_tokens}
+    for item in kept:
+        tokens[item.flow] = tokens.get(item.flow, 0.0) + item.share_tokens
+    largest = max(tokens, key=lambda flow: tokens[flow])
+    if largest == new.flow:
+        return None
+    return max(
+        (item for item in kept if item.flow == largest), key=lambda item: item.begin
+    )
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -628,7 +628,7 @@
 RATE_LEADERLESS_S = 1.0
 RATE_OWNER_RETRY_MS = 500
 RATE_RENEW_S = 0.5  # The age of tokens that are exchanged before a request is sent.
-RATE_OWNER_PART = 0.5  # Of a caller's time, for an owner that gives no answer.
+RATE_OWNER_PART = 0.75  # Of a caller's time, for an owner that gives no answer.
 FOUNDING_S = 8.0  # How long after the first start nobody can have spent a rate.
 OWNER_SILENT_S = 0.3  # How long the owner is not asked after it gave no answer.
 # Of a request whose model is there at last: it has waited for longer than this already.
--- a/src/jasminewharf/services/lending.py
+++ b/src/jasminewharf/services/lending.py
@@ -118,7 +118,7 @@
         now = _now()
         grants = [
             (workspace, [(int(ago_s * defaults.MS_PER_S), t) for ago_s, t in items])
-            for workspace, items in self._rates.report(now)
+            for workspace, items in self._rates.report(began.owner, now)
         ]
         is_complete = self._rates.is_complete(now)
         told = self._rates.told_entries
@@ -166,11 +166,11 @@
             self._use.note_granted(spec, cost, held.lent_at)
             return held
         began_at = _now()
-        answer, asked_at = await self._borrow(spec, cost, patience, priority, outdated)
+        answer, lent_at = await self._borrow(spec, cost, patience, priority, outdated)
         if answer.is_lent:
             has_waited = _now() - began_at > defaults.RATE_WAITED_S
             self._use.note_granted(spec, cost, _now(), has_waited=has_waited)
-            return TokenLot(cost, answer.owner, asked_at)
+            return TokenLot(cost, answer.owner, lent_at)
         raise self._refuse(spec, cost, request_id, patience, answer)
 
     def _refuse(
@@ -247,13 +247,12 @@
     ) -> tuple[TokensLent, float]:
         """Return the last answer, of the owner or of this entry's own share.
 
-        With it comes when the question was asked.
+        With it comes when the answer came, which tells the owner when it lent.
         """
         self._number += 1
         number = self._number
         began_at = _now()
         while True:
-            asked_at = _now()
             request = BorrowTokens(
                 spec.name,
                 cost,
@@ -266,15 +265,17 @@
                 _age_ms(outdated.lent_at) if outdated.tokens else 0,
             )
             asking = self.spawn(self._ask(spec, request))
-            give_up = functools.partial(
-                self._give_up, spec, cost, asked_at, number=number
-            )
+            give_up = functools.partial(self._give_up, spec, cost, number=number)
             try:
                 answer = await asyncio.shield(asking)
+                lent_at = _now()
                 outdated = _NOTHING if answer.owner else outdated
                 pause_s = self._choose_pause_s(answer, patience, began_at)
                 if pause_s is None:
-                    return answer, asked_at
+                    # An owner of an earlier release lends ahead of time.
+                    ahead_ms = answer.wait_ms if answer.is_lent else 0
+                    await asyncio.sleep(ahead_ms / defaults.MS_PER_S)
+                    return answer, lent_at
                 await asyncio.sleep(pause_s)
             except asyncio.CancelledError:
                 # The owner may have lent the tokens, or be about to.
@@ -299,7 +300,6 @@
         self,
         spec: WorkspaceSpec,
         cost: float,
-        asked_at: float,
         asking: "asyncio.Task[TokensLent]",
         *,
         number: int,
@@ -311,7 +311,7 @@
         if not answer.owner or not (answer.is_lent or answer.is_queued):
             return
         tokens = cost if answer.is_lent else 0.0
-        unspent = Unspent(spec.name, tokens, answer.owner, asked_at)
+        unspent = Unspent(spec.name, tokens, answer.owner, _now())
         if tokens:
             self._rates.note_returned(unspent)
         self._return(unspent, number)
@@ -335,7 +335,7 @@
             )
             self._silent_until = _now() + defaults.OWNER_SILENT_S
             return self._use_emergency(spec, request.tokens)
-        self._note_answer(spec, request, answer, asked_at)
+        self._note_answer(spec, request, answer)
         return answer
 
     def _note_answer(
@@ -343,16 +343,16 @@
         spec: WorkspaceSpec,
         request: BorrowTokens,
         answer: TokensLent,
-        asked_at: float,
     ) -> None:
         now = _now()
         self._rates.note_entries(answer.entries, answer.place)
         self._rates.set_scarce(spec.name, answer.is_scarce)
         if answer.is_lent:
-            self._rates.note_loan(spec.name, request.tokens + answer.advance, now)
+            lent = request.tokens + answer.advance
+            self._rates.note_loan(spec.name, lent, answer.owner, now)
         if answer.is_lent and answer.advance > 0:
             unspent = self._rates.hold(
-                spec.name, answer.advance, answer.owner, asked_at, now
+                spec.name, answer.advance, answer.owner, now, now
             )
             if unspent is not None:
                 self._return(unspent)
@@ -442,7 +442,8 @@
 
 
 def _age_ms(at: float) -> int:
-    return math.ceil((_now() - at) * defaults.MS_PER_S)
+    """Return an age that is not too high: tokens were lent before they arrived."""
+    return int((_now() - at) * defaults.MS_PER_S)
 
 
 def _now() -> float:
