Queue for tokens only where the deployment asks for it

Change: `fleet.bounds.rate_wait_share` is 0 by default: loans ahead of time, for 0.12 of the target, as before. A workspace that has been short of tokens for 4 s lets requests of one patience wait for a quarter of it only.

--- a/src/jasminewharf/bench/lending_model.py
+++ b/src/jasminewharf/bench/lending_model.py
@@ -11,12 +11,11 @@
 from types import SimpleNamespace
 from typing import Any, NamedTuple
 
-from .. import defaults
 from ..decisions.configurations import WorkspaceSpec
 from ..exceptions import NotLeader, QuorumLost, RateExceeded, Refusal
-from ..messages.servers import BorrowTokens, OwnerBegan
+from ..messages.servers import OwnerBegan
 from ..metrics import Metrics
-from ..services.lending import Charge, RateBorrower, TokenPatience
+from ..services.lending import Charge, RateBorrower, find_token_patience
 from ..services.ratelender import RateLender
 from ..settings import BoundSettings
 from .virtual import run_virtual
@@ -41,17 +40,16 @@
 
 
 class LendingPolicy(NamedTuple):
-    """How tokens are lent; ``is_queued`` is false for loans ahead of time."""
+    """How tokens are lent; without a share of the target, ahead of time."""
 
     wait_share: float
     carry_s: float = 0.0
-    is_queued: bool = True
     has_reports: bool = True
 
 
 # The first is how tokens were lent before there was a queue.
 POLICIES: dict[str, LendingPolicy] = {
-    "ahead-0.12": LendingPolicy(0.12, is_queued=False, has_reports=False),
+    "ahead-0.12": LendingPolicy(0.0, has_reports=False),
     "queue-0.12": LendingPolicy(0.12),
     "queue-0.5": LendingPolicy(0.5),
     "carry-1": LendingPolicy(0.5, 1.0),
@@ -164,8 +162,6 @@
     ) -> Any:
         fleet = self._entry.fleet
         deadline = fleet.now() + timeout_s
-        if not fleet.policy.is_queued and isinstance(message, BorrowTokens):
-            message = message._replace(number=0)
         while fleet.now() < deadline:
             await asyncio.sleep(fleet.delay_s())
             host = fleet.leader
@@ -315,11 +311,9 @@
             borrower = self.entries[call.entry].borrower
             spec = self.workspaces[call.workspace]
             charge = Charge(borrower, spec, int(call.tokens), "", call.priority)
-            owner_s = min(
-                min(left_s, _PATIENCE_S) * defaults.RATE_OWNER_PART,
-                defaults.OWNER_WAIT_S,
+            patience = find_token_patience(
+                self.settings.fleet.bounds, call.target_s, min(left_s, _PATIENCE_S)
             )
-            patience = TokenPatience(call.target_s * self.policy.wait_share, owner_s)
             try:
                 await charge.take(patience)
             except Refusal as error:
--- a/src/jasminewharf/decisions/lending.py
+++ b/src/jasminewharf/decisions/lending.py
@@ -109,7 +109,7 @@
     ) -> Loan:
         """Lend ``tokens`` at once if the bucket covers them within ``max_wait_s``.
 
-        They may be spent after the wait. Entries of earlier releases ask like this.
+        They may be spent after the wait. This is how entries without a queue ask.
         """
         queue = self._find_queue(spec, now)
         bucket = self._buckets[spec.name]
--- a/src/jasminewharf/decisions/ratequeue.py
+++ b/src/jasminewharf/decisions/ratequeue.py
@@ -29,6 +29,13 @@
 # A request waits for its own size for at most this share of its patience beyond it, so
 # that large requests get a place as often as small ones.
 _OWN_SHARE = 0.5
+# A workspace whose tokens have been short for this long is over its rate for long: its
+# requests wait for a part of their patience only, since more of them come than the rate
+# allows, and waiting serves none more. Where patient requests wait too, they would get
+# all places in that way.
+_LONG_S = 4.0
+_LONG_PART = 0.25
+_SHORT_PART = 0.1  # Of the bucket: fewer tokens are short.
 # Over so much time the returns of refused requests are spread.
 _RETURN_SPREAD_S = 4.0
 _TINY = 1e-9
@@ -68,11 +75,17 @@
         self.flow: _Flow = (priority, patience_ms, size)
         self.share_tokens = ticket.tokens * _PRIORITY_BASE**priority
         own_s = min(ticket.tokens / max(rate, _TINY), ticket.patience_s * _OWN_SHARE)
+        self.patience_s = ticket.patience_s
         self.start_by = now + ticket.patience_s
         self.due_by = self.start_by + own_s
         self.begin = 0.0
         self.granted_at = 0.0
 
+    def shorten(self, now: float) -> None:
+        """Wait for less, as the workspace is over its rate for long."""
+        self.start_by = now + (self.start_by - now) * _LONG_PART
+        self.due_by = now + (self.due_by - now) * _LONG_PART
+
     @property
     def end(self) -> float:
         return self.begin + self.share_tokens
@@ -91,6 +104,7 @@
         self._lent: dict[_Key, float] = {}
         self._displaced: dict[_Key, float] = {}
         self._returns_until = 0.0
+        self._sufficed_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -104,6 +118,8 @@
         """Set tokens aside for those whose turn it is."""
         bucket = self._bucket
         bucket.refill(now)
+        if not self._waiting and bucket.level > bucket.size * _SHORT_PART:
+            self._sufficed_at = now
         for key, item in list(self._granted.items()):
             if now - item.granted_at > _CLAIM_S:
                 del self._granted[key]
@@ -158,6 +174,9 @@
             None if it cannot be served in time.
         """
         new = _Waiting(ticket, self._bucket.spec.rate_per_s, now)
+        is_long = now - self._sufficed_at > _LONG_S and not ticket.waited_s
+        if is_long and all(w.patience_s == new.patience_s for w in self._waiting):
+            new.shorten(now)
         if len(self._waiting) >= _LIMIT:
             return None
         kept = list(self._waiting)
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -631,6 +631,7 @@
 RATE_OWNER_PART = 0.75  # Of a caller's time, for an owner that gives no answer.
 FOUNDING_S = 8.0  # How long after the first start nobody can have spent a rate.
 OWNER_SILENT_S = 0.3  # How long the owner is not asked after it gave no answer.
+RATE_PATIENCE_PART = 0.12  # Of the target: a wait that callers hardly see.
 # Of a request whose model is there at last: it has waited for longer than this already.
 RATE_WAITED_PATIENCE_S = 1.0
 RATE_RETURN_S = 0.1  # How often tokens that expired go back to the owner.
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -26,7 +26,7 @@
 from ..kernel import Kernel, Service
 from ..registry import lookup
 from ..services.jobs import Job
-from ..services.lending import Charge, TokenPatience
+from ..services.lending import Charge, TokenPatience, find_token_patience
 from ..services.upstream import UpstreamRequest
 from ..settings import LimitSettings, split_address
 from .http import HttpServer, Request, Responder
@@ -401,11 +401,10 @@
 
     def _find_token_patience(self, route: Route, left_s: float) -> TokenPatience:
         """Return how long a request waits for tokens before it is sent."""
-        share = self.kernel.settings.fleet.bounds.rate_wait_share
         if route.kind == "stream":
             left_s = min(left_s, route.patience_s)
-        owner_s = min(left_s * defaults.RATE_OWNER_PART, defaults.OWNER_WAIT_S)
-        return TokenPatience(route.target_s * share, owner_s)
+        bounds = self.kernel.settings.fleet.bounds
+        return find_token_patience(bounds, route.target_s, left_s)
 
 
 def _check_promise(refusal: Refusal, attempts: Attempts) -> Refusal:
--- a/src/jasminewharf/services/lending.py
+++ b/src/jasminewharf/services/lending.py
@@ -27,9 +27,10 @@
     ReturnTokens,
     TokensLent,
 )
+from ..settings import BoundSettings
 from .control import FLEET_GROUP
 
-__all__ = ["Charge", "RateBorrower", "TokenPatience"]
+__all__ = ["Charge", "RateBorrower", "TokenPatience", "find_token_patience"]
 
 _logger = logging.getLogger(__name__)
 _NOTHING = TokenLot(0.0, 0, 0.0)
@@ -49,6 +50,21 @@
     waited_s: float = 0.0
 
 
+def find_token_patience(
+    bounds: BoundSettings, target_s: float, left_s: float
+) -> TokenPatience:
+    """Return how long a request may wait for tokens before it is sent.
+
+    Args:
+        bounds: What the deployment asks of the fleet.
+        target_s: The latency target of the request's route.
+        left_s: For how long its caller waits for the first piece of an answer.
+    """
+    share = bounds.rate_wait_share or defaults.RATE_PATIENCE_PART
+    owner_s = min(left_s * defaults.RATE_OWNER_PART, defaults.OWNER_WAIT_S)
+    return TokenPatience(target_s * share, owner_s)
+
+
 class RateBorrower(Service):
     """Borrows tokens for the requests of an entry."""
 
@@ -57,7 +73,8 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        window_s = kernel.settings.fleet.bounds.rate_window_s
+        self._bounds: BoundSettings = kernel.settings.fleet.bounds
+        window_s = self._bounds.rate_window_s
         self._rates = EntryRates(window_s, defaults.ENTRIES_GUESS, _now())
         self._silent_until = 0.0
         # Requests of an earlier life of this entry have other numbers.
@@ -88,7 +105,7 @@
             self._log_use()
 
     def _log_use(self) -> None:
-        window_s = self.kernel.settings.fleet.bounds.rate_window_s
+        window_s = self._bounds.rate_window_s
         for part in self._use.take(_now(), defaults.RATE_WORKSPACES_SHOWN):
             events.emit(_logger, events.RATE_USED, window_s=window_s, workspaces=part)
 
@@ -198,7 +215,7 @@
             cost=round(cost),
             rate=round(spec.rate_per_s, 3),
             burst=round(spec.burst, 3),
-            window_s=self.kernel.settings.fleet.bounds.rate_window_s,
+            window_s=self._bounds.rate_window_s,
             cause=str(cause),
             wait_ms=answer.wait_ms,
             patience_ms=int(patience.wait_s * defaults.MS_PER_S),
@@ -249,8 +266,10 @@
 
         With it comes when the answer came, which tells the owner when it lent.
         """
-        self._number += 1
-        number = self._number
+        number = 0
+        if self._bounds.rate_wait_share:
+            self._number += 1
+            number = self._number
         began_at = _now()
         while True:
             request = BorrowTokens(
@@ -272,7 +291,7 @@
                 outdated = _NOTHING if answer.owner else outdated
                 pause_s = self._choose_pause_s(answer, patience, began_at)
                 if pause_s is None:
-                    # An owner of an earlier release lends ahead of time.
+                    # Without a queue, the owner lends ahead of time.
                     ahead_ms = answer.wait_ms if answer.is_lent else 0
                     await asyncio.sleep(ahead_ms / defaults.MS_PER_S)
                     return answer, lent_at
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -179,9 +179,10 @@
     ``retry_window_s``; the tokens of a workspace within its rate over
     ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``.
 
-    A request beyond its workspace's rate and burst waits for tokens for at most
-    ``rate_wait_share`` of its latency target. A workspace keeps its unused rate of
-    ``rate_carry_s`` beyond its burst, within what the window allows.
+    A request beyond its workspace's rate and burst waits for tokens in a queue, for
+    ``rate_wait_share`` of its latency target; 0 is no queue, and a short wait for those
+    that come first. A workspace keeps its unused rate of ``rate_carry_s`` beyond its
+    burst, within what the window allows.
     """
 
     grace_s: Seconds = 8.0
@@ -191,7 +192,7 @@
     rate_window_s: Seconds = 8.0
     rate_overrun: Annotated[float, Range(0, 10)] = 0.1
     rate_slack_tokens: Annotated[float, Range(0, 1_000_000_000)] = 0
-    rate_wait_share: Annotated[float, Range(0, 1)] = 0.12
+    rate_wait_share: Annotated[float, Range(0, 1)] = 0
     rate_carry_s: Annotated[float, Range(0, 3_600)] = 0
 
 
