Probe a silent owner of the rates without a request that waits

Cause: while no owner answered, each request that came after the pause waited for its own time-out of 0.5 s, and again after its model had been loaded. Change: while the owner is silent, requests use the entry's own share at once, and questions without tokens find out whether there is an owner again.

--- a/src/jasminewharf/services/lending.py
+++ b/src/jasminewharf/services/lending.py
@@ -76,6 +76,8 @@
         self._bounds: BoundSettings = kernel.settings.fleet.bounds
         window_s = self._bounds.rate_window_s
         self._rates = EntryRates(window_s, defaults.ENTRIES_GUESS, _now())
+        # Whether the owner gave no answer, and when it is asked again then.
+        self._is_silent = False
         self._silent_until = 0.0
         # Requests of an earlier life of this entry have other numbers.
         self._number = new_incarnation() >> _NUMBER_BITS
@@ -336,12 +338,26 @@
         self._return(unspent, number)
 
     async def _ask(self, spec: WorkspaceSpec, request: BorrowTokens) -> TokensLent:
-        asked_at = _now()
-        if asked_at < self._silent_until:
+        """Ask the owner; use this entry's own share while the owner is silent.
+
+        A request must not wait for the time-out of a question that an earlier one has
+        met already. Questions without tokens find out whether there is an owner again.
+        """
+        if self._is_silent:
+            if _now() >= self._silent_until:
+                self._silent_until = _now() + defaults.BORROW_TIMEOUT_S
+                self.spawn(self._request(spec, BorrowTokens(spec.name, 0.0, 0)))
             return self._use_emergency(spec, request.tokens)
+        answer = await self._request(spec, request)
+        return answer or self._use_emergency(spec, request.tokens)
+
+    async def _request(
+        self, spec: WorkspaceSpec, request: BorrowTokens
+    ) -> TokensLent | None:
+        """Return the owner's answer; None if it gives none."""
         controllers: Any = self.kernel.find("controllers")
         try:
-            answer = await controllers.request_repeatable(
+            answer: TokensLent = await controllers.request_repeatable(
                 FLEET_GROUP,
                 request,
                 defaults.BORROW_TIMEOUT_S,
@@ -352,8 +368,10 @@
             events.emit(
                 _logger, events.RATE_OWNER_SILENT, workspace=spec.name, error=error
             )
-            self._silent_until = _now() + defaults.OWNER_SILENT_S
-            return self._use_emergency(spec, request.tokens)
+            self._is_silent = True
+            self._silent_until = _now() + defaults.RATE_OWNER_POLL_S
+            return None
+        self._is_silent = False
         self._note_answer(spec, request, answer)
         return answer
 
