--- a/src/jasminewharf/decisions/lateness.py
+++ b/src/jasminewharf/decisions/lateness.py
@@ -17,7 +17,8 @@
 
     ``own`` counts the entry's requests there, with the one that was sent; ``models``
     are the models of those requests with their number. ``load_age_ms`` is the age of
-    the reported load, -1 if none was reported; ``pace`` is 0 if it is not known.
+    the reported load, -1 if none was reported. ``pace`` is 1.0 for a usual server, 2.0
+    for one that takes twice as long.
     """
 
     server: str
@@ -35,7 +36,6 @@
     """Return what is known of a server's load now."""
     age_s = now - server.load_at
     is_reported = age_s < defaults.AGE_LIMIT_S
-    pace = getattr(server, "pace", None)
     models = sorted(
         ((count, name) for name, count in server.in_flight_by_model.items()),
         reverse=True,
@@ -48,7 +48,7 @@
         server.running,
         server.waiting,
         int(age_s * defaults.MS_PER_S) if is_reported else -1,
-        round(pace.factor(now), 2) if pace is not None else 0.0,
+        round(server.pace.factor(now), 2),
         {name: count for count, name in models[:_MODELS_SHOWN] if "/" not in name},
     )
 
