--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -194,6 +194,11 @@
 WINDOW_FULL = _define(883, logging.INFO, "backend server in full use again")
 PACE_ACTIVE = _define(884, logging.INFO, "servers are chosen by their pace")
 RATE_OWNER_SILENT = _define(856, logging.WARNING, "owner of the rates is silent")
+RATE_USED = _define(890, logging.INFO, "tokens granted and refused in a second")
+RATE_OWNED = _define(891, logging.INFO, "owner of the rates refused or queued requests")
+RATE_OWNER_BEGAN = _define(892, logging.INFO, "owner of the rates begins to lend")
+STREAM_LATE = _define(893, logging.INFO, "stream late")
+STREAMS_ENDED = _define(894, logging.INFO, "streams answered in a second")
 
 # Engines beside an agent: 900 to 949.
 ENGINE_LOST = _define(900, logging.WARNING, "engine does not answer")
