Evacuate availability zones by a committed command

Cause: operators need to take the backend servers of an availability zone out of service at any control host, durably, and without a delayed copy of a call taking effect after a later call. The calls carry no identifier.

Change: log group fleet keeps a state and a revision for each zone. Any control host takes the calls over HTTP and from the tool; entries and agents apply the state with their feed. An entry chooses no server of an evacuated zone, checks once more right before it writes a request, counts models there as not loaded, and refuses at once (servers_evacuated) where no server is left. Agents of the zone give no orders. Fleets of documents stop calls and placements there.

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -44,6 +44,7 @@
         avoided_until: Until when it gets no requests because it stopped answering.
         backpressure: What its answers have asked of this node.
         limit: The request rate that it names for all nodes together.
+        is_evacuated: Whether its availability zone is evacuated.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.backpressure = backpressure or ServerBackpressure()
         incarnation = ServerIncarnation(listed.server, listed.born_ms)
         self.limit = limit or ServerLimit(incarnation)
+        self.is_evacuated = False
         self.own = 0
         self.in_flight_by_model: dict[str, int] = {}
         self.running = 0
@@ -92,7 +94,9 @@
 
     def is_open(self, now: float) -> bool:
         """Return whether the server accepts requests of this node."""
-        return not self.listed.is_leaving and self.backpressure.allows(now)
+        if self.listed.is_leaving or self.is_evacuated:
+            return False
+        return self.backpressure.allows(now)
 
     @property
     def load(self) -> int:
@@ -178,7 +182,9 @@
 
     def holds(self, model: str, now: float, fresh_s: float) -> bool:
         """Return whether the server has a model loaded and may get requests for it."""
-        if self.is_avoided(now) or not self.backpressure.allows(now):
+        if self.is_evacuated or self.is_avoided(now):
+            return False
+        if not self.backpressure.allows(now):
             return False
         return self.has_model(model, now, fresh_s)
 
@@ -220,6 +226,7 @@
         board: The last report of each agent.
         list_at: When the list was read.
         limits: The request rates that servers name for all nodes together.
+        evacuated: The names of the evacuated availability zones.
     """
 
     def __init__(self) -> None:
@@ -231,6 +238,7 @@
         self.list_at = float("-inf")
         self._backpressure = BackpressureTable()
         self.limits = ServerLimitTable()
+        self.evacuated: frozenset[str] = frozenset()
 
     def in_service(self, service: str) -> list[Server]:
         """Return the servers of a service, including leaving ones."""
@@ -244,6 +252,17 @@
         """Return the server at an address."""
         return self._by_address.get(address)
 
+    def set_evacuated(self, zones: frozenset[str]) -> None:
+        """Replace the evacuated availability zones."""
+        self.evacuated = zones
+        for server in self.servers.values():
+            server.is_evacuated = server.listed.zone in zones
+
+    def has_only_evacuated(self, service: str) -> bool:
+        """Return whether an evacuation leaves a service without a staying server."""
+        staying = [s for s in self.in_service(service) if not s.is_leaving]
+        return bool(staying) and all(server.is_evacuated for server in staying)
+
     def take_list(self, servers: list[ListedServer], read_at: float) -> ListChange:
         """Replace the list; one read before the current one is ignored."""
         if read_at < self.list_at:
@@ -266,6 +285,7 @@
             elif listed.is_leaving and not server.listed.is_leaving:
                 left.append(listed)
             server.listed = listed
+            server.is_evacuated = listed.zone in self.evacuated
             kept[listed.server] = server
         left.extend(
             server.listed for name, server in self.servers.items() if name not in kept
@@ -295,7 +315,7 @@
         return [
             server
             for server in self.in_service(service)
-            if not server.is_leaving
+            if not (server.is_leaving or server.is_evacuated)
             and now - server.report_at > fresh_s
             and now - server.found_at <= fresh_s
         ]
--- a/src/jasminewharf/decisions/fleet.py
+++ b/src/jasminewharf/decisions/fleet.py
@@ -24,9 +24,11 @@
     SubmitDocument,
     WithdrawKey,
 )
+from ..messages.evacuations import SetEvacuation
 from ..registry import lookup
 from .acceptance import DocumentRecord, Revision, judge_submission
 from .configurations import ACCEPTANCE_RULES
+from .evacuations import EvacuationTable, ZoneState
 from .keys import KeyRecord
 
 __all__ = [
@@ -83,6 +85,8 @@
     replicas: list[Replica]
     verdicts: list[tuple[str, CommandResult]]
     configuration: StoredConfiguration = StoredConfiguration()
+    # Left out while empty, so that earlier releases can read it.
+    evacuations: list[ZoneState] = []
 
 
 _Applier = Callable[["FleetState", int, Any], CommandResult]
@@ -110,6 +114,7 @@
             both.
         replicas: Replicas by number, without those in phase ``gone``.
         configuration: The active configuration, if the deployment uses one.
+        evacuations: The states of availability zones.
     """
 
     def __init__(self) -> None:
@@ -119,6 +124,7 @@
         self.draining: dict[str, tuple[str, ...]] = {}
         self.replicas: dict[int, Replica] = {}
         self.configuration = StoredConfiguration()
+        self.evacuations = EvacuationTable()
         self._verdicts: OrderedDict[str, CommandResult] = OrderedDict()
         self._parsed: dict[str, Document] = {}
         self._offers: dict[str, dict[str, ModelOffer]] = {}
@@ -244,6 +250,10 @@
         self.configuration = StoredConfiguration(command.version, command.body)
         return CommandResult("", "replaced", command.version)
 
+    @_applies(SetEvacuation)
+    def _set_evacuation(self, index: int, command: SetEvacuation) -> CommandResult:
+        return self.evacuations.apply(index, command)
+
     def _index_replica(self, replica: Replica, is_loaded: bool) -> None:
         places = self._loaded.setdefault((replica.service, replica.model), set())
         place = (replica.host, replica.backend)
@@ -302,17 +312,18 @@
 
     def snapshot(self) -> bytes:
         """Return the encoded state."""
-        return msgspec.msgpack.encode(
-            _Snapshot(
-                self.version,
-                list(self.documents.values()),
-                list(self.keys.values()),
-                dict(sorted(self.draining.items())),
-                list(self.replicas.values()),
-                list(self._verdicts.items()),
-                self.configuration,
-            )
+        snapshot = _Snapshot(
+            self.version,
+            list(self.documents.values()),
+            list(self.keys.values()),
+            dict(sorted(self.draining.items())),
+            list(self.replicas.values()),
+            list(self._verdicts.items()),
+            self.configuration,
+            self.evacuations.list_states(),
         )
+        fields = snapshot if snapshot.evacuations else snapshot[:-1]
+        return msgspec.msgpack.encode(fields)
 
     def restore(self, data: bytes) -> None:
         """Replace the state by a snapshot."""
@@ -324,6 +335,7 @@
         self.replicas = {replica.number: replica for replica in snapshot.replicas}
         self._verdicts = OrderedDict(snapshot.verdicts)
         self.configuration = snapshot.configuration
+        self.evacuations = EvacuationTable(snapshot.evacuations)
         self._parsed = {}
         self._offers = {}
         self._loaded = {}
--- a/src/jasminewharf/decisions/inventory.py
+++ b/src/jasminewharf/decisions/inventory.py
@@ -93,7 +93,8 @@
     """The committed state that a plan starts from.
 
     ``version`` is the log index; replicas, models and draining hosts only change
-    with it. ``lost`` are hosts that were declared lost: nothing runs there.
+    with it. ``lost`` are hosts that were declared lost: nothing runs there. Hosts in
+    ``evacuated`` zones keep what they hold and get nothing new.
     """
 
     version: int
@@ -101,6 +102,7 @@
     models: Mapping[ModelKey, ModelSpec]
     draining: frozenset[str] = frozenset()
     lost: frozenset[str] = frozenset()
+    evacuated: frozenset[str] = frozenset()
 
 
 class Transition(NamedTuple):
--- a/src/jasminewharf/decisions/planstate.py
+++ b/src/jasminewharf/decisions/planstate.py
@@ -63,6 +63,7 @@
         self.memory = MemoryLedger()
         self.models: Mapping[ModelKey, ModelSpec] = {}
         self.leaving: frozenset[str] = frozenset()
+        self.evacuated: frozenset[str] = frozenset()
         self.lost: frozenset[str] = frozenset()
         self.loaded_at: dict[int, float] = {}
         self.ordered_at: dict[int, float] = {}
@@ -96,6 +97,7 @@
                 self._take_transition(transition, now)
         self.leaving = view.draining | self._reported_leaving
         self.lost = view.lost
+        self.evacuated = view.evacuated
         for report in changed:
             self._take_replicas(report)
         for host in self.lost:
@@ -291,6 +293,8 @@
         """
         if record.host in self.leaving or record.host in self.lost:
             return False
+        if record.host in self.evacuated:
+            return False
         key = _backend_key(record)
         backend = self.inventory.backends.get(key)
         if backend is not None and backend.report.reachable:
@@ -333,6 +337,8 @@
         host = target.host
         if host in self.leaving or host in self.lost or host in self._blocked_hosts:
             return False
+        if host in self.evacuated:
+            return False
         failures = self._failures.get((key, target))
         return failures is None or now >= failures.until
 
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -436,6 +436,10 @@
 REPAIR_LEAVE_S = 1.5  # For which a control host that stops waits to lose its vote.
 BROADCAST_INTERVAL_S = 0.25
 SERVER_LIST_INTERVAL_S = 1.0  # A third of the time in which a leaving server counts.
+# Between the receipt of an operator's call and the confirmation of the state that it
+# changes: one that takes longer may have been overtaken by a later call.
+EVACUATION_CONFIRM_S = 1.0
+EVACUATED_RETRY_MS = 1_000  # Evacuations take minutes; callers may try other entries.
 SERVER_LIST_STALE_S = 2.5  # Two reads and the way to a control host.
 SERVER_LIST_TIMEOUT_S = 1.0
 SERVER_LIST_PAGES_LIMIT = 100
--- a/src/jasminewharf/dialects/fleet.py
+++ b/src/jasminewharf/dialects/fleet.py
@@ -18,6 +18,7 @@
     "EngineOrder",
     "EngineOrders",
     "EngineStatus",
+    "EvacuationCall",
     "ForwardedHead",
     "HeldModel",
     "ListPage",
@@ -160,11 +161,21 @@
         """Return headers that an answer of the fleet's own carries."""
 
 
+class EvacuationCall(NamedTuple):
+    """A call to evacuate an availability zone, or to end its evacuation."""
+
+    zone: str
+    is_evacuated: bool
+
+
 class OperatorDialect(Protocol):
     """How operators' calls look."""
 
     def read_call(self, method: str, target: str) -> str:
-        """Return replace, read or, for an unknown call, an empty text."""
+        """Return replace, read or, for any other call, an empty text."""
+
+    def read_evacuation(self, method: str, target: str) -> EvacuationCall | None:
+        """Return what a call says about an evacuation; None for any other call."""
 
 
 class EngineStatus(NamedTuple):
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -27,6 +27,7 @@
     "DeadlineExceeded",
     "DocumentError",
     "DuplicateRegistration",
+    "EvacuationOvertaken",
     "FenceRejected",
     "Forbidden",
     "HeadTooLarge",
@@ -63,6 +64,7 @@
     "Refusal",
     "RequestTimeout",
     "ScenarioError",
+    "ServersEvacuated",
     "ServiceFailed",
     "SettingsError",
     "ShuttingDown",
@@ -77,9 +79,12 @@
     "Unauthorized",
     "Unconfirmed",
     "UnknownRegistration",
+    "UnknownZone",
     "VersionConflict",
     "WaitTimeout",
     "WorkspaceBusy",
+    "ZoneEvacuated",
+    "ZonesUnknown",
 ]
 
 
@@ -192,6 +197,10 @@
     """The named thing does not exist in the fleet's state."""
 
 
+class UnknownZone(NotKnown):
+    """No availability zone of this name is known; nothing has changed."""
+
+
 class WaitTimeout(JasminewharfError):
     """What the operator waits for has not happened in time.
 
@@ -262,6 +271,14 @@
     """The state machine refused a command."""
 
 
+class EvacuationOvertaken(ConsensusError):
+    """A later call has changed the state of the availability zone meanwhile."""
+
+
+class ZonesUnknown(ConsensusError):
+    """This control host cannot tell yet which availability zones there are."""
+
+
 class LogDivergence(ConsensusError):
     """A leader sent another entry in place of a committed one."""
 
@@ -344,6 +361,13 @@
         super().__init__(f"{server} takes no request within {wait_s:.2f} s")
 
 
+class ZoneEvacuated(LimitReached):
+    """The server's availability zone is evacuated; nothing was sent."""
+
+    def __init__(self, server: str) -> None:
+        super().__init__(server, 0.0)
+
+
 class TrialBusy(JasminewharfError):
     """A request under suspicion can't be sent to a server now; nothing was sent."""
 
@@ -549,6 +573,13 @@
     kind = "model_unavailable"
 
 
+class ServersEvacuated(Refusal):
+    """All backend servers are in evacuated availability zones or leaving."""
+
+    kind = "servers_evacuated"
+    status = 503
+
+
 class PromptRefused(Refusal):
     """A part of the prompt has crashed backend servers, or may have."""
 
--- a/src/jasminewharf/interfaces/documentcontrol.py
+++ b/src/jasminewharf/interfaces/documentcontrol.py
@@ -7,6 +7,7 @@
 from ..services.claims import claims_group
 from ..services.control import FLEET_GROUP, ControlServer
 from ..services.controllers import Controllers
+from ..services.evacuations import EvacuationService
 from ..services.fleet import Fleet
 from ..services.gathering import Gathering
 from ..services.hostlist import HostList
@@ -60,6 +61,7 @@
             ControlServer,
             Publisher,
             Gathering,
+            EvacuationService,
             PlannerService,
             HostList,
             AdapterSlotOwner,
--- a/src/jasminewharf/interfaces/exits.py
+++ b/src/jasminewharf/interfaces/exits.py
@@ -6,6 +6,7 @@
 from ..exceptions import (
     ConfigurationError,
     ConsensusError,
+    EvacuationOvertaken,
     JasminewharfError,
     KeyFileError,
     LinesNotFound,
@@ -58,6 +59,7 @@
     (ConfigurationError, EXIT_INVALID),
     (KeyFileError, EXIT_INVALID),
     (VersionConflict, EXIT_CONFLICT),
+    (EvacuationOvertaken, EXIT_CONFLICT),
     (SubmissionUnconfirmed, EXIT_UNCONFIRMED),
     (WaitTimeout, EXIT_TIMEOUT),
     (NotKnown, EXIT_NOT_FOUND),
--- a/src/jasminewharf/interfaces/fleetagent.py
+++ b/src/jasminewharf/interfaces/fleetagent.py
@@ -5,6 +5,7 @@
 from ..services.controllers import Controllers
 from ..services.directory import DirectoryService
 from ..services.engine import EngineManager
+from ..services.evacuationview import EvacuationView
 from ..services.feed import Feed
 from ..services.permits import Permits
 from ..services.process import Process
@@ -32,6 +33,7 @@
             Reporter,
             ConfigurationView,
             DirectoryService,
+            EvacuationView,
             ServerLimits,
             Permits,
             EngineManager,
--- a/src/jasminewharf/interfaces/fleetcontrol.py
+++ b/src/jasminewharf/interfaces/fleetcontrol.py
@@ -7,6 +7,7 @@
 from ..services.control import FLEET_GROUP, ControlServer
 from ..services.controllers import Controllers
 from ..services.entrycounter import EntryCounter
+from ..services.evacuations import EvacuationService
 from ..services.fleet import Fleet
 from ..services.gathering import Gathering
 from ..services.lending import RateLender
@@ -77,6 +78,7 @@
             RateLender,
             StoreSlotOwner,
             ConfigurationService,
+            EvacuationService,
             Repair,
             OperatorHttp,
         ),
--- a/src/jasminewharf/interfaces/fleetentry.py
+++ b/src/jasminewharf/interfaces/fleetentry.py
@@ -5,6 +5,7 @@
 from ..services.controllers import Controllers
 from ..services.demand import DemandService
 from ..services.directory import DirectoryService
+from ..services.evacuationview import EvacuationView
 from ..services.feed import Feed
 from ..services.forwarding import Forwarder
 from ..services.lending import RateBorrower
@@ -39,6 +40,7 @@
             Reporter,
             ConfigurationView,
             DirectoryService,
+            EvacuationView,
             RateBorrower,
             RetryBudgets,
             ServerLimits,
--- a/src/jasminewharf/interfaces/http.py
+++ b/src/jasminewharf/interfaces/http.py
@@ -89,6 +89,11 @@
         self.has_length = False
         self.is_finished = False
 
+    @property
+    def may_be_unread(self) -> bool:
+        """Whether the caller has ended its sending side, as one does that has left."""
+        return self._connection.is_half_closed
+
     def start(
         self,
         status: int,
@@ -223,6 +228,11 @@
     def _is_idle(self) -> bool:
         return self._task is None and not self._is_inside_request
 
+    @property
+    def is_half_closed(self) -> bool:
+        """Whether the caller has ended its sending side."""
+        return self._is_half_closed
+
     @property
     def _has_unread(self) -> bool:
         """Whether bytes have arrived that the loop or the parser has not read yet."""
--- a/src/jasminewharf/interfaces/operator.py
+++ b/src/jasminewharf/interfaces/operator.py
@@ -29,6 +29,7 @@
     RemoveMember,
     StatusAnswer,
 )
+from ..messages.evacuations import EvacuateZone, EvacuationAnswer
 from ..messages.link import Failure
 from ..services.control import FLEET_GROUP
 from ..services.controllers import Controllers
@@ -130,6 +131,22 @@
             SetDraining(submission_id or new_token(), host, draining)
         )
 
+    async def evacuate(self, zone: str, is_evacuated: bool) -> EvacuationAnswer:
+        """Evacuate an availability zone, or end that.
+
+        The call names the revision that it was made on, so that repeating it is safe.
+
+        Raises:
+            UnknownZone: If there is no such zone.
+            EvacuationOvertaken: If another call has changed it meanwhile.
+            QuorumLost: If no answer came.
+        """
+        held = (await self.read_state()).evacuations.find(zone)
+        call = EvacuateZone(zone, is_evacuated, held.revision)
+        return await self._controllers.request_repeatable(
+            FLEET_GROUP, call, self._settings.timeout_s, defaults.OPERATOR_ATTEMPT_S
+        )
+
     async def fetch_members(self) -> list[GroupMembers]:
         """Return the members of every log group."""
         answer = await self._controllers.request_repeatable(
--- a/src/jasminewharf/interfaces/operatorhttp.py
+++ b/src/jasminewharf/interfaces/operatorhttp.py
@@ -1,9 +1,9 @@
-"""Operators' calls for whole configurations over HTTP."""
+"""Operators' calls for configurations and evacuations over HTTP."""
 
 import json
 from typing import ClassVar
 
-from ..dialects.fleet import OPERATOR_DIALECTS
+from ..dialects.fleet import OPERATOR_DIALECTS, EvacuationCall
 from ..exceptions import (
     ConfigurationRefused,
     ConsensusError,
@@ -12,6 +12,7 @@
     ShuttingDown,
     StorageFull,
     Unconfirmed,
+    UnknownZone,
 )
 from ..kernel import Kernel, Service
 from ..registry import lookup
@@ -28,10 +29,10 @@
 
 
 class OperatorHttp(Service):
-    """Takes and returns configurations in the platform's dialect."""
+    """Takes operators' calls in the platform's dialect."""
 
     name: ClassVar[str] = "operator-http"
-    requires: ClassVar[tuple[str, ...]] = ("configurations",)
+    requires: ClassVar[tuple[str, ...]] = ("configurations", "evacuations")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -57,12 +58,15 @@
 
     async def _handle(self, request: Request, responder: Responder) -> None:
         action = self._dialect.read_call(request.method, request.target)
+        evacuation = self._dialect.read_evacuation(request.method, request.target)
         if self._is_draining:
             raise ShuttingDown("the control host stops", retry_after_ms=_RETRY_MS)
         if action == "replace":
             await self._replace(request, responder)
         elif action == "read":
             await self._read(responder)
+        elif evacuation is not None:
+            await self._evacuate(evacuation, responder)
         else:
             responder.respond(404, _JSON, b'{"error":"no such call"}')
 
@@ -79,6 +83,21 @@
         body = json.dumps({"version": version}).encode()
         responder.respond(200, _JSON, body)
 
+    async def _evacuate(self, call: EvacuationCall, responder: Responder) -> None:
+        evacuations = self.kernel.find("evacuations")
+        try:
+            await evacuations.evacuate(
+                *call, is_wanted=lambda: not responder.may_be_unread
+            )
+        except UnknownZone as error:
+            body = json.dumps({"error": str(error)}).encode()
+            responder.respond(400, _JSON, body)
+            return
+        except (ConsensusError, LinkError, StorageFull) as error:
+            raise _unconfirmed(error) from error
+        # A call that is sent again gets the same answer.
+        responder.respond(200, _JSON, json.dumps(call._asdict()).encode())
+
     async def _read(self, responder: Responder) -> None:
         try:
             body = await self.kernel.find("configurations").read()
--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -12,6 +12,7 @@
 from ..settings import LogFormat
 from .exits import find_exit_code
 from .tool_config import ConfigCommand
+from .tool_evacuations import EvacuateCommand
 from .tool_explain import ExplainCommand
 from .tool_keys import KeyCommand
 from .tool_losses import LossesCommand
@@ -72,6 +73,7 @@
         | KeyCommand
         | StatusCommand
         | DrainCommand
+        | EvacuateCommand
         | TraceCommand
         | ExplainCommand
         | LossesCommand
--- a/src/jasminewharf/interfaces/tool_status.py
+++ b/src/jasminewharf/interfaces/tool_status.py
@@ -82,6 +82,12 @@
     )
 
 
+def _render_evacuated(status: dict[str, Any]) -> list[str]:
+    # Control hosts of earlier releases do not tell.
+    zones = status.get("evacuated", [])
+    return [f"evacuated: {', '.join(zones)}"] if zones else []
+
+
 def render_status(status: dict[str, Any]) -> str:
     """Return the status as one screen of text."""
     control = status["control"]
@@ -94,6 +100,7 @@
             f" control hosts {', '.join(members)}",
             f"services: {', '.join(services) or 'none'}",
             f"draining: {', '.join(status['draining']) or 'none'}",
+            *_render_evacuated(status),
             "nodes:",
             _render_nodes(status),
             "backend servers:",
--- a/src/jasminewharf/messages/__init__.py
+++ b/src/jasminewharf/messages/__init__.py
@@ -1,6 +1,6 @@
 """Typed messages between the processes."""
 
-from . import accounts, calls, claims, commands, control, feed, link, log
+from . import accounts, calls, claims, commands, control, evacuations, feed, link, log
 from .codec import MESSAGE_TYPES, decode, encode, message, message_code
 
 __all__ = [
@@ -12,6 +12,7 @@
     "control",
     "decode",
     "encode",
+    "evacuations",
     "feed",
     "link",
     "log",
--- a/src/jasminewharf/services/backends.py
+++ b/src/jasminewharf/services/backends.py
@@ -234,8 +234,10 @@
             )
 
     def _is_draining(self) -> bool:
-        draining = self.kernel.find("feed").state.draining
-        return self.kernel.settings.host_name in draining
+        state = self.kernel.find("feed").state
+        settings = self.kernel.settings
+        is_evacuated = settings.zone in state.evacuations.evacuated
+        return is_evacuated or settings.host_name in state.draining
 
     def _refuse(
         self, peer: Peer, request_id: str, refusal: Refusal, backend: Backend | None
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -246,7 +246,7 @@
         paused = [
             _build_pause(server, server.backpressure.pause_s(now))
             for server in self._directory.in_service(service.name)
-            if not server.is_leaving
+            if not (server.is_leaving or server.is_evacuated)
             and not server.backpressure.allows(now)
             and server.has_model(model, now, defaults.AGENT_FRESH_S)
         ]
@@ -277,7 +277,8 @@
                 change.set_result(None)
         wanted: dict[str, ServiceSpec] = {}
         for waiter in self._waiters:
-            if not self._is_held(waiter.service, waiter.model):
+            is_over = self._directory.has_only_evacuated(waiter.service.name)
+            if not is_over and not self._is_held(waiter.service, waiter.model):
                 wanted[waiter.model] = waiter.service
             elif not waiter.ready.done():
                 waiter.ready.set_result(None)
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -158,7 +158,7 @@
                 remaining_ms=listed.remaining_ms,
                 age_ms=age_ms,
             )
-        self._notify()
+        self.notify()
 
     def _take_hosts(self, host: str, message: ControlHosts) -> None:
         self.kernel.find("controllers").set_hosts(message.ips, host)
@@ -184,7 +184,7 @@
 
     def _take_report(self, report: EngineReport) -> None:
         if self.directory.take_report(report, _now()) == TAKEN:
-            self._notify()
+            self.notify()
 
     def _take_load(self, load: EngineLoad) -> None:
         self.directory.take_load(load, _now())
@@ -204,7 +204,7 @@
         if unknown:
             self._send_to_relay(WantReports(unknown))
         if is_news:
-            self._notify()
+            self.notify()
 
     def _send_to_relay(self, message: Any) -> None:
         link = self.kernel.find("controllers").links.get(
@@ -273,7 +273,7 @@
         found = [a for a, posted in heard.items() if not posted or posted.at < late]
         return sorted(found, key=lambda address: not self.agents.is_linked(address))
 
-    def _notify(self) -> None:
+    def notify(self) -> None:
         """Tell the listeners once for all messages of an event-loop turn."""
         if not self._is_scheduled:
             self._is_scheduled = True
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -12,7 +12,13 @@
 from ..decisions.routes import RouteTable
 from ..decisions.serverlimits import ServerLimit
 from ..dialects.fleet import ENGINE_ORDERS, EngineOrder, EngineStatus
-from ..exceptions import BackendError, BackendSilent, ImplausibleDemand, LimitReached
+from ..exceptions import (
+    BackendError,
+    BackendSilent,
+    ImplausibleDemand,
+    LimitReached,
+    ZoneEvacuated,
+)
 from ..kernel import Kernel, Service
 from ..messages.feed import BackendReport
 from ..messages.servers import (
@@ -415,6 +421,9 @@
 
     async def _give_orders(self) -> None:
         """Send orders until none is needed or the engine accepts no more."""
+        if self._is_evacuated():
+            self._give_up_orders()
+            return
         for _ in range(defaults.ENGINE_ORDERS_IN_A_ROW):
             status = self._status
             if status is None or self._is_fenced() or self._is_paused():
@@ -444,6 +453,24 @@
             self._adapter_ordered_at = _now()
             await self._refresh_status()
 
+    def _is_evacuated(self) -> bool:
+        """Return whether the engine's availability zone is evacuated."""
+        directory = self.kernel.find("directory").directory
+        server = directory.at_address(self._address)
+        if server is not None:
+            return server.is_evacuated
+        return self.kernel.settings.zone in directory.evacuated
+
+    def _give_up_orders(self) -> None:
+        """Let others have the turn at the store, and callers go elsewhere."""
+        if self._change is None:
+            self._store.withdraw()
+        waiters, self._adapter_waiters = self._adapter_waiters, {}
+        for futures in waiters.values():
+            for future in futures:
+                if not future.done():
+                    future.set_result(False)
+
     async def _acquire_store_slot(self, intent: Intent) -> bool:
         spec = self._residency.model(intent.fetches)
         load_s = spec.remote_s if spec is not None else 0.0
@@ -510,6 +537,8 @@
         try:
             permit = await self._permits.acquire(self._limit, _ORDER_WISH)
             with contextlib.closing(permit):
+                if self._is_evacuated():
+                    raise ZoneEvacuated(self._address)
                 answer = await self._client.fetch_answer(
                     call.method,
                     call.target,
@@ -578,6 +607,7 @@
             for server in self.kernel.find("directory").directory.servers.values()
             if server.report is not None
             and server.report.is_reachable
+            and not server.is_evacuated
             and now - server.report_at <= defaults.AGENT_FRESH_S
             and server.listed.address != self._address
         ]
@@ -596,7 +626,7 @@
         listed = {
             server.listed.address
             for server in directory.servers.values()
-            if not server.is_leaving
+            if not (server.is_leaving or server.is_evacuated)
         }
         return gather_copies(reports, self._address, is_complete)._replace(
             lost=self._lost_copies.update(reports, listed, now)
--- a/src/jasminewharf/services/planner.py
+++ b/src/jasminewharf/services/planner.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import ClassVar
 
 from .. import defaults, events
@@ -98,7 +98,7 @@
         view = self._read_view()
         hosts = {record.host for record in view.replicas.values()}
         lost = frozenset(gathering.membership.find_lost_hosts(hosts, now))
-        view = view._replace(lost=lost)
+        view = view._replace(lost=lost, evacuated=self._find_evacuated(reports))
         actions = planner.plan(view, reports, self._demands, now)
         for action in actions:
             committed = await self._propose(action)
@@ -106,6 +106,11 @@
                 planner.record_outcome(action, committed=False)
         self._publish_estimates(planner, now)
 
+    def _find_evacuated(self, reports: Mapping[str, NodeReport]) -> frozenset[str]:
+        """Return the hosts in evacuated availability zones."""
+        zones = self.kernel.find("fleet").state.evacuations.evacuated
+        return frozenset(r.host for r in reports.values() if r.zone in zones)
+
     def _publish_estimates(self, planner: Planner, now: float) -> None:
         if now - self._estimated_at < defaults.ESTIMATE_INTERVAL_S:
             return
--- a/src/jasminewharf/services/router.py
+++ b/src/jasminewharf/services/router.py
@@ -233,6 +233,8 @@
         for agent in self.kernel.find("reports").agents_of(plan.pool):
             if agent.leaving or agent.host in state.draining:
                 continue
+            if agent.zone in state.evacuations.evacuated:
+                continue
             if not self._agents.can_take_calls(agent):
                 continue
             for backend in agent.backends:
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -25,6 +25,7 @@
     LimitReached,
     ModelUnavailable,
     Overloaded,
+    ServersEvacuated,
 )
 from ..kernel import Kernel, Service
 from ..messages.servers import EnsureAdapter
@@ -66,6 +67,8 @@
         self._health = OutlierDetector()
         self._metrics = kernel.find("process").metrics
         self._random = kernel.find("process").random
+        # Services whose lack of servers outside evacuated zones was logged.
+        self._emptied: set[str] = set()
 
     async def start(self) -> None:
         """Watch for servers that have fallen silent."""
@@ -316,6 +319,7 @@
 
     async def _pick_plain(self, job: Job, attempts: Attempts) -> _Choice:
         while True:
+            self._check_evacuated(job)
             usable = self._list_usable(job)
             fresh = self.list_untried(job, attempts)
             if fresh:
@@ -333,6 +337,26 @@
                 self._check_pauses(job)
             await self._demand.wait_change(job.deadline)
 
+    def _check_evacuated(self, job: Job) -> None:
+        """Refuse a request for which evacuations leave no server.
+
+        Raises:
+            ServersEvacuated: If all staying servers are in evacuated zones.
+        """
+        service = job.service.name
+        if not self._directory.has_only_evacuated(service):
+            self._emptied.discard(service)
+            return
+        if service not in self._emptied:
+            self._emptied.add(service)
+            zones = sorted(self._directory.evacuated)
+            events.emit(_logger, events.SERVERS_EVACUATED, service=service, zones=zones)
+        self._metrics.count("requests_without_zone_total", service=service)
+        raise ServersEvacuated(
+            "all backend servers are in evacuated availability zones",
+            retry_after_ms=defaults.EVACUATED_RETRY_MS,
+        )
+
     async def _pause(self, job: Job, attempts: Attempts, pause_s: float) -> None:
         """Wait before the servers that have all refused a request are asked again.
 
@@ -356,7 +380,8 @@
         pauses = [
             server.backpressure.pause_s(now)
             for server in self._directory.in_service(job.service.name)
-            if not server.is_leaving and not server.backpressure.allows(now)
+            if not (server.is_leaving or server.is_evacuated)
+            and not server.backpressure.allows(now)
         ]
         if pauses and now + min(pauses) > job.leaves_at:
             raise Overloaded(
@@ -367,6 +392,7 @@
     async def _pick_engine(self, job: Job, attempts: Attempts) -> _Choice:
         wanted = RequestTarget(job.call.model, job.call.adapter)
         while True:
+            self._check_evacuated(job)
             holders = self._find_holders(job, attempts)
             if not holders and attempts.avoided:
                 pause_s = attempts.begin_round()
--- a/src/jasminewharf/services/serverlist.py
+++ b/src/jasminewharf/services/serverlist.py
@@ -32,7 +32,11 @@
 
 
 class ServerListReader(Service):
-    """Reads, relays and publishes the list."""
+    """Reads, relays and publishes the list.
+
+    Attributes:
+        zones: The availability zones of all servers that were listed in this life.
+    """
 
     name: ClassVar[str] = "server-list"
     requires: ClassVar[tuple[str, ...]] = (
@@ -55,6 +59,8 @@
         self._number = 0
         self._read_at = float("-inf")
         self._failures = 0
+        # Kept after a zone has lost its last server.
+        self.zones: set[str] = set()
 
     async def start(self) -> None:
         """Take lists that other control hosts read, and read at intervals."""
@@ -79,6 +85,11 @@
             return True
         return self._is_stale
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the list was read lately."""
+        return not self._is_stale
+
     @property
     def _is_stale(self) -> bool:
         return _now() - self._read_at > defaults.SERVER_LIST_STALE_S
@@ -129,6 +140,7 @@
             return
         self._read_at = read_at
         self._servers = servers
+        self.zones.update(listed.zone for listed in servers)
         broadcast = self.kernel.find("broadcast")
         thin = [self._strip_models(listed) for listed in servers]
         if thin == self._published:
--- a/src/jasminewharf/services/status.py
+++ b/src/jasminewharf/services/status.py
@@ -38,6 +38,7 @@
         "replicas": [item._asdict() for item in state.replicas.values()],
         "cold": _list_cold(state, gathering.live().values()),
         "draining": sorted(state.draining),
+        "evacuated": sorted(state.evacuations.evacuated),
         "accounts_owner": over_rate is not None,
         "over_rate": [
             {"account": name, "level": level} for name, level in over_rate or []
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -17,6 +17,7 @@
     BackendUnreachable,
     LimitReached,
     NotRunThere,
+    ZoneEvacuated,
 )
 from ..kernel import Kernel, Service
 from ..registry import lookup
@@ -55,6 +56,24 @@
     is_idempotent: bool
 
 
+class _ZonePermit:
+    """A permit that allows no send once the server's zone is evacuated."""
+
+    def __init__(self, permit: Permit, server: Server) -> None:
+        self._permit = permit
+        self._server = server
+
+    def spend(self) -> None:
+        """Record a send, right before its first byte is written.
+
+        Raises:
+            LimitReached: If it is not allowed any more.
+        """
+        if self._server.is_evacuated:
+            raise ZoneEvacuated(self._server.name)
+        self._permit.spend()
+
+
 class UpstreamAnswer:
     """A server's answer after its head was checked.
 
@@ -180,7 +199,7 @@
                 repeatable=outgoing.is_idempotent,
                 may_repeat=may_repeat,
                 kept_idle_s=defaults.KEPT_IDLE_S,
-                permit=permit,
+                permit=_ZonePermit(permit, server),
                 identity=RequestIdentity(
                     outgoing.call.request_id, self._dialect.read_answer_id
                 ),
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -89,6 +89,7 @@
         self.places = places
         self.on_disk = set()
         self.state = "ready"
+        self.zone = "zone-a"
         self.born = 1_000
         self.runs = []
         self.heads = []
@@ -114,7 +115,7 @@
             "id": self.name,
             "service": self.service,
             "address": self.address,
-            "zone": "zone-a",
+            "zone": self.zone,
             "version": "v1",
             "slots": 8,
             "state": self.state,
