Evacuate a zone in the soak of real processes

Cause: evacuations beside signals, restarts and power losses were not played.

Change: each seed of tests/test_process_soak.py puts an engine and a desk into a second zone, evacuates it amid the strikes, judges what reaches its servers from 5 s after the acknowledgement on, and reads the evacuation back with the tool after all processes were killed and disks lost. A judge's test plants entries that ignore it.

--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -25,6 +25,8 @@
 import jasminewharf
 from fleets import HOST, build_body, build_route
 from jasminewharf.exceptions import BackendError
+from jasminewharf.interfaces.operator import OperatorClient
+from jasminewharf.settings import ControlHost, ToolSettings
 from platformfakes import FakeReplica, send
 from processfleet import ProcessFleet
 
@@ -45,6 +47,9 @@
 _ROUTES = ("chat", "plan", "orders", "status")
 _SILENCES_S = (0.4, 1.2, 1.6, 1.9)
 _FAILURES = (BackendError, TimeoutError, OSError)
+# The zone that is evacuated, and when that must be in force after its acknowledgement.
+ZONE = "zone-b"
+_EVACUATED_S = 5.0
 UNPLANNED = (signal.SIGKILL, signal.SIGSTOP)
 # The program and the settings of a deployment.
 _DEPLOY = Path(jasminewharf.__file__).parents[2] / "deploy"
@@ -99,6 +104,32 @@
     until: float = math.inf
 
 
+class Evacuation(NamedTuple):
+    """From when until when servers may get nothing from entries in contact."""
+
+    servers: tuple[str, ...]
+    since: float
+    until: float
+
+
+def find_evacuated_sends(requests, works, strikes, evacuations):
+    """Return what reached servers of an evacuated zone though nothing excuses it."""
+    entries = {sent.request_id: sent.entry for sent in requests}
+    return [
+        f"reached an evacuated zone: {work}"
+        for work in works
+        for evacuation in evacuations
+        if work.server in evacuation.servers
+        and evacuation.since <= work.arrived_at < evacuation.until
+        and not any(
+            strike.ip == entries.get(work.request_id)
+            and strike.kind == signal.SIGSTOP
+            and strike.at <= work.arrived_at <= strike.until + _CONTACT_S
+            for strike in strikes
+        )
+    ]
+
+
 def find_lost(requests, works, strikes, grace_s=GRACE_S):
     """Return the requests that ended without an answer though nothing excuses it."""
     by_id = collections.defaultdict(list)
@@ -501,6 +532,7 @@
         acknowledged: Versions of the configuration that were acknowledged, with their
             bodies.
         ready: Entries that new callers may connect to.
+        evacuations: What was acknowledged of the evacuated zone.
     """
 
     def __init__(self, fleet, seed, callers=24):
@@ -508,11 +540,13 @@
         self.seed = seed
         self.requests = []
         self.acknowledged = {}
+        self.evacuations = []
         self.entry_ips = fleet.entry_ips
         self.port = fleet.base + 9
         self.ready = []
         self._callers = callers
         self._random = random.Random(seed)
+        self._random_zone = random.Random(f"evacuations of {seed}")
         self._version = 1
         self._servers = [*fleet.engines, *fleet.desks]
         # A seed plays some kinds of strikes only, so that their effects add up.
@@ -535,6 +569,7 @@
         await asyncio.gather(
             self.call_until(play_s),
             self._change_configuration(until),
+            self.evacuate(until),
             self._silence_servers(until),
             self._strike_entries(until - 1.0),
             self._strike_others(until - 1.0),
@@ -574,6 +609,31 @@
             if await self._submit(body):
                 self.acknowledged[self._version] = json.loads(body)
 
+    async def evacuate(self, until):
+        """Evacuate a zone until shortly before a time, and use it again."""
+        servers = tuple(s.name for s in self._servers if s.zone == ZONE)
+        if not await self._order_zone("Start"):
+            return
+        since = now() + _EVACUATED_S
+        await asyncio.sleep(max(until - 2.0 - now(), 0.0))
+        self.evacuations.append(Evacuation(servers, since, now()))
+        await self._order_zone("Stop")
+
+    async def _order_zone(self, verb):
+        """Return whether some control host has acknowledged a call for the zone."""
+        for _ in range(20):
+            ip = self._random_zone.choice(self.fleet.controls)
+            with contextlib.suppress(*_FAILURES):
+                async with asyncio.timeout(1.0):
+                    address = f"{ip}:{self.fleet.base + 8}"
+                    target = f"/Evacuations.{verb}/{ZONE}"
+                    status, *_ = await send(address, "POST", target, [HOST])
+                assert status < 400 or status >= 500, f"{verb} got {status}"
+                if status == 200:
+                    return True
+            await asyncio.sleep(0.1)
+        return False
+
     async def _submit(self, body):
         """Return whether some control host has acknowledged a configuration."""
         for _ in range(6):
@@ -666,6 +726,7 @@
         """
         until = now() + self._random.uniform(0.2, 1.0)
         changes = asyncio.create_task(self._change_configuration(until))
+        is_evacuated = await self._order_zone("Start")
         await asyncio.sleep(max(until - now() - 0.1, 0.0))
         count = self._random.randint(1, self.fleet.tolerated_losses)
         wiped = self._random.sample(self.fleet.controls, count)
@@ -691,8 +752,19 @@
             if now() > deadline:
                 return [f"{sorted(waiting)} cannot be read; {wiped} lost their disks"]
             await asyncio.sleep(0.2)
+        if is_evacuated and ZONE not in await self._read_evacuated():
+            return [f"the evacuation is gone; {wiped} lost their disks"]
         return []
 
+    async def _read_evacuated(self):
+        """Return the evacuated zones as the operators' tool reads them."""
+        hosts = [
+            ControlHost(ip, f"{ip}:{self.fleet.base}", f"{ip}:{self.fleet.base + 1}")
+            for ip in self.fleet.controls
+        ]
+        async with OperatorClient(ToolSettings(hosts)) as operator:
+            return (await operator.read_state()).evacuations.evacuated
+
     async def _read_configuration(self, ip):
         with contextlib.suppress(*_FAILURES):
             async with asyncio.timeout(1.0):
@@ -714,8 +786,8 @@
     return asyncio.get_running_loop().time()
 
 
-def build_parts(seed):
-    """Return the servers of a seed."""
+def build_parts(seed, zone="zone-a"):
+    """Return the servers of a seed; one engine and one desk are in ``zone``."""
     rng = random.Random(f"servers of {seed}")
     engines = [
         SoakServer("127.0.0.1", "i-e1", "llm", ["m0", "m1"], rng=rng),
@@ -724,6 +796,7 @@
     desks = [
         SoakServer("127.0.0.1", f"i-d{number}", "desk", rng=rng) for number in (1, 2)
     ]
+    engines[1].zone = desks[1].zone = zone
     return {"engines": engines, "desks": desks, "body": build_first_body()}
 
 
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -2,8 +2,8 @@
 
 Control hosts, entries and agents are processes on loopback addresses. Callers use their
 open connections until these are closed; signals, restarts and changes of configuration
-and settings come in series that overlap; sound servers fall silent. At the end all
-processes are killed and control hosts lose their disks.
+and settings come in series that overlap; sound servers fall silent, and
+one zone is evacuated. At the end all are killed and control hosts lose their disks.
 ``JASMINEWHARF_SOAK_SEEDS=10-60`` plays these seeds in place of the fixed ones,
 ``JASMINEWHARF_SOAK_S`` sets the length of a play in seconds,
 ``JASMINEWHARF_SOAK_ENTRIES`` the number of entries and ``JASMINEWHARF_SOAK_CALLERS``
@@ -20,6 +20,8 @@
 from fleets import pick_base
 from processfleet import read_seeds
 from processsoak import (
+    ZONE,
+    Evacuation,
     Sent,
     Soak,
     SoakFleet,
@@ -27,6 +29,7 @@
     Work,
     build_parts,
     find_broken_promises,
+    find_evacuated_sends,
     find_lost,
 )
 
@@ -46,6 +49,12 @@
 HttpServer.drain = close_at_once
 """
 
+_IGNORE_ZONES = """
+from jasminewharf.decisions.directory import Directory
+
+Directory.set_evacuated = lambda directory, zones: None
+"""
+
 
 @pytest.mark.timeout(300)
 @pytest.mark.parametrize("seed", read_seeds(_FIXED_SEEDS))
@@ -58,7 +67,7 @@
             tmp_path / "fleet",
             _ENTRIES,
             controls=3 if seed % _WIDE else 5,
-            **build_parts(seed),
+            **build_parts(seed, ZONE),
         )
         try:
             await fleet.start()
@@ -72,6 +81,9 @@
         print(f"seed {seed}: {dict(outcomes)}, {dict(kinds)}")
         lost = find_lost(soak.requests, soak.works, fleet.strikes)
         lost += find_broken_promises(soak.requests, soak.works, "orders-")
+        lost += find_evacuated_sends(
+            soak.requests, soak.works, fleet.strikes, soak.evacuations
+        )
         assert not lost + forgotten, "\n".join(map(str, lost + forgotten))
         assert outcomes["answered"] > 50
         for path in fleet.folder.glob("*.log"):
@@ -109,6 +121,29 @@
     asyncio.run(main())
 
 
+def test_soak_finds_requests_to_an_evacuated_zone(tmp_path):
+    """Entries that hear nothing of an evacuation pass for sound ones."""
+
+    async def main():
+        fleet = SoakFleet(
+            pick_base(),
+            tmp_path / "fleet",
+            2,
+            planted=_IGNORE_ZONES,
+            **build_parts(1, ZONE),
+        )
+        try:
+            await fleet.start()
+            soak = Soak(fleet, 1)
+            until = asyncio.get_running_loop().time() + 9.0
+            await asyncio.gather(soak.call_until(9.0), soak.evacuate(until))
+        finally:
+            await fleet.stop()
+        assert find_evacuated_sends(soak.requests, soak.works, [], soak.evacuations)
+
+    asyncio.run(main())
+
+
 async def _hit_after(fleet, wait_s, ip, kind):
     await asyncio.sleep(wait_s)
     await fleet.hit(ip, kind)
@@ -157,6 +192,24 @@
     assert find_lost([sent], works, strikes, grace_s=3.0) == []
 
 
+@pytest.mark.parametrize(
+    ("arrived_at", "strike", "found"),
+    [
+        (6.0, STOP._replace(kind=signal.SIGTERM), 1),
+        (6.0, Strike("other", signal.SIGSTOP, 5.0, 5.5), 1),
+        (6.0, Strike("e", signal.SIGSTOP, 5.0, 5.5), 0),
+        (4.0, STOP, 0),
+        (9.0, STOP, 0),
+    ],
+)
+def test_judge_knows_evacuations(arrived_at, strike, found):
+    """A request reached an evacuated zone, or one that was not evacuated yet."""
+    works = [SOUND._replace(arrived_at=arrived_at)]
+    evacuations = [Evacuation(("s",), 5.0, 8.0)]
+    sends = find_evacuated_sends([CUT], works, [strike], evacuations)
+    assert len(sends) == found
+
+
 @pytest.mark.parametrize(
     ("sent", "runs"),
     [
