--- a/src/jasminewharf/services/router.py
+++ b/src/jasminewharf/services/router.py
@@ -22,6 +22,7 @@
     OutcomeUnknown,
     QueueFull,
     Refusal,
+    ServersEvacuated,
     StreamInterrupted,
 )
 from ..kernel import Kernel, Service
@@ -94,7 +95,7 @@
             await asyncio.sleep(defaults.FORWARD_RETRY_S)
 
     def _may_retry(self, plan: CallPlan, refusal: Refusal, number: int) -> bool:
-        if isinstance(refusal, DeadlineExceeded | QueueFull):
+        if isinstance(refusal, DeadlineExceeded | QueueFull | ServersEvacuated):
             return False
         progress = NOT_BEGUN if refusal.not_run else MAY_HAVE_BEGUN
         left_s = plan.deadline - _now()
@@ -161,6 +162,7 @@
         Raises:
             Refusal: If the queue is full, or the model cannot be ready in time.
         """
+        self._check_evacuated(plan)
         if len(self._waiters) >= self.kernel.settings.limits.waiting_requests:
             raise QueueFull("too many requests wait", retry_after_ms=1000)
         self._note_call(plan)
@@ -178,6 +180,25 @@
         finally:
             self._waiters.remove(waiter)
 
+    def _check_evacuated(self, plan: CallPlan) -> None:
+        """Refuse a call for which evacuations leave no agent.
+
+        Raises:
+            ServersEvacuated: If all staying agents are in evacuated zones.
+        """
+        state = self.kernel.find("feed").state
+        staying = [
+            agent
+            for agent in self.kernel.find("reports").agents_of(plan.pool)
+            if not agent.leaving and agent.host not in state.draining
+        ]
+        zones = state.evacuations.evacuated
+        if staying and all(agent.zone in zones for agent in staying):
+            raise ServersEvacuated(
+                "all backend servers are in evacuated availability zones",
+                retry_after_ms=defaults.EVACUATED_RETRY_MS,
+            )
+
     def _check_estimate(self, plan: CallPlan) -> None:
         """Refuse at once what the load's estimated end does not allow.
 
@@ -217,8 +238,9 @@
             if waiter.ready.done():
                 continue
             try:
+                self._check_evacuated(waiter.plan)
                 self._check_estimate(waiter.plan)
-            except ModelUnavailable as refusal:
+            except (ModelUnavailable, ServersEvacuated) as refusal:
                 waiter.ready.set_exception(refusal)
 
     def _wake_waiters(self) -> None:
--- a/tests/test_evacuation_path.py
+++ b/tests/test_evacuation_path.py
@@ -8,6 +8,7 @@
 from controlfleet import ControlFleet
 from fleets import HOST, pick_base, run_with_fleet
 from jasminewharf.exceptions import BackendError, LinkTimeout
+from jasminewharf.interfaces.tool import main
 from platformfakes import FakeReplica, send
 from support import wait_until
 
@@ -202,6 +203,29 @@
     run_with_fleet(scenario, tmp_path, desks=build_desks())
 
 
+def test_tool_evacuates_zones_of_a_found_fleet(tmp_path, capsys):
+    """Operators without access to the HTTP calls had no way to evacuate a zone."""
+
+    async def scenario(fleet):
+        host = f'name: "127.0.0.2", address: "127.0.0.2:{fleet.base}"'
+        path = tmp_path / "tool.yaml"
+        path.write_text(
+            f'control: [{{{host}, peer_address: "127.0.0.2:{fleet.base + 1}"}}]'
+        )
+
+        async def run(*words):
+            arguments = ["evacuate", *words, "--settings", str(path)]
+            await asyncio.to_thread(main, arguments)
+            return capsys.readouterr().out.split()
+
+        assert await run("start", "zone-b") == ["zone-b:", "evacuated"]
+        assert (await run("list"))[3:5] == ["zone-b", "evacuated"]
+        assert (await run("stop", "zone-b"))[1:] == ["in", "use"]
+        assert (await run("list"))[3:6] == ["zone-b", "in", "use"]
+
+    run_with_fleet(scenario, tmp_path, desks=build_desks())
+
+
 def test_call_whose_operator_has_given_up_is_not_carried_out(tmp_path):
     """A call that lay at a stopped process took effect after later ones."""
 
@@ -222,7 +246,7 @@
 
 
 def run_with_controls(scenario, tmp_path):
-    async def main():
+    async def play():
         fleet = ControlFleet(pick_base(), tmp_path)
         fleet.desks = build_desks()
         try:
@@ -231,7 +255,7 @@
         finally:
             await fleet.stop()
 
-    asyncio.run(main())
+    asyncio.run(play())
 
 
 async def call_often(fleet):
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -97,6 +97,29 @@
     run_with_system(scenario)
 
 
+def test_evacuated_zone_gets_no_calls():
+    """Fleets of documents took an evacuation and sent calls there all the same."""
+
+    async def scenario(system):
+        async def is_served():
+            target = "/v1/chat/completions"
+            answer = await call(system.address, "POST", target, system.key, chat())
+            assert answer[0] == 200 or b'"servers_evacuated"' in answer[2]
+            return answer[0] == 200
+
+        assert await is_served()
+        async with OperatorClient(system.tool_settings) as operator:
+            for is_evacuated in (True, False):
+                await operator.evacuate("local-a", is_evacuated)
+                zones = (await operator.fetch_status())["evacuated"]
+                assert zones == (["local-a"] if is_evacuated else [])
+                async with asyncio.timeout(10):
+                    while await is_served() == is_evacuated:
+                        await asyncio.sleep(0.05)
+
+    run_with_system(scenario)
+
+
 def test_withdrawn_key_stops_new_calls_and_open_streams():
     async def scenario(system):
         await call(system.address, "POST", "/v1/chat/completions", system.key, chat())
