Confine requests of routes and workspaces to their homes

Cause: in deployments of several regions, a route's or a workspace's requests may run only on backend servers of some regions, and their bodies may go nowhere else.

The service that a request uses bears its homes, and the directory lists only servers there for every choice of an entry, including where a model is loaded, so that requests with different homes wait for a model separately. Without a server at home a request is refused at once as homes_unavailable. The setting fleet.regions names the region of each zone. Deployments that name no homes are served as before.

--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -55,7 +55,7 @@
     ``kind`` is safe, unsafe or stream. ``priority`` 0 is the most urgent.
     ``attempts`` is the largest number of backend servers that may run a request.
     ``pause_s`` is the longest pause between the pieces of a stream that counts as in
-    time.
+    time. ``homes`` are the regions that its requests are confined to; see homes.py.
     """
 
     name: str
@@ -70,6 +70,7 @@
     is_public: bool
     is_resumable: bool
     pause_s: float = 0.0
+    homes: tuple[str, ...] = ()
 
     @property
     def patience_s(self) -> float:
@@ -118,11 +119,16 @@
 
 
 class ServiceSpec(NamedTuple):
-    """A service; ``engine`` is None for a plain one."""
+    """A service; ``engine`` is None for a plain one.
+
+    ``homes`` are the regions to which one request's use of it is confined. None in a
+    configuration.
+    """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
+    homes: frozenset[str] | None = None
 
 
 class CallerLimits(NamedTuple):
@@ -138,7 +144,8 @@
     """A workspace, its keys and its rate; a rate of 0 is no limit.
 
     ``default_tokens`` is the cost of a request that does not tell its tokens; 0 if
-    the rate counts requests.
+    the rate counts requests. ``homes`` are the regions that its requests are confined
+    to.
     """
 
     name: str
@@ -147,6 +154,7 @@
     rate_per_s: float
     burst: float
     default_tokens: float
+    homes: tuple[str, ...] = ()
 
 
 class Configuration(NamedTuple):
--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -12,7 +12,9 @@
 from ..dialects.fleet import HeldModel, ListedServer
 from ..messages.servers import EngineLoad, EngineReport
 from .backpressure import BackpressureTable, ServerBackpressure, ServerIncarnation
+from .configurations import ServiceSpec
 from .enginereports import TAKEN, EngineReportTable
+from .homes import RegionMap
 from .serverlimits import ServerLimit, ServerLimitTable
 
 __all__ = ["Directory", "ListChange", "Server"]
@@ -245,6 +247,7 @@
         list_at: When the list was read.
         limits: The request rates that servers name for all nodes together.
         evacuated: The names of the evacuated availability zones.
+        regions: The regions of all availability zones.
     """
 
     def __init__(self) -> None:
@@ -257,6 +260,7 @@
         self._backpressure = BackpressureTable()
         self.limits = ServerLimitTable()
         self.evacuated: frozenset[str] = frozenset()
+        self.regions = RegionMap({}, "")
 
     def in_service(self, service: str) -> list[Server]:
         """Return the servers of a service, including leaving ones."""
@@ -276,10 +280,27 @@
         for server in self.servers.values():
             server.is_evacuated = server.listed.zone in zones
 
-    def has_only_evacuated(self, service: str) -> bool:
-        """Return whether an evacuation leaves a service without a staying server."""
-        staying = [s for s in self.in_service(service) if not s.is_leaving]
-        return bool(staying) and all(server.is_evacuated for server in staying)
+    def in_homes(self, service: ServiceSpec) -> list[Server]:
+        """Return the servers of a service in the homes of the request that uses it."""
+        servers = self.in_service(service.name)
+        if service.homes is None:
+            return servers
+        return [
+            server
+            for server in servers
+            if self.regions.is_home(service.homes, server.listed.zone)
+        ]
+
+    def find_obstacle(self, service: ServiceSpec) -> str:
+        """Return why no server of a service can take a request before others come.
+
+        Returns:
+            ``evacuated``, ``homes`` if none is in the request's homes, else empty.
+        """
+        staying = [s for s in self.in_homes(service) if not s.is_leaving]
+        if not staying:
+            return "homes" if service.homes is not None else ""
+        return "evacuated" if all(s.is_evacuated for s in staying) else ""
 
     def take_list(self, servers: list[ListedServer], read_at: float) -> ListChange:
         """Replace the list; one read before the current one is ignored."""
--- a/src/jasminewharf/exceptions.py
+++ b/src/jasminewharf/exceptions.py
@@ -31,6 +31,7 @@
     "FenceRejected",
     "Forbidden",
     "HeadTooLarge",
+    "HomesUnavailable",
     "ImplausibleDemand",
     "IncarnationMismatch",
     "JasminewharfError",
@@ -580,6 +581,13 @@
     status = 503
 
 
+class HomesUnavailable(Refusal):
+    """No backend server is in a region that the request is confined to."""
+
+    kind = "homes_unavailable"
+    status = 503
+
+
 class PromptRefused(Refusal):
     """A part of the prompt has crashed backend servers, or may have."""
 
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -8,6 +8,7 @@
 from .. import defaults, events
 from ..decisions.attempts import Attempts
 from ..decisions.configurations import CallerLimits, Route, WorkspaceSpec
+from ..decisions.homes import find_homes
 from ..decisions.routes import RouteTable
 from ..decisions.stopping import AnswerTimes, can_end_in_time
 from ..dialects.fleet import CALLER_DIALECTS, CallHead
@@ -339,6 +340,9 @@
             route.is_idempotent,
         )
         service = table.split(route, call.request_id)
+        homes = find_homes(route, workspace)
+        if homes is not None:
+            service = service._replace(homes=homes)
         job = Job(call, route, service, workspace, outgoing, charge, started, deadline)
         try:
             await self.kernel.find("forwarder").run(job, responder, attempts)
--- a/src/jasminewharf/platform/configurations.py
+++ b/src/jasminewharf/platform/configurations.py
@@ -50,6 +50,8 @@
     resumable: bool = False
     # The longest pause between events that counts as in time.
     gap_target_ms: float = 0.0
+    # The regions whose servers may be sent its requests; all if there are none.
+    allowed_regions: list[str] = []
 
 
 class _Model(msgspec.Struct, rename="camel"):
@@ -95,6 +97,7 @@
     plain_tokens: float = 0.0
     rate_per_s: float = 0.0
     burst: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class _Body(msgspec.Struct):
@@ -189,6 +192,7 @@
         route.public,
         route.resumable,
         max(_read_time(route.gap_target_ms), 0.0),
+        tuple(route.allowed_regions),
     )
 
 
@@ -232,6 +236,7 @@
         tenant.rate_per_s,
         tenant.burst,
         tenant.plain_tokens if tenant.unit == "tokens" else 0.0,
+        tuple(tenant.allowed_regions),
     )
 
 
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -31,6 +31,10 @@
 _logger = logging.getLogger(__name__)
 
 
+# A model, with the homes of the requests for it where they are confined to some.
+_Key = str | tuple[str, frozenset[str]]
+
+
 class _Waiter(NamedTuple):
     service: ServiceSpec
     model: str
@@ -38,6 +42,10 @@
     ready: asyncio.Future[None]
     may_return: bool = True
 
+    @property
+    def key(self) -> _Key:
+        return _build_key(self.service, self.model)
+
 
 class _Returning(NamedTuple):
     """A caller that was told to come back, and until when it counts."""
@@ -65,12 +73,12 @@
         self._directory = kernel.find("directory").directory
         self._waiters: list[_Waiter] = []
         self._changes: list[asyncio.Future[None]] = []
-        self._returning: dict[str, list[_Returning]] = {}
-        self._missed: dict[str, _Missed] = {}
+        self._returning: dict[_Key, list[_Returning]] = {}
+        self._missed: dict[_Key, _Missed] = {}
         # Until when the engines with a limit do not suffice for a model.
         self._short_until: dict[str, float] = {}
-        self._copies_asked: dict[str, tuple[float, str]] = {}
-        self._asked: dict[str, float] = {}
+        self._copies_asked: dict[_Key, tuple[float, str]] = {}
+        self._asked: dict[_Key, float] = {}
         self._begun: dict[str, dict[str, int]] = {}
         self._used: set[str] = set()
         self._repeat_use_at = 0.0
@@ -191,11 +199,11 @@
         )
 
     def _count_refused(self, waiter: _Waiter, back_s: float) -> None:
-        returning = self._returning.setdefault(waiter.model, [])
+        returning = self._returning.setdefault(waiter.key, [])
         counts_s = max(back_s, defaults.REFUSED_COUNT_S)
         returning.append(_Returning(waiter.service, _now() + counts_s))
-        known = self._missed.get(waiter.model)
-        self._missed[waiter.model] = _Missed(
+        known = self._missed.get(waiter.key)
+        self._missed[waiter.key] = _Missed(
             waiter.service,
             known.since if known is not None else waiter.wait.since,
             _now() + max(back_s, defaults.MISSED_KEPT_S),
@@ -203,22 +211,23 @@
         self._has_demand.set()
         self._ask(waiter.service, waiter.model)
 
-    def _expected_back(self, model: str) -> int:
+    def _expected_back(self, key: _Key) -> int:
         """Return how many refused callers of a model may still come back."""
         now = _now()
-        kept = [item for item in self._returning.get(model, ()) if item.until > now]
+        kept = [item for item in self._returning.get(key, ()) if item.until > now]
         if kept:
-            self._returning[model] = kept
+            self._returning[key] = kept
         else:
-            self._returning.pop(model, None)
+            self._returning.pop(key, None)
         return len(kept)
 
     def _choose_place(
         self, service: ServiceSpec, spec: ModelSpec
     ) -> LoadPlacement | None:
         now = _now()
-        waits = [w.wait for w in self._waiters if w.model == spec.name]
-        returning = self._expected_back(spec.name)
+        key = _build_key(service, spec.name)
+        waits = [w.wait for w in self._waiters if w.key == key]
+        returning = self._expected_back(key)
         # The load itself has not begun: what it could serve in time at best.
         urgency = weigh_waiting_requests(
             waits, spec.memory_s, now
@@ -245,7 +254,7 @@
         now = _now()
         paused = [
             _build_pause(server, server.backpressure.pause_s(now))
-            for server in self._directory.in_service(service.name)
+            for server in self._directory.in_homes(service)
             if not (server.is_leaving or server.is_evacuated)
             and not server.backpressure.allows(now)
             and server.has_model(model, now, defaults.AGENT_FRESH_S)
@@ -261,7 +270,7 @@
         now = _now()
         servers = [
             server
-            for server in self._directory.in_service(service.name)
+            for server in self._directory.in_homes(service)
             if server.is_open(now)
             and not server.is_avoided(now)
             and server.report is not None
@@ -275,22 +284,23 @@
         for change in changes:
             if not change.done():
                 change.set_result(None)
-        wanted: dict[str, ServiceSpec] = {}
+        wanted: dict[_Key, ServiceSpec] = {}
         for waiter in self._waiters:
-            is_over = self._directory.has_only_evacuated(waiter.service.name)
+            is_over = self._directory.find_obstacle(waiter.service)
             if not is_over and not self._is_held(waiter.service, waiter.model):
-                wanted[waiter.model] = waiter.service
+                wanted[waiter.key] = waiter.service
             elif not waiter.ready.done():
                 waiter.ready.set_result(None)
-        for model, items in self._returning.items():
-            wanted.setdefault(model, items[0].service)
-        for model, missed in list(self._missed.items()):
-            if missed.until <= _now() or self._is_held(missed.service, model):
-                del self._missed[model]
+        for key, items in self._returning.items():
+            wanted.setdefault(key, items[0].service)
+        for key, missed in list(self._missed.items()):
+            is_held = self._is_held(missed.service, _get_model(key))
+            if missed.until <= _now() or is_held:
+                del self._missed[key]
             elif _now() - missed.since >= defaults.MISSED_ASK_S:
-                wanted.setdefault(model, missed.service)
-        for model, service in wanted.items():
-            self._ask(service, model)
+                wanted.setdefault(key, missed.service)
+        for key, service in wanted.items():
+            self._ask(service, _get_model(key))
 
     def ask_copy(
         self,
@@ -300,7 +310,8 @@
     ) -> None:
         """Ask for one more copy of a model whose engines are full."""
         spec = _find_model(service, model)
-        asked_at, _ = self._copies_asked.get(model, (float("-inf"), ""))
+        key = _build_key(service, model)
+        asked_at, _ = self._copies_asked.get(key, (float("-inf"), ""))
         if spec is None or _now() - asked_at < defaults.WANT_REPEAT_S:
             return
         now = _now()
@@ -314,7 +325,7 @@
         # What a copy from the store brings comes too late for most bursts.
         if place is None or place.ready_s >= spec.remote_s:
             return
-        self._copies_asked[model] = (now, place.server.name)
+        self._copies_asked[key] = (now, place.server.name)
         want = WantModel(model, excess, float(excess))
         self.kernel.find("directory").send_to_agent(place.server, want)
         self._metrics.count("model_copies_asked_total")
@@ -326,7 +337,7 @@
             not server.is_leaving
             and server.holds(model, now, defaults.AGENT_FRESH_S)
             and not (is_short and server.limit.is_limited)
-            for server in self._directory.in_service(service.name)
+            for server in self._directory.in_homes(service)
         )
 
     def _ask(self, service: ServiceSpec, model: str) -> None:
@@ -335,15 +346,16 @@
         Appraising all engines is the dearest thing that an entry does for a request, so
         that it is done once in a while and not at each change of the directory.
         """
-        asked_at = self._asked.get(model, float("-inf"))
+        key = _build_key(service, model)
+        asked_at = self._asked.get(key, float("-inf"))
         if _now() - asked_at < defaults.WANT_REPEAT_S * defaults.REPEAT_EARLY_PART:
             return
         spec = _find_model(service, model)
-        waits = [w.wait for w in self._waiters if w.model == model]
-        returning = self._expected_back(model)
+        waits = [w.wait for w in self._waiters if w.key == key]
+        returning = self._expected_back(key)
         is_held = not waits and self._is_held(service, model)
         place = self._choose_place(service, spec) if spec else None
-        missed = self._missed.get(model)
+        missed = self._missed.get(key)
         is_starved = (
             missed is not None and _now() - missed.since >= defaults.MISSED_ASK_S
         )
@@ -356,7 +368,7 @@
         age_ms = int(age_s * defaults.MS_PER_S)
         want = WantModel(model, len(waits), urgency, age_ms, returning)
         if self.kernel.find("directory").send_to_agent(place.server, want):
-            self._asked[model] = _now()
+            self._asked[key] = _now()
 
     async def _repeat_forever(self) -> None:
         while True:
@@ -423,6 +435,14 @@
     return LoadPlacement(server, pause_s, pause_s, 0.0)
 
 
+def _build_key(service: ServiceSpec, model: str) -> _Key:
+    return model if service.homes is None else (model, service.homes)
+
+
+def _get_model(key: _Key) -> str:
+    return key if isinstance(key, str) else key[0]
+
+
 def _find_model(service: ServiceSpec, model: str) -> ModelSpec | None:
     if service.engine is None:
         return None
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -8,6 +8,7 @@
 from .. import defaults, events
 from ..decisions.directory import Directory, Server
 from ..decisions.enginereports import TAKEN, UNKNOWN
+from ..decisions.homes import RegionMap
 from ..decisions.listchanges import apply_changes
 from ..dialects.fleet import ListedServer
 from ..exceptions import PeerUnavailable
@@ -50,6 +51,9 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self.directory = Directory()
+        settings = kernel.settings
+        if settings.fleet is not None:
+            self.directory.regions = RegionMap(settings.fleet.regions, settings.region)
         self.agents = AgentLinks(self._connect_agent)
         # The control host whose list this is, and the list's number there.
         self._list_base = ("", 0)
--- a/src/jasminewharf/services/evacuations.py
+++ b/src/jasminewharf/services/evacuations.py
@@ -146,6 +146,7 @@
                 zones.add(link.welcome.zone)
         if self.kernel.settings.fleet is not None:
             zones.update(self.kernel.find("server-list").zones)
+            zones.update(self.kernel.settings.fleet.regions)
         return zones - {""}
 
     def _can_know(self) -> bool:
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -21,6 +21,7 @@
     split_by_limit,
 )
 from ..exceptions import (
+    HomesUnavailable,
     JasminewharfError,
     LimitReached,
     ModelUnavailable,
@@ -132,7 +133,7 @@
         now = _now()
         servers = [
             server
-            for server in self._directory.in_service(job.service.name)
+            for server in self._directory.in_homes(job.service)
             if server.is_open(now)
         ]
         kept = set(self._health.usable([s.incarnation for s in servers], now))
@@ -319,7 +320,7 @@
 
     async def _pick_plain(self, job: Job, attempts: Attempts) -> _Choice:
         while True:
-            self._check_evacuated(job)
+            self._check_zones(job)
             usable = self._list_usable(job)
             fresh = self.list_untried(job, attempts)
             if fresh:
@@ -337,14 +338,22 @@
                 self._check_pauses(job)
             await self._demand.wait_change(job.deadline)
 
-    def _check_evacuated(self, job: Job) -> None:
-        """Refuse a request for which evacuations leave no server.
+    def _check_zones(self, job: Job) -> None:
+        """Refuse a request for which evacuations or its homes leave no server.
 
         Raises:
             ServersEvacuated: If all staying servers are in evacuated zones.
+            HomesUnavailable: If none is in the request's homes.
         """
         service = job.service.name
-        if not self._directory.has_only_evacuated(service):
+        obstacle = self._directory.find_obstacle(job.service)
+        if obstacle == "homes":
+            self._metrics.count("requests_without_home_total", service=service)
+            raise HomesUnavailable(
+                "no backend server is in a region that the request is confined to",
+                retry_after_ms=defaults.EVACUATED_RETRY_MS,
+            )
+        if not obstacle:
             self._emptied.discard(service)
             return
         if service not in self._emptied:
@@ -379,7 +388,7 @@
         now = _now()
         pauses = [
             server.backpressure.pause_s(now)
-            for server in self._directory.in_service(job.service.name)
+            for server in self._directory.in_homes(job.service)
             if not (server.is_leaving or server.is_evacuated)
             and not server.backpressure.allows(now)
         ]
@@ -392,7 +401,7 @@
     async def _pick_engine(self, job: Job, attempts: Attempts) -> _Choice:
         wanted = RequestTarget(job.call.model, job.call.adapter)
         while True:
-            self._check_evacuated(job)
+            self._check_zones(job)
             holders = self._find_holders(job, attempts)
             if not holders and attempts.avoided:
                 pause_s = attempts.begin_round()
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -196,7 +196,8 @@
     of some control hosts; internal ports count from ``first_port`` on all hosts.
     ``first_start`` is true only when the whole fleet starts with empty disks.
     ``own_server`` is the backend server beside an agent. ``metrics_port`` replaces the
-    internal port of the metrics.
+    internal port of the metrics. ``regions`` names the region of each availability zone
+    where there are several regions; all processes need the same.
     """
 
     dialect: str
@@ -211,6 +212,7 @@
     own_server: str = ""
     metrics_port: Annotated[int, Range(0, _PORT_MAX)] = 0
     bounds: BoundSettings = BoundSettings()
+    regions: dict[str, str] = {}
 
     def control_host(self, ip: str) -> ControlHost:
         """Return the control host at an IP address."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fleetparts import build_listed, build_report
+from jasminewharf.decisions.configurations import ServiceSpec
 from jasminewharf.decisions.directory import Directory
 from jasminewharf.decisions.evacuations import ZoneState
 from jasminewharf.decisions.fleet import FleetState
@@ -109,9 +110,9 @@
     assert (first.is_open(0.0), second.is_open(0.0)) == (True, False)
     assert not second.holds("m0", 0.0, 1.0)
     assert directory.unheard(service, 2.0, 3.0) == [first]
-    assert not directory.has_only_evacuated(service)
+    assert directory.find_obstacle(ServiceSpec(service, 0, None)) == ""
     directory.set_evacuated(frozenset({"zone-a", "zone-b"}))
-    assert directory.has_only_evacuated(service)
+    assert directory.find_obstacle(ServiceSpec(service, 0, None)) == "evacuated"
     directory.set_evacuated(frozenset())
     assert second.is_open(0.0)
     assert second.holds("m0", 0.0, 1.0)
