Test where a model is loaded for requests that are confined

Cause: a copy loaded or found outside the homes of waiting requests passed the test.

Change: the fleet's test has a copy on the disk of the engine elsewhere; a review without a network wakes no request for a copy elsewhere.

--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -2,15 +2,26 @@
 
 import asyncio
 import json
+from types import SimpleNamespace
 
 import pytest
 
-from fleetparts import build_listed, build_route, build_workspace
+from fleetparts import (
+    build_engine,
+    build_listed,
+    build_report,
+    build_route,
+    build_workspace,
+)
 from fleets import Fleet, build_body, open_fleet
 from jasminewharf.decisions.configurations import ServiceSpec
 from jasminewharf.decisions.directory import Directory
 from jasminewharf.decisions.homes import RegionMap, find_homes
+from jasminewharf.decisions.urgency import WaitingRequest
+from jasminewharf.dialects.fleet import HeldModel
+from jasminewharf.metrics import Metrics
 from jasminewharf.platform.configurations import read_configuration
+from jasminewharf.services.demand import DemandService, _Waiter
 from platformfakes import FakeReplica
 
 REGIONS = {"zone-a": "north", "zone-b": "south"}
@@ -72,6 +83,43 @@
         assert len(directory.in_homes(used)) == count
 
 
+def test_request_waits_for_a_copy_at_home():
+    """A request was woken for a copy elsewhere, over and over."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        directory = Directory()
+        directory.regions = RegionMap(REGIONS, "north")
+        listed = [
+            build_listed("i-1", "10.0.0.1:80", zone="zone-a"),
+            build_listed("i-2", "10.0.0.2:80", zone="zone-b"),
+        ]
+        directory.take_list(listed, loop.time())
+        held = (HeldModel("m0", 1, ()),)
+        directory.take_report(build_report("10.0.0.1:80", held), loop.time())
+        services = {
+            "directory": SimpleNamespace(
+                directory=directory, send_to_agent=lambda server, message: True
+            ),
+            "process": SimpleNamespace(metrics=Metrics()),
+        }
+        demand = DemandService(SimpleNamespace(find=services.__getitem__))
+        service = ServiceSpec(listed[0].service, 8, build_engine())
+        wait = WaitingRequest(loop.time(), 0.5, loop.time() + 2.0)
+        waiters = [
+            _Waiter(service._replace(homes=homes), "m0", wait, loop.create_future())
+            for homes in (None, frozenset({"south"}))
+        ]
+        demand._waiters.extend(waiters)
+        demand.review()
+        assert [waiter.ready.done() for waiter in waiters] == [True, False]
+        directory.take_report(build_report("10.0.0.2:80", held), loop.time())
+        demand.review()
+        assert waiters[1].ready.done()
+
+    asyncio.run(main())
+
+
 def test_configuration_names_homes():
     body = json.loads(build_body())
     body["routes"][0]["allowedRegions"] = ["north"]
@@ -100,6 +148,7 @@
         FakeReplica("127.0.0.1", "i-e2", "llm", ["m0"]),
     ]
     desks = [FakeReplica("127.0.0.1", f"i-d{n}", "desk") for n in (1, 2)]
+    engines[0].on_disk = {"m2"}
     engines[1].zone = desks[1].zone = "zone-b"
     parts = {"engines": engines, "desks": desks, "body": json.dumps(body).encode()}
 
@@ -112,7 +161,12 @@
             status, _, answer = await fleet.call("/chat/1", *model)
             assert (status, b"x8" in answer) == (200, True)
             assert (desks[0].arrivals, engines[0].arrivals) == ([], [])
-            assert [order["model"] for order in engines[1].orders] == ["m1"]
+            # The copy on the disk of the other engine would be there sooner.
+            rare = (("x-model", "m2"), ("x-token-counts", "100,20"))
+            assert (await fleet.call("/chat/1", *rare, request_id="c-2"))[0] == 200
+            assert engines[0].orders == []
+            loads = [o["model"] for o in engines[1].orders if o["op"] == "load"]
+            assert loads == ["m1", "m2"]
             status, _, answer = await fleet.call("/orders/1", request_id="o-1")
             error = json.loads(answer)["error"]
             assert (status, error["type"]) == (503, "homes_unavailable")
