--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -50,7 +50,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self.directory = Directory()
+        self.directory = Directory(kernel.settings.policy.balancing)
         settings = kernel.settings
         if settings.fleet is not None:
             self.directory.regions = RegionMap(settings.fleet.regions, settings.region)
