--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -12,7 +12,9 @@
 from ..dialects.fleet import HeldModel, ListedServer
 from ..messages.servers import EngineLoad, EngineReport
 from .backpressure import BackpressureTable, ServerBackpressure, ServerIncarnation
+from .configurations import ServiceSpec
 from .enginereports import TAKEN, EngineReportTable
+from .homes import RegionMap
 from .pace import ServerPace, ServicePace
 from .serverlimits import ServerLimit, ServerLimitTable
 
@@ -49,6 +51,7 @@
         avoided_until: Until when it gets no requests because it stopped answering.
         backpressure: What its answers have asked of this node.
         limit: The request rate that it names for all nodes together.
+        is_evacuated: Whether its availability zone is evacuated.
         pace: How long work takes on it, and the share of its slots that is used.
     """
 
@@ -65,6 +68,7 @@
         self.backpressure = backpressure or ServerBackpressure()
         incarnation = ServerIncarnation(listed.server, listed.born_ms)
         self.limit = limit or ServerLimit(incarnation)
+        self.is_evacuated = False
         self.pace = pace or ServerPace()
         self.own = 0
         self.in_flight_by_model: dict[str, int] = {}
@@ -102,7 +106,9 @@
 
     def is_open(self, now: float) -> bool:
         """Return whether the server accepts requests of this node."""
-        return not self.listed.is_leaving and self.backpressure.allows(now)
+        if self.listed.is_leaving or self.is_evacuated:
+            return False
+        return self.backpressure.allows(now)
 
     @property
     def load(self) -> int:
@@ -213,7 +219,9 @@
 
     def holds(self, model: str, now: float, fresh_s: float) -> bool:
         """Return whether the server has a model loaded and may get requests for it."""
-        if self.is_avoided(now) or not self.backpressure.allows(now):
+        if self.is_evacuated or self.is_avoided(now):
+            return False
+        if not self.backpressure.allows(now):
             return False
         return self.has_model(model, now, fresh_s)
 
@@ -260,6 +268,8 @@
         board: The last report of each agent.
         list_at: When the list was read.
         limits: The request rates that servers name for all nodes together.
+        evacuated: The names of the evacuated availability zones.
+        regions: The regions of all availability zones.
 
     Args:
         balancing: Whether servers are chosen by their pace; see
@@ -275,6 +285,8 @@
         self.list_at = float("-inf")
         self._backpressure = BackpressureTable()
         self.limits = ServerLimitTable()
+        self.evacuated: frozenset[str] = frozenset()
+        self.regions = RegionMap({}, "")
         self._balancing = balancing
         self._service_paces: dict[str, ServicePace] = {}
 
@@ -297,6 +309,34 @@
         """Return the server at an address."""
         return self._by_address.get(address)
 
+    def set_evacuated(self, zones: frozenset[str]) -> None:
+        """Replace the evacuated availability zones."""
+        self.evacuated = zones
+        for server in self.servers.values():
+            server.is_evacuated = server.listed.zone in zones
+
+    def in_homes(self, service: ServiceSpec) -> list[Server]:
+        """Return the servers of a service in the homes of the request that uses it."""
+        servers = self.in_service(service.name)
+        if service.homes is None:
+            return servers
+        return [
+            server
+            for server in servers
+            if self.regions.is_home(service.homes, server.listed.zone)
+        ]
+
+    def find_obstacle(self, service: ServiceSpec) -> str:
+        """Return why no server of a service can take a request before others come.
+
+        Returns:
+            ``evacuated``, ``homes`` if none is in the request's homes, else empty.
+        """
+        staying = [s for s in self.in_homes(service) if not s.is_leaving]
+        if not staying:
+            return "homes" if service.homes is not None else ""
+        return "evacuated" if all(s.is_evacuated for s in staying) else ""
+
     def take_list(self, servers: list[ListedServer], read_at: float) -> ListChange:
         """Replace the list; one read before the current one is ignored."""
         if read_at < self.list_at:
@@ -320,6 +360,7 @@
             elif listed.is_leaving and not server.listed.is_leaving:
                 left.append(listed)
             server.listed = listed
+            server.is_evacuated = listed.zone in self.evacuated
             kept[listed.server] = server
         left.extend(
             server.listed for name, server in self.servers.items() if name not in kept
@@ -349,7 +390,7 @@
         return [
             server
             for server in self.in_service(service)
-            if not server.is_leaving
+            if not (server.is_leaving or server.is_evacuated)
             and now - server.report_at > fresh_s
             and now - server.found_at <= fresh_s
         ]
--- a/src/jasminewharf/interfaces/gateway.py
+++ b/src/jasminewharf/interfaces/gateway.py
@@ -10,6 +10,7 @@
 from .. import defaults, events
 from ..decisions.attempts import Attempts
 from ..decisions.configurations import CallerLimits, Route, WorkspaceSpec
+from ..decisions.homes import find_homes
 from ..decisions.lateness import StreamCounts
 from ..decisions.routes import RouteTable
 from ..decisions.stopping import AnswerTimes, can_end_in_time
@@ -412,6 +413,9 @@
             route.is_idempotent,
         )
         service = table.split(route, call.request_id)
+        homes = find_homes(route, workspace)
+        if homes is not None:
+            service = service._replace(homes=homes)
         job = Job(call, route, service, workspace, outgoing, charge, started, deadline)
         try:
             await self.kernel.find("forwarder").run(job, responder, attempts)
--- a/src/jasminewharf/interfaces/httpconnections.py
+++ b/src/jasminewharf/interfaces/httpconnections.py
@@ -114,6 +114,11 @@
         )
         self._made_at = self._loop.time()
 
+    @property
+    def is_half_closed(self) -> bool:
+        """Whether the caller has ended its sending side."""
+        return self._is_half_closed
+
     @property
     def _allowed(self) -> LimitSettings:
         """The limits for what has begun: of its begin or in force, the looser ones.
--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -13,6 +13,7 @@
 from .exits import find_exit_code
 from .tool_account import AccountCommand
 from .tool_config import ConfigCommand
+from .tool_evacuations import EvacuateCommand
 from .tool_explain import ExplainCommand
 from .tool_keys import KeyCommand
 from .tool_losses import LossesCommand
@@ -73,6 +74,7 @@
         | KeyCommand
         | StatusCommand
         | DrainCommand
+        | EvacuateCommand
         | TraceCommand
         | ExplainCommand
         | LossesCommand
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -21,10 +21,12 @@
     split_by_limit,
 )
 from ..exceptions import (
+    HomesUnavailable,
     JasminewharfError,
     LimitReached,
     ModelUnavailable,
     Overloaded,
+    ServersEvacuated,
 )
 from ..kernel import Kernel, Service
 from ..messages.servers import EnsureAdapter
@@ -68,6 +70,8 @@
         self._balance = Balance(kernel, self._directory)
         self._metrics = kernel.find("process").metrics
         self._random = kernel.find("process").random
+        # Services whose lack of servers outside evacuated zones was logged.
+        self._emptied: set[str] = set()
 
     async def start(self) -> None:
         """Watch for servers that have fallen silent."""
@@ -128,17 +132,18 @@
         )
 
     def _list_usable(self, job: Job) -> list[Server]:
-        """Return the servers of a job's service that take requests."""
+        """Return the servers of a job's service that take its requests."""
         now = _now()
-        servers = [
-            server
-            for server in self._directory.in_service(job.service.name)
-            if server.is_open(now)
-        ]
-        kept = set(self._health.usable([s.incarnation for s in servers], now))
-        usable = [server for server in servers if server.incarnation in kept]
+        usable = self._filter_usable(self._directory.in_service(job.service.name), now)
         self._balance.note_usable(job.service.name, usable, now)
-        return usable
+        if job.service.homes is None:
+            return usable
+        return self._filter_usable(self._directory.in_homes(job.service), now)
+
+    def _filter_usable(self, servers: list[Server], now: float) -> list[Server]:
+        servers = [server for server in servers if server.is_open(now)]
+        kept = set(self._health.usable([s.incarnation for s in servers], now))
+        return [server for server in servers if server.incarnation in kept]
 
     def list_untried(self, job: Job, attempts: Attempts) -> list[Server]:
         """Return the servers that take the request and may be asked."""
@@ -322,6 +327,7 @@
 
     async def _pick_plain(self, job: Job, attempts: Attempts) -> _Choice:
         while True:
+            self._check_zones(job)
             usable = self._list_usable(job)
             fresh = self.list_untried(job, attempts)
             if fresh:
@@ -341,6 +347,34 @@
                 self._check_pauses(job)
             await self._demand.wait_change(job.deadline)
 
+    def _check_zones(self, job: Job) -> None:
+        """Refuse a request for which evacuations or its homes leave no server.
+
+        Raises:
+            ServersEvacuated: If all staying servers are in evacuated zones.
+            HomesUnavailable: If none is in the request's homes.
+        """
+        service = job.service.name
+        obstacle = self._directory.find_obstacle(job.service)
+        if obstacle == "homes":
+            self._metrics.count("requests_without_home_total", service=service)
+            raise HomesUnavailable(
+                "no backend server is in a region that the request is confined to",
+                retry_after_ms=defaults.EVACUATED_RETRY_MS,
+            )
+        if not obstacle:
+            self._emptied.discard(service)
+            return
+        if service not in self._emptied:
+            self._emptied.add(service)
+            zones = sorted(self._directory.evacuated)
+            events.emit(_logger, events.SERVERS_EVACUATED, service=service, zones=zones)
+        self._metrics.count("requests_without_zone_total", service=service)
+        raise ServersEvacuated(
+            "all backend servers are in evacuated availability zones",
+            retry_after_ms=defaults.EVACUATED_RETRY_MS,
+        )
+
     async def _pause(self, job: Job, attempts: Attempts, pause_s: float) -> None:
         """Wait before the servers that have all refused a request are asked again.
 
@@ -363,8 +397,9 @@
         now = _now()
         pauses = [
             server.backpressure.pause_s(now)
-            for server in self._directory.in_service(job.service.name)
-            if not server.is_leaving and not server.backpressure.allows(now)
+            for server in self._directory.in_homes(job.service)
+            if not (server.is_leaving or server.is_evacuated)
+            and not server.backpressure.allows(now)
         ]
         if pauses and now + min(pauses) > job.leaves_at:
             raise Overloaded(
@@ -375,6 +410,7 @@
     async def _pick_engine(self, job: Job, attempts: Attempts) -> _Choice:
         wanted = RequestTarget(job.call.model, job.call.adapter)
         while True:
+            self._check_zones(job)
             holders = self._find_holders(job, attempts)
             if not holders and attempts.avoided:
                 pause_s = attempts.begin_round()
