--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -241,6 +241,14 @@
     assert place.server is fast
 
 
+def test_full_engine_is_not_preferred_for_its_pace():
+    """Case: heavy load. Requests waited at fast engines beside free slots elsewhere."""
+    fast, usual = build_servers(50.0, 100.0)
+    fast.note_load(48, 0, NOW + 1)
+    usual.note_load(36, 0, NOW + 1)
+    assert count_chosen([fast, usual]) == {usual.name: 400}
+
+
 # Load patterns.
 
 
