Tell where an entry would send a request now

Cause: which server a request goes to depends on load, pace, window and chance, and operators could see that only from logs of requests that had been sent.

Change: the metrics port of an entry answers /where with route, workspace, cost, the servers with their figures and the ages of these, the probability of each choice, where the model would be loaded, and what the request would be refused for. jasminewharf where ENTRY HOST PATH shows it.

--- a/src/jasminewharf/interfaces/probes.py
+++ b/src/jasminewharf/interfaces/probes.py
@@ -1,8 +1,11 @@
 """What the platform asks of a process besides its work: readiness and metrics."""
 
+import json
 from typing import Any, ClassVar
+from urllib.parse import parse_qsl, urlsplit
 
 from ..kernel import Kernel, Service
+from ..services.preview import PreviewQuestion, preview_request
 from ..settings import split_address
 from .http import HttpServer, Request, Responder
 from .refusals import render_refusal
@@ -40,7 +43,11 @@
 
 
 class MetricsHttp(Service):
-    """Serves a process' metrics, and at ``/ready`` whether a control host can work."""
+    """Serves a process' metrics, and what else operators ask of one process.
+
+    At ``/ready`` it tells whether a control host can work, and at ``/where`` where an
+    entry would send a request.
+    """
 
     name: ClassVar[str] = "metrics-http"
     requires: ClassVar[tuple[str, ...]] = ("process",)
@@ -63,10 +70,28 @@
         if request.target == "/ready" and self.kernel.has("log"):
             self._answer_ready(responder)
             return
+        if request.target.startswith("/where?") and self.kernel.has("server-chooser"):
+            self._answer_where(request, responder)
+            return
         metrics: Any = self.kernel.find("process").metrics
         text = [("content-type", "text/plain; version=0.0.4")]
         responder.respond(200, text, metrics.render().encode())
 
+    def _answer_where(self, request: Request, responder: Responder) -> None:
+        given = dict(parse_qsl(urlsplit(request.target).query))
+        try:
+            tokens = max(int(given.pop("tokens", "0")), 0)
+            question = PreviewQuestion(
+                **{"host": "", "path": "/", **given}, tokens=tokens
+            )
+        except (TypeError, ValueError) as error:
+            text = [("content-type", "text/plain")]
+            responder.respond(400, text, f"{error}\n".encode())
+            return
+        preview = preview_request(self.kernel, question)
+        head = [("content-type", "application/json")]
+        responder.respond(200, head, json.dumps(preview).encode())
+
     def _answer_ready(self, responder: Responder) -> None:
         text = [("content-type", "text/plain")]
         log: Any = self.kernel.find("log")
--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -18,6 +18,7 @@
 from .tool_members import MemberCommand
 from .tool_status import DrainCommand, StatusCommand
 from .tool_trace import TraceCommand
+from .tool_where import WhereCommand
 
 __all__ = ["Tool", "main"]
 
@@ -76,6 +77,7 @@
         | ExplainCommand
         | LossesCommand
         | MemberCommand
+        | WhereCommand
         | RunCommand
     ]
 
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -213,6 +213,11 @@
             self._returning.pop(model, None)
         return len(kept)
 
+    def find_place(self, service: ServiceSpec, model: str) -> LoadPlacement | None:
+        """Return where a model would be loaded; None if nothing is known of that."""
+        spec = _find_model(service, model)
+        return self._choose_place(service, spec) if spec is not None else None
+
     def _choose_place(
         self, service: ServiceSpec, spec: ModelSpec
     ) -> LoadPlacement | None:
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -20,6 +20,7 @@
     order_by_limit,
     split_by_limit,
 )
+from ..decisions.spreading import Spread
 from ..exceptions import (
     JasminewharfError,
     LimitReached,
@@ -127,6 +128,21 @@
             in_flight=server.own,
         )
 
+    def build_spread(self, service: str) -> Spread | None:
+        """Return what a choice by pace depends on; None if the pace does not count."""
+        return self._balance.build_spread(service, _now())
+
+    def describe_closed(self, server: Server) -> str:
+        """Return why a server gets no requests of this node; empty if it does."""
+        now = _now()
+        if server.is_leaving:
+            return "leaving"
+        if not server.is_open(now):
+            return "closed, or paused at its own request"
+        if server.is_avoided(now):
+            return "silent"
+        return "ejected" if self._health.is_ejected(server.incarnation, now) else ""
+
     def _list_usable(self, job: Job) -> list[Server]:
         """Return the servers of a job's service that take requests."""
         now = _now()
--- a/tests/test_pace_fleet.py
+++ b/tests/test_pace_fleet.py
@@ -1,8 +1,12 @@
 """Requests go to backend servers by their pace; a fleet over loopback sockets."""
 
+import json
+
 import pytest
 
 from fleets import run_with_fleet
+from jasminewharf.interfaces.tool_where import WhereCommand, render_preview
+from jasminewharf.services.client import HttpClient
 from support import wait_until
 
 
@@ -77,3 +81,51 @@
         assert pace.window(1e9) == 1.0
 
     run_with_fleet(scenario, tmp_path)
+
+
+async def ask_where(fleet, query):
+    address = fleet.entry_kernels[0].settings.fleet.metrics_listen
+    client = HttpClient(address)
+    answer = await client.fetch_answer("GET", f"/where?{query}")
+    client.close()
+    return answer
+
+
+def test_entry_tells_where_a_request_would_go(tmp_path, capsys):
+    """An operator has to see why a request went somewhere without sending one."""
+
+    async def scenario(fleet):
+        address = fleet.entry_kernels[0].settings.fleet.metrics_listen
+        command = WhereCommand(
+            entry=address,
+            host="a.example",
+            path="/chat/x",
+            model="m1",
+            workspace="guild",
+            tokens=50,
+            output="json",
+        )
+        await command._run_shown()
+        preview = json.loads(capsys.readouterr().out)
+        assert preview["choice"] == {"i-e1": 1.0}
+        assert preview["refusals"] == []
+        assert preview["route"]["name"] == "chat"
+        assert preview["workspace"]["cost"] == 50
+        excluded = {row["name"]: row["excluded"] for row in preview["servers"]}
+        assert excluded == {"i-e1": "", "i-e2": "does not hold the model"}
+        assert "goes to i-e1" in render_preview(preview)
+        for query, expected in (
+            ("host=a.example&path=/chat/x&model=m3&workspace=guild", ""),
+            ("host=a.example&path=/chat/x&model=m1", "workspace"),
+            ("host=a.example&path=/chat/x&model=no&workspace=guild", "no engine"),
+            ("host=b.example&path=/chat/x", "no such route"),
+            ("host=a.example&path=/orders/x&workspace=guild", ""),
+        ):
+            preview = json.loads((await ask_where(fleet, query)).body)
+            assert expected in "".join(preview["refusals"])
+            assert bool(expected) is bool(preview["refusals"])
+        assert (await ask_where(fleet, "tokens=many")).status == 400
+        assert (await ask_where(fleet, "key=value")).status == 400
+        assert not any(replica.runs for replica in (*fleet.engines, *fleet.desks))
+
+    run_with_fleet(scenario, tmp_path)
