--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -20,6 +20,7 @@
 from .tool_members import MemberCommand
 from .tool_status import DrainCommand, StatusCommand
 from .tool_trace import TraceCommand
+from .tool_where import WhereCommand
 
 __all__ = ["Tool", "main"]
 
@@ -80,6 +81,7 @@
         | LossesCommand
         | AccountCommand
         | MemberCommand
+        | WhereCommand
         | RunCommand
     ]
 
