--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -390,6 +390,8 @@
 HTTP_TURN_BYTES = 32 * 1024
 # Bodies are kept in blocks of one size, which the allocator can use for any other.
 HTTP_BODY_BLOCK_BYTES = 64 * 1024
+# Connections that hold less are not counted: half of 1,638 descriptors hold 3 MB then.
+HTTP_COUNTED_BYTES = 4 * 1024
 # Larger bodies and answers are not joined with their heads, which would copy them.
 HTTP_JOINED_BYTES = 64 * 1024
 # Divisors of the descriptors that a process may open: connections of callers, those
--- a/src/jasminewharf/interfaces/httpconnections.py
+++ b/src/jasminewharf/interfaces/httpconnections.py
@@ -75,6 +75,7 @@
         self._turn: asyncio.Handle | None = None
         # The body of the request that is served.
         self._served_bytes = 0
+        self._is_counted = False
         self._unread_answer = _UnreadAnswer(self)
         self._reader = RequestReader(self._h11, lambda: self._allowed)
         # What arrives while a request is served waits here, unparsed.
@@ -402,16 +403,25 @@
 
     def _note_bytes(self) -> None:
         """Count what is held; this or another request may be refused for it."""
-        if not self._closing:
-            held = self._served_bytes + self._reader.held_bytes
-            self._server.memory.hold(self, self._address, held)
+        if self._closing:
+            return
+        held = self._served_bytes + self._reader.held_bytes
+        if self._is_counted or held > defaults.HTTP_COUNTED_BYTES:
+            self._is_counted = True
+            is_whole = self._task is not None
+            self._server.memory.hold(self, self._address, held, is_whole)
 
     def _forget_bytes(self) -> None:
         if self._turn is not None:
             self._turn.cancel()
             self._turn = None
         self._reader.drop()
-        self._server.memory.release(self)
+        self._release_bytes()
+
+    def _release_bytes(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self._server.memory.release(self)
 
     def shed(self, reason: str) -> str:
         """Refuse the request that is being read: its bytes have to be given up."""
@@ -440,9 +450,7 @@
         elif isinstance(item, h11.EndOfMessage):
             self._timeout.disarm()
             request = self._reader.take_request(self._peer)
-            memory = self._server.memory
             self._served_bytes = len(request.body)
-            memory.complete(self)
             # What follows is another request.
             self._limits = self._server.limits
             self._task = asyncio.create_task(self._serve(request))
@@ -456,6 +464,7 @@
         has_chunks = any(name == b"transfer-encoding" for name, _ in head.headers)
         if has_chunks or length > defaults.HTTP_JOINED_BYTES:
             workspace = self._server.find_workspace(head)
+            self._is_counted = True
             self._server.memory.hold(self, self._address, self._reader.held_bytes)
             self._server.memory.name_workspace(self, workspace)
 
@@ -576,7 +585,7 @@
     def _end_cycle(self, responder: Responder) -> None:
         self._task = None
         self._served_bytes = 0
-        self._server.memory.release(self)
+        self._release_bytes()
         self._has_served = True
         if self._transport is None or self._transport.is_closing():
             return
