Test that later loans do not keep earlier tokens alive

Cause: tokens of many loans could be spent at one moment long after their loan. Change: a test; it guards the expiry of each loan by itself.

--- a/tests/test_ratequeue.py
+++ b/tests/test_ratequeue.py
@@ -17,6 +17,7 @@
     Sent,
 )
 from jasminewharf.bench.virtual import run_virtual
+from jasminewharf.decisions.advances import Advance
 from jasminewharf.decisions.entryrates import EntryRates
 from jasminewharf.decisions.lending import OverrunLimits, TokenLender, TokenTicket
 from jasminewharf.decisions.ratebuckets import LATE_SEND_S, RateBucket
@@ -217,3 +218,12 @@
 
     # The first tokens came back, as far as the bucket had room for them.
     assert run_virtual(scenario) == pytest.approx(100.0, abs=20.0)
+
+
+def test_later_loans_do_not_keep_earlier_ones_alive():
+    """Tokens of many loans were held for long and could be spent at one moment."""
+    advance = Advance()
+    for step in range(10):
+        advance.add(100.0, 1, step * 0.3, step * 0.3)
+    assert not advance.take(300.0, 2.7)
+    assert advance.take(200.0, 2.7)
