Derive the share of entries that are cut off from the allowed overrun

Cause: a fixed part of the rate left workspaces with a low rate less than the overrun covers, and could exceed it where the deployment allows little. Change: entries that may be cut off alone share 1.2 times the overrun in a window, and at most 0.6 of the rate.

--- a/src/jasminewharf/decisions/advances.py
+++ b/src/jasminewharf/decisions/advances.py
@@ -4,20 +4,27 @@
 from typing import NamedTuple
 
 from .configurations import WorkspaceSpec
-from .ratebuckets import LATE_SEND_S
+from .ratebuckets import LATE_SEND_S, OverrunLimits
 
-__all__ = ["ISOLATED_PART", "Advance", "EmergencyBucket", "TokenLot"]
+__all__ = ["Advance", "EmergencyBucket", "TokenLot", "find_isolated_part"]
 
 # Fraction of a rate that all emergency buckets share while nobody lends.
 _EMERGENCY_PART = 0.6
-# The same of entries that may be cut off from an owner that still lends to the others:
-# a third of the entries then stays within the overrun of a workspace at its rate.
-ISOLATED_PART = 0.25
+# What entries may spend in a window while an owner may still lend to others, as a
+# fraction of the allowed overrun if all were cut off. A third of them spends 0.4.
+_ISOLATED_SLACK_PART = 1.2
 # Capacity of an emergency bucket, in seconds of its rate.
 _EMERGENCY_BURST_S = 0.5
 _TINY = 1e-9
 
 
+def find_isolated_part(spec: WorkspaceSpec, limits: OverrunLimits) -> float:
+    """Return the part of a rate that entries share which may be cut off alone."""
+    window_tokens = max(spec.rate_per_s * limits.window_s, _TINY)
+    part = limits.slack(spec) * _ISOLATED_SLACK_PART / window_tokens
+    return min(part, _EMERGENCY_PART)
+
+
 class TokenLot(NamedTuple):
     """Tokens of one loan; an ``owner`` of 0 is the entry itself."""
 
--- a/src/jasminewharf/decisions/entryrates.py
+++ b/src/jasminewharf/decisions/entryrates.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple
 
-from .advances import ISOLATED_PART, Advance, EmergencyBucket, TokenLot
+from .advances import Advance, EmergencyBucket, TokenLot, find_isolated_part
 from .configurations import WorkspaceSpec
-from .ratebuckets import LATE_SEND_S
+from .ratebuckets import LATE_SEND_S, OverrunLimits
 from .ratehistory import GrantHistory
 
 __all__ = ["EntryRates", "Unspent"]
@@ -26,7 +26,7 @@
     """Tokens and grants of one entry, by workspace.
 
     Args:
-        window_s: The window of the rule.
+        limits: The rule's window, and the overrun that it allows.
         entries: How many entries to assume until the owner has told it.
         began: When the entry started.
 
@@ -35,8 +35,9 @@
         told_entries: The same; 0 if no owner has told it.
     """
 
-    def __init__(self, window_s: float, entries: int, began: float) -> None:
-        self._kept_s = window_s + _KEPT_MARGIN_S
+    def __init__(self, limits: OverrunLimits, entries: int, began: float) -> None:
+        self._limits = limits
+        self._kept_s = limits.window_s + _KEPT_MARGIN_S
         self._began = began
         self.entries = entries
         self.told_entries = 0
@@ -123,7 +124,8 @@
         self._silent_at = now
         bucket = self._emergency.setdefault(spec.name, EmergencyBucket(self._place))
         if is_isolated:
-            wait_s = bucket.take(spec, self.entries, tokens, now, ISOLATED_PART)
+            part = find_isolated_part(spec, self._limits)
+            wait_s = bucket.take(spec, self.entries, tokens, now, part)
         else:
             wait_s = bucket.take(spec, self.entries, tokens, now)
         if not wait_s:
--- a/src/jasminewharf/services/lending.py
+++ b/src/jasminewharf/services/lending.py
@@ -10,6 +10,7 @@
 from ..decisions.advances import TokenLot
 from ..decisions.configurations import WorkspaceSpec
 from ..decisions.entryrates import EntryRates, Unspent
+from ..decisions.ratebuckets import OverrunLimits
 from ..decisions.rateuse import RateUse, RefusalCause
 from ..exceptions import (
     AccountOwnerUnavailable,
@@ -30,7 +31,13 @@
 from ..settings import BoundSettings
 from .control import FLEET_GROUP
 
-__all__ = ["Charge", "RateBorrower", "TokenPatience", "find_token_patience"]
+__all__ = [
+    "Charge",
+    "RateBorrower",
+    "TokenPatience",
+    "find_token_patience",
+    "read_limits",
+]
 
 _logger = logging.getLogger(__name__)
 _NOTHING = TokenLot(0.0, 0, 0.0)
@@ -50,6 +57,16 @@
     waited_s: float = 0.0
 
 
+def read_limits(bounds: BoundSettings) -> OverrunLimits:
+    """Return the rule of the rates."""
+    return OverrunLimits(
+        bounds.rate_window_s,
+        bounds.rate_overrun,
+        bounds.rate_slack_tokens,
+        bounds.rate_carry_s,
+    )
+
+
 def find_token_patience(
     bounds: BoundSettings, target_s: float, left_s: float
 ) -> TokenPatience:
@@ -74,8 +91,8 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._bounds: BoundSettings = kernel.settings.fleet.bounds
-        window_s = self._bounds.rate_window_s
-        self._rates = EntryRates(window_s, defaults.ENTRIES_GUESS, _now())
+        limits = read_limits(self._bounds)
+        self._rates = EntryRates(limits, defaults.ENTRIES_GUESS, _now())
         # Whether the owner gave no answer, and when it is asked again then.
         self._is_silent = False
         self._silent_until = 0.0
--- a/src/jasminewharf/services/ratelender.py
+++ b/src/jasminewharf/services/ratelender.py
@@ -9,7 +9,7 @@
 
 from .. import defaults, events
 from ..decisions.configurations import WorkspaceSpec
-from ..decisions.lending import Loan, OverrunLimits, TokenLender, TokenTicket
+from ..decisions.lending import Loan, TokenLender, TokenTicket
 from ..exceptions import NotLeader
 from ..identifiers import new_incarnation
 from ..kernel import Kernel, Service
@@ -21,6 +21,7 @@
     TokensLent,
 )
 from .control import FLEET_GROUP
+from .lending import read_limits
 from .link import Peer
 
 __all__ = ["RateLender"]
@@ -76,13 +77,7 @@
             raise NotLeader(FLEET_GROUP, log.leader(FLEET_GROUP))
         if self._lender is None:
             fleet = self.kernel.settings.fleet
-            bounds = fleet.bounds
-            limits = OverrunLimits(
-                bounds.rate_window_s,
-                bounds.rate_overrun,
-                bounds.rate_slack_tokens,
-                bounds.rate_carry_s,
-            )
+            limits = read_limits(fleet.bounds)
             age_s = _now() - self._started
             is_first = fleet.first_start and age_s < defaults.FOUNDING_S
             self._began = _now()
--- a/tests/test_ratequeue.py
+++ b/tests/test_ratequeue.py
@@ -163,7 +163,7 @@
 
 def test_entry_reports_no_loan_to_the_owner_that_lent_it():
     """A new owner counted its own first loans twice, and refused others."""
-    rates = EntryRates(8.0, 10, 0.0)
+    rates = EntryRates(EXACT, 10, 0.0)
     rates.note_loan("guild", 100.0, 1, 5.0)
     rates.note_loan("guild", 200.0, 2, 5.1)
     ((workspace, items),) = rates.report(2, 5.2)
@@ -176,7 +176,7 @@
     spec = build_workspace(rate=4_000.0, burst=4_000.0)
     sent = []
     for number in range(entries):
-        rates = EntryRates(8.0, entries, 0.0)
+        rates = EntryRates(EXACT, entries, 0.0)
         rates.note_entries(entries, number / entries)
         for step in range(800):
             now = step * 0.01
