--- a/tests/test_ratequeue.py
+++ b/tests/test_ratequeue.py
@@ -17,6 +17,7 @@
     Sent,
 )
 from jasminewharf.bench.virtual import run_virtual
+from jasminewharf.decisions.advances import Advance
 from jasminewharf.decisions.entryrates import EntryRates
 from jasminewharf.decisions.lending import OverrunLimits, TokenLender, TokenTicket
 from jasminewharf.decisions.ratebuckets import LATE_SEND_S, RateBucket
@@ -162,7 +163,7 @@
 
 def test_entry_reports_no_loan_to_the_owner_that_lent_it():
     """A new owner counted its own first loans twice, and refused others."""
-    rates = EntryRates(8.0, 10, 0.0)
+    rates = EntryRates(EXACT, 10, 0.0)
     rates.note_loan("guild", 100.0, 1, 5.0)
     rates.note_loan("guild", 200.0, 2, 5.1)
     ((workspace, items),) = rates.report(2, 5.2)
@@ -175,7 +176,7 @@
     spec = build_workspace(rate=4_000.0, burst=4_000.0)
     sent = []
     for number in range(entries):
-        rates = EntryRates(8.0, entries, 0.0)
+        rates = EntryRates(EXACT, entries, 0.0)
         rates.note_entries(entries, number / entries)
         for step in range(800):
             now = step * 0.01
@@ -217,3 +218,12 @@
 
     # The first tokens came back, as far as the bucket had room for them.
     assert run_virtual(scenario) == pytest.approx(100.0, abs=20.0)
+
+
+def test_later_loans_do_not_keep_earlier_ones_alive():
+    """Tokens of many loans were held for long and could be spent at one moment."""
+    advance = Advance()
+    for step in range(10):
+        advance.add(100.0, 1, step * 0.3, step * 0.3)
+    assert not advance.take(300.0, 2.7)
+    assert advance.take(200.0, 2.7)
