--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -10,6 +10,7 @@
 
 from ..exceptions import ConfigurationRefused
 from ..registry import register
+from .coldservers import ColdRule
 from .identity import (
     HostIdentity,
     can_hold_host,
@@ -118,11 +119,15 @@
 
 
 class ServiceSpec(NamedTuple):
-    """A service; ``engine`` is None for a plain one."""
+    """A service; ``engine`` is None for a plain one.
+
+    ``cold`` is None if its servers are never cold.
+    """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
+    cold: ColdRule | None = None
 
 
 class CallerLimits(NamedTuple):
--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -12,6 +12,7 @@
 from ..dialects.fleet import HeldModel, ListedServer
 from ..messages.servers import EngineLoad, EngineReport
 from .backpressure import BackpressureTable, ServerBackpressure, ServerIncarnation
+from .coldservers import ColdServerTable
 from .enginereports import TAKEN, EngineReportTable
 from .serverlimits import ServerLimit, ServerLimitTable
 
@@ -220,6 +221,7 @@
         board: The last report of each agent.
         list_at: When the list was read.
         limits: The request rates that servers name for all nodes together.
+        cold: Which servers are cold.
     """
 
     def __init__(self) -> None:
@@ -231,6 +233,7 @@
         self.list_at = float("-inf")
         self._backpressure = BackpressureTable()
         self.limits = ServerLimitTable()
+        self.cold = ColdServerTable()
 
     def in_service(self, service: str) -> list[Server]:
         """Return the servers of a service, including leaving ones."""
@@ -262,6 +265,7 @@
                     self._backpressure.find(life),
                     self.limits.find(life),
                 )
+                server.limit.cold = self.cold.find(life, listed.service, read_at)
                 found.append(listed)
             elif listed.is_leaving and not server.listed.is_leaving:
                 left.append(listed)
@@ -274,6 +278,7 @@
         lives = {ServerIncarnation(name, s.listed.born_ms) for name, s in kept.items()}
         self._backpressure.forget_unlisted(lives, read_at)
         self.limits.forget_unlisted(lives, read_at)
+        self.cold.retain(lives)
         self._index()
         return ListChange(found, left)
 
--- a/src/jasminewharf/decisions/permits.py
+++ b/src/jasminewharf/decisions/permits.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from .. import defaults
+from .sendbounds import SendBound
 
 __all__ = [
     "LimitFall",
@@ -77,18 +78,28 @@
     Its permits count against the limit as if it had issued all that it could.
 
     Args:
-        limit_per_s: Requests a second that the server takes.
+        limit_per_s: Requests a second that the server takes; None if it names no
+            limit, and only its bound counts.
         now: Current time in monotonic seconds.
         fall: The last time that the limit was lowered, if it was.
+        bound: What it takes in any second, if it can turn cold.
     """
 
     def __init__(
-        self, limit_per_s: float, now: float, fall: LimitFall | None = None
+        self,
+        limit_per_s: float | None,
+        now: float,
+        fall: LimitFall | None = None,
+        bound: SendBound | None = None,
     ) -> None:
         self.limit_per_s = limit_per_s
+        self.bound = bound
         # When the permits were issued that may arrive in the window of the next one.
-        self._sent = deque(_list_former_permits(limit_per_s, now, fall))
-        self._level = 0.0
+        self._sent: deque[float] = deque()
+        self._level = self._size
+        if limit_per_s is not None:
+            self._sent.extend(_list_former_permits(limit_per_s, now, fall))
+            self._level = 0.0
         self._at = now
         self._waiting: dict[PermitKey, tuple[PermitRequest, float]] = {}
         self._issued: dict[PermitKey, tuple[PermitRequest, float]] = {}
@@ -107,15 +118,23 @@
     @property
     def rate_per_s(self) -> float:
         """The permits a second: the limit, or a few to learn that it has ended."""
-        return _find_rate(self.limit_per_s)
+        bound_per_s = self.bound.per_s if self.bound is not None else math.inf
+        if self.limit_per_s is None:
+            return max(bound_per_s, 1 / defaults.LIMIT_TRIAL_S)
+        return min(_find_rate(self.limit_per_s), bound_per_s)
 
     @property
     def _size(self) -> float:
+        if self.limit_per_s is None:
+            # The bound alone says how many may be sent together.
+            return math.inf
         return _find_size(self.limit_per_s)
 
     @property
-    def _room(self) -> int:
+    def _room(self) -> float:
         """The permits in a window that the server's rule allows beside status reads."""
+        if self.limit_per_s is None:
+            return math.inf
         span_s = defaults.LIMIT_WINDOW_S
         allowed = defaults.LIMIT_WINDOW_FACTOR * span_s * self.limit_per_s
         reads = max(
@@ -123,7 +142,7 @@
         )
         return int(allowed + defaults.LIMIT_WINDOW_EXTRA) - math.ceil(reads * span_s)
 
-    def set_limit(self, limit_per_s: float, now: float) -> None:
+    def set_limit(self, limit_per_s: float | None, now: float) -> None:
         """Change the limit at once.
 
         Requests on their way at a higher rate count against the lower limit when they
@@ -133,9 +152,13 @@
         if limit_per_s == self.limit_per_s:
             return
         self._refill(now)
-        is_lower = limit_per_s < self.limit_per_s
+        before = self.limit_per_s
+        if limit_per_s is None:
+            is_lower = False
+        else:
+            is_lower = before is None or limit_per_s < before
         self.limit_per_s = limit_per_s
-        self._level = min(self._level, self._size)
+        self._level = math.inf if limit_per_s is None else min(self._level, self._size)
         if is_lower:
             self._drop_sent(now - defaults.PERMIT_UNDER_WAY_S)
             under_way = len(self._sent)
@@ -168,6 +191,8 @@
             self._level = min(self._level + 1.0, self._size)
             if issued[1] in self._sent:
                 self._sent.remove(issued[1])
+            if self.bound is not None:
+                self.bound.note_returned(issued[1])
 
     def decide(self, now: float) -> list[Verdict]:
         """Issue the permits that are free."""
@@ -175,12 +200,14 @@
         self._forget(now)
         granted = []
         self._drop_sent(now - _COUNTED_S)
-        while self._waiting and self._level >= _WHOLE and len(self._sent) < self._room:
+        while self._waiting and self._level >= _WHOLE and self._has_room(now):
             request = min(self._waiting.values(), key=self._rank)[0]
             del self._waiting[request.key]
             self._level -= 1.0
             self._issued[request.key] = (request, now)
             self._sent.append(now)
+            if self.bound is not None:
+                self.bound.note_issued(now)
             self._clock = max(self._tags.get(request.workspace, 0.0), self._clock)
             self._tags[request.workspace] = self._clock + 1.0
             granted.append(Verdict(request, True, 0.0))
@@ -190,14 +217,23 @@
         """Return the seconds until :meth:`decide` can issue a permit."""
         if not self._waiting:
             return math.inf
-        due_s = (1.0 - self._level) / self.rate_per_s - (now - self._at)
+        due_s = 0.0
+        if self._level < 1.0:
+            due_s = (1.0 - self._level) / self.rate_per_s - (now - self._at)
         return max(due_s, self._find_room(now), 0.0)
 
     def _find_room(self, now: float) -> float:
         """Return the seconds until the server's rule allows another permit."""
-        if len(self._sent) < self._room:
-            return 0.0
-        return max(self._sent[-self._room] + _COUNTED_S - now, 0.0)
+        wait_s = self.bound.find_room(now) if self.bound is not None else 0.0
+        room = self._room
+        if len(self._sent) < room:
+            return wait_s
+        return max(self._sent[-int(room)] + _COUNTED_S - now, wait_s, 0.0)
+
+    def _has_room(self, now: float) -> bool:
+        if len(self._sent) >= self._room:
+            return False
+        return self.bound is None or self.bound.find_room(now) <= 0
 
     def _drop_sent(self, until: float) -> None:
         while self._sent and self._sent[0] <= until + _TIMER_S:
@@ -244,7 +280,8 @@
             elif other.since <= request.since:
                 own += 1
         ahead += own + sum(min(count, own + 1) for count in others.values())
-        return max(ahead + 1.0 - self._level, 0.0) / self.rate_per_s
+        wait_s = max(ahead + 1.0 - self._level, 0.0) / self.rate_per_s
+        return max(wait_s, ahead / self.rate_per_s)
 
 
 def _find_rate(limit_per_s: float) -> float:
--- a/src/jasminewharf/decisions/serverlimits.py
+++ b/src/jasminewharf/decisions/serverlimits.py
@@ -12,10 +12,13 @@
 
 from .. import defaults
 from .backpressure import ServerIncarnation
+from .coldservers import ColdServer
 
 __all__ = ["LimitReading", "ServerLimit", "ServerLimitTable"]
 
 _NEVER = float("-inf")
+# An agent's calls to its own engine do not count while the engine is cold.
+_EXEMPT_KINDS = frozenset({"order", "status"})
 
 
 class LimitReading(NamedTuple):
@@ -43,10 +46,12 @@
         sent_at: When the request of the newest answer was sent.
         received_at: When the newest answer came.
         is_reported_unreadable: Whether an unreadable limit was logged.
+        cold: Its cold state; None where nobody needs to know it.
     """
 
     __slots__ = (
         "_numbers",
+        "cold",
         "is_reported_unreadable",
         "reading",
         "received_at",
@@ -60,6 +65,7 @@
         self.sent_at = _NEVER
         self.received_at = _NEVER
         self.is_reported_unreadable = False
+        self.cold: ColdServer | None = None
         # The last reading of each observer that was in force: none comes back.
         self._numbers: dict[int, int] = {}
 
@@ -70,9 +76,37 @@
 
     @property
     def is_limited(self) -> bool:
-        """Whether a limit is in force."""
+        """Whether a limit that the server has named is in force."""
         return self.reading is not None and self.reading.per_s is not None
 
+    @property
+    def cold_per_s(self) -> float | None:
+        """What the server tolerates while it is cold; None if it never is."""
+        rule = self.cold.rule if self.cold is not None else None
+        return rule.per_s if rule is not None else None
+
+    @property
+    def weight_per_s(self) -> float:
+        """The requests a second by which limited servers share the work."""
+        if self.is_limited:
+            return self.per_s or 0.0
+        return self.cold_per_s or 0.0
+
+    def is_limited_at(self, now: float) -> bool:
+        """Return whether requests should go to servers without a limit first."""
+        is_cold = self.cold is not None and self.cold.is_limited(now)
+        return is_cold or self.is_limited
+
+    def needs_permit(self, kind: str) -> bool:
+        """Return whether a request of this kind is sent only with a permit.
+
+        A server that can turn cold needs them all the time: it is cold for a while
+        before the first node knows.
+        """
+        if self.is_limited:
+            return True
+        return self.cold_per_s is not None and kind not in _EXEMPT_KINDS
+
     def note_answer(self, sent_at: float, received_at: float) -> None:
         """Record an answer without a limit of a server that has never named one."""
         if sent_at > self.sent_at:
--- a/src/jasminewharf/decisions/serverselection.py
+++ b/src/jasminewharf/decisions/serverselection.py
@@ -23,6 +23,7 @@
     "is_full",
     "order_by_limit",
     "rank_by_hash",
+    "split_by_cold",
     "split_by_limit",
     "sum_urgency",
 ]
@@ -119,6 +120,14 @@
     return free, [server for server in servers if server.limit.is_limited]
 
 
+def split_by_cold(
+    servers: Sequence[Server], now: float
+) -> tuple[list[Server], list[Server]]:
+    """Return the servers that take requests freely, and those cold or with a limit."""
+    free = [server for server in servers if not server.limit.is_limited_at(now)]
+    return free, [server for server in servers if server.limit.is_limited_at(now)]
+
+
 def is_full(server: Server) -> bool:
     """Return whether a further request would wait at a server."""
     return server.load >= server.listed.slots
@@ -134,7 +143,7 @@
     """
 
     def rank(server: Server) -> float:
-        return -(draw() ** (1 / max(server.limit.per_s or 0.0, _LOWEST_LIMIT)))
+        return -(draw() ** (1 / max(server.limit.weight_per_s, _LOWEST_LIMIT)))
 
     return sorted(servers, key=rank)
 
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -601,6 +601,28 @@
 LOCAL_SHARE_PART = 0.4  # Of a limit, for all nodes that have lost its owner.
 STATUS_PART = 0.25
 STATUS_LIMITED_S = 4.0
+# Cold servers. In any second the server's bound is split into sends by permits, by
+# entries that need not ask, and by those that reach no owner.
+COLD_HOLDERS_PART = 0.25
+COLD_LOCAL_PART = 0.15
+# Sends of entries without an owner fall into the same second by chance.
+COLD_LOCAL_USED_PART = 0.3
+COLD_PERMIT_VALID_S = 0.5  # From the question on; nodes renew it each 0.3 s.
+COLD_ARRIVAL_S = 0.1  # Between the first byte's leaving and its arrival, at most.
+# Permits that are issued within this time of each other can arrive in one second.
+COLD_COUNTED_S = 1.0 + COLD_PERMIT_VALID_S + COLD_ARRIVAL_S
+COLD_SPACING_S = 1.0 + COLD_ARRIVAL_S
+COLD_OVERLAP_S = 0.4  # In which a former owner may not know that it was replaced.
+COLD_HELD_LIMIT_S = 5.0  # Longer than an owner can say.
+COLD_FRESH_S = 1.5  # Three repeats of an agent.
+COLD_REPEAT_S = 0.5
+COLD_SHARE_S = 0.05  # Between news of cold servers from a control host.
+COLD_POLL_S = 0.1  # Between an agent's looks whether its engine has turned cold.
+COLD_ADMIT_WAIT_S = 0.3  # For a permit, before another server is looked for.
+COLD_REFUSED_S = 0.1  # For which a server without a permit counts as limited.
+COLD_LONGEST_FACTOR = 10  # Of the usual cold time: more is not believed.
+COLD_LONGEST_S = 60.0  # Where no usual time is configured.
+COLD_RANK_KEPT_S = 1.0
 UNKNOWN_HEADERS_LIMIT = 64  # Names that are logged once each; others are only counted.
 SERVER_SILENT_S = 1.6  # With requests in flight: longer than a sound one falls silent.
 SERVER_AVOIDED_S = 2.0
--- a/src/jasminewharf/dialects/fleet.py
+++ b/src/jasminewharf/dialects/fleet.py
@@ -21,6 +21,7 @@
     "ForwardedHead",
     "HeldModel",
     "ListPage",
+    "ListedColdTime",
     "ListedServer",
     "OperatorDialect",
     "OrderAnswer",
@@ -56,15 +57,25 @@
     models: tuple[HeldModel, ...]
 
 
+class ListedColdTime(NamedTuple):
+    """How long a server on the list stays cold, NaN if that cannot be read."""
+
+    address: str
+    born_ms: int
+    cold_ms: float
+
+
 class ListPage(NamedTuple):
     """Part of the list; ``following`` names the next page, empty at the end.
 
-    ``skipped`` counts entries that could not be read.
+    ``skipped`` counts entries that could not be read. ``cold`` is what the others say
+    of the servers' cold times.
     """
 
     servers: tuple[ListedServer, ...]
     following: str
     skipped: int
+    cold: tuple[ListedColdTime, ...] = ()
 
 
 class ServerList(Protocol):
@@ -123,7 +134,8 @@
     say so and not a number if that cannot be read. ``limit_per_s`` is how many requests
     a second it takes from all hosts together, None if it names no limit and not a
     number if that cannot be read. ``unknown_headers`` names what the dialect cannot
-    read.
+    read. ``cold_ms`` is how long it stays cold, None if it does not say so and not a
+    number if that cannot be read.
     """
 
     request_id: str
@@ -137,6 +149,7 @@
     pause_s: float
     limit_per_s: float | None
     unknown_headers: tuple[str, ...]
+    cold_ms: float | None = None
 
 
 class CallerDialect(Protocol):
@@ -173,6 +186,7 @@
     ``is_busy`` tells that an order is being carried out; ``orders`` counts those
     accepted since ``born_ms``. ``incoming`` lists pairs of model and adapter that are
     being fetched. Copies of weights are at hand ``in_memory`` and ``on_disk``.
+    ``cold_ms`` is how long the engine stays cold; see :class:`AnswerHead`.
     """
 
     born_ms: int
@@ -187,6 +201,7 @@
     in_memory: tuple[str, ...]
     on_disk: tuple[str, ...]
     is_leaving: bool
+    cold_ms: float | None = None
 
 
 class EngineOrder(NamedTuple):
@@ -231,6 +246,9 @@
     def read_limit(self, headers: list[tuple[str, str]]) -> float | None:
         """Return the limit that the engine names; see :class:`AnswerHead`."""
 
+    def read_cold_ms(self, headers: list[tuple[str, str]]) -> float | None:
+        """Return how long the engine stays cold; see :class:`AnswerHead`."""
+
 
 CALLER_DIALECTS: dict[str, CallerDialect] = {}
 ENGINE_ORDERS: dict[str, EngineOrders] = {}
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -179,6 +179,14 @@
 REQUEST_CLEARED = _define(873, logging.INFO, "request cleared by an answer")
 ATTEMPT_SILENT = _define(874, logging.INFO, "backend server silent, another is asked")
 ATTEMPT_WENT_ON = _define(875, logging.INFO, "silent backend server went on")
+SERVER_COLD = _define(876, logging.INFO, "backend server is cold")
+SERVER_WARM = _define(877, logging.INFO, "backend server is not cold any more")
+COLD_TIME_IMPLAUSIBLE = _define(
+    878, logging.WARNING, "cold time of a backend server cannot be true"
+)
+COLD_BOUND_REACHED = _define(
+    879, logging.INFO, "backend server that can turn cold has no permit at once"
+)
 STREAM_EVENTS_DROPPED = _define(870, logging.INFO, "events of a stream dropped")
 ANSWER_UNMATCHED = _define(
     864, logging.WARNING, "answer that belongs to no request in progress"
--- a/src/jasminewharf/interfaces/fleetagent.py
+++ b/src/jasminewharf/interfaces/fleetagent.py
@@ -2,6 +2,7 @@
 
 from ..kernel import Kernel
 from ..registry import register
+from ..services.coldservers import ColdServers
 from ..services.controllers import Controllers
 from ..services.directory import DirectoryService
 from ..services.engine import EngineManager
@@ -33,6 +34,7 @@
             ConfigurationView,
             DirectoryService,
             ServerLimits,
+            ColdServers,
             Permits,
             EngineManager,
         ),
--- a/src/jasminewharf/interfaces/fleetcontrol.py
+++ b/src/jasminewharf/interfaces/fleetcontrol.py
@@ -3,6 +3,7 @@
 from ..kernel import Kernel
 from ..registry import register
 from ..services.broadcast import Broadcast
+from ..services.coldrelay import ColdRelay
 from ..services.configurations import ConfigurationService
 from ..services.control import FLEET_GROUP, ControlServer
 from ..services.controllers import Controllers
@@ -73,6 +74,7 @@
             PermitOwner,
             PoisonOwner,
             ControlConfigurationView,
+            ColdRelay,
             ServerListReader,
             RateLender,
             StoreSlotOwner,
--- a/src/jasminewharf/interfaces/fleetentry.py
+++ b/src/jasminewharf/interfaces/fleetentry.py
@@ -2,6 +2,7 @@
 
 from ..kernel import Kernel
 from ..registry import register
+from ..services.coldservers import ColdServers
 from ..services.controllers import Controllers
 from ..services.demand import DemandService
 from ..services.directory import DirectoryService
@@ -42,6 +43,7 @@
             RateBorrower,
             RetryBudgets,
             ServerLimits,
+            ColdServers,
             Permits,
             Upstream,
             DemandService,
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -7,9 +7,12 @@
 
 __all__ = [
     "AdapterEnsured",
+    "AskColdPermits",
     "AskPermits",
     "AskStore",
     "BorrowTokens",
+    "ColdPermitAnswers",
+    "ColdPermitAsk",
     "ControlHosts",
     "EngineDigest",
     "EntryCount",
@@ -31,6 +34,8 @@
     "RequestMembership",
     "ReturnTokens",
     "ServerChanges",
+    "ServerColdTime",
+    "ServerColdTimes",
     "ServerLimitReport",
     "ServerLimitReports",
     "ServerListAge",
@@ -409,6 +414,57 @@
     answers: list[PermitAnswer]
 
 
+class ColdPermitAsk(NamedTuple):
+    """A :class:`PermitAsk` for a server that can turn cold.
+
+    ``per_s`` is what such a server takes a second, by the configuration.
+    """
+
+    ask: PermitAsk
+    per_s: float
+
+
+@message(221)
+class AskColdPermits(NamedTuple):
+    """Like :class:`AskPermits`, for servers that can turn cold."""
+
+    asks: list[ColdPermitAsk]
+    reports: list[ServerLimitReport]
+
+
+@message(222)
+class ColdPermitAnswers(NamedTuple):
+    """Answers :class:`AskColdPermits`; later decisions follow as permits' answers.
+
+    A new owner answers nothing else for ``held_ms``, in which permits of the one before
+    it may be under way.
+    """
+
+    answers: list[PermitAnswer]
+    held_ms: int = 0
+
+
+class ServerColdTime(NamedTuple):
+    """How long a server stays cold.
+
+    ``cold_ms`` is what was told ``age_ms`` ago; ``is_direct`` if the server itself or
+    its agent said so, and not the platform's list. ``born_ms`` is 0 if unknown.
+    """
+
+    address: str
+    born_ms: int
+    cold_ms: float
+    age_ms: int
+    is_direct: bool
+
+
+@message(220)
+class ServerColdTimes(NamedTuple):
+    """Tells a control host, or a node, which servers are cold or not any more."""
+
+    times: list[ServerColdTime]
+
+
 @message(207)
 class PermitUnused(NamedTuple):
     """A node gives up a request for a permit, or gives back an unused permit."""
--- a/src/jasminewharf/platform/answers.py
+++ b/src/jasminewharf/platform/answers.py
@@ -7,14 +7,24 @@
 from datetime import UTC, datetime
 from email.utils import parsedate_to_datetime
 
-__all__ = ["list_unknown_headers", "read_limit", "read_pause_s", "says_leaving"]
+__all__ = [
+    "list_unknown_headers",
+    "read_cold_header",
+    "read_cold_ms",
+    "read_limit",
+    "read_pause_s",
+    "says_leaving",
+]
 
 _OVERLOADED_STATUS = 503
 # Longer numbers are no times; Python refuses to convert thousands of digits.
 _SECONDS = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 # A float's shortest decimal text has up to 17 digits.
 _RATE = re.compile(r"\d{1,9}(\.\d{1,18})?", re.ASCII)
+# JSON's numbers, and those of headers.
+_COLD_MS = re.compile(r"-?\d{1,300}(\.\d{1,300})?([eE][+-]?\d{1,3})?", re.ASCII)
 _LIMIT = "server-limit"
+_COLD = "x-cold-ms"
 _KNOWN_HEADERS = frozenset(
     {
         "accept-ranges",
@@ -43,6 +53,7 @@
         "x-response-signature",
         "x-server-load",
         "x-weight-versions",
+        _COLD,
         _LIMIT,
     }
 )
@@ -95,6 +106,29 @@
     return float(texts[0])
 
 
+def read_cold_ms(text: str) -> float | None:
+    """Return the milliseconds for which a server stays cold.
+
+    Args:
+        text: What it says, as a number in text; empty or null if nothing.
+
+    Returns:
+        None if it says nothing, not a number if what it says cannot be read.
+    """
+    text = text.strip()
+    if text in ("", "null"):
+        return None
+    return float(text) if _COLD_MS.fullmatch(text) else math.nan
+
+
+def read_cold_header(headers: Sequence[tuple[str, str]]) -> float | None:
+    """Return how long a server stays cold; see :func:`read_cold_ms`."""
+    texts = [value for name, value in headers if name == _COLD]
+    if len(texts) > 1:
+        return math.nan
+    return read_cold_ms(texts[0]) if texts else None
+
+
 def list_unknown_headers(headers: Sequence[tuple[str, str]]) -> tuple[str, ...]:
     """Return the names of headers that nothing here knows."""
     return tuple(name for name, _ in headers if name not in _KNOWN_HEADERS)
--- a/src/jasminewharf/platform/callers.py
+++ b/src/jasminewharf/platform/callers.py
@@ -10,6 +10,7 @@
 from ..registry import register
 from .answers import (
     list_unknown_headers,
+    read_cold_header,
     read_limit,
     read_pause_s,
     says_leaving,
@@ -141,6 +142,7 @@
             read_pause_s(status, fields),
             read_limit(headers),
             list_unknown_headers(headers),
+            read_cold_header(headers),
         )
 
     def read_answer_id(self, headers: list[tuple[str, str]]) -> str:
--- a/src/jasminewharf/platform/configurations.py
+++ b/src/jasminewharf/platform/configurations.py
@@ -1,10 +1,12 @@
 """The operators' configuration, as it stands on the wire."""
 
 import json
+import re
 from typing import Any
 
 import msgspec
 
+from ..decisions.coldservers import ColdRule
 from ..decisions.configurations import (
     CONFIGURATION_FORMATS,
     STORED_FORMATS,
@@ -24,6 +26,7 @@
 __all__ = ["read_configuration", "read_stored_configuration"]
 
 _MS_PER_S = 1_000.0
+_AMOUNT = re.compile(r"\d{1,9}(\.\d{1,18})?([eE][+-]?\d)?", re.ASCII)
 # 30 years; longer times would not fit into messages.
 _LONGEST_MS = 1e12
 
@@ -77,6 +80,9 @@
     name: str
     max_conns: int = 0
     engine: _Engine | None = None
+    # Servers that have started tolerate few requests a second for a while.
+    cold_start_s: msgspec.Raw = msgspec.Raw(b"0")
+    cold_per_s: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -199,8 +205,9 @@
 
 def _translate_service(service: _Service) -> ServiceSpec:
     engine = service.engine
+    cold = _translate_cold(service)
     if engine is None:
-        return ServiceSpec(service.name, service.max_conns, None)
+        return ServiceSpec(service.name, service.max_conns, None, cold)
     models = tuple(map(_translate_model, engine.models))
     spec = EngineSpec(
         engine.slots,
@@ -210,7 +217,25 @@
         models,
         engine.disk_mb,
     )
-    return ServiceSpec(service.name, service.max_conns, spec)
+    return ServiceSpec(service.name, service.max_conns, spec, cold)
+
+
+def _translate_cold(service: _Service) -> ColdRule | None:
+    per_s = _read_amount(service.cold_per_s)
+    if per_s <= 0:
+        return None
+    return ColdRule(per_s, _read_amount(service.cold_start_s))
+
+
+def _read_amount(raw: msgspec.Raw) -> float:
+    """Return a number of an extension of the format; 0 if it cannot be one.
+
+    Whatever it is, the rest of the configuration is valid.
+    """
+    text = bytes(raw).decode("ascii", "replace")
+    if not _AMOUNT.fullmatch(text):
+        return 0.0
+    return float(text)
 
 
 def _translate_model(model: _Model) -> ModelSpec:
--- a/src/jasminewharf/platform/engines.py
+++ b/src/jasminewharf/platform/engines.py
@@ -12,7 +12,7 @@
 from ..dialects.jsonanswers import decode_answer
 from ..exceptions import BackendError
 from ..registry import register
-from .answers import read_limit, read_pause_s
+from .answers import read_cold_header, read_cold_ms, read_limit, read_pause_s
 from .servers import Model, Number, translate_models
 
 __all__ = ["PlatformEngines"]
@@ -47,6 +47,8 @@
     at_hand: _AtHand | None = None
     # Adapters on their way, MODEL/NAME@VERSION.
     incoming: list[str] = []
+    # How long it stays cold.
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw(b"")
 
 
 class _Order(msgspec.Struct, omit_defaults=True):
@@ -84,6 +86,7 @@
             tuple(copies.in_memory),
             tuple(copies.on_disk),
             report.state == "draining",
+            read_cold_ms(bytes(report.cold_remaining_ms).decode("ascii", "replace")),
         )
 
     def give_order(self, order: EngineOrder, server: str) -> HttpCall:
@@ -113,6 +116,10 @@
         """Return how many requests a second the engine takes from all hosts."""
         return read_limit(headers)
 
+    def read_cold_ms(self, headers: list[tuple[str, str]]) -> float | None:
+        """Return how long the engine stays cold."""
+        return read_cold_header(headers)
+
 
 def _read_incoming(text: str) -> tuple[str, str]:
     model, _, adapter = text.partition("@")[0].partition("/")
--- a/src/jasminewharf/platform/servers.py
+++ b/src/jasminewharf/platform/servers.py
@@ -6,11 +6,18 @@
 import msgspec
 
 from ..dialects.base import HttpCall
-from ..dialects.fleet import SERVER_LISTS, HeldModel, ListedServer, ListPage
+from ..dialects.fleet import (
+    SERVER_LISTS,
+    HeldModel,
+    ListedColdTime,
+    ListedServer,
+    ListPage,
+)
 from ..dialects.jsonanswers import decode_entries, decode_entry
 from ..exceptions import BackendError
 from ..registry import register
 from ..settings import is_address
+from .answers import read_cold_ms
 
 __all__ = ["Number", "Model", "PlatformServers", "translate_models"]
 
@@ -44,6 +51,8 @@
     # Unix milliseconds of its start.
     born: Number = 0
     models: list[Model] = []
+    # How long it stays cold; whatever else it holds leaves the entry readable.
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw(b"")
 
 
 class _Page(msgspec.Struct, rename="camel"):
@@ -73,11 +82,18 @@
             raise BackendError(f"status {status}")
         page, entries = decode_entries(body, _Page, "instances")
         read = [_read_instance(raw) for raw in entries]
-        servers = tuple(server for server in read if server is not None)
-        return ListPage(servers, page.next_token or "", len(read) - len(servers))
-
-
-def _read_instance(raw: Any) -> ListedServer | None:
+        found = [pair for pair in read if pair is not None]
+        servers = tuple(server for server, _ in found)
+        cold = tuple(
+            ListedColdTime(server.address, server.born_ms, cold_ms)
+            for server, cold_ms in found
+            if cold_ms is not None
+        )
+        return ListPage(servers, page.next_token or "", len(read) - len(found), cold)
+
+
+def _read_instance(raw: Any) -> tuple[ListedServer, float | None] | None:
+    """Return a server and how long it stays cold; None if it cannot be read."""
     entry = decode_entry(raw, _Instance)
     if (
         entry is None
@@ -86,7 +102,7 @@
         or not is_address(entry.address)
     ):
         return None
-    return ListedServer(
+    server = ListedServer(
         entry.id,
         entry.service,
         entry.address,
@@ -98,6 +114,9 @@
         entry.born,
         translate_models(entry.models),
     )
+    return server, read_cold_ms(
+        bytes(entry.cold_remaining_ms).decode("ascii", "replace")
+    )
 
 
 register(SERVER_LISTS, "platform")(PlatformServers())
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -20,6 +20,7 @@
     FetchServers,
     FollowEngines,
     ServerChanges,
+    ServerColdTimes,
     ServerListAge,
     Servers,
     WantReports,
@@ -179,13 +180,20 @@
             "agent",
             place.node,
             place.address,
-            {EngineReport: self._take_report, EngineLoad: self._take_load},
+            {
+                EngineReport: self._take_report,
+                EngineLoad: self._take_load,
+                ServerColdTimes: self._take_cold_times,
+            },
         )
 
     def _take_report(self, report: EngineReport) -> None:
         if self.directory.take_report(report, _now()) == TAKEN:
             self._notify()
 
+    def _take_cold_times(self, message: ServerColdTimes) -> None:
+        self.kernel.find("cold-servers").take_times(message)
+
     def _take_load(self, load: EngineLoad) -> None:
         self.directory.take_load(load, _now())
 
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -26,6 +26,7 @@
 )
 from ..registry import lookup
 from .client import FetchedAnswer, HttpClient
+from .coldengine import ColdEngine
 from .enginereporter import EngineReporter
 from .link import LinkServer, Peer
 from .permits import Permit, PermitWish
@@ -52,6 +53,7 @@
         "view",
         "directory",
         "server-limits",
+        "cold-servers",
         "permits",
     )
 
@@ -89,6 +91,7 @@
             ServerIncarnation(self._address, 0)
         )
         self._limits = kernel.find("server-limits")
+        self._cold = ColdEngine(kernel, self._address, lambda: self._news.peers())
         self._permits = kernel.find("permits")
         self._metrics = kernel.find("process").metrics
         self._client.metrics = self._metrics
@@ -216,6 +219,10 @@
                 pass
 
     def _pause_s(self) -> float:
+        pause_s = self._choose_pause_s()
+        return min(pause_s, defaults.COLD_POLL_S) if self._cold.rule else pause_s
+
+    def _choose_pause_s(self) -> float:
         if self._adapter_waiters and self._has_adapter_coming():
             return defaults.ENGINE_ADAPTER_POLL_S
         if self._change is not None and not self._change.loads:
@@ -306,6 +313,7 @@
             return False
         if fresh is not None:
             self._note_status(fresh)
+            self._cold.note(fresh.cold_ms, fresh.born_ms, permit.sent_at)
         return True
 
     def _lose_engine(self, error: BackendError) -> None:
@@ -346,6 +354,9 @@
         self._heard_at = _now()
         self._note_pause(answer)
         self._note_limit(answer, permit.sent_at)
+        self._cold.note(
+            self._orders.read_cold_ms(answer.headers), self._born_ms, permit.sent_at
+        )
         if self._is_paused() and self._status is not None:
             return None
         return self._orders.read_status(answer.status, answer.body)
--- a/src/jasminewharf/services/permitowner.py
+++ b/src/jasminewharf/services/permitowner.py
@@ -17,11 +17,14 @@
     PermitRequest,
     Verdict,
 )
+from ..decisions.sendbounds import SendBound, split_budget
 from ..decisions.serverlimits import ServerLimit, ServerLimitTable
 from ..exceptions import Forbidden, NotLeader, PeerUnavailable
 from ..kernel import Kernel, Service
 from ..messages.servers import (
+    AskColdPermits,
     AskPermits,
+    ColdPermitAnswers,
     PermitAnswer,
     PermitAnswers,
     PermitAsk,
@@ -53,6 +56,10 @@
         super().__init__(kernel)
         self._table = ServerLimitTable()
         self._queues: dict[ServerIncarnation, PermitQueue] = {}
+        # By name, as a server may start again under its former one.
+        self._bounds: dict[str, SendBound] = {}
+        # When this host was first seen to lead; it may have done so for longer.
+        self._leads_since: float | None = None
         # Kept on all control hosts, as each may own the permits next.
         self._falls: dict[ServerIncarnation, LimitFall] = {}
         self._peers: dict[PermitKey, Peer] = {}
@@ -67,6 +74,7 @@
         """Register the handlers of nodes' messages."""
         control = self.kernel.find("control")
         control.handle(AskPermits, self._take_asks)
+        control.handle(AskColdPermits, self._take_cold_asks)
         control.handle(PermitUnused, self._take_back)
         control.handle(ServerLimitReports, self._take_reports)
         self.kernel.find("relay").listen(self._greet)
@@ -102,13 +110,23 @@
     def _update_queue(self, limit: ServerLimit, now: float) -> None:
         """Begin, change or end the queue of a server with its limit."""
         if limit.per_s is None:
-            # All that wait may go: their nodes hear of the end of the limit.
-            self._queues.pop(limit.server, None)
+            self._end_limit(limit.server, now)
         elif queue := self._queues.get(limit.server):
             queue.set_limit(limit.per_s, now)
         elif self.kernel.find("log").is_leader(FLEET_GROUP):
             self._queues[limit.server] = self._begin_queue(limit.server, now)
 
+    def _end_limit(self, server: ServerIncarnation, now: float) -> None:
+        """End a queue whose requests may all go: their nodes hear of the end.
+
+        That of a server that can turn cold goes on by its bound.
+        """
+        queue = self._queues.get(server)
+        if queue is not None and queue.bound is not None:
+            queue.set_limit(None, now)
+        else:
+            self._queues.pop(server, None)
+
     def _note_fall(self, limit: ServerLimit, before: float | None, now: float) -> None:
         if limit.per_s is None:
             self._falls.pop(limit.server, None)
@@ -137,7 +155,7 @@
             await self._has_news.wait()
             await asyncio.sleep(defaults.LIMIT_SHARE_S)
             for limit in self._table.end_unconfirmed(_now()):
-                self._queues.pop(limit.server, None)
+                self._end_limit(limit.server, _now())
                 self._falls.pop(limit.server, None)
             news, self._news = self._news, set()
             if _now() - self._repeated_at >= defaults.LIMIT_REPEAT_S:
@@ -173,15 +191,17 @@
         if not log.is_leader(FLEET_GROUP):
             self._forget_term()
             raise NotLeader(FLEET_GROUP, log.leader(FLEET_GROUP))
+        if self._leads_since is None:
+            self._leads_since = _now()
 
     def _forget_term(self) -> None:
         self._queues.clear()
+        self._bounds.clear()
+        self._leads_since = None
         self._peers.clear()
 
     def _take_asks(self, peer: Peer, message: AskPermits) -> PermitAnswers:
-        if peer.hello is None or peer.hello.role not in _SENDERS:
-            raise Forbidden("only an entry or an agent may ask for permits")
-        self._check_leads()
+        self._check_asker(peer)
         self._apply(message.reports)
         now = _now()
         answers = []
@@ -197,11 +217,36 @@
             if queue is None:
                 queue = self._queues[server] = self._begin_queue(server, now)
             asked[server] = queue
-            key = PermitKey(peer.hello.incarnation, ask.number)
-            self._peers[key] = peer
-            verdict = queue.request(_build_request(key, ask, now), now)
-            if verdict is not None:
-                answers.append(self._conclude(verdict))
+            answers += self._enter(peer, queue, ask, now)
+        answers += self._decide(peer, asked, now)
+        return PermitAnswers(answers)
+
+    def _check_asker(self, peer: Peer) -> None:
+        """Check that a node may ask, and this host.
+
+        Raises:
+            Forbidden: If the node may not.
+            NotLeader: If this host does not own the permits.
+        """
+        if peer.hello is None or peer.hello.role not in _SENDERS:
+            raise Forbidden("only an entry or an agent may ask for permits")
+        self._check_leads()
+
+    def _enter(
+        self, peer: Peer, queue: PermitQueue, ask: PermitAsk, now: float
+    ) -> list[PermitAnswer]:
+        """Let a request wait in a queue; return the answer that is known already."""
+        assert peer.hello is not None
+        key = PermitKey(peer.hello.incarnation, ask.number)
+        self._peers[key] = peer
+        verdict = queue.request(_build_request(key, ask, now), now)
+        return [] if verdict is None else [self._conclude(verdict)]
+
+    def _decide(
+        self, peer: Peer, asked: dict[ServerIncarnation, PermitQueue], now: float
+    ) -> list[PermitAnswer]:
+        """Issue what is free in queues; return the answers for a node that asks now."""
+        answers = []
         for queue in asked.values():
             for verdict in queue.decide(now):
                 if self._peers.get(verdict.request.key) is peer:
@@ -209,7 +254,52 @@
                 else:
                     self._deliver(verdict)
         self._has_asks.set()
-        return PermitAnswers(answers)
+        return answers
+
+    def _take_cold_asks(self, peer: Peer, message: AskColdPermits) -> ColdPermitAnswers:
+        self._check_asker(peer)
+        self._apply(message.reports)
+        now = _now()
+        held_s = self._find_held_until() - now
+        if held_s > 0:
+            self._metrics.count("cold_asks_held_total", len(message.asks))
+            return ColdPermitAnswers([], max(int(held_s * defaults.MS_PER_S), 1))
+        answers = []
+        asked: dict[ServerIncarnation, PermitQueue] = {}
+        for ask, per_s in message.asks:
+            if not (math.isfinite(per_s) and per_s > 0):
+                self._metrics.count("cold_asks_dropped_total")
+                continue
+            server = ServerIncarnation(ask.server, ask.born_ms)
+            queue = asked[server] = self._find_bound_queue(server, per_s, now)
+            answers += self._enter(peer, queue, ask, now)
+        answers += self._decide(peer, asked, now)
+        return ColdPermitAnswers(answers)
+
+    def _find_held_until(self) -> float:
+        """Return until when an earlier owner's permits may be under way."""
+        held_s = defaults.COLD_COUNTED_S + defaults.COLD_OVERLAP_S
+        return (self._leads_since or 0.0) + held_s
+
+    def _find_bound_queue(
+        self, server: ServerIncarnation, per_s: float, now: float
+    ) -> PermitQueue:
+        """Return the queue of a server that can turn cold."""
+        bounds = self.kernel.settings.fleet.bounds
+        budget = split_budget(per_s, bounds.cold_overrun, bounds.cold_slack)
+        bound = self._bounds.get(server.server)
+        if bound is None:
+            bound = SendBound(budget.permits, self._find_held_until())
+            self._bounds[server.server] = bound
+        bound.permits = budget.permits
+        queue = self._queues.get(server)
+        if queue is None:
+            limit_per_s = self._table.find_rate(server)
+            fall = self._falls.get(server)
+            queue = PermitQueue(limit_per_s, now, fall, bound)
+            self._queues[server] = queue
+        queue.bound = bound
+        return queue
 
     def _conclude(self, verdict: Verdict) -> PermitAnswer:
         self._peers.pop(verdict.request.key, None)
@@ -263,6 +353,25 @@
             for verdict in queue.decide(now):
                 self._deliver(verdict)
         self._forget_peers()
+        self._forget_idle(now)
+
+    def _forget_idle(self, now: float) -> None:
+        """Forget servers that can turn cold and have no requests any more."""
+        idle = [
+            server
+            for server, queue in self._queues.items()
+            if queue.limit_per_s is None
+            and not len(queue)
+            and (queue.bound is None or queue.bound.is_idle(now))
+        ]
+        for server in idle:
+            del self._queues[server]
+        used = {server.server for server in self._queues}
+        self._bounds = {
+            name: bound
+            for name, bound in self._bounds.items()
+            if name in used or not bound.is_idle(now)
+        }
 
     def _forget_peers(self) -> None:
         """Forget who asked for what no longer waits: their nodes may be gone."""
--- a/src/jasminewharf/services/permits.py
+++ b/src/jasminewharf/services/permits.py
@@ -9,16 +9,21 @@
 
 from .. import defaults, events
 from ..decisions.permits import LocalShare, StatusPacer
+from ..decisions.sendbounds import SpacedShare
 from ..decisions.serverlimits import ServerLimit
 from ..exceptions import ConsensusError, LimitReached, LinkError, PeerUnavailable
 from ..kernel import Kernel, Service
 from ..messages.servers import (
+    AskColdPermits,
     AskPermits,
+    ColdPermitAnswers,
+    ColdPermitAsk,
     PermitAnswer,
     PermitAnswers,
     PermitAsk,
     PermitUnused,
 )
+from .coldshares import ColdShares
 from .control import FLEET_GROUP
 from .limitreports import build_report
 
@@ -26,6 +31,7 @@
 
 _logger = logging.getLogger(__name__)
 
+_BOUND_KINDS = frozenset({"first", "repeat"})
 # Timers may end this much early.
 _TIMER_S = 1e-6
 
@@ -56,6 +62,7 @@
         "_limit",
         "_number",
         "_service",
+        "_share",
         "_valid_until",
         "sent_at",
     )
@@ -67,6 +74,7 @@
         kind: str,
         number: int = 0,
         valid_until: float = -math.inf,
+        share: SpacedShare | None = None,
     ) -> None:
         self._service = service
         self._limit = limit
@@ -74,6 +82,7 @@
         self._number = number
         self._valid_until = valid_until
         self._is_granted = valid_until > -math.inf
+        self._share = share
         self.sent_at = -math.inf
 
     def spend(self) -> None:
@@ -84,10 +93,12 @@
                 or too old, or the server has named a limit since it was taken.
         """
         now = _now()
-        if self._limit.is_limited:
+        if self._limit.needs_permit(self._kind):
             if not self._is_granted or now > self._valid_until:
                 raise LimitReached(self._limit.server.server, 0.0)
             self._service.count_send(self._kind)
+            if self._share is not None:
+                self._share.note_spent(now)
         self._is_granted = False
         self.sent_at = now
 
@@ -95,6 +106,8 @@
         """Give the permit back if it was not spent."""
         if self._is_granted:
             self._is_granted = False
+            if self._share is not None:
+                self._share.give_back()
             self._service.give_back(self._limit, self._number)
 
 
@@ -109,6 +122,8 @@
         self.leaves_at = self.began_at + wish.patience_s
         # When it was asked for, and asked for again.
         self.asked_at: list[float] = []
+        # What it takes in place of a permit, while no owner issues any.
+        self.share: SpacedShare | None = None
         self.answer: asyncio.Future[PermitAnswer] = (
             asyncio.get_running_loop().create_future()
         )
@@ -161,6 +176,9 @@
         self._is_scheduled = False
         self._refused: dict[tuple[ServerLimit, str, int], _Refused] = {}
         self._silent_until = -math.inf
+        # Until when a new owner issues nothing to servers that can turn cold.
+        self._held_until = -math.inf
+        self._cold_shares = ColdShares(kernel)
         self._shares: dict[ServerLimit, LocalShare] = {}
         self._pacers: dict[ServerLimit, StatusPacer] = {}
         self._metrics = process.metrics
@@ -180,7 +198,7 @@
         self._shares.pop(limit, None)
         self._pacers.pop(limit, None)
         for waiting in list(self._waiting.values()):
-            if waiting.limit is limit:
+            if waiting.limit is limit and not limit.needs_permit(waiting.wish.kind):
                 waiting.settle(is_granted=True)
 
     def count_send(self, kind: str) -> None:
@@ -189,6 +207,8 @@
 
     def needs_trial(self, limit: ServerLimit) -> bool:
         """Return whether a request should be sent to learn if a limit has ended."""
+        if not limit.is_limited:
+            return False
         return limit.confirmed_s(_now()) >= defaults.LIMIT_CONFIRM_S
 
     @property
@@ -196,6 +216,11 @@
         """Whether the owner of the permits gave no answer lately."""
         return _now() < self._silent_until
 
+    def _is_silent_for(self, limit: ServerLimit) -> bool:
+        """Return whether no owner issues permits for a server now."""
+        is_held = limit.cold_per_s is not None and _now() < self._held_until
+        return is_held or self.is_owner_silent
+
     async def acquire(
         self,
         limit: ServerLimit,
@@ -213,10 +238,14 @@
         Raises:
             LimitReached: If there is none in time, as soon as that is known.
         """
-        if not limit.is_limited:
+        if not limit.needs_permit(wish.kind):
             return Permit(self, limit, wish.kind)
+        is_silent = self._is_silent_for(limit)
+        if (share := self._cold_shares.take(limit, is_silent=is_silent)) is not None:
+            valid_until = _now() + defaults.COLD_PERMIT_VALID_S
+            return Permit(self, limit, wish.kind, 0, valid_until, share)
         self._check_refused(limit, wish)
-        if wish.patience_s <= 0 and self.is_owner_silent:
+        if wish.patience_s <= 0 and is_silent:
             raise LimitReached(limit.server.server, 0.0)
         waiting = _Waiting(next(self._numbers), limit, wish)
         self._waiting[waiting.number] = waiting
@@ -234,8 +263,13 @@
             wait_s = answer.wait_ms / defaults.MS_PER_S
             self._note_refused(limit, wish, wait_s)
             raise LimitReached(limit.server.server, wait_s)
-        valid_until = waiting.asked_at[answer.renewal] + defaults.PERMIT_VALID_S
-        return Permit(self, limit, wish.kind, waiting.number, valid_until)
+        valid_s = defaults.PERMIT_VALID_S
+        if limit.cold_per_s is not None:
+            valid_s = defaults.COLD_PERMIT_VALID_S
+        valid_until = waiting.asked_at[answer.renewal] + valid_s
+        return Permit(
+            self, limit, wish.kind, waiting.number, valid_until, waiting.share
+        )
 
     async def _wait(
         self, waiting: _Waiting, review: Callable[[], bool]
@@ -316,6 +350,7 @@
             waiting
             for waiting in self._waiting.values()
             if not waiting.answer.done()
+            and not self._is_silent_for(waiting.limit)
             and (
                 not waiting.asked_at
                 or now - waiting.asked_at[-1] >= defaults.PERMIT_RENEW_S
@@ -323,14 +358,24 @@
         ]
         if not due:
             return
-        asks = [waiting.build_ask(now) for waiting in due]
+        named: list[PermitAsk] = []
+        cold: list[ColdPermitAsk] = []
         for waiting in due:
+            ask = waiting.build_ask(now)
             waiting.asked_at.append(now)
+            per_s = waiting.limit.cold_per_s
+            if per_s is None or waiting.wish.kind not in _BOUND_KINDS:
+                named.append(ask)
+            else:
+                cold.append(ColdPermitAsk(ask, per_s))
         limits = {waiting.limit for waiting in due if waiting.limit.reading}
         reports = [build_report(limit, now) for limit in limits]
-        self.spawn(self._ask(AskPermits(asks, reports)))
+        if named:
+            self.spawn(self._ask(AskPermits(named, reports)))
+        if cold:
+            self.spawn(self._ask(AskColdPermits(cold, reports)))
 
-    async def _ask(self, request: AskPermits) -> None:
+    async def _ask(self, request: AskPermits | AskColdPermits) -> None:
         try:
             answers = await self.kernel.find("controllers").request_repeatable(
                 FLEET_GROUP,
@@ -341,13 +386,26 @@
         except (ConsensusError, LinkError) as error:
             self._note_silent(str(error))
             return
-        self._shares.clear()
+        if isinstance(answers, ColdPermitAnswers):
+            if answers.held_ms > 0:
+                self._held_until = _now() + min(
+                    answers.held_ms / defaults.MS_PER_S, defaults.COLD_HELD_LIMIT_S
+                )
+                return
+            self._drop_shares(lambda limit: limit.cold_per_s is not None)
+        else:
+            self._drop_shares(lambda limit: limit.cold_per_s is None)
         self._take_answers(answers)
 
+    def _drop_shares(self, is_answered: Callable[[ServerLimit], bool]) -> None:
+        """Forget the local shares of limits whose owner answers."""
+        for limit in [limit for limit in self._shares if is_answered(limit)]:
+            del self._shares[limit]
+
     def _take_late_answers(self, host: str, message: PermitAnswers) -> None:
         self._take_answers(message)
 
-    def _take_answers(self, message: PermitAnswers) -> None:
+    def _take_answers(self, message: PermitAnswers | ColdPermitAnswers) -> None:
         for answer in message.answers:
             waiting = self._waiting.get(answer.number)
             if waiting is None or waiting.answer.done():
@@ -374,10 +432,8 @@
             if not self._waiting:
                 self._has_waiting.clear()
                 continue
-            if self.is_owner_silent:
-                self._share_locally()
-            else:
-                self._ask_due()
+            self._ask_due()
+            self._share_locally()
 
     def _share_locally(self) -> None:
         now = _now()
@@ -386,6 +442,8 @@
         for waiting in self._waiting.values():
             if waiting.answer.done() or waiting.wish.patience_s <= 0:
                 continue
+            if not self._is_silent_for(waiting.limit):
+                continue
             known = first.get(waiting.limit)
             if known is None or waiting.wish.priority < known.wish.priority:
                 first[waiting.limit] = waiting
@@ -393,10 +451,16 @@
             if limit not in first:
                 share.skip(now)
         for limit, waiting in first.items():
+            spaced = self._cold_shares.take(limit, is_silent=True)
+            if spaced is not None:
+                waiting.share = spaced
+                waiting.settle(is_granted=True)
+                continue
             share = self._shares.get(limit)
             if share is None:
                 share = self._shares[limit] = LocalShare(self._random.random(), now)
-            if share.take(limit.per_s or 0.0, nodes, now):
+            per_s = self._cold_shares.find_local_limit(limit)
+            if share.take(per_s, nodes, now):
                 self._metrics.count("permits_local_total")
                 waiting.settle(is_granted=True)
 
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -18,7 +18,7 @@
     count_excess_requests,
     is_full,
     order_by_limit,
-    split_by_limit,
+    split_by_cold,
 )
 from ..exceptions import (
     JasminewharfError,
@@ -154,10 +154,7 @@
             choice = await self._pick(job, attempts)
             admitted = await self._try_limited(choice, job, attempts)
             if admitted is None and choice.server is not None:
-                wish = self._build_wish(job, attempts, 0.0)
-                with contextlib.suppress(LimitReached):
-                    permit = await self._permits.acquire(choice.server.limit, wish)
-                    admitted = choice.server, permit
+                admitted = await self._try_free(choice.server, job, attempts)
             elif admitted is None:
                 admitted = await self._wait_limited(choice.limited, job, attempts)
             if admitted is None:
@@ -179,6 +176,32 @@
                     retry_after_ms=defaults.SERVER_BUSY_RETRY_MS,
                 )
 
+    async def _try_free(
+        self, server: Server, job: Job, attempts: Attempts
+    ) -> tuple[Server, Permit] | None:
+        """Return a server without a limit, with the permit that it may need.
+
+        One that can turn cold and has no permit for a moment counts as limited then.
+        """
+        wait_s = min(max(job.sent_by - _now(), 0.0), defaults.COLD_ADMIT_WAIT_S)
+        wish = self._build_wish(job, attempts, wait_s)
+        try:
+            return server, await self._permits.acquire(server.limit, wish)
+        except LimitReached as error:
+            if server.limit.cold is not None:
+                self._metrics.count("cold_bound_reached_total")
+                events.emit(
+                    _logger,
+                    events.COLD_BOUND_REACHED,
+                    request_id=job.call.request_id,
+                    server=server.name,
+                    wait_ms=int(error.wait_s * defaults.MS_PER_S),
+                    is_owner_silent=self._permits.is_owner_silent,
+                )
+                refused_s = max(error.wait_s, defaults.COLD_REFUSED_S)
+                server.limit.cold.note_refused(_now() + refused_s)
+            return None
+
     async def _try_limited(
         self, choice: _Choice, job: Job, attempts: Attempts
     ) -> tuple[Server, Permit] | None:
@@ -232,7 +255,9 @@
                     await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
                     held.pop_all()
                 return server, permit
-        if job.needs_model and self._demand.can_load_freely(job.service):
+        # A server is cold for a shorter time than a load takes.
+        is_named = any(server.limit.is_limited for server in servers)
+        if is_named and job.needs_model and self._demand.can_load_freely(job.service):
             self._demand.note_short(job.call.model)
             try:
                 await self._wait_model(job, attempts)
@@ -254,7 +279,7 @@
 
         From the first time on, it counts as demand for a copy of its model elsewhere.
         """
-        is_counted = not job.needs_model
+        is_counted = not job.needs_model or not chosen.limit.is_limited
 
         def review() -> bool:
             nonlocal is_counted
@@ -307,7 +332,7 @@
             servers = self._find_holders(job, attempts)
         else:
             servers = self.list_untried(job, attempts)
-        return bool(split_by_limit(servers)[0])
+        return bool(split_by_cold(servers, _now())[0])
 
     async def _pick(self, job: Job, attempts: Attempts) -> _Choice:
         if job.needs_model:
@@ -319,7 +344,7 @@
             usable = self._list_usable(job)
             fresh = self.list_untried(job, attempts)
             if fresh:
-                free, limited = split_by_limit(fresh)
+                free, limited = split_by_cold(fresh, _now())
                 if not free:
                     return _Choice(None, limited, is_busy=True)
                 zone = self.kernel.settings.zone
@@ -380,7 +405,7 @@
             if not holders:
                 await self._wait_model(job, attempts)
                 continue
-            free, limited = split_by_limit(holders)
+            free, limited = split_by_cold(holders, _now())
             if not free:
                 return _Choice(None, limited, is_busy=True)
             excess = count_excess_requests(free)
--- a/src/jasminewharf/services/serverlist.py
+++ b/src/jasminewharf/services/serverlist.py
@@ -42,6 +42,7 @@
         "controllers",
         "broadcast",
         "relay",
+        "cold-relay",
     )
 
     def __init__(self, kernel: Kernel) -> None:
@@ -103,6 +104,7 @@
 
     async def _read_pages(self) -> list[ListedServer]:
         servers: list[ListedServer] = []
+        started = _now()
         page = ""
         for _ in range(defaults.SERVER_LIST_PAGES_LIMIT):
             call = self._list.fetch_page(page)
@@ -115,6 +117,7 @@
             )
             answer = self._list.read_page(status, body)
             servers.extend(answer.servers)
+            self.kernel.find("cold-relay").note_list(answer.cold, started)
             if answer.skipped:
                 self.kernel.find("process").metrics.count(
                     "server_list_entries_skipped_total", answer.skipped
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -132,12 +132,14 @@
         "directory",
         "rates",
         "server-limits",
+        "cold-servers",
         "view",
     )
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._limits = kernel.find("server-limits")
+        self._cold = kernel.find("cold-servers")
         self._dialect = lookup(CALLER_DIALECTS, kernel.settings.fleet.dialect)
         self._clients: dict[str, HttpClient] = {}
         self._metrics = kernel.find("process").metrics
@@ -233,6 +235,8 @@
             may_end=head.is_genuine and response.status in _SUCCESS,
             request_id=head.request_id,
         )
+        if head.cold_ms is not None:
+            self._cold.note_answer(server, head.cold_ms, sent_at)
         if head.unknown_headers:
             self._limits.note_unknown_headers(head.unknown_headers, server.name)
         if head.has_not_run:
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -177,7 +177,9 @@
     A process that is stopped has ``grace_s`` until it is killed. Requests sent once
     more stay within ``retry_share`` of all requests plus ``retry_slack`` over
     ``retry_window_s``; the tokens of a workspace within its rate over
-    ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``.
+    ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``. In any
+    second a server that is cold gets no more than the requests a second that its
+    service tolerates, times ``cold_overrun``, and ``cold_slack`` more.
     """
 
     grace_s: Seconds = 8.0
@@ -187,6 +189,8 @@
     rate_window_s: Seconds = 8.0
     rate_overrun: Annotated[float, Range(0, 10)] = 0.1
     rate_slack_tokens: Annotated[float, Range(0, 1_000_000_000)] = 0
+    cold_overrun: Annotated[float, Range(0, 1_000)] = 1.5
+    cold_slack: Annotated[float, Range(0, 1_000_000)] = 5
 
 
 class FleetSettings(NamedTuple):
