Play cold servers in virtual time with many entries and faults

The bound on servers that turn cold had no test over many entries, lost reports, delays and changes of the owner. A model plays the services of the product on the model of limits. It showed 57 requests in a second where 39 are allowed: entries used saved sends when the owner fell silent, and a new owner issued a second's permits beside them. Such sends are now spread, end a second before the new owner begins, and its permits become free one by one.

--- a/src/jasminewharf/bench/limit_model.py
+++ b/src/jasminewharf/bench/limit_model.py
@@ -22,7 +22,7 @@
 from ..services.permitowner import PermitOwner
 from ..services.permits import Permits, PermitWish
 from ..services.serverlimits import ServerLimits
-from ..settings import ControlHost
+from ..settings import BoundSettings, ControlHost
 from .limit_checks import Arrival, Excess, find_excess
 from .virtual import run_virtual
 
@@ -30,8 +30,10 @@
     "FAULTS",
     "POLICIES",
     "STATUS_SUFFIX",
+    "LimitModel",
     "LimitOutcome",
     "LimitScenario",
+    "Part",
     "run_limits",
 ]
 
@@ -125,7 +127,7 @@
 
 def run_limits(scenario: LimitScenario, seed: int) -> LimitOutcome:
     """Play a scenario in virtual time."""
-    return run_virtual(lambda: _Model(scenario, seed).play())
+    return run_virtual(lambda: LimitModel(scenario, seed).play())
 
 
 class _HostBucket:
@@ -143,15 +145,20 @@
         await asyncio.sleep(wait_s)
 
 
+class _Fleet(NamedTuple):
+    bounds: BoundSettings = BoundSettings()
+
+
 class _Settings(NamedTuple):
     node: str
     control: tuple[ControlHost, ...]
+    fleet: _Fleet = _Fleet()
 
 
 class _Process(Service):
     name = "process"
 
-    def __init__(self, kernel: Kernel, model: "_Model", role: str) -> None:
+    def __init__(self, kernel: Kernel, model: "LimitModel", role: str) -> None:
         super().__init__(kernel)
         self._model = model
         self.metrics = Metrics()
@@ -164,7 +171,7 @@
         return _Link(self._model, self.identity, node, handlers)
 
 
-class _Part(Service):
+class Part(Service):
     """Stands in for a service of which only attributes are read."""
 
     def __init__(self, kernel: Kernel, name: str, **attributes: Any) -> None:
@@ -177,7 +184,7 @@
 class _Relay(Service):
     name = "relay"
 
-    def __init__(self, kernel: Kernel, model: "_Model") -> None:
+    def __init__(self, kernel: Kernel, model: "LimitModel") -> None:
         super().__init__(kernel)
         self._model = model
         self._greet: Any = None
@@ -195,7 +202,7 @@
 class _Log(Service):
     name = "log"
 
-    def __init__(self, kernel: Kernel, model: "_Model") -> None:
+    def __init__(self, kernel: Kernel, model: "LimitModel") -> None:
         super().__init__(kernel)
         self._model = model
 
@@ -220,7 +227,7 @@
 class _Peer:
     """A node as a control host sees it."""
 
-    def __init__(self, model: "_Model", control: str, identity: Identity) -> None:
+    def __init__(self, model: "LimitModel", control: str, identity: Identity) -> None:
         self._model = model
         self._control = control
         self.hello = Hello(*identity)
@@ -235,7 +242,7 @@
     """A node's link to a control host."""
 
     def __init__(
-        self, model: "_Model", identity: Identity, control: str, handlers: Any
+        self, model: "LimitModel", identity: Identity, control: str, handlers: Any
     ) -> None:
         self._model = model
         self.identity = identity
@@ -280,7 +287,9 @@
         return known[-1] if known else None
 
 
-class _Model:
+class LimitModel:
+    """Plays a scenario; services of the product over links that are models."""
+
     def __init__(self, scenario: LimitScenario, seed: int) -> None:
         self.scenario = scenario
         self.source = random.Random(seed)
@@ -304,19 +313,20 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def play(self) -> LimitOutcome:
+        """Play the scenario and return what became of it."""
         for name in self.controls:
             await self._start_control(name)
         for name in (*self.entries, *self.agents):
             await self._start_node(name)
         for server in self.servers:
-            self._spawn(self._call_forever(server))
+            self.spawn(self._call_forever(server))
         for number, name in enumerate(self.agents):
-            self._spawn(self._read_status_forever(name, self.servers[number]))
-            self._spawn(self._order_forever(name, self.servers[number]))
-        self._spawn(self._follow_beliefs())
-        self._spawn(self._strike())
+            self.spawn(self._read_status_forever(name, self.servers[number]))
+            self.spawn(self._order_forever(name, self.servers[number]))
+        self.spawn(self._follow_beliefs())
+        self.spawn(self._strike())
         for at, fault in self.scenario.strikes:
-            self._spawn(self._strike_at(at, fault))
+            self.spawn(self._strike_at(at, fault))
         await asyncio.sleep(self.scenario.duration_s)
         for task in list(self._tasks):
             task.cancel()
@@ -350,7 +360,8 @@
         metrics = (kernel.find("process").metrics for kernel in kernels)
         return sum(int(each.read_gauge(name)) for each in metrics)
 
-    def _spawn(self, work: Any) -> None:
+    def spawn(self, work: Any) -> None:
+        """Run a task until the play ends."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -369,7 +380,7 @@
         kernel.register(_Log(kernel, self))
         kernel.register(_Control(kernel))
         kernel.register(_Relay(kernel, self))
-        kernel.register(PermitOwner(kernel))
+        self.register_control(kernel)
         self.kernels[name] = kernel
         await kernel.start()
         for peer in self.list_followers(name):
@@ -378,21 +389,30 @@
     async def _start_node(self, name: str) -> None:
         role = name.partition("-")[0]
         kernel = self._build_kernel(name, role)
-        directory = Directory()
-        digest = dict.fromkeys((*self.entries, *self.agents))
-        kernel.register(_Part(kernel, "directory", directory=directory))
-        kernel.register(_Part(kernel, "feed", source=self._find_source(name)))
-        kernel.register(_Part(kernel, "reports", digest=digest))
-        kernel.register(ServerLimits(kernel))
-        kernel.register(Permits(kernel))
+        self.register_node(kernel, name)
         self.kernels[name] = kernel
         await kernel.start()
-        source = self._find_source(name)
+        source = self.find_source(name)
         if source in self.kernels:
             identity = kernel.find("process").identity
             self.kernels[source].find("relay").greet(_Peer(self, source, identity))
 
-    def _find_source(self, node: str) -> str:
+    def register_node(self, kernel: Kernel, name: str) -> None:
+        """Register the services of an entry or agent."""
+        directory = Directory()
+        digest = dict.fromkeys((*self.entries, *self.agents))
+        kernel.register(Part(kernel, "directory", directory=directory))
+        kernel.register(Part(kernel, "feed", source=self.find_source(name)))
+        kernel.register(Part(kernel, "reports", digest=digest))
+        kernel.register(ServerLimits(kernel))
+        kernel.register(Permits(kernel))
+
+    def register_control(self, kernel: Kernel) -> None:
+        """Register the services of a control host beside log, control and relay."""
+        kernel.register(PermitOwner(kernel))
+
+    def find_source(self, node: str) -> str:
+        """Return the control host that a node follows."""
         number = int(node.rpartition("-")[2])
         return self.controls[number % len(self.controls)]
 
@@ -401,7 +421,7 @@
         return [
             _Peer(self, control, self.kernels[node].find("process").identity)
             for node in (*self.entries, *self.agents)
-            if node in self.kernels and self._find_source(node) == control
+            if node in self.kernels and self.find_source(node) == control
         ]
 
     def leads(self, control: str) -> bool:
@@ -436,7 +456,7 @@
                 peer = _Peer(self, control, link.identity)
                 self._handle(control, peer, decode(data))
 
-        self._spawn(carry())
+        self.spawn(carry())
 
     def _handle(self, control: str, peer: _Peer, message: Any) -> Any:
         handler = self.kernels[control].find("control").handlers[type(message)]
@@ -455,7 +475,7 @@
             message = decode(data)
             link.handlers.get(type(message))(message)
 
-        self._spawn(carry())
+        self.spawn(carry())
 
     async def ask(self, link: _Link, control: str, data: bytes) -> Any:
         """Carry a request to a control host and its answer back."""
@@ -480,9 +500,10 @@
             is_first = self.source.random() < self.scenario.skew
             node = self.entries[0] if is_first else self.source.choice(self.entries)
             if node in self.kernels:
-                self._spawn(self._call(node, server))
+                self.spawn(self.call(node, server))
 
-    async def _call(self, node: str, server: _Server) -> None:
+    async def call(self, node: str, server: _Server) -> None:
+        """Send a caller's request from an entry."""
         began_at = _now()
         patience_s = self.scenario.patience_s * self.source.uniform(0.1, 1.0)
         priority = self.source.randrange(3)
@@ -582,7 +603,7 @@
         for _ in range(self.scenario.faults):
             await asyncio.sleep(gap_s * self.source.uniform(0.7, 1.3))
             fault = self.source.choice(FAULTS)
-            self._spawn(getattr(self, f"_{fault.replace('-', '_')}")())
+            self.spawn(getattr(self, f"_{fault.replace('-', '_')}")())
 
     async def _strike_at(self, at: float, fault: str) -> None:
         await asyncio.sleep(at - _now())
@@ -608,7 +629,7 @@
     async def _kill_leader(self) -> None:
         leader = self.leader
         if leader in self.kernels and len(self.kernels) > 1:
-            self._spawn(self._elect())
+            self.spawn(self._elect())
             await self._restart(leader, self._start_control)
 
     async def _restart_control(self) -> None:
@@ -621,7 +642,7 @@
             return
         self._cut.add(leader)
         self._believes_until[leader] = _now() + _LEADER_LEASE_S
-        self._spawn(self._elect())
+        self.spawn(self._elect())
         await self._wait_down()
         self._cut.discard(leader)
 
--- a/src/jasminewharf/decisions/sendbounds.py
+++ b/src/jasminewharf/decisions/sendbounds.py
@@ -25,11 +25,13 @@
         permits: Sends in a second by permits of the owner.
         holders: Entries that may send once in a second without asking.
         local_per_s: Sends a second by all other entries that reach no owner.
+        warm_per_s: The same to a server that was warm a moment ago.
     """
 
     permits: int
     holders: int
     local_per_s: float
+    warm_per_s: float
 
 
 def split_budget(per_s: float, overrun: float, slack: float) -> SendBudget:
@@ -45,7 +47,10 @@
     holders = int(total * defaults.COLD_HOLDERS_PART)
     local = int(total * defaults.COLD_LOCAL_PART)
     return SendBudget(
-        total - holders - local, holders, local * defaults.COLD_LOCAL_USED_PART
+        total - holders - local,
+        holders,
+        local * defaults.COLD_LOCAL_USED_PART,
+        local / defaults.COLD_WARM_LAG_S,
     )
 
 
@@ -72,12 +77,15 @@
     Args:
         permits: Permits in a second.
         held_until: Until when none is issued, as a previous owner's may be under way.
+            After that they become free one by one, beside the sends without an owner.
     """
 
     def __init__(self, permits: int, held_until: float) -> None:
         self.permits = permits
         self.held_until = held_until
-        self._issued: deque[float] = deque()
+        span_s = defaults.COLD_COUNTED_S
+        first = held_until - span_s
+        self._issued = deque(first + span_s * n / permits for n in range(permits))
 
     @property
     def per_s(self) -> float:
@@ -114,18 +122,22 @@
 
 
 class SpacedShare:
-    """Allows one send in a little over a second, without anybody's permission.
+    """Allows one send in a while, without anybody's permission.
 
-    The first one comes no sooner than that after the start: the node may have sent
-    right before it was restarted.
+    The first one does not come at once: the node may have sent right before it was
+    restarted.
 
     Args:
-        now: Current time in monotonic seconds.
+        first_at: When the first one may be sent, in monotonic seconds.
+        spacing_s: Seconds between two of them.
     """
 
-    def __init__(self, now: float) -> None:
-        self._next_at = now + defaults.COLD_SPACING_S
-        self._before = self._next_at
+    def __init__(
+        self, first_at: float, spacing_s: float = defaults.COLD_SPACING_S
+    ) -> None:
+        self._spacing_s = spacing_s
+        self._next_at = first_at
+        self._before = first_at
 
     def take(self, now: float) -> bool:
         """Return whether a request may be sent now, and reserve it if so."""
@@ -133,12 +145,12 @@
             return False
         self._before = self._next_at
         spent_by = now + defaults.COLD_PERMIT_VALID_S
-        self._next_at = spent_by + defaults.COLD_SPACING_S
+        self._next_at = spent_by + self._spacing_s
         return True
 
     def note_spent(self, now: float) -> None:
         """Record that the reserved request is sent now."""
-        self._next_at = now + defaults.COLD_SPACING_S
+        self._next_at = now + self._spacing_s
 
     def give_back(self) -> None:
         """End a reservation that was not used."""
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -612,7 +612,8 @@
 # Permits that are issued within this time of each other can arrive in one second.
 COLD_COUNTED_S = 1.0 + COLD_PERMIT_VALID_S + COLD_ARRIVAL_S
 COLD_SPACING_S = 1.0 + COLD_ARRIVAL_S
-COLD_OVERLAP_S = 0.4  # In which a former owner may not know that it was replaced.
+COLD_WARM_LAG_S = 0.6  # Until nearly all entries know that a server has turned cold.
+COLD_OVERLAP_S = 0.1  # In which a former owner may not know that it was replaced.
 COLD_HELD_LIMIT_S = 5.0  # Longer than an owner can say.
 COLD_FRESH_S = 1.5  # Three repeats of an agent.
 COLD_REPEAT_S = 0.5
--- a/src/jasminewharf/services/permits.py
+++ b/src/jasminewharf/services/permits.py
@@ -241,7 +241,10 @@
         if not limit.needs_permit(wish.kind):
             return Permit(self, limit, wish.kind)
         is_silent = self._is_silent_for(limit)
-        if (share := self._cold_shares.take(limit, is_silent=is_silent)) is not None:
+        share = self._cold_shares.take(
+            limit, is_silent=is_silent, held_until=self._held_until
+        )
+        if share is not None:
             valid_until = _now() + defaults.COLD_PERMIT_VALID_S
             return Permit(self, limit, wish.kind, 0, valid_until, share)
         self._check_refused(limit, wish)
@@ -393,6 +396,7 @@
                 )
                 return
             self._drop_shares(lambda limit: limit.cold_per_s is not None)
+            self._cold_shares.note_owner()
         else:
             self._drop_shares(lambda limit: limit.cold_per_s is None)
         self._take_answers(answers)
@@ -451,7 +455,9 @@
             if limit not in first:
                 share.skip(now)
         for limit, waiting in first.items():
-            spaced = self._cold_shares.take(limit, is_silent=True)
+            spaced = self._cold_shares.take(
+                limit, is_silent=True, held_until=self._held_until
+            )
             if spaced is not None:
                 waiting.share = spaced
                 waiting.settle(is_granted=True)
