--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -618,6 +618,7 @@
 COLD_FRESH_S = 1.5  # Three repeats of an agent.
 COLD_REPEAT_S = 0.5
 COLD_SHARE_S = 0.05  # Between news of cold servers from a control host.
+COLD_LEAD_POLL_S = 0.25
 COLD_POLL_S = 0.1  # Between an agent's looks whether its engine has turned cold.
 COLD_ADMIT_WAIT_S = 0.3  # For a permit, before another server is looked for.
 COLD_REFUSED_S = 0.1  # For which a server without a permit counts as limited.
--- a/src/jasminewharf/services/permitowner.py
+++ b/src/jasminewharf/services/permitowner.py
@@ -80,6 +80,7 @@
         self.kernel.find("relay").listen(self._greet)
         self.spawn(self._share_forever(), essential=True)
         self.spawn(self._issue_forever(), essential=True)
+        self.spawn(self._watch_lead(), essential=True)
         self._metrics.watch("limited_servers", lambda: len(self._table))
         self._metrics.watch(
             "permits_waiting", lambda: sum(len(q) for q in self._queues.values())
@@ -194,6 +195,15 @@
         if self._leads_since is None:
             self._leads_since = _now()
 
+    async def _watch_lead(self) -> None:
+        """See early that this host leads, so that the first request need not wait."""
+        while True:
+            if self.kernel.find("log").is_leader(FLEET_GROUP):
+                self._check_leads()
+            elif self._leads_since is not None:
+                self._forget_term()
+            await asyncio.sleep(defaults.COLD_LEAD_POLL_S)
+
     def _forget_term(self) -> None:
         self._queues.clear()
         self._bounds.clear()
@@ -276,6 +286,10 @@
         answers += self._decide(peer, asked, now)
         return ColdPermitAnswers(answers)
 
+    def issues_cold_permits(self) -> bool:
+        """Return whether this host issues permits to servers that can turn cold."""
+        return self._leads_since is not None and _now() >= self._find_held_until()
+
     def _find_held_until(self) -> float:
         """Return until when an earlier owner's permits may be under way."""
         held_s = defaults.COLD_COUNTED_S + defaults.COLD_OVERLAP_S
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -304,7 +304,16 @@
             servers=[server.name for server in servers],
             per_s=[server.limit.per_s for server in servers],
             age_ms=[
-                int(server.limit.confirmed_s(now) * defaults.MS_PER_S)
+                int(
+                    min(server.limit.confirmed_s(now), defaults.AGE_LIMIT_S)
+                    * defaults.MS_PER_S
+                )
+                for server in servers
+            ],
+            cold_ms=[
+                int(server.limit.cold.cold_s(now) * defaults.MS_PER_S)
+                if server.limit.cold
+                else 0
                 for server in servers
             ],
             wait_ms=int(wait_s * defaults.MS_PER_S),
