--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -501,8 +501,11 @@
         acknowledged: Versions of the configuration that were acknowledged, with their
             bodies.
         ready: Entries that new callers may connect to.
+        engine_service: What each configuration says of the engines besides.
     """
 
+    engine_service = {}
+
     def __init__(self, fleet, seed, callers=24):
         self.fleet = fleet
         self.seed = seed
@@ -538,8 +541,12 @@
             self._silence_servers(until),
             self._strike_entries(until - 1.0),
             self._strike_others(until - 1.0),
+            self.disturb_servers(until),
         )
 
+    async def disturb_servers(self, until):
+        """Do to the servers what a soak of another kind does besides."""
+
     async def call_until(self, play_s):
         """Have callers send requests, and wait until these have ended."""
         until = now() + play_s
@@ -606,6 +613,7 @@
             for n in range(rng.choice((0, 0, 1, 300)))
         ]
         services = first["services"]
+        services[0].update(self.engine_service)
         services[1] = {"name": "desk", "maxConns": rng.choice((2, 16, 64))}
         tenant = first["tenants"][0]
         tenant["ratePerS"] = tenant["burst"] = rng.choice((1_000_000, 100_000))
