--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -461,3 +461,65 @@
     configuration = read_configuration(build_body(routes=[{**route, **_LATER_FIELD}]))
     assert len(configuration.routes) == 1
     assert CALLERS.read_answer(200, [("x-later", "1")]).running == -1
+
+
+@pytest.mark.parametrize(
+    ("text", "cold_ms"),
+    [
+        ("0", 0.0),
+        ("2500", 2_500.0),
+        ("2500.5", 2_500.5),
+        ("-1", -1.0),
+        ("3.2e10", 3.2e10),
+        ("1e999", math.inf),
+        ("9" * 400, math.nan),
+        ('"soon"', math.nan),
+        ("[1,2]", math.nan),
+        ("true", math.nan),
+    ],
+)
+def test_cold_time_costs_only_itself(text, cold_ms):
+    """A list or report with an odd cold time was not read at all."""
+    field = f'"coldRemainingMs": {text}'
+    entry = '{"id": "i-1", "service": "s", "address": "10.0.0.1:1", "state": "ready",'
+    page = SERVERS.read_page(200, f'{{"instances": [{entry} {field}}}]}}'.encode())
+    assert [server.server for server in page.servers] == ["i-1"]
+    assert page.cold[0].cold_ms == pytest.approx(cold_ms, nan_ok=True)
+    report = f'{{"busy": false, "seq": 1, "models": [], {field}}}'
+    status = ENGINES.read_status(200, report.encode())
+    assert status.cold_ms == pytest.approx(cold_ms, nan_ok=True)
+    head = CALLERS.read_answer(200, [("x-cold-ms", text)])
+    assert head.cold_ms == pytest.approx(cold_ms, nan_ok=True)
+    assert head.unknown_headers == ()
+
+
+def test_cold_time_that_is_not_told_is_unknown():
+    entry = '{"id": "i-1", "service": "s", "address": "10.0.0.1:1", "state": "ready"'
+    for field in ("}", ', "coldRemainingMs": null}'):
+        page = SERVERS.read_page(200, f'{{"instances": [{entry}{field}]}}'.encode())
+        assert (len(page.servers), page.cold) == (1, ())
+    assert CALLERS.read_answer(200, []).cold_ms is None
+    twice = [("x-cold-ms", "1"), ("x-cold-ms", "2")]
+    assert math.isnan(CALLERS.read_answer(200, twice).cold_ms)
+
+
+@pytest.mark.parametrize(
+    ("start_s", "per_s", "rule"),
+    [
+        (3.0, 23, (23.0, 3.0)),
+        (0, 2.5, (2.5, 0.0)),
+        (3, 0, None),
+        (3, -1, None),
+        ("x", 4, (4.0, 0.0)),
+        (3, "many", None),
+        (3, 1e300, None),
+        (None, None, None),
+    ],
+)
+def test_cold_servers_are_configured_for_a_service(start_s, per_s, rule):
+    """A value that cannot be read leaves the rest of a configuration valid."""
+    body = json.loads(build_body())
+    body["services"][0].update({"coldStartS": start_s, "coldPerS": per_s})
+    services = read_configuration(json.dumps(body).encode()).services
+    assert services[0].cold == rule
+    assert services[1].cold is None
