Count a refused server as limited whatever patience is left

A request whose last moment to be sent had passed got no permit at once, and the same server was chosen again without a pause.

--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -183,12 +183,14 @@
 
         One that can turn cold and has no permit for a moment counts as limited then.
         """
-        wait_s = min(max(job.sent_by - _now(), 0.0), defaults.COLD_ADMIT_WAIT_S)
+        wait_s = 0.0
+        if server.limit.cold_per_s is not None:
+            wait_s = min(max(job.sent_by - _now(), 0.0), defaults.COLD_ADMIT_WAIT_S)
         wish = self._build_wish(job, attempts, wait_s)
         try:
             return server, await self._permits.acquire(server.limit, wish)
         except LimitReached as error:
-            if server.limit.cold is not None:
+            if server.limit.cold_per_s is not None:
                 self._metrics.count("cold_bound_reached_total")
                 events.emit(
                     _logger,
@@ -198,6 +200,7 @@
                     wait_ms=int(error.wait_s * defaults.MS_PER_S),
                     is_owner_silent=self._permits.is_owner_silent,
                 )
+                # Without this, the same server would be chosen again at once.
                 refused_s = max(error.wait_s, defaults.COLD_REFUSED_S)
                 server.limit.cold.note_refused(_now() + refused_s)
             return None
--- a/tests/test_coldservers.py
+++ b/tests/test_coldservers.py
@@ -255,3 +255,13 @@
     cold_ms, rule, left_s, is_plausible
 ):
     assert read_cold_time(cold_ms, rule) == (left_s, is_plausible)
+
+
+def test_refused_server_counts_as_limited_until_a_permit_is_expected():
+    """The same server was chosen again and again without a pause."""
+    server = build_server()
+    server.note_told(0.0, 1.0, is_direct=True)
+    server.note_refused(2.0)
+    assert server.is_limited(1.9)
+    assert not server.is_cold(1.9)
+    assert not server.is_limited(2.1)
