Send an engine no request for which it has no memory

An engine crashes if the requests that it holds exceed its memory, which its reports tell. Entries sent by slots alone.

An entry passes over engines without room for a request's prompt and output tokens, by the last report and its own requests since, and refuses at once what is larger than any engine's memory. What other entries send between two reports is not known (docs/design/engine-memory.md).

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -13,6 +13,7 @@
 from ..messages.servers import EngineLoad, EngineReport
 from .backpressure import BackpressureTable, ServerBackpressure, ServerIncarnation
 from .coldservers import ColdServerTable
+from .enginememory import EngineMemory
 from .enginereports import TAKEN, EngineReportTable
 from .serverlimits import ServerLimit, ServerLimitTable
 
@@ -45,6 +46,7 @@
         avoided_until: Until when it gets no requests because it stopped answering.
         backpressure: What its answers have asked of this node.
         limit: The request rate that it names for all nodes together.
+        memory: How much of its memory is in use.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.backpressure = backpressure or ServerBackpressure()
         incarnation = ServerIncarnation(listed.server, listed.born_ms)
         self.limit = limit or ServerLimit(incarnation)
+        self.memory = EngineMemory()
         self.own = 0
         self.in_flight_by_model: dict[str, int] = {}
         self.running = 0
@@ -155,9 +158,12 @@
             self._order_due_at = due_at
         self.report = report
         self.report_at = at
+        if report.is_reachable:
+            self.memory.note_told(report.used_tokens, report.total_tokens, at)
 
-    def begin(self, model: str, adapter: str, now: float) -> None:
-        """Count a request sent to the server."""
+    def begin(self, model: str, adapter: str, now: float, tokens: int = 0) -> None:
+        """Count a request sent to the server, with the tokens that it may need."""
+        self.memory.begin(tokens, now)
         if self.own == 0:
             self._busy_since = now
         self.own += 1
@@ -165,8 +171,9 @@
         for name in _use_names(model, adapter):
             self.in_flight_by_model[name] = self.in_flight_by_model.get(name, 0) + 1
 
-    def end(self, model: str, adapter: str) -> None:
+    def end(self, model: str, adapter: str, tokens: int = 0) -> None:
         """Count the end of a request."""
+        self.memory.end(tokens)
         self.own -= 1
         for name in _use_names(model, adapter):
             left = self.in_flight_by_model.get(name, 0) - 1
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -601,6 +601,8 @@
 LOCAL_SHARE_PART = 0.4  # Of a limit, for all nodes that have lost its owner.
 STATUS_PART = 0.25
 STATUS_LIMITED_S = 4.0
+# A request is sent, but not in the engine's report yet, for at most this time.
+ENGINE_MEMORY_LAG_S = 0.3
 # Cold servers. In any second the server's bound is split into sends by permits, by
 # entries that need not ask, and by those that reach no owner.
 COLD_HOLDERS_PART = 0.25
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -587,12 +587,13 @@
 
     @contextlib.contextmanager
     def _in_flight(self, server: Server, job: Job) -> Iterator[None]:
-        server.begin(job.call.model, job.call.adapter, _now())
+        tokens = job.call.prompt_tokens + job.call.output_tokens
+        server.begin(job.call.model, job.call.adapter, _now(), tokens)
         self._demand.note_begun(server, job.call.model, job.call.adapter)
         try:
             yield
         finally:
-            server.end(job.call.model, job.call.adapter)
+            server.end(job.call.model, job.call.adapter, tokens)
             self._demand.note_ended(server)
 
 
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -9,6 +9,7 @@
 from .. import defaults, events
 from ..decisions.attempts import Attempts
 from ..decisions.directory import Server
+from ..decisions.enginememory import is_too_large
 from ..decisions.health import OutlierDetector
 from ..decisions.serverselection import (
     RequestTarget,
@@ -403,6 +404,8 @@
 
     async def _pick_engine(self, job: Job, attempts: Attempts) -> _Choice:
         wanted = RequestTarget(job.call.model, job.call.adapter)
+        if not attempts.may_have_run:
+            self._check_size(job)
         while True:
             holders = self._find_holders(job, attempts)
             if not holders and attempts.avoided:
@@ -417,7 +420,11 @@
             if not holders:
                 await self._wait_model(job, attempts)
                 continue
-            free, limited = split_by_cold(holders, _now())
+            fitting = self._list_fitting(holders, job)
+            if not fitting:
+                await self._wait_memory(job, attempts)
+                continue
+            free, limited = split_by_cold(fitting, _now())
             if not free:
                 return _Choice(None, limited, is_busy=True)
             excess = count_excess_requests(free)
@@ -429,6 +436,39 @@
                 return _Choice(engine, limited, excess > 0)
             return _Choice(choose_engine(free, wanted), limited, excess > 0)
 
+    def _list_fitting(self, holders: list[Server], job: Job) -> list[Server]:
+        """Return the engines whose memory has room for a request."""
+        tokens = job.call.prompt_tokens + job.call.output_tokens
+        now = _now()
+        return [server for server in holders if server.memory.fits(tokens, now)]
+
+    def _check_size(self, job: Job) -> None:
+        """Refuse a request that is larger than the memory of any engine.
+
+        Raises:
+            Overloaded: At once; no engine will ever take it.
+        """
+        engines = self._directory.in_service(job.service.name)
+        tokens = job.call.prompt_tokens + job.call.output_tokens
+        if is_too_large(tokens, [server.memory for server in engines]):
+            self._metrics.count("requests_larger_than_memory_total")
+            raise Overloaded("the request needs more memory than any engine has")
+
+    async def _wait_memory(self, job: Job, attempts: Attempts) -> None:
+        """Wait for room in an engine that holds the model.
+
+        Raises:
+            Overloaded: If there is none in time.
+        """
+        self._metrics.count("memory_waits_total")
+        self._demand.ask_copy(job.service, job.call.model, 1)
+        if not attempts.may_have_run and _now() >= job.sent_by:
+            raise Overloaded(
+                "the engines that hold the model have no memory left",
+                retry_after_ms=defaults.SERVER_BUSY_RETRY_MS,
+            )
+        await self._demand.wait_change(job.deadline)
+
     async def _wait_model(self, job: Job, attempts: Attempts) -> None:
         """Wait for the model without the request's tokens, then take them again."""
         began_at = _now()
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -75,6 +75,7 @@
         pause: What a full server's Retry-After says; none if empty.
         says_leaving: Whether its answers say that it is about to stop.
         limit: The requests a second that its answers name; none if empty.
+        kv_used, kv_total: Tokens in its memory, and the memory for tokens.
         cold_listed, cold_reported, cold_header: What the list, its report and its
             answers say of how long it stays cold.
         answer_s: Time to answer a request of a plain service.
@@ -105,6 +106,8 @@
         self.says_leaving = False
         self.limit = ""
         self.answer_s = 0.0
+        self.kv_used = 0
+        self.kv_total = 90_000
         self.cold_listed = 0
         self.cold_reported = None
         self.cold_header = ""
@@ -152,8 +155,8 @@
             "seq": len(self.orders),
             "queued": 0,
             "running": 0,
-            "kvUsed": 0,
-            "kvTotal": 90_000,
+            "kvUsed": self.kv_used,
+            "kvTotal": self.kv_total,
             "born": self.born,
             "atHand": {"inMemory": [], "onDisk": sorted(self.on_disk)},
             "incoming": [],
