--- a/src/jasminewharf/platform/callers.py
+++ b/src/jasminewharf/platform/callers.py
@@ -15,6 +15,7 @@
     read_pause_s,
     says_leaving,
 )
+from .loads import read_load
 
 __all__ = ["PlatformCallers"]
 
@@ -25,8 +26,6 @@
 _LAST_EVENT = "last-event-id"
 # More tokens than any engine holds.
 _TOKENS_LIMIT = 10_000_000
-# More requests than any server has at a time.
-_LOAD_LIMIT = 1_000_000
 _SINGLE = frozenset(
     {_ID, _DEADLINE, _KEY, _LAST_EVENT, "x-model", "x-prompt-prefix", "x-token-counts"}
 )
@@ -128,20 +127,20 @@
     def read_answer(self, status: int, headers: list[tuple[str, str]]) -> AnswerHead:
         """Read the head of an answer."""
         fields = dict(headers)
-        load = fields.get("x-server-load", "").split(",")
-        running, waiting, slots = _read_load(load)
+        load = read_load(fields)
         return AnswerHead(
             fields.get(_ID, ""),
             "x-response-signature" in fields,
             "x-not-executed" in fields or status == _NOT_RUN_STATUS,
-            running,
-            waiting,
-            slots,
+            load.running,
+            load.waiting,
+            load.slots,
             "content-encoding" in fields,
             says_leaving(fields),
             read_pause_s(status, fields),
             read_limit(headers),
             list_unknown_headers(headers),
+            load.pace_percent,
             read_cold_header(headers),
         )
 
@@ -177,14 +176,4 @@
     return count
 
 
-def _read_load(parts: list[str]) -> tuple[int, int, int]:
-    try:
-        running, waiting, slots = (int(part) for part in parts)
-    except ValueError:
-        return -1, -1, -1
-    if not all(0 <= number <= _LOAD_LIMIT for number in (running, waiting, slots)):
-        return -1, -1, -1
-    return running, waiting, slots
-
-
 register(CALLER_DIALECTS, "platform")(PlatformCallers())
--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -7,7 +7,14 @@
 
 from .. import defaults, events
 from ..decisions.backpressure import ServerBackpressure, ServerIncarnation
-from ..decisions.copies import FleetCopies, LostCopies, gather_copies, refresh_loads
+from ..decisions.copies import (
+    FleetCopies,
+    LostCopies,
+    gather_copies,
+    list_other_reports,
+    refresh_loads,
+)
+from ..decisions.pace import PaceMean
 from ..decisions.residency import Intent, Residency
 from ..decisions.routes import RouteTable
 from ..decisions.serverlimits import ServerLimit
@@ -85,6 +92,7 @@
         self._held_back: dict[str, str] = {}
         self._store = StoreSlotClient(kernel, self._address)
         self._lost_copies = LostCopies()
+        self._pace = PaceMean()
         # Used while the server list does not contain the engine.
         self._unlisted_backpressure = ServerBackpressure()
         self._unlisted_limit = kernel.find("directory").directory.limits.find(
@@ -266,6 +274,12 @@
         per_s = self._orders.read_limit(answer.headers)
         self._limits.note_answer(self._limit, per_s, sent_at, may_end=False)
 
+    def _note_pace(self, answer: FetchedAnswer) -> None:
+        """Add the pace that the engine reports to the mean of the last reads."""
+        percent = self._orders.read_pace(answer.headers)
+        if percent > 0:
+            self._pace.add(percent)
+
     def _is_paused(self) -> bool:
         return self._backpressure.pause_s(_now()) > 0
 
@@ -357,6 +371,7 @@
         self._cold.note(
             self._orders.read_cold_ms(answer.headers), self._born_ms, permit.sent_at
         )
+        self._note_pace(answer)
         if self._is_paused() and self._status is not None:
             return None
         return self._orders.read_status(answer.status, answer.body)
@@ -458,7 +473,10 @@
     async def _acquire_store_slot(self, intent: Intent) -> bool:
         spec = self._residency.model(intent.fetches)
         load_s = spec.remote_s if spec is not None else 0.0
-        return await self._store.request_slot(intent.fetches, intent.weight, load_s)
+        others = self._find_copies().store_loads
+        return await self._store.request_slot(
+            intent.fetches, intent.weight, load_s, others
+        )
 
     def _log_held_back(self, status: EngineStatus, copies: FleetCopies) -> None:
         """Log why a wanted model is not loaded, whenever the reason changes."""
@@ -585,15 +603,8 @@
         return copies._replace(has_owner=self._store.has_owner)
 
     def _list_other_reports(self) -> list[EngineReport]:
-        now = _now()
-        return [
-            server.report
-            for server in self.kernel.find("directory").directory.servers.values()
-            if server.report is not None
-            and server.report.is_reachable
-            and now - server.report_at <= defaults.AGENT_FRESH_S
-            and server.listed.address != self._address
-        ]
+        servers = self.kernel.find("directory").directory.servers.values()
+        return list_other_reports(servers, self._address, _now())
 
     def _gather_copies(self) -> FleetCopies:
         service = self.kernel.find("directory")
@@ -643,6 +654,7 @@
             status.used_tokens,
             status.total_tokens,
             store_at_once=self._store.at_once,
+            pace_percent=self._pace.percent,
         )
 
 
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -78,6 +78,7 @@
         kv_used, kv_total: Tokens in its memory, and the memory for tokens.
         cold_listed, cold_reported, cold_header: What the list, its report and its
             answers say of how long it stays cold.
+        load: The load that its answers and its report tell.
         answer_s: Time to answer a request of a plain service.
         arrivals: When each request of a caller came, on the event loop's clock.
         reports: How often its report was read.
@@ -105,6 +106,7 @@
         self.pause = ""
         self.says_leaving = False
         self.limit = ""
+        self.load = "1,0,8"
         self.answer_s = 0.0
         self.kv_used = 0
         self.kv_total = 90_000
@@ -163,7 +165,8 @@
         }
         if self.cold_reported is not None:
             report["coldRemainingMs"] = self.cold_reported
-        responder.respond(200, JSON, json.dumps(report).encode())
+        head = [*JSON, ("x-server-load", self.load)]
+        responder.respond(200, head, json.dumps(report).encode())
 
     def _take_order(self, order, responder):
         if self.refuses_orders:
@@ -202,7 +205,7 @@
         self.arrivals.append(asyncio.get_running_loop().time())
         fault = self.fails_next.pop(0) if self.fails_next else ""
         request_id = fields.get("x-attempt-id", "")
-        head = [("x-attempt-id", request_id), ("x-server-load", "1,0,8")]
+        head = [("x-attempt-id", request_id), ("x-server-load", self.load)]
         if self.says_leaving:
             head.append(("server-leaving", "1"))
         if self.limit:
