--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -1,4 +1,7 @@
-"""Messages about backend servers found while running. Codes 180 to 209, 215, 220 to 222."""
+"""Messages about backend servers found while running.
+
+Codes 180 to 209, 215 and 220 to 222.
+"""
 
 from typing import NamedTuple
 
