--- a/src/jasminewharf/decisions/configurations.py
+++ b/src/jasminewharf/decisions/configurations.py
@@ -10,6 +10,7 @@
 
 from ..exceptions import ConfigurationRefused
 from ..registry import register
+from .coldservers import ColdRule
 from .identity import (
     HostIdentity,
     can_hold_host,
@@ -121,6 +122,7 @@
 class ServiceSpec(NamedTuple):
     """A service; ``engine`` is None for a plain one.
 
+    ``cold`` is None if its servers are never cold.
     ``homes`` are the regions to which one request's use of it is confined. None in a
     configuration.
     """
@@ -128,6 +130,7 @@
     name: str
     max_connections: int
     engine: EngineSpec | None
+    cold: ColdRule | None = None
     homes: frozenset[str] | None = None
 
 
--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -12,7 +12,9 @@
 from ..dialects.fleet import HeldModel, ListedServer
 from ..messages.servers import EngineLoad, EngineReport
 from .backpressure import BackpressureTable, ServerBackpressure, ServerIncarnation
+from .coldservers import ColdServerTable
 from .configurations import ServiceSpec
+from .enginememory import EngineMemory
 from .enginereports import TAKEN, EngineReportTable
 from .homes import RegionMap
 from .pace import ServerPace, ServicePace
@@ -52,6 +54,7 @@
         backpressure: What its answers have asked of this node.
         limit: The request rate that it names for all nodes together.
         is_evacuated: Whether its availability zone is evacuated.
+        memory: How much of its memory is in use.
         pace: How long work takes on it, and the share of its slots that is used.
     """
 
@@ -69,6 +72,7 @@
         incarnation = ServerIncarnation(listed.server, listed.born_ms)
         self.limit = limit or ServerLimit(incarnation)
         self.is_evacuated = False
+        self.memory = EngineMemory()
         self.pace = pace or ServerPace()
         self.own = 0
         self.in_flight_by_model: dict[str, int] = {}
@@ -182,9 +186,12 @@
             self._order_due_at = due_at
         self.report = report
         self.report_at = at
+        if report.is_reachable:
+            self.memory.note_told(report.used_tokens, report.total_tokens, at)
 
-    def begin(self, model: str, adapter: str, now: float) -> None:
-        """Count a request sent to the server."""
+    def begin(self, model: str, adapter: str, now: float, tokens: int = 0) -> None:
+        """Count a request sent to the server, with the tokens that it may need."""
+        self.memory.begin(tokens, now)
         if self.own == 0:
             self._busy_since = now
         self.own += 1
@@ -192,8 +199,9 @@
         for name in _use_names(model, adapter):
             self.in_flight_by_model[name] = self.in_flight_by_model.get(name, 0) + 1
 
-    def end(self, model: str, adapter: str) -> None:
+    def end(self, model: str, adapter: str, tokens: int = 0) -> None:
         """Count the end of a request."""
+        self.memory.end(tokens)
         self.own -= 1
         for name in _use_names(model, adapter):
             left = self.in_flight_by_model.get(name, 0) - 1
@@ -270,6 +278,7 @@
         limits: The request rates that servers name for all nodes together.
         evacuated: The names of the evacuated availability zones.
         regions: The regions of all availability zones.
+        cold: Which servers are cold.
 
     Args:
         balancing: Whether servers are chosen by their pace; see
@@ -287,6 +296,7 @@
         self.limits = ServerLimitTable()
         self.evacuated: frozenset[str] = frozenset()
         self.regions = RegionMap({}, "")
+        self.cold = ColdServerTable()
         self._balancing = balancing
         self._service_paces: dict[str, ServicePace] = {}
 
@@ -356,6 +366,7 @@
                     self.limits.find(life),
                     ServerPace(self.service_pace(listed.service)),
                 )
+                server.limit.cold = self.cold.find(life, listed.service, read_at)
                 found.append(listed)
             elif listed.is_leaving and not server.listed.is_leaving:
                 left.append(listed)
@@ -369,6 +380,7 @@
         lives = {ServerIncarnation(name, s.listed.born_ms) for name, s in kept.items()}
         self._backpressure.forget_unlisted(lives, read_at)
         self.limits.forget_unlisted(lives, read_at)
+        self.cold.retain(lives)
         self._index()
         return ListChange(found, left)
 
--- a/src/jasminewharf/interfaces/fleetagent.py
+++ b/src/jasminewharf/interfaces/fleetagent.py
@@ -2,6 +2,7 @@
 
 from ..kernel import Kernel
 from ..registry import register
+from ..services.coldservers import ColdServers
 from ..services.controllers import Controllers
 from ..services.directory import DirectoryService
 from ..services.engine import EngineManager
@@ -35,6 +36,7 @@
             DirectoryService,
             EvacuationView,
             ServerLimits,
+            ColdServers,
             Permits,
             EngineManager,
         ),
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -1,4 +1,7 @@
-"""Messages about backend servers found while running. Codes 180 to 209."""
+"""Messages about backend servers found while running.
+
+Codes 180 to 209, 215 and 220 to 222.
+"""
 
 from typing import NamedTuple
 
@@ -7,9 +10,12 @@
 
 __all__ = [
     "AdapterEnsured",
+    "AskColdPermits",
     "AskPermits",
     "AskStore",
     "BorrowTokens",
+    "ColdPermitAnswers",
+    "ColdPermitAsk",
     "ControlHosts",
     "EngineDigest",
     "EntryCount",
@@ -33,6 +39,8 @@
     "RequestMembership",
     "ReturnTokens",
     "ServerChanges",
+    "ServerColdTime",
+    "ServerColdTimes",
     "ServerLimitReport",
     "ServerLimitReports",
     "ServerListAge",
@@ -459,6 +467,57 @@
     answers: list[PermitAnswer]
 
 
+class ColdPermitAsk(NamedTuple):
+    """A :class:`PermitAsk` for a server that can turn cold.
+
+    ``per_s`` is what such a server takes a second, by the configuration.
+    """
+
+    ask: PermitAsk
+    per_s: float
+
+
+@message(221)
+class AskColdPermits(NamedTuple):
+    """Like :class:`AskPermits`, for servers that can turn cold."""
+
+    asks: list[ColdPermitAsk]
+    reports: list[ServerLimitReport]
+
+
+@message(222)
+class ColdPermitAnswers(NamedTuple):
+    """Answers :class:`AskColdPermits`; later decisions follow as permits' answers.
+
+    A new owner answers nothing else for ``held_ms``, in which permits of the one before
+    it may be under way.
+    """
+
+    answers: list[PermitAnswer]
+    held_ms: int = 0
+
+
+class ServerColdTime(NamedTuple):
+    """How long a server stays cold.
+
+    ``cold_ms`` is what was told ``age_ms`` ago; ``is_direct`` if the server itself or
+    its agent said so, and not the platform's list. ``born_ms`` is 0 if unknown.
+    """
+
+    address: str
+    born_ms: int
+    cold_ms: float
+    age_ms: int
+    is_direct: bool
+
+
+@message(220)
+class ServerColdTimes(NamedTuple):
+    """Tells a control host, or a node, which servers are cold or not any more."""
+
+    times: list[ServerColdTime]
+
+
 @message(207)
 class PermitUnused(NamedTuple):
     """A node gives up a request for a permit, or gives back an unused permit."""
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -9,6 +9,7 @@
 from .. import defaults, events
 from ..decisions.attempts import Attempts
 from ..decisions.directory import Server
+from ..decisions.enginememory import is_too_large
 from ..decisions.health import OutlierDetector
 from ..decisions.serverselection import (
     RequestTarget,
@@ -18,7 +19,7 @@
     count_excess_requests,
     is_full,
     order_by_limit,
-    split_by_limit,
+    split_by_cold,
 )
 from ..decisions.spreading import Spread
 from ..exceptions import (
@@ -180,10 +181,7 @@
             choice = await self._pick(job, attempts)
             admitted = await self._try_limited(choice, job, attempts)
             if admitted is None and choice.server is not None:
-                wish = self._build_wish(job, attempts, 0.0)
-                with contextlib.suppress(LimitReached):
-                    permit = await self._permits.acquire(choice.server.limit, wish)
-                    admitted = choice.server, permit
+                admitted = await self._try_free(choice.server, job, attempts)
             elif admitted is None:
                 admitted = await self._wait_limited(choice.limited, job, attempts)
             if admitted is None:
@@ -206,6 +204,35 @@
                     retry_after_ms=defaults.SERVER_BUSY_RETRY_MS,
                 )
 
+    async def _try_free(
+        self, server: Server, job: Job, attempts: Attempts
+    ) -> tuple[Server, Permit] | None:
+        """Return a server without a limit, with the permit that it may need.
+
+        One that can turn cold and has no permit for a moment counts as limited then.
+        """
+        wait_s = 0.0
+        if server.limit.cold_per_s is not None:
+            wait_s = min(max(job.sent_by - _now(), 0.0), defaults.COLD_ADMIT_WAIT_S)
+        wish = self._build_wish(job, attempts, wait_s)
+        try:
+            return server, await self._permits.acquire(server.limit, wish)
+        except LimitReached as error:
+            if server.limit.cold_per_s is not None:
+                self._metrics.count("cold_bound_reached_total")
+                events.emit(
+                    _logger,
+                    events.COLD_BOUND_REACHED,
+                    request_id=job.call.request_id,
+                    server=server.name,
+                    wait_ms=int(error.wait_s * defaults.MS_PER_S),
+                    is_owner_silent=self._permits.is_owner_silent,
+                )
+                # Without this, the same server would be chosen again at once.
+                refused_s = max(error.wait_s, defaults.COLD_REFUSED_S)
+                server.limit.cold.note_refused(_now() + refused_s)
+            return None
+
     async def _try_limited(
         self, choice: _Choice, job: Job, attempts: Attempts
     ) -> tuple[Server, Permit] | None:
@@ -259,7 +286,9 @@
                     await self._take_tokens(job, began_at)
                     held.pop_all()
                 return server, permit
-        if job.needs_model and self._demand.can_load_freely(job.service):
+        # A server is cold for a shorter time than a load takes.
+        is_named = any(server.limit.is_limited for server in servers)
+        if is_named and job.needs_model and self._demand.can_load_freely(job.service):
             self._demand.note_short(job.call.model)
             try:
                 await self._wait_model(job, attempts)
@@ -281,7 +310,7 @@
 
         From the first time on, it counts as demand for a copy of its model elsewhere.
         """
-        is_counted = not job.needs_model
+        is_counted = not job.needs_model or not chosen.limit.is_limited
 
         def review() -> bool:
             nonlocal is_counted
@@ -306,7 +335,16 @@
             servers=[server.name for server in servers],
             per_s=[server.limit.per_s for server in servers],
             age_ms=[
-                int(server.limit.confirmed_s(now) * defaults.MS_PER_S)
+                int(
+                    min(server.limit.confirmed_s(now), defaults.AGE_LIMIT_S)
+                    * defaults.MS_PER_S
+                )
+                for server in servers
+            ],
+            cold_ms=[
+                int(server.limit.cold.cold_s(now) * defaults.MS_PER_S)
+                if server.limit.cold
+                else 0
                 for server in servers
             ],
             wait_ms=int(wait_s * defaults.MS_PER_S),
@@ -334,7 +372,7 @@
             servers = self._find_holders(job, attempts)
         else:
             servers = self.list_untried(job, attempts)
-        return bool(split_by_limit(servers)[0])
+        return bool(split_by_cold(servers, _now())[0])
 
     async def _pick(self, job: Job, attempts: Attempts) -> _Choice:
         if job.needs_model:
@@ -347,7 +385,7 @@
             usable = self._list_usable(job)
             fresh = self.list_untried(job, attempts)
             if fresh:
-                free, limited = split_by_limit(fresh)
+                free, limited = split_by_cold(fresh, _now())
                 if not free:
                     return _Choice(None, limited, is_busy=True)
                 zone = self.kernel.settings.zone
@@ -425,6 +463,8 @@
 
     async def _pick_engine(self, job: Job, attempts: Attempts) -> _Choice:
         wanted = RequestTarget(job.call.model, job.call.adapter)
+        if not attempts.may_have_run:
+            self._check_size(job)
         while True:
             self._check_zones(job)
             holders = self._find_holders(job, attempts)
@@ -440,7 +480,11 @@
             if not holders:
                 await self._wait_model(job, attempts)
                 continue
-            free, limited = split_by_limit(holders)
+            fitting = self._list_fitting(holders, job)
+            if not fitting:
+                await self._wait_memory(job, attempts)
+                continue
+            free, limited = split_by_cold(fitting, _now())
             if not free:
                 return _Choice(None, limited, is_busy=True)
             spread = self._balance.build_spread(job.service.name, _now())
@@ -454,6 +498,39 @@
             engine = choose_engine(free, wanted, spread)
             return _Choice(engine, limited, excess > 0)
 
+    def _list_fitting(self, holders: list[Server], job: Job) -> list[Server]:
+        """Return the engines whose memory has room for a request."""
+        tokens = job.call.prompt_tokens + job.call.output_tokens
+        now = _now()
+        return [server for server in holders if server.memory.fits(tokens, now)]
+
+    def _check_size(self, job: Job) -> None:
+        """Refuse a request that is larger than the memory of any engine.
+
+        Raises:
+            Overloaded: At once; no engine will ever take it.
+        """
+        engines = self._directory.in_service(job.service.name)
+        tokens = job.call.prompt_tokens + job.call.output_tokens
+        if is_too_large(tokens, [server.memory for server in engines]):
+            self._metrics.count("requests_larger_than_memory_total")
+            raise Overloaded("the request needs more memory than any engine has")
+
+    async def _wait_memory(self, job: Job, attempts: Attempts) -> None:
+        """Wait for room in an engine that holds the model.
+
+        Raises:
+            Overloaded: If there is none in time.
+        """
+        self._metrics.count("memory_waits_total")
+        self._demand.ask_copy(job.service, job.call.model, 1)
+        if not attempts.may_have_run and _now() >= job.sent_by:
+            raise Overloaded(
+                "the engines that hold the model have no memory left",
+                retry_after_ms=defaults.SERVER_BUSY_RETRY_MS,
+            )
+        await self._demand.wait_change(job.deadline)
+
     async def _wait_model(self, job: Job, attempts: Attempts) -> None:
         """Wait for the model without the request's tokens, then take them again."""
         began_at = _now()
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -180,7 +180,9 @@
     A process that is stopped has ``grace_s`` until it is killed. Requests sent once
     more stay within ``retry_share`` of all requests plus ``retry_slack`` over
     ``retry_window_s``; the tokens of a workspace within its rate over
-    ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``.
+    ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``. In any
+    second a server that is cold gets no more than the requests a second that its
+    service tolerates, times ``cold_overrun``, and ``cold_slack`` more.
 
     A request beyond its workspace's rate and burst waits for tokens in a queue, for
     ``rate_wait_share`` of its latency target; 0 is no queue, and a short wait for those
@@ -197,6 +199,8 @@
     rate_slack_tokens: Annotated[float, Range(0, 1_000_000_000)] = 0
     rate_wait_share: Annotated[float, Range(0, 1)] = 0
     rate_carry_s: Annotated[float, Range(0, 3_600)] = 0
+    cold_overrun: Annotated[float, Range(0, 1_000)] = 1.5
+    cold_slack: Annotated[float, Range(0, 1_000_000)] = 5
 
 
 class FleetSettings(NamedTuple):
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -75,6 +75,9 @@
         pause: What a full server's Retry-After says; none if empty.
         says_leaving: Whether its answers say that it is about to stop.
         limit: The requests a second that its answers name; none if empty.
+        kv_used, kv_total: Tokens in its memory, and the memory for tokens.
+        cold_listed, cold_reported, cold_header: What the list, its report and its
+            answers say of how long it stays cold.
         load: The load that its answers and its report tell.
         answer_s: Time to answer a request of a plain service.
         arrivals: When each request of a caller came, on the event loop's clock.
@@ -106,6 +109,11 @@
         self.limit = ""
         self.load = "1,0,8"
         self.answer_s = 0.0
+        self.kv_used = 0
+        self.kv_total = 90_000
+        self.cold_listed = 0
+        self.cold_reported = None
+        self.cold_header = ""
         self.arrivals = []
         self.reports = 0
         self.refuses_orders = False
@@ -121,7 +129,7 @@
             "version": "v1",
             "slots": 8,
             "state": self.state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": self.cold_listed,
             "born": self.born,
         }
         return {**entry, "models": self._list_models()}
@@ -150,12 +158,14 @@
             "seq": len(self.orders),
             "queued": 0,
             "running": 0,
-            "kvUsed": 0,
-            "kvTotal": 90_000,
+            "kvUsed": self.kv_used,
+            "kvTotal": self.kv_total,
             "born": self.born,
             "atHand": {"inMemory": [], "onDisk": sorted(self.on_disk)},
             "incoming": [],
         }
+        if self.cold_reported is not None:
+            report["coldRemainingMs"] = self.cold_reported
         head = [*JSON, ("x-server-load", self.load)]
         responder.respond(200, head, json.dumps(report).encode())
 
@@ -201,6 +211,8 @@
             head.append(("server-leaving", "1"))
         if self.limit:
             head.append(("server-limit", self.limit))
+        if self.cold_header:
+            head.append(("x-cold-ms", self.cold_header))
         model, _, adapter = fields.get("x-model", "").partition("/")
         is_absent = self.models is not None and (
             model not in self.models or (adapter and adapter not in self.models[model])
