Do not blame a server for a stream that its caller leaves unread

Cause: an entry that waits for a caller reads nothing of the stream. After 1.75 s without a byte the server was ejected as silent for all callers, and one that gave up on the unread stream counted as failed.

Change: requests that wait for their callers do not make a server silent. A stream that breaks after its server had to wait for 0.2 s counts as failed_attempts_total{kind="unread"} and not as a failure.

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -45,6 +45,7 @@
         report_at: Time of that report.
         missing: Models that it refused as not loaded, with the time of refusal.
         heard_at: When the last bytes of an answer were received from it.
+        left_unread: Own requests whose caller has to read before more is received.
         proved_at: When the last request was sent that it has begun to answer.
         avoided_until: Until when it gets no requests because it stopped answering.
         backpressure: What its answers have asked of this node.
@@ -76,6 +77,7 @@
         self.report_at = float("-inf")
         self.missing: dict[str, float] = {}
         self.heard_at = float("-inf")
+        self.left_unread = 0
         self.proved_at = float("-inf")
         self.avoided_until = float("-inf")
         # When the server was last found silent, and when its agent heard it again.
@@ -139,7 +141,8 @@
 
     def silent_s(self, now: float) -> float:
         """Return the time without received bytes while requests are in flight."""
-        if self.own == 0:
+        # What waits for its caller is not read, so that nothing of it can be heard.
+        if self.own <= self.left_unread:
             return 0.0
         return now - max(self.heard_at, self._busy_since)
 
--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -375,6 +375,8 @@
 REFUSAL_BODY_S = 0.2
 HTTP_INTERIM_HEADS = 16  # Before the head of the answer itself.
 HTTP_ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+# A server that waited so long for its stream to be read may have given up on it.
+STREAM_UNREAD_S = 0.2
 STREAM_EVENT_LIMIT_BYTES = 1024 * 1024  # A thousand times a usual event.
 # Parts of an answer, which may be chunks of a byte, that are read in one turn.
 HTTP_EVENTS_IN_TURN = 64
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -235,7 +235,9 @@
         except LimitReached:
             attempts.note_unsent(server.name)
         except (NotRunThere, AnswerBroken) as error:
-            self._note_failure(server, job, error, attempts)
+            self._note_failure(
+                server, job, error, attempts, is_left_unread=relay.is_left_unread
+            )
             if await standby.wait():
                 return False
             if relay.has_started:
@@ -341,8 +343,7 @@
         is_first = not relay.has_started
         timer = _build_timer(attempt, job)
         while batch is not None:
-            attempt.server.heard_at = _now()
-            if await relay.forward(answer, batch):
+            if await self._forward(attempt, relay, batch):
                 progress_at = _now()
                 timer.note_events(len(batch))
                 if is_first:
@@ -360,6 +361,19 @@
                 raise _describe_silence(limit_s, began=True) from None
         timer.end_stream()
 
+    async def _forward(
+        self, attempt: Attempt, relay: StreamRelay, batch: list[StreamEvent]
+    ) -> bool:
+        """Send events to the caller; its server is not silent while that takes."""
+        server = attempt.server
+        server.heard_at = _now()
+        server.left_unread += 1
+        try:
+            return await relay.forward(attempt.answer, batch)
+        finally:
+            server.left_unread -= 1
+            server.heard_at = _now()
+
     def _note_first_event(self, job: Job, now: float) -> None:
         """Count a stream that has begun to answer its caller, and whether in time."""
         route = job.route
@@ -536,9 +550,17 @@
     # What follows a failed attempt.
 
     def _note_failure(
-        self, server: Server, job: Job, error: BackendError, attempts: Attempts
+        self,
+        server: Server,
+        job: Job,
+        error: BackendError,
+        attempts: Attempts,
+        *,
+        is_left_unread: bool = False,
     ) -> None:
         kind = "not_run" if isinstance(error, NotRunThere) else "broken"
+        if kind == "broken" and is_left_unread:
+            kind = "unread"
         self._metrics.count("failed_attempts_total", kind=kind)
         events.emit(
             _logger,
@@ -561,7 +583,8 @@
             self._chooser.note_silent(server)
             attempts.note_left(server.name)
         else:
-            self._chooser.note_result(server, False)
+            if not is_left_unread:
+                self._chooser.note_result(server, False)
             attempts.note_run(server.name)
 
     def _check_next(self, job: Job, attempts: Attempts, error: BackendError) -> None:
--- a/src/jasminewharf/services/streamrelay.py
+++ b/src/jasminewharf/services/streamrelay.py
@@ -1,9 +1,11 @@
 """The caller's side of an answer, whichever servers the events of it come from."""
 
+import asyncio
 import copy
 from collections.abc import AsyncIterator
 from typing import Protocol
 
+from .. import defaults
 from ..decisions.eventstream import StreamEvent, StreamPosition
 from ..exceptions import AnswerBroken
 from .upstream import UpstreamAnswer
@@ -41,13 +43,19 @@
 
 
 class StreamRelay:
-    """Passes the events of one answer on, whichever servers they come from."""
+    """Passes the events of one answer on, whichever servers they come from.
+
+    Attributes:
+        has_started: Whether the caller was sent anything.
+        is_left_unread: Whether the server that answers had to wait for the caller.
+    """
 
     def __init__(self, sink: Sink, last_event: int) -> None:
         self._sink = sink
         self._first: UpstreamAnswer | None = None
         self.position = StreamPosition(last_event)
         self.has_started = False
+        self.is_left_unread = False
 
     @property
     def can_resume(self) -> bool:
@@ -77,6 +85,7 @@
         Raises:
             AnswerBroken: If it is not the rest of the stream that has begun.
         """
+        self.is_left_unread = False
         self.check(answer)
         if self._first is not None:
             self.position.resume()
@@ -119,9 +128,18 @@
         finally:
             if pieces:
                 self._start(answer)
-                await self._sink.write(b"".join(pieces))
+                await self._write(b"".join(pieces))
         return has_data
 
+    async def _write(self, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        try:
+            await self._sink.write(data)
+        finally:
+            if loop.time() - begun > defaults.STREAM_UNREAD_S:
+                self.is_left_unread = True
+
     def _start(self, answer: UpstreamAnswer) -> None:
         if not self.has_started:
             self.has_started = True
