--- a/src/jasminewharf/decisions/copies.py
+++ b/src/jasminewharf/decisions/copies.py
@@ -96,7 +96,8 @@
     """Return the reports of the other engines whose copies can be used.
 
     An engine that is leaving takes its copies along: they are replaced while it still
-    serves, as a load from the store takes longer than it stays.
+    serves, as a load from the store takes longer than it stays. Those of an engine in
+    an evacuated zone are of no use before the evacuation ends.
 
     Args:
         servers: All servers.
@@ -108,7 +109,7 @@
         for server in servers
         if server.report is not None
         and server.report.is_reachable
-        and not server.is_leaving
+        and not (server.is_leaving or server.is_evacuated)
         and now - server.report_at <= defaults.AGENT_FRESH_S
         and server.listed.address != own
     ]
--- a/src/jasminewharf/interfaces/fleetcontrol.py
+++ b/src/jasminewharf/interfaces/fleetcontrol.py
@@ -7,14 +7,15 @@
 from ..services.control import FLEET_GROUP, ControlServer
 from ..services.controllers import Controllers
 from ..services.entrycounter import EntryCounter
+from ..services.evacuations import EvacuationService
 from ..services.fleet import Fleet
 from ..services.gathering import Gathering
-from ..services.lending import RateLender
 from ..services.log import LogService, LogSettings
 from ..services.permitowner import PermitOwner
 from ..services.poisonowner import PoisonOwner
 from ..services.process import Process
 from ..services.publisher import Publisher
+from ..services.ratelender import RateLender
 from ..services.relay import EngineRelay
 from ..services.reload import SettingsReload
 from ..services.repair import Repair
@@ -77,6 +78,7 @@
             RateLender,
             StoreSlotOwner,
             ConfigurationService,
+            EvacuationService,
             Repair,
             OperatorHttp,
         ),
--- a/src/jasminewharf/interfaces/httpresponses.py
+++ b/src/jasminewharf/interfaces/httpresponses.py
@@ -25,6 +25,11 @@
         self.has_length = False
         self.is_finished = False
 
+    @property
+    def may_be_unread(self) -> bool:
+        """Whether the caller has ended its sending side, as one does that has left."""
+        return self._connection.is_half_closed
+
     def start(
         self,
         status: int,
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -20,11 +20,14 @@
     order_by_limit,
     split_by_limit,
 )
+from ..decisions.spreading import Spread
 from ..exceptions import (
+    HomesUnavailable,
     JasminewharfError,
     LimitReached,
     ModelUnavailable,
     Overloaded,
+    ServersEvacuated,
 )
 from ..kernel import Kernel, Service
 from ..messages.servers import EnsureAdapter
@@ -68,6 +71,8 @@
         self._balance = Balance(kernel, self._directory)
         self._metrics = kernel.find("process").metrics
         self._random = kernel.find("process").random
+        # Services whose lack of servers outside evacuated zones was logged.
+        self._emptied: set[str] = set()
 
     async def start(self) -> None:
         """Watch for servers that have fallen silent."""
@@ -127,18 +132,34 @@
             in_flight=server.own,
         )
 
+    def build_spread(self, service: str) -> Spread | None:
+        """Return what a choice by pace depends on; None if the pace does not count."""
+        return self._balance.build_spread(service, _now())
+
+    def describe_closed(self, server: Server) -> str:
+        """Return why a server gets no requests of this node; empty if it does."""
+        now = _now()
+        if server.is_leaving:
+            return "leaving"
+        if not server.is_open(now):
+            return "closed, or paused at its own request"
+        if server.is_avoided(now):
+            return "silent"
+        return "ejected" if self._health.is_ejected(server.incarnation, now) else ""
+
     def _list_usable(self, job: Job) -> list[Server]:
-        """Return the servers of a job's service that take requests."""
+        """Return the servers of a job's service that take its requests."""
         now = _now()
-        servers = [
-            server
-            for server in self._directory.in_service(job.service.name)
-            if server.is_open(now)
-        ]
-        kept = set(self._health.usable([s.incarnation for s in servers], now))
-        usable = [server for server in servers if server.incarnation in kept]
+        usable = self._filter_usable(self._directory.in_service(job.service.name), now)
         self._balance.note_usable(job.service.name, usable, now)
-        return usable
+        if job.service.homes is None:
+            return usable
+        return self._filter_usable(self._directory.in_homes(job.service), now)
+
+    def _filter_usable(self, servers: list[Server], now: float) -> list[Server]:
+        servers = [server for server in servers if server.is_open(now)]
+        kept = set(self._health.usable([s.incarnation for s in servers], now))
+        return [server for server in servers if server.incarnation in kept]
 
     def list_untried(self, job: Job, attempts: Attempts) -> list[Server]:
         """Return the servers that take the request and may be asked."""
@@ -230,12 +251,12 @@
                 except LimitReached as error:
                     waits.append(error.wait_s)
                     if self._is_outdated(server, job, attempts):
-                        await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
+                        await self._take_tokens(job, began_at)
                         return None
                     continue
                 with contextlib.ExitStack() as held:
                     held.enter_context(contextlib.closing(permit))
-                    await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
+                    await self._take_tokens(job, began_at)
                     held.pop_all()
                 return server, permit
         if job.needs_model and self._demand.can_load_freely(job.service):
@@ -322,6 +343,7 @@
 
     async def _pick_plain(self, job: Job, attempts: Attempts) -> _Choice:
         while True:
+            self._check_zones(job)
             usable = self._list_usable(job)
             fresh = self.list_untried(job, attempts)
             if fresh:
@@ -341,6 +363,34 @@
                 self._check_pauses(job)
             await self._demand.wait_change(job.deadline)
 
+    def _check_zones(self, job: Job) -> None:
+        """Refuse a request for which evacuations or its homes leave no server.
+
+        Raises:
+            ServersEvacuated: If all staying servers are in evacuated zones.
+            HomesUnavailable: If none is in the request's homes.
+        """
+        service = job.service.name
+        obstacle = self._directory.find_obstacle(job.service)
+        if obstacle == "homes":
+            self._metrics.count("requests_without_home_total", service=service)
+            raise HomesUnavailable(
+                "no backend server is in a region that the request is confined to",
+                retry_after_ms=defaults.EVACUATED_RETRY_MS,
+            )
+        if not obstacle:
+            self._emptied.discard(service)
+            return
+        if service not in self._emptied:
+            self._emptied.add(service)
+            zones = sorted(self._directory.evacuated)
+            events.emit(_logger, events.SERVERS_EVACUATED, service=service, zones=zones)
+        self._metrics.count("requests_without_zone_total", service=service)
+        raise ServersEvacuated(
+            "all backend servers are in evacuated availability zones",
+            retry_after_ms=defaults.EVACUATED_RETRY_MS,
+        )
+
     async def _pause(self, job: Job, attempts: Attempts, pause_s: float) -> None:
         """Wait before the servers that have all refused a request are asked again.
 
@@ -363,8 +413,9 @@
         now = _now()
         pauses = [
             server.backpressure.pause_s(now)
-            for server in self._directory.in_service(job.service.name)
-            if not server.is_leaving and not server.backpressure.allows(now)
+            for server in self._directory.in_homes(job.service)
+            if not (server.is_leaving or server.is_evacuated)
+            and not server.backpressure.allows(now)
         ]
         if pauses and now + min(pauses) > job.leaves_at:
             raise Overloaded(
@@ -375,6 +426,7 @@
     async def _pick_engine(self, job: Job, attempts: Attempts) -> _Choice:
         wanted = RequestTarget(job.call.model, job.call.adapter)
         while True:
+            self._check_zones(job)
             holders = self._find_holders(job, attempts)
             if not holders and attempts.avoided:
                 pause_s = attempts.begin_round()
@@ -411,7 +463,11 @@
             await self._demand.wait_model(job, may_return=not attempts.is_second)
         finally:
             attempts.waited_s += _now() - began_at
-        await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
+        await self._take_tokens(job, began_at)
+
+    async def _take_tokens(self, job: Job, began_at: float) -> None:
+        """Take the tokens of a request that has waited since ``began_at``."""
+        await job.charge.take(job.find_token_patience(_now() - began_at))
 
     def _find_holders(self, job: Job, attempts: Attempts) -> list[Server]:
         now = _now()
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -181,6 +181,11 @@
     more stay within ``retry_share`` of all requests plus ``retry_slack`` over
     ``retry_window_s``; the tokens of a workspace within its rate over
     ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``.
+
+    A request beyond its workspace's rate and burst waits for tokens in a queue, for
+    ``rate_wait_share`` of its latency target; 0 is no queue, and a short wait for those
+    that come first. A workspace keeps its unused rate of ``rate_carry_s`` beyond its
+    burst, within what the window allows.
     """
 
     grace_s: Seconds = 8.0
@@ -190,6 +195,8 @@
     rate_window_s: Seconds = 8.0
     rate_overrun: Annotated[float, Range(0, 10)] = 0.1
     rate_slack_tokens: Annotated[float, Range(0, 1_000_000_000)] = 0
+    rate_wait_share: Annotated[float, Range(0, 1)] = 0
+    rate_carry_s: Annotated[float, Range(0, 3_600)] = 0
 
 
 class FleetSettings(NamedTuple):
@@ -199,7 +206,8 @@
     of some control hosts; internal ports count from ``first_port`` on all hosts.
     ``first_start`` is true only when the whole fleet starts with empty disks.
     ``own_server`` is the backend server beside an agent. ``metrics_port`` replaces the
-    internal port of the metrics.
+    internal port of the metrics. ``regions`` names the region of each availability zone
+    where there are several regions; all processes need the same.
     """
 
     dialect: str
@@ -214,6 +222,7 @@
     own_server: str = ""
     metrics_port: Annotated[int, Range(0, _PORT_MAX)] = 0
     bounds: BoundSettings = BoundSettings()
+    regions: dict[str, str] = {}
 
     def control_host(self, ip: str) -> ControlHost:
         """Return the control host at an IP address."""
