--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -23,6 +23,10 @@
 # Ten times the nodes of the target size; the longest silent ones leave first.
 LINK_PEERS_LIMIT = 4_000
 LINK_MESSAGE_LIMIT_BYTES = 32 * 1024 * 1024
+# Of what the agent beside an engine is sent: a name and a few numbers in each message,
+# those of one turn of the event loop in one frame. Frames are received whole before
+# anything says who sends them.
+LINK_AGENT_LIMIT_BYTES = 1024 * 1024
 
 # Replicated log and storage.
 
@@ -379,6 +383,26 @@
 HTTP_AHEAD_BYTES = 256 * 1024
 HTTP_AHEAD_ROOM_BYTES = 128 * 1024  # Free again before more of them is read.
 HTTP_PARSED_BYTES = 64 * 1024
+# While memory for requests is short; a head of the documented 16 kB fits.
+HTTP_AHEAD_SHORT_BYTES = 32 * 1024
+# A connection parses pieces of HTTP_PARSED_BYTES until it has had so much; then others
+# have a turn. One piece takes 7 ms if its chunks have one byte each.
+HTTP_TURN_BYTES = 32 * 1024
+# Bodies are kept in blocks of one size, which the allocator can use for any other.
+HTTP_BODY_BLOCK_BYTES = 64 * 1024
+# Larger bodies and answers are not joined with their heads, which would copy them.
+HTTP_JOINED_BYTES = 64 * 1024
+# Divisors of the descriptors that a process may open: connections of callers, those
+# beyond them that are told so, and answered ones that wait for their close. The rest is
+# for backend servers, links and files.
+HTTP_CONNECTIONS_PART = 2
+HTTP_REFUSED_PART = 16
+HTTP_LINGERING_PART = 8
+HTTP_DESCRIPTORS_MAX = 65_536
+# Accepted in one turn of the event loop; more could take all descriptors at once.
+HTTP_ACCEPTED_IN_TURN = 32
+SHED_LOG_INTERVAL_S = 1.0
+SHED_RETRY_MS = 1_000
 # How often connections that are not read are looked at for a close.
 HTTP_WATCH_S = 0.02
 # A caller that ended its sending side and takes no byte for so long has left; work for
@@ -436,6 +460,10 @@
 REPAIR_LEAVE_S = 1.5  # For which a control host that stops waits to lose its vote.
 BROADCAST_INTERVAL_S = 0.25
 SERVER_LIST_INTERVAL_S = 1.0  # A third of the time in which a leaving server counts.
+# Between the receipt of an operator's call and the confirmation of the state that it
+# changes: one that takes longer may have been overtaken by a later call.
+EVACUATION_CONFIRM_S = 1.0
+EVACUATED_RETRY_MS = 1_000  # Evacuations take minutes; callers may try other entries.
 SERVER_LIST_STALE_S = 2.5  # Two reads and the way to a control host.
 SERVER_LIST_TIMEOUT_S = 1.0
 SERVER_LIST_PAGES_LIMIT = 100
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -124,6 +124,9 @@
 CONNECTION_UNANSWERED = _define(
     711, logging.INFO, "connection closed with a request unanswered"
 )
+REQUESTS_SHED = _define(
+    712, logging.WARNING, "requests refused for lack of memory for them"
+)
 BATCH_MALFORMED = _define(709, logging.WARNING, "malformed batch dropped")
 CERTIFICATE_CHANGED = _define(705, logging.INFO, "changed certificate taken up")
 CERTIFICATE_REFUSED = _define(706, logging.ERROR, "changed certificate not used")
@@ -140,6 +143,10 @@
 MEMBER_REMOVED = _define(813, logging.WARNING, "silent member removed")
 MEMBER_CHANGE_FAILED = _define(814, logging.WARNING, "member change failed")
 MEMBER_LEFT = _define(815, logging.INFO, "member gave up its vote")
+EVACUATION_ACCEPTED = _define(816, logging.INFO, "evacuation accepted")
+EVACUATION_REFUSED = _define(817, logging.WARNING, "call for an evacuation refused")
+EVACUATION_IN_FORCE = _define(818, logging.INFO, "evacuations in force changed")
+SERVERS_EVACUATED = _define(819, logging.WARNING, "all servers of a service evacuated")
 SERVER_LIST_UNREADABLE = _define(820, logging.WARNING, "server list unreadable")
 SERVER_LIST_CHANGED = _define(821, logging.INFO, "server list changed")
 SERVER_LEFT = _define(822, logging.INFO, "backend server left or leaving")
--- a/src/jasminewharf/services/upstream.py
+++ b/src/jasminewharf/services/upstream.py
@@ -17,11 +17,13 @@
     BackendUnreachable,
     LimitReached,
     NotRunThere,
+    ZoneEvacuated,
 )
 from ..kernel import Kernel, Service
 from ..registry import lookup
 from .client import ClientResponse, HttpClient, RequestIdentity
 from .permits import Permit
+from .requestmemory import AnswerMemory
 
 __all__ = ["UpstreamRequest", "Upstream", "UpstreamAnswer"]
 
@@ -55,6 +57,24 @@
     is_idempotent: bool
 
 
+class _ZonePermit:
+    """A permit that allows no send once the server's zone is evacuated."""
+
+    def __init__(self, permit: Permit, server: Server) -> None:
+        self._permit = permit
+        self._server = server
+
+    def spend(self) -> None:
+        """Record a send, right before its first byte is written.
+
+        Raises:
+            LimitReached: If it is not allowed any more.
+        """
+        if self._server.is_evacuated:
+            raise ZoneEvacuated(self._server.name)
+        self._permit.spend()
+
+
 class UpstreamAnswer:
     """A server's answer after its head was checked.
 
@@ -65,8 +85,9 @@
         media_type: The body's type in lower case; empty if not told.
     """
 
-    def __init__(self, response: ClientResponse) -> None:
+    def __init__(self, response: ClientResponse, memory: AnswerMemory) -> None:
         self._response = response
+        self._memory = memory
         self.status = response.status
         self.headers = [(k, v) for k, v in response.headers if k not in _NOT_KEPT]
         self.is_close_delimited = response.is_close_delimited
@@ -90,9 +111,11 @@
             AnswerBroken: If it ended early.
         """
         try:
-            return await self._response.read()
+            return await self._response.read(on_read=self._memory.grow)
         except BackendError as error:
             raise AnswerBroken(str(error), began=True) from error
+        finally:
+            self._memory.end()
 
     async def events(self) -> AsyncIterator[list[StreamEvent]]:
         """Yield the stream's events as they arrive.
@@ -141,6 +164,7 @@
         self._dialect = lookup(CALLER_DIALECTS, kernel.settings.fleet.dialect)
         self._clients: dict[str, HttpClient] = {}
         self._metrics = kernel.find("process").metrics
+        self._memory = kernel.find("process").request_memory
 
     async def start(self) -> None:
         """Start to close connections to servers that have left the list."""
@@ -180,7 +204,7 @@
                 repeatable=outgoing.is_idempotent,
                 may_repeat=may_repeat,
                 kept_idle_s=defaults.KEPT_IDLE_S,
-                permit=permit,
+                permit=_ZonePermit(permit, server),
                 identity=RequestIdentity(
                     outgoing.call.request_id, self._dialect.read_answer_id
                 ),
@@ -198,7 +222,7 @@
             raise
         if response.is_close_delimited:
             self._metrics.count("close_delimited_answers_total")
-        return UpstreamAnswer(response)
+        return UpstreamAnswer(response, self._memory.begin_answer())
 
     async def _check(
         self,
