--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -124,6 +124,9 @@
 CONNECTION_UNANSWERED = _define(
     711, logging.INFO, "connection closed with a request unanswered"
 )
+REQUESTS_SHED = _define(
+    712, logging.WARNING, "requests refused for lack of memory for them"
+)
 BATCH_MALFORMED = _define(709, logging.WARNING, "malformed batch dropped")
 CERTIFICATE_CHANGED = _define(705, logging.INFO, "changed certificate taken up")
 CERTIFICATE_REFUSED = _define(706, logging.ERROR, "changed certificate not used")
@@ -140,6 +143,10 @@
 MEMBER_REMOVED = _define(813, logging.WARNING, "silent member removed")
 MEMBER_CHANGE_FAILED = _define(814, logging.WARNING, "member change failed")
 MEMBER_LEFT = _define(815, logging.INFO, "member gave up its vote")
+EVACUATION_ACCEPTED = _define(816, logging.INFO, "evacuation accepted")
+EVACUATION_REFUSED = _define(817, logging.WARNING, "call for an evacuation refused")
+EVACUATION_IN_FORCE = _define(818, logging.INFO, "evacuations in force changed")
+SERVERS_EVACUATED = _define(819, logging.WARNING, "all servers of a service evacuated")
 SERVER_LIST_UNREADABLE = _define(820, logging.WARNING, "server list unreadable")
 SERVER_LIST_CHANGED = _define(821, logging.INFO, "server list changed")
 SERVER_LEFT = _define(822, logging.INFO, "backend server left or leaving")
@@ -199,6 +206,11 @@
 WINDOW_FULL = _define(883, logging.INFO, "backend server in full use again")
 PACE_ACTIVE = _define(884, logging.INFO, "servers are chosen by their pace")
 RATE_OWNER_SILENT = _define(856, logging.WARNING, "owner of the rates is silent")
+RATE_USED = _define(890, logging.INFO, "tokens granted and refused in a second")
+RATE_OWNED = _define(891, logging.INFO, "owner of the rates refused or queued requests")
+RATE_OWNER_BEGAN = _define(892, logging.INFO, "owner of the rates begins to lend")
+STREAM_LATE = _define(893, logging.INFO, "stream late")
+STREAMS_ENDED = _define(894, logging.INFO, "streams answered in a second")
 
 # Engines beside an agent: 900 to 949.
 ENGINE_LOST = _define(900, logging.WARNING, "engine does not answer")
--- a/src/jasminewharf/interfaces/fleetagent.py
+++ b/src/jasminewharf/interfaces/fleetagent.py
@@ -6,6 +6,7 @@
 from ..services.controllers import Controllers
 from ..services.directory import DirectoryService
 from ..services.engine import EngineManager
+from ..services.evacuationview import EvacuationView
 from ..services.feed import Feed
 from ..services.permits import Permits
 from ..services.process import Process
@@ -33,6 +34,7 @@
             Reporter,
             ConfigurationView,
             DirectoryService,
+            EvacuationView,
             ServerLimits,
             ColdServers,
             Permits,
--- a/src/jasminewharf/interfaces/fleetentry.py
+++ b/src/jasminewharf/interfaces/fleetentry.py
@@ -6,6 +6,7 @@
 from ..services.controllers import Controllers
 from ..services.demand import DemandService
 from ..services.directory import DirectoryService
+from ..services.evacuationview import EvacuationView
 from ..services.feed import Feed
 from ..services.forwarding import Forwarder
 from ..services.lending import RateBorrower
@@ -40,6 +41,7 @@
             Reporter,
             ConfigurationView,
             DirectoryService,
+            EvacuationView,
             RateBorrower,
             RetryBudgets,
             ServerLimits,
--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -11,13 +11,16 @@
 from ..logs import configure_logging
 from ..settings import LogFormat
 from .exits import find_exit_code
+from .tool_account import AccountCommand
 from .tool_config import ConfigCommand
+from .tool_evacuations import EvacuateCommand
 from .tool_explain import ExplainCommand
 from .tool_keys import KeyCommand
 from .tool_losses import LossesCommand
 from .tool_members import MemberCommand
 from .tool_status import DrainCommand, StatusCommand
 from .tool_trace import TraceCommand
+from .tool_where import WhereCommand
 
 __all__ = ["Tool", "main"]
 
@@ -72,10 +75,13 @@
         | KeyCommand
         | StatusCommand
         | DrainCommand
+        | EvacuateCommand
         | TraceCommand
         | ExplainCommand
         | LossesCommand
+        | AccountCommand
         | MemberCommand
+        | WhereCommand
         | RunCommand
     ]
 
--- a/src/jasminewharf/services/directory.py
+++ b/src/jasminewharf/services/directory.py
@@ -8,6 +8,7 @@
 from .. import defaults, events
 from ..decisions.directory import Directory, Server
 from ..decisions.enginereports import TAKEN, UNKNOWN
+from ..decisions.homes import RegionMap
 from ..decisions.listchanges import apply_changes
 from ..dialects.fleet import ListedServer
 from ..exceptions import PeerUnavailable
@@ -51,6 +52,9 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self.directory = Directory(kernel.settings.policy.balancing)
+        settings = kernel.settings
+        if settings.fleet is not None:
+            self.directory.regions = RegionMap(settings.fleet.regions, settings.region)
         self.agents = AgentLinks(self._connect_agent)
         # The control host whose list this is, and the list's number there.
         self._list_base = ("", 0)
@@ -159,7 +163,7 @@
                 remaining_ms=listed.remaining_ms,
                 age_ms=age_ms,
             )
-        self._notify()
+        self.notify()
 
     def _take_hosts(self, host: str, message: ControlHosts) -> None:
         self.kernel.find("controllers").set_hosts(message.ips, host)
@@ -189,7 +193,7 @@
 
     def _take_report(self, report: EngineReport) -> None:
         if self.directory.take_report(report, _now()) == TAKEN:
-            self._notify()
+            self.notify()
 
     def _take_cold_times(self, message: ServerColdTimes) -> None:
         self.kernel.find("cold-servers").take_times(message)
@@ -212,7 +216,7 @@
         if unknown:
             self._send_to_relay(WantReports(unknown))
         if is_news:
-            self._notify()
+            self.notify()
 
     def _send_to_relay(self, message: Any) -> None:
         link = self.kernel.find("controllers").links.get(
@@ -281,7 +285,7 @@
         found = [a for a, posted in heard.items() if not posted or posted.at < late]
         return sorted(found, key=lambda address: not self.agents.is_linked(address))
 
-    def _notify(self) -> None:
+    def notify(self) -> None:
         """Tell the listeners once for all messages of an event-loop turn."""
         if not self._is_scheduled:
             self._is_scheduled = True
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -180,9 +180,15 @@
     A process that is stopped has ``grace_s`` until it is killed. Requests sent once
     more stay within ``retry_share`` of all requests plus ``retry_slack`` over
     ``retry_window_s``; the tokens of a workspace within its rate over
-    ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``. In any
-    second a server that is cold gets no more than the requests a second that its
-    service tolerates, times ``cold_overrun``, and ``cold_slack`` more.
+    ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``.
+
+    A request beyond its workspace's rate and burst waits for tokens in a queue, for
+    ``rate_wait_share`` of its latency target; 0 is no queue, and a short wait for those
+    that come first. A workspace keeps its unused rate of ``rate_carry_s`` beyond its
+    burst, within what the window allows.
+
+    In any second a server that is cold gets no more than the requests a second that
+    its service tolerates, times ``cold_overrun``, and ``cold_slack`` more.
     """
 
     grace_s: Seconds = 8.0
@@ -194,6 +200,8 @@
     rate_slack_tokens: Annotated[float, Range(0, 1_000_000_000)] = 0
     cold_overrun: Annotated[float, Range(0, 1_000)] = 1.5
     cold_slack: Annotated[float, Range(0, 1_000_000)] = 5
+    rate_wait_share: Annotated[float, Range(0, 1)] = 0
+    rate_carry_s: Annotated[float, Range(0, 3_600)] = 0
 
 
 class FleetSettings(NamedTuple):
@@ -203,7 +211,8 @@
     of some control hosts; internal ports count from ``first_port`` on all hosts.
     ``first_start`` is true only when the whole fleet starts with empty disks.
     ``own_server`` is the backend server beside an agent. ``metrics_port`` replaces the
-    internal port of the metrics.
+    internal port of the metrics. ``regions`` names the region of each availability zone
+    where there are several regions; all processes need the same.
     """
 
     dialect: str
@@ -218,6 +227,7 @@
     own_server: str = ""
     metrics_port: Annotated[int, Range(0, _PORT_MAX)] = 0
     bounds: BoundSettings = BoundSettings()
+    regions: dict[str, str] = {}
 
     def control_host(self, ip: str) -> ControlHost:
         """Return the control host at an IP address."""
@@ -249,6 +259,11 @@
 
     ``listen`` is the address for callers on an entry and for internal links on an
     agent; a control host listens where its line in ``control`` says.
+
+    ``memory_mb`` is the memory of an agent's engines, and on other processes the
+    memory that they may use; 0 for that of the machine. A quarter of it, at least 32
+    MB, is what requests may hold that a process reads or serves; half of the file
+    descriptors that it may open is what connections of callers take.
     """
 
     node: NodeName
