Give the engines of the cold soak the zone that it evacuates

After the merge the soak of processes evacuates a zone, which no engine of the cold soak named, so that the call was refused.

--- a/tests/test_cold_soak.py
+++ b/tests/test_cold_soak.py
@@ -13,6 +13,7 @@
 from jasminewharf.bench.cold_model import find_fullest_second
 from processfleet import read_seeds
 from processsoak import (
+    ZONE,
     Soak,
     SoakFleet,
     SoakServer,
@@ -93,12 +94,13 @@
 
 
 def build_cold_parts(seed):
-    parts = build_parts(seed)
+    parts = build_parts(seed, ZONE)
     rng = random.Random(f"cold servers of {seed}")
     parts["engines"] = [
         ColdServer("127.0.0.1", "i-e1", "llm", ["m0", "m1"], rng=rng),
         ColdServer("127.0.0.1", "i-e2", "llm", ["m0", "m2"], rng=rng),
     ]
+    parts["engines"][1].zone = ZONE
     services = json.loads(parts["body"])["services"]
     services[0].update(_RULE)
     routes = json.loads(parts["body"])["routes"]
