Split what follows a failed attempt from forwarding, and send by one loop

Change: services/failedattempts.py notes failures and decides about the next attempt; Forwarder.run has the one loop.

--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -14,17 +14,15 @@
 from ..exceptions import (
     AnswerBroken,
     BackendError,
-    BackendFailed,
     JasminewharfError,
     LimitReached,
-    ModelUnavailable,
     NotRunThere,
     Overloaded,
-    StreamInterrupted,
     TrialBusy,
 )
 from ..kernel import Kernel, Service
 from .answertimes import AnswerTimer, measure_load
+from .failedattempts import FailedAttempts
 from .jobs import Job
 from .poisonguard import GuardedPrompt
 from .standby import Attempt, Standby
@@ -60,6 +58,7 @@
         self._poison = kernel.find("poison-guard")
         self._retries = kernel.find("retry-budgets")
         self._metrics = kernel.find("process").metrics
+        self._failures = FailedAttempts(kernel)
 
     async def run(self, job: Job, sink: Sink, attempts: Attempts) -> None:
         """Have a request answered.
@@ -69,10 +68,32 @@
         """
         self._retries.deposit(job.service.name)
         prompt = self._poison.open(job)
+        relay = None
         if job.route.kind == "stream":
-            await self._run_stream(job, sink, attempts, prompt)
-        else:
-            await self._run_plain(job, sink, attempts, prompt)
+            relay = StreamRelay(sink, job.call.last_event)
+        standby = self._build_standby(job, attempts, prompt, relay)
+        try:
+            attempt: Attempt | None = await self._admit(job, attempts, prompt)
+            while not await self._answer(attempt, job, sink, relay, attempts, standby):
+                attempt = await self._take(standby, attempts)
+                if attempt is None:
+                    attempt = await self._admit(job, attempts, prompt)
+        finally:
+            await standby.drop()
+
+    async def _answer(
+        self,
+        attempt: Attempt,
+        job: Job,
+        sink: Sink,
+        relay: StreamRelay | None,
+        attempts: Attempts,
+        standby: Standby,
+    ) -> bool:
+        """Answer by one attempt; return False if another server is to be tried."""
+        if relay is None:
+            return await self._answer_plain(attempt, job, sink, attempts, standby)
+        return await self._answer_stream(attempt, job, relay, attempts, standby)
 
     async def _admit(
         self, job: Job, attempts: Attempts, prompt: GuardedPrompt
@@ -113,26 +134,13 @@
             job.outgoing,
             forwarded,
             attempt.permit,
-            may_repeat=lambda: self._take_budget(job),
+            may_repeat=lambda: self._failures.take_budget(job),
         )
         attempt.held.callback(answer.close)
         return answer
 
     # Whole answers.
 
-    async def _run_plain(
-        self, job: Job, sink: Sink, attempts: Attempts, prompt: GuardedPrompt
-    ) -> None:
-        standby = self._build_standby(job, attempts, prompt)
-        try:
-            attempt: Attempt | None = await self._admit(job, attempts, prompt)
-            while not await self._answer_plain(attempt, job, sink, attempts, standby):
-                attempt = await self._take(standby, attempts)
-                if attempt is None:
-                    attempt = await self._admit(job, attempts, prompt)
-        finally:
-            await standby.drop()
-
     async def _answer_plain(
         self,
         attempt: Attempt,
@@ -155,15 +163,15 @@
             attempts.note_unsent(server.name)
             return False
         except (NotRunThere, AnswerBroken) as error:
-            self._note_failure(server, job, error, attempts)
+            self._failures.note_failure(server, job, error, attempts)
             if not await standby.wait():
-                self._check_next(job, attempts, error)
+                self._failures.check_next(job, attempts, error)
             return False
         answer = attempt.answer
         is_failure = answer.status >= defaults.SERVER_ERROR_STATUS
         self._chooser.note_result(server, not is_failure)
         if is_failure and (
-            await standby.wait() or self._may_repeat(server, job, attempts)
+            await standby.wait() or self._failures.may_repeat(server, job, attempts)
         ):
             attempts.note_run(server.name)
             return False
@@ -195,20 +203,6 @@
 
     # Streams.
 
-    async def _run_stream(
-        self, job: Job, sink: Sink, attempts: Attempts, prompt: GuardedPrompt
-    ) -> None:
-        relay = StreamRelay(sink, job.call.last_event)
-        standby = self._build_standby(job, attempts, prompt, relay)
-        try:
-            attempt: Attempt | None = await self._admit(job, attempts, prompt)
-            while not await self._answer_stream(attempt, job, relay, attempts, standby):
-                attempt = await self._take(standby, attempts)
-                if attempt is None:
-                    attempt = await self._admit(job, attempts, prompt)
-        finally:
-            await standby.drop()
-
     async def _answer_stream(
         self,
         attempt: Attempt,
@@ -235,13 +229,13 @@
         except LimitReached:
             attempts.note_unsent(server.name)
         except (NotRunThere, AnswerBroken) as error:
-            self._note_failure(server, job, error, attempts)
+            self._failures.note_failure(server, job, error, attempts)
             if await standby.wait():
                 return False
             if relay.has_started:
-                self._check_resume(job, relay, attempts, error)
+                self._failures.check_resume(job, relay, attempts, error)
             else:
-                self._check_next(job, attempts, error)
+                self._failures.check_next(job, attempts, error)
         return False
 
     async def _relay_answer(
@@ -308,7 +302,8 @@
                 raise _describe_silence(limit_s, began=True) from None
         is_failure = answer.status >= defaults.SERVER_ERROR_STATUS
         if is_failure and (
-            await standby.wait() or self._may_repeat(attempt.server, job, attempts)
+            await standby.wait()
+            or self._failures.may_repeat(attempt.server, job, attempts)
         ):
             return False
         relay.respond(answer, attempt.body)
@@ -467,7 +462,7 @@
         limit_s = _choose_limit_s(attempt, job, attempts)
         try:
             async with attempt.held:
-                if not self._take_budget(job):
+                if not self._failures.take_budget(job):
                     raise Overloaded("no retry is left")
                 attempts.note_beside(server.name)
                 if attempts.may_ask_another(job.route.attempts, server.name):
@@ -492,7 +487,7 @@
             return error
         except (NotRunThere, AnswerBroken) as error:
             attempts.note_beside_ended(server.name)
-            self._note_failure(server, job, error, attempts)
+            self._failures.note_failure(server, job, error, attempts)
             return error
 
     async def _read_first(
@@ -533,76 +528,6 @@
                 server=attempt.server.name,
             )
 
-    # What follows a failed attempt.
-
-    def _note_failure(
-        self, server: Server, job: Job, error: BackendError, attempts: Attempts
-    ) -> None:
-        kind = "not_run" if isinstance(error, NotRunThere) else "broken"
-        self._metrics.count("failed_attempts_total", kind=kind)
-        events.emit(
-            _logger,
-            events.ATTEMPT_FAILED,
-            request_id=job.call.request_id,
-            server=server.name,
-            error=error,
-            attempt=attempts.sent,
-            report_age_ms=_age_ms(server.report_at),
-            load=server.load,
-        )
-        if isinstance(error, NotRunThere):
-            if error.is_absent and job.call.model:
-                server.missing[job.call.model] = _now()
-                self._demand.review()
-            elif not error.is_full:
-                self._chooser.note_result(server, False)
-            attempts.note_rejected(server.name)
-        elif isinstance(error, AnswerBroken) and error.is_silent:
-            self._chooser.note_silent(server)
-            attempts.note_left(server.name)
-        else:
-            self._chooser.note_result(server, False)
-            attempts.note_run(server.name)
-
-    def _check_next(self, job: Job, attempts: Attempts, error: BackendError) -> None:
-        """Raise the final refusal unless the request may be tried again."""
-        if attempts.may_have_run and not self._may_go_on(job, attempts, error):
-            raise BackendFailed(
-                f"a backend server failed: {error}", not_run=False
-            ) from error
-        if not attempts.may_have_run and not self._take_budget(job):
-            raise ModelUnavailable(
-                f"no backend server took the request: {error}",
-                retry_after_ms=defaults.SERVER_BUSY_RETRY_MS,
-            ) from error
-
-    def _check_resume(
-        self, job: Job, relay: StreamRelay, attempts: Attempts, error: BackendError
-    ) -> None:
-        if not relay.can_resume or not self._may_go_on(job, attempts, error):
-            raise StreamInterrupted(f"the stream broke: {error}", not_run=False)
-
-    def _may_go_on(self, job: Job, attempts: Attempts, error: BackendError) -> bool:
-        """Return whether a request that may have run is sent to another server."""
-        if isinstance(error, AnswerBroken) and error.may_be_poison:
-            return False
-        may_ask_another = attempts.may_ask_another(job.route.attempts)
-        if not job.route.is_idempotent or not may_ask_another:
-            return False
-        return self._take_budget(job)
-
-    def _may_repeat(self, server: Server, job: Job, attempts: Attempts) -> bool:
-        """Return whether a server's own failure is tried at another server."""
-        runs = attempts.runs + (not attempts.has_run_on(server.name))
-        if not job.route.is_idempotent or runs >= job.route.attempts:
-            return False
-        untried = self._chooser.list_untried(job, attempts)
-        others = [other for other in untried if other is not server]
-        return bool(others) and self._take_budget(job)
-
-    def _take_budget(self, job: Job) -> bool:
-        return self._retries.withdraw(job.service.name)
-
     @contextlib.contextmanager
     def _in_flight(self, server: Server, job: Job) -> Iterator[None]:
         server.begin(job.call.model, job.call.adapter, _now())
@@ -633,10 +558,5 @@
     return AnswerBroken(reason, began=began, is_silent=True)
 
 
-def _age_ms(at: float) -> int:
-    age_s = _now() - at
-    return int(age_s * defaults.MS_PER_S) if age_s < defaults.AGE_LIMIT_S else -1
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
