--- a/src/jasminewharf/defaults.py
+++ b/src/jasminewharf/defaults.py
@@ -23,6 +23,10 @@
 # Ten times the nodes of the target size; the longest silent ones leave first.
 LINK_PEERS_LIMIT = 4_000
 LINK_MESSAGE_LIMIT_BYTES = 32 * 1024 * 1024
+# Of what the agent beside an engine is sent: a name and a few numbers in each message,
+# those of one turn of the event loop in one frame. Frames are received whole before
+# anything says who sends them.
+LINK_AGENT_LIMIT_BYTES = 1024 * 1024
 
 # Replicated log and storage.
 
@@ -379,6 +383,26 @@
 HTTP_AHEAD_BYTES = 256 * 1024
 HTTP_AHEAD_ROOM_BYTES = 128 * 1024  # Free again before more of them is read.
 HTTP_PARSED_BYTES = 64 * 1024
+# While memory for requests is short; a head of the documented 16 kB fits.
+HTTP_AHEAD_SHORT_BYTES = 32 * 1024
+# A connection parses pieces of HTTP_PARSED_BYTES until it has had so much; then others
+# have a turn. One piece takes 7 ms if its chunks have one byte each.
+HTTP_TURN_BYTES = 32 * 1024
+# Bodies are kept in blocks of one size, which the allocator can use for any other.
+HTTP_BODY_BLOCK_BYTES = 64 * 1024
+# Larger bodies and answers are not joined with their heads, which would copy them.
+HTTP_JOINED_BYTES = 64 * 1024
+# Divisors of the descriptors that a process may open: connections of callers, those
+# beyond them that are told so, and answered ones that wait for their close. The rest is
+# for backend servers, links and files.
+HTTP_CONNECTIONS_PART = 2
+HTTP_REFUSED_PART = 16
+HTTP_LINGERING_PART = 8
+HTTP_DESCRIPTORS_MAX = 65_536
+# Accepted in one turn of the event loop; more could take all descriptors at once.
+HTTP_ACCEPTED_IN_TURN = 32
+SHED_LOG_INTERVAL_S = 1.0
+SHED_RETRY_MS = 1_000
 # How often connections that are not read are looked at for a close.
 HTTP_WATCH_S = 0.02
 # A caller that ended its sending side and takes no byte for so long has left; work for
@@ -634,13 +658,23 @@
 # Rates lent by the owner.
 BORROW_TIMEOUT_S = 0.5
 ENTRIES_GUESS = 10  # Before the owner has told the number.
+RATE_OWNER_POLL_S = 0.1  # Between looks for a change of owner, or for an owner at all.
+RATE_REPORTS_S = 1.5  # How long a new owner asks what entries were lent before.
+RATE_ASK_AGAIN_S = 0.002  # Of a queued request, at least.
+RATE_WAITED_S = 0.01  # Longer than the answer to a question takes as a rule.
+# No leader is known to a control host that answered so lately: nobody lends.
+RATE_LEADERLESS_S = 1.0
+RATE_OWNER_RETRY_MS = 500
+RATE_RENEW_S = 0.5  # The age of tokens that are exchanged before a request is sent.
+RATE_OWNER_PART = 0.75  # Of a caller's time, for an owner that gives no answer.
 FOUNDING_S = 8.0  # How long after the first start nobody can have spent a rate.
-OWNER_SILENT_S = 0.3  # How long the owner is not asked after it gave no answer.
 RATE_PATIENCE_PART = 0.12  # Of the target: a wait that callers hardly see.
 # Of a request whose model is there at last: it has waited for longer than this already.
 RATE_WAITED_PATIENCE_S = 1.0
-RATE_RETURN_S = 0.5  # How often tokens that expired go back to the owner.
+RATE_RETURN_S = 0.1  # How often tokens that expired go back to the owner.
 RATE_RETRY_MIN_MS = 200
+RATE_WORKSPACES_SHOWN = 32  # In one line of the account; more lines follow.
+ACCOUNT_LOG_S = 1.0  # Between lines that sum up decisions.
 
 # Stopping.
 # A stopping agent waits this long for the entries to send it nothing more.
--- a/src/jasminewharf/events.py
+++ b/src/jasminewharf/events.py
@@ -124,6 +124,9 @@
 CONNECTION_UNANSWERED = _define(
     711, logging.INFO, "connection closed with a request unanswered"
 )
+REQUESTS_SHED = _define(
+    712, logging.WARNING, "requests refused for lack of memory for them"
+)
 BATCH_MALFORMED = _define(709, logging.WARNING, "malformed batch dropped")
 CERTIFICATE_CHANGED = _define(705, logging.INFO, "changed certificate taken up")
 CERTIFICATE_REFUSED = _define(706, logging.ERROR, "changed certificate not used")
@@ -195,6 +198,11 @@
 WINDOW_FULL = _define(883, logging.INFO, "backend server in full use again")
 PACE_ACTIVE = _define(884, logging.INFO, "servers are chosen by their pace")
 RATE_OWNER_SILENT = _define(856, logging.WARNING, "owner of the rates is silent")
+RATE_USED = _define(890, logging.INFO, "tokens granted and refused in a second")
+RATE_OWNED = _define(891, logging.INFO, "owner of the rates refused or queued requests")
+RATE_OWNER_BEGAN = _define(892, logging.INFO, "owner of the rates begins to lend")
+STREAM_LATE = _define(893, logging.INFO, "stream late")
+STREAMS_ENDED = _define(894, logging.INFO, "streams answered in a second")
 
 # Engines beside an agent: 900 to 949.
 ENGINE_LOST = _define(900, logging.WARNING, "engine does not answer")
--- a/src/jasminewharf/interfaces/operatorhttp.py
+++ b/src/jasminewharf/interfaces/operatorhttp.py
@@ -32,13 +32,22 @@
     """Takes operators' calls in the platform's dialect."""
 
     name: ClassVar[str] = "operator-http"
-    requires: ClassVar[tuple[str, ...]] = ("configurations", "evacuations")
+    requires: ClassVar[tuple[str, ...]] = (
+        "process",
+        "configurations",
+        "evacuations",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._dialect = lookup(OPERATOR_DIALECTS, kernel.settings.fleet.dialect)
         limits = LimitSettings(body_bytes=_BODY_LIMIT_BYTES)
-        self._http = HttpServer(self._handle, render_refusal, limits)
+        self._http = HttpServer(
+            self._handle,
+            render_refusal,
+            limits,
+            memory=kernel.find("process").request_memory,
+        )
         self._is_draining = False
 
     async def start(self) -> None:
--- a/src/jasminewharf/interfaces/tool.py
+++ b/src/jasminewharf/interfaces/tool.py
@@ -11,6 +11,7 @@
 from ..logs import configure_logging
 from ..settings import LogFormat
 from .exits import find_exit_code
+from .tool_account import AccountCommand
 from .tool_config import ConfigCommand
 from .tool_evacuations import EvacuateCommand
 from .tool_explain import ExplainCommand
@@ -19,6 +20,7 @@
 from .tool_members import MemberCommand
 from .tool_status import DrainCommand, StatusCommand
 from .tool_trace import TraceCommand
+from .tool_where import WhereCommand
 
 __all__ = ["Tool", "main"]
 
@@ -77,7 +79,9 @@
         | TraceCommand
         | ExplainCommand
         | LossesCommand
+        | AccountCommand
         | MemberCommand
+        | WhereCommand
         | RunCommand
     ]
 
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -20,6 +20,7 @@
     order_by_limit,
     split_by_limit,
 )
+from ..decisions.spreading import Spread
 from ..exceptions import (
     HomesUnavailable,
     JasminewharfError,
@@ -131,6 +132,23 @@
             in_flight=server.own,
         )
 
+    def build_spread(self, service: str) -> Spread | None:
+        """Return what a choice by pace depends on; None if the pace does not count."""
+        return self._balance.build_spread(service, _now())
+
+    def describe_closed(self, server: Server) -> str:
+        """Return why a server gets no requests of this node; empty if it does."""
+        now = _now()
+        if server.is_leaving:
+            return "leaving"
+        if server.is_evacuated:
+            return "in an evacuated availability zone"
+        if not server.is_open(now):
+            return "closed, or paused at its own request"
+        if server.is_avoided(now):
+            return "silent"
+        return "ejected" if self._health.is_ejected(server.incarnation, now) else ""
+
     def _list_usable(self, job: Job) -> list[Server]:
         """Return the servers of a job's service that take its requests."""
         now = _now()
@@ -235,12 +253,12 @@
                 except LimitReached as error:
                     waits.append(error.wait_s)
                     if self._is_outdated(server, job, attempts):
-                        await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
+                        await self._take_tokens(job, began_at)
                         return None
                     continue
                 with contextlib.ExitStack() as held:
                     held.enter_context(contextlib.closing(permit))
-                    await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
+                    await self._take_tokens(job, began_at)
                     held.pop_all()
                 return server, permit
         if job.needs_model and self._demand.can_load_freely(job.service):
@@ -447,7 +465,11 @@
             await self._demand.wait_model(job, may_return=not attempts.is_second)
         finally:
             attempts.waited_s += _now() - began_at
-        await job.charge.take(defaults.RATE_WAITED_PATIENCE_S)
+        await self._take_tokens(job, began_at)
+
+    async def _take_tokens(self, job: Job, began_at: float) -> None:
+        """Take the tokens of a request that has waited since ``began_at``."""
+        await job.charge.take(job.find_token_patience(_now() - began_at))
 
     def _find_holders(self, job: Job, attempts: Attempts) -> list[Server]:
         now = _now()
--- a/src/jasminewharf/settings.py
+++ b/src/jasminewharf/settings.py
@@ -181,6 +181,11 @@
     more stay within ``retry_share`` of all requests plus ``retry_slack`` over
     ``retry_window_s``; the tokens of a workspace within its rate over
     ``rate_window_s``, ``rate_overrun`` as a share and ``rate_slack_tokens``.
+
+    A request beyond its workspace's rate and burst waits for tokens in a queue, for
+    ``rate_wait_share`` of its latency target; 0 is no queue, and a short wait for those
+    that come first. A workspace keeps its unused rate of ``rate_carry_s`` beyond its
+    burst, within what the window allows.
     """
 
     grace_s: Seconds = 8.0
@@ -190,6 +195,8 @@
     rate_window_s: Seconds = 8.0
     rate_overrun: Annotated[float, Range(0, 10)] = 0.1
     rate_slack_tokens: Annotated[float, Range(0, 1_000_000_000)] = 0
+    rate_wait_share: Annotated[float, Range(0, 1)] = 0
+    rate_carry_s: Annotated[float, Range(0, 3_600)] = 0
 
 
 class FleetSettings(NamedTuple):
@@ -247,6 +254,11 @@
 
     ``listen`` is the address for callers on an entry and for internal links on an
     agent; a control host listens where its line in ``control`` says.
+
+    ``memory_mb`` is the memory of an agent's engines, and on other processes the
+    memory that they may use; 0 for that of the machine. A quarter of it, at least 32
+    MB, is what requests may hold that a process reads or serves; half of the file
+    descriptors that it may open is what connections of callers take.
     """
 
     node: NodeName
