--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -15,17 +15,15 @@
 from ..exceptions import (
     AnswerBroken,
     BackendError,
-    BackendFailed,
     JasminewharfError,
     LimitReached,
-    ModelUnavailable,
     NotRunThere,
     Overloaded,
-    StreamInterrupted,
     TrialBusy,
 )
 from ..kernel import Kernel, Service
 from .answertimes import AnswerTimer, measure_load
+from .failedattempts import FailedAttempts
 from .jobs import Job
 from .poisonguard import GuardedPrompt
 from .standby import Attempt, Standby
@@ -61,6 +59,7 @@
         self._poison = kernel.find("poison-guard")
         self._retries = kernel.find("retry-budgets")
         self._metrics = kernel.find("process").metrics
+        self._failures = FailedAttempts(kernel)
 
     async def run(self, job: Job, sink: Sink, attempts: Attempts) -> None:
         """Have a request answered.
@@ -70,10 +69,32 @@
         """
         self._retries.deposit(job.service.name)
         prompt = self._poison.open(job)
+        relay = None
         if job.route.kind == "stream":
-            await self._run_stream(job, sink, attempts, prompt)
-        else:
-            await self._run_plain(job, sink, attempts, prompt)
+            relay = StreamRelay(sink, job.call.last_event)
+        standby = self._build_standby(job, attempts, prompt, relay)
+        try:
+            attempt: Attempt | None = await self._admit(job, attempts, prompt)
+            while not await self._answer(attempt, job, sink, relay, attempts, standby):
+                attempt = await self._take(standby, attempts)
+                if attempt is None:
+                    attempt = await self._admit(job, attempts, prompt)
+        finally:
+            await standby.drop()
+
+    async def _answer(
+        self,
+        attempt: Attempt,
+        job: Job,
+        sink: Sink,
+        relay: StreamRelay | None,
+        attempts: Attempts,
+        standby: Standby,
+    ) -> bool:
+        """Answer by one attempt; return False if another server is to be tried."""
+        if relay is None:
+            return await self._answer_plain(attempt, job, sink, attempts, standby)
+        return await self._answer_stream(attempt, job, relay, attempts, standby)
 
     async def _admit(
         self, job: Job, attempts: Attempts, prompt: GuardedPrompt
@@ -117,26 +138,13 @@
             job.outgoing,
             forwarded,
             attempt.permit,
-            may_repeat=lambda: self._take_budget(job),
+            may_repeat=lambda: self._failures.take_budget(job),
         )
         attempt.held.callback(answer.close)
         return answer
 
     # Whole answers.
 
-    async def _run_plain(
-        self, job: Job, sink: Sink, attempts: Attempts, prompt: GuardedPrompt
-    ) -> None:
-        standby = self._build_standby(job, attempts, prompt)
-        try:
-            attempt: Attempt | None = await self._admit(job, attempts, prompt)
-            while not await self._answer_plain(attempt, job, sink, attempts, standby):
-                attempt = await self._take(standby, attempts)
-                if attempt is None:
-                    attempt = await self._admit(job, attempts, prompt)
-        finally:
-            await standby.drop()
-
     async def _answer_plain(
         self,
         attempt: Attempt,
@@ -159,15 +167,15 @@
             attempts.note_unsent(server.name)
             return False
         except (NotRunThere, AnswerBroken) as error:
-            self._note_failure(server, job, error, attempts)
+            self._failures.note_failure(server, job, error, attempts)
             if not await standby.wait():
-                self._check_next(job, attempts, error)
+                self._failures.check_next(job, attempts, error)
             return False
         answer = attempt.answer
         is_failure = answer.status >= defaults.SERVER_ERROR_STATUS
         self._chooser.note_result(server, not is_failure)
         if is_failure and (
-            await standby.wait() or self._may_repeat(server, job, attempts)
+            await standby.wait() or self._failures.may_repeat(server, job, attempts)
         ):
             attempts.note_run(server.name)
             return False
@@ -199,20 +207,6 @@
 
     # Streams.
 
-    async def _run_stream(
-        self, job: Job, sink: Sink, attempts: Attempts, prompt: GuardedPrompt
-    ) -> None:
-        relay = StreamRelay(sink, job.call.last_event)
-        standby = self._build_standby(job, attempts, prompt, relay)
-        try:
-            attempt: Attempt | None = await self._admit(job, attempts, prompt)
-            while not await self._answer_stream(attempt, job, relay, attempts, standby):
-                attempt = await self._take(standby, attempts)
-                if attempt is None:
-                    attempt = await self._admit(job, attempts, prompt)
-        finally:
-            await standby.drop()
-
     async def _answer_stream(
         self,
         attempt: Attempt,
@@ -239,15 +233,19 @@
         except LimitReached:
             attempts.note_unsent(server.name)
         except (NotRunThere, AnswerBroken) as error:
+<<<<<<< HEAD
             self._note_failure(
                 server, job, error, attempts, is_left_unread=relay.is_left_unread
             )
+=======
+            self._failures.note_failure(server, job, error, attempts)
+>>>>>>> evacuations
             if await standby.wait():
                 return False
             if relay.has_started:
-                self._check_resume(job, relay, attempts, error)
+                self._failures.check_resume(job, relay, attempts, error)
             else:
-                self._check_next(job, attempts, error)
+                self._failures.check_next(job, attempts, error)
         return False
 
     async def _relay_answer(
@@ -314,7 +312,8 @@
                 raise _describe_silence(limit_s, began=True) from None
         is_failure = answer.status >= defaults.SERVER_ERROR_STATUS
         if is_failure and (
-            await standby.wait() or self._may_repeat(attempt.server, job, attempts)
+            await standby.wait()
+            or self._failures.may_repeat(attempt.server, job, attempts)
         ):
             return False
         relay.respond(answer, attempt.body)
@@ -486,7 +485,7 @@
         limit_s = _choose_limit_s(attempt, job, attempts)
         try:
             async with attempt.held:
-                if not self._take_budget(job):
+                if not self._failures.take_budget(job):
                     raise Overloaded("no retry is left")
                 attempts.note_beside(server.name)
                 if attempts.may_ask_another(job.route.attempts, server.name):
@@ -511,7 +510,7 @@
             return error
         except (NotRunThere, AnswerBroken) as error:
             attempts.note_beside_ended(server.name)
-            self._note_failure(server, job, error, attempts)
+            self._failures.note_failure(server, job, error, attempts)
             return error
 
     async def _read_first(
@@ -552,6 +551,7 @@
                 server=attempt.server.name,
             )
 
+<<<<<<< HEAD
     # What follows a failed attempt.
 
     def _note_failure(
@@ -631,6 +631,8 @@
     def _take_budget(self, job: Job) -> bool:
         return self._retries.withdraw(job.service.name)
 
+=======
+>>>>>>> evacuations
     @contextlib.contextmanager
     def _in_flight(self, server: Server, job: Job) -> Iterator[None]:
         tokens = job.call.prompt_tokens + job.call.output_tokens
@@ -662,10 +664,5 @@
     return AnswerBroken(reason, began=began, is_silent=True)
 
 
-def _age_ms(at: float) -> int:
-    age_s = _now() - at
-    return int(age_s * defaults.MS_PER_S) if age_s < defaults.AGE_LIMIT_S else -1
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/jasminewharf/services/serverchooser.py
+++ b/src/jasminewharf/services/serverchooser.py
@@ -142,6 +142,8 @@
         now = _now()
         if server.is_leaving:
             return "leaving"
+        if server.is_evacuated:
+            return "in an evacuated availability zone"
         if not server.is_open(now):
             return "closed, or paused at its own request"
         if server.is_avoided(now):
