Resolve the merge of the split of failed attempts

What follows a failed attempt is in failedattempts.py; a break of an answer that was left unread is no failure of its server there too.

--- a/src/jasminewharf/services/failedattempts.py
+++ b/src/jasminewharf/services/failedattempts.py
@@ -33,10 +33,22 @@
         self._metrics = kernel.find("process").metrics
 
     def note_failure(
-        self, server: Server, job: Job, error: BackendError, attempts: Attempts
+        self,
+        server: Server,
+        job: Job,
+        error: BackendError,
+        attempts: Attempts,
+        *,
+        is_left_unread: bool = False,
     ) -> None:
-        """Count a failure of a server, and keep what it tells of the server."""
+        """Count a failure of a server, and keep what it tells of the server.
+
+        A server that breaks off an answer has not failed if it ``is_left_unread`` by
+        the caller.
+        """
         kind = "not_run" if isinstance(error, NotRunThere) else "broken"
+        if kind == "broken" and is_left_unread:
+            kind = "unread"
         self._metrics.count("failed_attempts_total", kind=kind)
         events.emit(
             _logger,
@@ -59,7 +71,8 @@
             self._chooser.note_silent(server)
             attempts.note_left(server.name)
         else:
-            self._chooser.note_result(server, False)
+            if not is_left_unread:
+                self._chooser.note_result(server, False)
             attempts.note_run(server.name)
 
     def check_next(self, job: Job, attempts: Attempts, error: BackendError) -> None:
--- a/src/jasminewharf/services/forwarding.py
+++ b/src/jasminewharf/services/forwarding.py
@@ -233,13 +233,9 @@
         except LimitReached:
             attempts.note_unsent(server.name)
         except (NotRunThere, AnswerBroken) as error:
-<<<<<<< HEAD
-            self._note_failure(
+            self._failures.note_failure(
                 server, job, error, attempts, is_left_unread=relay.is_left_unread
             )
-=======
-            self._failures.note_failure(server, job, error, attempts)
->>>>>>> evacuations
             if await standby.wait():
                 return False
             if relay.has_started:
@@ -551,88 +547,6 @@
                 server=attempt.server.name,
             )
 
-<<<<<<< HEAD
-    # What follows a failed attempt.
-
-    def _note_failure(
-        self,
-        server: Server,
-        job: Job,
-        error: BackendError,
-        attempts: Attempts,
-        *,
-        is_left_unread: bool = False,
-    ) -> None:
-        kind = "not_run" if isinstance(error, NotRunThere) else "broken"
-        if kind == "broken" and is_left_unread:
-            kind = "unread"
-        self._metrics.count("failed_attempts_total", kind=kind)
-        events.emit(
-            _logger,
-            events.ATTEMPT_FAILED,
-            request_id=job.call.request_id,
-            server=server.name,
-            error=error,
-            attempt=attempts.sent,
-            report_age_ms=_age_ms(server.report_at),
-            load=server.load,
-        )
-        if isinstance(error, NotRunThere):
-            if error.is_absent and job.call.model:
-                server.missing[job.call.model] = _now()
-                self._demand.review()
-            elif not error.is_full:
-                self._chooser.note_result(server, False)
-            attempts.note_rejected(server.name)
-        elif isinstance(error, AnswerBroken) and error.is_silent:
-            self._chooser.note_silent(server)
-            attempts.note_left(server.name)
-        else:
-            if not is_left_unread:
-                self._chooser.note_result(server, False)
-            attempts.note_run(server.name)
-
-    def _check_next(self, job: Job, attempts: Attempts, error: BackendError) -> None:
-        """Raise the final refusal unless the request may be tried again."""
-        if attempts.may_have_run and not self._may_go_on(job, attempts, error):
-            raise BackendFailed(
-                f"a backend server failed: {error}", not_run=False
-            ) from error
-        if not attempts.may_have_run and not self._take_budget(job):
-            raise ModelUnavailable(
-                f"no backend server took the request: {error}",
-                retry_after_ms=defaults.SERVER_BUSY_RETRY_MS,
-            ) from error
-
-    def _check_resume(
-        self, job: Job, relay: StreamRelay, attempts: Attempts, error: BackendError
-    ) -> None:
-        if not relay.can_resume or not self._may_go_on(job, attempts, error):
-            raise StreamInterrupted(f"the stream broke: {error}", not_run=False)
-
-    def _may_go_on(self, job: Job, attempts: Attempts, error: BackendError) -> bool:
-        """Return whether a request that may have run is sent to another server."""
-        if isinstance(error, AnswerBroken) and error.may_be_poison:
-            return False
-        may_ask_another = attempts.may_ask_another(job.route.attempts)
-        if not job.route.is_idempotent or not may_ask_another:
-            return False
-        return self._take_budget(job)
-
-    def _may_repeat(self, server: Server, job: Job, attempts: Attempts) -> bool:
-        """Return whether a server's own failure is tried at another server."""
-        runs = attempts.runs + (not attempts.has_run_on(server.name))
-        if not job.route.is_idempotent or runs >= job.route.attempts:
-            return False
-        untried = self._chooser.list_untried(job, attempts)
-        others = [other for other in untried if other is not server]
-        return bool(others) and self._take_budget(job)
-
-    def _take_budget(self, job: Job) -> bool:
-        return self._retries.withdraw(job.service.name)
-
-=======
->>>>>>> evacuations
     @contextlib.contextmanager
     def _in_flight(self, server: Server, job: Job) -> Iterator[None]:
         tokens = job.call.prompt_tokens + job.call.output_tokens
