Do not let a worker of the tests hang in a context that a test has left open

The collection had taken the sockets from the context's list before, so that nobody closed them. Contexts that tests leave open stay open now.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 import os
 from pathlib import Path
 
+import zmq
 from hypothesis import settings
 
 _LIST = Path(__file__).parents[1] / "KNOWN-RED.txt"
@@ -23,6 +24,17 @@
 settings.load_profile("repeatable")
 
 
+def _leave_context_open(context):
+    """Do not end a context that a failed test has left open.
+
+    A garbage collection that frees it together with its sockets no longer finds them,
+    so that the context waits for ever for them to be closed, and the worker hangs.
+    """
+
+
+zmq.Context.__del__ = _leave_context_open
+
+
 def read_known_red():
     """Return the node identifiers in the list: lines that begin with tests/."""
     if not _LIST.exists():
