--- a/tests/documentnodes.py
+++ b/tests/documentnodes.py
@@ -5,6 +5,7 @@
 
 import zmq
 
+from jasminewharf.decisions.evacuations import EvacuationTable
 from jasminewharf.messages.feed import BackendReport, NodeReport
 from jasminewharf.metrics import Metrics
 from jasminewharf.services.answers import CallPlan
@@ -25,13 +26,16 @@
         self.metrics = Metrics()
         self.security = None
         self.settings = SimpleNamespace(
+            zone="zone-a",
             backends=[BackendSettings("desk-1", "desk", "127.0.0.1:9")],
             policy=PolicySettings(),
             timing=TimingSettings(drain_timeout_s=5.0),
             host_name="host-1",
             listen="127.0.0.1:0",
         )
-        self.state = SimpleNamespace(draining=(), all_documents=list)
+        self.state = SimpleNamespace(
+            draining=(), all_documents=list, evacuations=EvacuationTable()
+        )
         self.digest = {}
         self.address = ""
         self.listener = None
