--- a/review/standins2.py
+++ b/review/standins2.py
@@ -332,6 +332,7 @@
     Attributes:
         models: The adapters of each model that it holds.
         orders: The orders that it accepted.
+        on_disk: The models of which its disk has copies.
         events: How many events a stream has.
         pause_s: The time between two events.
     """
@@ -340,6 +341,7 @@
         super().__init__(ip, name, ENGINE, record)
         self.models = {model: set() for model in models}
         self.orders = []
+        self.on_disk = []
         self.is_busy = False
         self.load_s = 0.6
         self.running = 0
@@ -388,7 +390,7 @@
             "handles": 0,
             "born": self.born,
             "state": self.state,
-            "atHand": {"inMemory": [], "onDisk": []},
+            "atHand": {"inMemory": [], "onDisk": self.on_disk},
             "incoming": [],
         }
         return json.dumps(report).encode()
@@ -405,9 +407,24 @@
         self._work = asyncio.create_task(self._carry_out(order))
         return 202
 
+    async def start_order(self, order):
+        """Begin to load a model; by default there is room for each."""
+
+    def forget(self):
+        """Start anew: empty, with other counts."""
+        self.models = {}
+        self.orders = []
+        self.born = int(time.time() * 1_000)
+
     async def _carry_out(self, order):
         self.is_busy = True
+        born = self.born
+        if order["op"] == "load" and not order.get("adapter"):
+            await self.start_order(order)
         await asyncio.sleep(self.load_s if order["op"] == "load" else 0.1)
+        if self.born != born:
+            self.is_busy = False
+            return
         if order["op"] == "load":
             self.models[order["model"]] = set()
         else:
