--- a/review/7/play.py
+++ b/review/7/play.py
@@ -16,6 +16,8 @@
 OFFERED_S = 5.0
 RETIRED_S = 3.0
 BURST_S = 0.4
+# Of the sheet, as the sizes below; both replicas have held all models before.
+DISK_S = 1.2
 RESTARTED_AFTER_S = 0.5
 # Of the rule: on two machines at least, three times.
 MACHINES = 2
@@ -34,7 +36,7 @@
             "adapters": 0,
             "adapterMb": 12.0,
             "warmS": 0.57,
-            "diskS": 1.2,
+            "diskS": DISK_S,
         }
         for name in names
     ]
@@ -105,6 +107,9 @@
         standins2.Engine(deployment.address(110 + number), f"i-e{number}", record, KEPT)
         for number in range(2)
     ]
+    for engine in engines:
+        engine.load_s = DISK_S
+        engine.on_disk = [*KEPT, *RARE]
     deployment.replicas += engines
     tasks = set()
     try:
