Refuse requests at once whose model the configuration drops

What callers saw: a request that waited for a model kept waiting until its caller left (1.8 s in the test, 503) after a configuration without the model, though no agent loads such a model.

Cause: an entry keeps the service of the configuration under which a request came, and asked agents for its model by that one for as long as it waited.

Change: a waiting request is reviewed when a configuration comes into force. It is refused (503, not run) if the model is not offered any more, no engine holds it and none has begun to load it; what has begun still serves callers.

test_request_that_waits_for_its_model_is_answered_beside_a_change asked that the request still waits once the configuration is in force. For the two changes that leave no model this is what callers should not do; there it now asks for the refusal, which it left open before, and nothing else changes.

--- a/src/jasminewharf/decisions/directory.py
+++ b/src/jasminewharf/decisions/directory.py
@@ -249,6 +249,13 @@
             return False
         return any(held.model == model for held in self._known_models())
 
+    def is_loading(self, model: str, now: float, fresh_s: float) -> bool:
+        """Return whether the engine loads a model, by a report that is not too old."""
+        report = self.report
+        if report is None or now - self.report_at > fresh_s:
+            return False
+        return report.is_loading and report.changing == model
+
     def holds_adapter(self, model: str, adapter: str) -> bool:
         """Return whether an adapter is known to be loaded on a model."""
         return any(
--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -91,6 +91,7 @@
     async def start(self) -> None:
         """Follow the directory."""
         self.kernel.find("directory").listen(self.review)
+        self.kernel.find("view").listen(lambda table: self.review())
         self.spawn(self._repeat_forever(), essential=True)
         self.spawn(self._tell_use_forever(), essential=True)
         self._metrics.watch("waiting_requests", lambda: len(self._waiters))
@@ -124,6 +125,7 @@
         try:
             async with asyncio.timeout_at(waiter.wait.leaves_at):
                 await waiter.ready
+            self._check_offered(waiter)
         except TimeoutError:
             raise self._refuse(waiter, self._estimate(waiter)) from None
         finally:
@@ -160,12 +162,9 @@
 
     def _check(self, waiter: _Waiter, request_id: str) -> None:
         """Refuse at once what no load can serve in time."""
+        self._check_offered(waiter)
         spec = _find_model(waiter.service, waiter.model)
-        if spec is None:
-            raise ModelUnavailable(
-                f"the service has no model {waiter.model!r}",
-                retry_after_ms=defaults.MODEL_RETRY_MS,
-            )
+        assert spec is not None
         place = self._choose_place(waiter.service, spec)
         ready_s = place.ready_s if place else 0.0
         left_s = waiter.wait.leaves_at - _now()
@@ -182,6 +181,37 @@
         if place and is_expected_too_late(waiter.wait, ready_s, place.load_s, _now()):
             raise self._refuse(waiter, ready_s)
 
+    def _check_offered(self, waiter: _Waiter) -> None:
+        """Refuse a request for a model that no engine is going to load.
+
+        Raises:
+            ModelUnavailable: If the model is not, or no longer, in the configuration.
+        """
+        spec = _find_model(waiter.service, waiter.model)
+        if spec is None or self._is_withdrawn(waiter.service, waiter.model):
+            raise ModelUnavailable(
+                f"the service has no model {waiter.model!r}",
+                retry_after_ms=defaults.MODEL_RETRY_MS,
+            )
+
+    def _is_withdrawn(self, service: ServiceSpec, model: str) -> bool:
+        """Return whether the configuration in force has left out a model.
+
+        It can still serve callers where it is loaded, and where its load has begun.
+        """
+        table = self.kernel.find("view").table
+        if table is None:
+            return False
+        current = table.services.get(service.name)
+        if current is not None and _find_model(current, model) is not None:
+            return False
+        now = _now()
+        return not any(
+            server.has_model(model, now, defaults.AGENT_FRESH_S)
+            or server.is_loading(model, now, defaults.AGENT_FRESH_S)
+            for server in self._directory.in_homes(service)
+        )
+
     def _estimate(self, waiter: _Waiter) -> float:
         """Return the seconds until the model is ready; 0 if nothing is known."""
         spec = _find_model(waiter.service, waiter.model)
@@ -284,16 +314,21 @@
         return split_by_limit(servers)[0] or servers
 
     def review(self) -> None:
-        """Let requests go on whose model is held, and ask again for the others."""
+        """Ask again for models, but let requests go on whose wait has ended.
+
+        It ends when the model is held, and when no engine can or will load it.
+        """
         changes, self._changes = self._changes, []
         for change in changes:
             if not change.done():
                 change.set_result(None)
         wanted: dict[_Key, ServiceSpec] = {}
         for waiter in self._waiters:
-            is_over = self._directory.find_obstacle(waiter.service)
-            if not is_over and not self._is_held(waiter.service, waiter.model):
-                wanted[waiter.key] = waiter.service
+            service, model = waiter.service, waiter.model
+            is_over = self._directory.find_obstacle(service)
+            is_over = is_over or self._is_withdrawn(service, model)
+            if not is_over and not self._is_held(service, model):
+                wanted[waiter.key] = service
             elif not waiter.ready.done():
                 waiter.ready.set_result(None)
         for key, items in self._returning.items():
--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -16,7 +16,7 @@
 from jasminewharf.interfaces.orders import Claim, OrderRelay
 from jasminewharf.interfaces.refusals import describe_refusal, render_refusal
 from jasminewharf.settings import LimitSettings
-from platformfakes import stream_body
+from platformfakes import FakeReplica, stream_body
 from support import call, wait_until
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -261,8 +261,12 @@
     run_with_fleet(scenario, tmp_path, entries=1)
 
 
+# The changes after which no engine may load a model.
+WITHOUT_MODELS = ("models gone", "service gone")
+
+
 @pytest.mark.parametrize(
-    "change", ["routes gone", "service gone", "models gone", "key gone", "rate lowered"]
+    "change", ["routes gone", *WITHOUT_MODELS, "key gone", "rate lowered"]
 )
 def test_request_that_waits_for_its_model_is_answered_beside_a_change(change, tmp_path):
     """What it waits for may never come; it is then to be refused in time."""
@@ -276,8 +280,9 @@
         status, _ = await fleet.submit(build_body(2, **BODIES[change]))
         assert status == 200
         await wait_until(lambda: entry.find("view").table.version == 2)
-        assert not asking.done()
+        assert change in WITHOUT_MODELS or not asking.done()
         status, _, body = await asyncio.wait_for(asking, 2 * LONG_S)
+        assert change not in WITHOUT_MODELS or status == 503
         if status != 200:
             assert status in (429, 503)
             assert json.loads(body)["error"]["not_run"]
@@ -286,6 +291,49 @@
     run_with_fleet(scenario, tmp_path, entries=1)
 
 
+def offer_models(*names):
+    """Return the first configuration's services with these models only."""
+    engine, desk = json.loads(build_body())["services"]
+    kept = [model for model in engine["engine"]["models"] if model["name"] in names]
+    return [{**engine, "engine": {**engine["engine"], "models": kept}}, desk]
+
+
+WITHOUT_M2 = {
+    "model gone": {"services": offer_models("m0", "m1", "m3")},
+    "engine gone": BODIES["models gone"],
+    "service gone": BODIES["service gone"],
+}
+
+
+@pytest.mark.parametrize("change", WITHOUT_M2)
+def test_request_for_a_model_that_is_no_longer_offered_is_refused_at_once(
+    change, tmp_path
+):
+    """It waited until its caller left for a load that no engine would begin."""
+    engine = FakeReplica("127.0.0.1", "i-e1", "llm", ["m0"])
+    engine.load_s = 1.0
+
+    async def scenario(fleet):
+        entry = fleet.entry_kernels[0]
+        loading, waiting = (
+            asyncio.create_task(
+                fleet.call("/chat/x", ("x-model", model), request_id=model)
+            )
+            for model in ("m1", "m2")
+        )
+        await wait_until(lambda: engine.busy and len(entry.find("demand")._waiters) > 1)
+        status, _ = await fleet.submit(build_body(2, **WITHOUT_M2[change]))
+        assert status == 200
+        status, _, body = await waiting
+        assert (status, json.loads(body)["error"]["not_run"]) == (503, True)
+        # A load that has begun still serves those who wait for it.
+        assert not loading.done()
+        assert (await loading)[0] == 200
+        assert engine.runs == ["m1"]
+
+    run_with_fleet(scenario, tmp_path, entries=1, engines=[engine])
+
+
 def test_idle_time_begins_when_the_caller_has_been_sent_the_answer():
     """It began at the write: a caller that read for longer had its next request cut."""
     piece = 3_000_000
