Give an engine no orders once its service has no models

What callers saw: nothing directly. The agent of an engine went on to load models for a service that a configuration had left without an engine or left out altogether, and used the weight store, which other services share.

Cause: the agent took a configuration only if it named models for its engine. Otherwise it kept those of the configuration before.

Change: such an engine keeps its limits, without any model, so that nothing is loaded or prefetched until a configuration names models again.

test_engine_of_a_service_without_models_gets_no_orders failed before in both cases (one order each: [0, 1] in place of [0, 0]).

--- a/src/jasminewharf/services/engine.py
+++ b/src/jasminewharf/services/engine.py
@@ -7,6 +7,7 @@
 
 from .. import defaults, events
 from ..decisions.backpressure import ServerBackpressure, ServerIncarnation
+from ..decisions.configurations import EngineSpec
 from ..decisions.copies import (
     FleetCopies,
     LostCopies,
@@ -209,11 +210,18 @@
             self._residency.set_engine(spec)
         self._wake.set()
 
-    def _find_spec(self, table: RouteTable) -> Any:
+    def _find_spec(self, table: RouteTable) -> EngineSpec | None:
+        """Return the engine's limits; None if the configuration does not tell them.
+
+        An engine whose service has lost its models keeps its limits, without any model.
+        """
         server = self.kernel.find("directory").directory.at_address(self._address)
         if server is not None:
             service = table.services.get(server.listed.service)
-            return service.engine if service else None
+            if service is not None and service.engine is not None:
+                return service.engine
+            known = self._residency.spec
+            return known._replace(models=()) if known is not None else None
         engines = [s.engine for s in table.services.values() if s.engine is not None]
         return engines[0] if len(engines) == 1 else None
 
--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -15,6 +15,7 @@
 from jasminewharf.interfaces.local import LocalOptions, open_local_system
 from jasminewharf.interfaces.orders import Claim, OrderRelay
 from jasminewharf.interfaces.refusals import describe_refusal, render_refusal
+from jasminewharf.messages.servers import WantModel
 from jasminewharf.settings import LimitSettings
 from platformfakes import FakeReplica, stream_body
 from support import call, wait_until
@@ -334,6 +335,30 @@
     run_with_fleet(scenario, tmp_path, entries=1, engines=[engine])
 
 
+@pytest.mark.parametrize("change", WITHOUT_MODELS)
+def test_engine_of_a_service_without_models_gets_no_orders(change, tmp_path):
+    """Its agent went on to load what the former configuration offered."""
+
+    async def scenario(fleet):
+        entry = fleet.entry_kernels[0]
+        agents = fleet.kernels[-len(fleet.engines) :]
+        status, _ = await fleet.submit(build_body(2, **BODIES[change]))
+        assert status == 200
+        for kernel in agents:
+            view = kernel.find("view")
+            await wait_until(lambda view=view: view.table.version == 2)
+        orders = [len(engine.orders) for engine in fleet.engines]
+        directory = entry.find("directory")
+        # An entry that has not heard of the change still asks.
+        for _ in range(5):
+            for server in directory.directory.in_service("llm"):
+                directory.send_to_agent(server, WantModel("m3", 3, 3.0, 0, 0))
+            await asyncio.sleep(0.2)
+        assert [len(engine.orders) for engine in fleet.engines] == orders
+
+    run_with_fleet(scenario, tmp_path, entries=1)
+
+
 def test_idle_time_begins_when_the_caller_has_been_sent_the_answer():
     """It began at the write: a caller that read for longer had its next request cut."""
     piece = 3_000_000
