Load adapters of held models that the configuration has left out

What callers saw: requests from before a change that need another adapter of a model which the configuration has left out waited in vain, and adapters of other models were unloaded for them.

Cause: whether there is room for an adapter was read from the models that are offered. For a held one that is not offered any more the answer was no, so that an unused adapter was unloaded, again and again, for a load that was never ordered.

Change: room is judged by the models that the agent knows, which include held ones of former configurations. For a model that it never knew nothing is ordered.

test_adapter_of_a_model_that_left_the_configuration_evicts_no_other failed before in both cases (unload of m1's adapter a1).

--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -508,7 +508,7 @@
             if wanted in loaded or now - at > _ADAPTER_REQUEST_EXPIRY_S:
                 del self._adapters_wanted[wanted]
         for wanted in self._adapters_wanted:
-            if wanted in present or wanted[0] not in self._held:
+            if wanted in present or wanted[0] not in self._held & self._known.keys():
                 continue
             if len(present) < self._spec.adapter_slots and self._has_room(
                 wanted[0], status
@@ -518,8 +518,7 @@
         return None
 
     def _has_room(self, model: str, status: EngineStatus) -> bool:
-        spec = self._models.get(model)
-        return spec is not None and self._free_mb(status) >= spec.adapter_mb
+        return self._free_mb(status) >= self._known[model].adapter_mb
 
     def _free_adapter_slot(
         self, loaded: set[tuple[str, str]], now: float
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -15,7 +15,7 @@
 )
 from jasminewharf.decisions.copies import FleetCopies, gather_copies
 from jasminewharf.decisions.directory import Directory
-from jasminewharf.decisions.residency import Residency
+from jasminewharf.decisions.residency import Intent, Residency
 from jasminewharf.decisions.serverselection import rank_by_hash
 from jasminewharf.dialects.fleet import HeldModel
 from jasminewharf.exceptions import ImplausibleDemand
@@ -760,6 +760,25 @@
     assert residency.choose(status, COMPLETE, 5.2).model == "m2"
 
 
+@pytest.mark.parametrize("is_known", [True, False])
+def test_adapter_of_a_model_that_left_the_configuration_evicts_no_other(is_known):
+    """Guards against unloads that make room for a load which is never ordered.
+
+    Callers from before the change may still need the adapter, for which there is room.
+    An agent that starts after the change does not know the model.
+    """
+    residency = build_residency() if is_known else Residency()
+    offered = build_engine(adapter_slots=4)
+    held = [HeldModel("m0", 1, ()), HeldModel("m1", 1, ("a1",))]
+    residency.choose(build_status(held), COMPLETE, 0.0)
+    kept = tuple(model for model in offered.models if model.name != "m0")
+    residency.set_engine(offered._replace(models=kept))
+    residency.choose(build_status(held), COMPLETE, 1.0)
+    residency.note_adapter("m0", "a2", 1.0)
+    intent = residency.choose(build_status(held), COMPLETE, 1.0)
+    assert intent == (Intent(True, "m0", "a2") if is_known else None)
+
+
 @pytest.mark.parametrize("knows_size", [True, False])
 def test_retired_model_takes_the_room_that_it_has(knows_size):
     """Guards against engines that are ordered to hold more than their memory.
