Count the demand of an entry at the agent that it asks last

Cause: an entry asks the agent of the engine that it finds best, and another one when that changes.

Change: an entry tells the agent that it asked before that nobody waits there any more.

test_agent_that_is_no_longer_asked_is_told and test_demand_ends_when_the_entry_asks_another_agent failed before.

--- a/src/jasminewharf/decisions/loaddemand.py
+++ b/src/jasminewharf/decisions/loaddemand.py
@@ -32,6 +32,11 @@
     age_s: float
     returning: int
 
+    @property
+    def is_none(self) -> bool:
+        """Whether nobody waits or is expected back."""
+        return not (self.requests or self.urgency or self.returning)
+
     def is_plausible(self) -> bool:
         """Return whether all values are in range; each request weighs at most 1."""
         counts = (self.requests, self.returning)
@@ -90,6 +95,13 @@
         wants[peer] = _Want(callers, since, now)
         return is_new
 
+    def withdraw(self, peer: str, model: str) -> None:
+        """Remove an entry's demand for a model."""
+        wants = self._wants.get(model, {})
+        wants.pop(peer, None)
+        if not wants:
+            self._wants.pop(model, None)
+
     def remove(self, model: str) -> bool:
         """Remove the demand for a loaded model; return whether there was any."""
         return self._wants.pop(model, None) is not None
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -151,7 +151,7 @@
         age_s: float = 0.0,
         returning: int = 0,
     ) -> bool:
-        """Record an entry's demand for a model.
+        """Record an entry's demand for a model; without callers, its end.
 
         Args:
             peer: The entry.
@@ -171,6 +171,9 @@
         callers = EntryDemand(requests, urgency, age_s, returning)
         if not callers.is_plausible():
             raise ImplausibleDemand(peer, model)
+        if callers.is_none:
+            self._demands.withdraw(peer, model)
+            return False
         # The entry will learn shortly that the model is loaded. Keeping its demand
         # would reload the model right after an eviction.
         if model not in self._models or model in self._held:
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -72,6 +72,40 @@
     assert [want.returning for want in asyncio.run(main())] == [20]
 
 
+def test_agent_that_is_no_longer_asked_is_told():
+    """Guards against demand that counts at two agents, so that it outranks others.
+
+    Case: the best engine for a model gets busy; the entry asks another one's agent.
+    """
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        directory = Directory()
+        addresses = ("10.0.0.1:80", "10.0.0.2:80")
+        directory.take_list(
+            [build_listed(f"i-{n}", address) for n, address in enumerate(addresses)],
+            loop.time(),
+        )
+        sent = []
+        demand = DemandService(_Kernel(directory, sent))
+        wait = WaitingRequest(loop.time(), 0.5, loop.time() + 2.0)
+        demand._refuse(_Waiter(SERVICE, "m2", wait, loop.create_future()), 0.0)
+        asked = []
+        for idle in (0, 0, 1):
+            for n, address in enumerate(addresses):
+                busy = {} if n == idle else {"changing": "m3", "ready_ms": 9_000}
+                report = build_report(address, on_disk=["m2"], **busy)
+                directory.take_report(report, loop.time())
+            sent.clear()
+            await asyncio.sleep(defaults.WANT_REPEAT_S)
+            demand.review()
+            asked.append([(want.requests, want.returning) for want in sent])
+        return asked
+
+    asked = asyncio.run(main())
+    assert asked == [[(0, 1)], [(0, 1)], [(0, 1), (0, 0)]]
+
+
 def test_engines_are_not_asked_for_callers_who_have_left():
     """Case: a burst on rare models, most of whose callers are refused.
 
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -743,6 +743,17 @@
     assert (intent.fetches, intent.weight) == ("m2", 10.0)
 
 
+def test_demand_ends_when_the_entry_asks_another_agent():
+    """It counted here until it expired, and at the other agent as well."""
+    residency = build_residency()
+    residency.note_demand("entry", "m1", 0, 0.0, 5.0, returning=6)
+    residency.note_demand("other", "m1", 0, 0.0, 5.0, returning=1)
+    residency.note_demand("entry", "m1", 0, 0.0, 5.1)
+    assert residency.describe_demand("m1")["returning"] == 1
+    residency.note_demand("other", "m1", 0, 0.0, 5.1)
+    assert residency.list_wanted_models(5.1) == []
+
+
 def test_demand_for_a_model_that_leaves_the_configuration_ends():
     """Guards against a KeyError that ended the agent of an engine with such callers."""
     residency = build_residency()
