Count refused callers only while they can come back

Cause: a refused caller counted until its model was expected to be ready, which is 20 to 80 s while the store's queue is long. Its deadline passes long before, so that it never comes back then; and every time it had come back in between, it counted once more.

Change: a caller whose deadline passes before then counts for 10 s, as a sign of others who come.

test_refused_caller_counts_while_it_can_come_back: without the condition its first case fails (40.0 s in place of 10.0).

--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 from collections.abc import Iterator
+from math import inf
 from typing import Any, ClassVar, NamedTuple
 
 from .. import defaults, events
@@ -41,6 +42,7 @@
     wait: WaitingRequest
     ready: asyncio.Future[None]
     may_return: bool = True
+    deadline: float = inf
 
     @property
     def key(self) -> _Key:
@@ -160,7 +162,9 @@
     def _build_waiter(self, job: Any, *, may_return: bool = True) -> _Waiter:
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         wait = WaitingRequest(job.started, job.route.target_s, job.leaves_at)
-        return _Waiter(job.service, job.call.model, wait, future, may_return)
+        return _Waiter(
+            job.service, job.call.model, wait, future, may_return, job.deadline
+        )
 
     def _check(self, waiter: _Waiter, request_id: str) -> None:
         """Refuse at once what no load can serve in time."""
@@ -231,6 +235,10 @@
         )
 
     def _count_refused(self, waiter: _Waiter, back_s: float) -> None:
+        # One whose deadline passes before the model is ready does not come back, but
+        # is a sign of others.
+        if _now() + back_s > waiter.deadline:
+            back_s = 0.0
         returning = self._returning.setdefault(waiter.key, [])
         counts_s = max(back_s, defaults.REFUSED_COUNT_S)
         returning.append(_Returning(waiter.service, _now() + counts_s))
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -3,6 +3,8 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
+
 from fleetparts import build_engine, build_listed, build_report
 from jasminewharf import defaults
 from jasminewharf.decisions.configurations import ServiceSpec
@@ -72,6 +74,27 @@
     assert [want.returning for want in asyncio.run(main())] == [20]
 
 
+@pytest.mark.parametrize(("deadline_s", "counts_s"), [(12.0, 10.0), (60.0, 40.0)])
+def test_refused_caller_counts_while_it_can_come_back(deadline_s, counts_s):
+    """Guards against loads for callers whose deadlines have passed.
+
+    Case: the store's queue is long, so that the model is ready in 40 s.
+    """
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        demand = DemandService(_Kernel(Directory(), []))
+        now = loop.time()
+        wait = WaitingRequest(now, 0.5, now + 9.0)
+        waiter = _Waiter(
+            SERVICE, "m2", wait, loop.create_future(), deadline=now + deadline_s
+        )
+        demand._refuse(waiter, 40.0)
+        return demand._returning["m2"][0].until - now
+
+    assert asyncio.run(main()) == pytest.approx(counts_s, abs=1.0)
+
+
 def test_agent_that_is_no_longer_asked_is_told():
     """Guards against demand that counts at two agents, so that it outranks others.
 
