Keep moved demand at the former agent, without its weight

Change: what has moved stays until it expires, but without callers, so that it counts once in the sum over agents. For a load from the store, the callers at other agents also decide whether the load may begin and whether a model makes room for it.

test_demand_that_has_moved_to_another_agent_counts_there_only replaces test_demand_ends_when_the_entry_asks_another_agent. It is as strict about the weight, which has to be gone at once; the place in the list has to stay.

--- a/src/jasminewharf/bench/foundfleet.py
+++ b/src/jasminewharf/bench/foundfleet.py
@@ -229,6 +229,8 @@
         self.waits: dict[str, list[WaitingRequest]] = defaultdict(list)
         self.refused: dict[str, list[float]] = defaultdict(list)
         self.missed_since: dict[str, float] = {}
+        # The engine whose agent was asked last, by model.
+        self.asked: dict[str, _Engine] = {}
 
     def find_place(self, model: ModelSpec, now: float):
         """Return where a model is ready first, as the demand service does."""
@@ -438,6 +440,10 @@
             engine.residency.note_demand(
                 _ENTRY, name, len(waits), urgency, now, now - since, returning
             )
+            former = self.entry.asked.get(name, engine)
+            if former is not engine:
+                former.residency.note_demand(_ENTRY, name, 0, 0.0, now)
+            self.entry.asked[name] = engine
 
     def _decide(self, engine: _Engine, now: float) -> None:
         if engine.change is not None:
--- a/src/jasminewharf/decisions/loaddemand.py
+++ b/src/jasminewharf/decisions/loaddemand.py
@@ -34,8 +34,8 @@
 
     @property
     def is_none(self) -> bool:
-        """Whether nobody waits or is expected back."""
-        return not (self.requests or self.urgency or self.returning)
+        """Whether nobody waits, is expected back or was refused for long."""
+        return not (self.requests or self.urgency or self.returning or self.age_s)
 
     def is_plausible(self) -> bool:
         """Return whether all values are in range; each request weighs at most 1."""
@@ -47,6 +47,9 @@
         )
 
 
+_NOBODY = EntryDemand(0, 0.0, 0.0, 0)
+
+
 class _Want(NamedTuple):
     """An entry's demand, first reported ``since`` and last ``at``."""
 
@@ -95,12 +98,11 @@
         wants[peer] = _Want(callers, since, now)
         return is_new
 
-    def withdraw(self, peer: str, model: str) -> None:
-        """Remove an entry's demand for a model."""
+    def discount(self, peer: str, model: str) -> None:
+        """Keep an entry's demand for a model as before, but without its callers."""
         wants = self._wants.get(model, {})
-        wants.pop(peer, None)
-        if not wants:
-            self._wants.pop(model, None)
+        if peer in wants:
+            wants[peer] = wants[peer]._replace(callers=_NOBODY)
 
     def remove(self, model: str) -> bool:
         """Remove the demand for a loaded model; return whether there was any."""
--- a/src/jasminewharf/decisions/residency.py
+++ b/src/jasminewharf/decisions/residency.py
@@ -172,7 +172,7 @@
         if not callers.is_plausible():
             raise ImplausibleDemand(peer, model)
         if callers.is_none:
-            self._demands.withdraw(peer, model)
+            self._demands.discount(peer, model)
             return False
         # The entry will learn shortly that the model is loaded. Keeping its demand
         # would reload the model right after an eviction.
@@ -279,7 +279,7 @@
             self._displaced = ""
         for model in wanted:
             reason = self._find_obstacle(model, status, copies, now)
-            intent = None if reason else self._make_way(model, status, now)
+            intent = None if reason else self._make_way(model, status, copies, now)
             if intent is not None and self._is_remote(model, status):
                 weight = self._weigh_in_fleet(model, copies)
                 return intent._replace(fetches=model, weight=weight)
@@ -367,7 +367,8 @@
             return "store_busy"
         # Without waiting or recently refused callers, one load at a time is enough to
         # serve every model eventually.
-        if not (wants.requests or wants.returning):
+        has_callers = wants.requests or wants.returning or copies.demand.get(model)
+        if not has_callers:
             return "" if copies.store_loads < 1 else "store_busy"
         is_open = copies.has_owner or copies.store_loads < DEFAULT_STORE_CONCURRENCY
         return "" if is_open else "store_busy"
@@ -455,13 +456,17 @@
             used += spec.adapter_mb if spec else 0.0
         return self._spec.weights_mb - used
 
-    def _make_way(self, model: str, status: EngineStatus, now: float) -> Intent | None:
+    def _make_way(
+        self, model: str, status: EngineStatus, copies: FleetCopies, now: float
+    ) -> Intent | None:
         if self._free_mb(status) >= self._models[model].weights_mb:
             return Intent(True, model)
-        victim = self._choose_victim(model, status, now)
+        victim = self._choose_victim(model, status, copies, now)
         return Intent(False, victim) if victim else None
 
-    def _choose_victim(self, model: str, status: EngineStatus, now: float) -> str:
+    def _choose_victim(
+        self, model: str, status: EngineStatus, copies: FleetCopies, now: float
+    ) -> str:
         """Return the cheapest model to evict, or an empty string if none pays off."""
         wants = self._demands.find(model)
         # An unload waits for running requests and blocks all other orders. A busy model
@@ -478,8 +483,10 @@
         if not held:
             return ""
         held_up_s = 0.0
+        weight = wants.weight
         if self._is_remote(model, status):
             held_up_s = self._models[model].remote_s
+            weight = self._weigh_in_fleet(model, copies)
         victim = min(
             held,
             key=lambda name: (
@@ -490,7 +497,7 @@
         )
         # The gain does not grow with the waiting time: otherwise one old request could
         # evict a model with many callers.
-        gain = _RELOAD_S * wants.weight
+        gain = _RELOAD_S * weight
         if wants.is_starved:
             gain = max(gain, wants.age_s)
         is_worth_it = gain > self._eviction_cost(victim, now, held_up_s)
--- a/src/jasminewharf/messages/servers.py
+++ b/src/jasminewharf/messages/servers.py
@@ -194,8 +194,8 @@
 class WantModel(NamedTuple):
     """An entry has ``requests`` that wait for a model, worth ``urgency`` in all.
 
-    It is repeated while they wait; with none it tells that callers were refused, or,
-    worth nothing and with none ``returning``, that the entry asks another agent.
+    It is repeated while they wait; with none it tells that callers were refused. One
+    without any figure tells that the entry asks another agent from now on.
     ``age_ms`` is how long ago the first caller was refused of those since whom nobody
     was served there; ``returning`` is how many were refused lately.
     """
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -743,15 +743,25 @@
     assert (intent.fetches, intent.weight) == ("m2", 10.0)
 
 
-def test_demand_ends_when_the_entry_asks_another_agent():
-    """It counted here until it expired, and at the other agent as well."""
-    residency = build_residency()
+def test_demand_that_has_moved_to_another_agent_counts_there_only():
+    """Guards against models whose entries change their minds outranking others.
+
+    Until the demand expires here, this engine may still be the first that is free to
+    load the model. Case: it has to unload another one for that.
+    """
+    residency = build_residency(places=1)
+    residency.choose(build_status(["m0"]), COMPLETE, 3.0)
     residency.note_demand("entry", "m1", 0, 0.0, 5.0, returning=6)
-    residency.note_demand("other", "m1", 0, 0.0, 5.0, returning=1)
+    assert residency.list_wanted_models(5.0) == [("m1", pytest.approx(5.2))]
     residency.note_demand("entry", "m1", 0, 0.0, 5.1)
-    assert residency.describe_demand("m1")["returning"] == 1
-    residency.note_demand("other", "m1", 0, 0.0, 5.1)
-    assert residency.list_wanted_models(5.1) == []
+    assert residency.list_wanted_models(5.1) == [("m1", 0.0)]
+    own = build_report("own", wanted=residency.list_wanted_models(5.1))
+    busy = {"changing": "m3", "is_loading": True}
+    others = [build_report("b", wanted=[("m1", 5.2)], **busy), build_report("c")]
+    copies = gather_copies([own, *others], "own", True)
+    intent = residency.choose(build_status(["m0"]), copies, 6.0)
+    assert (intent.model, intent.fetches, intent.weight) == ("m0", "m1", 5.2)
+    assert residency.choose(build_status(["m0"]), copies, 6.3) is None
 
 
 def test_demand_for_a_model_that_leaves_the_configuration_ends():
