Weigh last copies that a load evicts by the callers of the load

Such a load brings the fleet no model more.

Cause: an entry charged an engine whose disk would lose a last copy with the time of one load for one caller, while waiting counts for all callers of the model. With some callers a slightly busier engine was avoided at the price of a copy.

Change: the model that loses its last copy is expected to have as many callers.

test_busy_model_does_not_displace_the_last_copy_of_another_one failed before.

--- a/src/jasminewharf/decisions/serverselection.py
+++ b/src/jasminewharf/decisions/serverselection.py
@@ -319,7 +319,8 @@
             fleet.engine, report.on_disk, model.weights_mb, fleet.sizes
         )
         last = sum(1 for name in displaced if fleet.copies[name] <= 1)
-        cost += model.remote_s * last
+        # As many callers are expected for each of them as for this model.
+        cost += requests * model.remote_s * last
     return LoadPlacement(server, ready_s, own_s, cost)
 
 
--- a/tests/test_serverselection.py
+++ b/tests/test_serverselection.py
@@ -207,6 +207,22 @@
     assert place.server is spare
 
 
+def test_busy_model_does_not_displace_the_last_copy_of_another_one():
+    """Guards against loads from the store that bring the fleet no model more.
+
+    The callers of the other model are then as many, and wait as long.
+    """
+    last, spare = servers_with([], count=2)
+    last.report = last.report._replace(on_disk=["m6", "m8"])
+    spare.report = spare.report._replace(on_disk=["m7", "m8"], room_cost=30.0)
+    other = build_server("i-9", [], NOW, on_disk=["m7"], room_cost=99.0)
+    waiting = RequestBacklog(6, 6.0)
+    place = choose_load_placement(
+        [last, spare, other], ENGINE, build_model("m5"), waiting, NOW
+    )
+    assert place.server is spare
+
+
 def test_full_engines_ask_for_another_copy():
     """Case: a burst on a hot model that one engine holds."""
     server = build_server("i-1", ["m0"], NOW)
