Let one load at a time go beyond what the store was seen to serve

The owner of the slots granted three until two loads had shown that this is too many, and did not count those of crashed engines.

Change: the owner takes the store to serve two loads, or as many as it was seen to serve. Beyond that it grants one load at a time, which shows whether the store serves more. Loads of lost engines count until they would have ended. The estimate of that end no longer divides by a limit that nothing has shown yet.

test_loads_of_lost_engines_count_while_the_store_serves_them and test_one_load_at_a_time_goes_beyond_what_the_store_was_seen_to_serve failed before. test_number_at_once_is_not_learned_beside_a_load_that_broke_off had two loads begin at once beside two broken ones, which is what no longer happens. It now has one begin beside them, twice; as before, two slow loads, enough to learn from, have to leave the limit as it is.

--- a/src/jasminewharf/decisions/storequeue.py
+++ b/src/jasminewharf/decisions/storequeue.py
@@ -1,8 +1,9 @@
 """Slots for loads from the weight store, granted by one owner for the fleet.
 
-The store serves a limited number of concurrent loads at full speed; beyond that, all of
-them slow down. The owner grants that many slots, the highest weight first, and adapts
-the number to the measured load times.
+The store serves a limited number of concurrent loads at full speed; a load that begins
+beyond that is slow. The owner grants that many slots, the highest weight first, and
+adapts the number to the measured load times: one load at a time may go beyond what the
+store was seen to serve.
 """
 
 from typing import NamedTuple
@@ -85,18 +86,29 @@
     at: float
 
 
+class _BrokenLoad(NamedTuple):
+    """A load whose engine was lost, and when it ends if the store goes on with it."""
+
+    ends_at: float
+    is_probe: bool
+
+
 class _Load:
     """A slot in use, and its load once the engine has made room.
 
     ``beside`` is the number of loads that ran when this one began, itself included, and
     0 before that. ``seconds`` is its running time by the number of concurrent loads.
     ``alone_s`` is the uncontended load time; 0 for slots that another owner granted,
-    whose loads do not change the limit.
+    whose loads do not change the limit. ``is_probe`` tells that it was granted beside
+    as many loads as the store was seen to serve.
     """
 
-    def __init__(self, model: str, alone_s: float, now: float) -> None:
+    def __init__(
+        self, model: str, alone_s: float, now: float, is_probe: bool = False
+    ) -> None:
         self.model = model
         self.alone_s = alone_s
+        self.is_probe = is_probe
         self.heard_at = now
         self.granted_at = now
         self.began_at = now
@@ -121,8 +133,9 @@
         self._raises_at = now
         self._is_learned = False
         self._slowed = 0
-        # Ends of loads whose engines were lost, if the store serves them to the end.
-        self._broken: list[float] = []
+        self._broken: list[_BrokenLoad] = []
+        # Concurrent loads that the store is taken to serve at full speed.
+        self._proven = DEFAULT_STORE_CONCURRENCY - 1
         self._ended: list[SlotEnd] = []
 
     @property
@@ -182,7 +195,8 @@
         is_granted = now >= self._opens_at and self._is_next(engine)
         if is_granted:
             del self._wishes[engine]
-            self._loads[engine] = _Load(model, alone_s, now)
+            is_probe = self._count_taken() >= self._proven
+            self._loads[engine] = _Load(model, alone_s, now, is_probe)
         return SlotAnswer(is_granted, self.at_once)
 
     def renew_slot(
@@ -233,13 +247,27 @@
         then tell of a slower store.
         """
         if load.beside:
-            slowed = max(load.beside / self.at_once, 1.0)
-            self._broken.append(load.began_at + load.alone_s * slowed)
+            slowed = max(load.beside / self._proven, 1.0)
+            ends_at = load.began_at + load.alone_s * slowed
+            self._broken.append(_BrokenLoad(ends_at, load.is_probe))
 
     def _count_running(self) -> int:
         begun = sum(1 for load in self._loads.values() if load.beside)
         return begun + len(self._broken)
 
+    def _count_taken(self) -> int:
+        """Return the slots in use and the loads that go on without their engines."""
+        return len(self._loads) + len(self._broken)
+
+    def _is_probing(self) -> bool:
+        return any(load.is_probe for load in (*self._loads.values(), *self._broken))
+
+    def _count_free(self) -> int:
+        """Return how many slots may be granted now."""
+        free = max(self._proven - self._count_taken(), 0)
+        probes = 0 if self._is_probing() else 1
+        return min(free + probes, self.at_once - len(self._loads))
+
     def _is_next(self, engine: str) -> bool:
         loading = {load.model for load in self._loads.values()}
         own = self._wishes[engine]
@@ -257,8 +285,7 @@
             firsts[wish.model] = min(rank, firsts.get(wish.model, rank))
         if firsts[own.model][2] != engine:
             return False
-        free = self.at_once - len(self._loads)
-        return sorted(firsts.values()).index(firsts[own.model]) < free
+        return sorted(firsts.values()).index(firsts[own.model]) < self._count_free()
 
     def _advance(self, now: float) -> None:
         """Add the elapsed time to running loads and drop expired entries."""
@@ -268,7 +295,7 @@
                 passed_s = load.seconds.get(beside, 0.0) + now - self._counted_at
                 load.seconds[beside] = passed_s
         self._counted_at = now
-        self._broken = [ends_at for ends_at in self._broken if ends_at > now]
+        self._broken = [load for load in self._broken if load.ends_at > now]
         self._wishes = {
             name: wish
             for name, wish in self._wishes.items()
@@ -282,6 +309,8 @@
 
     def _adopt(self, known_at_once: int) -> None:
         if 0 < known_at_once <= _AT_ONCE_LIMIT and not self._is_learned:
+            # The highest of these may be a probe.
+            self._proven = max(known_at_once - 1, min(known_at_once, self._proven))
             self.at_once = known_at_once
             self._is_learned = True
 
@@ -296,9 +325,9 @@
             ):
                 self._slowed += 1
             if self._slowed >= _SLOWED_LOADS:
-                self._slowed = 0
-                self.at_once = max(self.at_once - 1, 1)
-                self._raises_at = now + _RAISE_PAUSE_S
+                self._lower(self.at_once - 1, now)
+            elif load.is_probe and self._proven < self.at_once:
+                self._lower(self._proven, now)
             return
         full_s = sum(s for n, s in load.seconds.items() if n >= self.at_once)
         is_telling = load.beside >= self.at_once and (
@@ -306,9 +335,16 @@
         )
         if is_telling:
             self._slowed = 0
+            self._proven = max(self._proven, self.at_once)
         if is_telling and now >= self._raises_at:
             self.at_once = min(self.at_once + 1, _AT_ONCE_LIMIT)
 
+    def _lower(self, at_once: int, now: float) -> None:
+        self._slowed = 0
+        self.at_once = max(at_once, 1)
+        self._proven = min(self._proven, self.at_once)
+        self._raises_at = now + _RAISE_PAUSE_S
+
 
 def allows_unowned_load(engine: str, others: int, silent_s: float) -> bool:
     """Return whether an engine may load from the store without an owner.
--- a/tests/test_storequeue.py
+++ b/tests/test_storequeue.py
@@ -159,27 +159,78 @@
     assert queue.at_once == 1
 
 
+def crash_and_load(queue, name, begin):
+    """Have two engines crash 1 s after ``begin``, and one load slowly beside that."""
+    lost = [f"{name}-{number}" for number in (1, 2)]
+    for engine in lost:
+        assert queue.request_slot(engine, f"m-{engine}", 9.0, ALONE_S, begin).is_granted
+        queue.renew_slot(engine, f"m-{engine}", True, begin)
+    for engine in lost:
+        queue.release(engine, False, begin + 1.0)
+    took_s = ALONE_S * 3 / 2
+    assert queue.request_slot(name, f"m-{name}", 1.0, ALONE_S, begin + 1.0).is_granted
+    for second in range(1, int(took_s) + 1):
+        queue.renew_slot(name, f"m-{name}", True, begin + second)
+    queue.release(name, True, begin + 1.0 + took_s)
+
+
 def test_number_at_once_is_not_learned_beside_a_load_that_broke_off():
     """Guards against a store that serves one engine at a time after a crash.
 
     Case: two engines crash during their loads, which the store goes on to serve. The
-    loads that begin after that take twice as long.
+    load that begins after that takes half as long again. Two slow loads are enough to
+    learn from.
     """
     queue = StoreQueue(0.0, is_first=True)
     queue.at_once = 2
-    for name in ("a", "b"):
+    for number in range(2):
+        crash_and_load(queue, f"e{number}", 20.0 * number)
+    assert queue.at_once == 2
+
+
+def test_loads_of_lost_engines_count_while_the_store_serves_them():
+    """Guards against loads that are slow from their begin on beside such loads.
+
+    Case: one of three engines crashes during its load. A load that begins at once takes
+    longer than one that waits until the other two have ended.
+    """
+    queue = StoreQueue(0.0, is_first=True)
+    for name in "abc":
         assert queue.request_slot(name, f"m-{name}", 1.0, ALONE_S, 0.0).is_granted
         queue.renew_slot(name, f"m-{name}", True, 0.0)
-    for name in ("a", "b"):
-        queue.release(name, False, 1.0)
-    for name in ("c", "d"):
-        assert queue.request_slot(name, f"m-{name}", 1.0, ALONE_S, 1.0).is_granted
-    for second in range(1, 13):
-        for name in ("c", "d"):
-            queue.renew_slot(name, f"m-{name}", True, float(second))
-    for name in ("c", "d"):
-        queue.release(name, True, 13.0)
-    assert queue.at_once == 2
+    queue.release("c", False, 5.0)
+    for name in "ab":
+        queue.renew_slot(name, f"m-{name}", True, 5.0)
+    assert not queue.request_slot("d", "m-d", 1.0, ALONE_S, 5.5).is_granted
+    for name in "ab":
+        queue.release(name, True, ALONE_S)
+    assert queue.request_slot("d", "m-d", 1.0, ALONE_S, ALONE_S).is_granted
+
+
+def test_one_load_at_a_time_goes_beyond_what_the_store_was_seen_to_serve():
+    """Guards against a store whose loads are all slow until it is known to be slow.
+
+    Case: the third load beside two shows whether the store serves three. Those that
+    begin until it ends do so beside one other.
+    """
+    queue = StoreQueue(0.0, is_first=True)
+    for name in "abc":
+        assert queue.request_slot(name, f"m-{name}", 1.0, ALONE_S, 0.0).is_granted
+        queue.renew_slot(name, f"m-{name}", True, 0.0)
+    queue.release("a", True, 2.0)
+    assert not queue.request_slot("d", "m-d", 1.0, ALONE_S, 2.0).is_granted
+    queue.release("b", True, 2.1)
+    assert queue.request_slot("d", "m-d", 1.0, ALONE_S, 2.1).is_granted
+
+
+def test_engines_that_repeat_the_limit_do_not_prove_it():
+    """Case: engines tell an owner the limit that it has told them itself."""
+    queue = StoreQueue(0.0, is_first=True)
+    for name in "abc":
+        known = queue.request_slot(name, f"m-{name}", 1.0, ALONE_S, 0.0).at_once
+        queue.renew_slot(name, f"m-{name}", True, 0.0, known)
+    queue.release("a", True, 2.0)
+    assert not queue.request_slot("d", "m-d", 1.0, ALONE_S, 2.0, known).is_granted
 
 
 def test_number_at_once_is_learned_from_fast_loads():
