Tell models that are retired from demand that has moved, by name

DemandService had _is_withdrawn for a model that the configuration has left out and _withdraw for demand that an agent is asked for no more. They are _is_retired and _tell_former_agent now.

--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -119,7 +119,8 @@
         A refusal counts as demand if the caller ``may_return`` after it.
 
         Raises:
-            ModelUnavailable: If it cannot be loaded before the caller leaves.
+            ModelUnavailable: If it cannot be loaded before the caller leaves, or is not
+                offered any more.
         """
         waiter = self._build_waiter(job, may_return=may_return)
         self._check(waiter, job.call.request_id)
@@ -194,13 +195,13 @@
             ModelUnavailable: If the model is not, or no longer, in the configuration.
         """
         spec = _find_model(waiter.service, waiter.model)
-        if spec is None or self._is_withdrawn(waiter.service, waiter.model):
+        if spec is None or self._is_retired(waiter.service, waiter.model):
             raise ModelUnavailable(
                 f"the service has no model {waiter.model!r}",
                 retry_after_ms=defaults.MODEL_RETRY_MS,
             )
 
-    def _is_withdrawn(self, service: ServiceSpec, model: str) -> bool:
+    def _is_retired(self, service: ServiceSpec, model: str) -> bool:
         """Return whether the configuration in force has left out a model.
 
         It can still serve callers where it is loaded, and where its load has begun.
@@ -336,7 +337,7 @@
         for waiter in self._waiters:
             service, model = waiter.service, waiter.model
             is_over = self._directory.find_obstacle(service)
-            is_over = is_over or self._is_withdrawn(service, model)
+            is_over = is_over or self._is_retired(service, model)
             if not is_over and not self._is_held(service, model):
                 wanted[waiter.key] = service
             elif not waiter.ready.done():
@@ -419,10 +420,10 @@
         want = WantModel(model, len(waits), urgency, age_ms, returning)
         if self.kernel.find("directory").send_to_agent(place.server, want):
             self._asked[key] = _now()
-            self._withdraw(key, place.server)
+            self._tell_former_agent(key, place.server)
             self._asked_at[key] = place.server.name
 
-    def _withdraw(self, key: _Key, asked: Server) -> None:
+    def _tell_former_agent(self, key: _Key, asked: Server) -> None:
         """Tell the agent that was asked before that another one is asked now.
 
         Loads are ranked by the demand at all agents, where it would count twice.
