Let replicas of models that are not offered make room first

What callers saw: nothing reported.

Cause: a replica whose model is not offered may be unloaded at once, so that it is among those that can make room; its value was read from the document, which lacks the model (KeyError).

Change: such a replica has no value and is unloaded before all others.

test_replica_of_a_model_that_is_no_longer_offered_makes_room_first failed before (KeyError).

--- a/src/jasminewharf/decisions/placer.py
+++ b/src/jasminewharf/decisions/placer.py
@@ -75,6 +75,18 @@
             self._callers.get(record.key, self._pooled_callers),
         )
 
+    def find_value(
+        self, record: ReplicaRecord, demands: DemandTable, now: float
+    ) -> float:
+        """Return what it costs to unload a replica; nothing without its model."""
+        if not self.is_offered(record):
+            return 0.0
+        return self.policy.retention_value(self.describe(record, demands, now))
+
+    def is_offered(self, record: ReplicaRecord) -> bool:
+        """Return whether a replica's model is in the document in force."""
+        return record.key in self._state.models
+
     def may_unload(
         self, record: ReplicaRecord, demands: DemandTable, now: float
     ) -> bool:
@@ -292,7 +304,8 @@
             return (), 0.0
         ranked = sorted(
             (
-                advisor.policy.retention_value(advisor.describe(record, demands, now)),
+                advisor.is_offered(record),
+                advisor.find_value(record, demands, now),
                 number,
             )
             for number, record in state.replicas.by_host.get(key.host, {}).items()
@@ -300,7 +313,7 @@
         )
         victims: list[int] = []
         cost = 0.0
-        for value, number in ranked:
+        for _, value, number in ranked:
             if short <= 0:
                 break
             victims.append(number)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -254,6 +254,29 @@
     assert any(isinstance(a, DecideReplica) for a in fleet.step(0.5))
 
 
+def test_replica_of_a_model_that_is_no_longer_offered_makes_room_first():
+    """Guards against a KeyError that ended the planner.
+
+    Case: a document drops a model while callers wait for one that needs its memory.
+    """
+    fleet = Fleet(models=4, hosts=1, eviction="least-recently-used")
+    load_all(fleet, [0, 1, 2])
+    fleet.now += 60
+    fleet.send("h0")
+    retired = ModelKey("s", "m1")
+    del fleet.models[retired]
+    fleet.version += 1
+    fleet.ask("e0", want(1), want(3))
+    (unload,) = fleet.step()
+    assert unload.phase == "unloading"
+    assert fleet.records[unload.replica].key == retired
+    fleet.states[unload.replica] = "gone"
+    fleet.send("h0")
+    fleet.step()
+    fleet.ask("e0", want(1), want(3))
+    assert [action.model for action in fleet.step(0.5)] == ["m3"]
+
+
 def test_load_of_a_dead_agent_holds_its_slot_until_the_host_is_lost():
     """A load may outlive its agent; its store slot must not be reused."""
     fleet = Fleet(models=6, hosts=3, store_concurrent_loads=1)
