--- a/tests/test_storequeue.py
+++ b/tests/test_storequeue.py
@@ -223,6 +223,20 @@
     assert queue.request_slot("d", "m-d", 1.0, ALONE_S, 2.1).is_granted
 
 
+def test_slow_load_beyond_what_was_seen_shows_the_limit_by_itself():
+    """Guards against more slow loads of a store that one has shown to be too slow."""
+    queue = StoreQueue(0.0, is_first=True)
+    for name in "abc":
+        assert queue.request_slot(name, f"m-{name}", 1.0, ALONE_S, 0.0).is_granted
+        queue.renew_slot(name, f"m-{name}", True, 0.0)
+    for second in range(1, 9):
+        for name in "abc":
+            queue.renew_slot(name, f"m-{name}", True, float(second))
+    queue.release("c", True, ALONE_S * 3 / 2)
+    assert queue.at_once == 2
+    assert not queue.request_slot("d", "m-d", 1.0, ALONE_S, ALONE_S * 3 / 2).is_granted
+
+
 def test_engines_that_repeat_the_limit_do_not_prove_it():
     """Case: engines tell an owner the limit that it has told them itself."""
     queue = StoreQueue(0.0, is_first=True)
