Tell all control hosts of the loads from the store in progress

Three loads were granted beside three in progress and took 15.6 s each.

Cause: an engine tells the owner of the slots, which is the leader, once a second of its load, by a message that nobody answers, to the last leader that answered it. Here the leader was cut off at 3.2 s and another one elected. An engine that loads asks for nothing, so that it goes on to tell the former one: the new owner granted the first slot at 6.6 s with none in use.

Change: these messages, and the return of a slot, go to all control hosts. Those that do not own the slots ignore them, as before.

test_loads_in_progress_are_told_to_an_owner_that_takes_over failed before (nothing was sent to the others; with find_leader in the fake owner, which the former code asks).

--- a/src/jasminewharf/services/storeslots.py
+++ b/src/jasminewharf/services/storeslots.py
@@ -270,13 +270,17 @@
             self._send(ReleaseStore(self._address, is_complete))
 
     def _send(self, message: HoldStore | ReleaseStore) -> None:
-        """Send a message to the owner; if it is lost, the slot expires in time."""
-        link = self._kernel.find("controllers").find_leader(FLEET_GROUP)
-        if link is None:
-            return
-        try:
-            link.send(message)
-        except PeerUnavailable:
+        """Send a message to all control hosts; if it is lost, the slot expires in time.
+
+        Nobody answers it, so that the engine would not notice that another host owns
+        the slots by now. Those that do not own them ignore it.
+        """
+        is_sent = False
+        for link in self._kernel.find("controllers").links.values():
+            with contextlib.suppress(PeerUnavailable):
+                link.send(message)
+                is_sent = True
+        if not is_sent:
             self._metrics.count("store_messages_lost_total")
 
 
--- a/tests/test_storeslots.py
+++ b/tests/test_storeslots.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from jasminewharf.exceptions import LinkTimeout
-from jasminewharf.messages.servers import ReleaseStore, StoreTurn
+from jasminewharf.exceptions import LinkTimeout, PeerUnavailable
+from jasminewharf.messages.servers import HoldStore, ReleaseStore, StoreTurn
 from jasminewharf.services.storeslots import StoreSlotClient
 
 ADDRESS = "10.0.0.1:80"
@@ -15,6 +15,7 @@
     def __init__(self, is_granted):
         self.is_granted = is_granted
         self.sent = []
+        self.links = {"control-1": self}
         self.metrics = None
 
     def find(self, name):
@@ -23,9 +24,6 @@
     async def request_repeatable(self, group, request, *timeouts):
         return StoreTurn(self.is_granted, 2)
 
-    def find_leader(self, group):
-        return self
-
     def send(self, message):
         self.sent.append(message)
 
@@ -33,8 +31,12 @@
         return sum(isinstance(message, ReleaseStore) for message in self.sent)
 
 
-async def ask(is_granted):
-    owner = FakeOwner(is_granted)
+def refuse(message):
+    raise PeerUnavailable("cut off")
+
+
+async def ask(is_granted, owner=None):
+    owner = owner or FakeOwner(is_granted)
     client = StoreSlotClient(owner, ADDRESS)
     assert await client.request_slot("m0", 1.0, 6.0, 0) is is_granted
     return owner, client
@@ -76,6 +78,30 @@
     asyncio.run(check())
 
 
+def test_loads_in_progress_are_told_to_an_owner_that_takes_over():
+    """Guards against loads beside those that only the former owner knows of.
+
+    Case: the leader is cut off from the others, which elect another one. Engines that
+    load ask for nothing, so that nobody tells them of it.
+    """
+
+    async def check():
+        owner = FakeOwner(is_granted=True)
+        links = [FakeOwner(is_granted=False) for _ in range(3)]
+        links[0].send = refuse
+        owner.links = dict(enumerate([owner, *links]))
+        _, client = await ask(True, owner)
+        client.note_loading()
+        client.release(is_complete=True)
+        for link in links[1:]:
+            assert [type(message) for message in link.sent] == [
+                HoldStore,
+                ReleaseStore,
+            ]
+
+    asyncio.run(check())
+
+
 def test_silent_owner_does_not_start_the_loads_of_all_engines(monkeypatch):
     """Guards against loads that all begin in the second that an election takes.
 
