Give the fake kernel of a test the view that demand reads

Since the demand service reads the configuration in force, from a service that it requires already; the test's kernel lacked it. It offers the test's service now; what the test asks for is the same.

--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -97,14 +97,16 @@
         directory.take_list(listed, loop.time())
         held = (HeldModel("m0", 1, ()),)
         directory.take_report(build_report("10.0.0.1:80", held), loop.time())
+        service = ServiceSpec(listed[0].service, 8, build_engine())
+        offered = SimpleNamespace(services={service.name: service})
         services = {
             "directory": SimpleNamespace(
                 directory=directory, send_to_agent=lambda server, message: True
             ),
             "process": SimpleNamespace(metrics=Metrics()),
+            "view": SimpleNamespace(table=offered),
         }
         demand = DemandService(SimpleNamespace(find=services.__getitem__))
-        service = ServiceSpec(listed[0].service, 8, build_engine())
         wait = WaitingRequest(loop.time(), 0.5, loop.time() + 2.0)
         waiters = [
             _Waiter(service._replace(homes=homes), "m0", wait, loop.create_future())
