Name the engine that an entry asked last as such

DemandService kept its name in _asked_at, beside times with that name. It is _asked_engine now; nothing else changes.

--- a/src/jasminewharf/services/demand.py
+++ b/src/jasminewharf/services/demand.py
@@ -82,7 +82,7 @@
         self._copies_asked: dict[_Key, tuple[float, str]] = {}
         self._asked: dict[_Key, float] = {}
         # The name of the engine whose agent was asked last.
-        self._asked_at: dict[_Key, str] = {}
+        self._asked_engine: dict[_Key, str] = {}
         self._begun: dict[str, dict[str, int]] = {}
         self._used: set[str] = set()
         self._repeat_use_at = 0.0
@@ -421,14 +421,14 @@
         if self.kernel.find("directory").send_to_agent(place.server, want):
             self._asked[key] = _now()
             self._tell_former_agent(key, place.server)
-            self._asked_at[key] = place.server.name
+            self._asked_engine[key] = place.server.name
 
     def _tell_former_agent(self, key: _Key, asked: Server) -> None:
         """Tell the agent that was asked before that another one is asked now.
 
         Loads are ranked by the demand at all agents, where it would count twice.
         """
-        former = self._directory.servers.get(self._asked_at.get(key, ""))
+        former = self._directory.servers.get(self._asked_engine.get(key, ""))
         if former is not None and former is not asked:
             nobody = WantModel(_get_model(key), 0, 0.0)
             self.kernel.find("directory").send_to_agent(former, nobody)
