--- a/review/standins3/backends.py
+++ b/review/standins3/backends.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from .record import Record
+from .settings import DISK_MB, HOST_MB
 from .web import Message, Refused, read_message, render
 
 __all__ = ["Backend", "Engine", "Platform"]
@@ -205,8 +206,9 @@
         self.weights_mb = weights_mb
         self.adapter_slots = adapter_slots
         self.held: dict[str, list[str]] = {name: [] for name in held}
-        self.on_disk: set[str] = set(held)
-        self.in_memory: set[str] = set()
+        # The copies of weights, the most recently used last.
+        self.on_disk: list[str] = list(held)
+        self.in_memory: list[str] = []
         self.busy = False
         self.seq = 0
         self.fence = -1
@@ -222,7 +224,7 @@
         if self._loading is not None:
             self._loading.cancel()
         self.held = {}
-        self.in_memory = set()
+        self.in_memory = []
         self.busy = False
         self.seq = 0
         self.fence = -1
@@ -343,10 +345,18 @@
                 source = "diskS"
             await asyncio.sleep(model[source])
             self.held.setdefault(name, [])
-            self.on_disk.add(name)
-            self.in_memory.add(name)
+            self._keep(self.on_disk, name, DISK_MB)
+            self._keep(self.in_memory, name, HOST_MB)
         self.busy = False
 
+    def _keep(self, copies: list[str], name: str, size_mb: float) -> None:
+        """Add a copy of weights; the least recently used ones make room."""
+        if name in copies:
+            copies.remove(name)
+        copies.append(name)
+        while sum(self.models[each]["weightsMb"] for each in copies) > size_mb:
+            copies.pop(0)
+
     async def run(
         self,
         request: Message,
--- a/review/standins3/settings.py
+++ b/review/standins3/settings.py
@@ -2,12 +2,25 @@
 
 from typing import Any
 
-__all__ = ["HOST", "KEY", "LLM", "PLAIN", "build", "model", "route"]
+__all__ = [
+    "DISK_MB",
+    "HOST",
+    "HOST_MB",
+    "KEY",
+    "LLM",
+    "PLAIN",
+    "build",
+    "model",
+    "route",
+]
 
 HOST = "shop.example"
 KEY = "k1abcdefgh0123456789"
 LLM = "gulong-llm"
 PLAIN = "gulong-app"
+# Disk and memory for copies of weights, as on gulong-host.
+DISK_MB = 1_400_000.0
+HOST_MB = 150_000.0
 
 
 def model(name: str, **fields: Any) -> dict[str, Any]:
@@ -68,8 +81,8 @@
         "weightsMb": weights_mb,
         "adapterSlots": 8,
         "loadsPerS": 7.0,
-        "diskMb": 870_000.0,
-        "hostMb": 150_000.0,
+        "diskMb": DISK_MB,
+        "hostMb": HOST_MB,
     }
     tenant = {
         "name": "tenant-a",
